feat: workspace, kernel interfaces, links and platform borders

Cause: parallel work needs fixed types, traits and messages. Change: workspace of small crates; core types, records, partitioning and the contract register; wire messages and two-way links; platform traits, group commit with lookup before repeat, stream follower; settings, logs, metrics and HTTP client.

--- /dev/null
+++ b/crates/core/src/outcome.rs
@@ -0,0 +1,70 @@
+//! Outcomes of requests as callers see them.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Why a request was not run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NotRun {
+    /// The contract's concurrency limit is reached and its queue is full.
+    Concurrency,
+    /// The deadline can't be met, or passed while the request waited.
+    Deadline,
+    /// The contract doesn't include the service.
+    NotInContract,
+    /// No instance of the service is in service.
+    NoInstance,
+    /// The log is needed and can't be reached.
+    LogUnavailable,
+    /// No scheduler owns the shard at the moment.
+    NoOwner,
+    /// The queue of the shard is full.
+    Overloaded,
+    /// The contract's rate limit is reached.
+    Rate,
+    /// The process is shutting down.
+    Stopping,
+}
+
+/// Why it is not known whether a request was run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Unknown {
+    /// The id was dispatched before. It is never dispatched again.
+    AlreadyDispatched,
+    /// The answer did not arrive before the deadline.
+    Deadline,
+    /// The connection to the instance failed after the request was sent.
+    InstanceLost,
+    /// No owner could be asked, and an earlier attempt may have run.
+    NoOwner,
+    /// The shard changed its owner while the log was away, so earlier dispatches are not all known.
+    Takeover,
+}
+
+/// How a dispatched request ended, as the gateway reports it to the owner.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Finish {
+    /// The whole answer arrived.
+    Answered,
+    /// The connection failed after bytes were sent: the instance may still be running the request.
+    Lost,
+    /// No byte was sent: the connection couldn't be opened.
+    NotSent,
+    /// The instance answered that it is busy or leaving and did not run the request.
+    Rejected,
+    /// The gateway didn't use the grant: it was too old or the caller had gone.
+    Unused,
+}
+
+/// Identity of a request.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Request {
+    /// Contract of the caller.
+    pub contract: Arc<str>,
+    /// Identifier chosen by the caller.
+    pub id: Arc<str>,
+}
--- /dev/null
+++ b/crates/core/src/partition.rs
@@ -0,0 +1,146 @@
+//! Maps targets, requests and jobs to shards, and splits limits among shards.
+//!
+//! Every process computes the same shard from the same names, so no agreement is needed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::shard::{Id, Kind};
+use crate::size::Size;
+
+/// A limit below this many units per shard pins the contract to one shard.
+pub const PIN_BELOW_PER_SHARD: u64 = 4;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// Number of shards of each service and worker pool. Equal on every process of a cell.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Map {
+    /// Shards per worker pool.
+    pub pools: BTreeMap<Arc<str>, u32>,
+    /// Shards per service.
+    pub services: BTreeMap<Arc<str>, u32>,
+}
+
+impl Map {
+    /// Returns the number of shards of `group`, or `None` if the cell has no such group.
+    #[must_use]
+    pub fn count(&self, kind: Kind, group: &str) -> Option<u32> {
+        match kind {
+            Kind::Pool => self.pools.get(group).copied(),
+            Kind::Service => self.services.get(group).copied(),
+        }
+    }
+
+    /// Returns every shard of the cell, in order.
+    #[must_use]
+    pub fn shards(&self) -> Vec<Id> {
+        let pools = self.pools.iter().flat_map(|(group, count)| {
+            (0..*count).map(|index| Id {
+                kind: Kind::Pool,
+                group: group.clone(),
+                index,
+            })
+        });
+        let services = self.services.iter().flat_map(|(group, count)| {
+            (0..*count).map(|index| Id {
+                kind: Kind::Service,
+                group: group.clone(),
+                index,
+            })
+        });
+        pools.chain(services).collect()
+    }
+
+    /// Returns the shard of the instance `name` of `service`.
+    #[must_use]
+    pub fn instance(&self, service: &str, name: &str) -> Option<Id> {
+        let count = self.count(Kind::Service, service)?;
+        Some(Id::service(service, index(hash(&[name]), count)))
+    }
+
+    /// Returns the shard of the workers in `rack` of `pool`.
+    #[must_use]
+    pub fn rack(&self, pool: &str, rack: &str) -> Option<Id> {
+        let count = self.count(Kind::Pool, pool)?;
+        Some(Id::pool(pool, index(hash(&[rack]), count)))
+    }
+
+    /// Returns the shard for a request or job `key` of `contract` in `group`.
+    ///
+    /// `limit` is the smallest of the contract's limits in the group. A contract with a small limit
+    /// is pinned to one shard, so that the limit needs no split.
+    #[must_use]
+    pub fn home(
+        &self,
+        kind: Kind,
+        group: &str,
+        contract: &str,
+        key: &str,
+        limit: u64,
+    ) -> Option<Id> {
+        let count = self.count(kind, group)?;
+        let hash = match is_pinned(limit, count) {
+            true => hash(&[contract]),
+            false => hash(&[contract, key]),
+        };
+        Some(Id {
+            kind,
+            group: group.into(),
+            index: index(hash, count),
+        })
+    }
+
+    /// Returns the part of `limit` that shard `id` may admit for `contract`.
+    ///
+    /// The parts of all shards sum to exactly `limit`. `smallest` is the limit passed to
+    /// [`Map::home`], which decides whether the contract is pinned.
+    #[must_use]
+    pub fn share(&self, id: &Id, contract: &str, limit: u64, smallest: u64) -> u64 {
+        let Some(count) = self.count(id.kind, &id.group) else {
+            return 0;
+        };
+        if is_pinned(smallest, count) {
+            let pinned = index(hash(&[contract]), count) == id.index;
+            return if pinned { limit } else { 0 };
+        }
+        let rest = u64::from(u64::from(id.index) < limit % u64::from(count));
+        limit / u64::from(count) + rest
+    }
+
+    /// Returns the part of `size` that shard `id` may admit for `contract`, as [`Map::share`].
+    #[must_use]
+    pub fn share_size(&self, id: &Id, contract: &str, size: &Size, smallest: u64) -> Size {
+        let share = |limit| self.share(id, contract, limit, smallest);
+        Size {
+            millicores: share(size.millicores),
+            memory_mb: share(size.memory_mb),
+            accelerators: share(size.accelerators),
+        }
+    }
+}
+
+/// Returns the FNV-1a hash of `parts`, with a separator between parts.
+#[must_use]
+pub fn hash(parts: &[&str]) -> u64 {
+    let mut hash = FNV_OFFSET;
+    for part in parts {
+        for byte in part.bytes().chain(std::iter::once(0)) {
+            hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+        }
+    }
+    // The low bits of FNV-1a alone are uneven for names that differ in the last character.
+    hash ^ (hash >> 32)
+}
+
+fn is_pinned(limit: u64, count: u32) -> bool {
+    limit < PIN_BELOW_PER_SHARD * u64::from(count)
+}
+
+fn index(hash: u64, count: u32) -> u32 {
+    u32::try_from(hash % u64::from(count.max(1))).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/core/src/size.rs
@@ -0,0 +1,111 @@
+//! Resource sizes of VMs and tasks.
+
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+
+use serde::{Deserialize, Serialize};
+
+/// An amount of each resource: what a VM has, or what a task takes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Size {
+    /// Processor time in thousandths of a core.
+    #[serde(default)]
+    pub millicores: u64,
+    /// Memory in MiB.
+    #[serde(default)]
+    pub memory_mb: u64,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: u64,
+}
+
+impl Size {
+    /// The empty size.
+    pub const ZERO: Self = Self {
+        millicores: 0,
+        memory_mb: 0,
+        accelerators: 0,
+    };
+
+    /// Returns a size of `millicores` thousandths of a core and `memory_mb` MiB.
+    #[must_use]
+    pub const fn new(millicores: u64, memory_mb: u64) -> Self {
+        Self {
+            millicores,
+            memory_mb,
+            accelerators: 0,
+        }
+    }
+
+    /// Sets the number of accelerators.
+    #[must_use]
+    pub const fn accelerators(mut self, accelerators: u64) -> Self {
+        self.accelerators = accelerators;
+        self
+    }
+
+    /// Tells whether this size fits into `room` in every resource.
+    #[must_use]
+    pub const fn fits(&self, room: &Self) -> bool {
+        self.millicores <= room.millicores
+            && self.memory_mb <= room.memory_mb
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Returns the larger of both sizes in each resource.
+    #[must_use]
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// Returns this size taken `count` times.
+    #[must_use]
+    pub fn times(&self, count: u64) -> Self {
+        Self {
+            millicores: self.millicores.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+}
+
+impl Add for Size {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+}
+
+impl AddAssign for Size {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+/// Subtracts in each resource and stops at zero.
+impl Sub for Size {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.saturating_sub(other.millicores),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
+
+impl SubAssign for Size {
+    fn sub_assign(&mut self, other: Self) {
+        *self = *self - other;
+    }
+}
--- /dev/null
+++ b/crates/history/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/node/src/clock.rs
@@ -0,0 +1,33 @@
+//! Clocks of the process.
+
+use std::sync::OnceLock;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use rosemaryworks_core::time::Instant;
+
+static START: OnceLock<std::time::Instant> = OnceLock::new();
+
+/// Returns the monotonic time in milliseconds since the first call in this process.
+#[must_use]
+pub fn now() -> Instant {
+    let start = START.get_or_init(std::time::Instant::now);
+    Instant(u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Returns the wall clock as Unix time in milliseconds.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns an incarnation for a process that starts now: the Unix time in microseconds.
+#[must_use]
+pub fn incarnation() -> u64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/http.rs
@@ -0,0 +1,235 @@
+//! HTTP client that may be used from any thread.
+//!
+//! The library's client is bound to the thread that created it. [`Client`] runs it on threads of
+//! its own and hands requests over.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::client::error::ClientError;
+use ntex::client::{Client as LocalClient, Connector};
+use ntex::time::{Millis, Seconds};
+use rosemaryworks_core::partition::hash;
+use tokio::sync::{mpsc, oneshot};
+
+/// Largest response body in bytes.
+pub const BODY_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+const KEEP_ALIVE_SECONDS: u16 = 60;
+
+/// A request.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Request {
+    /// Method, such as `GET`.
+    pub method: &'static str,
+    /// URL with scheme and address.
+    pub url: String,
+    /// Headers.
+    pub headers: Vec<(Arc<str>, Arc<str>)>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// Time allowed from sending to the end of the response.
+    pub timeout: Duration,
+}
+
+impl Request {
+    /// Creates a request without headers and body.
+    #[must_use]
+    pub fn new(method: &'static str, url: String, timeout: Duration) -> Self {
+        Self {
+            method,
+            url,
+            headers: Vec::new(),
+            body: Vec::new(),
+            timeout,
+        }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.into(), value.into()));
+        self
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Vec<u8>>) -> Self {
+        self.body = body.into();
+        self
+    }
+}
+
+/// A whole response.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Response {
+    /// Status code.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<(Arc<str>, Arc<str>)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Response {
+    /// Returns the first value of the header `name`, which is in lower case.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(key, _)| &**key == name)
+            .map(|(_, value)| &**value)
+    }
+}
+
+/// A request without a whole response.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Error {
+    /// The connection couldn't be opened: no byte was sent.
+    Connect(String),
+    /// The request was sent, at least in part, and no whole response arrived.
+    Lost(String),
+    /// The request is not valid and was not sent.
+    Invalid(String),
+    /// The response did not arrive in time.
+    Timeout,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connect(reason) => write!(f, "connection failed: {reason}"),
+            Self::Lost(reason) => write!(f, "no whole response: {reason}"),
+            Self::Invalid(reason) => write!(f, "invalid request: {reason}"),
+            Self::Timeout => f.write_str("no response in time"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+type Job = (Request, oneshot::Sender<Result<Response, Error>>);
+
+/// The client. Clones share the same threads and connections.
+#[derive(Clone, Debug)]
+pub struct Client(Arc<Pool>);
+
+#[derive(Debug)]
+struct Pool {
+    threads: Vec<mpsc::UnboundedSender<Job>>,
+}
+
+impl Client {
+    /// Starts a client with `threads` threads.
+    ///
+    /// All requests to one address go through one thread, so the connections to an address never
+    /// outnumber the requests that were in flight to it at once.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a thread can't be started.
+    #[must_use]
+    pub fn start(threads: usize) -> Self {
+        let spawn = |index: usize| {
+            let (sender, receiver) = mpsc::unbounded_channel();
+            std::thread::Builder::new()
+                .name(format!("http-client-{index}"))
+                .spawn(move || {
+                    let system = ntex::rt::System::new("http-client", ntex::rt::DefaultRuntime);
+                    system.block_on(serve(receiver));
+                })
+                .expect("a thread can be started");
+            sender
+        };
+        let threads = (0..threads.max(1)).map(spawn).collect();
+        Self(Arc::new(Pool { threads }))
+    }
+
+    /// Sends a request and waits for the whole response.
+    ///
+    /// The request is carried to its end even if the returned future is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Connect`] or [`Error::Invalid`] only if no byte was sent.
+    pub async fn send(&self, request: Request) -> Result<Response, Error> {
+        let address = request.url.split('/').nth(2).unwrap_or_default();
+        let index = hash(&[address]) % self.0.threads.len() as u64;
+        let (sender, receiver) = oneshot::channel();
+        let gone = || Error::Connect("client thread has ended".to_owned());
+        self.0.threads[index as usize]
+            .send((request, sender))
+            .map_err(|_| gone())?;
+        receiver
+            .await
+            .unwrap_or_else(|_| Err(Error::Lost("client thread has ended".to_owned())))
+    }
+}
+
+async fn serve(mut receiver: mpsc::UnboundedReceiver<Job>) {
+    // A limit of 0 sets no bound: the limit counts over all addresses, not per address.
+    let connector = Connector::default()
+        .limit(0)
+        .keep_alive(Seconds(KEEP_ALIVE_SECONDS));
+    let client = LocalClient::builder()
+        .connector::<ntex::SharedCfg>(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .response_payload_limit(BODY_MAX_BYTES)
+        .response_payload_timeout(Millis::ZERO)
+        .build(ntex::SharedCfg::new("http-client"))
+        .await;
+    let client = match client {
+        Ok(client) => client,
+        Err(error) => {
+            log::error!("http client can't be started: {error:?}");
+            return;
+        }
+    };
+    while let Some((request, reply)) = receiver.recv().await {
+        let client = client.clone();
+        ntex::rt::spawn(async move {
+            let timeout = request.timeout;
+            let result = match tokio::time::timeout(timeout, exchange(&client, request)).await {
+                Ok(result) => result,
+                Err(_) => Err(Error::Timeout),
+            };
+            // The caller may have gone; the exchange was completed all the same.
+            let _ = reply.send(result);
+        });
+    }
+}
+
+async fn exchange(client: &LocalClient, request: Request) -> Result<Response, Error> {
+    let method = ntex::http::Method::from_bytes(request.method.as_bytes())
+        .map_err(|error| Error::Invalid(error.to_string()))?;
+    let mut builder = client.request(method, request.url.as_str());
+    for (name, value) in &request.headers {
+        builder = builder.header(&**name, &**value);
+    }
+    let response = builder
+        .send_body(request.body)
+        .await
+        .map_err(|e| classify(&e))?;
+    let status = response.status().as_u16();
+    let headers = response
+        .headers()
+        .iter()
+        .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
+        .collect();
+    let body = response.body().limit(BODY_MAX_BYTES).await;
+    let body = body.map_err(|error| Error::Lost(error.to_string()))?;
+    Ok(Response {
+        status,
+        headers,
+        body: body.to_vec(),
+    })
+}
+
+fn classify(error: &ClientError) -> Error {
+    match error {
+        ClientError::Connect(error) => Error::Connect(error.to_string()),
+        other => Error::Lost(other.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,10 @@
+//! What every binary of rosemaryworks shares: settings, logs, metrics, HTTP client and shutdown.
+
+pub mod clock;
+pub mod event;
+pub mod http;
+pub mod logging;
+pub mod metrics;
+pub mod settings;
+pub mod shutdown;
+pub mod status;
--- /dev/null
+++ b/crates/node/src/logging.rs
@@ -0,0 +1,86 @@
+//! Starts log4rs from the settings.
+
+use std::path::PathBuf;
+
+use error_stack::{Report, ResultExt};
+use log::LevelFilter;
+use log4rs::append::Append;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::file::FileAppender;
+use log4rs::config::{Appender, Root};
+use log4rs::encode::Encode;
+use log4rs::encode::json::JsonEncoder;
+use log4rs::encode::pattern::PatternEncoder;
+use serde::{Deserialize, Serialize};
+
+use crate::settings::Error;
+
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
+
+/// Format of log lines.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Format {
+    /// One JSON object a line.
+    Json,
+    /// Time, level and message.
+    #[default]
+    Text,
+}
+
+/// Log settings.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Least level that is logged: `off`, `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: LevelFilter,
+    /// File to append to; standard error if there is none.
+    pub file: Option<PathBuf>,
+    /// Format of log lines.
+    pub format: Format,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            level: LevelFilter::Info,
+            file: None,
+            format: Format::Text,
+        }
+    }
+}
+
+fn encoder(format: Format) -> Box<dyn Encode> {
+    match format {
+        Format::Json => Box::new(JsonEncoder::new()),
+        Format::Text => Box::new(PatternEncoder::new(PATTERN)),
+    }
+}
+
+/// Starts logging for the process.
+///
+/// # Errors
+///
+/// Returns an error if the log file can't be opened or logging was started before.
+pub fn start(settings: &Settings) -> Result<(), Report<Error>> {
+    let encoder = encoder(settings.format);
+    let appender: Box<dyn Append> = match &settings.file {
+        None => Box::new(
+            ConsoleAppender::builder()
+                .target(Target::Stderr)
+                .encoder(encoder)
+                .build(),
+        ),
+        Some(path) => {
+            let file = FileAppender::builder().encoder(encoder).build(path);
+            Box::new(file.change_context_lazy(|| Error::fault("log.file", "can't be opened"))?)
+        }
+    };
+    let failed = || Error::fault("log", "logging can't be started");
+    let config = log4rs::Config::builder()
+        .appender(Appender::builder().build("main", appender))
+        .build(Root::builder().appender("main").build(settings.level))
+        .change_context_lazy(failed)?;
+    log4rs::init_config(config).change_context_lazy(failed)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,1 @@
+//! HTTP adapters to the platform.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,21 @@
+//! Borders to the platform.
+//!
+//! The rest of rosemaryworks reaches the platform only through the trait objects [`Log`],
+//! [`Workers`], [`Instances`] and [`Directory`]. Each has one adapter in one file under
+//! [`http`]; another platform needs another adapter and nothing else.
+
+pub mod appender;
+pub mod directory;
+mod failure;
+pub mod health;
+pub mod http;
+pub mod instances;
+pub mod log;
+pub mod tail;
+pub mod workers;
+
+pub use directory::Directory;
+pub use failure::{Answer, Failure, Fault};
+pub use instances::Instances;
+pub use log::Log;
+pub use workers::Workers;
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,85 @@
+//! Frames and their CBOR codec.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::message::Message;
+
+/// Largest encoded frame in bytes.
+pub const FRAME_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Role of a frame in an exchange.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Kind {
+    /// Expects a reply with the same id.
+    Call,
+    /// Expects no reply.
+    Notice,
+    /// Answers a call.
+    Reply,
+}
+
+/// One message between two processes.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Frame {
+    /// Number of the exchange, chosen by the caller and unique on its side of the link.
+    pub id: u64,
+    /// Role in the exchange.
+    pub kind: Kind,
+    /// Content.
+    pub message: Message,
+}
+
+/// A frame that can't be encoded or decoded.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Error {
+    /// The bytes are not a frame.
+    Malformed(String),
+    /// The frame is larger than [`FRAME_MAX_BYTES`].
+    TooLarge(usize),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed(reason) => write!(f, "malformed frame: {reason}"),
+            Self::TooLarge(bytes) => {
+                write!(
+                    f,
+                    "frame of {bytes} bytes exceeds the limit of {FRAME_MAX_BYTES} bytes"
+                )
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl Frame {
+    /// Encodes the frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::TooLarge`] if the encoded frame exceeds [`FRAME_MAX_BYTES`].
+    pub fn encode(&self) -> Result<Vec<u8>, Error> {
+        let mut bytes = Vec::with_capacity(128);
+        ciborium::into_writer(self, &mut bytes).map_err(|e| Error::Malformed(e.to_string()))?;
+        match bytes.len() {
+            len if len > FRAME_MAX_BYTES => Err(Error::TooLarge(len)),
+            _ => Ok(bytes),
+        }
+    }
+
+    /// Decodes a frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are too many or are not a frame.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Error> {
+        if bytes.len() > FRAME_MAX_BYTES {
+            return Err(Error::TooLarge(bytes.len()));
+        }
+        ciborium::from_reader(bytes).map_err(|e| Error::Malformed(e.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,11 @@
+//! Messages between the processes of rosemaryworks, and the links that carry them.
+//!
+//! A [`Frame`] is one CBOR item in one WebSocket binary message. A call is answered by a reply with
+//! the same id; a notice has no reply.
+
+mod frame;
+pub mod link;
+mod message;
+
+pub use frame::{Error, FRAME_MAX_BYTES, Frame, Kind};
+pub use message::{Beat, Hello, Inspected, Message, Role, Snapshot, Submission, Verdict};
--- /dev/null
+++ b/crates/wire/src/link/client.rs
@@ -0,0 +1,121 @@
+//! Dials a peer and redials whenever the connection is closed.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio_tungstenite::client_async;
+
+use super::connection::{self, Handler, Peer};
+use super::error::{Error, Fault};
+use crate::message::{Hello, Message};
+
+const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
+const REDIAL_DELAY: Duration = Duration::from_millis(200);
+
+/// A dialled link. Dropping it closes the link.
+#[derive(Debug)]
+pub struct Client {
+    name: Arc<str>,
+    peer: Arc<Mutex<Option<Peer>>>,
+    task: JoinHandle<()>,
+}
+
+impl Client {
+    /// Starts to dial the process `name` at `address`. Must be called within a tokio runtime.
+    #[must_use]
+    pub fn start(
+        name: Arc<str>,
+        address: SocketAddr,
+        own: Hello,
+        handler: Arc<dyn Handler>,
+    ) -> Self {
+        let peer = Arc::new(Mutex::new(None));
+        let task = tokio::spawn(redial(address, own, handler, peer.clone()));
+        Self { name, peer, task }
+    }
+
+    /// Returns the name of the process that is dialled.
+    #[must_use]
+    pub fn name(&self) -> &Arc<str> {
+        &self.name
+    }
+
+    /// Returns the peer if the link is open.
+    #[must_use]
+    pub fn peer(&self) -> Option<Peer> {
+        let peer = self.peer.lock().unwrap_or_else(PoisonError::into_inner);
+        peer.clone().filter(|peer| !peer.is_closed())
+    }
+
+    /// Calls the peer and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no link is open or no reply arrived within `timeout`.
+    pub async fn call(&self, message: Message, timeout: Duration) -> Result<Message, Error> {
+        match self.peer() {
+            Some(peer) => peer.call(message, timeout).await,
+            None => Err(self.not_open("call")),
+        }
+    }
+
+    /// Sends a notice.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no link is open.
+    pub fn notify(&self, message: Message) -> Result<(), Error> {
+        self.peer()
+            .ok_or_else(|| self.not_open("notify"))?
+            .notify(message)
+    }
+
+    fn not_open(&self, step: &'static str) -> Error {
+        Error {
+            step,
+            peer: self.name.clone(),
+            fault: Fault::NotOpen,
+        }
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn redial(
+    address: SocketAddr,
+    own: Hello,
+    handler: Arc<dyn Handler>,
+    current: Arc<Mutex<Option<Peer>>>,
+) {
+    loop {
+        let connected = tokio::time::timeout(DIAL_TIMEOUT, dial(address)).await;
+        if let Ok(Some(socket)) = connected {
+            let set = |peer: &Peer| {
+                let mut current = current.lock().unwrap_or_else(PoisonError::into_inner);
+                *current = Some(peer.clone());
+            };
+            connection::run(socket, &own, &handler, set).await;
+            current
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .take();
+        }
+        tokio::time::sleep(REDIAL_DELAY).await;
+    }
+}
+
+async fn dial(address: SocketAddr) -> Option<tokio_tungstenite::WebSocketStream<TcpStream>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (socket, _) = client_async(format!("ws://{address}/"), stream)
+        .await
+        .ok()?;
+    Some(socket)
+}
--- /dev/null
+++ b/crates/wire/src/link/connection.rs
@@ -0,0 +1,283 @@
+//! One open connection: calls, replies and the pumps that carry them.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message as Packet;
+
+use super::error::{Error, Fault};
+use super::traffic::traffic;
+use crate::frame::{Frame, Kind};
+use crate::message::{Hello, Message};
+
+/// Silence after which a connection is closed. Pings keep an idle one alive.
+const SILENCE_MAX: Duration = Duration::from_secs(15);
+
+/// Period of pings on an idle connection.
+const PING_PERIOD: Duration = Duration::from_secs(5);
+
+/// Future of a reply.
+pub type Reply = Pin<Box<dyn Future<Output = Message> + Send>>;
+
+/// Takes what arrives on links.
+pub trait Handler: Send + Sync {
+    /// Answers a call.
+    fn call(&self, peer: &Peer, message: Message) -> Reply;
+
+    /// Takes a notice.
+    fn notice(&self, peer: &Peer, message: Message);
+
+    /// Learns that a link to `peer` is open.
+    fn opened(&self, peer: &Peer);
+
+    /// Learns that a link to `peer` is closed.
+    fn closed(&self, peer: &Peer);
+}
+
+/// The other end of an open connection. Clones share the connection.
+#[derive(Clone)]
+pub struct Peer {
+    hello: Arc<Hello>,
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    next: AtomicU64,
+    outgoing: mpsc::UnboundedSender<Packet>,
+    waiting: Mutex<Waiting>,
+}
+
+#[derive(Default)]
+struct Waiting {
+    calls: HashMap<u64, oneshot::Sender<Message>>,
+    closed: bool,
+}
+
+impl fmt::Debug for Peer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Peer")
+            .field("hello", &self.hello)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Peer {
+    /// Returns how the peer introduced itself.
+    #[must_use]
+    pub fn hello(&self) -> &Hello {
+        &self.hello
+    }
+
+    /// Tells whether the connection is closed.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.inner.waiting().closed
+    }
+
+    /// Calls the peer and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the message couldn't be sent or no reply arrived within `timeout`.
+    pub async fn call(&self, message: Message, timeout: Duration) -> Result<Message, Error> {
+        let id = self.inner.next.fetch_add(1, Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        {
+            let mut waiting = self.inner.waiting();
+            if waiting.closed {
+                return Err(self.error("call", Fault::NotOpen));
+            }
+            waiting.calls.insert(id, sender);
+        }
+        let guard = Forget {
+            inner: &self.inner,
+            id,
+        };
+        self.send(Frame {
+            id,
+            kind: Kind::Call,
+            message,
+        })?;
+        let reply = tokio::time::timeout(timeout, receiver).await;
+        drop(guard);
+        match reply {
+            Ok(Ok(message)) => Ok(message),
+            Ok(Err(_)) => Err(self.error("call", Fault::Closed)),
+            Err(_) => Err(self.error("call", Fault::Timeout)),
+        }
+    }
+
+    /// Sends a notice.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the link is closed or the message too large.
+    pub fn notify(&self, message: Message) -> Result<(), Error> {
+        let id = self.inner.next.fetch_add(1, Ordering::Relaxed);
+        self.send(Frame {
+            id,
+            kind: Kind::Notice,
+            message,
+        })
+    }
+
+    fn send(&self, frame: Frame) -> Result<(), Error> {
+        let bytes = frame
+            .encode()
+            .map_err(|_| self.error("send", Fault::TooLarge))?;
+        traffic().sent(bytes.len());
+        let sent = self.inner.outgoing.send(Packet::Binary(bytes.into()));
+        sent.map_err(|_| self.error("send", Fault::NotOpen))
+    }
+
+    fn error(&self, step: &'static str, fault: Fault) -> Error {
+        Error {
+            step,
+            peer: self.hello.node.clone(),
+            fault,
+        }
+    }
+}
+
+impl Inner {
+    fn waiting(&self) -> std::sync::MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Forgets a call whose caller stopped waiting.
+struct Forget<'a> {
+    inner: &'a Inner,
+    id: u64,
+}
+
+impl Drop for Forget<'_> {
+    fn drop(&mut self) {
+        self.inner.waiting().calls.remove(&self.id);
+    }
+}
+
+/// Runs a connection until it is closed. `opened` receives the peer once it has introduced itself.
+pub(super) async fn run(
+    socket: WebSocketStream<TcpStream>,
+    own: &Hello,
+    handler: &Arc<dyn Handler>,
+    opened: impl FnOnce(&Peer),
+) {
+    let (mut sink, mut stream) = socket.split();
+    let (outgoing, mut queue) = mpsc::unbounded_channel();
+    let hello = Frame {
+        id: 0,
+        kind: Kind::Notice,
+        message: Message::Hello(own.clone()),
+    };
+    let Ok(bytes) = hello.encode() else { return };
+    if sink.send(Packet::Binary(bytes.into())).await.is_err() {
+        return;
+    }
+    let first = tokio::time::timeout(SILENCE_MAX, stream.next()).await;
+    let Some(hello) = introduction(first.ok().flatten()) else {
+        return;
+    };
+    let inner = Inner {
+        next: AtomicU64::new(1),
+        outgoing,
+        waiting: Mutex::default(),
+    };
+    let peer = Peer {
+        hello: Arc::new(hello),
+        inner: Arc::new(inner),
+    };
+    opened(&peer);
+    handler.opened(&peer);
+    let mut pings = tokio::time::interval(PING_PERIOD);
+    let mut heard = Instant::now();
+    loop {
+        tokio::select! {
+            packet = queue.recv() => {
+                let Some(packet) = packet else { break };
+                if sink.send(packet).await.is_err() {
+                    break;
+                }
+            }
+            packet = stream.next() => {
+                heard = Instant::now();
+                match packet {
+                    Some(Ok(Packet::Binary(bytes))) => take(&peer, handler, &bytes),
+                    Some(Ok(Packet::Ping(_) | Packet::Pong(_))) => {}
+                    _ => break,
+                }
+            }
+            _ = pings.tick() => {
+                if heard.elapsed() > SILENCE_MAX {
+                    break;
+                }
+                if sink.send(Packet::Ping(Vec::new().into())).await.is_err() {
+                    break;
+                }
+            }
+        }
+    }
+    {
+        let mut waiting = peer.inner.waiting();
+        waiting.closed = true;
+        waiting.calls.clear();
+    }
+    handler.closed(&peer);
+}
+
+fn introduction(
+    packet: Option<Result<Packet, tokio_tungstenite::tungstenite::Error>>,
+) -> Option<Hello> {
+    let Some(Ok(Packet::Binary(bytes))) = packet else {
+        return None;
+    };
+    match Frame::decode(&bytes).ok()?.message {
+        Message::Hello(hello) => Some(hello),
+        _ => None,
+    }
+}
+
+fn take(peer: &Peer, handler: &Arc<dyn Handler>, bytes: &[u8]) {
+    traffic().received(bytes.len());
+    let frame = match Frame::decode(bytes) {
+        Ok(frame) => frame,
+        Err(error) => {
+            log::warn!("E201 frame dropped: peer={} error={error}", peer.hello.node);
+            return;
+        }
+    };
+    match frame.kind {
+        Kind::Call => answer(peer.clone(), handler, frame),
+        Kind::Notice => handler.notice(peer, frame.message),
+        Kind::Reply => {
+            let waiting = peer.inner.waiting().calls.remove(&frame.id);
+            if let Some(waiting) = waiting {
+                // The caller may have stopped waiting.
+                let _ = waiting.send(frame.message);
+            }
+        }
+    }
+}
+
+fn answer(peer: Peer, handler: &Arc<dyn Handler>, frame: Frame) {
+    let reply = handler.call(&peer, frame.message);
+    tokio::spawn(async move {
+        let message = reply.await;
+        // A closed link needs no reply.
+        let _ = peer.send(Frame {
+            id: frame.id,
+            kind: Kind::Reply,
+            message,
+        });
+    });
+}
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,253 @@
+//! Every message between gateways and schedulers.
+
+use std::sync::Arc;
+
+use rosemaryworks_core::job::{Id, Spec, Status};
+use rosemaryworks_core::outcome::{Finish, NotRun, Unknown};
+use rosemaryworks_core::record::Offset;
+use rosemaryworks_core::register::Register;
+use rosemaryworks_core::routing::{Ask, Key, Outstanding, Slot};
+use rosemaryworks_core::shard::{self, Epoch};
+use rosemaryworks_core::target::Instance;
+use rosemaryworks_core::view;
+use serde::{Deserialize, Serialize};
+
+/// Kind of process at the other end of a link.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Role {
+    /// Gateway.
+    Gateway,
+    /// Scheduler.
+    Scheduler,
+}
+
+/// First message on a link, in both directions.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Hello {
+    /// Name of the process from its settings.
+    pub node: Arc<str>,
+    /// Kind of process.
+    pub role: Role,
+    /// Availability zone of the process.
+    pub zone: Arc<str>,
+    /// Incarnation: differs every time the process starts, later ones are larger.
+    pub incarnation: u64,
+}
+
+/// Heartbeat of a scheduler.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Beat {
+    /// Name of the scheduler.
+    pub node: Arc<str>,
+    /// Incarnation of the scheduler.
+    pub incarnation: u64,
+    /// Shards for which the scheduler asks for support.
+    pub claims: Vec<(shard::Id, Epoch)>,
+    /// Whether the sender regards the log as unreachable now.
+    pub log_unreachable: bool,
+    /// Milliseconds since the sender last regarded the log as unreachable, or since its start if
+    /// that is later and it can't tell.
+    pub log_doubt_age_ms: u64,
+    /// Whether the scheduler is about to stop and takes no shards.
+    pub stopping: bool,
+}
+
+/// Answer of an owner to [`Ask`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Verdict {
+    /// The request may be dispatched once, to this instance.
+    Granted {
+        /// Epoch of the owner.
+        epoch: Epoch,
+        /// Slot to report in `Finish`.
+        slot: Slot,
+        /// Instance.
+        instance: Instance,
+    },
+    /// The request was not run and won't be by this attempt.
+    NotRun(NotRun),
+    /// The scheduler doesn't own the shard.
+    NotOwner {
+        /// Owner that the scheduler knows of.
+        owner: Option<Arc<str>>,
+    },
+    /// An earlier attempt may have run.
+    Unknown(Unknown),
+}
+
+/// Answer of an owner to a job submission.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Submission {
+    /// The job is durable, now or since an earlier submission of the same id.
+    Accepted(Status),
+    /// The id was used for a different job.
+    Conflict,
+    /// The scheduler doesn't own the shard.
+    NotOwner {
+        /// Owner that the scheduler knows of.
+        owner: Option<Arc<str>>,
+    },
+    /// The job can never run, or the contract doesn't allow it.
+    Rejected(Arc<str>),
+    /// The job was not accepted; the same submission may succeed later.
+    Unavailable(NotRun),
+    /// It isn't known whether the job was accepted. The caller may repeat with the same id.
+    Unknown,
+}
+
+/// What a scheduler tells operators about its own shards.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Inspected {
+    /// Shards owned, with their epochs.
+    pub shards: Vec<(shard::Id, Epoch)>,
+    /// Targets of the owned shards.
+    pub targets: Vec<view::Target>,
+    /// Jobs of the owned shards.
+    pub jobs: Vec<Status>,
+}
+
+/// What a process that can't read the log takes from a peer.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Snapshot {
+    /// Contracts in force.
+    pub register: Register,
+    /// Offset up to which `owners` is known.
+    pub cell_offset: Offset,
+    /// Current epoch, owner and incarnation of the owner, per claimed shard.
+    pub owners: Vec<(shard::Id, Epoch, Arc<str>, u64)>,
+}
+
+/// Content of a frame.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Message {
+    /// Call, gateway to owner: asks for a slot. Answered by `Verdict`.
+    Ask {
+        /// Service shard.
+        shard: shard::Id,
+        /// The ask.
+        ask: Ask,
+    },
+    /// Call, scheduler to scheduler: heartbeat. Answered by `Supported`.
+    Beat(Beat),
+    /// Call, gateway to owner: cancels a job once the cancellation is durable. Answered by
+    /// `Submission`.
+    Cancel {
+        /// Pool shard.
+        shard: shard::Id,
+        /// Job.
+        job: Id,
+    },
+    /// Reply without content.
+    Done,
+    /// Call, gateway to owner: reports how a granted request ended. Answered by `Done`, or by
+    /// `NotOwner` if the epoch is over and the new owner must be told by `OutstandingFinished`.
+    Finish {
+        /// Service shard.
+        shard: shard::Id,
+        /// Epoch of the grant.
+        epoch: Epoch,
+        /// Slot of the grant.
+        slot: Slot,
+        /// How it ended.
+        finish: Finish,
+        /// Milliseconds from dispatch to the end of the answer.
+        run_ms: u64,
+    },
+    /// Notice, both directions, first on a link.
+    Hello(Hello),
+    /// Call, administration API to scheduler. Answered by `Inspected`.
+    Inspect,
+    /// Reply to `Inspect`.
+    Inspected(Box<Inspected>),
+    /// Reply to `Status` and `Tasks`: the owner has no such job.
+    NoJob,
+    /// Reply of a scheduler that doesn't own the shard.
+    NotOwner {
+        /// Owner that the scheduler knows of.
+        owner: Option<Arc<str>>,
+    },
+    /// Reply to `Survey`.
+    Outstanding(Vec<Outstanding>),
+    /// Call, gateway to the new owner: a grant of an earlier epoch ended. Answered by `Done` or
+    /// `NotOwner`.
+    OutstandingFinished {
+        /// Service shard.
+        shard: shard::Id,
+        /// Identity of the ask.
+        key: Key,
+        /// How it ended.
+        finish: Finish,
+    },
+    /// Notice, scheduler to gateways and schedulers: the current owner of a shard.
+    Owned {
+        /// Shard.
+        shard: shard::Id,
+        /// Epoch.
+        epoch: Epoch,
+        /// Owner; `None` once it released the shard.
+        owner: Option<Arc<str>>,
+    },
+    /// Notice, scheduler to scheduler: the sender released its support claims for these epochs.
+    Released(Vec<(shard::Id, Epoch)>),
+    /// Call, any process to a scheduler. Answered by `Snapshotted`.
+    Snapshot,
+    /// Reply to `Snapshot`.
+    Snapshotted(Box<Snapshot>),
+    /// Call, gateway to owner. Answered by `Told`, `NoJob` or `NotOwner`.
+    Status {
+        /// Pool shard.
+        shard: shard::Id,
+        /// Job.
+        job: Id,
+        /// Milliseconds to wait for the job to end before answering; 0 answers at once.
+        wait_ms: u64,
+    },
+    /// Reply to `Submit` and `Cancel`.
+    Submission(Submission),
+    /// Call, gateway to owner: submits a job. Answered by `Submission`.
+    Submit {
+        /// Pool shard.
+        shard: shard::Id,
+        /// Contract of the caller.
+        contract: Arc<str>,
+        /// The job.
+        job: Box<Spec>,
+    },
+    /// Reply to `Beat`.
+    Supported {
+        /// Claims of the heartbeat that the sender supports.
+        claims: Vec<(shard::Id, Epoch)>,
+        /// Whether the sender regards the log as unreachable now.
+        log_unreachable: bool,
+        /// As in [`Beat`].
+        log_doubt_age_ms: u64,
+    },
+    /// Call, new owner to gateway: asks for grants of earlier epochs. Answered by `Outstanding`.
+    Survey {
+        /// Service shard.
+        shard: shard::Id,
+        /// Epoch of the new owner. The gateway no longer uses grants of earlier epochs that it has
+        /// not dispatched yet.
+        epoch: Epoch,
+    },
+    /// Reply to `Tasks`.
+    TaskList(Vec<view::Task>),
+    /// Call, administration API to owner. Answered by `TaskList`, `NoJob` or `NotOwner`.
+    Tasks {
+        /// Pool shard.
+        shard: shard::Id,
+        /// Job.
+        job: Id,
+    },
+    /// Reply to `Status`.
+    Told(Status),
+    /// Reply to `Ask`.
+    Verdict(Verdict),
+    /// Notice, gateway to owner: the ask is no longer needed.
+    Withdraw {
+        /// Service shard.
+        shard: shard::Id,
+        /// Identity of the ask.
+        key: Key,
+    },
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
