feat(xtask): start deployments, demo and settings of the examples

Cause: one command must run the main job on real processes. Result: builds; the demo can't run before the programs exist.

--- /dev/null
+++ b/xtask/src/cluster/ports.rs
@@ -0,0 +1,56 @@
+//! Loopback ports of a deployment.
+
+/// Ports of all processes, counted from a base.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Ports {
+    base: u16,
+}
+
+impl Ports {
+    /// Number of ports that a deployment takes from its base on.
+    pub(crate) const SPAN: u16 = 400;
+
+    pub(crate) const fn new(base: u16) -> Self {
+        Self { base }
+    }
+
+    /// Port of the platform's log and list of VMs.
+    pub(crate) const fn platform(&self) -> u16 {
+        self.base
+    }
+
+    /// Port of the stand-in's fault injection.
+    pub(crate) const fn control(&self) -> u16 {
+        self.base + 1
+    }
+
+    /// Port at which gateway `index` takes requests.
+    pub(crate) const fn gateway(&self, index: usize) -> u16 {
+        self.base + 10 + index as u16
+    }
+
+    /// Port of the administration API of gateway `index`.
+    pub(crate) const fn gateway_admin(&self, index: usize) -> u16 {
+        self.base + 20 + index as u16
+    }
+
+    /// Port at which scheduler `index` takes links.
+    pub(crate) const fn scheduler_peer(&self, index: usize) -> u16 {
+        self.base + 30 + index as u16
+    }
+
+    /// Port of the metrics and readiness of scheduler `index`.
+    pub(crate) const fn scheduler_status(&self, index: usize) -> u16 {
+        self.base + 40 + index as u16
+    }
+
+    /// First port of the workers.
+    pub(crate) const fn workers(&self) -> u16 {
+        self.base + 100
+    }
+
+    /// First port of the instances.
+    pub(crate) const fn instances(&self) -> u16 {
+        self.base + 250
+    }
+}
--- /dev/null
+++ b/xtask/src/cluster/settings.rs
@@ -0,0 +1,134 @@
+//! Settings files of all processes of a deployment.
+
+use std::path::{Path, PathBuf};
+
+use argh::FromArgs;
+use error_stack::{Report, ResultExt};
+use serde_json::{Map, Value, json};
+
+use super::deployment::Deployment;
+use super::ports::Ports;
+use super::process::Error;
+
+/// Key of the operator in generated settings.
+pub(crate) const OPERATOR_KEY: &str = "operator-key-0123456789";
+
+const BASE_PORT: u16 = 21_000;
+
+/// write the settings of a deployment into a folder
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "settings")]
+pub(crate) struct Options {
+    /// deployment: avvolgi or dala
+    #[argh(option)]
+    deployment: String,
+    /// folder to write to
+    #[argh(option)]
+    folder: PathBuf,
+    /// first of 400 loopback ports (default: 21000)
+    #[argh(option, default = "BASE_PORT")]
+    base_port: u16,
+}
+
+/// Settings files by process name.
+pub(crate) struct Files {
+    pub(crate) standin: PathBuf,
+    pub(crate) schedulers: Vec<(String, PathBuf)>,
+    pub(crate) gateways: Vec<(String, PathBuf)>,
+}
+
+/// Writes the settings of a deployment.
+///
+/// # Errors
+///
+/// Returns an error if the deployment is unknown or a file can't be written.
+pub(crate) fn run(options: &Options) -> Result<(), Report<Error>> {
+    let deployment = Deployment::find(&options.deployment).ok_or_else(|| {
+        Report::new(Error::new("find the deployment", options.deployment.clone()))
+            .attach("known: avvolgi, dala")
+    })?;
+    write(&deployment, &Ports::new(options.base_port), &options.folder)?;
+    Ok(())
+}
+
+/// Writes all settings files of a deployment into `folder`.
+pub(crate) fn write(
+    deployment: &Deployment,
+    ports: &Ports,
+    folder: &Path,
+) -> Result<Files, Report<Error>> {
+    let save = |name: &str, value: &Value| {
+        let path = folder.join(format!("{name}.json"));
+        let text = format!("{value:#}\n");
+        std::fs::create_dir_all(folder)
+            .and_then(|()| std::fs::write(&path, text))
+            .change_context_lazy(|| Error::new("write", path.display().to_string()))?;
+        Ok::<_, Report<Error>>(path)
+    };
+    let standin = save("standin", &standin(deployment, ports, folder))?;
+    let mut files = Files { standin, schedulers: Vec::new(), gateways: Vec::new() };
+    for index in 0..deployment.entries {
+        let name = format!("scheduler-{}", index + 1);
+        let path = save(&name, &scheduler(deployment, ports, index))?;
+        files.schedulers.push((name, path));
+        let name = format!("gateway-{}", index + 1);
+        let path = save(&name, &gateway(deployment, ports, index))?;
+        files.gateways.push((name, path));
+    }
+    Ok(files)
+}
+
+fn address(port: u16) -> String {
+    format!("127.0.0.1:{port}")
+}
+
+fn cell(deployment: &Deployment, ports: &Ports) -> Value {
+    let schedulers = (0..deployment.entries).map(|index| {
+        json!({
+            "name": format!("scheduler-{}", index + 1),
+            "zone": deployment.zone(index),
+            "peer": address(ports.scheduler_peer(index)),
+        })
+    });
+    let gateways = (0..deployment.entries).map(|index| format!("gateway-{}", index + 1));
+    let pools = deployment.pools.iter().map(|pool| (pool.name.to_owned(), json!(pool.shards)));
+    let services = deployment.services.iter();
+    let services = services.map(|service| (service.name.to_owned(), json!(service.shards)));
+    json!({
+        "name": deployment.name,
+        "schedulers": schedulers.collect::<Vec<_>>(),
+        "gateways": gateways.collect::<Vec<_>>(),
+        "partition": {
+            "pools": pools.collect::<Map<_, _>>(),
+            "services": services.collect::<Map<_, _>>(),
+        },
+        "log": address(ports.platform()),
+        "directory": address(ports.platform()),
+    })
+}
+
+fn gateway(deployment: &Deployment, ports: &Ports, index: usize) -> Value {
+    json!({
+        "node": format!("gateway-{}", index + 1),
+        "zone": deployment.zone(index),
+        "listen": address(ports.gateway(index)),
+        "admin_listen": address(ports.gateway_admin(index)),
+        "cell": cell(deployment, ports),
+        "operators": [{ "name": "operator", "key": OPERATOR_KEY }],
+    })
+}
+
+fn scheduler(deployment: &Deployment, ports: &Ports, index: usize) -> Value {
+    json!({
+        "node": format!("scheduler-{}", index + 1),
+        "zone": deployment.zone(index),
+        "peer_listen": address(ports.scheduler_peer(index)),
+        "status_listen": address(ports.scheduler_status(index)),
+        "cell": cell(deployment, ports),
+    })
+}
+
+fn standin(deployment: &Deployment, ports: &Ports, folder: &Path) -> Value {
+    let _ = (deployment, ports, folder);
+    json!({})
+}
--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,143 @@
+//! `cargo xtask demo`: one deployment on loopback, one outcome of each kind.
+
+mod caller;
+mod contract;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+use error_stack::{Report, ResultExt};
+
+use crate::cluster::deployment::Deployment;
+use crate::cluster::ports::Ports;
+use crate::cluster::process::Error;
+use crate::cluster::{self, Cluster};
+use caller::Caller;
+
+/// Time allowed for one outcome.
+const OUTCOME_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// start the stand-in and one deployment on loopback, and run one of each kind of work
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub(crate) struct Options {
+    /// deployment: avvolgi or dala (default: both, one after the other)
+    #[argh(option)]
+    deployment: Option<String>,
+    /// first of 400 loopback ports (default: 21000)
+    #[argh(option, default = "21000")]
+    base_port: u16,
+    /// folder for settings and logs (default: a new folder under the temporary folder)
+    #[argh(option)]
+    folder: Option<PathBuf>,
+}
+
+/// One line of the table.
+struct Row {
+    what: String,
+    expected: &'static str,
+    outcome: String,
+    elapsed: Duration,
+}
+
+impl Row {
+    fn is_right(&self) -> bool {
+        self.outcome == self.expected
+    }
+}
+
+/// Runs the demo and returns whether every outcome is right.
+///
+/// # Errors
+///
+/// Returns an error if the deployment can't be started.
+pub(crate) async fn run(options: Options) -> Result<bool, Report<Error>> {
+    let names = match &options.deployment {
+        Some(name) => vec![name.as_str()],
+        None => vec!["avvolgi", "dala"],
+    };
+    cluster::build(false)?;
+    let mut right = true;
+    for name in names {
+        let deployment = Deployment::find(name).ok_or_else(|| {
+            Report::new(Error::new("find the deployment", name)).attach("known: avvolgi, dala")
+        })?;
+        let folder = match &options.folder {
+            Some(folder) => folder.join(name),
+            None => std::env::temp_dir()
+                .join(format!("rosemaryworks-demo-{}", std::process::id()))
+                .join(name),
+        };
+        right &= deployment_run(deployment, Ports::new(options.base_port), &folder).await?;
+    }
+    Ok(right)
+}
+
+async fn deployment_run(
+    deployment: Deployment,
+    ports: Ports,
+    folder: &std::path::Path,
+) -> Result<bool, Report<Error>> {
+    println!("deployment {}, logs in {}", deployment.name, folder.display());
+    std::fs::create_dir_all(folder)
+        .change_context_lazy(|| Error::new("create the folder", folder.display().to_string()))?;
+    let mut cluster = Cluster::start(deployment, ports, folder)?;
+    let ready = cluster.ready().await?;
+    let mut rows = vec![Row {
+        what: format!("{} processes ready", 1 + cluster.schedulers.len() + cluster.gateways.len()),
+        expected: "ready",
+        outcome: "ready".to_owned(),
+        elapsed: ready,
+    }];
+    rows.extend(outcomes(&cluster).await);
+    let started = std::time::Instant::now();
+    let failed = cluster.stop().await;
+    rows.push(Row {
+        what: "graceful stop of all processes".to_owned(),
+        expected: "exit 0",
+        outcome: match failed.is_empty() {
+            true => "exit 0".to_owned(),
+            false => format!("failed: {}", failed.join(", ")),
+        },
+        elapsed: started.elapsed(),
+    });
+    print(&rows);
+    Ok(rows.iter().all(Row::is_right))
+}
+
+async fn outcomes(cluster: &Cluster) -> Vec<Row> {
+    let caller = Caller::new(cluster);
+    let mut rows = Vec::new();
+    let contract = contract::demo(&cluster.deployment);
+    rows.push(row("publish contract demo", "accepted", caller.publish(&contract)).await);
+    rows.push(row("contract in force at every gateway", "in force", caller.in_force()).await);
+    for service in &cluster.deployment.services {
+        let what = format!("request to {}", service.name);
+        rows.push(row(&what, "completed", caller.request(service.name)).await);
+        let what = format!("same id again at another gateway ({})", service.name);
+        rows.push(row(&what, "unknown: already-dispatched", caller.repeat(service.name)).await);
+    }
+    rows.push(row("batch job, 8 tasks on cpu", "succeeded", caller.job("batch", "cpu", 8)).await);
+    rows.push(row("gang job, 4 tasks on gpu", "succeeded", caller.job("gang", "gpu", 4)).await);
+    rows
+}
+
+async fn row(what: &str, expected: &'static str, outcome: impl Future<Output = String>) -> Row {
+    let started = std::time::Instant::now();
+    let outcome = tokio::time::timeout(OUTCOME_TIMEOUT, outcome).await;
+    let outcome = outcome.unwrap_or_else(|_| "no outcome in time".to_owned());
+    Row { what: what.to_owned(), expected, outcome, elapsed: started.elapsed() }
+}
+
+fn print(rows: &[Row]) {
+    println!("{:<52} {:<28} {:>9}  result", "step", "outcome", "ms");
+    for row in rows {
+        let result = if row.is_right() { "ok" } else { "WRONG" };
+        let millis = row.elapsed.as_millis();
+        println!("{:<52} {:<28} {millis:>9}  {result}", row.what, row.outcome);
+        if !row.is_right() {
+            println!("{:<52} expected: {}", "", row.expected);
+        }
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,2 +1,45 @@
-//! Placeholder.
-fn main() {}
+//! Tasks of the project: demo, measurements, fault runs and the settings of the examples.
+
+mod cluster;
+mod demo;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// tasks of the project
+#[derive(Debug, FromArgs)]
+struct Options {
+    #[argh(subcommand)]
+    task: Task,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Task {
+    Demo(demo::Options),
+    Settings(cluster::settings::Options),
+}
+
+fn main() -> ExitCode {
+    let options: Options = argh::from_env();
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("tokio runtime can't be started: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let result = match options.task {
+        Task::Demo(options) => runtime.block_on(demo::run(options)),
+        Task::Settings(options) => cluster::settings::run(&options).map(|()| true),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
