feat(core): placement kernel

Cause: the scheduler process needs a kernel that places jobs of all kinds. Change: leases, renewals, lapses, takeover, admission, queues by priority and contract weight, gangs, services, cancel waves, leaving VMs, blame, pressure and learned run times, with the default policy and three baselines. The interface is unchanged; Kernel::attempt is new, because a Throttle step carries no attempt and the workers' API needs one. placement::smallest names the figure that decides whether a contract is pinned in a pool. Result: seven tests on fake workers pass.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -3,19 +3,49 @@
 //! One [`Kernel`] exists per owned worker shard and epoch. Its host feeds it events and carries out
 //! the steps it returns.
 
+mod account;
+mod admission;
+mod blame;
+mod fleet;
+mod index;
+mod intake;
+mod learned;
+mod lease;
+mod link;
+mod pick;
+pub mod policy;
+mod pressure;
+mod quantile;
+mod queue;
+mod random;
+mod report;
+mod reservation;
+mod stop;
+mod task;
+mod views;
+mod work;
+mod worker;
+
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use crate::contract::Contract;
-use crate::job::{End, Id, Spec, State as JobState, Status, Task};
+use crate::job::{End, Id, Spec, State as JobState, Task};
 use crate::outcome::NotRun;
 use crate::partition::Map;
+use crate::placement::account::Accounts;
+use crate::placement::fleet::Fleet;
+use crate::placement::learned::Learned;
+use crate::placement::reservation::Reservation;
+use crate::placement::work::{Book, Key, Serial};
 use crate::shard;
 use crate::size::Size;
 use crate::target::{State, Worker};
 use crate::time::Instant;
-use crate::view;
+
+pub use crate::placement::account::smallest;
 
 /// Number of a task's placement attempt. Grows with every lease granted for the task.
 pub type Attempt = u32;
@@ -245,53 +275,107 @@
 /// The placement kernel of one shard and epoch.
 #[derive(Debug)]
 pub struct Kernel {
-    _start: Start,
+    start: Start,
+    /// Start of the epoch.
+    began: Instant,
+    policy: policy::Set,
+    random: random::Random,
+    fleet: Fleet,
+    book: Book,
+    accounts: Accounts,
+    learned: Learned,
+    out: Vec<Step>,
+    /// Whether the workers were listed in this epoch.
+    listed: bool,
+    /// Whether all leases of earlier epochs are known.
+    settled: bool,
+    /// Jobs taken over whose tasks wait for the survey.
+    unresolved: VecDeque<Serial>,
+    /// Jobs whose leases are to be given up, looked at in bounded batches.
+    stopping: VecDeque<Serial>,
+    /// Tasks that wait before they are queued again.
+    delayed: BTreeSet<(Instant, Key)>,
+    /// Jobs whose priority rises at a time.
+    promotions: BTreeSet<(Instant, Serial)>,
+    /// Number of reports taken.
+    reports: u64,
+    reservation: Option<Reservation>,
 }
 
 impl Kernel {
     /// Creates the kernel of a shard whose epoch starts at `now`.
     #[must_use]
-    pub fn new(_now: Instant, start: Start) -> Self {
-        Self { _start: start }
+    pub fn new(now: Instant, start: Start) -> Self {
+        let policy = policy::Set::named(&start.policy);
+        Self {
+            began: now,
+            random: random::Random::new(start.seed),
+            fleet: Fleet::new(policy.rules.closes),
+            policy,
+            book: Book::default(),
+            accounts: Accounts::default(),
+            learned: Learned::default(),
+            out: Vec::new(),
+            listed: false,
+            settled: start.clean,
+            unresolved: VecDeque::new(),
+            stopping: VecDeque::new(),
+            delayed: BTreeSet::new(),
+            promotions: BTreeSet::new(),
+            reports: 0,
+            reservation: None,
+            start,
+        }
     }
 
     /// Takes an event and returns what to do next.
-    pub fn handle(&mut self, _now: Instant, _event: Event) -> Vec<Step> {
-        Vec::new()
-    }
-
-    /// Tells whether a job may be accepted.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason if the contract doesn't allow the job or no VM of the shard can hold one
-    /// of its tasks.
-    pub fn admit(&self, _contract: &str, _job: &Spec) -> std::result::Result<(), Refusal> {
-        Err(Refusal::Never("not in contract".into()))
-    }
-
-    /// Returns the status of a job.
-    #[must_use]
-    pub fn status(&self, _job: &Id) -> Option<Status> {
-        None
-    }
-
-    /// Returns all jobs.
-    #[must_use]
-    pub fn jobs(&self) -> Vec<Status> {
-        Vec::new()
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Step> {
+        match event {
+            Event::Cancelled(id) => self.cancel(&id),
+            Event::Contract(contract) => self.revise(contract),
+            Event::EndRecorded(task) => self.recorded(&task),
+            Event::Listed(workers) => self.list(now, workers),
+            Event::Placed {
+                worker,
+                task,
+                attempt,
+            } => self.placed(now, &worker, &task, attempt),
+            Event::PlaceFailed {
+                worker,
+                task,
+                attempt,
+                certain,
+            } => self.place_failed(now, &worker, &task, attempt, certain),
+            Event::Restored {
+                contract,
+                job,
+                tasks,
+                cancelled,
+                age_ms,
+            } => self.restore(now, &contract, job, &tasks, cancelled, age_ms),
+            Event::Submitted { contract, job } => self.submit(now, &contract, job),
+            Event::SyncFailed { worker, fenced } => self.sync_failed(now, &worker, fenced),
+            Event::Synced { worker, report } => self.synced(now, &worker, report),
+            Event::Tick => self.tick(now),
+        }
+        std::mem::take(&mut self.out)
     }
 
-    /// Returns the tasks of a job for operators.
-    #[must_use]
-    pub fn tasks(&self, _job: &Id) -> Option<Vec<view::Task>> {
-        None
+    fn tick(&mut self, now: Instant) {
+        self.wake_workers(now);
+        self.resolve(now);
+        self.requeue_delayed(now);
+        self.promote(now);
+        self.place_urgent(now);
+        self.stop_batch(now);
+        self.place_rest(now);
     }
 
-    /// Returns the shard's targets for operators.
-    #[must_use]
-    pub fn targets(&self) -> Vec<view::Target> {
-        Vec::new()
+    fn revise(&mut self, contract: Arc<Contract>) {
+        let Start {
+            shard, partition, ..
+        } = &self.start;
+        self.accounts.revise(contract, shard, partition);
     }
 }
 
--- /dev/null
+++ b/crates/core/src/placement/blame.rs
@@ -0,0 +1,155 @@
+//! Tells bad jobs from bad workers.
+
+use crate::job::Kind;
+use crate::placement::Kernel;
+use crate::placement::index::Slot;
+use crate::placement::work::{Key, Serial};
+use crate::placement::worker::{Quarantine, RECENT_STARTS, Worker, remember_two};
+use crate::time::Instant;
+
+/// Starts that are remembered; more than are judged, because some of them don't count.
+const REMEMBERED_STARTS: usize = 4 * RECENT_STARTS;
+/// Workers that run other work well on which a task must fail before its job fails.
+const WITNESSES: usize = 3;
+/// Wait before the first probe of a quarantined worker in milliseconds; doubles each time.
+const PROBE_MS: u64 = 10_000;
+/// Longest wait between probes in milliseconds.
+const PROBE_MAX_MS: u64 = 600_000;
+/// Run time after which a probe counts as a success in milliseconds.
+const PROBE_RUN_MS: u64 = 30_000;
+
+impl Kernel {
+    /// Records that a task ran to its end on a worker.
+    pub(crate) fn note_success(&mut self, slot: Slot, key: Key) {
+        if let Some(job) = self.book.get_mut(key.serial) {
+            remember_two(&mut job.good_on, slot);
+        }
+        if let Some(worker) = self.fleet.get_mut(slot) {
+            worker.remember_start(key.serial, true);
+            remember_two(&mut worker.health.good_jobs, key.serial);
+            worker.health.quarantine = None;
+        }
+        self.fleet.refresh(slot);
+    }
+
+    /// Records that a task failed on a worker and tells whether the job can't succeed.
+    pub(crate) fn note_failure(&mut self, now: Instant, slot: Slot, key: Key) -> bool {
+        if let Some(item) = self.book.item_mut(key)
+            && !item.failed_on.contains(&slot)
+        {
+            item.failed_on.push(slot);
+        }
+        if let Some(worker) = self.fleet.get_mut(slot) {
+            worker.remember_start(key.serial, false);
+        }
+        self.judge_worker(now, slot);
+        self.is_bad(key)
+    }
+
+    /// Records that a task probes a quarantined worker.
+    pub(crate) fn start_probe(&mut self, slot: Slot, key: Key) {
+        let worker = self.fleet.get_mut(slot);
+        let quarantine = worker.and_then(|worker| worker.health.quarantine.as_mut());
+        if let Some(quarantine) = quarantine {
+            quarantine.probe = Some(key);
+            self.fleet.refresh(slot);
+        }
+    }
+
+    /// Records that a task no longer probes the worker.
+    pub(crate) fn end_probe(&mut self, slot: Slot, key: Key) {
+        let worker = self.fleet.get_mut(slot);
+        let quarantine = worker.and_then(|worker| worker.health.quarantine.as_mut());
+        if let Some(quarantine) = quarantine.filter(|quarantine| quarantine.probe == Some(key)) {
+            quarantine.probe = None;
+        }
+    }
+
+    /// Opens a quarantined worker for a probe, or lifts the quarantine if the probe runs well.
+    pub(crate) fn check_probe(&mut self, now: Instant, slot: Slot) {
+        let worker = self.fleet.get_mut(slot);
+        let Some(quarantine) = worker.and_then(|worker| worker.health.quarantine.as_mut()) else {
+            return;
+        };
+        quarantine.open |= now >= quarantine.until;
+        let Some(key) = quarantine.probe else {
+            return;
+        };
+        let hold = self.book.item(key).and_then(|item| item.hold());
+        if hold.is_some_and(|hold| now.since(hold.since) >= PROBE_RUN_MS)
+            && let Some(worker) = self.fleet.get_mut(slot)
+        {
+            worker.health.quarantine = None;
+            worker.health.recent.clear();
+        }
+    }
+
+    fn judge_worker(&mut self, now: Instant, slot: Slot) {
+        let Some(worker) = self.fleet.get(slot) else {
+            return;
+        };
+        let before = worker.health.quarantine;
+        if before.is_none() && !self.fails_everything(slot, worker) {
+            return;
+        }
+        if before.is_some_and(|quarantine| !quarantine.open) {
+            return;
+        }
+        let wait_ms = before.map_or(PROBE_MS, |quarantine| quarantine.wait_ms * 2);
+        let wait_ms = wait_ms.min(PROBE_MAX_MS);
+        if let Some(worker) = self.fleet.get_mut(slot) {
+            worker.health.quarantine = Some(Quarantine {
+                until: now + wait_ms,
+                wait_ms,
+                open: false,
+                probe: None,
+            });
+        }
+        self.fleet.refresh(slot);
+    }
+
+    fn fails_everything(&self, slot: Slot, worker: &Worker) -> bool {
+        let counts = |entry: &&(Serial, bool)| entry.1 || self.succeeds_elsewhere(entry.0, slot);
+        let recent = worker.health.recent.iter().rev().filter(counts);
+        let recent: Vec<_> = recent.take(RECENT_STARTS).collect();
+        let failed = recent.iter().all(|entry| !entry.1);
+        let several = recent.iter().any(|entry| entry.0 != recent[0].0);
+        recent.len() == RECENT_STARTS && failed && several
+    }
+
+    fn succeeds_elsewhere(&self, serial: Serial, slot: Slot) -> bool {
+        let job = self.book.get(serial);
+        job.is_some_and(|job| job.good_on.iter().any(|good| *good != slot))
+    }
+
+    fn is_bad(&self, key: Key) -> bool {
+        let Some(job) = self.book.get(key.serial) else {
+            return false;
+        };
+        if job.spec.kind == Kind::Service {
+            return false;
+        }
+        let item = &job.items[key.index as usize];
+        let runs_others = |slot: &&Slot| {
+            let worker = self.fleet.get(**slot);
+            worker.is_some_and(|worker| worker.runs_others(key.serial))
+        };
+        let witnesses = item.failed_on.iter().filter(runs_others).count();
+        witnesses >= WITNESSES || self.is_hopeless(key)
+    }
+}
+
+impl Worker {
+    fn remember_start(&mut self, serial: Serial, succeeded: bool) {
+        let recent = &mut self.health.recent;
+        if recent.len() == REMEMBERED_STARTS {
+            recent.pop_front();
+        }
+        recent.push_back((serial, succeeded));
+    }
+
+    fn runs_others(&self, serial: Serial) -> bool {
+        let healthy = self.health.quarantine.is_none();
+        healthy && self.health.good_jobs.iter().any(|good| *good != serial)
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/index.rs
@@ -0,0 +1,120 @@
+//! Index of the workers of one class by free capacity.
+
+use std::collections::BTreeSet;
+
+use crate::size::Size;
+
+/// Position of a worker in the fleet.
+pub(crate) type Slot = u32;
+
+/// Finds workers by free capacity without a scan over all of them.
+///
+/// A segment tree holds the largest free amount of each resource per subtree, which finds the first
+/// worker with room. An ordered set over free processor time finds the fullest and emptiest ones.
+#[derive(Debug, Default)]
+pub(crate) struct Index {
+    leaves: usize,
+    tree: Vec<Size>,
+    order: BTreeSet<(u64, Slot)>,
+}
+
+impl Index {
+    /// Sets the free capacity of a worker; `Size::ZERO` takes it out of the index.
+    pub(crate) fn set(&mut self, slot: Slot, free: Size) {
+        self.grow(slot);
+        let mut node = self.leaves + slot as usize;
+        let before = self.tree[node];
+        if before == free {
+            return;
+        }
+        if before != Size::ZERO {
+            self.order.remove(&(before.millicores, slot));
+        }
+        if free != Size::ZERO {
+            self.order.insert((free.millicores, slot));
+        }
+        self.tree[node] = free;
+        while node > 1 {
+            node /= 2;
+            let upper = self.tree[2 * node].max(&self.tree[2 * node + 1]);
+            if self.tree[node] == upper {
+                break;
+            }
+            self.tree[node] = upper;
+        }
+    }
+
+    /// Returns the free capacity of a worker, `Size::ZERO` if it isn't in the index.
+    pub(crate) fn free(&self, slot: Slot) -> Size {
+        let leaf = self.leaves + slot as usize;
+        self.tree.get(leaf).copied().unwrap_or(Size::ZERO)
+    }
+
+    /// Returns an upper bound of the free amount of each resource on any single worker.
+    pub(crate) fn widest(&self) -> Size {
+        self.tree.get(1).copied().unwrap_or(Size::ZERO)
+    }
+
+    /// Returns the number of workers in the index.
+    pub(crate) fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Returns the number of positions, used or not.
+    pub(crate) fn positions(&self) -> Slot {
+        self.leaves as Slot
+    }
+
+    /// Returns the first worker at or after `from` that has room for `size`.
+    pub(crate) fn first(&self, from: Slot, size: &Size) -> Option<Slot> {
+        if self.tree.is_empty() {
+            return None;
+        }
+        self.descend(1, 0, self.leaves, from as usize, size)
+    }
+
+    /// Returns the workers with at least `millicores` free, fullest first.
+    pub(crate) fn fullest(&self, millicores: u64) -> impl Iterator<Item = Slot> + '_ {
+        self.order.range((millicores, 0)..).map(|entry| entry.1)
+    }
+
+    /// Returns the workers, emptiest first.
+    pub(crate) fn emptiest(&self) -> impl Iterator<Item = Slot> + '_ {
+        self.order.iter().rev().map(|entry| entry.1)
+    }
+
+    fn descend(
+        &self,
+        node: usize,
+        start: usize,
+        len: usize,
+        from: usize,
+        size: &Size,
+    ) -> Option<Slot> {
+        if start + len <= from || !size.fits(&self.tree[node]) {
+            return None;
+        }
+        if len == 1 {
+            return Some(start as Slot);
+        }
+        let half = len / 2;
+        self.descend(2 * node, start, half, from, size)
+            .or_else(|| self.descend(2 * node + 1, start + half, half, from, size))
+    }
+
+    fn grow(&mut self, slot: Slot) {
+        let needed = (slot as usize + 1).next_power_of_two().max(16);
+        if needed <= self.leaves {
+            return;
+        }
+        let mut tree = vec![Size::ZERO; 2 * needed];
+        for leaf in 0..self.leaves {
+            tree[needed + leaf] = self.tree[self.leaves + leaf];
+        }
+        for node in (1..needed).rev() {
+            tree[node] = tree[2 * node].max(&tree[2 * node + 1]);
+        }
+        self.tree = tree;
+        self.leaves = needed;
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/intake.rs
@@ -0,0 +1,164 @@
+//! Jobs that arrive: submitted by callers or taken over from the log.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use crate::job::{End, Id, Priority, Spec};
+use crate::placement::task::Gone;
+use crate::placement::work::{Item, Job, Key, Phase, Serial};
+use crate::placement::{Kernel, Restored};
+use crate::time::Instant;
+
+/// Tasks of jobs taken over that one call queues after the survey.
+const RESOLVED_PER_CALL: usize = 2_000;
+/// Milliseconds by which nightly work without a deadline should be done.
+const NIGHT_MS: u64 = 8 * 3_600_000;
+
+impl Kernel {
+    /// Takes a job that a caller submitted.
+    pub(crate) fn submit(&mut self, now: Instant, contract: &Arc<str>, spec: Spec) {
+        let urgent = spec.priority == Priority::Urgent;
+        let tasks = spec.tasks;
+        let Some(serial) = self.add(contract, spec, now) else {
+            return;
+        };
+        for index in 0..tasks {
+            self.wait(Key { serial, index });
+        }
+        if urgent || !self.policy.rules.fair {
+            self.place_urgent(now);
+        }
+    }
+
+    /// Takes over a job from the log.
+    pub(crate) fn restore(
+        &mut self,
+        now: Instant,
+        contract: &Arc<str>,
+        spec: Spec,
+        states: &[Restored],
+        cancelled: bool,
+        age_ms: u64,
+    ) {
+        let accepted = now - age_ms;
+        let Some(serial) = self.add(contract, spec, accepted) else {
+            return;
+        };
+        let Some(job) = self.book.get_mut(serial) else {
+            return;
+        };
+        job.cancelled = cancelled;
+        for (item, state) in job.items.iter_mut().zip(states) {
+            item.phase = match state {
+                Restored::Ended(end) => Phase::Ended(*end),
+                Restored::Granted => Phase::Unknown { granted: true },
+                Restored::Pending => Phase::Unknown { granted: false },
+            };
+            if let Restored::Ended(end) = state {
+                job.ends[*end as usize] += 1;
+                job.recorded += 1;
+            }
+        }
+        job.started = job.recorded > 0 || states.contains(&Restored::Granted);
+        job.failed = !cancelled && job.ended(End::Failed) > 0 && job.spec.restart;
+        self.unresolved.push_back(serial);
+        self.conclude(serial);
+    }
+
+    /// Queues or ends tasks taken over that no worker holds, once all workers are surveyed.
+    pub(crate) fn resolve(&mut self, now: Instant) {
+        if !self.settled {
+            return;
+        }
+        for _ in 0..RESOLVED_PER_CALL {
+            let Some(serial) = self.unresolved.front().copied() else {
+                return;
+            };
+            let Some(job) = self.book.get_mut(serial) else {
+                self.unresolved.pop_front();
+                continue;
+            };
+            let index = job.cursor;
+            job.cursor += 1;
+            if index < job.items.len() {
+                let index = index as u32;
+                self.resolve_one(now, Key { serial, index });
+            } else {
+                job.cursor = 0;
+                self.unresolved.pop_front();
+                self.resolved(serial);
+            }
+        }
+    }
+
+    fn resolve_one(&mut self, now: Instant, key: Key) {
+        let Some(item) = self.book.item(key) else {
+            return;
+        };
+        let Phase::Unknown { granted } = item.phase else {
+            return;
+        };
+        match granted {
+            true => self.again(now, key, Gone::Lost),
+            false => self.again(now, key, Gone::Unfound),
+        }
+    }
+
+    fn resolved(&mut self, serial: Serial) {
+        let Some(job) = self.book.get(serial) else {
+            return;
+        };
+        if job.is_stopping() || job.broken {
+            self.stopping.push_back(serial);
+        }
+    }
+
+    fn add(&mut self, contract: &Arc<str>, spec: Spec, accepted: Instant) -> Option<Serial> {
+        let id = Id {
+            contract: contract.clone(),
+            job: spec.id.clone(),
+        };
+        if self.book.serial(&id).is_some() {
+            return None;
+        }
+        let nightly = spec.priority == Priority::Nightly;
+        let late = accepted + spec.deadline_ms.unwrap_or(NIGHT_MS) / 2;
+        let job = self.job(id, spec, accepted);
+        let serial = self.book.add(job);
+        if nightly {
+            self.promotions.insert((late, serial));
+        }
+        Some(serial)
+    }
+
+    fn job(&mut self, id: Id, spec: Spec, accepted: Instant) -> Job {
+        let account = self.accounts.open(&id.contract);
+        let group = self.learned.group(&id.contract, &spec);
+        let fresh = Item::new(Phase::Unknown { granted: false });
+        Job {
+            account,
+            group,
+            accepted,
+            priority: spec.priority,
+            items: vec![fresh; spec.tasks as usize],
+            waiting: VecDeque::new(),
+            queued: false,
+            cancelled: false,
+            failed: false,
+            broken: false,
+            cursor: 0,
+            started: false,
+            held: 0,
+            recorded: 0,
+            ends: [0; 4],
+            state: None,
+            reason: None,
+            outcomes: Vec::new(),
+            good_on: Vec::new(),
+            racks: HashMap::new(),
+            retry: accepted,
+            id,
+            spec,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/learned.rs
@@ -0,0 +1,105 @@
+//! What is learned about each kind of work: run times and use relative to the declared size.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::job::Spec;
+use crate::placement::quantile::Quantile;
+use crate::size::Size;
+
+/// Kinds of work for which figures are kept; work beyond them uses declared figures.
+const GROUPS_MAX: usize = 4_096;
+/// Samples below which declared figures are used.
+const SAMPLES_MIN: u32 = 5;
+/// Quantile of run times and of peak use that estimates are made from, in percent.
+const QUANTILE_PERCENT: u32 = 90;
+/// Scale of ratios of use to declared size.
+const RATIO_SCALE: u64 = 100;
+
+/// Contract and kind of work.
+type Name = (Arc<str>, Option<Arc<str>>);
+
+#[derive(Debug, Default)]
+struct Group {
+    run_ms: Quantile,
+    millicores: Quantile,
+    memory: Quantile,
+}
+
+/// Learned figures per contract and kind of work.
+#[derive(Debug, Default)]
+pub(crate) struct Learned {
+    names: HashMap<Name, usize>,
+    groups: Vec<Group>,
+}
+
+impl Learned {
+    /// Returns the group of a job's work.
+    pub(crate) fn group(&mut self, contract: &Arc<str>, spec: &Spec) -> Option<usize> {
+        let name = (contract.clone(), spec.work.clone());
+        if let Some(group) = self.names.get(&name) {
+            return Some(*group);
+        }
+        if self.groups.len() >= GROUPS_MAX {
+            return None;
+        }
+        self.groups.push(Group::default());
+        self.names.insert(name, self.groups.len() - 1);
+        Some(self.groups.len() - 1)
+    }
+
+    /// Learns from an attempt that ran to its end.
+    pub(crate) fn ran(&mut self, group: Option<usize>, run_ms: u64) {
+        if let Some(group) = group.and_then(|group| self.groups.get_mut(group)) {
+            group.run_ms.add(run_ms);
+        }
+    }
+
+    /// Learns from the peak use of an attempt.
+    pub(crate) fn used(&mut self, group: Option<usize>, declared: &Size, peak: &Size) {
+        let Some(group) = group.and_then(|group| self.groups.get_mut(group)) else {
+            return;
+        };
+        if peak.memory_mb == 0 && peak.millicores == 0 {
+            return;
+        }
+        let ratio = |peak: u64, declared: u64| peak * RATIO_SCALE / declared.max(1);
+        let cores = ratio(peak.millicores, declared.millicores);
+        group.millicores.add(cores);
+        group.memory.add(ratio(peak.memory_mb, declared.memory_mb));
+    }
+
+    /// Returns the expected run time of one task in milliseconds.
+    pub(crate) fn run_ms(&self, group: Option<usize>, spec: &Spec) -> u64 {
+        match group.and_then(|group| self.groups.get(group)) {
+            Some(group) if group.run_ms.samples() >= SAMPLES_MIN => {
+                group.run_ms.at(QUANTILE_PERCENT)
+            }
+            _ => spec.run_ms,
+        }
+    }
+
+    /// Returns the larger of the declared size and the learned peak use.
+    pub(crate) fn size(&self, group: Option<usize>, declared: &Size) -> Size {
+        let Some(group) = group.and_then(|group| self.groups.get(group)) else {
+            return *declared;
+        };
+        Size {
+            millicores: scaled(declared.millicores, &group.millicores),
+            memory_mb: scaled(declared.memory_mb, &group.memory),
+            accelerators: declared.accelerators,
+        }
+    }
+}
+
+fn scaled(declared: u64, ratio: &Quantile) -> u64 {
+    if ratio.samples() < SAMPLES_MIN {
+        return declared;
+    }
+    let percent = ratio.at(QUANTILE_PERCENT);
+    // The bucket that holds exactly 100% ends above it, which must not raise a correct size.
+    if percent <= RATIO_SCALE * 6 / 5 {
+        return declared;
+    }
+    declared.saturating_mul(percent) / RATIO_SCALE
+}
--- /dev/null
+++ b/crates/core/src/placement/link.rs
@@ -0,0 +1,254 @@
+//! Synchronisation with workers: renewals, lost answers, lapsed leases and the VM list.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use crate::placement::index::Slot;
+use crate::placement::task::Gone;
+use crate::placement::worker::{Departure, Link};
+use crate::placement::{Kernel, Report, Step};
+use crate::target::{State, Worker};
+use crate::time::Instant;
+use crate::timing::{LEASE_LAPSED_MS, LEASE_MS, LIST_MS, RENEW_MS};
+
+/// Workers synchronised per call; 25,000 workers every 2 s need 625 per 50 ms.
+const SYNCS_PER_CALL: usize = 2_000;
+/// Milliseconds between tries while a worker doesn't answer.
+const RETRY_MS: u64 = 1_000;
+/// Milliseconds of failures after which renewals stop, so that the leases lapse for sure.
+const GIVE_UP_MS: u64 = LEASE_MS / 2;
+/// Milliseconds between tries to reach a worker whose leases lapsed.
+const REACH_MS: u64 = 5_000;
+/// Milliseconds after which a call that the host never answered counts as failed.
+const CALL_MAX_MS: u64 = 30_000;
+/// Milliseconds after a stop or the like at which the worker is asked for its report.
+const HURRY_MS: u64 = 200;
+/// Milliseconds after the start of an epoch until the VM list is regarded as complete.
+pub(crate) const SETTLE_MS: u64 = 2 * LIST_MS;
+
+impl Kernel {
+    /// Takes over the list of workers.
+    pub(crate) fn list(&mut self, now: Instant, workers: Vec<(Worker, State)>) {
+        self.listed = true;
+        let mut unlisted: HashSet<Slot> = self.fleet.iter().map(|entry| entry.0).collect();
+        for (target, state) in workers {
+            let slot = self.list_one(now, target, state);
+            unlisted.remove(&slot);
+        }
+        for slot in unlisted {
+            self.unlist(now, slot);
+        }
+        self.fleet.measure();
+    }
+
+    /// Looks at the workers whose time has come.
+    pub(crate) fn wake_workers(&mut self, now: Instant) {
+        for _ in 0..SYNCS_PER_CALL {
+            let Some(slot) = self.fleet.next_due(now) else {
+                break;
+            };
+            self.wake(now, slot);
+        }
+        let surveyed = self.listed && self.fleet.unsurveyed == 0;
+        self.settled |= surveyed && now.since(self.began) >= SETTLE_MS;
+    }
+
+    /// Handles a `Sync` that failed or whose answer was lost.
+    pub(crate) fn sync_failed(&mut self, now: Instant, name: &str, fenced: bool) {
+        let Some(slot) = self.fleet.slot(name) else {
+            return;
+        };
+        if fenced {
+            return self.fence(slot);
+        }
+        let Some(worker) = self.fleet.get_mut(slot) else {
+            return;
+        };
+        if worker.link.outstanding.take().is_none() || worker.link.fenced {
+            return;
+        }
+        let again = std::mem::take(&mut worker.acknowledging);
+        worker.acknowledge.extend(again);
+        worker.link.contact = now;
+        worker.link.failing.get_or_insert(now);
+        let lapsed = worker.link.lapsed;
+        self.fleet.refresh(slot);
+        let wait = if lapsed { REACH_MS } else { RETRY_MS };
+        self.fleet.wake_at(slot, now + wait);
+    }
+
+    /// Handles a worker's report.
+    pub(crate) fn synced(&mut self, now: Instant, name: &str, report: Report) {
+        let Some(slot) = self.fleet.slot(name) else {
+            return;
+        };
+        let Some(worker) = self.fleet.get_mut(slot) else {
+            return;
+        };
+        let Some(sent) = worker.link.outstanding.take() else {
+            return;
+        };
+        if worker.link.fenced {
+            return;
+        }
+        worker.acknowledging.clear();
+        worker.link.contact = now;
+        worker.link.failing = None;
+        worker.link.lapsed = false;
+        if worker.link.distrusted.is_some_and(|since| sent >= since) {
+            worker.link.distrusted = None;
+        }
+        self.fleet.set_surveyed(slot);
+        self.fleet.wake_at(slot, (sent + RENEW_MS).max(now));
+        let freed = self.take_report(now, slot, sent, report);
+        self.fleet.refresh(slot);
+        if freed {
+            self.place_urgent(now);
+        }
+    }
+
+    /// Asks for the worker's report soon.
+    pub(crate) fn hurry(&mut self, now: Instant, slot: Slot) {
+        let Some(worker) = self.fleet.get(slot) else {
+            return;
+        };
+        let calm = worker.link.outstanding.is_none() && worker.link.failing.is_none();
+        if calm && worker.listed && !worker.link.fenced && worker.wake > now + HURRY_MS {
+            self.fleet.wake_at(slot, now + HURRY_MS);
+        }
+    }
+
+    fn list_one(&mut self, now: Instant, target: Worker, state: State) -> Slot {
+        let slot = match self.fleet.slot(&target.name) {
+            Some(slot) => {
+                self.fleet.relist(slot, target);
+                slot
+            }
+            None => {
+                let link = Link::new(self.began, self.start.clean);
+                self.fleet.add(target, link, now)
+            }
+        };
+        let known = self.fleet.get(slot).and_then(|worker| worker.departure);
+        let departure = match (state, known) {
+            (State::Live, _) => None,
+            (State::Leaving { within_ms: None }, None) => Some(Departure::Sometime),
+            (State::Leaving { within_ms: None }, known) => known,
+            (
+                State::Leaving {
+                    within_ms: Some(ms),
+                },
+                Some(Departure::At(at)),
+            ) => Some(Departure::At(at.min(now + ms))),
+            (
+                State::Leaving {
+                    within_ms: Some(ms),
+                },
+                _,
+            ) => Some(Departure::At(now + ms)),
+        };
+        self.fleet.set_departure(slot, departure);
+        if self.fleet.get(slot).is_some_and(|worker| !worker.listed) {
+            self.fleet.set_listed(slot, true);
+            self.fleet.wake_at(slot, now);
+        }
+        slot
+    }
+
+    fn unlist(&mut self, now: Instant, slot: Slot) {
+        if self.fleet.get(slot).is_some_and(|worker| worker.listed) {
+            self.fleet.set_listed(slot, false);
+            self.fleet.wake_at(slot, now);
+        }
+    }
+
+    fn fence(&mut self, slot: Slot) {
+        if let Some(worker) = self.fleet.get_mut(slot) {
+            worker.link.fenced = true;
+            worker.link.outstanding = None;
+        }
+        self.fleet.refresh(slot);
+        self.fleet.forget_due(slot);
+    }
+
+    fn wake(&mut self, now: Instant, slot: Slot) {
+        let Some(worker) = self.fleet.get(slot) else {
+            return;
+        };
+        let link = &worker.link;
+        if link.fenced {
+            return self.fleet.forget_due(slot);
+        }
+        if let Some(sent) = link.outstanding {
+            return self.await_answer(now, slot, sent);
+        }
+        let silent = |since: Instant| now.since(since) >= GIVE_UP_MS;
+        let silent = !link.lapsed && link.failing.is_some_and(silent);
+        if silent || !worker.listed {
+            return self.await_lapse(now, slot);
+        }
+        self.sync(now, slot);
+    }
+
+    fn await_answer(&mut self, now: Instant, slot: Slot, sent: Instant) {
+        if now.since(sent) < CALL_MAX_MS {
+            return self.fleet.wake_at(slot, sent + CALL_MAX_MS);
+        }
+        let name = self
+            .fleet
+            .get(slot)
+            .map(|worker| worker.target.name.clone());
+        if let Some(name) = name {
+            self.sync_failed(now, &name, false);
+        }
+    }
+
+    fn await_lapse(&mut self, now: Instant, slot: Slot) {
+        let Some(worker) = self.fleet.get(slot) else {
+            return;
+        };
+        let placing = worker.link.placing > 0;
+        let wait = LEASE_LAPSED_MS + if placing { CALL_MAX_MS } else { 0 };
+        let lapse = worker.link.contact + wait;
+        if now < lapse {
+            let soon = if placing { now + RETRY_MS } else { lapse };
+            return self.fleet.wake_at(slot, soon.min(lapse));
+        }
+        self.lapse(now, slot);
+    }
+
+    fn lapse(&mut self, now: Instant, slot: Slot) {
+        self.fleet.set_surveyed(slot);
+        let Some(worker) = self.fleet.get_mut(slot) else {
+            return;
+        };
+        worker.link.lapsed = true;
+        worker.link.placing = 0;
+        worker.foreign = crate::size::Size::ZERO;
+        let keys = worker.keys.clone();
+        let listed = worker.listed;
+        for key in keys {
+            self.unhold(key);
+            self.again(now, key, Gone::Lost);
+        }
+        match listed {
+            true => self.fleet.wake_at(slot, now),
+            false => self.fleet.remove(slot),
+        }
+        self.fleet.refresh(slot);
+    }
+
+    fn sync(&mut self, now: Instant, slot: Slot) {
+        let Some(worker) = self.fleet.get_mut(slot) else {
+            return;
+        };
+        worker.link.outstanding = Some(now);
+        worker.acknowledging = std::mem::take(&mut worker.acknowledge);
+        let step = Step::Sync {
+            worker: Arc::clone(&worker.target.name),
+            acknowledge: worker.acknowledging.clone(),
+        };
+        self.out.push(step);
+        self.fleet.wake_at(slot, now + CALL_MAX_MS);
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/policy/batch.rs
@@ -0,0 +1,49 @@
+//! Batch work: the fullest worker that has room, so that large tasks keep finding whole workers.
+
+use crate::job::Kind;
+use crate::placement::fleet::Fleet;
+use crate::placement::index::Slot;
+use crate::placement::policy::{ALL_KINDS, Ask, DEFAULT, Plugin, Policy, Rules};
+use crate::placement::random::Random;
+
+/// Picks the fullest worker that has room; short work tries the workers kept for it first.
+#[derive(Debug)]
+pub(crate) struct BestFit;
+
+impl Policy for BestFit {
+    fn pick(&self, fleet: &Fleet, ask: &Ask<'_>, _random: &mut Random) -> Option<Slot> {
+        let fit = |index| fleet.best_fit(index, &ask.size, ask.avoid);
+        let short = || if ask.long { None } else { fit(&fleet.closed) };
+        let reserved = || {
+            if ask.backfill {
+                fit(&fleet.reserved)
+            } else {
+                None
+            }
+        };
+        reserved().or_else(short).or_else(|| fit(&fleet.open))
+    }
+}
+
+/// Picks the first worker that has room.
+#[derive(Debug)]
+struct FirstFit;
+
+impl Policy for FirstFit {
+    fn pick(&self, fleet: &Fleet, ask: &Ask<'_>, _random: &mut Random) -> Option<Slot> {
+        fleet.first_fit(&fleet.open, 0, &ask.size, ask.avoid)
+    }
+}
+
+inventory::submit! {
+    Plugin { name: DEFAULT, kinds: &[Kind::Batch], rules: Rules::FAIR, policy: &BestFit }
+}
+
+inventory::submit! {
+    Plugin {
+        name: "fcfs-first-fit",
+        kinds: ALL_KINDS,
+        rules: Rules { blocking: true, ..Rules::ARRIVAL },
+        policy: &FirstFit,
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/policy/least_loaded.rs
@@ -0,0 +1,20 @@
+//! Baseline: the worker with the most free processor time.
+
+use crate::placement::fleet::Fleet;
+use crate::placement::index::Slot;
+use crate::placement::policy::{ALL_KINDS, Ask, Plugin, Policy, Rules};
+use crate::placement::random::Random;
+
+/// Picks the emptiest worker.
+#[derive(Debug)]
+struct LeastLoaded;
+
+impl Policy for LeastLoaded {
+    fn pick(&self, fleet: &Fleet, ask: &Ask<'_>, _random: &mut Random) -> Option<Slot> {
+        fleet.least_loaded(&fleet.open, &ask.size, ask.avoid)
+    }
+}
+
+inventory::submit! {
+    Plugin { name: "least-loaded", kinds: ALL_KINDS, rules: Rules::ARRIVAL, policy: &LeastLoaded }
+}
--- /dev/null
+++ b/crates/core/src/placement/policy/service.rs
@@ -0,0 +1,71 @@
+//! Service work: spreads the tasks of a job over racks.
+
+use crate::job::Kind;
+use crate::placement::fleet::Fleet;
+use crate::placement::index::{Index, Slot};
+use crate::placement::policy::{Ask, DEFAULT, Plugin, Policy, Rules};
+use crate::placement::random::Random;
+
+/// Up to this many racks are all compared; beyond it a random sample of workers is.
+const RACKS_COMPARED: usize = 64;
+/// Workers in the random sample.
+const SAMPLE: usize = 16;
+
+/// Picks a worker in the rack with the fewest tasks of the job.
+#[derive(Debug)]
+struct Spread;
+
+impl Policy for Spread {
+    fn pick(&self, fleet: &Fleet, ask: &Ask<'_>, random: &mut Random) -> Option<Slot> {
+        let few = fleet.rack_members.len() <= RACKS_COMPARED;
+        let find = |index: &Index, random: &mut Random| match few {
+            true => by_rack(fleet, index, ask),
+            false => by_sample(fleet, index, ask, random),
+        };
+        find(&fleet.open, random).or_else(|| match ask.long {
+            true => None,
+            false => find(&fleet.closed, random),
+        })
+    }
+}
+
+fn by_rack(fleet: &Fleet, index: &Index, ask: &Ask<'_>) -> Option<Slot> {
+    let tasks = |rack: usize| ask.racks.get(&(rack as u32)).copied().unwrap_or(0);
+    let mut racks: Vec<usize> = (0..fleet.rack_members.len()).collect();
+    racks.sort_by_key(|rack| tasks(*rack));
+    let fits = |slot: &Slot| ask.size.fits(&index.free(*slot)) && !ask.avoid.contains(slot);
+    let fullest = |rack: usize| {
+        let members = fleet.rack_members[rack].iter().copied().filter(fits);
+        members.min_by_key(|slot| index.free(*slot).millicores)
+    };
+    racks.into_iter().find_map(fullest)
+}
+
+fn by_sample(fleet: &Fleet, index: &Index, ask: &Ask<'_>, random: &mut Random) -> Option<Slot> {
+    let tasks = |slot: Slot| {
+        let rack = fleet.get(slot).map(|worker| worker.rack);
+        rack.and_then(|rack| ask.racks.get(&rack))
+            .copied()
+            .unwrap_or(0)
+    };
+    let mut best: Option<(u32, Slot)> = None;
+    for _ in 0..SAMPLE {
+        let from = random.below(u64::from(index.positions())) as Slot;
+        let Some(slot) = fleet.first_fit(index, from, &ask.size, ask.avoid) else {
+            continue;
+        };
+        let found = (tasks(slot), slot);
+        if best.is_none_or(|best| found.0 < best.0) {
+            best = Some(found);
+        }
+        if found.0 == 0 {
+            break;
+        }
+    }
+    best.map(|best| best.1)
+        .or_else(|| fleet.first_fit(index, 0, &ask.size, ask.avoid))
+}
+
+inventory::submit! {
+    Plugin { name: DEFAULT, kinds: &[Kind::Service], rules: Rules::FAIR, policy: &Spread }
+}
--- /dev/null
+++ b/crates/core/src/placement/reservation.rs
@@ -0,0 +1,132 @@
+//! Workers reserved for a gang that waited long for room.
+
+use crate::job::Kind;
+use crate::placement::Kernel;
+use crate::placement::index::Slot;
+use crate::placement::work::Serial;
+use crate::placement::worker::Worker;
+use crate::size::Size;
+use crate::time::Instant;
+
+/// Milliseconds that a gang waits before workers are reserved for it.
+const RESERVE_AFTER_MS: u64 = 5_000;
+/// Milliseconds beyond the expected time after which other workers are chosen.
+const OVERDUE_MS: u64 = 60_000;
+/// Workers compared for a reservation.
+const COMPARED_MAX: usize = 4_096;
+
+/// Workers kept free for one gang.
+#[derive(Clone, Debug)]
+pub(crate) struct Reservation {
+    serial: Serial,
+    workers: Vec<Slot>,
+    /// When the workers are expected to be free.
+    ready: Instant,
+}
+
+impl Kernel {
+    /// Tells whether a job's tasks may use reserved workers.
+    pub(crate) fn may_backfill(&self, now: Instant, serial: Serial, run_ms: u64) -> bool {
+        let reservation = self.reservation.as_ref();
+        reservation.is_some_and(|held| held.serial == serial || now + run_ms <= held.ready)
+    }
+
+    /// Reserves workers for a gang that found no room, if it waited long enough.
+    pub(crate) fn consider_reservation(&mut self, now: Instant, serial: Serial) {
+        let waited = self
+            .book
+            .get(serial)
+            .map_or(0, |job| now.since(job.accepted));
+        let idle = self.reservation.is_none();
+        if !self.policy.rules.reserves || !idle || waited < RESERVE_AFTER_MS {
+            return;
+        }
+        let Some(reservation) = self.reserve(now, serial) else {
+            return;
+        };
+        self.mark(&reservation.workers, true);
+        self.reservation = Some(reservation);
+    }
+
+    /// Drops the reservation of a gang.
+    pub(crate) fn drop_reservation(&mut self, serial: Serial) {
+        let held = self.reservation.take_if(|held| held.serial == serial);
+        if let Some(reservation) = held {
+            self.mark(&reservation.workers, false);
+        }
+    }
+
+    /// Drops a reservation whose gang no longer waits or whose workers didn't become free.
+    pub(crate) fn review_reservation(&mut self, now: Instant) {
+        let Some(held) = &self.reservation else {
+            return;
+        };
+        let serial = held.serial;
+        let overdue = now >= held.ready + OVERDUE_MS;
+        let queued = self.book.get(serial).is_some_and(|job| job.queued);
+        if overdue || !queued {
+            self.drop_reservation(serial);
+        }
+    }
+
+    fn mark(&mut self, workers: &[Slot], reserved: bool) {
+        for slot in workers {
+            if let Some(worker) = self.fleet.get_mut(*slot) {
+                worker.reserved = reserved;
+            }
+            self.fleet.refresh(*slot);
+        }
+    }
+
+    /// Chooses the workers that are expected to be free first.
+    fn reserve(&mut self, now: Instant, serial: Serial) -> Option<Reservation> {
+        let size = self.charge_of(serial);
+        let tasks = self.book.get(serial)?.waiting.len() as u64;
+        let workers = self.fleet.iter().filter(|(_, worker)| worker.is_usable());
+        let mut offers: Vec<(Instant, Slot, u64)> = workers
+            .take(COMPARED_MAX)
+            .filter_map(|(slot, worker)| self.offer(now, slot, worker, &size))
+            .collect();
+        offers.sort_unstable();
+        let mut reservation = Reservation {
+            serial,
+            workers: Vec::new(),
+            ready: now,
+        };
+        let mut places = 0;
+        for (ready, slot, holds) in offers {
+            reservation.workers.push(slot);
+            reservation.ready = reservation.ready.max(ready);
+            places += holds;
+            if places >= tasks {
+                return Some(reservation);
+            }
+        }
+        None
+    }
+
+    /// Returns when a worker is expected to be free and how many tasks it holds then.
+    fn offer(
+        &self,
+        now: Instant,
+        slot: Slot,
+        worker: &Worker,
+        size: &Size,
+    ) -> Option<(Instant, Slot, u64)> {
+        let mut stuck = Size::ZERO;
+        let mut ready = now;
+        for key in &worker.keys {
+            let job = self.book.get(key.serial)?;
+            let hold = job.items.get(key.index as usize)?.hold()?;
+            if job.spec.kind == Kind::Service {
+                stuck += hold.charge;
+                continue;
+            }
+            let end = hold.since + self.expected_ms(key.serial);
+            ready = ready.max(end);
+        }
+        let room = worker.target.size - stuck;
+        let holds = room.holds(size);
+        (holds > 0).then_some((ready, slot, holds))
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/worker.rs
@@ -0,0 +1,169 @@
+//! A worker as the kernel keeps it.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use crate::job::Task;
+use crate::placement::Attempt;
+use crate::placement::index::Slot;
+use crate::placement::work::{Key, Serial};
+use crate::size::Size;
+use crate::target;
+use crate::time::Instant;
+
+/// Starts that decide whether a worker is quarantined.
+pub(crate) const RECENT_STARTS: usize = 5;
+
+/// When a leaving worker stops.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Departure {
+    /// At a stated time.
+    At(Instant),
+    /// At an unknown time.
+    Sometime,
+}
+
+/// What is known of the connection to a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Link {
+    /// When the unanswered `Sync` was sent.
+    pub(crate) outstanding: Option<Instant>,
+    /// Latest time at which a renewal or a placement may have arrived.
+    pub(crate) contact: Instant,
+    /// When the first of the consecutive failures happened.
+    pub(crate) failing: Option<Instant>,
+    /// Whether the worker answered a `Sync` of this epoch, or its leases surely lapsed.
+    pub(crate) surveyed: bool,
+    /// Whether all leases surely lapsed because the worker couldn't be reached.
+    pub(crate) lapsed: bool,
+    /// Whether the worker has seen a newer epoch.
+    pub(crate) fenced: bool,
+    /// Placements whose answer is awaited.
+    pub(crate) placing: u32,
+    /// Set after a refused placement: no new work until a `Sync` sent later is answered.
+    pub(crate) distrusted: Option<Instant>,
+}
+
+/// A worker that failed everything it started.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Quarantine {
+    /// When the next probe may start.
+    pub(crate) until: Instant,
+    /// Milliseconds to the probe after the next failure.
+    pub(crate) wait_ms: u64,
+    /// Whether a probe may start now.
+    pub(crate) open: bool,
+    /// Task that probes the worker.
+    pub(crate) probe: Option<Key>,
+}
+
+/// How the work on a worker ended lately.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Health {
+    /// Last starts: the job, and whether the task ran to its end.
+    pub(crate) recent: VecDeque<(Serial, bool)>,
+    /// Up to two jobs that succeeded on the worker.
+    pub(crate) good_jobs: Vec<Serial>,
+    pub(crate) quarantine: Option<Quarantine>,
+}
+
+/// A worker as the kernel keeps it.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub(crate) target: target::Worker,
+    pub(crate) rack: u32,
+    pub(crate) listed: bool,
+    pub(crate) departure: Option<Departure>,
+    /// Whether the worker itself announces that it is leaving.
+    pub(crate) announced: bool,
+    pub(crate) link: Link,
+    pub(crate) keys: Vec<Key>,
+    /// Resources counted for the leases of known tasks.
+    pub(crate) held: Size,
+    /// Resources of leases that belong to no task here; they are being stopped.
+    pub(crate) foreign: Size,
+    pub(crate) acknowledge: Vec<(Task, Attempt)>,
+    /// Acknowledgements of the `Sync` in flight.
+    pub(crate) acknowledging: Vec<(Task, Attempt)>,
+    pub(crate) health: Health,
+    /// Whether the worker takes only short work.
+    pub(crate) closed: bool,
+    /// Whether the worker is reserved for a gang.
+    pub(crate) reserved: bool,
+    /// Steps taken against use near the VM's size.
+    pub(crate) pressure: u8,
+    /// When the worker is looked at next.
+    pub(crate) wake: Instant,
+}
+
+impl Worker {
+    /// Returns the resources that are not held.
+    pub(crate) fn free(&self) -> Size {
+        self.target.size - self.held - self.foreign
+    }
+
+    /// Tells whether new work may be placed on the worker.
+    pub(crate) fn is_usable(&self) -> bool {
+        let link = &self.link;
+        let reachable = link.surveyed && !link.lapsed && !link.fenced;
+        let trusted = link.failing.is_none() && link.distrusted.is_none();
+        let staying = self.listed && self.departure.is_none() && !self.announced;
+        staying && reachable && trusted && self.is_healthy()
+    }
+
+    /// Returns why no new work is placed on the worker.
+    pub(crate) fn condition(&self) -> Option<Arc<str>> {
+        let link = &self.link;
+        let condition = if link.fenced {
+            "fenced"
+        } else if !self.listed {
+            "unlisted"
+        } else if link.lapsed || link.failing.is_some() {
+            "unreachable"
+        } else if !link.surveyed {
+            "unsurveyed"
+        } else if self.health.quarantine.is_some() {
+            "quarantined"
+        } else if self.pressure > 0 {
+            "overloaded"
+        } else {
+            return None;
+        };
+        Some(condition.into())
+    }
+
+    fn is_healthy(&self) -> bool {
+        let closed = |quarantine: &Quarantine| !quarantine.open || quarantine.probe.is_some();
+        !self.health.quarantine.as_ref().is_some_and(closed)
+    }
+}
+
+impl Link {
+    /// Creates the state of a worker that was not contacted in this epoch.
+    pub(crate) fn new(epoch_start: Instant, surveyed: bool) -> Self {
+        Self {
+            outstanding: None,
+            contact: epoch_start,
+            failing: None,
+            surveyed,
+            lapsed: false,
+            fenced: false,
+            placing: 0,
+            distrusted: None,
+        }
+    }
+}
+
+/// Remembers up to two different values, the latest last.
+pub(crate) fn remember_two<T: PartialEq>(values: &mut Vec<T>, value: T) {
+    if values.contains(&value) {
+        return;
+    }
+    if values.len() == 2 {
+        values.remove(0);
+    }
+    values.push(value);
+}
+
+/// Names a worker in the order in which it is looked at.
+pub(crate) type Due = (Instant, Slot);
--- a/crates/core/src/size.rs
+++ b/crates/core/src/size.rs
@@ -62,6 +62,27 @@
         }
     }
 
+    /// Returns the smaller of both sizes in each resource.
+    #[must_use]
+    pub fn min(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.min(other.millicores),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// Returns how often `other` fits into this size. An empty size fits without limit.
+    #[must_use]
+    pub fn holds(&self, other: &Self) -> u64 {
+        let times = |room: u64, size: u64| room.checked_div(size).unwrap_or(u64::MAX);
+        let cores = times(self.millicores, other.millicores);
+        let memory = times(self.memory_mb, other.memory_mb);
+        cores
+            .min(memory)
+            .min(times(self.accelerators, other.accelerators))
+    }
+
     /// Returns this size taken `count` times.
     #[must_use]
     pub fn times(&self, count: u64) -> Self {
