feat(admin): contract register, audit trail and administration routes

Operators need to publish contracts before any request can run. The administration API publishes and compares contracts, drains targets and shows the cell; a change counts once it is read back from the stream. core::contract::check finds every fault of a contract with its field path.

wire::Verdict::Granted gains waited_ms: the owner's own measure from receipt of the ask to a moment at which it held support.

core::outcome::Unknown gains InstanceRefused: the instance says that it did not run the request, but bytes reached it, so the gateway may not say not-run.

--- /dev/null
+++ b/crates/admin/src/cell.rs
@@ -0,0 +1,197 @@
+//! What the schedulers tell about the cell: owners, targets, jobs and tasks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryworks_core::job::{self, Status};
+use rosemaryworks_core::shard::{Epoch, Id};
+use rosemaryworks_core::view;
+use rosemaryworks_wire::link::Client;
+use rosemaryworks_wire::{Inspected, Message};
+use serde::Serialize;
+
+use crate::api::Api;
+use crate::body::{Answer, Error};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// State of the cell for operators.
+#[derive(Debug, Serialize)]
+pub(crate) struct Cell {
+    name: Arc<str>,
+    schedulers: Vec<Scheduler>,
+    shards: Vec<Shard>,
+    drained: Vec<Arc<str>>,
+}
+
+#[derive(Debug, Serialize)]
+struct Scheduler {
+    name: Arc<str>,
+    zone: Arc<str>,
+    reachable: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct Shard {
+    shard: Id,
+    owner: Option<Arc<str>>,
+    epoch: Option<Epoch>,
+}
+
+/// A target with its drain state.
+#[derive(Debug, Serialize)]
+pub(crate) struct Target {
+    #[serde(flatten)]
+    target: view::Target,
+    drained: bool,
+}
+
+/// Answers of the schedulers that were reached.
+struct Survey {
+    inspected: Vec<(Arc<str>, Inspected)>,
+    unreached: Vec<Arc<str>>,
+}
+
+/// A list that may be incomplete.
+#[derive(Debug, Serialize)]
+pub(crate) struct Partial<T> {
+    items: Vec<T>,
+    /// Schedulers that did not answer. The targets and jobs of their shards are missing.
+    unreached: Vec<Arc<str>>,
+}
+
+async fn inspect(client: &Client) -> Option<Inspected> {
+    match client.call(Message::Inspect, CALL_TIMEOUT).await {
+        Ok(Message::Inspected(inspected)) => Some(*inspected),
+        _ => None,
+    }
+}
+
+async fn survey(api: &Api) -> Survey {
+    let mut calls = Vec::new();
+    for index in 0..api.schedulers.len() {
+        let schedulers = api.schedulers.clone();
+        calls.push(tokio::spawn(
+            async move { inspect(&schedulers[index]).await },
+        ));
+    }
+    let mut survey = Survey {
+        inspected: Vec::new(),
+        unreached: Vec::new(),
+    };
+    for (client, call) in api.schedulers.iter().zip(calls) {
+        let name = client.name().clone();
+        match call.await.ok().flatten() {
+            Some(inspected) => survey.inspected.push((name, inspected)),
+            None => survey.unreached.push(name),
+        }
+    }
+    survey
+}
+
+/// Returns the schedulers, and the shards with their owners.
+pub(crate) async fn cell(api: Api) -> Cell {
+    let survey = survey(&api).await;
+    let unreached: BTreeSet<&Arc<str>> = survey.unreached.iter().collect();
+    let schedulers = api.cell.schedulers.iter().map(|scheduler| Scheduler {
+        name: scheduler.name.clone(),
+        zone: scheduler.zone.clone(),
+        reachable: !unreached.contains(&scheduler.name),
+    });
+    let owners = owners(&survey);
+    let shards = api.cell.partition.shards().into_iter().map(|shard| {
+        let owner = owners.get(&shard);
+        Shard {
+            owner: owner.map(|(_, name)| name.clone()),
+            epoch: owner.map(|(epoch, _)| *epoch),
+            shard,
+        }
+    });
+    Cell {
+        name: api.cell.name.clone(),
+        schedulers: schedulers.collect(),
+        shards: shards.collect(),
+        drained: api.contracts.drained(),
+    }
+}
+
+fn owners(survey: &Survey) -> BTreeMap<Id, (Epoch, Arc<str>)> {
+    let mut owners: BTreeMap<Id, (Epoch, Arc<str>)> = BTreeMap::new();
+    for (name, inspected) in &survey.inspected {
+        for (shard, epoch) in &inspected.shards {
+            let known = owners.get(shard).map(|(epoch, _)| *epoch);
+            if known.is_none_or(|known| known < *epoch) {
+                owners.insert(shard.clone(), (*epoch, name.clone()));
+            }
+        }
+    }
+    owners
+}
+
+/// Returns the targets of all shards.
+pub(crate) async fn targets(api: Api) -> Partial<Target> {
+    let survey = survey(&api).await;
+    let targets = survey
+        .inspected
+        .into_iter()
+        .flat_map(|(_, all)| all.targets);
+    let items = targets.map(|target| Target {
+        drained: api.contracts.is_drained(&target.name),
+        target,
+    });
+    Partial {
+        items: items.collect(),
+        unreached: survey.unreached,
+    }
+}
+
+/// Returns the jobs of all shards.
+pub(crate) async fn jobs(api: Api) -> Partial<Status> {
+    let survey = survey(&api).await;
+    let jobs = survey.inspected.into_iter().flat_map(|(_, all)| all.jobs);
+    Partial {
+        items: jobs.collect(),
+        unreached: survey.unreached,
+    }
+}
+
+/// Returns the tasks of a job from the owner of its shard.
+pub(crate) async fn tasks(api: Api, job: job::Id) -> Answer<Vec<view::Task>> {
+    let survey = survey(&api).await;
+    for (name, inspected) in &survey.inspected {
+        for (shard, _) in &inspected.shards {
+            if let Some(tasks) = tasks_at(&api, name, shard, &job).await {
+                return Ok(tasks);
+            }
+        }
+    }
+    match survey.unreached.is_empty() {
+        true => Err(Error::new(404, format!("no job {job}"))),
+        false => {
+            let names = survey.unreached.join(", ");
+            Err(Error::new(
+                503,
+                format!("no job {job}; no answer from {names}"),
+            ))
+        }
+    }
+}
+
+async fn tasks_at(api: &Api, owner: &str, shard: &Id, job: &job::Id) -> Option<Vec<view::Task>> {
+    if shard.kind != rosemaryworks_core::shard::Kind::Pool {
+        return None;
+    }
+    let client = api
+        .schedulers
+        .iter()
+        .find(|client| &**client.name() == owner)?;
+    let call = Message::Tasks {
+        shard: shard.clone(),
+        job: job.clone(),
+    };
+    match client.call(call, CALL_TIMEOUT).await {
+        Ok(Message::TaskList(tasks)) => Some(tasks),
+        _ => None,
+    }
+}
--- a/crates/core/src/contract.rs
+++ b/crates/core/src/contract.rs
@@ -9,6 +9,10 @@
 use crate::job::Priority;
 use crate::size::Size;
 
+mod check;
+
+pub use check::{KEY_MAX_CHARS, KEY_MIN_CHARS, KEYS_MAX, check};
+
 /// Longest name of a contract, service, pool, job or request, in characters.
 pub const NAME_MAX_CHARS: usize = 64;
 
@@ -55,6 +59,24 @@
     pub queue: u32,
 }
 
+impl Pool {
+    /// Returns the limit that [`Map::home`](crate::partition::Map::home) takes for the customer's
+    /// jobs: the smallest resource limit that isn't zero.
+    #[must_use]
+    pub fn smallest(&self) -> u64 {
+        let limits = [
+            self.size.millicores,
+            self.size.memory_mb,
+            self.size.accelerators,
+        ];
+        limits
+            .into_iter()
+            .filter(|limit| *limit > 0)
+            .min()
+            .unwrap_or(0)
+    }
+}
+
 /// A customer's contract.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -36,6 +36,8 @@
     AlreadyDispatched,
     /// The answer did not arrive before the deadline.
     Deadline,
+    /// The instance answered that it did not run the request, after the request was sent to it.
+    InstanceRefused,
     /// The connection to the instance failed after the request was sent.
     InstanceLost,
     /// No owner could be asked, and an earlier attempt may have run.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -63,6 +63,11 @@
         slot: Slot,
         /// Instance.
         instance: Instance,
+        /// Milliseconds on the owner's clock from its receipt of the ask to a moment, not after the
+        /// grant, at which it held majority support. Extends the validity of a grant that waited in
+        /// the owner's queue.
+        #[serde(default)]
+        waited_ms: u64,
     },
     /// The request was not run and won't be by this attempt.
     NotRun(NotRun),
