feat(platform): HTTP adapters of the platform traits

The processes reach the platform through trait objects that had no adapter. Adds one adapter per trait: JSON over HTTP, a 2 s limit per call besides the read wait, refusals with a typed body. Faults are classified exactly: unreached only if the connection could not be opened.

The HTTP client of node reported a connection that the peer closed after reading the request as one that could not be opened, because the library returns ConnectError::Disconnected(None) for it. A request that ran would have been reported as not run. It is now Error::Lost; the test connection_closed_after_the_request_is_uncertain fails without the change.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ntex::client::error::ClientError;
+use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client as LocalClient, Connector};
 use ntex::time::{Millis, Seconds};
 use rosemaryworks_core::partition::hash;
@@ -229,6 +229,10 @@
 
 fn classify(error: &ClientError) -> Error {
     match error {
+        // The library reports a connection that ended instead of an answer under this name.
+        ClientError::Connect(ConnectError::Disconnected(None)) => {
+            Error::Lost("the peer closed the connection".to_owned())
+        }
         ClientError::Connect(error) => Error::Connect(error.to_string()),
         other => Error::Lost(other.to_string()),
     }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,1 +1,23 @@
-//! HTTP adapters to the platform.
+//! HTTP adapters to the platform: JSON over HTTP, one adapter per trait.
+//!
+//! | trait | calls |
+//! |---|---|
+//! | `Log` | `POST /v1/log/append`, `/v1/log/find`, `/v1/log/read` |
+//! | `Directory` | `GET /v1/vms` |
+//! | `Workers` | `POST /v1/control`, `/v1/place`, `/v1/sync` at each worker |
+//! | `Instances` | `POST /` and `GET /occupancy` at each instance |
+//!
+//! A call that is refused has a status from 400 on and a [`Refusal`] as body.
+
+mod call;
+mod directory;
+mod instances;
+mod log;
+mod refusal;
+mod workers;
+
+pub use directory::Directory;
+pub use instances::{Instances, NOT_RUN_HEADER, Occupancy};
+pub use log::{Appended, Find, Found, Log, Read};
+pub use refusal::Refusal;
+pub use workers::Workers;
--- /dev/null
+++ b/crates/platform/src/http/call.rs
@@ -0,0 +1,64 @@
+//! A JSON call with its faults classified.
+
+use std::time::Duration;
+
+use error_stack::Report;
+use rosemaryworks_node::http::{Client, Error, Request, Response};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::refusal::Refusal;
+use crate::failure::{Answer, Failure, Fault};
+
+/// Time allowed for a call, besides the time that the peer is asked to wait.
+pub(super) const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Sends `body` to `url` and reads the JSON answer. `step` and `peer` name the call in failures.
+pub(super) fn post<B: Serialize, T: DeserializeOwned + Send + 'static>(
+    client: &Client,
+    step: &str,
+    peer: &str,
+    url: String,
+    body: &B,
+    timeout: Duration,
+) -> Answer<T> {
+    let request = Request::new("POST", url, timeout)
+        .header("content-type", "application/json")
+        .body(serde_json::to_vec(body).expect("calls serialise"));
+    send(client, step, peer, request)
+}
+
+/// Sends a request and reads the JSON answer.
+pub(super) fn send<T: DeserializeOwned + Send + 'static>(
+    client: &Client,
+    step: &str,
+    peer: &str,
+    request: Request,
+) -> Answer<T> {
+    let (client, step, peer) = (client.clone(), step.to_owned(), peer.to_owned());
+    Box::pin(async move {
+        let result = client.send(request).await;
+        let result = result.map_err(fault).and_then(|response| parse(&response));
+        result.map_err(|fault| Report::new(Failure::new(&step, &peer, fault)))
+    })
+}
+
+/// Classifies a request without a whole response.
+pub(super) fn fault(error: Error) -> Fault {
+    match error {
+        Error::Connect(_) | Error::Invalid(_) => Fault::Unreached(error.to_string()),
+        Error::Lost(_) | Error::Timeout => Fault::Uncertain(error.to_string()),
+    }
+}
+
+fn parse<T: DeserializeOwned>(response: &Response) -> Result<T, Fault> {
+    let status = response.status;
+    if status == 200 {
+        let answer = serde_json::from_slice(&response.body);
+        return answer.map_err(|error| Fault::Uncertain(format!("malformed answer: {error}")));
+    }
+    match serde_json::from_slice::<Refusal>(&response.body) {
+        Ok(refusal) if refusal.status() == status => Err(refusal.into()),
+        _ => Err(Fault::Uncertain(format!("status {status}"))),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http/log.rs
@@ -0,0 +1,110 @@
+//! Adapter to the platform's log.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryworks_core::record::Offset;
+use rosemaryworks_node::http::Client;
+use serde::{Deserialize, Serialize};
+
+use super::call::{TIMEOUT, post};
+use crate::failure::Answer;
+use crate::log::{Append, Page};
+
+/// Answer to an append.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Appended {
+    /// Offset of the first record.
+    pub offset: Offset,
+}
+
+/// Asks what became of an append.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Find {
+    /// Stream.
+    pub stream: Arc<str>,
+    /// Identifier of the append.
+    pub id: Arc<str>,
+}
+
+/// Answer to [`Find`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Found {
+    /// Offset of the first record, if the append took effect.
+    #[serde(deserialize_with = "Option::deserialize")]
+    pub offset: Option<Offset>,
+}
+
+/// Asks for records.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Read {
+    /// Stream.
+    pub stream: Arc<str>,
+    /// First offset to read.
+    pub from: Offset,
+    /// Most records to return.
+    pub limit: u32,
+    /// Milliseconds to wait for a record if there is none.
+    pub wait_ms: u64,
+}
+
+/// The log over HTTP.
+#[derive(Clone, Debug)]
+pub struct Log {
+    address: SocketAddr,
+    client: Client,
+}
+
+impl Log {
+    /// Creates the adapter to the log at `address`.
+    #[must_use]
+    pub fn new(client: Client, address: SocketAddr) -> Self {
+        Self { address, client }
+    }
+
+    fn url(&self, call: &str) -> String {
+        format!("http://{}/v1/log/{call}", self.address)
+    }
+
+    fn peer(&self) -> String {
+        format!("log {}", self.address)
+    }
+}
+
+impl crate::Log for Log {
+    fn append(&self, append: Append) -> Answer<Offset> {
+        let step = format!("append to {}", append.stream);
+        let url = self.url("append");
+        let answer: Answer<Appended> =
+            post(&self.client, &step, &self.peer(), url, &append, TIMEOUT);
+        Box::pin(async move { Ok(answer.await?.offset) })
+    }
+
+    fn find(&self, stream: &str, id: &str) -> Answer<Option<Offset>> {
+        let step = format!("find append in {stream}");
+        let find = Find {
+            stream: stream.into(),
+            id: id.into(),
+        };
+        let url = self.url("find");
+        let answer: Answer<Found> = post(&self.client, &step, &self.peer(), url, &find, TIMEOUT);
+        Box::pin(async move { Ok(answer.await?.offset) })
+    }
+
+    fn read(&self, stream: &str, from: Offset, limit: u32, wait_ms: u64) -> Answer<Page> {
+        let step = format!("read {stream}");
+        let read = Read {
+            stream: stream.into(),
+            from,
+            limit,
+            wait_ms,
+        };
+        let timeout = TIMEOUT + Duration::from_millis(wait_ms);
+        let url = self.url("read");
+        post(&self.client, &step, &self.peer(), url, &read, timeout)
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/http.rs
@@ -0,0 +1,76 @@
+//! Classification of faults by the HTTP adapters.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use rosemaryworks_node::http::Client;
+use rosemaryworks_platform::log::Append;
+use rosemaryworks_platform::{Fault, Log, http};
+
+/// Starts a server that reads one request, sends `answer` and closes the connection.
+fn server(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"}") {
+            let mut part = [0; 1024];
+            let count = stream.read(&mut part).unwrap();
+            seen.extend_from_slice(&part[..count]);
+        }
+        stream.write_all(answer.as_bytes()).unwrap();
+    });
+    address
+}
+
+async fn fault(address: SocketAddr) -> Fault {
+    let log = http::Log::new(Client::start(1), address);
+    let append = Append {
+        stream: "cell".into(),
+        id: "a-1".into(),
+        records: vec![Arc::from("{}")],
+    };
+    let report = log.append(append).await.unwrap_err();
+    report.current_context().fault.clone()
+}
+
+#[tokio::test]
+async fn closed_port_is_unreached() {
+    // Guards against refusing to retry work that certainly never left this process.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    assert!(matches!(fault(address).await, Fault::Unreached(_)));
+}
+
+#[tokio::test]
+async fn connection_closed_after_the_request_is_uncertain() {
+    // Guards against reporting a request as not run although the peer read all of it.
+    assert!(matches!(fault(server("")).await, Fault::Uncertain(_)));
+}
+
+#[tokio::test]
+async fn cut_answer_is_uncertain() {
+    // Guards against taking part of an answer for a refusal.
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 40\r\n\r\n{\"offset\":1";
+    assert!(matches!(fault(server(answer)).await, Fault::Uncertain(_)));
+}
+
+#[tokio::test]
+async fn refusals_keep_their_kind() {
+    // Guards against losing the newer epoch or the first kept offset on the way.
+    let fenced = "HTTP/1.1 412 -\r\ncontent-length: 29\r\n\r\n{\"refused\":\"fenced\",\"seen\":17}";
+    assert_eq!(
+        fault(server(fenced)).await,
+        Fault::Uncertain("status 412".into())
+    );
+    let fenced = "HTTP/1.1 412 -\r\ncontent-length: 30\r\n\r\n{\"refused\":\"fenced\",\"seen\":17}";
+    assert_eq!(fault(server(fenced)).await, Fault::Fenced { seen: 17 });
+    let expired =
+        "HTTP/1.1 410 -\r\ncontent-length: 31\r\n\r\n{\"refused\":\"expired\",\"first\":9}";
+    assert_eq!(fault(server(expired)).await, Fault::Expired { first: 9 });
+    let status = "HTTP/1.1 500 -\r\ncontent-length: 0\r\n\r\n";
+    assert!(matches!(fault(server(status)).await, Fault::Uncertain(_)));
+}
