feat(gateway): requests, jobs and the binary

First version that takes requests and jobs of callers end to end: it follows the contracts stream, dials the schedulers, asks the owner of a shard for a slot, dispatches, and reports the end until an owner acknowledges it. The administration API is mounted on the second port. SIGTERM drains.

node::logging keeps info lines of libraries out: the HTTP server logs several per thread at start and stop.

Not yet tested against a scheduler; tests follow.

--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,166 @@
+//! State that all handlers and requests share.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+
+use rosemaryworks_admin::Contracts;
+use rosemaryworks_core::routing::Key;
+use rosemaryworks_node::metrics::Metrics;
+use rosemaryworks_node::settings::Cell;
+use rosemaryworks_platform::Instances;
+
+use crate::answers::Answers;
+use crate::budget::Budget;
+use crate::links::Links;
+use crate::metrics::Meters;
+use crate::settings::Settings;
+
+/// What a gateway is made of.
+pub struct Parts {
+    /// Contracts in force.
+    pub contracts: Contracts,
+    /// Service instances.
+    pub instances: Arc<dyn Instances>,
+    /// Links to the schedulers.
+    pub links: Links,
+    /// Registry for the gateway's metrics.
+    pub metrics: Metrics,
+    /// Runtime on which requests are carried out.
+    pub runtime: tokio::runtime::Handle,
+}
+
+/// The gateway. Clones share the same state.
+#[derive(Clone)]
+pub struct Gateway(Arc<Shared>);
+
+/// What the clones of a [`Gateway`] share.
+pub struct Shared {
+    pub(crate) node: Arc<str>,
+    pub(crate) cell: Cell,
+    pub(crate) contracts: Contracts,
+    pub(crate) instances: Arc<dyn Instances>,
+    pub(crate) links: Links,
+    pub(crate) runtime: tokio::runtime::Handle,
+    pub(crate) answers: Answers,
+    pub(crate) budget: Budget,
+    pub(crate) meters: Meters,
+    number: AtomicU64,
+    stopping: AtomicBool,
+    requests: Count,
+    reports: Count,
+}
+
+impl std::ops::Deref for Gateway {
+    type Target = Shared;
+
+    fn deref(&self) -> &Shared {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Gateway {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Gateway")
+            .field("node", &self.node)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Gateway {
+    /// Creates a gateway.
+    #[must_use]
+    pub fn new(settings: &Settings, parts: Parts) -> Self {
+        Self(Arc::new(Shared {
+            node: settings.node.clone(),
+            cell: settings.cell.clone(),
+            contracts: parts.contracts,
+            instances: parts.instances,
+            links: parts.links,
+            runtime: parts.runtime,
+            answers: Answers::new(settings.answers_max_bytes),
+            budget: Budget::new(settings.retry_percent),
+            meters: Meters::new(&parts.metrics),
+            number: AtomicU64::new(1),
+            stopping: AtomicBool::new(false),
+            requests: Count::default(),
+            reports: Count::default(),
+        }))
+    }
+
+    /// Returns the name of the gateway.
+    #[must_use]
+    pub fn node(&self) -> &Arc<str> {
+        &self.node
+    }
+
+    /// Refuses requests from now on.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether requests are refused.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of requests in flight.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        self.requests.get()
+    }
+
+    /// Returns the number of ended grants that no owner has acknowledged.
+    #[must_use]
+    pub fn reports(&self) -> usize {
+        self.reports.get()
+    }
+
+    /// Copies the totals of the links into the metrics.
+    pub fn meter_links(&self) {
+        self.meters.links();
+    }
+
+    /// Returns a new key for an ask.
+    pub(crate) fn key(&self) -> Key {
+        Key {
+            gateway: self.node.clone(),
+            number: self.number.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
+    /// Counts a request as in flight until the returned guard is dropped.
+    pub(crate) fn request(&self) -> Counted {
+        self.requests.enter()
+    }
+
+    /// Counts a report as not acknowledged until the returned guard is dropped.
+    pub(crate) fn report(&self) -> Counted {
+        self.reports.enter()
+    }
+}
+
+/// Counts work in progress.
+#[derive(Debug, Default)]
+struct Count(Arc<AtomicUsize>);
+
+impl Count {
+    fn get(&self) -> usize {
+        self.0.load(Ordering::SeqCst)
+    }
+
+    fn enter(&self) -> Counted {
+        self.0.fetch_add(1, Ordering::SeqCst);
+        Counted(self.0.clone())
+    }
+}
+
+/// Counts one piece of work until it is dropped.
+pub(crate) struct Counted(Arc<AtomicUsize>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/grants.rs
@@ -0,0 +1,80 @@
+//! Grants whose end was not acknowledged yet.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use rosemaryworks_core::outcome::Request;
+use rosemaryworks_core::routing::{Key, Outstanding, Slot};
+use rosemaryworks_core::shard::{Epoch, Id};
+use rosemaryworks_core::target::Instance;
+use rosemaryworks_core::time::Instant;
+
+/// A grant of an owner.
+#[derive(Clone, Debug)]
+pub(crate) struct Grant {
+    pub(crate) key: Key,
+    pub(crate) shard: Id,
+    pub(crate) epoch: Epoch,
+    pub(crate) owner: Arc<str>,
+    pub(crate) slot: Slot,
+    pub(crate) instance: Instance,
+    pub(crate) request: Request,
+    pub(crate) idempotent: bool,
+    /// The grant may not be used from this moment on.
+    pub(crate) expires: Instant,
+}
+
+/// Grants in use. Clones share the same state.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Grants(Arc<Mutex<Inner>>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    used: HashMap<u64, Grant>,
+    /// Epoch of the last survey per shard. Grants of older epochs may not be used any more.
+    surveyed: HashMap<Id, Epoch>,
+}
+
+impl Grants {
+    fn with<T>(&self, act: impl FnOnce(&mut Inner) -> T) -> T {
+        act(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts a grant into use. Returns whether it may be used: a grant that is too old or from
+    /// before a survey may not. A survey sees every grant that was put into use before it.
+    pub(crate) fn use_at(&self, now: Instant, grant: &Grant) -> bool {
+        self.with(|inner| {
+            let fence = inner.surveyed.get(&grant.shard);
+            let fenced = fence.is_some_and(|epoch| *epoch > grant.epoch);
+            if fenced || now >= grant.expires {
+                return false;
+            }
+            inner.used.insert(grant.key.number, grant.clone());
+            true
+        })
+    }
+
+    /// Forgets a grant whose end an owner acknowledged.
+    pub(crate) fn forget(&self, grant: &Grant) {
+        self.with(|inner| inner.used.remove(&grant.key.number));
+    }
+
+    /// Answers the survey of a new owner.
+    pub(crate) fn survey(&self, shard: &Id, epoch: Epoch) -> Vec<Outstanding> {
+        self.with(|inner| {
+            let fence = inner.surveyed.entry(shard.clone()).or_insert(epoch);
+            *fence = epoch.max(*fence);
+            let older = |grant: &&Grant| grant.shard == *shard && grant.epoch < epoch;
+            inner.used.values().filter(older).map(outstanding).collect()
+        })
+    }
+}
+
+fn outstanding(grant: &Grant) -> Outstanding {
+    Outstanding {
+        key: grant.key.clone(),
+        request: grant.request.clone(),
+        idempotent: grant.idempotent,
+        instance: grant.instance.name.clone(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/http/body.rs
@@ -0,0 +1,35 @@
+//! Bodies of callers.
+
+use ntex::web::HttpRequest;
+use ntex::web::types::Payload;
+
+use super::reply::Refusal;
+
+/// Largest body of a request in bytes.
+pub(super) const BODY_MAX_BYTES: usize = 1024 * 1024;
+
+/// Reads a whole body.
+pub(super) async fn read(request: &HttpRequest, payload: &mut Payload) -> Result<Vec<u8>, Refusal> {
+    let declared = request.headers().get("content-length");
+    let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    if declared.is_some_and(|bytes| bytes > BODY_MAX_BYTES) {
+        return Err(too_large());
+    }
+    let mut body = Vec::with_capacity(declared.unwrap_or(0));
+    while let Some(chunk) = payload.recv().await {
+        let chunk =
+            chunk.map_err(|error| Refusal::new(400, format!("unreadable body: {error}")))?;
+        if body.len() + chunk.len() > BODY_MAX_BYTES {
+            return Err(too_large());
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
+
+fn too_large() -> Refusal {
+    Refusal::new(
+        413,
+        format!("the body exceeds the limit of {BODY_MAX_BYTES} bytes"),
+    )
+}
--- /dev/null
+++ b/crates/gateway/src/http/reply.rs
@@ -0,0 +1,147 @@
+//! Answers to callers.
+
+use ntex::http::StatusCode;
+use ntex::web::{HttpResponse, HttpResponseBuilder};
+use rosemaryworks_core::outcome::{NotRun, Unknown};
+use rosemaryworks_platform::instances::Response;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::inquiry::Outcome;
+
+const OUTCOME: &str = "rosemary-outcome";
+const REQUEST_ID: &str = "rosemary-request-id";
+
+/// Headers of an instance's answer that belong to its connection, or that the gateway sets itself.
+const NOT_PASSED: [&str; 12] = [
+    "connection",
+    "content-length",
+    "date",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    OUTCOME,
+    REQUEST_ID,
+];
+
+/// A request that the gateway does not take because of a fault of the request itself.
+#[derive(Debug)]
+pub(super) struct Refusal {
+    pub(super) status: u16,
+    pub(super) message: String,
+}
+
+impl Refusal {
+    pub(super) fn new(status: u16, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            message: message.into(),
+        }
+    }
+
+    /// Returns the answer. `outcome` is what holds for all attempts with the id.
+    pub(super) fn answer(&self, outcome: &'static str) -> HttpResponse {
+        let body = json!({
+            "outcome": outcome,
+            "reason": "refused",
+            "message": self.message,
+        });
+        let mut builder = builder(self.status);
+        builder.set_header(OUTCOME, outcome);
+        // The rest of a body that was not read would be taken for the next request.
+        if self.status == 413 {
+            builder.force_close();
+        }
+        json_body(builder, &body)
+    }
+}
+
+pub(super) fn builder(status: u16) -> HttpResponseBuilder {
+    HttpResponse::build(StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY))
+}
+
+pub(super) fn json_body<T: Serialize>(mut builder: HttpResponseBuilder, body: &T) -> HttpResponse {
+    match serde_json::to_vec(body) {
+        Ok(body) => builder.content_type("application/json").body(body),
+        Err(error) => HttpResponse::InternalServerError().body(format!("{error}\n")),
+    }
+}
+
+impl Outcome {
+    /// Returns the name of the outcome.
+    pub(crate) const fn name(&self) -> &'static str {
+        match self {
+            Self::Completed(_) => "completed",
+            Self::NotRun(_) => "not-run",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
+/// Returns the answer to a request.
+pub(super) fn outcome(id: &str, outcome: &Outcome) -> HttpResponse {
+    let mut builder = match outcome {
+        Outcome::Completed(response) => completed(response),
+        Outcome::NotRun(reason) => builder(not_run_status(reason)),
+        Outcome::Unknown(_) => builder(504),
+    };
+    builder.set_header(OUTCOME, outcome.name());
+    builder.set_header(REQUEST_ID, id);
+    match outcome {
+        Outcome::Completed(response) => builder.body(response.body.clone()),
+        Outcome::NotRun(reason) => json_body(builder, &not_run(reason)),
+        Outcome::Unknown(reason) => json_body(builder, &unknown(reason)),
+    }
+}
+
+fn completed(response: &Response) -> HttpResponseBuilder {
+    let mut builder = builder(response.status);
+    for (name, value) in &response.headers {
+        let passed = !NOT_PASSED
+            .iter()
+            .any(|other| name.eq_ignore_ascii_case(other));
+        if passed {
+            builder.header(&**name, &**value);
+        }
+    }
+    builder
+}
+
+/// Returns the status of a request that was not run: 429 if the caller's own limits are the cause.
+pub(super) const fn not_run_status(reason: &NotRun) -> u16 {
+    match reason {
+        NotRun::Concurrency | NotRun::Rate => 429,
+        _ => 503,
+    }
+}
+
+pub(super) fn not_run(reason: &NotRun) -> serde_json::Value {
+    let message = match reason {
+        NotRun::Concurrency => "the concurrency limit is reached and the queue is full",
+        NotRun::Deadline => "the deadline can't be met",
+        NotRun::NotInContract => "the contract doesn't include this",
+        NotRun::NoInstance => "no instance could be reached",
+        NotRun::LogUnavailable => "the log can't be reached",
+        NotRun::NoOwner => "no scheduler owns the shard at the moment",
+        NotRun::Overloaded => "the queue of the shard is full",
+        NotRun::Rate => "the rate limit is reached",
+        NotRun::Stopping => "the process is shutting down",
+    };
+    json!({ "outcome": "not-run", "reason": reason, "message": message })
+}
+
+fn unknown(reason: &Unknown) -> serde_json::Value {
+    let message = match reason {
+        Unknown::AlreadyDispatched => "already dispatched",
+        Unknown::Deadline => "no answer before the deadline",
+        Unknown::InstanceRefused => "the instance refused the request after it was sent",
+        Unknown::InstanceLost => "the connection to the instance failed",
+        Unknown::NoOwner => "no scheduler could be asked and an earlier attempt may have run",
+        Unknown::Takeover => "the shard changed its owner; earlier dispatches are not all known",
+    };
+    json!({ "outcome": "unknown", "reason": reason, "message": message })
+}
--- /dev/null
+++ b/crates/gateway/src/inquiry.rs
@@ -0,0 +1,52 @@
+//! A caller's request, checked.
+
+use std::sync::Arc;
+
+use rosemaryworks_core::outcome::{NotRun, Request, Unknown};
+use rosemaryworks_core::time::Instant;
+use rosemaryworks_platform::instances::Response;
+
+/// A request that passed all checks of the gateway.
+#[derive(Clone, Debug)]
+pub(crate) struct Inquiry {
+    pub(crate) service: Arc<str>,
+    pub(crate) request: Request,
+    pub(crate) idempotent: bool,
+    pub(crate) attempt: Option<u32>,
+    pub(crate) content_type: Option<Arc<str>>,
+    pub(crate) body: Vec<u8>,
+    /// Concurrency limit of the contract, which decides the shard.
+    pub(crate) concurrency: u32,
+    pub(crate) received: Instant,
+    pub(crate) deadline: Instant,
+}
+
+impl Inquiry {
+    /// Returns the outcome of a request of which this gateway sent no byte. The gateway alone can
+    /// say `not-run` only on the first attempt: an earlier one may have run through another gateway.
+    pub(crate) fn not_sent(&self, reason: NotRun, otherwise: Unknown) -> Outcome {
+        match is_first(self.idempotent, self.attempt) {
+            true => Outcome::NotRun(reason),
+            false => Outcome::Unknown(otherwise),
+        }
+    }
+
+    /// Returns the number of the attempt for the instance.
+    pub(crate) fn attempt_number(&self) -> u32 {
+        self.attempt.unwrap_or(1)
+    }
+}
+
+/// Tells whether the caller marks the attempt as the first use of the id. An idempotent request
+/// without a number counts as the first.
+pub(crate) fn is_first(idempotent: bool, attempt: Option<u32>) -> bool {
+    attempt == Some(1) || (idempotent && attempt.is_none())
+}
+
+/// What the caller is told.
+#[derive(Clone, Debug)]
+pub(crate) enum Outcome {
+    Completed(Arc<Response>),
+    NotRun(NotRun),
+    Unknown(Unknown),
+}
--- /dev/null
+++ b/crates/gateway/src/jobs.rs
@@ -0,0 +1,160 @@
+//! Calls of the owner of a job's shard.
+
+use std::time::Duration;
+
+use rosemaryworks_core::contract::Contract;
+use rosemaryworks_core::job::{Id, Spec, Status};
+use rosemaryworks_core::outcome::NotRun;
+use rosemaryworks_core::partition::Map;
+use rosemaryworks_core::shard::{self, Kind};
+use rosemaryworks_core::time::Instant;
+use rosemaryworks_node::clock;
+use rosemaryworks_wire::link::Peer;
+use rosemaryworks_wire::{Message, Submission};
+
+use crate::gateway::Gateway;
+
+/// Milliseconds within which a submission, cancellation or status is answered.
+pub(crate) const ANSWER_MS: u64 = 10_000;
+
+/// Longest wait for the end of a job in one call of the owner, in milliseconds. Short enough that a
+/// change of the owner is noticed.
+const WAIT_STEP_MS: u64 = 3_000;
+
+/// Milliseconds that the owner's answer may take beyond the wait.
+const CALL_MS: u64 = 4_000;
+
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Why the owner's answer is missing.
+pub(crate) enum Missing {
+    /// No call was taken.
+    NotSent,
+    /// A call may have been taken.
+    Unknown,
+}
+
+/// Returns the shard of a job, or `None` if the contract or the cell has no such pool.
+pub(crate) fn home(
+    partition: &Map,
+    contract: &Contract,
+    pool: &str,
+    id: &str,
+) -> Option<shard::Id> {
+    let limit = contract.pools.get(pool)?.smallest();
+    partition.home(Kind::Pool, pool, &contract.name, id, limit)
+}
+
+/// Returns the shards that may hold a job of the contract whose pool isn't known.
+pub(crate) fn homes(partition: &Map, contract: &Contract, id: &str) -> Vec<shard::Id> {
+    let pools = contract.pools.keys();
+    pools
+        .filter_map(|pool| home(partition, contract, pool, id))
+        .collect()
+}
+
+/// Submits a job.
+pub(crate) async fn submit(
+    gateway: Gateway,
+    shard: shard::Id,
+    contract: Contract,
+    job: Spec,
+) -> Submission {
+    let message = Message::Submit {
+        shard: shard.clone(),
+        contract: contract.name,
+        job: Box::new(job),
+    };
+    submission(&gateway, &shard, &message).await
+}
+
+/// Cancels a job.
+pub(crate) async fn cancel(gateway: Gateway, shard: shard::Id, job: Id) -> Submission {
+    let message = Message::Cancel {
+        shard: shard.clone(),
+        job,
+    };
+    submission(&gateway, &shard, &message).await
+}
+
+async fn submission(gateway: &Gateway, shard: &shard::Id, message: &Message) -> Submission {
+    let deadline = clock::now() + ANSWER_MS;
+    let mut lost = false;
+    let reply = call(gateway, shard, message, CALL_MS, deadline, &mut lost).await;
+    match reply {
+        // An earlier call whose reply was lost may have been taken all the same.
+        Ok(Message::Submission(Submission::Unavailable(_))) if lost => Submission::Unknown,
+        Ok(Message::Submission(submission)) => submission,
+        Ok(_) | Err(Missing::Unknown) => Submission::Unknown,
+        Err(Missing::NotSent) => Submission::Unavailable(NotRun::NoOwner),
+    }
+}
+
+/// Returns the status of a job, after its end or `wait_ms` at the latest.
+pub(crate) async fn status(
+    gateway: Gateway,
+    shard: shard::Id,
+    job: Id,
+    wait_ms: u64,
+) -> Result<Option<Status>, Missing> {
+    let end = clock::now() + wait_ms;
+    loop {
+        let wait_ms = end.since(clock::now()).min(WAIT_STEP_MS);
+        let message = Message::Status {
+            shard: shard.clone(),
+            job: job.clone(),
+            wait_ms,
+        };
+        let deadline = clock::now() + wait_ms + ANSWER_MS;
+        let timeout_ms = wait_ms + CALL_MS;
+        let reply = call(&gateway, &shard, &message, timeout_ms, deadline, &mut false).await?;
+        match reply {
+            Message::Told(status) if status.state.is_terminal() || clock::now() >= end => {
+                return Ok(Some(status));
+            }
+            Message::Told(_) => {}
+            Message::NoJob => return Ok(None),
+            _ => return Err(Missing::Unknown),
+        }
+    }
+}
+
+/// Calls the owner of `shard`, and the next one if it changes, until `deadline`. Sets `lost` if a
+/// call was sent whose reply is lost.
+async fn call(
+    gateway: &Gateway,
+    shard: &shard::Id,
+    message: &Message,
+    timeout_ms: u64,
+    deadline: Instant,
+    lost: &mut bool,
+) -> Result<Message, Missing> {
+    loop {
+        let left_ms = deadline.since(clock::now());
+        if left_ms == 0 {
+            return Err(if *lost {
+                Missing::Unknown
+            } else {
+                Missing::NotSent
+            });
+        }
+        if let Some(peer) = peer(gateway, shard) {
+            let timeout = Duration::from_millis(timeout_ms.min(left_ms));
+            match peer.call(message.clone(), timeout).await {
+                Ok(Message::NotOwner { .. })
+                | Ok(Message::Submission(Submission::NotOwner { .. })) => {}
+                Ok(reply) => return Ok(reply),
+                Err(error) => *lost |= !error.is_certain(),
+            }
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+}
+
+fn peer(gateway: &Gateway, shard: &shard::Id) -> Option<Peer> {
+    let links = &gateway.links;
+    match links.owners.get(shard) {
+        Some(owner) => links.peer(owner.name.as_deref()?),
+        None => links.any(gateway.key().number),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/links.rs
@@ -0,0 +1,162 @@
+//! Links to the schedulers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryworks_admin::Contracts;
+use rosemaryworks_node::settings::Cell;
+use rosemaryworks_wire::link::{Client, Handler, Peer, Reply};
+use rosemaryworks_wire::{Hello, Message, Snapshot};
+
+use crate::events;
+use crate::grants::Grants;
+use crate::owners::Owners;
+
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Links to all schedulers of the cell, and what is learned over them. Clones share the same links.
+#[derive(Clone, Debug)]
+pub struct Links {
+    pub(crate) clients: Arc<[Client]>,
+    pub(crate) owners: Owners,
+    pub(crate) grants: Grants,
+}
+
+impl Links {
+    /// Starts to dial every scheduler. Must be called within a tokio runtime.
+    #[must_use]
+    pub fn start(cell: &Cell, own: &Hello) -> Self {
+        let owners = Owners::default();
+        let grants = Grants::default();
+        let handler: Arc<dyn Handler> = Arc::new(Listener {
+            owners: owners.clone(),
+            grants: grants.clone(),
+        });
+        let dial = |scheduler: &rosemaryworks_node::settings::Scheduler| {
+            let name = scheduler.name.clone();
+            Client::start(name, scheduler.peer, own.clone(), handler.clone())
+        };
+        Self {
+            clients: cell.schedulers.iter().map(dial).collect(),
+            owners,
+            grants,
+        }
+    }
+
+    /// Returns the links in the order of the settings.
+    #[must_use]
+    pub fn clients(&self) -> Arc<[Client]> {
+        self.clients.clone()
+    }
+
+    /// Returns the open link to the scheduler `name`.
+    pub(crate) fn peer(&self, name: &str) -> Option<Peer> {
+        let client = self
+            .clients
+            .iter()
+            .find(|client| &**client.name() == name)?;
+        client.peer()
+    }
+
+    /// Returns any open link, chosen by `number`.
+    pub(crate) fn any(&self, number: u64) -> Option<Peer> {
+        let open: Vec<Peer> = self.clients.iter().filter_map(Client::peer).collect();
+        let index = number.checked_rem(open.len() as u64)?;
+        open.into_iter().nth(usize::try_from(index).ok()?)
+    }
+
+    /// Takes the contracts from the scheduler that knows the most of them. Returns whether any
+    /// scheduler had some.
+    pub async fn restore(&self, contracts: &Contracts) -> bool {
+        let mut best: Option<Snapshot> = None;
+        for client in self.clients.iter() {
+            let reply = client.call(Message::Snapshot, SNAPSHOT_TIMEOUT).await;
+            if let Ok(Message::Snapshotted(snapshot)) = reply {
+                let offset = snapshot.register.offset();
+                let known = best.as_ref().map_or(0, |best| best.register.offset());
+                if offset > known {
+                    best = Some(*snapshot);
+                }
+            }
+        }
+        let Some(best) = best else { return false };
+        let offset = best.register.offset();
+        contracts.restore(best.register);
+        events::RESTORED.log(format_args!("offset={offset}"));
+        true
+    }
+
+    /// Tells whether any link is open.
+    #[must_use]
+    pub fn is_any_open(&self) -> bool {
+        self.clients.iter().any(|client| client.peer().is_some())
+    }
+}
+
+#[derive(Clone)]
+struct Listener {
+    owners: Owners,
+    grants: Grants,
+}
+
+impl Listener {
+    fn take(&self, snapshot: &Snapshot) {
+        for (shard, epoch, owner, _) in &snapshot.owners {
+            self.owners.learn(shard, *epoch, Some(owner.clone()));
+        }
+    }
+}
+
+impl Handler for Listener {
+    fn call(&self, peer: &Peer, message: Message) -> Reply {
+        let reply = match message {
+            Message::Survey { shard, epoch } => {
+                let outstanding = self.grants.survey(&shard, epoch);
+                let owner = &peer.hello().node;
+                self.owners.learn(&shard, epoch, Some(owner.clone()));
+                let count = outstanding.len();
+                events::SURVEYED.log(format_args!(
+                    "shard={shard} epoch={epoch} owner={owner} outstanding={count}"
+                ));
+                Message::Outstanding(outstanding)
+            }
+            _ => {
+                let peer = &peer.hello().node;
+                events::UNEXPECTED.log(format_args!("peer={peer} kind=call"));
+                Message::Done
+            }
+        };
+        Box::pin(std::future::ready(reply))
+    }
+
+    fn notice(&self, peer: &Peer, message: Message) {
+        match message {
+            Message::Owned {
+                shard,
+                epoch,
+                owner,
+            } => self.owners.learn(&shard, epoch, owner),
+            _ => {
+                let peer = &peer.hello().node;
+                events::UNEXPECTED.log(format_args!("peer={peer} kind=notice"));
+            }
+        }
+    }
+
+    fn opened(&self, peer: &Peer) {
+        events::LINK_OPENED.log(format_args!("peer={}", peer.hello().node));
+        self.owners.touch();
+        let (peer, listener) = (peer.clone(), self.clone());
+        tokio::spawn(async move {
+            let reply = peer.call(Message::Snapshot, SNAPSHOT_TIMEOUT).await;
+            if let Ok(Message::Snapshotted(snapshot)) = reply {
+                listener.take(&snapshot);
+            }
+        });
+    }
+
+    fn closed(&self, peer: &Peer) {
+        events::LINK_CLOSED.log(format_args!("peer={}", peer.hello().node));
+        self.owners.touch();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,198 @@
+//! Binary of the gateway.
+
+use std::io;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use rosemaryworks_admin::{Api, Contracts};
+use rosemaryworks_gateway::server::{Servers, bind};
+use rosemaryworks_gateway::{Gateway, Links, Parts, Settings, events, readiness};
+use rosemaryworks_node::status::Status;
+use rosemaryworks_node::{clock, event, http, logging, settings, shutdown};
+use rosemaryworks_platform::appender::Appender;
+use rosemaryworks_platform::health::Health;
+use rosemaryworks_platform::log::{AUDIT, CONTRACTS};
+use rosemaryworks_platform::{Instances, Log};
+use rosemaryworks_wire::{Hello, Role};
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+
+/// Threads of the HTTP client.
+const CLIENT_THREADS: usize = 2;
+
+/// Time for the owners to acknowledge the last grants after every request has ended.
+const REPORT_MAX: Duration = Duration::from_secs(10);
+
+const POLL_PERIOD: Duration = Duration::from_millis(20);
+
+/// Takes requests and jobs of callers and dispatches them.
+#[derive(FromArgs)]
+struct Arguments {
+    /// settings file in JSON
+    #[argh(option, arg_name = "FILE")]
+    settings: Option<PathBuf>,
+    /// only check the settings
+    #[argh(switch)]
+    check: bool,
+    /// print the version
+    #[argh(switch)]
+    version: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        println!("rosemary-gateway {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let faulty = ExitCode::from(settings::EXIT_CODE as u8);
+    let Some(path) = arguments.settings else {
+        eprintln!("--settings FILE is missing");
+        return faulty;
+    };
+    let settings: Settings = match settings::load(&path) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{}", report.current_context());
+            return faulty;
+        }
+    };
+    if arguments.check {
+        println!("the settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    if let Err(report) = logging::start(&settings.log) {
+        eprintln!("{}", report.current_context());
+        return faulty;
+    }
+    match start(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(line) => {
+            events::START_FAILED.log(format_args!("{line}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(settings: &Settings) -> Result<(), String> {
+    let callers = bind("listen", settings.listen)?;
+    let operators = bind("admin_listen", settings.admin_listen)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.runtime_threads)
+        .enable_all()
+        .build()
+        .map_err(|error| format!("runtime: {error}"))?;
+    let servers = runtime.block_on(async { assemble(settings, runtime.handle()) });
+    event::STARTED.log(format_args!(
+        "node={} zone={} listen={} admin_listen={}",
+        settings.node, settings.zone, settings.listen, settings.admin_listen
+    ));
+    let served = serve(settings, &runtime, servers, callers, operators);
+    event::STOPPED.log(format_args!("node={}", settings.node));
+    runtime.shutdown_background();
+    served.map_err(|error| format!("http server: {error}"))
+}
+
+/// Puts the gateway together and starts what runs beside the servers.
+fn assemble(settings: &Settings, runtime: &tokio::runtime::Handle) -> Servers {
+    let client = http::Client::start(CLIENT_THREADS);
+    let cell = &settings.cell;
+    let log: Arc<dyn Log> = Arc::new(rosemaryworks_platform::http::Log::new(
+        client.clone(),
+        cell.log,
+    ));
+    let instances: Arc<dyn Instances> =
+        Arc::new(rosemaryworks_platform::http::Instances::new(client));
+    let hello = Hello {
+        node: settings.node.clone(),
+        role: Role::Gateway,
+        zone: settings.zone.clone(),
+        incarnation: clock::incarnation(),
+    };
+    let health = Health::new(clock::now());
+    let contracts = Contracts::default();
+    let links = Links::start(cell, &hello);
+    let status = Status::default();
+    status.ready.clear("starting");
+    let appender = |stream| {
+        let (log, health) = (log.clone(), health.clone());
+        Appender::start(log, health, stream, &hello.node, hello.incarnation)
+    };
+    let api = Api {
+        cell: Arc::new(cell.clone()),
+        contracts: contracts.clone(),
+        operators: settings.operators.clone().into(),
+        schedulers: links.clients(),
+        publishes: appender(CONTRACTS),
+        refusals: appender(AUDIT),
+        log: log.clone(),
+        runtime: runtime.clone(),
+    };
+    let parts = Parts {
+        contracts: contracts.clone(),
+        instances,
+        links,
+        metrics: status.metrics.clone(),
+        runtime: runtime.clone(),
+    };
+    runtime.spawn(async move { contracts.follow(log, health).await });
+    Servers {
+        gateway: Gateway::new(settings, parts),
+        api,
+        status,
+        threads: settings.http_threads,
+    }
+}
+
+fn serve(
+    settings: &Settings,
+    runtime: &Runtime,
+    servers: Servers,
+    callers: TcpListener,
+    operators: TcpListener,
+) -> io::Result<()> {
+    let (stop, stopped) = watch::channel(false);
+    let (gateway, ready) = (servers.gateway.clone(), servers.status.ready.clone());
+    let watching = runtime.spawn(readiness::watch(gateway.clone(), ready.clone()));
+    let drain = Duration::from_millis(settings.drain_ms);
+    runtime.spawn(async move {
+        if let Err(error) = shutdown::requested().await {
+            events::START_FAILED.log(format_args!("signals: {error}"));
+            return;
+        }
+        watching.abort();
+        ready.clear("stopping");
+        event::STOPPING.log(format_args!("node={}", gateway.node()));
+        tokio::time::sleep(drain).await;
+        finish(&gateway).await;
+        stop.send_replace(true);
+    });
+    let system = ntex::rt::System::new("gateway", ntex::rt::DefaultRuntime);
+    system.block_on(servers.run(callers, operators, stopped))
+}
+
+/// Refuses new requests and waits for those in flight, then for the owners' acknowledgements.
+async fn finish(gateway: &Gateway) {
+    gateway.stop();
+    events::DRAINING.log(format_args!(
+        "requests={} reports={}",
+        gateway.requests(),
+        gateway.reports()
+    ));
+    while gateway.requests() > 0 {
+        tokio::time::sleep(POLL_PERIOD).await;
+    }
+    let reported = async {
+        while gateway.reports() > 0 {
+            tokio::time::sleep(POLL_PERIOD).await;
+        }
+    };
+    if tokio::time::timeout(REPORT_MAX, reported).await.is_err() {
+        let reports = gateway.reports();
+        events::REPORTS_LEFT.log(format_args!("reports={reports}"));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/owners.rs
@@ -0,0 +1,76 @@
+//! Current owners of shards, as the schedulers tell them.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use rosemaryworks_core::shard::{Epoch, Id};
+use tokio::sync::watch;
+
+use crate::events;
+
+/// Owner of a shard in an epoch; the name is `None` once the owner released the shard.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Owner {
+    pub(crate) epoch: Epoch,
+    pub(crate) name: Option<Arc<str>>,
+}
+
+/// Owners of all shards. Clones share the same state.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Owners(Arc<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    owners: Mutex<HashMap<Id, Owner>>,
+    changes: watch::Sender<u64>,
+}
+
+impl Owners {
+    /// Returns the owner of `shard`, if any was told.
+    pub(crate) fn get(&self, shard: &Id) -> Option<Owner> {
+        self.with(|owners| owners.get(shard).cloned())
+    }
+
+    /// Returns the name of the owner of `shard`, unless there is none at the moment.
+    pub(crate) fn name(&self, shard: &Id) -> Option<Arc<str>> {
+        self.get(shard)?.name
+    }
+
+    /// Takes what a scheduler told. An older epoch changes nothing.
+    pub(crate) fn learn(&self, shard: &Id, epoch: Epoch, name: Option<Arc<str>>) {
+        let owner = Owner { epoch, name };
+        let changed = self.with(|owners| {
+            let known = owners.get(shard);
+            let newer = known.is_none_or(|known| supersedes(&owner, known));
+            if newer {
+                owners.insert(shard.clone(), owner.clone());
+            }
+            newer
+        });
+        if changed {
+            let name = owner.name.as_deref().unwrap_or("none");
+            events::OWNER_CHANGED.log(format_args!("shard={shard} epoch={epoch} owner={name}"));
+            self.touch();
+        }
+    }
+
+    /// Wakes everyone who waits for a change.
+    pub(crate) fn touch(&self) {
+        self.0.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Returns a receiver that sees every later change.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.0.changes.subscribe()
+    }
+
+    fn with<T>(&self, act: impl FnOnce(&mut HashMap<Id, Owner>) -> T) -> T {
+        act(&mut self.0.owners.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// Within an epoch only the release changes the owner.
+fn supersedes(new: &Owner, known: &Owner) -> bool {
+    let released = new.epoch == known.epoch && new.name.is_none() && known.name.is_some();
+    new.epoch > known.epoch || released
+}
--- /dev/null
+++ b/crates/gateway/src/report.rs
@@ -0,0 +1,91 @@
+//! Reports the ends of grants to the owners until they are acknowledged.
+
+use std::time::Duration;
+
+use rosemaryworks_core::outcome::Finish;
+use rosemaryworks_core::shard::Epoch;
+use rosemaryworks_wire::Message;
+use rosemaryworks_wire::link::Peer;
+use tokio::task::JoinHandle;
+
+use crate::gateway::Gateway;
+use crate::grants::Grant;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
+const RETRY_DELAY_MAX: Duration = Duration::from_secs(1);
+
+/// Longest wait for the acknowledgement before the request goes on.
+const BRIEF: Duration = Duration::from_millis(500);
+
+/// Reports the end of a grant until the owner of its epoch, or of a later one, acknowledges it.
+pub(crate) async fn end(gateway: &Gateway, grant: Grant, finish: Finish, run_ms: u64) {
+    let _report = gateway.report();
+    let mut delay = RETRY_DELAY_MIN;
+    loop {
+        if try_end(gateway, &grant, finish, run_ms).await {
+            gateway.links.grants.forget(&grant);
+            return;
+        }
+        tokio::time::sleep(delay).await;
+        delay = (delay * 2).min(RETRY_DELAY_MAX);
+    }
+}
+
+/// Reports the end of a grant in the background.
+pub(crate) fn spawn(
+    gateway: &Gateway,
+    grant: Grant,
+    finish: Finish,
+    run_ms: u64,
+) -> JoinHandle<()> {
+    let reporter = gateway.clone();
+    let report = async move { end(&reporter, grant, finish, run_ms).await };
+    gateway.runtime.spawn(report)
+}
+
+/// Reports the end of a grant in the background and waits a short time for the acknowledgement, so
+/// that a following ask finds the slot free.
+pub(crate) async fn briefly(gateway: &Gateway, grant: Grant, finish: Finish) {
+    let reported = spawn(gateway, grant, finish, 0);
+    // The report goes on after the wait.
+    let _ = tokio::time::timeout(BRIEF, reported).await;
+}
+
+async fn try_end(gateway: &Gateway, grant: &Grant, finish: Finish, run_ms: u64) -> bool {
+    let links = &gateway.links;
+    let owner = links.owners.get(&grant.shard);
+    let newer = owner.filter(|owner| owner.epoch > grant.epoch);
+    let (name, message) = match newer {
+        None => (Some(grant.owner.clone()), finish_of(grant, finish, run_ms)),
+        Some(owner) => (owner.name, outstanding_of(grant, finish)),
+    };
+    let Some(peer) = name.and_then(|name| links.peer(&name)) else {
+        return false;
+    };
+    acknowledged(&peer, message).await
+}
+
+async fn acknowledged(peer: &Peer, message: Message) -> bool {
+    let reply = peer.call(message, CALL_TIMEOUT).await;
+    matches!(reply, Ok(Message::Done))
+}
+
+fn finish_of(grant: &Grant, finish: Finish, run_ms: u64) -> Message {
+    let epoch: Epoch = grant.epoch;
+    Message::Finish {
+        shard: grant.shard.clone(),
+        epoch,
+        slot: grant.slot,
+        finish,
+        run_ms,
+    }
+}
+
+fn outstanding_of(grant: &Grant, finish: Finish) -> Message {
+    Message::OutstandingFinished {
+        shard: grant.shard.clone(),
+        key: grant.key.clone(),
+        finish,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,92 @@
+//! HTTP servers for callers and operators.
+
+use std::io;
+use std::net::TcpListener;
+
+use ntex::time::Seconds;
+use ntex::web::{self, App, HttpServer};
+use rosemaryworks_admin::Api;
+use rosemaryworks_node::status::{self, Status};
+use tokio::sync::watch;
+
+use crate::gateway::Gateway;
+use crate::http;
+
+/// Time for the last answers to reach their callers once nothing is in flight.
+const SHUTDOWN_TIMEOUT: Seconds = Seconds(2);
+
+/// What the servers serve.
+#[derive(Clone, Debug)]
+pub struct Servers {
+    /// Routes for callers.
+    pub gateway: Gateway,
+    /// Administration API.
+    pub api: Api,
+    /// Metrics and readiness.
+    pub status: Status,
+    /// Threads for callers.
+    pub threads: usize,
+}
+
+/// Binds a listening address.
+///
+/// # Errors
+///
+/// Returns one line that names the field and the address.
+pub fn bind(field: &str, address: std::net::SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(address).map_err(|error| format!("{field}: {address} can't be used: {error}"))
+}
+
+impl Servers {
+    /// Serves on both listeners until `stop` becomes true. Must be called within an ntex system.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a listener can't be used.
+    pub async fn run(
+        self,
+        callers: TcpListener,
+        operators: TcpListener,
+        mut stop: watch::Receiver<bool>,
+    ) -> io::Result<()> {
+        let gateway = self.gateway;
+        let app = async move || {
+            App::new()
+                .state(gateway.clone())
+                .configure(http::routes)
+                .default_service(web::route().to(not_found))
+        };
+        let front = HttpServer::new(app)
+            .workers(self.threads)
+            .disable_signals()
+            .shutdown_timeout(SHUTDOWN_TIMEOUT)
+            .listen(callers)?
+            .run();
+        let (api, status) = (self.api, self.status);
+        let app = async move || {
+            App::new()
+                .state(api.clone())
+                .state(status.clone())
+                .configure(rosemaryworks_admin::routes)
+                .configure(status::routes)
+                .default_service(web::route().to(not_found))
+        };
+        let back = HttpServer::new(app)
+            .workers(1)
+            .disable_signals()
+            .shutdown_timeout(SHUTDOWN_TIMEOUT)
+            .listen(operators)?
+            .run();
+        // The sender is dropped only when the process ends.
+        let _ = stop.wait_for(|stop| *stop).await;
+        front.stop(true).await;
+        back.stop(true).await;
+        Ok(())
+    }
+}
+
+async fn not_found() -> web::HttpResponse {
+    web::HttpResponse::NotFound()
+        .content_type("application/json")
+        .body("{\"error\":\"no such path or method\"}")
+}
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -7,7 +7,7 @@
 use log4rs::append::Append;
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::append::file::FileAppender;
-use log4rs::config::{Appender, Root};
+use log4rs::config::{Appender, Logger, Root};
 use log4rs::encode::Encode;
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
@@ -17,6 +17,9 @@
 
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
 
+/// Target of numbered events. Libraries log under other targets.
+const TARGET: &str = "rosemaryworks";
+
 /// Format of log lines.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -57,7 +60,8 @@
     }
 }
 
-/// Starts logging for the process.
+/// Starts logging for the process. Of the libraries, only warnings and errors are logged, because
+/// the HTTP server logs several lines per thread and connection type at `info`.
 ///
 /// # Errors
 ///
@@ -77,9 +81,11 @@
         }
     };
     let failed = || Error::fault("log", "logging can't be started");
+    let libraries = settings.level.min(LevelFilter::Warn);
     let config = log4rs::Config::builder()
         .appender(Appender::builder().build("main", appender))
-        .build(Root::builder().appender("main").build(settings.level))
+        .logger(Logger::builder().build(TARGET, settings.level))
+        .build(Root::builder().appender("main").build(libraries))
         .change_context_lazy(failed)?;
     log4rs::init_config(config).change_context_lazy(failed)?;
     Ok(())
