--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -3,6 +3,20 @@
 //! One [`Kernel`] exists per owned service shard and epoch. Its host feeds it events and carries out
 //! the steps it returns.
 
+mod admission;
+mod bucket;
+mod dispatch;
+mod fleet;
+mod instance;
+mod learned;
+mod memory;
+mod release;
+mod slots;
+mod takeover;
+mod tenant;
+mod tenants;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -11,10 +25,17 @@
 use crate::outcome::{Finish, NotRun, Request, Unknown};
 use crate::partition::Map;
 use crate::shard::Id;
+use crate::size::Size;
 use crate::target::{Instance, State};
 use crate::time::Instant;
+use crate::timing::DEADLINE_MAX_MS;
 use crate::view;
 
+use self::fleet::Fleet;
+use self::memory::Memory;
+use self::slots::Slots;
+use self::tenants::Tenants;
+
 /// Identity of an ask: the gateway and the gateway's own number for it.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Key {
@@ -163,27 +184,142 @@
     pub clean: bool,
 }
 
+/// Where an ask stands.
+#[derive(Clone, Debug)]
+enum Place {
+    /// Withdrawn while its intent was being written.
+    Abandoned(Request),
+    /// Holds a granted slot.
+    Granted(Slot),
+    /// Holds a reserved slot while its intent is being written.
+    Intending(Slot),
+    /// Waits in the queue of a contract.
+    Queued { tenant: usize, seq: u64 },
+}
+
 /// The routing kernel of one shard and epoch.
 #[derive(Debug)]
 pub struct Kernel {
-    _start: Start,
+    start: Start,
+    started: Instant,
+    now: Instant,
+    fleet: Fleet,
+    memory: Memory,
+    outstanding: BTreeMap<Key, Slot>,
+    places: BTreeMap<Key, Place>,
+    slots: Slots,
+    tenants: Tenants,
+    /// Gateways that have not answered the survey.
+    unsurveyed: BTreeSet<Arc<str>>,
+    /// Whether the list of instances arrived.
+    listed: bool,
 }
 
 impl Kernel {
     /// Creates the kernel of a shard whose epoch starts at `now`.
+    ///
+    /// Unless `start.clean`, the host has waited until no gateway uses a grant of an earlier epoch
+    /// that it had not used before.
     #[must_use]
-    pub fn new(_now: Instant, start: Start) -> Self {
-        Self { _start: start }
+    pub fn new(now: Instant, mut start: Start) -> Self {
+        let remembered = std::mem::take(&mut start.remembered);
+        let (inherited_until, unsurveyed) = match start.clean {
+            true => (Instant(0), BTreeSet::new()),
+            false => (
+                now + DEADLINE_MAX_MS,
+                start.gateways.iter().cloned().collect(),
+            ),
+        };
+        Self {
+            started: now,
+            now,
+            fleet: Fleet::new(inherited_until),
+            memory: Memory::new(now, &remembered),
+            outstanding: BTreeMap::new(),
+            places: BTreeMap::new(),
+            slots: Slots::default(),
+            tenants: Tenants::default(),
+            unsurveyed,
+            listed: false,
+            start,
+        }
     }
 
     /// Takes an event and returns what to do next.
-    pub fn handle(&mut self, _now: Instant, _event: Event) -> Vec<Step> {
-        Vec::new()
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Step> {
+        self.now = self.now.max(now);
+        let mut steps = Vec::new();
+        match event {
+            Event::Ask(ask) => self.ask(ask, &mut steps),
+            Event::Contract(contract) => self.revise(&contract),
+            Event::GatewayLost(gateway) => self.gateway_lost(&gateway),
+            Event::Finished {
+                slot,
+                finish,
+                run_ms,
+            } => self.finished(slot, finish, run_ms),
+            Event::Listed(list) => self.list(list),
+            Event::IntentFailed(key) => self.intent_failed(&key, &mut steps),
+            Event::Intended(key) => self.intended(&key, &mut steps),
+            Event::Occupied { instance, busy } => self.occupied(&instance, busy),
+            Event::OutstandingFinished { key, finish } => self.outstanding_finished(&key, finish),
+            Event::Surveyed {
+                gateway,
+                outstanding,
+            } => self.surveyed(&gateway, outstanding),
+            Event::Tick => self.tick(),
+            Event::Withdrawn(key) => self.withdraw(&key),
+        }
+        self.dispatch(&mut steps);
+        self.probe(&mut steps);
+        steps
     }
 
     /// Returns the shard's targets for operators.
     #[must_use]
     pub fn targets(&self) -> Vec<view::Target> {
-        Vec::new()
+        let mut targets: Vec<_> = self
+            .fleet
+            .iter()
+            .map(|(name, instance)| self.target(name, instance))
+            .collect();
+        targets.sort_by(|a, b| a.name.cmp(&b.name));
+        targets
+    }
+
+    fn target(&self, name: &Arc<str>, instance: &instance::Instance) -> view::Target {
+        let condition = match instance {
+            instance if instance.out => Some("unreachable"),
+            instance if !instance.counted => Some("occupancy-unknown"),
+            instance if !instance.listed => Some("unlisted"),
+            _ => None,
+        };
+        view::Target {
+            name: name.clone(),
+            shard: self.start.shard.clone(),
+            state: instance.state,
+            size: Size::ZERO,
+            held: Size::ZERO,
+            slots: instance.slots(),
+            taken: instance.taken(),
+            condition: condition.map(Into::into),
+        }
+    }
+
+    fn list(&mut self, list: Vec<(Instance, State)>) {
+        self.listed = true;
+        self.fleet.list(self.now, list);
+    }
+
+    fn tick(&mut self) {
+        self.memory.expire(self.now);
+        self.tenants.classify(self.now);
+        self.doubt_overdue();
+        self.expire_unknown();
+        self.confirm_outstanding();
+    }
+
+    fn probe(&mut self, steps: &mut Vec<Step>) {
+        steps.extend(self.fleet.probes(self.now).into_iter().map(Step::Probe));
     }
 }
--- /dev/null
+++ b/crates/core/src/routing/admission.rs
@@ -0,0 +1,128 @@
+//! Admission: which asks are refused, answered unknown, or may wait.
+
+use super::tenant::{Limits, Waiting};
+use super::tenants::QUEUE_MAX;
+use super::{Ask, Kernel, Key, Place, Step};
+use crate::contract::Contract;
+use crate::outcome::{NotRun, Unknown};
+use crate::timing::{GRANT_VALID_MS, REPEAT_MS};
+
+impl Kernel {
+    /// Puts a revision of a contract into force.
+    pub(super) fn revise(&mut self, contract: &Contract) {
+        let limits = Limits::of(contract, &self.start.partition, &self.start.shard);
+        // The takeover lasted at least the validity of a grant, in which nothing was admitted.
+        let level_ms = (!self.start.clean).then_some(GRANT_VALID_MS);
+        self.tenants.revise(self.now, contract, limits, level_ms);
+    }
+
+    /// Admits an ask. Afterwards it is granted, waits, or is answered.
+    pub(super) fn ask(&mut self, ask: Ask, steps: &mut Vec<Step>) {
+        match self.places.get(&ask.key) {
+            None => {}
+            // The number belongs to an ask of the gateway's previous incarnation.
+            Some(Place::Abandoned(_)) => {
+                let reason = NotRun::Overloaded;
+                steps.push(Step::Refuse {
+                    key: ask.key,
+                    reason,
+                });
+                return;
+            }
+            // A repeated ask is answered with the first one.
+            Some(_) => return,
+        }
+        let key = ask.key.clone();
+        if let Some(reason) = self.unsure(&ask) {
+            steps.push(Step::Unsure { key, reason });
+            return;
+        }
+        match self.admit(&ask) {
+            Ok(tenant) => self.enqueue(tenant, ask, steps),
+            Err(reason) => steps.push(Step::Refuse { key, reason }),
+        }
+    }
+
+    /// Tells why an earlier attempt of a non-idempotent request may have run.
+    fn unsure(&self, ask: &Ask) -> Option<Unknown> {
+        if ask.idempotent {
+            return None;
+        }
+        if self.memory.contains(&ask.request) {
+            return Some(Unknown::AlreadyDispatched);
+        }
+        let doubted = self.start.doubt && self.now.since(self.started) < REPEAT_MS;
+        doubted.then_some(Unknown::Takeover)
+    }
+
+    fn admit(&mut self, ask: &Ask) -> Result<usize, NotRun> {
+        let tenant = self
+            .tenants
+            .find(&ask.request.contract)
+            .filter(|tenant| self.tenants.get(*tenant).limits.is_some())
+            .ok_or(NotRun::NotInContract)?;
+        if self.listed && !self.fleet.has_live(&ask.exclude) {
+            return Err(NotRun::NoInstance);
+        }
+        if ask.remaining_ms == 0 {
+            return Err(NotRun::Deadline);
+        }
+        if !ask.idempotent && self.memory.is_full() {
+            return Err(NotRun::Overloaded);
+        }
+        if !self.tenants.get_mut(tenant).bucket.take(self.now) {
+            return Err(NotRun::Rate);
+        }
+        Ok(tenant)
+    }
+
+    /// Queues an ask, and refuses it if it can't be served at once and may not wait.
+    fn enqueue(&mut self, tenant: usize, ask: Ask, steps: &mut Vec<Step>) {
+        let key = ask.key.clone();
+        let waiting = Waiting::new(self.now, ask);
+        let deadline = waiting.deadline;
+        let seq = self.tenants.push(self.now, tenant, waiting);
+        self.places
+            .insert(key.clone(), Place::Queued { tenant, seq });
+        self.dispatch(steps);
+        if !matches!(self.places.get(&key), Some(Place::Queued { .. })) {
+            return;
+        }
+        let remaining = deadline.since(self.now);
+        if let Some(reason) = self.queue_refusal(tenant, remaining) {
+            self.refuse(&key, reason, steps);
+        }
+    }
+
+    /// Tells why the last ask in the queue of `tenant` may not wait.
+    fn queue_refusal(&self, number: usize, remaining_ms: u64) -> Option<NotRun> {
+        let tenant = self.tenants.get(number);
+        let limit = tenant.limits.map_or(0, |limits| limits.queue);
+        if tenant.queue.len() as u64 > limit {
+            return Some(match tenant.has_room() {
+                true => NotRun::Overloaded,
+                false => NotRun::Concurrency,
+            });
+        }
+        if self.tenants.len() > QUEUE_MAX {
+            return Some(NotRun::Overloaded);
+        }
+        let slots = self.fleet.slots(self.now);
+        let expected = self
+            .tenants
+            .expected_ms(number, slots, self.long_max(slots));
+        (expected > remaining_ms as f64).then_some(NotRun::Deadline)
+    }
+
+    /// Answers a queued ask: not run.
+    pub(super) fn refuse(&mut self, key: &Key, reason: NotRun, steps: &mut Vec<Step>) {
+        let Some(Place::Queued { tenant, seq }) = self.places.remove(key) else {
+            return;
+        };
+        self.tenants.remove(tenant, seq);
+        steps.push(Step::Refuse {
+            key: key.clone(),
+            reason,
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/bucket.rs
@@ -0,0 +1,52 @@
+//! Token bucket for a contract's rate limit.
+
+use crate::time::Instant;
+
+const MILLI: u64 = 1_000;
+
+/// A token bucket that counts in thousandths of a token.
+#[derive(Clone, Debug)]
+pub(crate) struct Bucket {
+    rate: u64,
+    capacity: u64,
+    level: u64,
+    filled: Instant,
+}
+
+impl Bucket {
+    /// Creates a bucket that admits `rate` requests per second and `burst` at once, holding
+    /// `level` tokens.
+    pub(crate) fn new(now: Instant, rate: u64, burst: u64, level: u64) -> Self {
+        Self {
+            rate,
+            capacity: burst * MILLI,
+            level: level.min(burst) * MILLI,
+            filled: now,
+        }
+    }
+
+    /// Changes the limits and keeps the tokens that fit.
+    pub(crate) fn resize(&mut self, now: Instant, rate: u64, burst: u64) {
+        self.fill(now);
+        self.rate = rate;
+        self.capacity = burst * MILLI;
+        self.level = self.level.min(self.capacity);
+    }
+
+    /// Takes one token, or returns false if there is none.
+    pub(crate) fn take(&mut self, now: Instant) -> bool {
+        self.fill(now);
+        if self.level < MILLI {
+            return false;
+        }
+        self.level -= MILLI;
+        true
+    }
+
+    /// `rate` per second is `rate` thousandths per millisecond, so filling is exact.
+    fn fill(&mut self, now: Instant) {
+        let gain = now.since(self.filled).saturating_mul(self.rate);
+        self.level = self.level.saturating_add(gain).min(self.capacity);
+        self.filled = now;
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/dispatch.rs
@@ -0,0 +1,221 @@
+//! Dispatch: gives free slots to queued asks in the fair order.
+
+use super::slots::{Held, Phase};
+use super::tenant::Waiting;
+use super::{Kernel, Key, Place, Slot, Step};
+use crate::outcome::{NotRun, Unknown};
+
+/// Slots given per call at most. The next event continues.
+const GRANTS_PER_CALL: usize = 64;
+
+/// Queued asks refused per call at most because their time ran out.
+const REFUSALS_PER_CALL: usize = 256;
+
+/// Asks of one contract looked at for one that can use a free instance.
+const LOOK_AHEAD: usize = 8;
+
+/// Percentage of the slots that contracts of long requests may hold together.
+const LONG_PERCENT: u64 = 75;
+
+/// A queued ask and the instance for it.
+struct Match {
+    tenant: usize,
+    seq: u64,
+    instance: usize,
+}
+
+impl Kernel {
+    /// Refuses asks whose time ran out and gives free slots to the others.
+    pub(super) fn dispatch(&mut self, steps: &mut Vec<Step>) {
+        self.refuse_overdue(steps);
+        for _ in 0..GRANTS_PER_CALL {
+            match self.find_match() {
+                Some(found) => self.serve(found, steps),
+                None => return,
+            }
+        }
+    }
+
+    /// Returns the slots that contracts of long requests may hold, of `slots`.
+    pub(super) fn long_max(&self, slots: u64) -> u64 {
+        (slots * LONG_PERCENT / 100).max(1)
+    }
+
+    fn refuse_overdue(&mut self, steps: &mut Vec<Step>) {
+        for _ in 0..REFUSALS_PER_CALL {
+            let Some((tenant, seq)) = self.tenants.overdue(self.now) else {
+                return;
+            };
+            let Some(waiting) = self.tenants.remove(tenant, seq) else {
+                return;
+            };
+            self.places.remove(&waiting.key);
+            steps.push(Step::Refuse {
+                key: waiting.key,
+                reason: NotRun::Deadline,
+            });
+        }
+    }
+
+    fn find_match(&self) -> Option<Match> {
+        if self.tenants.len() == 0 {
+            return None;
+        }
+        let best = self.fleet.pick(self.now, &[])?;
+        let long_max = self.long_max(self.fleet.slots(self.now));
+        let mut skip = Vec::new();
+        while let Some(tenant) = self.tenants.next(&skip, long_max) {
+            if let Some(found) = self.match_tenant(tenant, best) {
+                return Some(found);
+            }
+            skip.push(tenant);
+        }
+        None
+    }
+
+    fn match_tenant(&self, tenant: usize, best: usize) -> Option<Match> {
+        let queue = self.tenants.get(tenant).queue.iter();
+        queue.take(LOOK_AHEAD).find_map(|(seq, waiting)| {
+            let instance = match waiting.exclude.is_empty() {
+                true => Some(best),
+                false => self.fleet.pick(self.now, &waiting.exclude),
+            };
+            instance.map(|instance| Match {
+                tenant,
+                seq: *seq,
+                instance,
+            })
+        })
+    }
+
+    fn serve(&mut self, found: Match, steps: &mut Vec<Step>) {
+        let Some(waiting) = self.tenants.remove(found.tenant, found.seq) else {
+            return;
+        };
+        self.places.remove(&waiting.key);
+        if self.tenants.get(found.tenant).limits.is_none() {
+            steps.push(Step::Refuse {
+                key: waiting.key,
+                reason: NotRun::NotInContract,
+            });
+        } else if waiting.idempotent || waiting.intended {
+            self.grant(&found, waiting, steps);
+        } else if self.memory.contains(&waiting.request) {
+            steps.push(Step::Unsure {
+                key: waiting.key,
+                reason: Unknown::AlreadyDispatched,
+            });
+        } else {
+            self.reserve(&found, waiting, steps);
+        }
+    }
+
+    fn take(&mut self, found: &Match, key: &Key, phase: Phase) -> Slot {
+        let charged = self.tenants.take(found.tenant);
+        self.fleet.take(found.instance);
+        self.slots.add(Held {
+            instance: found.instance,
+            tenant: found.tenant,
+            key: key.clone(),
+            since: self.now,
+            charged,
+            phase,
+        })
+    }
+
+    fn grant(&mut self, found: &Match, waiting: Waiting, steps: &mut Vec<Step>) {
+        let slot = self.take(found, &waiting.key, Phase::Granted);
+        self.announce(slot, found.instance, waiting.key, steps);
+    }
+
+    fn announce(&mut self, slot: Slot, instance: usize, key: Key, steps: &mut Vec<Step>) {
+        let Some(instance) = self.fleet.get(instance).info.clone() else {
+            return;
+        };
+        self.places.insert(key.clone(), Place::Granted(slot));
+        steps.push(Step::Grant {
+            key,
+            slot,
+            instance,
+        });
+    }
+
+    fn reserve(&mut self, found: &Match, waiting: Waiting, steps: &mut Vec<Step>) {
+        self.memory.remember(self.now, &waiting.request);
+        let key = waiting.key.clone();
+        let request = waiting.request.clone();
+        let slot = self.take(found, &key, Phase::Reserved(Box::new(waiting)));
+        self.places.insert(key.clone(), Place::Intending(slot));
+        steps.push(Step::Intend { key, request });
+    }
+
+    /// Grants the reserved slot of a request whose intent is written.
+    pub(super) fn intended(&mut self, key: &Key, steps: &mut Vec<Step>) {
+        let slot = match self.places.get(key) {
+            Some(Place::Intending(slot)) => *slot,
+            Some(Place::Abandoned(_)) => {
+                self.places.remove(key);
+                return;
+            }
+            _ => return,
+        };
+        let Some(held) = self.slots.get(slot) else {
+            return;
+        };
+        let Phase::Reserved(waiting) = held.phase.clone() else {
+            return;
+        };
+        let instance = held.instance;
+        if waiting.deadline <= self.now {
+            self.places.remove(key);
+            self.take_back(slot);
+            steps.push(Step::Refuse {
+                key: key.clone(),
+                reason: NotRun::Deadline,
+            });
+        } else if self.fleet.get(instance).is_serving() {
+            if let Some(held) = self.slots.get_mut(slot) {
+                held.phase = Phase::Granted;
+            }
+            self.announce(slot, instance, key.clone(), steps);
+        } else {
+            self.requeue(slot, *waiting);
+        }
+    }
+
+    /// Lets a request whose instance left service wait for another one.
+    fn requeue(&mut self, slot: Slot, mut waiting: Waiting) {
+        let Some(held) = self.take_back(slot) else {
+            return;
+        };
+        waiting.intended = true;
+        let key = waiting.key.clone();
+        let seq = self.tenants.push_first(self.now, held.tenant, waiting);
+        let tenant = held.tenant;
+        self.places.insert(key, Place::Queued { tenant, seq });
+    }
+
+    /// Refuses a request whose intent could not be written; its id stays fresh.
+    pub(super) fn intent_failed(&mut self, key: &Key, steps: &mut Vec<Step>) {
+        match self.places.get(key) {
+            Some(Place::Abandoned(request)) => {
+                self.memory.forget(request);
+                self.places.remove(key);
+            }
+            Some(Place::Intending(slot)) => {
+                let slot = *slot;
+                self.places.remove(key);
+                if let Some(held) = self.take_back(slot)
+                    && let Phase::Reserved(waiting) = held.phase
+                {
+                    self.memory.forget(&waiting.request);
+                }
+                steps.push(Step::Refuse {
+                    key: key.clone(),
+                    reason: NotRun::LogUnavailable,
+                });
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/fleet.rs
@@ -0,0 +1,204 @@
+//! The instances of a shard and the choice between them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::instance::Instance;
+use crate::target::{self, State};
+use crate::time::Instant;
+
+/// Probes started per call at most.
+const PROBES_PER_CALL: usize = 64;
+
+/// The instances of a shard.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    index: HashMap<Arc<str>, usize>,
+    all: Vec<Instance>,
+    vacant: Vec<usize>,
+    zones: HashMap<Arc<str>, usize>,
+    zone_taken: Vec<u32>,
+    grants: u64,
+    /// Time until which a new instance may run requests of earlier epochs.
+    inherited_until: Instant,
+}
+
+impl Fleet {
+    /// Creates an empty fleet whose instances may run requests of earlier epochs until
+    /// `inherited_until`.
+    pub(crate) fn new(inherited_until: Instant) -> Self {
+        Self {
+            inherited_until,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the number of the instance `name`.
+    pub(crate) fn find(&self, name: &str) -> Option<usize> {
+        self.index.get(name).copied()
+    }
+
+    /// Returns an instance by its number.
+    pub(crate) fn get(&self, number: usize) -> &Instance {
+        &self.all[number]
+    }
+
+    /// Returns an instance by its number.
+    pub(crate) fn get_mut(&mut self, number: usize) -> &mut Instance {
+        &mut self.all[number]
+    }
+
+    /// Returns all known instances by name.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &Instance)> {
+        self.index.iter().map(|(name, n)| (name, &self.all[*n]))
+    }
+
+    /// Returns all known instances.
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Instance> {
+        self.all.iter_mut()
+    }
+
+    /// Returns the number of the instance `name` and creates it if it is new.
+    pub(crate) fn ensure(&mut self, now: Instant, name: &Arc<str>) -> usize {
+        if let Some(number) = self.find(name) {
+            return number;
+        }
+        let instance = Instance::new(now);
+        let number = match self.vacant.pop() {
+            Some(number) => {
+                self.all[number] = instance;
+                number
+            }
+            None => {
+                self.all.push(instance);
+                self.all.len() - 1
+            }
+        };
+        self.index.insert(name.clone(), number);
+        number
+    }
+
+    /// Takes over the list of instances.
+    pub(crate) fn list(&mut self, now: Instant, list: Vec<(target::Instance, State)>) {
+        for instance in &mut self.all {
+            instance.listed = false;
+        }
+        for (info, state) in list {
+            self.list_one(now, info, state);
+        }
+        self.drop_gone();
+    }
+
+    fn list_one(&mut self, now: Instant, info: target::Instance, state: State) {
+        let zone = self.zone(&info.zone);
+        let number = self.ensure(now, &info.name);
+        let inherits = now < self.inherited_until;
+        let until = self.inherited_until;
+        let instance = &mut self.all[number];
+        if instance.info.is_none() && inherits {
+            instance.counted = false;
+            instance.unknown = info.slots;
+            instance.unknown_until = until;
+        }
+        instance.listed = true;
+        instance.state = state;
+        instance.zone = zone;
+        instance.info = Some(info);
+        instance.account();
+    }
+
+    fn zone(&mut self, name: &Arc<str>) -> usize {
+        if let Some(zone) = self.zones.get(name) {
+            return *zone;
+        }
+        self.zone_taken.push(0);
+        self.zones.insert(name.clone(), self.zone_taken.len() - 1);
+        self.zone_taken.len() - 1
+    }
+
+    /// Forgets instances that are not listed and run nothing.
+    fn drop_gone(&mut self) {
+        let all = &mut self.all;
+        let vacant = &mut self.vacant;
+        self.index.retain(|_, number| {
+            let instance = &mut all[*number];
+            let keep = instance.listed || instance.taken() > 0;
+            if !keep {
+                *instance = Instance::new(Instant(0));
+                vacant.push(*number);
+            }
+            keep
+        });
+    }
+
+    /// Returns the instance for the next request: the least loaded of the least recently failed,
+    /// in the availability zone with the least load.
+    pub(crate) fn pick(&self, now: Instant, exclude: &[Arc<str>]) -> Option<usize> {
+        let free = self.all.iter().enumerate().filter(|(_, i)| i.is_free(now));
+        free.filter(|(_, i)| !is_excluded(i, exclude))
+            .min_by_key(|(_, i)| self.rank(now, i))
+            .map(|(number, _)| number)
+    }
+
+    fn rank(&self, now: Instant, instance: &Instance) -> (Instant, u32, u32, u64) {
+        let load = instance.taken() * 1_000 / instance.slots().max(1);
+        let zone = self.zone_taken[instance.zone];
+        (instance.recent_failure(now), load, zone, instance.used)
+    }
+
+    /// Counts a slot as taken by a request.
+    pub(crate) fn take(&mut self, number: usize) {
+        self.grants += 1;
+        let instance = &mut self.all[number];
+        instance.held += 1;
+        instance.used = self.grants;
+        self.zone_taken[instance.zone] += 1;
+    }
+
+    /// Counts a held slot as free.
+    pub(crate) fn free(&mut self, number: usize) {
+        let instance = &mut self.all[number];
+        instance.held = instance.held.saturating_sub(1);
+        let zone = &mut self.zone_taken[instance.zone];
+        *zone = zone.saturating_sub(1);
+    }
+
+    /// Returns the slots of all instances in service.
+    pub(crate) fn slots(&self, now: Instant) -> u64 {
+        let usable = self.all.iter().filter(|i| i.is_usable(now));
+        usable.map(|i| u64::from(i.slots())).sum()
+    }
+
+    /// Tells whether any instance is live, except for those in `exclude`.
+    pub(crate) fn has_live(&self, exclude: &[Arc<str>]) -> bool {
+        let mut live = self.all.iter().filter(|i| i.is_live());
+        live.any(|i| !is_excluded(i, exclude))
+    }
+
+    /// Returns the instances with requests of unknown origin that were counted by `limit`, and not
+    /// yet compared with the grants of earlier epochs.
+    pub(crate) fn unconfirmed(&self, limit: Instant) -> Vec<usize> {
+        let doubtful = self.all.iter().enumerate().filter(|(_, i)| i.unknown > 0);
+        let due = doubtful.filter(|(_, i)| {
+            i.census
+                .is_some_and(|census| !census.confirmed && census.answered <= limit)
+        });
+        due.map(|(number, _)| number).collect()
+    }
+
+    /// Returns the names of the instances to probe now.
+    pub(crate) fn probes(&mut self, now: Instant) -> Vec<Arc<str>> {
+        let due = self.all.iter_mut().filter(|i| i.wants_probe(now));
+        let mut names = Vec::new();
+        for instance in due.take(PROBES_PER_CALL) {
+            instance.probed(now);
+            names.extend(instance.info.as_ref().map(|info| info.name.clone()));
+        }
+        names
+    }
+}
+
+fn is_excluded(instance: &Instance, exclude: &[Arc<str>]) -> bool {
+    let name = instance.info.as_ref().map(|info| &info.name);
+    name.is_some_and(|name| exclude.contains(name))
+}
--- /dev/null
+++ b/crates/core/src/routing/instance.rs
@@ -0,0 +1,235 @@
+//! State of one instance: what may be running there and whether it answers.
+
+use crate::target::{self, State};
+use crate::time::Instant;
+
+/// Milliseconds until an instance that failed is probed again; doubled with every failed probe.
+const RETRY_MS: u64 = 200;
+
+/// Longest time between two probes of an instance, in milliseconds.
+const RETRY_MAX_MS: u64 = 3_000;
+
+/// Milliseconds between the first probes of an instance that answers while slots there are in
+/// doubt; doubled with every probe.
+const RECOUNT_MS: u64 = 125;
+
+/// Longest time between such probes, in milliseconds.
+const RECOUNT_MAX_MS: u64 = 2_000;
+
+/// Milliseconds after which a probe counts as unanswered.
+const PROBE_LOST_MS: u64 = 10_000;
+
+/// Milliseconds for which a failure makes an instance less preferred.
+const FAILURE_MS: u64 = 10_000;
+
+/// A count of requests by an instance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Census {
+    /// Time at which the probe was sent.
+    pub(crate) sent: Instant,
+    /// Time at which the answer arrived.
+    pub(crate) answered: Instant,
+    /// Requests that the instance was serving in between.
+    pub(crate) busy: u32,
+    /// Known grants among them.
+    pub(crate) known: u32,
+    /// Whether grants of earlier epochs are among `known`.
+    pub(crate) confirmed: bool,
+}
+
+/// One instance.
+///
+/// A slot is charged for every request that may run at the instance. `held` counts grants that a
+/// gateway will report on, `doubted` those that nobody will report on, and `unknown` requests of
+/// which only the number is known.
+#[derive(Debug)]
+pub(crate) struct Instance {
+    /// Description; `None` until the instance is listed.
+    pub(crate) info: Option<target::Instance>,
+    /// Whether the list has the instance.
+    pub(crate) listed: bool,
+    /// State by the list.
+    pub(crate) state: State,
+    /// Reserved and granted slots, and grants of earlier epochs that a gateway holds.
+    pub(crate) held: u32,
+    /// Grants of earlier epochs that gateways reported.
+    pub(crate) reported: u32,
+    /// Granted slots whose end nobody will report.
+    pub(crate) doubted: u32,
+    /// Requests that may run without a known grant.
+    pub(crate) unknown: u32,
+    /// Time at which requests without a known grant have surely ended.
+    pub(crate) unknown_until: Instant,
+    /// Whether `unknown` includes requests of this epoch.
+    pub(crate) pooled: bool,
+    /// Last count of requests by the instance.
+    pub(crate) census: Option<Census>,
+    /// Counts in a row while slots were in doubt.
+    pub(crate) recounts: u32,
+    /// Whether the instance answered a probe or is known not to.
+    pub(crate) counted: bool,
+    /// Whether the instance ever told its occupancy.
+    pub(crate) tells: bool,
+    /// Whether connections failed and no probe succeeded since.
+    pub(crate) out: bool,
+    /// Time of the last failure.
+    pub(crate) failed: Option<Instant>,
+    /// Failed probes in a row.
+    pub(crate) failures: u32,
+    /// Time of the unanswered probe.
+    pub(crate) probe: Option<Instant>,
+    /// Earliest time of the next probe.
+    pub(crate) retry: Instant,
+    /// Earliest time of the next trial grant.
+    pub(crate) trial: Instant,
+    /// Number of the zone.
+    pub(crate) zone: usize,
+    /// Number of the last grant.
+    pub(crate) used: u64,
+}
+
+impl Instance {
+    /// Creates an instance with nothing running.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            info: None,
+            listed: false,
+            state: State::Live,
+            held: 0,
+            reported: 0,
+            doubted: 0,
+            unknown: 0,
+            unknown_until: now,
+            pooled: false,
+            census: None,
+            recounts: 0,
+            counted: true,
+            tells: false,
+            out: false,
+            failed: None,
+            failures: 0,
+            probe: None,
+            retry: now,
+            trial: now,
+            zone: 0,
+            used: 0,
+        }
+    }
+
+    /// Returns the slots of the instance.
+    pub(crate) fn slots(&self) -> u32 {
+        self.info.as_ref().map_or(0, |info| info.slots)
+    }
+
+    /// Returns the slots that are taken or may be.
+    pub(crate) fn taken(&self) -> u32 {
+        self.held
+            .saturating_add(self.doubted)
+            .saturating_add(self.unknown)
+    }
+
+    /// Tells whether the list has the instance as live.
+    pub(crate) fn is_live(&self) -> bool {
+        self.listed && self.state == State::Live
+    }
+
+    /// Tells whether a reserved slot of the instance may be granted.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.is_live() && !self.out
+    }
+
+    /// Tells whether the instance is in service, with or without a free slot.
+    pub(crate) fn is_usable(&self, now: Instant) -> bool {
+        self.is_live() && self.counted && (!self.out || self.is_trial(now))
+    }
+
+    /// Tells whether one request may try an instance that can't be probed.
+    fn is_trial(&self, now: Instant) -> bool {
+        !self.tells && self.failures > 0 && self.held == 0 && now >= self.trial
+    }
+
+    /// Tells whether another request may be sent to the instance.
+    pub(crate) fn is_free(&self, now: Instant) -> bool {
+        self.taken() < self.slots() && self.is_usable(now)
+    }
+
+    /// Returns the time of the last failure if it still matters.
+    pub(crate) fn recent_failure(&self, now: Instant) -> Instant {
+        self.failed
+            .filter(|failed| now.since(*failed) < FAILURE_MS)
+            .unwrap_or(Instant(0))
+    }
+
+    /// Notes a failed connection.
+    pub(crate) fn fail(&mut self, now: Instant) {
+        self.failed = Some(now);
+        if !self.out {
+            self.out = true;
+            self.failures = 0;
+            self.retry = now;
+        } else if !self.tells {
+            self.failures = self.failures.saturating_add(1);
+            self.trial = now + self.backoff();
+        }
+    }
+
+    /// Notes an answer of the instance to a request.
+    pub(crate) fn succeed(&mut self) {
+        if !self.tells {
+            self.out = false;
+            self.failures = 0;
+        }
+    }
+
+    /// Notes the answer to a probe and returns when the probe was sent.
+    pub(crate) fn answered(&mut self, now: Instant, busy: Option<u32>) -> Option<Instant> {
+        self.counted = true;
+        let sent = self.probe.take();
+        if busy.is_some() {
+            self.tells = true;
+            self.out = false;
+            self.failures = 0;
+            self.retry = now + self.recount_after();
+        } else {
+            self.failures = self.failures.saturating_add(1);
+            self.retry = now + self.backoff();
+        }
+        sent
+    }
+
+    fn recount_after(&mut self) -> u64 {
+        self.recounts = match self.doubted + self.unknown {
+            0 => 0,
+            _ => self.recounts.saturating_add(1),
+        };
+        (RECOUNT_MS << self.recounts.min(8)).min(RECOUNT_MAX_MS)
+    }
+
+    /// Lowers the requests without a known grant to what the reports of gateways leave room for:
+    /// an earlier owner never granted more than the instance's slots.
+    pub(crate) fn account(&mut self) {
+        if !self.pooled {
+            let rest = self.slots().saturating_sub(self.reported);
+            self.unknown = self.unknown.min(rest);
+        }
+    }
+
+    fn backoff(&self) -> u64 {
+        (RETRY_MS << self.failures.min(8)).min(RETRY_MAX_MS)
+    }
+
+    /// Tells whether to probe the instance now.
+    pub(crate) fn wants_probe(&self, now: Instant) -> bool {
+        let doubtful = self.out || !self.counted || self.doubted > 0 || self.unknown > 0;
+        let waiting = self
+            .probe
+            .is_some_and(|sent| now.since(sent) < PROBE_LOST_MS);
+        self.listed && doubtful && !waiting && now >= self.retry
+    }
+
+    /// Notes that a probe is sent. The oldest unanswered probe counts.
+    pub(crate) fn probed(&mut self, now: Instant) {
+        self.probe.get_or_insert(now);
+        self.retry = now + RETRY_MAX_MS;
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/release.rs
@@ -0,0 +1,181 @@
+//! Release: how taken slots become free, or doubted when nobody will report on them.
+
+use std::sync::Arc;
+
+use super::slots::{Held, Phase};
+use super::{Kernel, Key, Place, Slot};
+use crate::outcome::Finish;
+use crate::timing::DEADLINE_MAX_MS;
+
+impl Kernel {
+    /// Frees a slot and returns its record.
+    pub(super) fn release(&mut self, slot: Slot) -> Option<Held> {
+        let held = self.slots.remove(slot)?;
+        self.tenants.free(held.tenant);
+        if self.outstanding.get(&held.key) == Some(&slot) {
+            self.outstanding.remove(&held.key);
+        }
+        match held.phase {
+            Phase::Doubted { .. } => {
+                let instance = self.fleet.get_mut(held.instance);
+                instance.doubted = instance.doubted.saturating_sub(1);
+            }
+            _ => self.fleet.free(held.instance),
+        }
+        Some(held)
+    }
+
+    /// Keeps a slot taken although nobody will report on it.
+    pub(super) fn doubt(&mut self, slot: Slot, lasting_ms: u64) {
+        let now = self.now;
+        let Some(held) = self.slots.get_mut(slot) else {
+            return;
+        };
+        if matches!(held.phase, Phase::Doubted { .. }) {
+            return;
+        }
+        held.phase = Phase::Doubted {
+            since: now,
+            until: held.since + lasting_ms,
+        };
+        let number = held.instance;
+        self.fleet.free(number);
+        self.fleet.get_mut(number).doubted += 1;
+    }
+
+    /// Takes a gateway's report on a grant of this epoch.
+    pub(super) fn finished(&mut self, slot: Slot, finish: Finish, run_ms: u64) {
+        let Some(held) = self.slots.get(slot) else {
+            return;
+        };
+        if matches!(held.phase, Phase::Reserved(_)) {
+            return;
+        }
+        if let Some(Place::Granted(granted)) = self.places.get(&held.key)
+            && *granted == slot
+        {
+            self.places.remove(&held.key);
+        }
+        let (tenant, instance, charged) = (held.tenant, held.instance, held.charged);
+        let since = held.since;
+        self.note(instance, finish);
+        if finish == Finish::Lost {
+            self.doubt(slot, DEADLINE_MAX_MS);
+            return;
+        }
+        self.release(slot);
+        let used_ms = self.now.since(since);
+        self.tenants.correct(tenant, charged, used_ms);
+        if finish == Finish::Answered {
+            self.tenants.learn(tenant, run_ms);
+            self.witness(instance, since, run_ms);
+        }
+    }
+
+    /// Notes what the end of a request says about its instance.
+    pub(super) fn note(&mut self, instance: usize, finish: Finish) {
+        let now = self.now;
+        let instance = self.fleet.get_mut(instance);
+        match finish {
+            Finish::Answered => instance.succeed(),
+            Finish::Lost | Finish::NotSent => instance.fail(now),
+            Finish::Rejected => instance.failed = Some(now),
+            Finish::Unused => {}
+        }
+    }
+
+    /// Takes back an ask that the gateway no longer needs.
+    pub(super) fn withdraw(&mut self, key: &Key) {
+        match self.places.remove(key) {
+            Some(Place::Queued { tenant, seq }) => {
+                self.tenants.remove(tenant, seq);
+            }
+            Some(Place::Granted(slot)) => {
+                self.take_back(slot);
+            }
+            Some(Place::Intending(slot)) => self.abandon(key, slot),
+            Some(place @ Place::Abandoned(_)) => {
+                self.places.insert(key.clone(), place);
+            }
+            None => {}
+        }
+    }
+
+    /// Frees a slot that was not used and gives the charge back.
+    pub(super) fn take_back(&mut self, slot: Slot) -> Option<Held> {
+        let held = self.release(slot)?;
+        self.tenants.correct(held.tenant, held.charged, 0);
+        Some(held)
+    }
+
+    /// Frees the reserved slot of an ask whose intent is being written.
+    ///
+    /// The key stays known until the write ends, so that the end is not taken for that of another
+    /// ask with the same key.
+    fn abandon(&mut self, key: &Key, slot: Slot) {
+        let Some(held) = self.take_back(slot) else {
+            return;
+        };
+        if let Phase::Reserved(waiting) = held.phase {
+            let place = Place::Abandoned(waiting.request);
+            self.places.insert(key.clone(), place);
+        }
+    }
+
+    /// Drops the queued asks of a gateway and keeps its granted slots taken.
+    pub(super) fn gateway_lost(&mut self, gateway: &Arc<str>) {
+        let first = Key {
+            gateway: gateway.clone(),
+            number: 0,
+        };
+        let last = Key {
+            gateway: gateway.clone(),
+            number: u64::MAX,
+        };
+        let places: Vec<_> = self
+            .places
+            .range(first..=last)
+            .map(|(key, place)| (key.clone(), place.clone()))
+            .collect();
+        for (key, place) in places {
+            match place {
+                Place::Granted(_) => {
+                    self.places.remove(&key);
+                }
+                _ => self.withdraw(&key),
+            }
+        }
+        let is_lost = |held: &Held| held.key.gateway == *gateway;
+        for slot in self.slots.select(is_lost) {
+            self.doubt(slot, DEADLINE_MAX_MS);
+        }
+    }
+
+    /// Doubts grants on which no gateway reported for longer than any deadline, and frees doubted
+    /// slots whose requests have surely ended.
+    pub(super) fn doubt_overdue(&mut self) {
+        for slot in self.slots.before(self.now - DEADLINE_MAX_MS) {
+            let Some(held) = self.slots.get(slot) else {
+                continue;
+            };
+            match &held.phase {
+                Phase::Doubted { until, .. } if *until <= self.now => {
+                    self.release(slot);
+                }
+                Phase::Granted | Phase::Outstanding => self.forget_overdue(slot),
+                _ => {}
+            }
+        }
+    }
+
+    fn forget_overdue(&mut self, slot: Slot) {
+        let key = self.slots.get(slot).map(|held| held.key.clone());
+        self.doubt(slot, 2 * DEADLINE_MAX_MS);
+        let Some(key) = key else {
+            return;
+        };
+        if matches!(self.places.get(&key), Some(Place::Granted(granted)) if *granted == slot) {
+            self.places.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/slots.rs
@@ -0,0 +1,86 @@
+//! Records of the slots taken in a shard.
+
+use std::collections::BTreeMap;
+
+use super::tenant::Waiting;
+use super::{Key, Slot};
+use crate::time::Instant;
+
+/// What holds a slot.
+#[derive(Clone, Debug)]
+pub(crate) enum Phase {
+    /// The gateway's report is missing; the request may still run at the instance.
+    Doubted {
+        /// Time from which on nothing more is sent to the instance for this grant, apart from
+        /// what was under way.
+        since: Instant,
+        /// Time at which the request has surely ended.
+        until: Instant,
+    },
+    /// A gateway holds the grant and will report on it.
+    Granted,
+    /// A gateway holds the grant since an earlier epoch.
+    Outstanding,
+    /// An ask waits for its intent to be written.
+    Reserved(Box<Waiting>),
+}
+
+/// A slot that is taken.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    /// Number of the instance.
+    pub(crate) instance: usize,
+    /// Number of the contract.
+    pub(crate) tenant: usize,
+    /// Identity of the ask.
+    pub(crate) key: Key,
+    /// Time at which the slot was taken.
+    pub(crate) since: Instant,
+    /// Slot time charged to the contract, in milliseconds.
+    pub(crate) charged: f64,
+    /// What holds the slot.
+    pub(crate) phase: Phase,
+}
+
+/// The slots taken in a shard, numbered in the order in which they were taken.
+#[derive(Debug, Default)]
+pub(crate) struct Slots {
+    next: Slot,
+    held: BTreeMap<Slot, Held>,
+}
+
+impl Slots {
+    /// Adds a slot and returns its number.
+    pub(crate) fn add(&mut self, held: Held) -> Slot {
+        self.next += 1;
+        self.held.insert(self.next, held);
+        self.next
+    }
+
+    /// Returns the record of a slot.
+    pub(crate) fn get_mut(&mut self, slot: Slot) -> Option<&mut Held> {
+        self.held.get_mut(&slot)
+    }
+
+    /// Returns the record of a slot.
+    pub(crate) fn get(&self, slot: Slot) -> Option<&Held> {
+        self.held.get(&slot)
+    }
+
+    /// Removes a slot.
+    pub(crate) fn remove(&mut self, slot: Slot) -> Option<Held> {
+        self.held.remove(&slot)
+    }
+
+    /// Returns the slots for which `filter` holds.
+    pub(crate) fn select(&self, filter: impl Fn(&Held) -> bool) -> Vec<Slot> {
+        let chosen = self.held.iter().filter(|(_, held)| filter(held));
+        chosen.map(|(slot, _)| *slot).collect()
+    }
+
+    /// Returns the slots taken at `limit` or before.
+    pub(crate) fn before(&self, limit: Instant) -> Vec<Slot> {
+        let old = self.held.iter().take_while(|(_, held)| held.since <= limit);
+        old.map(|(slot, _)| *slot).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/takeover.rs
@@ -0,0 +1,196 @@
+//! Takeover: what earlier epochs left running, and what instances tell about it.
+
+use std::sync::Arc;
+
+use super::instance::Census;
+use super::slots::{Held, Phase};
+use super::{Kernel, Key, Outstanding};
+use crate::outcome::Finish;
+use crate::time::Instant;
+use crate::timing::{DEADLINE_MAX_MS, GRANT_VALID_MS};
+
+/// Milliseconds after which nothing more arrives at an instance for a grant that was given up:
+/// the validity of a grant and time for the request to travel.
+const SETTLE_MS: u64 = GRANT_VALID_MS + 500;
+
+/// Milliseconds within which a dispatched request surely arrives at its instance.
+const ARRIVE_MS: u64 = 50;
+
+/// Milliseconds within which a gateway reports the end of a request.
+const CONFIRM_MS: u64 = 500;
+
+impl Kernel {
+    /// Takes a gateway's answer to the survey.
+    pub(super) fn surveyed(&mut self, gateway: &Arc<str>, outstanding: Vec<Outstanding>) {
+        self.unsurveyed.remove(gateway);
+        for entry in outstanding {
+            self.hold_outstanding(entry);
+        }
+        if self.start.clean || !self.unsurveyed.is_empty() {
+            return;
+        }
+        for instance in self.fleet.iter_mut() {
+            if instance.counted && !instance.tells && !instance.pooled {
+                instance.unknown = 0;
+            }
+        }
+    }
+
+    fn hold_outstanding(&mut self, entry: Outstanding) {
+        if !entry.idempotent {
+            self.memory.remember(self.now, &entry.request);
+        }
+        if self.outstanding.contains_key(&entry.key) {
+            return;
+        }
+        let instance = self.fleet.ensure(self.now, &entry.instance);
+        let tenant = self.tenants.ensure(self.now, &entry.request.contract);
+        self.tenants.hold(tenant);
+        self.fleet.take(instance);
+        let state = self.fleet.get_mut(instance);
+        state.reported += 1;
+        state.account();
+        let slot = self.slots.add(Held {
+            instance,
+            tenant,
+            key: entry.key.clone(),
+            since: self.now,
+            charged: 0.0,
+            phase: Phase::Outstanding,
+        });
+        self.outstanding.insert(entry.key, slot);
+    }
+
+    /// Takes a gateway's report on a grant of an earlier epoch.
+    pub(super) fn outstanding_finished(&mut self, key: &Key, finish: Finish) {
+        let Some(slot) = self.outstanding.get(key).copied() else {
+            return;
+        };
+        let Some(held) = self.slots.get(slot) else {
+            return;
+        };
+        self.note(held.instance, finish);
+        match finish {
+            Finish::Lost => self.doubt(slot, DEADLINE_MAX_MS),
+            _ => {
+                self.release(slot);
+            }
+        }
+    }
+
+    /// Takes an instance's answer to a probe.
+    pub(super) fn occupied(&mut self, name: &Arc<str>, busy: Option<u32>) {
+        let Some(number) = self.fleet.find(name) else {
+            return;
+        };
+        let surveyed = self.unsurveyed.is_empty();
+        let now = self.now;
+        let instance = self.fleet.get_mut(number);
+        let sent = instance.answered(now, busy);
+        match (busy, sent) {
+            (Some(busy), Some(sent)) => {
+                instance.census = Some(Census {
+                    sent,
+                    answered: now,
+                    busy,
+                    known: 0,
+                    confirmed: false,
+                });
+                self.recount(number, busy, sent);
+            }
+            (None, _) if surveyed && !instance.tells && !instance.pooled => instance.unknown = 0,
+            _ => {}
+        }
+    }
+
+    /// Uses the end of an answered request: if it was running throughout the last count of its
+    /// instance, it is one of those counted.
+    pub(super) fn witness(&mut self, number: usize, granted: Instant, run_ms: u64) {
+        let dispatched = self.now - run_ms;
+        let instance = self.fleet.get_mut(number);
+        if instance.unknown == 0 {
+            return;
+        }
+        let Some(census) = &mut instance.census else {
+            return;
+        };
+        if dispatched + ARRIVE_MS > census.sent || granted + run_ms < census.answered {
+            return;
+        }
+        census.known += 1;
+        let (rest, sent) = (census.busy.saturating_sub(census.known), census.sent);
+        self.recount(number, rest, sent);
+    }
+
+    /// Counts grants of earlier epochs that are still held as running at the last count, once
+    /// reports of those that ended before it have arrived.
+    ///
+    /// Applies only if every gateway answered the survey: then a request without a known grant can
+    /// only belong to a gateway that was restarted meanwhile.
+    pub(super) fn confirm_outstanding(&mut self) {
+        if self.start.clean || !self.unsurveyed.is_empty() {
+            return;
+        }
+        for number in self.fleet.unconfirmed(self.now - CONFIRM_MS) {
+            let held = self
+                .slots
+                .select(|held| held.instance == number && matches!(held.phase, Phase::Outstanding));
+            let Some(census) = &mut self.fleet.get_mut(number).census else {
+                continue;
+            };
+            census.confirmed = true;
+            census.known += held.len() as u32;
+            let (rest, sent) = (census.busy.saturating_sub(census.known), census.sent);
+            self.recount(number, rest, sent);
+        }
+    }
+
+    /// Lowers what may run at an instance without a report to `busy`, as counted after `sent`.
+    ///
+    /// Which of the requests ended isn't known, so the rest is kept as a number only: if a late
+    /// report freed one of them, another one could be running in its place.
+    fn recount(&mut self, number: usize, busy: u32, sent: Instant) {
+        let settled = self.settled(number, sent);
+        let instance = self.fleet.get(number);
+        if busy >= instance.unknown.saturating_add(settled.len() as u32) {
+            return;
+        }
+        let mut until = instance.unknown_until;
+        let pooled = !settled.is_empty();
+        for slot in settled {
+            let Some(held) = self.release(slot) else {
+                continue;
+            };
+            if let Phase::Doubted { until: end, .. } = held.phase {
+                until = until.max(end);
+            }
+        }
+        let instance = self.fleet.get_mut(number);
+        instance.unknown = busy;
+        instance.unknown_until = until;
+        instance.pooled |= pooled;
+    }
+
+    /// Returns the doubted slots of an instance for which nothing arrived there after `sent`.
+    fn settled(&self, number: usize, sent: Instant) -> Vec<super::Slot> {
+        if self.fleet.get(number).doubted == 0 {
+            return Vec::new();
+        }
+        self.slots.select(|held| {
+            held.instance == number
+                && matches!(held.phase, Phase::Doubted { since, .. } if since + SETTLE_MS <= sent)
+        })
+    }
+
+    /// Frees what earlier epochs left at instances once it has surely ended.
+    pub(super) fn expire_unknown(&mut self) {
+        let now = self.now;
+        for instance in self.fleet.iter_mut() {
+            if instance.unknown > 0 && instance.unknown_until <= now {
+                instance.unknown = 0;
+                instance.pooled = false;
+                instance.counted = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/tenant.rs
@@ -0,0 +1,120 @@
+//! State of one contract in a shard: its limits, its queue and its place in the fair order.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::bucket::Bucket;
+use super::learned::Learned;
+use super::{Ask, Key};
+use crate::contract::Contract;
+use crate::outcome::Request;
+use crate::partition::Map;
+use crate::shard::Id;
+use crate::time::Instant;
+use crate::timing::DEADLINE_MAX_MS;
+
+/// An ask that waits for a slot.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    /// Identity of the ask.
+    pub(crate) key: Key,
+    /// Identity of the request.
+    pub(crate) request: Request,
+    /// Whether the request may run more than once.
+    pub(crate) idempotent: bool,
+    /// Instances that must not be chosen.
+    pub(crate) exclude: Vec<Arc<str>>,
+    /// Time at which the caller stops waiting.
+    pub(crate) deadline: Instant,
+    /// Whether the intent is written already.
+    pub(crate) intended: bool,
+}
+
+impl Waiting {
+    /// Creates the entry of an ask that arrived at `now`.
+    pub(crate) fn new(now: Instant, ask: Ask) -> Self {
+        Self {
+            key: ask.key,
+            request: ask.request,
+            idempotent: ask.idempotent,
+            exclude: ask.exclude,
+            deadline: now + ask.remaining_ms.min(DEADLINE_MAX_MS),
+            intended: false,
+        }
+    }
+}
+
+/// This shard's part of a contract's limits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Limits {
+    /// Requests per second.
+    pub(crate) rate: u64,
+    /// Requests at once after a quiet period.
+    pub(crate) burst: u64,
+    /// Requests dispatched at the same time.
+    pub(crate) concurrency: u64,
+    /// Requests waiting.
+    pub(crate) queue: u64,
+}
+
+impl Limits {
+    /// Returns the part of the limits that `shard` may admit, or `None` if the contract doesn't
+    /// include the service.
+    pub(crate) fn of(contract: &Contract, map: &Map, shard: &Id) -> Option<Self> {
+        let service = contract.services.get(&shard.group)?;
+        let smallest = u64::from(service.concurrency);
+        let share = |limit: u32| map.share(shard, &contract.name, u64::from(limit), smallest);
+        Some(Self {
+            rate: share(service.rate),
+            burst: share(service.burst),
+            concurrency: share(service.concurrency),
+            queue: share(service.queue),
+        })
+    }
+}
+
+/// One contract.
+#[derive(Debug)]
+pub(crate) struct Tenant {
+    /// Share relative to other contracts.
+    pub(crate) weight: f64,
+    /// Limits; `None` if the contract doesn't include the service.
+    pub(crate) limits: Option<Limits>,
+    /// Rate limit.
+    pub(crate) bucket: Bucket,
+    /// Slots taken.
+    pub(crate) running: u64,
+    /// Asks that wait, by number.
+    pub(crate) queue: BTreeMap<u64, Waiting>,
+    /// Slot time used so far per unit of weight; the contract with the least is served next.
+    pub(crate) pass: f64,
+    /// Run times.
+    pub(crate) learned: Learned,
+    /// Whether the contract's requests run much longer than others'.
+    pub(crate) long: bool,
+    /// Last time an ask was admitted.
+    pub(crate) active: Instant,
+}
+
+impl Tenant {
+    /// Creates a contract without limits, which admits nothing.
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            weight: 1.0,
+            limits: None,
+            bucket: Bucket::new(now, 0, 0, 0),
+            running: 0,
+            queue: BTreeMap::new(),
+            pass: 0.0,
+            learned: Learned::default(),
+            long: false,
+            active: Instant(0),
+        }
+    }
+
+    /// Tells whether the concurrency limit leaves room for another request.
+    pub(crate) fn has_room(&self) -> bool {
+        self.limits
+            .is_some_and(|limits| self.running < limits.concurrency)
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/tenants.rs
@@ -0,0 +1,232 @@
+//! All contracts of a shard and the weighted fair order between them.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use super::bucket::Bucket;
+use super::learned::Learned;
+use super::tenant::{Limits, Tenant, Waiting};
+use crate::contract::Contract;
+use crate::time::Instant;
+
+/// Asks waiting in one shard at most.
+pub(crate) const QUEUE_MAX: usize = 16_384;
+
+/// A contract counts as long when its median run time is this many times that of another.
+const LONG_FACTOR: f64 = 8.0;
+
+/// Milliseconds after its last ask for which a contract of short requests is protected.
+const PROTECT_MS: u64 = 60_000;
+
+/// Number before that of the first ask, with room for asks put in front of others.
+const FIRST: u64 = 1 << 32;
+
+/// Cost charged for a request whose run time isn't known, in milliseconds of slot time.
+const COST_UNKNOWN_MS: f64 = 10.0;
+
+/// The contracts of a shard.
+#[derive(Debug, Default)]
+pub(crate) struct Tenants {
+    index: HashMap<Arc<str>, usize>,
+    all: Vec<Tenant>,
+    waiting: BTreeSet<usize>,
+    deadlines: BTreeSet<(Instant, usize, u64)>,
+    next: u64,
+    virtual_time: f64,
+    shared: Learned,
+    long_running: u64,
+}
+
+impl Tenants {
+    /// Returns the number of the contract `name`.
+    pub(crate) fn find(&self, name: &str) -> Option<usize> {
+        self.index.get(name).copied()
+    }
+
+    /// Returns a contract by its number.
+    pub(crate) fn get(&self, tenant: usize) -> &Tenant {
+        &self.all[tenant]
+    }
+
+    /// Returns a contract by its number.
+    pub(crate) fn get_mut(&mut self, tenant: usize) -> &mut Tenant {
+        &mut self.all[tenant]
+    }
+
+    /// Returns the number of the contract `name` and creates it without limits if it is new.
+    pub(crate) fn ensure(&mut self, now: Instant, name: &Arc<str>) -> usize {
+        if let Some(tenant) = self.find(name) {
+            return tenant;
+        }
+        self.all.push(Tenant::new(now));
+        self.index.insert(name.clone(), self.all.len() - 1);
+        self.all.len() - 1
+    }
+
+    /// Puts a revision of a contract into force. A new contract starts with `level_ms` worth of
+    /// its rate, or a full bucket if that is `None`.
+    pub(crate) fn revise(
+        &mut self,
+        now: Instant,
+        contract: &Contract,
+        limits: Option<Limits>,
+        level_ms: Option<u64>,
+    ) -> usize {
+        let number = self.ensure(now, &contract.name);
+        let tenant = &mut self.all[number];
+        tenant.weight = f64::from(contract.weight.max(1));
+        let (rate, burst) = limits.map_or((0, 0), |limits| (limits.rate, limits.burst));
+        match tenant.limits {
+            Some(_) => tenant.bucket.resize(now, rate, burst),
+            None => {
+                let level = level_ms.map_or(burst, |millis| rate * millis / 1_000);
+                tenant.bucket = Bucket::new(now, rate, burst, level);
+            }
+        }
+        tenant.limits = limits;
+        number
+    }
+
+    /// Returns the number of asks that wait.
+    pub(crate) fn len(&self) -> usize {
+        self.deadlines.len()
+    }
+
+    /// Adds an ask at the end of its contract's queue and returns its number.
+    pub(crate) fn push(&mut self, now: Instant, tenant: usize, waiting: Waiting) -> u64 {
+        self.next += 1;
+        let seq = FIRST + self.next;
+        self.insert(now, tenant, seq, waiting);
+        seq
+    }
+
+    /// Adds an ask at the front of its contract's queue and returns its number.
+    pub(crate) fn push_first(&mut self, now: Instant, tenant: usize, waiting: Waiting) -> u64 {
+        let first = self.all[tenant].queue.first_key_value();
+        let seq = first.map_or(FIRST, |(seq, _)| seq - 1);
+        self.insert(now, tenant, seq, waiting);
+        seq
+    }
+
+    fn insert(&mut self, now: Instant, number: usize, seq: u64, waiting: Waiting) {
+        let tenant = &mut self.all[number];
+        if tenant.queue.is_empty() {
+            // An idle contract keeps no claim on capacity that others used meanwhile.
+            tenant.pass = tenant.pass.max(self.virtual_time);
+        }
+        tenant.active = now;
+        self.deadlines.insert((waiting.deadline, number, seq));
+        tenant.queue.insert(seq, waiting);
+        self.waiting.insert(number);
+    }
+
+    /// Takes an ask out of its queue.
+    pub(crate) fn remove(&mut self, number: usize, seq: u64) -> Option<Waiting> {
+        let tenant = &mut self.all[number];
+        let waiting = tenant.queue.remove(&seq)?;
+        if tenant.queue.is_empty() {
+            self.waiting.remove(&number);
+        }
+        self.deadlines.remove(&(waiting.deadline, number, seq));
+        Some(waiting)
+    }
+
+    /// Returns the ask whose deadline passed longest ago.
+    pub(crate) fn overdue(&self, now: Instant) -> Option<(usize, u64)> {
+        let (deadline, tenant, seq) = self.deadlines.first()?;
+        (*deadline <= now).then_some((*tenant, *seq))
+    }
+
+    /// Returns the contract to serve next, other than those in `skip`. Contracts of long requests
+    /// may hold at most `long_max` slots together.
+    pub(crate) fn next(&self, skip: &[usize], long_max: u64) -> Option<usize> {
+        self.waiting
+            .iter()
+            .copied()
+            .filter(|number| !skip.contains(number))
+            .filter(|number| self.is_ready(*number, long_max))
+            .min_by(|a, b| self.all[*a].pass.total_cmp(&self.all[*b].pass))
+    }
+
+    fn is_ready(&self, number: usize, long_max: u64) -> bool {
+        let tenant = &self.all[number];
+        tenant.has_room() && (!tenant.long || self.long_running < long_max)
+    }
+
+    /// Counts a slot taken by `number` and returns the cost charged.
+    pub(crate) fn take(&mut self, number: usize) -> f64 {
+        let cost = self.cost(number);
+        let tenant = &mut self.all[number];
+        self.virtual_time = self.virtual_time.max(tenant.pass);
+        tenant.pass += cost / tenant.weight;
+        self.hold(number);
+        cost
+    }
+
+    /// Counts a slot that an earlier owner granted to `number`.
+    pub(crate) fn hold(&mut self, number: usize) {
+        let tenant = &mut self.all[number];
+        tenant.running += 1;
+        self.long_running += u64::from(tenant.long);
+    }
+
+    /// Counts a slot of `number` as free.
+    pub(crate) fn free(&mut self, number: usize) {
+        let tenant = &mut self.all[number];
+        tenant.running = tenant.running.saturating_sub(1);
+        self.long_running = self.long_running.saturating_sub(u64::from(tenant.long));
+    }
+
+    /// Corrects the cost charged for a request by the slot time that it used.
+    pub(crate) fn correct(&mut self, number: usize, charged: f64, used_ms: u64) {
+        let tenant = &mut self.all[number];
+        tenant.pass += (used_ms as f64 - charged) / tenant.weight;
+    }
+
+    /// Learns from the run time of an answered request.
+    pub(crate) fn learn(&mut self, number: usize, run_ms: u64) {
+        self.all[number].learned.observe(run_ms);
+        self.shared.observe(run_ms);
+    }
+
+    fn learned(&self, number: usize) -> Option<&Learned> {
+        let own = &self.all[number].learned;
+        [own, &self.shared].into_iter().find(|l| l.is_known())
+    }
+
+    fn cost(&self, number: usize) -> f64 {
+        self.learned(number)
+            .map_or(COST_UNKNOWN_MS, |learned| learned.mean_ms().max(1.0))
+    }
+
+    /// Returns the expected milliseconds until the last ask of `number` is answered, if `slots`
+    /// serve the shard and contracts of long requests may hold `long_max` of them.
+    pub(crate) fn expected_ms(&self, number: usize, slots: u64, long_max: u64) -> f64 {
+        let Some(learned) = self.learned(number) else {
+            return 0.0;
+        };
+        let tenant = &self.all[number];
+        let weights: f64 = self.waiting.iter().map(|n| self.all[*n].weight).sum();
+        let usable = if tenant.long { long_max } else { slots } as f64;
+        let fair = usable * tenant.weight / weights.max(tenant.weight);
+        let limit = tenant.limits.map_or(0, |limits| limits.concurrency) as f64;
+        let wait = tenant.queue.len() as f64 * learned.mean_ms() / fair.min(limit).max(1.0);
+        wait + learned.median_ms()
+    }
+
+    /// Finds the contracts whose requests run much longer than those of another active contract.
+    pub(crate) fn classify(&mut self, now: Instant) {
+        let shortest = self
+            .all
+            .iter()
+            .filter(|tenant| tenant.learned.is_known() && now.since(tenant.active) < PROTECT_MS)
+            .map(|tenant| tenant.learned.median_ms())
+            .fold(f64::INFINITY, f64::min);
+        self.long_running = 0;
+        for tenant in &mut self.all {
+            let median = tenant.learned.median_ms();
+            tenant.long = tenant.learned.is_known() && median > LONG_FACTOR * (shortest + 1.0);
+            self.long_running += u64::from(tenant.long) * tenant.running;
+        }
+    }
+}
