feat(xtask): settings of the stand-in

Cause: the stand-in's format stands. Change: settings for log, list of VMs, workers and instances with the deployment's sizes.

--- a/xtask/src/cluster/ports.rs
+++ b/xtask/src/cluster/ports.rs
@@ -14,8 +14,8 @@
         Self { base }
     }
 
-    /// Port of the platform's log and list of VMs.
-    pub(crate) const fn platform(&self) -> u16 {
+    /// Port of the platform's log.
+    pub(crate) const fn log(&self) -> u16 {
         self.base
     }
 
@@ -24,6 +24,11 @@
         self.base + 1
     }
 
+    /// Port of the platform's list of VMs.
+    pub(crate) const fn directory(&self) -> u16 {
+        self.base + 2
+    }
+
     /// Port at which gateway `index` takes requests.
     pub(crate) const fn gateway(&self, index: usize) -> u16 {
         self.base + 10 + index as u16
@@ -44,13 +49,8 @@
         self.base + 40 + index as u16
     }
 
-    /// First port of the workers.
+    /// First port of the workers, followed by those of the instances.
     pub(crate) const fn workers(&self) -> u16 {
         self.base + 100
     }
-
-    /// First port of the instances.
-    pub(crate) const fn instances(&self) -> u16 {
-        self.base + 250
-    }
 }
--- a/xtask/src/cluster/settings.rs
+++ b/xtask/src/cluster/settings.rs
@@ -102,8 +102,8 @@
             "pools": pools.collect::<Map<_, _>>(),
             "services": services.collect::<Map<_, _>>(),
         },
-        "log": address(ports.platform()),
-        "directory": address(ports.platform()),
+        "log": address(ports.log()),
+        "directory": address(ports.directory()),
     })
 }
 
@@ -129,6 +129,42 @@
 }
 
 fn standin(deployment: &Deployment, ports: &Ports, folder: &Path) -> Value {
-    let _ = (deployment, ports, folder);
-    json!({})
+    let mut port = ports.workers();
+    let mut take = |count: usize| {
+        let first = port;
+        port += count as u16;
+        first
+    };
+    let workers = deployment.pools.iter().map(|pool| {
+        json!({
+            "pool": pool.name,
+            "count": pool.workers,
+            "per_rack": pool.per_rack,
+            "zones": deployment.zones,
+            "size": {
+                "millicores": pool.cores * 1_000,
+                "memory_mb": pool.memory_gb * 1_024,
+                "accelerators": pool.accelerators,
+            },
+            "base_port": take(pool.workers),
+        })
+    });
+    let workers: Vec<_> = workers.collect();
+    let instances = deployment.services.iter().map(|service| {
+        json!({
+            "service": service.name,
+            "count": service.instances,
+            "zones": deployment.zones,
+            "base_port": take(service.instances),
+        })
+    });
+    let instances: Vec<_> = instances.collect();
+    json!({
+        "control": address(ports.control()),
+        "log": { "address": address(ports.log()) },
+        "directory": { "address": address(ports.directory()) },
+        "workers": workers,
+        "instances": instances,
+        "history": folder.join("platform.history.json"),
+    })
 }
