--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -1,1 +1,40 @@
 //! Ownership of shards: claims in the log, and support of a majority of the schedulers.
+//!
+//! [`Ledger`] folds the cell stream into the current epoch and owner of every shard. [`Kernel`]
+//! decides when this scheduler claims a shard, and when it may act as its owner: only while a
+//! majority of the configured schedulers supports the claim.
+//!
+//! ```
+//! use rosemaryworks_core::ownership::{Ledger, Verdict};
+//! use rosemaryworks_core::record::Cell;
+//! use rosemaryworks_core::shard::{Epoch, Id};
+//!
+//! let shard = Id::pool("cpu", 0);
+//! let claim = Cell::Claim {
+//!     shard: shard.clone(),
+//!     previous: Epoch::NONE,
+//!     owner: "scheduler-1".into(),
+//!     incarnation: 1,
+//! };
+//! let mut ledger = Ledger::default();
+//! assert_eq!(ledger.apply(7, &claim), Verdict::Claimed);
+//! assert_eq!(ledger.epoch(&shard), Epoch(7));
+//! ```
+
+mod choice;
+mod claims;
+mod kernel;
+mod ledger;
+mod message;
+mod mine;
+mod peers;
+mod promises;
+mod settings;
+mod step;
+
+pub use choice::{candidate, limit};
+pub use kernel::Kernel;
+pub use ledger::{Holding, Ledger, Verdict};
+pub use message::{Heartbeat, LogView, Support};
+pub use settings::Settings;
+pub use step::{Doubt, Event, Step};
--- /dev/null
+++ b/crates/core/src/ownership/kernel.rs
@@ -0,0 +1,424 @@
+//! Claims shards and tells when this scheduler may act as their owner.
+
+use std::collections::BTreeMap;
+
+use super::claims;
+use super::ledger::{Holding, Ledger, Verdict};
+use super::message::{Heartbeat, LogView, Support};
+use super::mine::Mine;
+use super::peers::{DOUBT_WINDOW_MS, Peers};
+use super::promises::Promises;
+use super::settings::Settings;
+use super::step::{Doubt, Event, Step};
+use crate::record::{Cell, Offset};
+use crate::shard::{Epoch, Id};
+use crate::time::Instant;
+use crate::timing::{HEARTBEAT_MS, REPEAT_MS, SUPPORT_MS};
+
+/// Period of heartbeats while a claim lacks support or an owner is suspected, in milliseconds.
+const HEARTBEAT_URGENT_MS: u64 = 100;
+
+/// Milliseconds after which a claim without a known outcome is made again.
+const CLAIM_RETRY_MS: u64 = 2_000;
+
+/// Milliseconds after which a claim is stated again if the last attempt failed.
+const RESTATE_RETRY_MS: u64 = 10_000;
+
+/// Ownership as one scheduler sees it.
+#[derive(Clone, Debug)]
+pub struct Kernel {
+    settings: Settings,
+    ledger: Ledger,
+    peers: Peers,
+    promises: Promises,
+    mine: BTreeMap<Id, Mine>,
+    pending: BTreeMap<Id, Instant>,
+    /// Times of the last and the second last `CaughtUp`.
+    caught_up: (Option<Instant>, Option<Instant>),
+    /// A time before the first claim of each shard, where known.
+    born: BTreeMap<Id, Instant>,
+    log: LogView,
+    next_beat: Instant,
+    stopping: bool,
+}
+
+impl Kernel {
+    /// Creates the kernel of a process that starts at `now`.
+    #[must_use]
+    pub fn new(now: Instant, settings: Settings) -> Self {
+        let others = settings.schedulers.iter();
+        let others = others.filter(|name| **name != settings.name).cloned();
+        Self {
+            peers: Peers::new(now, others),
+            settings,
+            ledger: Ledger::default(),
+            promises: Promises::new(now),
+            mine: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            caught_up: (None, None),
+            born: BTreeMap::new(),
+            log: LogView::default(),
+            next_beat: now,
+            stopping: false,
+        }
+    }
+
+    /// Takes over the ledger that a peer knows. Has no effect once the own ledger is ahead of it.
+    pub fn restore(&mut self, ledger: Ledger) {
+        if ledger.offset() > self.ledger.offset() {
+            self.ledger = ledger;
+        }
+    }
+
+    /// Returns the ledger.
+    #[must_use]
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Returns until when this scheduler may act as the owner of `shard` in `epoch`; a time that
+    /// has passed if it may not.
+    #[must_use]
+    pub fn valid_until(&self, shard: &Id, epoch: Epoch) -> Instant {
+        let mine = self.mine.get(shard);
+        let mine = mine.filter(|mine| mine.active && mine.epoch == epoch);
+        mine.map_or(Instant(0), |mine| {
+            mine.supported_until(self.settings.majority())
+        })
+    }
+
+    /// Tells whether a majority, this scheduler included, regards the log as unreachable and
+    /// supports this scheduler as the owner of `shard`.
+    #[must_use]
+    pub fn is_outage(&self, now: Instant, shard: &Id) -> bool {
+        let Some(mine) = self.mine.get(shard).filter(|mine| mine.active) else {
+            return false;
+        };
+        let agrees = |name: &str| match *name == *self.settings.name {
+            true => self.log.unreachable,
+            false => self.peers.log_unreachable(now, name),
+        };
+        let supporters = mine.support.iter();
+        let valid = supporters.filter(|(_, sent)| now < **sent + SUPPORT_MS);
+        let agreeing = valid.filter(|(name, _)| agrees(name)).count();
+        self.log.unreachable && agreeing >= self.settings.majority()
+    }
+
+    /// Takes a heartbeat of a peer and returns the answer and what to do next.
+    pub fn beat(&mut self, now: Instant, beat: &Heartbeat) -> (Support, Vec<Step>) {
+        self.peers.running(now);
+        let known = self
+            .peers
+            .beat(now, &beat.node, beat.incarnation, beat.stopping);
+        let claimant = (&beat.node, beat.incarnation);
+        let claims = beat.claims.iter();
+        let supported = claims.filter(|(shard, epoch)| {
+            known
+                && self
+                    .promises
+                    .grant(now, &self.ledger, shard, *epoch, claimant)
+        });
+        let claims = supported.cloned().collect();
+        let support = Support {
+            node: self.settings.name.clone(),
+            incarnation: self.settings.incarnation,
+            claims,
+            log: self.log,
+            hears: self.peers.hears(now),
+        };
+        (support, self.next(now))
+    }
+
+    /// Takes the record at `offset` of the cell stream and returns what to do next.
+    pub fn apply(&mut self, now: Instant, offset: Offset, record: &Cell) -> Vec<Step> {
+        self.peers.running(now);
+        let mut steps = Vec::new();
+        match record {
+            Cell::Claim { shard, .. } => {
+                let before = self.ledger.get(shard).cloned();
+                if self.ledger.apply(offset, record) == Verdict::Claimed {
+                    self.claimed(now, shard, before, &mut steps);
+                }
+            }
+            Cell::Release { shard, epoch, .. } => {
+                if self.ledger.apply(offset, record) == Verdict::Released {
+                    self.promises.release(shard, *epoch);
+                    self.forget(shard, &mut steps);
+                }
+            }
+            Cell::Standing { shard, .. } => {
+                if self.ledger.apply(offset, record) == Verdict::Stated {
+                    self.stated(now, shard, &mut steps);
+                }
+            }
+            _ => {
+                self.ledger.apply(offset, record);
+            }
+        }
+        steps.extend(self.next(now));
+        steps
+    }
+
+    /// Takes an event and returns what to do next.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Step> {
+        self.peers.running(now);
+        let mut steps = Vec::new();
+        match event {
+            Event::CaughtUp => self.caught_up = (Some(now), self.caught_up.0),
+            Event::ClaimFailed(shard) => {
+                self.pending.remove(&shard);
+            }
+            Event::Released(claims) => {
+                for (shard, epoch) in claims {
+                    self.promises.release(&shard, epoch);
+                }
+            }
+            Event::Skipped => self.ledger.skip(),
+            Event::Stop => self.stop(now, &mut steps),
+            Event::Supported { sent, support } => self.supported(now, sent, &support),
+            Event::Tick(log) => self.log = log,
+        }
+        steps.extend(self.next(now));
+        steps
+    }
+
+    fn claimed(
+        &mut self,
+        now: Instant,
+        shard: &Id,
+        before: Option<Holding>,
+        steps: &mut Vec<Step>,
+    ) {
+        self.pending.remove(shard);
+        self.forget(shard, steps);
+        let Some(holding) = self.ledger.get(shard) else {
+            return;
+        };
+        let clean = before.is_none() && !self.ledger.is_partial();
+        if let (true, Some(earlier)) = (clean, self.caught_up.1) {
+            self.born.insert(shard.clone(), earlier);
+        }
+        let own =
+            holding.owner == self.settings.name && holding.incarnation == self.settings.incarnation;
+        if !own || self.stopping {
+            return;
+        }
+        let restate_ms = match holding.is_tentative() {
+            true => 0,
+            false => self.settings.retention_ms / 2,
+        };
+        let mine = Mine {
+            epoch: holding.epoch,
+            support: BTreeMap::new(),
+            clean,
+            released: before.filter(|b| b.released).map(|b| b.doubt_ms),
+            majority_at: None,
+            active: false,
+            started: false,
+            releasing: false,
+            doubt_until: now,
+            restate_at: now + restate_ms,
+        };
+        self.mine.insert(shard.clone(), mine);
+        self.next_beat = now;
+    }
+
+    /// Ends the own epoch of `shard`, if there is one.
+    fn forget(&mut self, shard: &Id, steps: &mut Vec<Step>) {
+        if let Some(mine) = self.mine.remove(shard).filter(|mine| mine.started) {
+            steps.push(Step::Deactivate {
+                shard: shard.clone(),
+                epoch: mine.epoch,
+                over: true,
+            });
+        }
+    }
+
+    fn stated(&mut self, now: Instant, shard: &Id, steps: &mut Vec<Step>) {
+        let epoch = self.ledger.epoch(shard);
+        match self.mine.get_mut(shard) {
+            Some(mine) if mine.epoch == epoch => {
+                mine.restate_at = now + self.settings.retention_ms / 2;
+            }
+            Some(_) => self.forget(shard, steps),
+            None => {}
+        }
+    }
+
+    fn supported(&mut self, now: Instant, sent: Instant, support: &Support) {
+        if !self.peers.answered(now, sent, support) {
+            return;
+        }
+        for (shard, epoch) in &support.claims {
+            if let Some(mine) = self.mine.get_mut(shard).filter(|m| m.epoch == *epoch) {
+                let last = mine.support.entry(support.node.clone()).or_insert(sent);
+                *last = sent.max(*last);
+            }
+        }
+    }
+
+    fn stop(&mut self, now: Instant, steps: &mut Vec<Step>) {
+        self.stopping = true;
+        self.next_beat = now;
+        // A claim that was never active is not released: the next owner would skip the wait that
+        // the owner before it needs.
+        for (shard, mine) in &mut self.mine {
+            mine.releasing = true;
+            if !mine.started {
+                continue;
+            }
+            if mine.active {
+                steps.push(Step::Deactivate {
+                    shard: shard.clone(),
+                    epoch: mine.epoch,
+                    over: false,
+                });
+            }
+            mine.active = false;
+            steps.push(Step::Release {
+                shard: shard.clone(),
+                epoch: mine.epoch,
+                doubt_ms: mine.doubt_until.since(now),
+            });
+        }
+    }
+
+    /// Brings everything that depends on the time up to date.
+    fn next(&mut self, now: Instant) -> Vec<Step> {
+        let mut steps = Vec::new();
+        self.refresh(now, &mut steps);
+        self.beat_when_due(now, &mut steps);
+        self.claim_when_due(now, &mut steps);
+        steps
+    }
+
+    fn refresh(&mut self, now: Instant, steps: &mut Vec<Step>) {
+        let majority = self.settings.majority();
+        let shards: Vec<Id> = self.mine.keys().cloned().collect();
+        for shard in shards {
+            let Some(mine) = self.mine.get_mut(&shard) else {
+                continue;
+            };
+            if mine.releasing {
+                continue;
+            }
+            let supported = now < mine.supported_until(majority);
+            if !supported {
+                if std::mem::take(&mut mine.active) {
+                    steps.push(Step::Deactivate {
+                        shard,
+                        epoch: mine.epoch,
+                        over: false,
+                    });
+                }
+                continue;
+            }
+            let since = *mine.majority_at.get_or_insert(now);
+            if !mine.active && now >= since + mine.wait_ms() {
+                steps.push(self.activate(now, &shard));
+            }
+            self.restate_when_due(now, &shard, steps);
+        }
+    }
+
+    fn activate(&mut self, now: Instant, shard: &Id) -> Step {
+        let doubt = self.doubt(now, shard);
+        let mine = self.mine.get_mut(shard).expect("the shard is claimed");
+        let resumed = std::mem::replace(&mut mine.started, true);
+        mine.active = true;
+        if !resumed && doubt == Doubt::Possible {
+            mine.doubt_until = now + REPEAT_MS;
+        }
+        Step::Activate {
+            shard: shard.clone(),
+            epoch: mine.epoch,
+            clean: mine.clean,
+            doubt,
+            resumed,
+        }
+    }
+
+    /// Tells whether earlier owners may have dispatched requests without the log. A majority must
+    /// have regarded the log as unreachable for that.
+    fn doubt(&self, now: Instant, shard: &Id) -> Doubt {
+        let mine = &self.mine[shard];
+        if mine.clean || mine.released == Some(0) {
+            return Doubt::None;
+        }
+        if mine.released.is_some() {
+            return Doubt::Possible;
+        }
+        let age = self.born.get(shard).map(|born| now.since(*born));
+        let window = age.map_or(DOUBT_WINDOW_MS, |age| age.min(DOUBT_WINDOW_MS));
+        let asked = mine.majority_at.unwrap_or(now);
+        let own = usize::from(self.log.doubt_age_ms >= window);
+        let clear = own + self.peers.without_doubt(now, asked, window);
+        match clear + self.settings.majority() > self.settings.schedulers.len() {
+            true => Doubt::None,
+            false => Doubt::Possible,
+        }
+    }
+
+    fn restate_when_due(&mut self, now: Instant, shard: &Id, steps: &mut Vec<Step>) {
+        let mine = self.mine.get_mut(shard).expect("the shard is claimed");
+        if mine.active && now >= mine.restate_at {
+            mine.restate_at = now + RESTATE_RETRY_MS;
+            steps.push(Step::Restate {
+                shard: shard.clone(),
+                epoch: mine.epoch,
+            });
+        }
+    }
+
+    fn beat_when_due(&mut self, now: Instant, steps: &mut Vec<Step>) {
+        if now < self.next_beat {
+            return;
+        }
+        self.next_beat = now + self.beat_period(now);
+        let claimant = (&self.settings.name, self.settings.incarnation);
+        let mut claims = Vec::new();
+        for (shard, mine) in &mut self.mine {
+            if mine.releasing {
+                continue;
+            }
+            let own = &mut self.promises;
+            if own.grant(now, &self.ledger, shard, mine.epoch, claimant) {
+                mine.support.insert(self.settings.name.clone(), now);
+            }
+            claims.push((shard.clone(), mine.epoch));
+        }
+        steps.push(Step::Beat(Heartbeat {
+            node: self.settings.name.clone(),
+            incarnation: self.settings.incarnation,
+            claims,
+            stopping: self.stopping,
+        }));
+        // A scheduler that is its own majority is supported from here on.
+        self.refresh(now, steps);
+    }
+
+    fn beat_period(&self, now: Instant) -> u64 {
+        let majority = self.settings.majority();
+        let mut mine = self.mine.values();
+        let gathering = mine.any(|mine| !mine.releasing && now >= mine.supported_until(majority));
+        let suspecting = claims::is_owner_suspected(now, &self.settings, &self.peers, &self.ledger);
+        match gathering || suspecting {
+            true => HEARTBEAT_URGENT_MS,
+            false => HEARTBEAT_MS,
+        }
+    }
+
+    fn claim_when_due(&mut self, now: Instant, steps: &mut Vec<Step>) {
+        if self.stopping || self.log.unreachable || self.caught_up.0.is_none() {
+            return;
+        }
+        for (shard, previous) in claims::due(now, &self.settings, &self.peers, &self.ledger) {
+            let pending = self.pending.get(&shard);
+            if pending.is_some_and(|at| now.since(*at) < CLAIM_RETRY_MS) {
+                continue;
+            }
+            self.pending.insert(shard.clone(), now);
+            steps.push(Step::Claim { shard, previous });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/ownership/ledger.rs
@@ -0,0 +1,242 @@
+//! Folds the cell stream into the epoch and owner of every shard.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::record::{Cell, Offset};
+use crate::shard::{Epoch, Id};
+
+/// The current epoch of a shard and who created it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Holding {
+    /// Epoch.
+    pub epoch: Epoch,
+    /// Scheduler that claimed the shard.
+    pub owner: Arc<str>,
+    /// Incarnation of the owner.
+    pub incarnation: u64,
+    /// Whether the owner gave the shard up.
+    pub released: bool,
+    /// Milliseconds of doubt that the owner stated when it gave the shard up.
+    pub doubt_ms: u64,
+    /// Offset of the last record that states this claim.
+    pub stated: Offset,
+    /// Whether the epoch before this one is unknown, so that a `Standing` record may correct it.
+    tentative: bool,
+}
+
+impl Holding {
+    /// Tells whether the epoch before this one is unknown to the reader.
+    pub(super) fn is_tentative(&self) -> bool {
+        self.tentative
+    }
+}
+
+/// What a record means at its offset.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The claim is valid and creates a new epoch.
+    Claimed,
+    /// The record was applied before.
+    Known,
+    /// The owner gave the shard up.
+    Released,
+    /// The record states the current claim, or establishes it for a reader that missed the claim.
+    Stated,
+    /// The record of an owner is valid.
+    Valid,
+    /// The record has no effect.
+    Void,
+}
+
+/// Epoch and owner of every shard at an offset of the cell stream.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Ledger {
+    offset: Offset,
+    /// Whether records before the first one read have expired.
+    partial: bool,
+    holdings: BTreeMap<Id, Holding>,
+}
+
+impl Ledger {
+    /// Creates the ledger of a process that took the state at `offset` from a peer.
+    #[must_use]
+    pub fn restore(
+        offset: Offset,
+        owners: impl IntoIterator<Item = (Id, Epoch, Arc<str>, u64)>,
+    ) -> Self {
+        let holding = |(shard, epoch, owner, incarnation)| {
+            let holding = Holding {
+                epoch,
+                owner,
+                incarnation,
+                released: false,
+                doubt_ms: 0,
+                stated: offset,
+                tentative: false,
+            };
+            (shard, holding)
+        };
+        Self {
+            offset,
+            partial: true,
+            holdings: owners.into_iter().map(holding).collect(),
+        }
+    }
+
+    /// Returns the offset of the last record applied.
+    #[must_use]
+    pub fn offset(&self) -> Offset {
+        self.offset
+    }
+
+    /// Returns the current claim of `shard`.
+    #[must_use]
+    pub fn get(&self, shard: &Id) -> Option<&Holding> {
+        self.holdings.get(shard)
+    }
+
+    /// Returns the current epoch of `shard`, or [`Epoch::NONE`].
+    #[must_use]
+    pub fn epoch(&self, shard: &Id) -> Epoch {
+        self.get(shard).map_or(Epoch::NONE, |holding| holding.epoch)
+    }
+
+    /// Returns the owner of `shard` unless it was released.
+    #[must_use]
+    pub fn owner(&self, shard: &Id) -> Option<&Arc<str>> {
+        self.get(shard)
+            .filter(|holding| !holding.released)
+            .map(|holding| &holding.owner)
+    }
+
+    /// Returns all claimed shards.
+    pub fn iter(&self) -> impl Iterator<Item = (&Id, &Holding)> {
+        self.holdings.iter()
+    }
+
+    /// Tells whether records that the reader has not seen may have created epochs.
+    pub(super) fn is_partial(&self) -> bool {
+        self.partial
+    }
+
+    /// Notes that records before the next one have expired unread.
+    pub fn skip(&mut self) {
+        self.partial = true;
+    }
+
+    /// Applies the record at `offset` and returns what it means there.
+    pub fn apply(&mut self, offset: Offset, record: &Cell) -> Verdict {
+        if offset <= self.offset {
+            return Verdict::Known;
+        }
+        self.offset = offset;
+        match record {
+            Cell::Claim {
+                shard,
+                previous,
+                owner,
+                incarnation,
+            } => self.claim(offset, shard, *previous, owner, *incarnation),
+            Cell::Release {
+                shard,
+                epoch,
+                doubt_ms,
+            } => self.release(shard, *epoch, *doubt_ms),
+            Cell::Standing {
+                shard,
+                epoch,
+                owner,
+                incarnation,
+            } => self.state(offset, shard, *epoch, owner, *incarnation),
+            Cell::Cancelled { shard, epoch, .. }
+            | Cell::Ended { shard, epoch, .. }
+            | Cell::Finished { shard, epoch, .. }
+            | Cell::Granted { shard, epoch, .. }
+            | Cell::Intent { shard, epoch, .. }
+            | Cell::Submitted { shard, epoch, .. } => self.judge(shard, *epoch),
+        }
+    }
+
+    fn claim(
+        &mut self,
+        offset: Offset,
+        shard: &Id,
+        previous: Epoch,
+        owner: &Arc<str>,
+        incarnation: u64,
+    ) -> Verdict {
+        let unknown = self.partial && !self.holdings.contains_key(shard);
+        if !unknown && previous != self.epoch(shard) {
+            return Verdict::Void;
+        }
+        let holding = Holding {
+            epoch: Epoch(offset),
+            owner: owner.clone(),
+            incarnation,
+            released: false,
+            doubt_ms: 0,
+            stated: offset,
+            tentative: unknown,
+        };
+        self.holdings.insert(shard.clone(), holding);
+        Verdict::Claimed
+    }
+
+    fn release(&mut self, shard: &Id, epoch: Epoch, doubt_ms: u64) -> Verdict {
+        match self.holdings.get_mut(shard) {
+            Some(holding) if holding.epoch == epoch && !holding.released => {
+                holding.released = true;
+                holding.doubt_ms = doubt_ms;
+                Verdict::Released
+            }
+            _ => Verdict::Void,
+        }
+    }
+
+    fn state(
+        &mut self,
+        offset: Offset,
+        shard: &Id,
+        epoch: Epoch,
+        owner: &Arc<str>,
+        incarnation: u64,
+    ) -> Verdict {
+        let establishes = match self.holdings.get_mut(shard) {
+            Some(holding) if holding.epoch == epoch && !holding.released => {
+                holding.stated = offset;
+                holding.tentative = false;
+                return Verdict::Stated;
+            }
+            Some(holding) => holding.tentative || (self.partial && epoch > holding.epoch),
+            None => self.partial,
+        };
+        if !establishes {
+            return Verdict::Void;
+        }
+        let holding = Holding {
+            epoch,
+            owner: owner.clone(),
+            incarnation,
+            released: false,
+            doubt_ms: 0,
+            stated: offset,
+            tentative: false,
+        };
+        self.holdings.insert(shard.clone(), holding);
+        Verdict::Stated
+    }
+
+    /// Judges a record of an owner. A reader that doesn't know the shard's epoch because the claim
+    /// has expired takes the record as valid: the owner states its claim again soon.
+    fn judge(&self, shard: &Id, epoch: Epoch) -> Verdict {
+        let valid = match self.holdings.get(shard) {
+            Some(holding) => holding.epoch == epoch && !holding.released,
+            None => self.partial,
+        };
+        match valid {
+            true => Verdict::Valid,
+            false => Verdict::Void,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/ownership/message.rs
@@ -0,0 +1,42 @@
+//! What schedulers tell each other about ownership.
+
+use std::sync::Arc;
+
+use crate::shard::{Epoch, Id};
+
+/// How a scheduler sees the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LogView {
+    /// Whether the log is regarded as unreachable now.
+    pub unreachable: bool,
+    /// Milliseconds since it was last regarded so, or since the start if that can't be told.
+    pub doubt_age_ms: u64,
+}
+
+/// A heartbeat: asks for support of claims.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Heartbeat {
+    /// Name of the sender.
+    pub node: Arc<str>,
+    /// Incarnation of the sender.
+    pub incarnation: u64,
+    /// Claims for which the sender asks for support.
+    pub claims: Vec<(Id, Epoch)>,
+    /// Whether the sender is about to stop and takes no shards.
+    pub stopping: bool,
+}
+
+/// The answer to a heartbeat.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Support {
+    /// Name of the supporter.
+    pub node: Arc<str>,
+    /// Incarnation of the supporter.
+    pub incarnation: u64,
+    /// Claims supported.
+    pub claims: Vec<(Id, Epoch)>,
+    /// How the supporter sees the log.
+    pub log: LogView,
+    /// Schedulers that the supporter hears.
+    pub hears: Vec<Arc<str>>,
+}
--- /dev/null
+++ b/crates/core/src/ownership/promises.rs
@@ -0,0 +1,71 @@
+//! Support that this scheduler grants to owners, itself included.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::ledger::Ledger;
+use crate::shard::{Epoch, Id};
+use crate::time::Instant;
+use crate::timing::SUPPORT_MS;
+
+#[derive(Clone, Copy, Debug)]
+struct Promise {
+    epoch: Epoch,
+    until: Instant,
+}
+
+/// Support granted, per shard.
+#[derive(Clone, Debug)]
+pub(super) struct Promises {
+    /// Before this time a promise of an earlier incarnation may still be in force.
+    silent_until: Instant,
+    promises: BTreeMap<Id, Promise>,
+}
+
+impl Promises {
+    /// Creates the promises of an incarnation that starts at `now`.
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            silent_until: now + SUPPORT_MS,
+            promises: BTreeMap::new(),
+        }
+    }
+
+    /// Grants support from `now` on if `ledger` names the claim as current and no other epoch of
+    /// the shard is still supported.
+    pub(super) fn grant(
+        &mut self,
+        now: Instant,
+        ledger: &Ledger,
+        shard: &Id,
+        epoch: Epoch,
+        claimant: (&Arc<str>, u64),
+    ) -> bool {
+        let current = ledger.get(shard).is_some_and(|holding| {
+            holding.epoch == epoch
+                && !holding.released
+                && (&holding.owner, holding.incarnation) == claimant
+        });
+        if !current || now < self.silent_until {
+            return false;
+        }
+        let blocked = self
+            .promises
+            .get(shard)
+            .is_some_and(|promise| promise.epoch != epoch && now < promise.until);
+        if blocked {
+            return false;
+        }
+        let until = now + SUPPORT_MS;
+        self.promises
+            .insert(shard.clone(), Promise { epoch, until });
+        true
+    }
+
+    /// Ends the support of `epoch`, whose owner has stopped acting.
+    pub(super) fn release(&mut self, shard: &Id, epoch: Epoch) {
+        if self.promises.get(shard).is_some_and(|p| p.epoch == epoch) {
+            self.promises.remove(shard);
+        }
+    }
+}
--- a/crates/core/src/record.rs
+++ b/crates/core/src/record.rs
@@ -91,6 +91,10 @@
         shard: shard::Id,
         /// Epoch released.
         epoch: Epoch,
+        /// Milliseconds for which the next owner still has to doubt that all dispatches of earlier
+        /// epochs are recorded; 0 if there is no doubt.
+        #[serde(default)]
+        doubt_ms: u64,
     },
     /// Repeats a valid claim before it expires from the log.
     Standing {
--- /dev/null
+++ b/crates/scheduler/src/calls.rs
@@ -0,0 +1,171 @@
+//! Answers calls of gateways and schedulers.
+
+use std::sync::Arc;
+
+use rosemaryworks_core::ownership::Heartbeat;
+use rosemaryworks_core::routing::{Ask, Event};
+use rosemaryworks_core::shard::Id;
+use rosemaryworks_node::clock;
+use rosemaryworks_wire::link::{Peer, Reply};
+use rosemaryworks_wire::{Beat, Inspected, Message, Submission, Verdict};
+
+use crate::hosted::Hosted;
+use crate::pool::Pool;
+use crate::service::Service;
+use crate::shared::Shared;
+use crate::snapshot;
+
+/// Returns the reply to `message`.
+pub(crate) fn answer(shared: &Arc<Shared>, _peer: &Peer, message: Message) -> Reply {
+    let shared = shared.clone();
+    match message {
+        Message::Ask { shard, ask } => {
+            Box::pin(async move { Message::Verdict(self::ask(&shared, &shard, ask).await) })
+        }
+        Message::Beat(beat) => now(self::beat(&shared, beat)),
+        Message::Cancel { shard, job } => Box::pin(async move {
+            Message::Submission(match pool(&shared, &shard) {
+                Some(pool) => pool.cancel(&shared, &job).await,
+                None => Submission::NotOwner {
+                    owner: other_owner(&shared, &shard),
+                },
+            })
+        }),
+        Message::Finish {
+            shard,
+            epoch,
+            slot,
+            finish,
+            run_ms,
+        } => {
+            let current = hosted_service(&shared, &shard);
+            let current = current.filter(|service| service.tenure.epoch == epoch);
+            let event = Event::Finished {
+                slot,
+                finish,
+                run_ms,
+            };
+            now(feed(&shared, &shard, current, event))
+        }
+        Message::Inspect => now(Message::Inspected(Box::new(inspect(&shared)))),
+        Message::OutstandingFinished { shard, key, finish } => {
+            let current = hosted_service(&shared, &shard);
+            let event = Event::OutstandingFinished { key, finish };
+            now(feed(&shared, &shard, current, event))
+        }
+        Message::Snapshot => now(Message::Snapshotted(Box::new(snapshot::take(&shared)))),
+        Message::Status {
+            shard,
+            job,
+            wait_ms,
+        } => Box::pin(async move {
+            let Some(pool) = pool(&shared, &shard) else {
+                return not_owner(&shared, &shard);
+            };
+            let status = pool.wait(&shared, &job, wait_ms).await;
+            status.map_or(Message::NoJob, Message::Told)
+        }),
+        Message::Submit {
+            shard,
+            contract,
+            job,
+        } => Box::pin(async move {
+            Message::Submission(match pool(&shared, &shard) {
+                Some(pool) => pool.submit(&shared, contract, job).await,
+                None => Submission::NotOwner {
+                    owner: other_owner(&shared, &shard),
+                },
+            })
+        }),
+        Message::Tasks { shard, job } => now(match pool(&shared, &shard) {
+            Some(pool) => pool
+                .tasks(&shared, &job)
+                .map_or(Message::NoJob, Message::TaskList),
+            None => not_owner(&shared, &shard),
+        }),
+        _ => now(Message::Done),
+    }
+}
+
+fn now(message: Message) -> Reply {
+    Box::pin(std::future::ready(message))
+}
+
+async fn ask(shared: &Arc<Shared>, shard: &Id, ask: Ask) -> Verdict {
+    match hosted_service(shared, shard).filter(|service| service.tenure.holds()) {
+        Some(service) => service.ask(ask).await,
+        None => Verdict::NotOwner {
+            owner: other_owner(shared, shard),
+        },
+    }
+}
+
+fn beat(shared: &Shared, beat: Beat) -> Message {
+    let heartbeat = Heartbeat {
+        node: beat.node,
+        incarnation: beat.incarnation,
+        claims: beat.claims,
+        stopping: beat.stopping,
+    };
+    let support = shared.own(|kernel| kernel.beat(clock::now(), &heartbeat));
+    Message::Supported {
+        claims: support.claims,
+        log_unreachable: support.log.unreachable,
+        log_doubt_age_ms: support.log.doubt_age_ms,
+        hears: support.hears,
+    }
+}
+
+/// Hands an event to the shard's kernel. A kernel that only lacks support takes it too.
+fn feed(shared: &Shared, shard: &Id, service: Option<Arc<Service>>, event: Event) -> Message {
+    match service {
+        Some(service) => {
+            service.feed(event);
+            Message::Done
+        }
+        None => not_owner(shared, shard),
+    }
+}
+
+fn inspect(shared: &Shared) -> Inspected {
+    let mut inspected = Inspected::default();
+    for hosted in shared.all_hosted() {
+        let tenure = hosted.tenure();
+        if !tenure.holds() {
+            continue;
+        }
+        inspected.shards.push((tenure.shard.clone(), tenure.epoch));
+        inspected.targets.extend(hosted.targets());
+        if let Hosted::Pool(pool) = &hosted {
+            inspected.jobs.extend(pool.jobs(shared));
+        }
+    }
+    inspected
+}
+
+fn hosted_service(shared: &Shared, shard: &Id) -> Option<Arc<Service>> {
+    match shared.hosted(shard) {
+        Some(Hosted::Service(service)) => Some(service),
+        _ => None,
+    }
+}
+
+/// Returns the pool shard if this process may act as its owner now.
+fn pool(shared: &Shared, shard: &Id) -> Option<Arc<Pool>> {
+    match shared.hosted(shard) {
+        Some(Hosted::Pool(pool)) if pool.tenure.holds() => Some(pool),
+        _ => None,
+    }
+}
+
+fn not_owner(shared: &Shared, shard: &Id) -> Message {
+    Message::NotOwner {
+        owner: other_owner(shared, shard),
+    }
+}
+
+/// Returns the owner of `shard` unless it is this process, which isn't active then.
+fn other_owner(shared: &Shared, shard: &Id) -> Option<Arc<str>> {
+    let owner = shared.owner(shard);
+    owner.filter(|owner| *owner != shared.settings.node)
+}
--- /dev/null
+++ b/crates/scheduler/src/contracts.rs
@@ -0,0 +1,91 @@
+//! Publishes contracts and drains again before they expire from the log.
+//!
+//! Only the owner of the cell's first shard does so.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryworks_core::record::{Config, Offset};
+use rosemaryworks_core::time::Instant;
+use rosemaryworks_node::clock;
+
+use crate::lock::lock;
+use crate::shared::Shared;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Operator named in drains that are stated again.
+const OPERATOR: &str = "scheduler";
+
+/// When this process first saw each record that states something in force.
+#[derive(Debug, Default)]
+pub(crate) struct Ages {
+    contracts: BTreeMap<Arc<str>, (Offset, Instant)>,
+    drained: BTreeMap<Arc<str>, Instant>,
+}
+
+/// States again what is older than half the retention.
+pub(crate) async fn restate(shared: &Shared, ages: &mut Ages) {
+    let due = due(shared, ages);
+    let first = shared.partition.shards().into_iter().next();
+    let hosted = first.and_then(|shard| shared.hosted(&shard));
+    if !hosted.is_some_and(|hosted| hosted.tenure().holds()) {
+        return;
+    }
+    for (record, name) in due {
+        let Ok(text) = serde_json::to_string(&record) else {
+            continue;
+        };
+        let written = shared.config_appender.append(text, PATIENCE).await.is_ok();
+        if let (Config::Drain { .. }, true) = (&record, written) {
+            ages.drained.insert(name, clock::now());
+        }
+    }
+}
+
+/// Returns the records to be stated again, with the names of what they state.
+fn due(shared: &Shared, ages: &mut Ages) -> Vec<(Config, Arc<str>)> {
+    let now = clock::now();
+    let age_ms = shared.settings.retention_ms / 2;
+    let register = lock(&shared.register);
+    let mut due = Vec::new();
+    for entry in register.iter() {
+        let name = &entry.contract.name;
+        let seen = ages
+            .contracts
+            .entry(name.clone())
+            .or_insert((entry.offset, now));
+        if seen.0 != entry.offset {
+            *seen = (entry.offset, now);
+        }
+        if now.since(seen.1) > age_ms {
+            let record = Config::Standing {
+                revision: entry.revision,
+                contract: Box::new(entry.contract.as_ref().clone()),
+                operator: entry.operator.clone(),
+                at_unix_ms: entry.at_unix_ms,
+            };
+            due.push((record, name.clone()));
+        }
+    }
+    ages.drained.retain(|name, _| register.is_drained(name));
+    for name in register.drained() {
+        let seen = *ages.drained.entry(name.clone()).or_insert(now);
+        if now.since(seen) > age_ms {
+            due.push((drain(shared, name), name.clone()));
+        }
+    }
+    due
+}
+
+fn drain(shared: &Shared, target: &Arc<str>) -> Config {
+    let at_unix_ms = clock::unix_ms();
+    Config::Drain {
+        id: format!("restate-{}-{at_unix_ms}-{target}", shared.settings.node).into(),
+        target: target.clone(),
+        drained: true,
+        operator: OPERATOR.into(),
+        at_unix_ms,
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/fold.rs
@@ -0,0 +1,171 @@
+//! Folds the cell stream into what a new owner must know of each shard.
+
+mod jobs;
+mod requests;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rosemaryworks_core::job::{Id as JobId, Spec, Task};
+use rosemaryworks_core::ownership::{Ledger, Verdict};
+use rosemaryworks_core::record::{Cell, Offset};
+use rosemaryworks_core::shard::{Epoch, Id};
+use rosemaryworks_core::time::Instant;
+
+pub(crate) use jobs::{Ended, Job, Jobs};
+pub(crate) use requests::Requests;
+
+/// What the log tells of one shard.
+#[derive(Debug, Default)]
+pub(crate) struct Shard {
+    pub(crate) jobs: Jobs,
+    pub(crate) requests: Requests,
+}
+
+/// A change that the owner of a shard is told.
+#[derive(Clone, Debug)]
+pub(crate) enum Change {
+    /// A caller cancelled the job.
+    Cancelled(JobId),
+    /// The job ended.
+    Ended,
+    /// The ends of the tasks are recorded.
+    Finished(Vec<Task>),
+    /// A job was accepted.
+    Submitted {
+        /// Contract of the job.
+        contract: Arc<str>,
+        /// The job.
+        job: Arc<Spec>,
+    },
+}
+
+/// The fold of the cell stream.
+#[derive(Debug, Default)]
+pub(crate) struct Fold {
+    pub(crate) ledger: Ledger,
+    shards: BTreeMap<Id, Shard>,
+}
+
+impl Fold {
+    /// Returns what the log tells of `shard`.
+    pub(crate) fn shard(&self, shard: &Id) -> Option<&Shard> {
+        self.shards.get(shard)
+    }
+
+    /// Returns the job `job` of `shard`.
+    pub(crate) fn job(&self, shard: &Id, job: &JobId) -> Option<&Job> {
+        self.shard(shard)?.jobs.get(job)
+    }
+
+    /// Applies the record at `offset` and returns its verdict and what the shard's owner is told.
+    pub(crate) fn apply(
+        &mut self,
+        now: Instant,
+        offset: Offset,
+        record: &Cell,
+    ) -> (Verdict, Option<(Id, Change)>) {
+        let verdict = self.ledger.apply(offset, record);
+        if verdict != Verdict::Valid {
+            return (verdict, None);
+        }
+        let id = shard_of(record);
+        let shard = self.shards.entry(id.clone()).or_default();
+        let change = shard.apply(now, record);
+        (verdict, change.map(|change| (id.clone(), change)))
+    }
+
+    /// Forgets ended jobs and old request ids.
+    pub(crate) fn expire(&mut self, unix_ms: u64, ended_max_ms: u64) {
+        for shard in self.shards.values_mut() {
+            shard.jobs.expire(unix_ms, ended_max_ms);
+            shard.requests.expire(unix_ms);
+        }
+    }
+
+    /// Returns the records of `shard` that are older than `age_ms`, to be written again.
+    pub(crate) fn restate(
+        &mut self,
+        now: Instant,
+        shard: &Id,
+        epoch: Epoch,
+        age_ms: u64,
+    ) -> Vec<Cell> {
+        let Some(state) = self.shards.get_mut(shard) else {
+            return Vec::new();
+        };
+        let mut records = state.jobs.restate(now, shard, epoch, age_ms);
+        records.extend(state.requests.restate(now, shard, epoch, age_ms));
+        records
+    }
+}
+
+impl Shard {
+    fn apply(&mut self, now: Instant, record: &Cell) -> Option<Change> {
+        match record {
+            Cell::Cancelled { job, .. } => self
+                .jobs
+                .cancel(job)
+                .then(|| Change::Cancelled(job.clone())),
+            Cell::Ended {
+                job,
+                state,
+                reason,
+                at_unix_ms,
+                ..
+            } => {
+                let ended = Ended {
+                    state: *state,
+                    reason: reason.clone(),
+                    at_unix_ms: *at_unix_ms,
+                };
+                self.jobs.end(job, ended).then_some(Change::Ended)
+            }
+            Cell::Finished { tasks, .. } => {
+                self.jobs.finish(tasks);
+                let tasks = tasks.iter().map(|(task, _)| task.clone()).collect();
+                Some(Change::Finished(tasks))
+            }
+            Cell::Granted { tasks, .. } => {
+                self.jobs.grant(tasks);
+                None
+            }
+            Cell::Intent {
+                requests,
+                at_unix_ms,
+                ..
+            } => {
+                self.requests.note(now, requests, *at_unix_ms);
+                None
+            }
+            Cell::Submitted {
+                contract,
+                job,
+                at_unix_ms,
+                ..
+            } => {
+                let job = self.jobs.submit(now, contract, job, *at_unix_ms)?;
+                Some(Change::Submitted {
+                    contract: contract.clone(),
+                    job,
+                })
+            }
+            Cell::Claim { .. } | Cell::Release { .. } | Cell::Standing { .. } => None,
+        }
+    }
+}
+
+/// Returns the shard that a record belongs to.
+pub(crate) fn shard_of(record: &Cell) -> &Id {
+    match record {
+        Cell::Cancelled { shard, .. }
+        | Cell::Claim { shard, .. }
+        | Cell::Ended { shard, .. }
+        | Cell::Finished { shard, .. }
+        | Cell::Granted { shard, .. }
+        | Cell::Intent { shard, .. }
+        | Cell::Release { shard, .. }
+        | Cell::Standing { shard, .. }
+        | Cell::Submitted { shard, .. } => shard,
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/fold/requests.rs
@@ -0,0 +1,74 @@
+//! Recorded ids of non-idempotent requests of one shard.
+
+use std::collections::HashMap;
+
+use rosemaryworks_core::outcome::Request;
+use rosemaryworks_core::record::Cell;
+use rosemaryworks_core::shard::{Epoch, Id};
+use rosemaryworks_core::time::Instant;
+use rosemaryworks_core::timing::REMEMBER_MS;
+
+/// Most requests in one restated record.
+const RECORD_MAX_REQUESTS: usize = 500;
+
+#[derive(Debug)]
+struct Entry {
+    at_unix_ms: u64,
+    stated: Instant,
+}
+
+/// Requests by id, each kept for [`REMEMBER_MS`].
+#[derive(Debug, Default)]
+pub(crate) struct Requests(HashMap<Request, Entry>);
+
+impl Requests {
+    /// Returns every request with its age in milliseconds.
+    pub(crate) fn remembered(&self, unix_ms: u64) -> Vec<(Request, u64)> {
+        let age = |entry: &Entry| unix_ms.saturating_sub(entry.at_unix_ms);
+        let entries = self.0.iter();
+        entries
+            .map(|(request, entry)| (request.clone(), age(entry)))
+            .filter(|(_, age)| *age <= REMEMBER_MS)
+            .collect()
+    }
+
+    pub(super) fn note(&mut self, now: Instant, requests: &[Request], at_unix_ms: u64) {
+        for request in requests {
+            let entry = self.0.entry(request.clone()).or_insert(Entry {
+                at_unix_ms,
+                stated: now,
+            });
+            entry.stated = now;
+        }
+    }
+
+    pub(super) fn expire(&mut self, unix_ms: u64) {
+        self.0
+            .retain(|_, entry| unix_ms.saturating_sub(entry.at_unix_ms) <= REMEMBER_MS);
+    }
+
+    pub(super) fn restate(
+        &mut self,
+        now: Instant,
+        shard: &Id,
+        epoch: Epoch,
+        age_ms: u64,
+    ) -> Vec<Cell> {
+        let mut due: Vec<(u64, Request)> = Vec::new();
+        for (request, entry) in &mut self.0 {
+            if now.since(entry.stated) > age_ms {
+                entry.stated = now;
+                due.push((entry.at_unix_ms, request.clone()));
+            }
+        }
+        due.sort_unstable_by_key(|(at, _)| *at);
+        // A record has one time for all its requests. The latest keeps each id long enough.
+        let records = due.chunks(RECORD_MAX_REQUESTS).map(|chunk| Cell::Intent {
+            shard: shard.clone(),
+            epoch,
+            requests: chunk.iter().map(|(_, request)| request.clone()).collect(),
+            at_unix_ms: chunk.last().map_or(0, |(at, _)| *at),
+        });
+        records.collect()
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/hosted.rs
@@ -0,0 +1,70 @@
+//! A kernel that this process hosts for a shard it owns.
+
+use std::sync::Arc;
+
+use rosemaryworks_core::contract::Contract;
+use rosemaryworks_core::view;
+
+use crate::pool::Pool;
+use crate::service::Service;
+use crate::shared::Shared;
+use crate::tenure::Tenure;
+
+/// The kernel of one owned shard and epoch. Clones share the kernel.
+#[derive(Clone)]
+pub(crate) enum Hosted {
+    Pool(Arc<Pool>),
+    Service(Arc<Service>),
+}
+
+impl Hosted {
+    pub(crate) fn tenure(&self) -> &Tenure {
+        match self {
+            Self::Pool(pool) => &pool.tenure,
+            Self::Service(service) => &service.tenure,
+        }
+    }
+
+    pub(crate) fn contract(&self, contract: &Arc<Contract>) {
+        match self {
+            Self::Pool(pool) => pool.feed(rosemaryworks_core::placement::Event::Contract(
+                contract.clone(),
+            )),
+            Self::Service(service) => service.feed(rosemaryworks_core::routing::Event::Contract(
+                contract.clone(),
+            )),
+        }
+    }
+
+    /// Hands over the list of targets if it changed.
+    pub(crate) fn list(&self, shared: &Shared) {
+        match self {
+            Self::Pool(pool) => pool.list(shared),
+            Self::Service(service) => service.list(shared),
+        }
+    }
+
+    /// Answers what waits: this process isn't the owner any more, at least for now.
+    pub(crate) fn suspend(&self) {
+        if let Self::Service(service) = self {
+            service.suspend();
+        }
+    }
+
+    /// Ends the epoch.
+    pub(crate) fn end(&self) {
+        self.tenure().end();
+        self.suspend();
+        match self {
+            Self::Pool(pool) => pool.wake(),
+            Self::Service(_) => {}
+        }
+    }
+
+    pub(crate) fn targets(&self) -> Vec<view::Target> {
+        match self {
+            Self::Pool(pool) => pool.targets(),
+            Self::Service(service) => service.targets(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/links.rs
@@ -0,0 +1,97 @@
+//! Takes what arrives on links.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryworks_core::routing::Event;
+use rosemaryworks_wire::link::{Handler, Peer, Reply};
+use rosemaryworks_wire::{Message, Role};
+
+use crate::calls;
+use crate::events;
+use crate::hosted::Hosted;
+use crate::shared::Shared;
+use crate::survey;
+
+/// Time that a gateway has to open its link again before it counts as lost.
+const REOPEN_MAX: Duration = Duration::from_secs(1);
+
+/// Handler of all links of the process.
+pub(crate) struct Inbox(pub(crate) Arc<Shared>);
+
+impl Handler for Inbox {
+    fn call(&self, peer: &Peer, message: Message) -> Reply {
+        calls::answer(&self.0, peer, message)
+    }
+
+    fn notice(&self, _peer: &Peer, message: Message) {
+        match message {
+            Message::Released(claims) => {
+                self.0
+                    .ownership_event(rosemaryworks_core::ownership::Event::Released(claims));
+            }
+            Message::Withdraw { shard, key } => {
+                if let Some(Hosted::Service(service)) = self.0.hosted(&shard) {
+                    service.feed(Event::Withdrawn(key));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn opened(&self, peer: &Peer) {
+        let hello = peer.hello();
+        events::LINK_OPENED.log(format_args!(
+            "peer={} role={:?} incarnation={}",
+            hello.node, hello.role, hello.incarnation
+        ));
+        if hello.role != Role::Gateway {
+            return;
+        }
+        if self.0.gateways.opened(peer).is_some() {
+            lost(&self.0, &hello.node);
+        }
+        for hosted in self.0.all_hosted() {
+            let tenure = hosted.tenure();
+            if !tenure.holds() {
+                continue;
+            }
+            let _ = peer.notify(Message::Owned {
+                shard: tenure.shard.clone(),
+                epoch: tenure.epoch,
+                owner: Some(self.0.settings.node.clone()),
+            });
+            if let Hosted::Service(service) = hosted {
+                survey::start(&self.0, &service, peer);
+            }
+        }
+    }
+
+    fn closed(&self, peer: &Peer) {
+        let hello = peer.hello().clone();
+        events::LINK_CLOSED.log(format_args!(
+            "peer={} role={:?} incarnation={}",
+            hello.node, hello.role, hello.incarnation
+        ));
+        if hello.role != Role::Gateway {
+            return;
+        }
+        let shared = self.0.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(REOPEN_MAX).await;
+            // A newer incarnation was noted as a loss of this one when its link opened.
+            if shared.gateways.get(&hello.node).is_none() {
+                lost(&shared, &hello.node);
+            }
+        });
+    }
+}
+
+fn lost(shared: &Shared, gateway: &Arc<str>) {
+    events::GATEWAY_LOST.log(format_args!("gateway={gateway}"));
+    for hosted in shared.all_hosted() {
+        if let Hosted::Service(service) = hosted {
+            service.feed(Event::GatewayLost(gateway.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/lock.rs
@@ -0,0 +1,8 @@
+//! Locks of state that stays usable after a panic of another thread.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Locks `mutex`. No guard is held across an await.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/scheduler/src/metrics.rs
@@ -0,0 +1,165 @@
+//! Metrics of the scheduler.
+
+use std::sync::atomic::AtomicU64;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use rosemaryworks_core::outcome::{NotRun, Unknown};
+use rosemaryworks_node::metrics::Metrics;
+
+/// A label with the reason or outcome of what is counted.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Reason {
+    reason: &'static str,
+}
+
+/// A label with the name of a shard.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Shard {
+    shard: String,
+}
+
+/// Counters and gauges of the process.
+pub(crate) struct Counters {
+    appends: Family<Reason, Counter>,
+    grants: Counter,
+    link_bytes: Family<Reason, Gauge<i64, std::sync::atomic::AtomicI64>>,
+    placements: Family<Reason, Counter>,
+    queues: Family<Shard, Gauge>,
+    refusals: Family<Reason, Counter>,
+    margins: Family<Shard, Gauge>,
+    takeovers: Counter<u64, AtomicU64>,
+    unsure: Family<Reason, Counter>,
+}
+
+impl Counters {
+    /// Registers the metrics.
+    pub(crate) fn new(metrics: &Metrics) -> Self {
+        Self {
+            appends: metrics.register(
+                "appends",
+                "Records handed to the cell stream, by outcome",
+                Family::default(),
+            ),
+            grants: metrics.register("grants", "Slots granted", Counter::default()),
+            link_bytes: metrics.register(
+                "link_bytes",
+                "Bytes of frames on links since the start, by direction",
+                Family::default(),
+            ),
+            placements: metrics.register(
+                "placements",
+                "Leases asked of workers, by outcome",
+                Family::default(),
+            ),
+            queues: metrics.register(
+                "queue_length",
+                "Asks without an answer, by shard",
+                Family::default(),
+            ),
+            refusals: metrics.register(
+                "refusals",
+                "Requests not run, by reason",
+                Family::default(),
+            ),
+            margins: metrics.register(
+                "support_margin_ms",
+                "Milliseconds for which the support of an owned shard lasts",
+                Family::default(),
+            ),
+            takeovers: metrics.register(
+                "activations",
+                "Shards activated by this process",
+                Counter::default(),
+            ),
+            unsure: metrics.register(
+                "unknowns",
+                "Requests answered as unknown, by reason",
+                Family::default(),
+            ),
+        }
+    }
+
+    pub(crate) fn append(&self, succeeded: bool) {
+        let reason = outcome(succeeded);
+        self.appends.get_or_create(&Reason { reason }).inc();
+    }
+
+    pub(crate) fn grant(&self) {
+        self.grants.inc();
+    }
+
+    pub(crate) fn placement(&self, succeeded: bool) {
+        let reason = outcome(succeeded);
+        self.placements.get_or_create(&Reason { reason }).inc();
+    }
+
+    pub(crate) fn refusal(&self, reason: &NotRun) {
+        let reason = match reason {
+            NotRun::Concurrency => "concurrency",
+            NotRun::Deadline => "deadline",
+            NotRun::LogUnavailable => "log-unavailable",
+            NotRun::NoInstance => "no-instance",
+            NotRun::NoOwner => "no-owner",
+            NotRun::NotInContract => "not-in-contract",
+            NotRun::Overloaded => "overloaded",
+            NotRun::Rate => "rate",
+            NotRun::Stopping => "stopping",
+        };
+        self.refusals.get_or_create(&Reason { reason }).inc();
+    }
+
+    pub(crate) fn unsure(&self, reason: &Unknown) {
+        let reason = match reason {
+            Unknown::AlreadyDispatched => "already-dispatched",
+            Unknown::Deadline => "deadline",
+            Unknown::InstanceLost => "instance-lost",
+            Unknown::NoOwner => "no-owner",
+            Unknown::Takeover => "takeover",
+        };
+        self.unsure.get_or_create(&Reason { reason }).inc();
+    }
+
+    pub(crate) fn activation(&self) {
+        self.takeovers.inc();
+    }
+
+    pub(crate) fn queue(&self, shard: &str, length: usize) {
+        let shard = shard.to_owned();
+        let length = i64::try_from(length).unwrap_or(i64::MAX);
+        self.queues.get_or_create(&Shard { shard }).set(length);
+    }
+
+    pub(crate) fn margin(&self, shard: &str, margin_ms: u64) {
+        let shard = shard.to_owned();
+        let margin = i64::try_from(margin_ms).unwrap_or(i64::MAX);
+        self.margins.get_or_create(&Shard { shard }).set(margin);
+    }
+
+    /// Removes the gauges of a shard that is no longer owned.
+    pub(crate) fn forget(&self, shard: &str) {
+        let label = Shard {
+            shard: shard.to_owned(),
+        };
+        self.queues.remove(&label);
+        self.margins.remove(&label);
+    }
+
+    pub(crate) fn link_bytes(&self, sent: u64, received: u64) {
+        let set = |reason, bytes| {
+            let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+            self.link_bytes.get_or_create(&Reason { reason }).set(bytes);
+        };
+        set("sent", sent);
+        set("received", received);
+    }
+}
+
+fn outcome(succeeded: bool) -> &'static str {
+    match succeeded {
+        true => "succeeded",
+        false => "failed",
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/owner/beat.rs
@@ -0,0 +1,66 @@
+//! Sends heartbeats and takes their answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryworks_core::ownership::{Event, Heartbeat, LogView, Support};
+use rosemaryworks_core::time::Instant;
+use rosemaryworks_core::timing::SUPPORT_MS;
+use rosemaryworks_node::clock;
+use rosemaryworks_wire::link::Peer;
+use rosemaryworks_wire::{Beat, Message};
+
+use crate::shared::Shared;
+
+/// Time after which an answer is of no use any more.
+const TIMEOUT: Duration = Duration::from_millis(SUPPORT_MS);
+
+/// Sends `heartbeat` to every scheduler with an open link.
+pub(super) fn send(shared: &Arc<Shared>, heartbeat: &Heartbeat) {
+    let log = shared.log_view();
+    let beat = Beat {
+        node: heartbeat.node.clone(),
+        incarnation: heartbeat.incarnation,
+        claims: heartbeat.claims.clone(),
+        log_unreachable: log.unreachable,
+        log_doubt_age_ms: log.doubt_age_ms,
+        stopping: heartbeat.stopping,
+    };
+    for client in shared.peers.get().into_iter().flatten() {
+        if let Some(peer) = client.peer() {
+            tokio::spawn(exchange(shared.clone(), peer, beat.clone()));
+        }
+    }
+}
+
+async fn exchange(shared: Arc<Shared>, peer: Peer, beat: Beat) {
+    // Support is counted from a time at or before the sending.
+    let sent = clock::now();
+    let Ok(reply) = peer.call(Message::Beat(beat), TIMEOUT).await else {
+        return;
+    };
+    take(&shared, &peer, sent, reply);
+}
+
+fn take(shared: &Shared, peer: &Peer, sent: Instant, reply: Message) {
+    let Message::Supported {
+        claims,
+        log_unreachable,
+        log_doubt_age_ms,
+        hears,
+    } = reply
+    else {
+        return;
+    };
+    let support = Support {
+        node: peer.hello().node.clone(),
+        incarnation: peer.hello().incarnation,
+        claims,
+        log: LogView {
+            unreachable: log_unreachable,
+            doubt_age_ms: log_doubt_age_ms,
+        },
+        hears,
+    };
+    shared.ownership_event(Event::Supported { sent, support });
+}
--- /dev/null
+++ b/crates/scheduler/src/pool.rs
@@ -0,0 +1,126 @@
+//! Hosts the placement kernel of one worker shard.
+
+mod jobs;
+mod steps;
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Duration;
+
+use rosemaryworks_core::placement::{Event, Kernel, Start};
+use rosemaryworks_core::target::{State, Worker};
+use rosemaryworks_core::view;
+use rosemaryworks_node::clock;
+use rosemaryworks_platform::directory::Listing;
+use tokio::sync::Notify;
+
+use crate::lock::lock;
+use crate::shared::Shared;
+use crate::tenure::Tenure;
+use crate::writer::Writer;
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// The placement kernel of one shard and epoch.
+pub(crate) struct Pool {
+    pub(crate) tenure: Arc<Tenure>,
+    shared: Weak<Shared>,
+    state: Mutex<Inner>,
+    pub(crate) writer: Writer,
+    /// Signalled when a job ends or the epoch does.
+    ended: Notify,
+}
+
+struct Inner {
+    kernel: Kernel,
+    workers: HashMap<Arc<str>, Worker>,
+    listed: Vec<(Worker, State)>,
+}
+
+impl Pool {
+    /// Creates the kernel of a shard whose epoch starts now. Must be called within a tokio runtime.
+    pub(crate) fn start(shared: &Arc<Shared>, tenure: Tenure, start: Start) -> Arc<Self> {
+        let (writer, receiver) = Writer::new();
+        let tenure = Arc::new(tenure);
+        tokio::spawn(writer.clone().run(shared.clone(), tenure.clone(), receiver));
+        Arc::new(Self {
+            tenure,
+            shared: Arc::downgrade(shared),
+            state: Mutex::new(Inner {
+                kernel: Kernel::new(clock::now(), start),
+                workers: HashMap::new(),
+                listed: Vec::new(),
+            }),
+            writer,
+            ended: Notify::new(),
+        })
+    }
+
+    /// Starts to tick, once the kernel was told all that is known.
+    pub(crate) fn run(self: &Arc<Self>) {
+        tokio::spawn(tick(self.clone()));
+    }
+
+    /// Hands an event to the kernel and carries out its steps.
+    pub(crate) fn feed(self: &Arc<Self>, event: Event) {
+        let steps = lock(&self.state).kernel.handle(clock::now(), event);
+        for step in steps {
+            self.carry_out(step);
+        }
+    }
+
+    /// Hands over the list of workers if it changed.
+    pub(crate) fn list(self: &Arc<Self>, shared: &Shared) {
+        let Some(listing) = lock(&shared.listing).clone() else {
+            return;
+        };
+        let listed = workers(shared, &self.tenure, &listing);
+        {
+            let mut state = lock(&self.state);
+            if state.listed == listed {
+                return;
+            }
+            state.listed.clone_from(&listed);
+            let named = listed.iter().map(|(w, _)| (w.name.clone(), w.clone()));
+            // A worker that is no longer listed may still hold leases.
+            state.workers.extend(named);
+        }
+        self.feed(Event::Listed(listed));
+    }
+
+    /// Wakes everything that waits for the end of a job.
+    pub(crate) fn wake(&self) {
+        self.ended.notify_waiters();
+    }
+
+    pub(crate) fn targets(&self) -> Vec<view::Target> {
+        lock(&self.state).kernel.targets()
+    }
+}
+
+fn workers(shared: &Shared, tenure: &Tenure, listing: &Listing) -> Vec<(Worker, State)> {
+    let register = lock(&shared.register);
+    let listed = listing.workers.iter();
+    let own = listed.filter(|(worker, _)| {
+        let shard = shared.partition.rack(&worker.pool, &worker.rack);
+        shard.is_some_and(|shard| shard == tenure.shard)
+    });
+    let drained = |name: &str| register.is_drained(name);
+    own.map(|(worker, state)| {
+        let state = match (state, drained(&worker.name)) {
+            (State::Live, true) => State::Leaving { within_ms: None },
+            (state, _) => *state,
+        };
+        (worker.clone(), state)
+    })
+    .collect()
+}
+
+async fn tick(pool: Arc<Pool>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    while !pool.tenure.is_over() {
+        ticks.tick().await;
+        pool.feed(Event::Tick);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/progress.rs
@@ -0,0 +1,49 @@
+//! How far the process has followed the streams.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use rosemaryworks_node::status::Ready;
+
+use crate::events;
+
+/// Whether each stream was followed to its end, or its state taken from a peer.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    cell: AtomicBool,
+    contracts: AtomicBool,
+    stopping: AtomicBool,
+}
+
+impl Progress {
+    pub(crate) fn cell_known(&self, ready: &Ready) {
+        self.cell.store(true, Ordering::SeqCst);
+        self.update(ready);
+    }
+
+    pub(crate) fn contracts_known(&self, ready: &Ready) {
+        self.contracts.store(true, Ordering::SeqCst);
+        self.update(ready);
+    }
+
+    pub(crate) fn stop(&self, ready: &Ready) {
+        self.stopping.store(true, Ordering::SeqCst);
+        ready.clear("stopping");
+    }
+
+    /// Tells whether contracts are known, so that shards may be claimed.
+    pub(crate) fn are_contracts_known(&self) -> bool {
+        self.contracts.load(Ordering::SeqCst)
+    }
+
+    /// Tells whether both streams are known.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.cell.load(Ordering::SeqCst) && self.are_contracts_known()
+    }
+
+    fn update(&self, ready: &Ready) {
+        if self.is_complete() && !self.stopping.load(Ordering::SeqCst) && !ready.get() {
+            ready.set();
+            events::READY.log(format_args!("streams=followed"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/readback.rs
@@ -0,0 +1,51 @@
+//! Tells writers whether their records were valid at their offsets.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rosemaryworks_core::record::Offset;
+use tokio::sync::oneshot;
+
+/// Verdicts kept for writers that learn their offset after the record was read.
+const VERDICTS_MAX: usize = 65_536;
+
+/// Verdicts on the records read last, and the writers that wait for one.
+#[derive(Debug, Default)]
+pub(crate) struct Readback {
+    verdicts: VecDeque<bool>,
+    /// Offset of the first verdict kept.
+    first: Offset,
+    waiting: BTreeMap<Offset, Vec<oneshot::Sender<bool>>>,
+}
+
+impl Readback {
+    /// Notes the verdict on the record at `offset`.
+    pub(crate) fn note(&mut self, offset: Offset, valid: bool) {
+        let next = self.first + self.verdicts.len() as Offset;
+        if offset != next {
+            self.verdicts.clear();
+            self.first = offset;
+        }
+        if self.verdicts.len() == VERDICTS_MAX {
+            self.verdicts.pop_front();
+            self.first += 1;
+        }
+        self.verdicts.push_back(valid);
+        for waiting in self.waiting.remove(&offset).into_iter().flatten() {
+            let _ = waiting.send(valid);
+        }
+    }
+
+    /// Returns a receiver of the verdict on the record at `offset`.
+    pub(crate) fn wait(&mut self, offset: Offset) -> oneshot::Receiver<bool> {
+        let (sender, receiver) = oneshot::channel();
+        let index = offset.checked_sub(self.first);
+        let known = index.and_then(|index| self.verdicts.get(usize::try_from(index).ok()?));
+        match known {
+            Some(valid) => {
+                let _ = sender.send(*valid);
+            }
+            None => self.waiting.entry(offset).or_default().push(sender),
+        }
+        receiver
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/service.rs
@@ -0,0 +1,213 @@
+//! Hosts the routing kernel of one service shard.
+
+mod steps;
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Duration;
+
+use rosemaryworks_core::outcome::{Finish, NotRun, Unknown};
+use rosemaryworks_core::routing::{Ask, Event, Kernel, Key, Slot, Start};
+use rosemaryworks_core::target::{Instance, State};
+use rosemaryworks_core::view;
+use rosemaryworks_node::clock;
+use rosemaryworks_platform::directory::Listing;
+use rosemaryworks_wire::Verdict;
+use tokio::sync::oneshot;
+
+use crate::lock::lock;
+use crate::shared::Shared;
+use crate::tenure::Tenure;
+use crate::writer::Writer;
+
+const TICK: Duration = Duration::from_millis(20);
+
+/// Milliseconds after the caller's deadline at which an ask without a decision is given up.
+const ASK_SLACK_MS: u64 = 1_000;
+
+/// The routing kernel of one shard and epoch.
+pub(crate) struct Service {
+    pub(crate) tenure: Arc<Tenure>,
+    shared: Weak<Shared>,
+    state: Mutex<Inner>,
+    pub(crate) writer: Writer,
+}
+
+struct Inner {
+    kernel: Kernel,
+    waiting: HashMap<Key, oneshot::Sender<Verdict>>,
+    instances: HashMap<Arc<str>, Instance>,
+    listed: Vec<(Instance, State)>,
+    surveyed: BTreeSet<(Arc<str>, u64)>,
+}
+
+impl Service {
+    /// Creates the kernel of a shard whose epoch starts now. Must be called within a tokio runtime.
+    pub(crate) fn start(shared: &Arc<Shared>, tenure: Tenure, start: Start) -> Arc<Self> {
+        let (writer, receiver) = Writer::new();
+        let tenure = Arc::new(tenure);
+        tokio::spawn(writer.clone().run(shared.clone(), tenure.clone(), receiver));
+        let service = Arc::new(Self {
+            tenure,
+            shared: Arc::downgrade(shared),
+            state: Mutex::new(Inner {
+                kernel: Kernel::new(clock::now(), start),
+                waiting: HashMap::new(),
+                instances: HashMap::new(),
+                listed: Vec::new(),
+                surveyed: BTreeSet::new(),
+            }),
+            writer,
+        });
+        tokio::spawn(tick(service.clone()));
+        service
+    }
+
+    /// Hands an event to the kernel and carries out its steps.
+    pub(crate) fn feed(self: &Arc<Self>, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let steps = lock(&self.state).kernel.handle(clock::now(), event);
+            for step in steps {
+                self.carry_out(step, &mut events);
+            }
+        }
+    }
+
+    /// Decides on an ask.
+    pub(crate) async fn ask(self: Arc<Self>, ask: Ask) -> Verdict {
+        let key = ask.key.clone();
+        let idempotent = ask.idempotent;
+        let patience = Duration::from_millis(ask.remaining_ms.saturating_add(ASK_SLACK_MS));
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.state).waiting.insert(key.clone(), sender);
+        self.feed(Event::Ask(ask));
+        match tokio::time::timeout(patience, receiver).await {
+            Ok(Ok(verdict)) => self.checked(verdict),
+            // A later ask with the same key took this one's place.
+            Ok(Err(_)) => self.not_owner(),
+            Err(_) => {
+                lock(&self.state).waiting.remove(&key);
+                self.feed(Event::Withdrawn(key));
+                match idempotent {
+                    true => Verdict::NotRun(NotRun::Deadline),
+                    false => Verdict::Unknown(Unknown::Deadline),
+                }
+            }
+        }
+    }
+
+    /// Takes back a grant that can't be told any more under valid support.
+    fn checked(self: &Arc<Self>, verdict: Verdict) -> Verdict {
+        match verdict {
+            Verdict::Granted { slot, .. } if !self.tenure.holds() => {
+                self.unused(slot);
+                self.not_owner()
+            }
+            Verdict::NotRun(_) if !self.tenure.holds() => self.not_owner(),
+            verdict => verdict,
+        }
+    }
+
+    fn unused(self: &Arc<Self>, slot: Slot) {
+        self.feed(Event::Finished {
+            slot,
+            finish: Finish::Unused,
+            run_ms: 0,
+        });
+    }
+
+    /// Answers an ask, unless it was answered before.
+    fn answer(&self, key: &Key, verdict: Verdict) -> bool {
+        let waiting = lock(&self.state).waiting.remove(key);
+        waiting.is_some_and(|waiting| waiting.send(verdict).is_ok())
+    }
+
+    fn not_owner(&self) -> Verdict {
+        let shared = self.shared.upgrade();
+        let owner = shared.and_then(|shared| shared.owner(&self.tenure.shard));
+        let own = |owner: &Arc<str>| {
+            self.shared
+                .upgrade()
+                .is_some_and(|shared| shared.settings.node == *owner)
+        };
+        Verdict::NotOwner {
+            owner: owner.filter(|owner| !own(owner)),
+        }
+    }
+
+    /// Answers every waiting ask: this process doesn't own the shard at the moment.
+    pub(crate) fn suspend(self: &Arc<Self>) {
+        let waiting = std::mem::take(&mut lock(&self.state).waiting);
+        for (key, sender) in waiting {
+            let _ = sender.send(self.not_owner());
+            self.feed(Event::Withdrawn(key));
+        }
+    }
+
+    /// Hands over the list of instances if it changed.
+    pub(crate) fn list(self: &Arc<Self>, shared: &Shared) {
+        let Some(listing) = lock(&shared.listing).clone() else {
+            return;
+        };
+        let listed = instances(shared, &self.tenure, &listing);
+        {
+            let mut state = lock(&self.state);
+            if state.listed == listed {
+                return;
+            }
+            state.listed.clone_from(&listed);
+            let named = listed.iter().map(|(i, _)| (i.name.clone(), i.clone()));
+            state.instances = named.collect();
+        }
+        self.feed(Event::Listed(listed));
+    }
+
+    pub(crate) fn targets(&self) -> Vec<view::Target> {
+        lock(&self.state).kernel.targets()
+    }
+
+    /// Returns the number of asks without an answer.
+    pub(crate) fn waiting(&self) -> usize {
+        lock(&self.state).waiting.len()
+    }
+
+    /// Notes a survey of a gateway's incarnation. Returns whether it is the first.
+    pub(crate) fn survey(&self, gateway: &Arc<str>, incarnation: u64) -> bool {
+        let mut state = lock(&self.state);
+        state.surveyed.insert((gateway.clone(), incarnation))
+    }
+
+    /// Notes that a survey failed, so that it is repeated.
+    pub(crate) fn survey_failed(&self, gateway: &Arc<str>, incarnation: u64) {
+        let mut state = lock(&self.state);
+        state.surveyed.remove(&(gateway.clone(), incarnation));
+    }
+}
+
+fn instances(shared: &Shared, tenure: &Tenure, listing: &Listing) -> Vec<(Instance, State)> {
+    let register = lock(&shared.register);
+    let listed = listing.instances.iter();
+    let own = listed.filter(|(instance, _)| {
+        let shard = shared.partition.instance(&instance.service, &instance.name);
+        shard.is_some_and(|shard| shard == tenure.shard)
+    });
+    let drained = |name: &str| register.is_drained(name);
+    own.map(|(instance, state)| {
+        let state = match (state, drained(&instance.name)) {
+            (State::Live, true) => State::Leaving { within_ms: None },
+            (state, _) => *state,
+        };
+        (instance.clone(), state)
+    })
+    .collect()
+}
+
+async fn tick(service: Arc<Service>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    while !service.tenure.is_over() {
+        ticks.tick().await;
+        service.feed(Event::Tick);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/service/steps.rs
@@ -0,0 +1,152 @@
+//! Carries out the steps of a routing kernel.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryworks_core::outcome::{Finish, Request, Unknown};
+use rosemaryworks_core::record::Cell;
+use rosemaryworks_core::routing::{Event, Key, Slot, Step};
+use rosemaryworks_core::target::Instance;
+use rosemaryworks_node::clock;
+use rosemaryworks_wire::Verdict;
+
+use super::Service;
+use crate::events;
+use crate::lock::lock;
+use crate::shared::{Shared, Written};
+use crate::writer::Item;
+
+/// Patience with an intent's append and with its read-back, each.
+const INTENT_PATIENCE: Duration = Duration::from_secs(1);
+
+impl Service {
+    /// Carries out a step. Events that follow from it at once are added to `events`.
+    pub(super) fn carry_out(self: &Arc<Self>, step: Step, events: &mut VecDeque<Event>) {
+        match step {
+            Step::Grant {
+                key,
+                slot,
+                instance,
+            } => self.grant(&key, slot, instance, events),
+            Step::Intend { key, request } => self.intend(key, request, events),
+            Step::Probe(name) => self.probe(name),
+            Step::Refuse { key, reason } => {
+                let verdict = match self.tenure.holds() {
+                    true => Verdict::NotRun(reason.clone()),
+                    false => self.not_owner(),
+                };
+                if let Some(shared) = self.shared.upgrade() {
+                    shared.counters.refusal(&reason);
+                }
+                self.answer(&key, verdict);
+            }
+            Step::Unsure { key, reason } => {
+                if let Some(shared) = self.shared.upgrade() {
+                    shared.counters.unsure(&reason);
+                }
+                self.answer(&key, Verdict::Unknown(reason));
+            }
+        }
+    }
+
+    fn grant(
+        self: &Arc<Self>,
+        key: &Key,
+        slot: Slot,
+        instance: Instance,
+        events: &mut VecDeque<Event>,
+    ) {
+        let granted = Verdict::Granted {
+            epoch: self.tenure.epoch,
+            slot,
+            instance,
+        };
+        let valid = self.tenure.holds();
+        let verdict = if valid { granted } else { self.not_owner() };
+        let answered = self.answer(key, verdict);
+        if valid && answered {
+            if let Some(shared) = self.shared.upgrade() {
+                shared.counters.grant();
+            }
+            return;
+        }
+        events.push_back(Event::Finished {
+            slot,
+            finish: Finish::Unused,
+            run_ms: 0,
+        });
+    }
+
+    fn intend(self: &Arc<Self>, key: Key, request: Request, events: &mut VecDeque<Event>) {
+        let Some(shared) = self.shared.upgrade() else {
+            return;
+        };
+        if self.without_log(&shared, &request) {
+            events.push_back(Event::Intended(key));
+            return;
+        }
+        let service = self.clone();
+        tokio::spawn(async move { service.record_intent(&shared, key, request).await });
+    }
+
+    /// Keeps the request in memory until the log returns, if this is allowed now.
+    fn without_log(&self, shared: &Shared, request: &Request) -> bool {
+        let outage = self.tenure.holds() && shared.is_outage(&self.tenure.shard);
+        if outage {
+            events::OUTAGE.log(format_args!(
+                "shard={} epoch={} request={}/{}",
+                self.tenure.shard, self.tenure.epoch, request.contract, request.id
+            ));
+            self.writer.push(Item::Intent {
+                request: request.clone(),
+                at_unix_ms: clock::unix_ms(),
+            });
+        }
+        outage
+    }
+
+    async fn record_intent(self: Arc<Self>, shared: &Shared, key: Key, request: Request) {
+        let record = Cell::Intent {
+            shard: self.tenure.shard.clone(),
+            epoch: self.tenure.epoch,
+            requests: vec![request.clone()],
+            at_unix_ms: clock::unix_ms(),
+        };
+        match shared.write(&record, INTENT_PATIENCE).await {
+            Written::Valid => self.feed(Event::Intended(key)),
+            Written::Void => {
+                self.answer(&key, self.not_owner());
+                self.feed(Event::Withdrawn(key));
+            }
+            Written::No(_) | Written::Uncertain(_) if self.without_log(shared, &request) => {
+                self.feed(Event::Intended(key));
+            }
+            Written::No(_) => self.feed(Event::IntentFailed(key)),
+            Written::Uncertain(reason) => {
+                events::INTENT_UNCERTAIN.log(format_args!(
+                    "shard={} request={}/{} reason={reason}",
+                    self.tenure.shard, request.contract, request.id
+                ));
+                // The id may be recorded, so this attempt is over and the id counts as dispatched.
+                self.answer(&key, Verdict::Unknown(Unknown::AlreadyDispatched));
+                self.feed(Event::Withdrawn(key));
+            }
+        }
+    }
+
+    fn probe(self: &Arc<Self>, name: Arc<str>) {
+        let instance = lock(&self.state).instances.get(&name).cloned();
+        let (Some(shared), Some(instance)) = (self.shared.upgrade(), instance) else {
+            return;
+        };
+        let service = self.clone();
+        tokio::spawn(async move {
+            let answer = shared.platform.instances.occupancy(&instance).await;
+            service.feed(Event::Occupied {
+                instance: name,
+                busy: answer.ok().flatten(),
+            });
+        });
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/snapshot.rs
@@ -0,0 +1,69 @@
+//! State that processes give each other while the log is down.
+
+use std::time::Duration;
+
+use rosemaryworks_core::ownership::Ledger;
+use rosemaryworks_core::register::Register;
+use rosemaryworks_wire::{Message, Snapshot};
+
+use crate::events;
+use crate::lock::lock;
+use crate::shared::Shared;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Returns what this process knows. Empty if it doesn't know the streams itself.
+pub(crate) fn take(shared: &Shared) -> Snapshot {
+    if !shared.progress.is_complete() {
+        return Snapshot::default();
+    }
+    let kernel = lock(&shared.ownership);
+    let holdings = kernel.ledger().iter();
+    let current = holdings.filter(|(_, holding)| !holding.released);
+    let owners = current.map(|(shard, holding)| {
+        let owner = holding.owner.clone();
+        (shard.clone(), holding.epoch, owner, holding.incarnation)
+    });
+    Snapshot {
+        owners: owners.collect(),
+        cell_offset: kernel.ledger().offset(),
+        register: lock(&shared.register).clone(),
+    }
+}
+
+/// Takes the state from the peer that knows most. Returns whether there was one.
+pub(crate) async fn fetch(shared: &Shared) -> bool {
+    let mut best: Option<(Snapshot, &str)> = None;
+    for peer in shared.peers.get().into_iter().flatten() {
+        let Ok(Message::Snapshotted(snapshot)) = peer.call(Message::Snapshot, TIMEOUT).await else {
+            continue;
+        };
+        let rank = |snapshot: &Snapshot| (snapshot.register.offset(), snapshot.cell_offset);
+        let known = best.as_ref().map(|(best, _)| rank(best));
+        if rank(&snapshot) > known.unwrap_or_default() {
+            best = Some((*snapshot, peer.name()));
+        }
+    }
+    let Some((snapshot, peer)) = best else {
+        return false;
+    };
+    events::SNAPSHOT_TAKEN.log(format_args!(
+        "peer={peer} contracts_offset={} cell_offset={}",
+        snapshot.register.offset(),
+        snapshot.cell_offset
+    ));
+    restore(shared, snapshot);
+    true
+}
+
+fn restore(shared: &Shared, snapshot: Snapshot) {
+    let ledger = Ledger::restore(snapshot.cell_offset, snapshot.owners);
+    lock(&shared.ownership).restore(ledger);
+    let mut register: std::sync::MutexGuard<'_, Register> = lock(&shared.register);
+    if snapshot.register.offset() > register.offset() {
+        *register = snapshot.register;
+    }
+    drop(register);
+    shared.progress.contracts_known(&shared.status.ready);
+    shared.progress.cell_known(&shared.status.ready);
+}
--- /dev/null
+++ b/crates/scheduler/src/survey.rs
@@ -0,0 +1,57 @@
+//! Asks gateways for the grants of earlier epochs that they still hold.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryworks_core::routing::Event;
+use rosemaryworks_wire::Message;
+use rosemaryworks_wire::link::Peer;
+
+use crate::events;
+use crate::service::Service;
+use crate::shared::Shared;
+
+const TIMEOUT: Duration = Duration::from_secs(1);
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Surveys the gateway at the other end of `peer`, unless this was done before.
+pub(crate) fn start(shared: &Arc<Shared>, service: &Arc<Service>, peer: &Peer) {
+    let hello = peer.hello();
+    if service.survey(&hello.node, hello.incarnation) {
+        tokio::spawn(survey(shared.clone(), service.clone(), peer.clone()));
+    }
+}
+
+async fn survey(shared: Arc<Shared>, service: Arc<Service>, peer: Peer) {
+    let gateway = peer.hello().node.clone();
+    let incarnation = peer.hello().incarnation;
+    let tenure = &service.tenure;
+    while !tenure.is_over() {
+        let call = Message::Survey {
+            shard: tenure.shard.clone(),
+            epoch: tenure.epoch,
+        };
+        if let Ok(Message::Outstanding(outstanding)) = peer.call(call, TIMEOUT).await {
+            events::SURVEYED.log(format_args!(
+                "shard={} epoch={} gateway={gateway} outstanding={}",
+                tenure.shard,
+                tenure.epoch,
+                outstanding.len()
+            ));
+            service.feed(Event::Surveyed {
+                gateway,
+                outstanding,
+            });
+            return;
+        }
+        if peer.is_closed() {
+            // The next link is surveyed; one that opened meanwhile was held off by this survey.
+            service.survey_failed(&gateway, incarnation);
+            if let Some(next) = shared.gateways.get(&gateway) {
+                start(&shared, &service, &next);
+            }
+            return;
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/tenure.rs
@@ -0,0 +1,50 @@
+//! The time for which this process may act as the owner of a shard.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use rosemaryworks_core::shard::{Epoch, Id};
+use rosemaryworks_core::time::Instant;
+use rosemaryworks_node::clock;
+
+/// One epoch of a shard that this process owns.
+#[derive(Debug)]
+pub(crate) struct Tenure {
+    pub(crate) shard: Id,
+    pub(crate) epoch: Epoch,
+    valid_until: AtomicU64,
+    over: AtomicBool,
+}
+
+impl Tenure {
+    pub(crate) fn new(shard: Id, epoch: Epoch, valid_until: Instant) -> Self {
+        Self {
+            shard,
+            epoch,
+            valid_until: AtomicU64::new(valid_until.0),
+            over: AtomicBool::new(false),
+        }
+    }
+
+    /// Tells whether this process may act as the owner at this moment.
+    pub(crate) fn holds(&self) -> bool {
+        !self.is_over() && clock::now().0 < self.valid_until.load(Ordering::SeqCst)
+    }
+
+    /// Returns the milliseconds for which the support lasts.
+    pub(crate) fn margin_ms(&self) -> u64 {
+        Instant(self.valid_until.load(Ordering::SeqCst)).since(clock::now())
+    }
+
+    pub(crate) fn extend(&self, valid_until: Instant) {
+        self.valid_until.store(valid_until.0, Ordering::SeqCst);
+    }
+
+    /// Tells whether the epoch has ended.
+    pub(crate) fn is_over(&self) -> bool {
+        self.over.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn end(&self) {
+        self.over.store(true, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/writer.rs
@@ -0,0 +1,158 @@
+//! Writes records that must reach the log sooner or later, however long the log is away.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use rosemaryworks_core::job::{End, Task};
+use rosemaryworks_core::outcome::Request;
+use rosemaryworks_core::record::Cell;
+use tokio::sync::mpsc;
+
+use crate::events;
+use crate::shared::{Shared, Written};
+use crate::tenure::Tenure;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Most tasks, requests or records taken from the queue at once.
+const BATCH_MAX: usize = 500;
+
+/// Something to be written under the epoch of the tenure.
+#[derive(Clone, Debug)]
+pub(crate) enum Item {
+    /// A task ended.
+    End(Task, End),
+    /// A lease was granted without the log.
+    Granted(Task),
+    /// A request was dispatched without the log.
+    Intent { request: Request, at_unix_ms: u64 },
+    /// Any other record.
+    Record(Box<Cell>),
+}
+
+/// Queue of one hosted shard. The order of items is kept.
+#[derive(Clone, Debug)]
+pub(crate) struct Writer {
+    items: mpsc::UnboundedSender<Item>,
+    open: Arc<AtomicUsize>,
+}
+
+impl Writer {
+    /// Starts a writer. Returns it with the task that runs it.
+    pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<Item>) {
+        let (items, receiver) = mpsc::unbounded_channel();
+        let open = Arc::new(AtomicUsize::new(0));
+        (Self { items, open }, receiver)
+    }
+
+    /// Queues an item.
+    pub(crate) fn push(&self, item: Item) {
+        self.open.fetch_add(1, Ordering::SeqCst);
+        // The receiver ends only with the epoch, after which nothing may be written.
+        let _ = self.items.send(item);
+    }
+
+    /// Returns the number of items not yet written.
+    pub(crate) fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    /// Writes the items of `receiver` until the tenure is over.
+    pub(crate) async fn run(
+        self,
+        shared: Arc<Shared>,
+        tenure: impl AsRef<Tenure> + Send + 'static,
+        mut receiver: mpsc::UnboundedReceiver<Item>,
+    ) {
+        let mut items = Vec::new();
+        loop {
+            let count = receiver.recv_many(&mut items, BATCH_MAX).await;
+            if count == 0 {
+                return;
+            }
+            let records = records(tenure.as_ref(), std::mem::take(&mut items));
+            let writes = records.iter();
+            let writes = writes.map(|record| persist(&shared, tenure.as_ref(), record));
+            if join_all(writes).await.contains(&false) {
+                return;
+            }
+            self.open.fetch_sub(count, Ordering::SeqCst);
+        }
+    }
+}
+
+/// Writes one record, however often it takes. Returns whether the epoch goes on.
+async fn persist(shared: &Shared, tenure: &Tenure, record: &Cell) -> bool {
+    loop {
+        if tenure.is_over() {
+            return false;
+        }
+        match shared.write(record, PATIENCE).await {
+            Written::Valid => return true,
+            Written::Void => {
+                events::RECORD_VOID.log(format_args!(
+                    "shard={} epoch={}",
+                    tenure.shard, tenure.epoch
+                ));
+                return false;
+            }
+            Written::No(reason) | Written::Uncertain(reason) => {
+                events::WRITE_RETRIED.log(format_args!("shard={} reason={reason}", tenure.shard));
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Joins neighbouring items of one kind into one record.
+fn records(tenure: &Tenure, items: Vec<Item>) -> Vec<Cell> {
+    let (shard, epoch) = (&tenure.shard, tenure.epoch);
+    let mut records: Vec<Cell> = Vec::new();
+    for item in items {
+        match (item, records.last_mut()) {
+            (Item::End(task, end), Some(Cell::Finished { tasks, .. })) => tasks.push((task, end)),
+            (Item::End(task, end), _) => records.push(Cell::Finished {
+                shard: shard.clone(),
+                epoch,
+                tasks: vec![(task, end)],
+            }),
+            (Item::Granted(task), Some(Cell::Granted { tasks, .. })) => tasks.push(task),
+            (Item::Granted(task), _) => records.push(Cell::Granted {
+                shard: shard.clone(),
+                epoch,
+                tasks: vec![task],
+            }),
+            (
+                Item::Intent {
+                    request,
+                    at_unix_ms,
+                },
+                Some(Cell::Intent {
+                    requests,
+                    at_unix_ms: at,
+                    ..
+                }),
+            ) => {
+                requests.push(request);
+                *at = at_unix_ms.max(*at);
+            }
+            (
+                Item::Intent {
+                    request,
+                    at_unix_ms,
+                },
+                _,
+            ) => records.push(Cell::Intent {
+                shard: shard.clone(),
+                epoch,
+                requests: vec![request],
+                at_unix_ms,
+            }),
+            (Item::Record(record), _) => records.push(*record),
+        }
+    }
+    records
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -221,6 +221,9 @@
         log_unreachable: bool,
         /// As in [`Beat`].
         log_doubt_age_ms: u64,
+        /// Schedulers that the sender heard of late.
+        #[serde(default)]
+        hears: Vec<Arc<str>>,
     },
     /// Call, new owner to gateway: asks for grants of earlier epochs. Answered by `Outstanding`.
     Survey {
