--- a/crates/scheduler/src/events.rs
+++ b/crates/scheduler/src/events.rs
@@ -69,3 +69,5 @@
 pub const STOPPED: Event = Event::new(441, Info, "stopped");
 /// The planned stop gave up waiting.
 pub const STOP_INCOMPLETE: Event = Event::new(442, Warn, "stopped without release");
+/// The status server has ended.
+pub const STATUS_FAILED: Event = Event::new(443, Error, "status server failed");
