feat(history): checks of what must always hold over recorded histories

The guarantees of the design are about concurrent runs under failures and need an independent judge. Adds one check per condition that reads only what callers, targets and the log saw, says how much it checked and fails when that is nothing. Each check has a small history that violates it and one that doesn't.

Node: the libraries now log from warn on. The HTTP server's two info lines per port hid the numbered events.

--- /dev/null
+++ b/crates/history/src/check.rs
@@ -0,0 +1,115 @@
+//! Checks of what must always hold over a recorded history.
+//!
+//! Each check says how much it checked. A check over nothing tells nothing and counts as failed.
+//!
+//! ```
+//! use rosemaryworks_history::check;
+//!
+//! let findings = check::all(&[]);
+//! assert!(findings.iter().all(|finding| finding.is_vacuous()));
+//! ```
+
+mod at_most_once;
+mod capacity;
+mod configuration;
+mod leaving;
+mod linearizable;
+mod not_run;
+mod nothing_dropped;
+mod one_place;
+mod planned_stop;
+mod whole_answer;
+
+use std::fmt;
+
+use crate::record::Record;
+
+/// Where a condition doesn't hold.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Violation {
+    /// Unix time in microseconds.
+    pub at_us: u64,
+    /// What was seen.
+    pub seen: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "at {} us: {}", self.at_us, self.seen)
+    }
+}
+
+/// Result of one check.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Finding {
+    /// Name of the condition.
+    pub condition: &'static str,
+    /// Number of events checked.
+    pub checked: u64,
+    /// Where the condition doesn't hold.
+    pub violations: Vec<Violation>,
+}
+
+impl Finding {
+    fn new(condition: &'static str) -> Self {
+        Self {
+            condition,
+            checked: 0,
+            violations: Vec::new(),
+        }
+    }
+
+    fn violate(&mut self, at_us: u64, seen: String) {
+        self.violations.push(Violation { at_us, seen });
+    }
+
+    /// Counts a checked event and notes a violation unless `holds`.
+    fn require(&mut self, holds: bool, at_us: u64, seen: impl FnOnce() -> String) {
+        self.checked += 1;
+        if !holds {
+            self.violate(at_us, seen());
+        }
+    }
+
+    /// Tells whether nothing was checked.
+    #[must_use]
+    pub fn is_vacuous(&self) -> bool {
+        self.checked == 0
+    }
+
+    /// Tells whether something was checked and the condition holds.
+    #[must_use]
+    pub fn holds(&self) -> bool {
+        !self.is_vacuous() && self.violations.is_empty()
+    }
+}
+
+/// Runs every check. `records` must be in time order.
+#[must_use]
+pub fn all(records: &[Record]) -> Vec<Finding> {
+    vec![
+        capacity::check(records),
+        one_place::check(records),
+        whole_answer::check(records),
+        not_run::check(records),
+        at_most_once::check(records),
+        leaving::check(records),
+        planned_stop::check(records),
+        configuration::check(records),
+        linearizable::check(records),
+        nothing_dropped::check(records),
+    ]
+}
+
+/// Runs the check of one condition.
+///
+/// # Panics
+///
+/// Panics if there is no check of this name.
+#[must_use]
+pub fn one(condition: &str, records: &[Record]) -> Finding {
+    let mut findings = all(records).into_iter();
+    findings
+        .find(|finding| finding.condition == condition)
+        .unwrap_or_else(|| panic!("there is no check {condition:?}"))
+}
--- a/crates/history/src/record.rs
+++ b/crates/history/src/record.rs
@@ -304,6 +304,11 @@
         /// Why.
         reason: Refusal,
     },
+    /// Target or list: a target that was leaving takes work again.
+    Returned {
+        /// Worker or instance.
+        target: Arc<str>,
+    },
     /// Instance: a request ended.
     Served {
         /// Instance.
--- /dev/null
+++ b/crates/history/tests/checks/processes.rs
@@ -0,0 +1,111 @@
+//! Conditions on processes: planned stop, configuration.
+
+use rosemaryworks_history::record::{LeaseEnd, Outcome};
+use rosemaryworks_history::{Event, Record};
+use serde_json::json;
+
+use crate::common::*;
+
+fn stop(process: &str, began: bool) -> Event {
+    let process = process.into();
+    Event::PlannedStop { process, began }
+}
+
+#[test]
+fn planned_stop_cuts_no_request() {
+    // Guards against a gateway that closes connections with requests in flight.
+    let run = |outcome| {
+        history(vec![
+            called(1, "r-1", 1, true),
+            stop("gateway-0", true),
+            answered(1, outcome),
+            stop("gateway-0", false),
+        ])
+    };
+    tell_apart("planned stop", run(Outcome::Lost), run(Outcome::Completed));
+    let hangs = history(vec![stop("gateway-0", true)]);
+    tell_apart("planned stop", hangs, run(Outcome::Unreached));
+}
+
+#[test]
+fn planned_stop_loses_no_task() {
+    // Guards against an owner that stops without a successor renewing its leases.
+    let run = |end, disturbed| {
+        let disturbance = at(90, fault("owner-paused", "scheduler-2", disturbed));
+        let records = vec![
+            at(100, stop("scheduler-0", true)),
+            at(2_000, stop("scheduler-0", false)),
+            at(9_000, ended("cpu-0", "dala/j/0", 1, end)),
+        ];
+        [vec![disturbance], records].concat()
+    };
+    tell_apart(
+        "planned stop",
+        run(LeaseEnd::Lapsed, false),
+        run(LeaseEnd::Succeeded, false),
+    );
+    tell_apart(
+        "planned stop",
+        run(LeaseEnd::Lapsed, false),
+        run(LeaseEnd::Lapsed, true),
+    );
+}
+
+fn published(id: &str, expected: u64) -> Event {
+    let contract = json!({"name": "dala", "weight": 1});
+    let publish = json!({"publish": {"id": id, "expected": expected, "contract": contract}});
+    Event::Appended {
+        stream: "contracts".into(),
+        id: id.into(),
+        offset: 1,
+        records: vec![publish.to_string().into()],
+    }
+}
+
+fn shown(process: &str, revision: u64) -> Event {
+    Event::Shown {
+        process: process.into(),
+        contract: "dala".into(),
+        revision,
+    }
+}
+
+#[test]
+fn configuration_is_in_force_in_time() {
+    // Guards against a process that doesn't follow the contracts stream.
+    let run = |ms, extra: Vec<Record>| {
+        let mut records = vec![
+            at(1, published("p-1", 0)),
+            at(2, published("p-2", 0)),
+            at(3, published("p-1", 1)),
+        ];
+        records.extend(extra);
+        records.push(at(ms, shown("gateway-0", 0)));
+        records
+    };
+    tell_apart("configuration", run(12_100, vec![]), run(11_900, vec![]));
+    let down = vec![
+        at(5_000, fault("down", "log", true)),
+        at(9_000, fault("down", "log", false)),
+    ];
+    tell_apart(
+        "configuration",
+        run(21_100, down.clone()),
+        run(20_900, down),
+    );
+}
+
+#[test]
+fn configuration_never_reverts() {
+    // Guards against a process that takes an older revision from a peer or after a restart.
+    let run = |second| {
+        history(vec![
+            published("p-1", 0),
+            published("p-2", 1),
+            shown("gateway-0", 2),
+            shown("gateway-1", 1),
+            shown("gateway-0", second),
+        ])
+    };
+    tell_apart("configuration", run(1), run(2));
+}
--- /dev/null
+++ b/crates/history/tests/checks/register.rs
@@ -0,0 +1,90 @@
+//! The contract register as operators see it.
+
+use rosemaryworks_history::Event;
+use rosemaryworks_history::record::{Operation, Told};
+
+use crate::common::*;
+
+fn publish(call: u64, expected: u64) -> Event {
+    let mark = call as u32;
+    called(call, Operation::Publish { expected, mark })
+}
+
+fn called(call: u64, operation: Operation) -> Event {
+    Event::OperatorCalled {
+        call,
+        contract: "dala".into(),
+        operation,
+    }
+}
+
+fn told(call: u64, told: Told) -> Event {
+    Event::OperatorTold { call, told }
+}
+
+fn shown(call: u64, revision: u64, mark: u32) -> Event {
+    told(call, Told::Shown { revision, mark })
+}
+
+const ACCEPTED: Told = Told::Accepted { revision: 1 };
+const CONFLICT: Told = Told::Conflict { current: Some(1) };
+
+#[test]
+fn two_winners_of_a_race() {
+    // Guards against telling two operators that each published the same revision.
+    let race = |second| {
+        history(vec![
+            publish(1, 0),
+            publish(2, 0),
+            told(1, ACCEPTED),
+            told(2, second),
+        ])
+    };
+    tell_apart("register linearizable", race(ACCEPTED), race(CONFLICT));
+}
+
+#[test]
+fn read_after_publish() {
+    // Guards against a read that misses a publish which was accepted before the read began.
+    let read = |revision, mark| {
+        history(vec![
+            publish(1, 0),
+            told(1, ACCEPTED),
+            called(2, Operation::Read),
+            shown(2, revision, mark),
+        ])
+    };
+    tell_apart("register linearizable", read(0, 0), read(1, 1));
+}
+
+#[test]
+fn unknown_publish() {
+    // Guards against a publish of unknown effect that appears and then disappears.
+    let run = |last: (u64, u32)| {
+        history(vec![
+            publish(1, 0),
+            told(1, Told::Unknown),
+            called(2, Operation::Read),
+            shown(2, 1, 1),
+            called(3, Operation::Read),
+            shown(3, last.0, last.1),
+        ])
+    };
+    tell_apart("register linearizable", run((0, 0)), run((1, 1)));
+}
+
+#[test]
+fn refused_publish() {
+    // Guards against a publish that was refused and takes effect all the same.
+    let run = |mark| {
+        history(vec![
+            publish(1, 0),
+            told(1, Told::Refused),
+            publish(2, 0),
+            told(2, ACCEPTED),
+            called(3, Operation::Read),
+            shown(3, 1, mark),
+        ])
+    };
+    tell_apart("register linearizable", run(1), run(2));
+}
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -7,7 +7,7 @@
 use log4rs::append::Append;
 use log4rs::append::console::{ConsoleAppender, Target};
 use log4rs::append::file::FileAppender;
-use log4rs::config::{Appender, Root};
+use log4rs::config::{Appender, Logger, Root};
 use log4rs::encode::Encode;
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
@@ -17,6 +17,9 @@
 
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
 
+/// Most detailed level of the libraries. The HTTP server logs two lines per port at `info`.
+const LIBRARY_LEVEL: LevelFilter = LevelFilter::Warn;
+
 /// Format of log lines.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -77,9 +80,11 @@
         }
     };
     let failed = || Error::fault("log", "logging can't be started");
+    let libraries = settings.level.min(LIBRARY_LEVEL);
     let config = log4rs::Config::builder()
         .appender(Appender::builder().build("main", appender))
-        .build(Root::builder().appender("main").build(settings.level))
+        .logger(Logger::builder().build("rosemaryworks", settings.level))
+        .build(Root::builder().appender("main").build(libraries))
         .change_context_lazy(failed)?;
     log4rs::init_config(config).change_context_lazy(failed)?;
     Ok(())
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use rosemaryworks_history::Event;
 use rosemaryworks_history::file::Writer;
 use rosemaryworks_node::clock;
 use serde::Serialize;
@@ -133,6 +134,9 @@
             Fault::Returned { target } => {
                 self.list(target, Change::Live)?;
                 self.stay(target);
+                self.history.note(Event::Returned {
+                    target: target.clone(),
+                });
             }
         }
         Ok(())
