--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -17,8 +17,8 @@
 
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
 
-/// Most detailed level of the libraries. The HTTP server logs two lines per port at `info`.
-const LIBRARY_LEVEL: LevelFilter = LevelFilter::Warn;
+/// Target of numbered events. Libraries log under other targets.
+const TARGET: &str = "rosemaryworks";
 
 /// Format of log lines.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -60,7 +60,8 @@
     }
 }
 
-/// Starts logging for the process.
+/// Starts logging for the process. Of the libraries, only warnings and errors are logged, because
+/// the HTTP server logs several lines per thread and connection type at `info`.
 ///
 /// # Errors
 ///
@@ -80,10 +81,10 @@
         }
     };
     let failed = || Error::fault("log", "logging can't be started");
-    let libraries = settings.level.min(LIBRARY_LEVEL);
+    let libraries = settings.level.min(LevelFilter::Warn);
     let config = log4rs::Config::builder()
         .appender(Appender::builder().build("main", appender))
-        .logger(Logger::builder().build("rosemaryworks", settings.level))
+        .logger(Logger::builder().build(TARGET, settings.level))
         .build(Root::builder().appender("main").build(libraries))
         .change_context_lazy(failed)?;
     log4rs::init_config(config).change_context_lazy(failed)?;
