--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -55,7 +55,14 @@
             gateways.push(start("rosemary-gateway", name, path)?);
         }
         let client = Client::start(2);
-        Ok(Self { deployment, ports, client, standin, schedulers, gateways })
+        Ok(Self {
+            deployment,
+            ports,
+            client,
+            standin,
+            schedulers,
+            gateways,
+        })
     }
 
     /// Waits until every scheduler and gateway is ready.
@@ -136,5 +143,9 @@
     }
     let failed = || Error::new("build", "cargo");
     let status = command.status().change_context_lazy(failed)?;
-    if status.success() { Ok(()) } else { Err(Report::new(failed())) }
+    if status.success() {
+        Ok(())
+    } else {
+        Err(Report::new(failed()))
+    }
 }
--- a/xtask/src/cluster/deployment.rs
+++ b/xtask/src/cluster/deployment.rs
@@ -34,7 +34,9 @@
 impl Deployment {
     /// Returns the deployment `name`.
     pub(crate) fn find(name: &str) -> Option<Self> {
-        [avvolgi(), dala()].into_iter().find(|deployment| deployment.name == name)
+        [avvolgi(), dala()]
+            .into_iter()
+            .find(|deployment| deployment.name == name)
     }
 
     /// Returns the availability zone of the `index`-th member of a group spread over all zones.
@@ -68,8 +70,16 @@
         zones: &["milano", "torino", "bologna"],
         pools: vec![cpu, gpu],
         services: vec![
-            Service { name: "shop-operations", shards: 3, instances: 35 },
-            Service { name: "print-design", shards: 2, instances: 13 },
+            Service {
+                name: "shop-operations",
+                shards: 3,
+                instances: 35,
+            },
+            Service {
+                name: "print-design",
+                shards: 2,
+                instances: 13,
+            },
         ],
         entries: 6,
     }
@@ -100,8 +110,16 @@
         zones: &["almaty-1", "almaty-2", "almaty-3", "almaty-4"],
         pools: vec![cpu, gpu],
         services: vec![
-            Service { name: "booking", shards: 3, instances: 35 },
-            Service { name: "planning", shards: 2, instances: 13 },
+            Service {
+                name: "booking",
+                shards: 3,
+                instances: 35,
+            },
+            Service {
+                name: "planning",
+                shards: 2,
+                instances: 13,
+            },
         ],
         entries: 6,
     }
--- a/xtask/src/cluster/process.rs
+++ b/xtask/src/cluster/process.rs
@@ -20,7 +20,10 @@
 
 impl Error {
     pub(crate) fn new(step: &'static str, peer: impl Into<String>) -> Self {
-        Self { step, peer: peer.into() }
+        Self {
+            step,
+            peer: peer.into(),
+        }
     }
 }
 
@@ -55,7 +58,13 @@
         let program = own.with_file_name(program);
         let child = spawn(&program, settings, log).change_context_lazy(failed)?;
         let (settings, log) = (settings.to_owned(), log.to_owned());
-        Ok(Self { name: name.to_owned(), program, settings, log, child })
+        Ok(Self {
+            name: name.to_owned(),
+            program,
+            settings,
+            log,
+            child,
+        })
     }
 
     /// Starts the program again after it has exited or was killed.
@@ -125,7 +134,9 @@
 
     #[allow(unsafe_code)]
     fn signal(&self, signal: i32) {
-        let Ok(id) = i32::try_from(self.child.id()) else { return };
+        let Ok(id) = i32::try_from(self.child.id()) else {
+            return;
+        };
         // SAFETY: `kill` takes plain integers. The child is not reaped while `self.child` exists, so
         // the id is not reused.
         unsafe { libc::kill(id, signal) };
--- a/xtask/src/cluster/settings.rs
+++ b/xtask/src/cluster/settings.rs
@@ -44,8 +44,11 @@
 /// Returns an error if the deployment is unknown or a file can't be written.
 pub(crate) fn run(options: &Options) -> Result<(), Report<Error>> {
     let deployment = Deployment::find(&options.deployment).ok_or_else(|| {
-        Report::new(Error::new("find the deployment", options.deployment.clone()))
-            .attach("known: avvolgi, dala")
+        Report::new(Error::new(
+            "find the deployment",
+            options.deployment.clone(),
+        ))
+        .attach("known: avvolgi, dala")
     })?;
     write(&deployment, &Ports::new(options.base_port), &options.folder)?;
     Ok(())
@@ -66,7 +69,11 @@
         Ok::<_, Report<Error>>(path)
     };
     let standin = save("standin", &standin(deployment, ports, folder))?;
-    let mut files = Files { standin, schedulers: Vec::new(), gateways: Vec::new() };
+    let mut files = Files {
+        standin,
+        schedulers: Vec::new(),
+        gateways: Vec::new(),
+    };
     for index in 0..deployment.entries {
         let name = format!("scheduler-{}", index + 1);
         let path = save(&name, &scheduler(deployment, ports, index))?;
@@ -91,7 +98,10 @@
         })
     });
     let gateways = (0..deployment.entries).map(|index| format!("gateway-{}", index + 1));
-    let pools = deployment.pools.iter().map(|pool| (pool.name.to_owned(), json!(pool.shards)));
+    let pools = deployment
+        .pools
+        .iter()
+        .map(|pool| (pool.name.to_owned(), json!(pool.shards)));
     let services = deployment.services.iter();
     let services = services.map(|service| (service.name.to_owned(), json!(service.shards)));
     json!({
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -79,13 +79,20 @@
     ports: Ports,
     folder: &std::path::Path,
 ) -> Result<bool, Report<Error>> {
-    println!("deployment {}, logs in {}", deployment.name, folder.display());
+    println!(
+        "deployment {}, logs in {}",
+        deployment.name,
+        folder.display()
+    );
     std::fs::create_dir_all(folder)
         .change_context_lazy(|| Error::new("create the folder", folder.display().to_string()))?;
     let mut cluster = Cluster::start(deployment, ports, folder)?;
     let ready = cluster.ready().await?;
     let mut rows = vec![Row {
-        what: format!("{} processes ready", 1 + cluster.schedulers.len() + cluster.gateways.len()),
+        what: format!(
+            "{} processes ready",
+            1 + cluster.schedulers.len() + cluster.gateways.len()
+        ),
         expected: "ready",
         outcome: "ready".to_owned(),
         elapsed: ready,
@@ -110,16 +117,51 @@
     let caller = Caller::new(cluster);
     let mut rows = Vec::new();
     let contract = contract::demo(&cluster.deployment);
-    rows.push(row("publish contract demo", "accepted", caller.publish(&contract)).await);
-    rows.push(row("contract in force at every gateway", "in force", caller.in_force()).await);
+    rows.push(
+        row(
+            "publish contract demo",
+            "accepted",
+            caller.publish(&contract),
+        )
+        .await,
+    );
+    rows.push(
+        row(
+            "contract in force at every gateway",
+            "in force",
+            caller.in_force(),
+        )
+        .await,
+    );
     for service in &cluster.deployment.services {
         let what = format!("request to {}", service.name);
         rows.push(row(&what, "completed", caller.request(service.name)).await);
         let what = format!("same id again at another gateway ({})", service.name);
-        rows.push(row(&what, "unknown: already-dispatched", caller.repeat(service.name)).await);
+        rows.push(
+            row(
+                &what,
+                "unknown: already-dispatched",
+                caller.repeat(service.name),
+            )
+            .await,
+        );
     }
-    rows.push(row("batch job, 8 tasks on cpu", "succeeded", caller.job("batch", "cpu", 8)).await);
-    rows.push(row("gang job, 4 tasks on gpu", "succeeded", caller.job("gang", "gpu", 4)).await);
+    rows.push(
+        row(
+            "batch job, 8 tasks on cpu",
+            "succeeded",
+            caller.job("batch", "cpu", 8),
+        )
+        .await,
+    );
+    rows.push(
+        row(
+            "gang job, 4 tasks on gpu",
+            "succeeded",
+            caller.job("gang", "gpu", 4),
+        )
+        .await,
+    );
     rows
 }
 
@@ -127,7 +169,12 @@
     let started = std::time::Instant::now();
     let outcome = tokio::time::timeout(OUTCOME_TIMEOUT, outcome).await;
     let outcome = outcome.unwrap_or_else(|_| "no outcome in time".to_owned());
-    Row { what: what.to_owned(), expected, outcome, elapsed: started.elapsed() }
+    Row {
+        what: what.to_owned(),
+        expected,
+        outcome,
+        elapsed: started.elapsed(),
+    }
 }
 
 fn print(rows: &[Row]) {
--- a/xtask/src/demo/caller.rs
+++ b/xtask/src/demo/caller.rs
@@ -25,11 +25,18 @@
 impl Caller {
     pub(crate) fn new(cluster: &Cluster) -> Self {
         let gateways = cluster.gateways.len();
-        Self { client: cluster.client.clone(), ports: cluster.ports, gateways }
+        Self {
+            client: cluster.client.clone(),
+            ports: cluster.ports,
+            gateways,
+        }
     }
 
     async fn send(&self, request: Request) -> Result<Response, String> {
-        self.client.send(request).await.map_err(|error| error.to_string())
+        self.client
+            .send(request)
+            .await
+            .map_err(|error| error.to_string())
     }
 
     fn admin(&self, gateway: usize, method: &'static str, path: &str) -> Request {
@@ -119,7 +126,9 @@
             "id": id, "kind": kind, "pool": pool, "tasks": tasks, "run_ms": 300,
             "size": { "millicores": 1000, "memory_mb": 512, "accelerators": accelerators },
         });
-        let request = self.call(0, "POST", "/v1/jobs").header("content-type", "application/json");
+        let request = self
+            .call(0, "POST", "/v1/jobs")
+            .header("content-type", "application/json");
         match self.send(request.body(body.to_string())).await {
             Ok(response) if matches!(response.status, 200..=202) => {}
             Ok(response) => return text(&response),
@@ -158,7 +167,10 @@
 
 /// Returns the outcome with its reason, or the status with the body.
 fn text(response: &Response) -> String {
-    let reason = json(response).get("reason").and_then(Value::as_str).map(ToOwned::to_owned);
+    let reason = json(response)
+        .get("reason")
+        .and_then(Value::as_str)
+        .map(ToOwned::to_owned);
     match (response.header("rosemary-outcome"), reason) {
         (Some(outcome), Some(reason)) => format!("{outcome}: {reason}"),
         (Some(outcome), None) => outcome.to_owned(),
