test(gateway): outcomes, takeovers, callers, jobs and the process

Small fakes of the log, the instances and a scheduler on a real link drive the gateway over HTTP. Two faults found while writing them:

- Ask numbers started at 1 in every process.
An owner that still holds an ask of the gateway's previous incarnation takes an equal number for the same ask and never answers.
Numbers now start with the incarnation.
- A first attempt whose own unused ask made the id known to the owner was told unknown.
The gateway sent nothing and the caller marks the attempt as the first, so it is told not-run.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -36,9 +36,10 @@
 
 /// What became of one ask.
 enum Replied {
+    /// The ask was sent and its verdict is lost.
+    Lost,
+    Unsent,
     Verdict(Verdict),
-    /// The ask was never sent, or its verdict is lost.
-    None,
 }
 
 /// One request's search for a slot.
@@ -49,6 +50,8 @@
     exclude: Vec<Arc<str>>,
     /// Owner named by the last `NotOwner`.
     hint: Option<Arc<str>>,
+    /// Whether a grant to an earlier ask of this search may exist. It was not and won't be used.
+    unused: bool,
 }
 
 /// Asks for a slot until an owner decides or the deadline passes.
@@ -64,6 +67,7 @@
         shard: shard.clone(),
         exclude: exclude.to_vec(),
         hint: None,
+        unused: false,
     };
     let mut owner_seen = false;
     loop {
@@ -78,7 +82,11 @@
         };
         let sent = search.sent(&peer);
         match search.ask(&peer, &sent, &mut changes).await {
-            Replied::None => pause(&mut changes, inquiry.deadline).await,
+            Replied::Unsent => pause(&mut changes, inquiry.deadline).await,
+            Replied::Lost => {
+                search.unused = true;
+                pause(&mut changes, inquiry.deadline).await;
+            }
             Replied::Verdict(Verdict::NotOwner { owner }) => {
                 search.hint = owner.filter(|owner| *owner != peer.hello().node);
                 match search.hint {
@@ -90,7 +98,7 @@
                 return Asked::Ended(Outcome::NotRun(reason));
             }
             Replied::Verdict(Verdict::Unknown(reason)) => {
-                return Asked::Ended(Outcome::Unknown(reason));
+                return Asked::Ended(search.unsure(reason));
             }
             Replied::Verdict(granted @ Verdict::Granted { .. }) => {
                 owner_seen = true;
@@ -105,6 +113,7 @@
                     grant.epoch, inquiry.request.id
                 ));
                 gateway.meters.unused();
+                search.unused = true;
                 report::briefly(gateway, grant, Finish::Unused).await;
             }
         }
@@ -157,7 +166,7 @@
             tokio::select! {
                 verdict = &mut verdict => match verdict {
                     Ok(Ok(verdict)) => return Replied::Verdict(verdict),
-                    Ok(Err(error)) if error.is_certain() => return Replied::None,
+                    Ok(Err(error)) if error.is_certain() => return Replied::Unsent,
                     _ => break,
                 },
                 _ = changes.changed() => {
@@ -170,7 +179,7 @@
             }
         }
         self.withdraw(peer, &sent.key);
-        Replied::None
+        Replied::Lost
     }
 
     /// Sends the ask. A grant that arrives after the search stopped waiting is returned unused.
@@ -208,6 +217,17 @@
         });
     }
 
+    /// Returns the outcome when the owner says that the request may have run. If this search had an
+    /// earlier ask, the owner may know the id only from there.
+    fn unsure(&self, reason: Unknown) -> Outcome {
+        match reason {
+            Unknown::AlreadyDispatched if self.unused => {
+                self.inquiry.not_sent(NotRun::NoOwner, reason)
+            }
+            _ => Outcome::Unknown(reason),
+        }
+    }
+
     /// Returns the outcome when the deadline passed before a grant could be used.
     fn expired(&self, owner_seen: bool) -> Outcome {
         let owner = owner_seen || self.gateway.links.owners.name(&self.shard).is_some();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 
 use rosemaryworks_admin::Contracts;
 use rosemaryworks_core::routing::Key;
+use rosemaryworks_node::clock;
 use rosemaryworks_node::metrics::Metrics;
 use rosemaryworks_node::settings::Cell;
 use rosemaryworks_platform::Instances;
@@ -45,6 +46,8 @@
     pub(crate) answers: Answers,
     pub(crate) budget: Budget,
     pub(crate) meters: Meters,
+    /// Number of the next ask. Starts with the incarnation: an owner may still hold asks of the
+    /// gateway's previous incarnation, and numbers used twice would be taken for the same ask.
     number: AtomicU64,
     stopping: AtomicBool,
     requests: Count,
@@ -81,7 +84,7 @@
             answers: Answers::new(settings.answers_max_bytes),
             budget: Budget::new(settings.retry_percent),
             meters: Meters::new(&parts.metrics),
-            number: AtomicU64::new(1),
+            number: AtomicU64::new(clock::incarnation()),
             stopping: AtomicBool::new(false),
             requests: Count::default(),
             reports: Count::default(),
--- /dev/null
+++ b/crates/gateway/tests/jobs.rs
@@ -0,0 +1,165 @@
+//! Jobs: every reply of the owner as callers see it.
+
+mod support;
+
+use std::time::Duration;
+
+use rosemaryworks_core::job::{Id, Kind, State, Status};
+use rosemaryworks_core::outcome::NotRun;
+use rosemaryworks_node::http::Request;
+use rosemaryworks_wire::{Message, Submission};
+use serde_json::{Value, json};
+use support::Running;
+use support::fakes::{TEAM_KEY, never, reply};
+
+fn spec() -> Value {
+    json!({
+        "id": "job-1",
+        "kind": "batch",
+        "pool": "cpu",
+        "tasks": 2,
+        "size": { "millicores": 1000, "memory_mb": 512 },
+        "run_ms": 100,
+    })
+}
+
+fn status(state: State) -> Status {
+    Status {
+        id: Id {
+            contract: "dala".into(),
+            job: "job-1".into(),
+        },
+        kind: Kind::Batch,
+        state,
+        tasks: 2,
+        running: 0,
+        succeeded: 0,
+        unsuccessful: 0,
+        reason: None,
+    }
+}
+
+async fn call(gateway: &Running, method: &'static str, path: &str, body: &str) -> (u16, Value) {
+    let url = format!("http://{}{path}", gateway.address);
+    let key = format!("Bearer {TEAM_KEY}");
+    let call = Request::new(method, url, Duration::from_secs(15))
+        .header("rosemary-contract", "dala")
+        .header("authorization", &key)
+        .body(body);
+    let response = gateway.send(call).await;
+    let body = serde_json::from_slice(&response.body).unwrap_or_default();
+    (response.status, body)
+}
+
+async fn submit(gateway: &Running) -> (u16, Value) {
+    call(gateway, "POST", "/v1/jobs", &spec().to_string()).await
+}
+
+/// Guards against replies that callers see under a wrong status or outcome.
+#[tokio::test]
+async fn replies_to_a_submission_are_told_apart() {
+    let gateway = Running::start().await;
+    let cases = [
+        (
+            Submission::Accepted(status(State::Queued)),
+            200,
+            Value::Null,
+        ),
+        (Submission::Conflict, 409, json!("not-run")),
+        (
+            Submission::Rejected("too large".into()),
+            422,
+            json!("not-run"),
+        ),
+        (
+            Submission::Unavailable(NotRun::LogUnavailable),
+            503,
+            json!("not-run"),
+        ),
+        (Submission::Unavailable(NotRun::Rate), 429, json!("not-run")),
+        (Submission::Unknown, 504, json!("unknown")),
+    ];
+    for (submission, expected, outcome) in cases {
+        let message = Message::Submission(submission);
+        gateway.scheduler.answer(move |_| reply(message.clone()));
+        let (status, body) = submit(&gateway).await;
+        assert_eq!((status, &body["outcome"]), (expected, &outcome), "{body}");
+    }
+}
+
+/// Guards against `not-run` for a job that a lost earlier call may have submitted.
+#[tokio::test]
+async fn a_refusal_after_a_lost_reply_is_unknown() {
+    let gateway = Running::start().await;
+    let called = std::sync::atomic::AtomicUsize::new(0);
+    gateway.scheduler.answer(move |_| {
+        match called.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
+            0 => never(),
+            _ => reply(Message::Submission(Submission::Unavailable(
+                NotRun::NoOwner,
+            ))),
+        }
+    });
+    assert_eq!(submit(&gateway).await.0, 504);
+}
+
+/// Guards against faults of a job that would reach the owner.
+#[tokio::test]
+async fn bad_jobs_are_refused_with_the_field() {
+    let gateway = Running::start().await;
+    let cases = [
+        ("id", json!("Job 1"), 400),
+        ("tasks", json!(0), 400),
+        ("tasks", json!(10_001), 400),
+        ("kind", json!("daemon"), 400),
+        ("pool", json!("gpu"), 403),
+        ("size", json!({ "cores": 1 }), 400),
+    ];
+    for (field, value, expected) in cases {
+        let mut spec = spec();
+        spec[field] = value;
+        let (status, body) = call(&gateway, "POST", "/v1/jobs", &spec.to_string()).await;
+        let message = body["message"].as_str().unwrap_or_default();
+        assert_eq!(status, expected, "{body}");
+        assert!(message.contains(field), "{message}");
+    }
+}
+
+/// Guards against a wait that ends before the job does, or goes on after it.
+#[tokio::test]
+async fn waiting_ends_with_the_job() {
+    let gateway = Running::start().await;
+    gateway.scheduler.answer(|message| match message {
+        Message::Status { wait_ms: 0, .. } => reply(Message::Told(status(State::Running))),
+        Message::Status { .. } => Box::pin(async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            Message::Told(status(State::Succeeded))
+        }),
+        _ => reply(Message::Done),
+    });
+    let (code, body) = call(&gateway, "GET", "/v1/jobs/job-1", "").await;
+    assert_eq!((code, &body["state"]), (200, &json!("running")));
+    let path = "/v1/jobs/job-1/wait?timeout-ms=5000";
+    let (code, body) = call(&gateway, "GET", path, "").await;
+    assert_eq!((code, &body["state"]), (200, &json!("succeeded")));
+}
+
+/// Guards against cancels of jobs that don't exist, and against another status than the owner's.
+#[tokio::test]
+async fn a_job_is_cancelled_at_its_owner() {
+    let gateway = Running::start().await;
+    gateway.scheduler.answer(|_| reply(Message::NoJob));
+    assert_eq!(
+        call(&gateway, "POST", "/v1/jobs/job-1/cancel", "").await.0,
+        404
+    );
+    gateway.scheduler.answer(|message| match message {
+        Message::Status { .. } => reply(Message::Told(status(State::Running))),
+        _ => {
+            let accepted = Submission::Accepted(status(State::Cancelled));
+            reply(Message::Submission(accepted))
+        }
+    });
+    let (code, body) = call(&gateway, "POST", "/v1/jobs/job-1/cancel", "").await;
+    assert_eq!((code, &body["state"]), (200, &json!("cancelled")));
+}
--- /dev/null
+++ b/crates/gateway/tests/process.rs
@@ -0,0 +1,156 @@
+//! The binary: settings, busy ports and the planned stop.
+
+use std::io::Write;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use rosemaryworks_node::http::{Client, Request};
+use serde_json::{Value, json};
+
+fn settings(listen: u16, admin: u16) -> Value {
+    json!({
+        "node": "gateway-1",
+        "zone": "milano",
+        "listen": format!("127.0.0.1:{listen}"),
+        "admin_listen": format!("127.0.0.1:{admin}"),
+        "cell": {
+            "name": "avvolgi",
+            "schedulers": [{ "name": "scheduler-1", "zone": "milano", "peer": "127.0.0.1:9" }],
+            "gateways": ["gateway-1"],
+            "partition": { "services": { "booking": 1 }, "pools": {} },
+            "log": "127.0.0.1:9",
+            "directory": "127.0.0.1:9",
+        },
+        "drain_ms": 300,
+    })
+}
+
+fn file(name: &str, content: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let mut file = std::fs::File::create(&path).unwrap();
+    file.write_all(content.as_bytes()).unwrap();
+    path
+}
+
+fn command(path: &PathBuf) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_rosemary-gateway"));
+    command.arg("--settings").arg(path);
+    command
+}
+
+fn run(mut command: Command) -> (Option<i32>, String) {
+    let Output { status, stderr, .. } = command.output().unwrap();
+    (status.code(), String::from_utf8(stderr).unwrap())
+}
+
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap().port()
+}
+
+/// Guards against settings of which only the first fault is told.
+#[test]
+fn every_fault_of_the_settings_is_named() {
+    let mut faulty = settings(0, 0);
+    faulty["node"] = json!("gateway-9");
+    faulty["zone"] = json!("Milano");
+    faulty["retry_percent"] = json!(101);
+    faulty["operators"] = json!([{ "name": "ada", "key": "short" }]);
+    let path = file("faulty.json", &faulty.to_string());
+    let (code, text) = run(command(&path));
+    assert_eq!(code, Some(2));
+    for field in ["node: ", "zone: ", "retry_percent: ", "operators[0].key: "] {
+        assert!(text.contains(field), "{field} is missing in {text}");
+    }
+    assert!(!text.contains("short"), "{text}");
+    let mut unknown = settings(0, 0);
+    unknown["cell"]["partitions"] = json!({});
+    let path = file("unknown.json", &unknown.to_string());
+    let mut check = command(&path);
+    check.arg("--check");
+    let (code, text) = run(check);
+    assert_eq!(code, Some(2));
+    assert!(text.starts_with("cell"), "{text}");
+}
+
+/// Guards against a busy port that is told without its field and address, or not at all.
+#[test]
+fn a_busy_port_is_one_line() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let port = taken.local_addr().unwrap().port();
+    let path = file("busy.json", &settings(port, 0).to_string());
+    let (code, text) = run(command(&path));
+    assert_eq!(code, Some(1));
+    assert_eq!(text.lines().count(), 1, "{text}");
+    assert!(
+        text.contains(&format!("listen: 127.0.0.1:{port} can't be used")),
+        "{text}"
+    );
+}
+
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // The process has ended unless the test failed.
+        let _ = self.0.kill();
+    }
+}
+
+fn terminate(process: &Process) {
+    let id = process.0.id().to_string();
+    assert!(Command::new("kill").arg(id).status().unwrap().success());
+}
+
+async fn get(client: &Client, url: &str) -> Option<(u16, String)> {
+    let call = Request::new("GET", url.to_owned(), Duration::from_secs(2));
+    let response = client.send(call).await.ok()?;
+    Some((response.status, String::from_utf8(response.body).unwrap()))
+}
+
+/// Guards against a gateway without a log that says it is ready, and against a stop that cuts off
+/// the balancer's notice or ends with an error.
+#[tokio::test]
+async fn without_a_log_it_is_unready_and_stops_on_sigterm() {
+    let (listen, admin) = (free_port(), free_port());
+    let path = file("process.json", &settings(listen, admin).to_string());
+    let mut process = Process(command(&path).stderr(Stdio::piped()).spawn().unwrap());
+    let client = Client::start(1);
+    let url = format!("http://127.0.0.1:{admin}/readyz");
+    let mut answer = None;
+    for _ in 0..100 {
+        answer = get(&client, &url).await;
+        if answer
+            .as_ref()
+            .is_some_and(|(_, text)| text.contains("contracts"))
+        {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let expected = "not ready: the contracts are not known yet\n";
+    assert_eq!(answer, Some((503, expected.to_owned())));
+    // The line about the log is logged by the first check of the readiness after a failed read.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    terminate(&process);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let draining = get(&client, &url).await;
+    assert_eq!(draining, Some((503, "not ready: stopping\n".to_owned())));
+    let started = Instant::now();
+    let status = loop {
+        if let Some(status) = process.0.try_wait().unwrap() {
+            break status;
+        }
+        assert!(
+            started.elapsed() < Duration::from_secs(10),
+            "the process does not stop"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert_eq!(status.code(), Some(0));
+    let mut text = String::new();
+    std::io::Read::read_to_string(&mut process.0.stderr.take().unwrap(), &mut text).unwrap();
+    assert_eq!(text.matches("log is down at start").count(), 1, "{text}");
+}
--- /dev/null
+++ b/crates/gateway/tests/takeover.rs
@@ -0,0 +1,138 @@
+//! Surveys of new owners and reports on grants of earlier epochs.
+
+mod support;
+
+use std::time::Duration;
+
+use rosemaryworks_core::outcome::Finish;
+use rosemaryworks_core::routing::Outstanding;
+use rosemaryworks_core::shard::Epoch;
+use rosemaryworks_wire::{Message, Snapshot};
+use support::fakes::{FakeScheduler, MemoryLog, cell, publish_record, reply};
+use support::{Running, Treat, eventually, grant_all, granted, shard};
+
+async fn survey(gateway: &Running, epoch: u64) -> Vec<Outstanding> {
+    let call = Message::Survey {
+        shard: shard(),
+        epoch: Epoch(epoch),
+    };
+    let peer = gateway.scheduler.peer().await;
+    match peer.call(call, Duration::from_secs(2)).await {
+        Ok(Message::Outstanding(outstanding)) => outstanding,
+        other => panic!("unexpected reply: {other:?}"),
+    }
+}
+
+/// Guards against a new owner that counts the slot of a running request as free, and against a slot
+/// that the new owner holds for ever because the end is told only to the old one.
+#[tokio::test]
+async fn a_running_request_is_told_to_the_new_owner() {
+    let gateway = Running::start().await;
+    gateway.instances.treat(&[Treat::Slow(500)]);
+    let answered = async { gateway.outcome("r-1", &[]).await };
+    let takeover = async {
+        eventually(|| gateway.instances.received().len() == 1).await;
+        survey(&gateway, 2).await
+    };
+    let (outcome, outstanding) = tokio::join!(answered, takeover);
+    assert_eq!(outcome.0, 200);
+    let key = gateway.asks()[0].key.clone();
+    assert_eq!(outstanding.len(), 1);
+    assert_eq!(
+        (&outstanding[0].key, outstanding[0].idempotent),
+        (&key, false)
+    );
+    assert_eq!(&*outstanding[0].request.id, "r-1");
+    let expected = Message::OutstandingFinished {
+        shard: shard(),
+        key,
+        finish: Finish::Answered,
+    };
+    eventually(|| gateway.scheduler.calls().contains(&expected)).await;
+    eventually(|| gateway.gateway.reports() == 0).await;
+    assert!(survey(&gateway, 3).await.is_empty());
+}
+
+/// Guards against the use of a grant of an earlier epoch after its shard was surveyed: the new owner
+/// may have given the slot to another request.
+#[tokio::test]
+async fn a_grant_from_before_a_survey_is_not_used() {
+    let gateway = Running::start().await;
+    assert!(survey(&gateway, 5).await.is_empty());
+    gateway.scheduler.answer(|message| match message {
+        Message::Ask { ask, .. } => reply(granted(4, ask.key.number, 0)),
+        _ => reply(Message::Done),
+    });
+    let headers = [("rosemary-deadline-ms", "200"), ("rosemary-attempt", "1")];
+    let outcome = gateway.outcome("r-1", &headers).await;
+    assert_eq!((outcome.0, &*outcome.1), (503, "not-run"));
+    assert!(gateway.instances.received().is_empty());
+}
+
+/// Guards against an end that is reported once and lost.
+#[tokio::test]
+async fn an_end_is_reported_until_it_is_acknowledged() {
+    let gateway = Running::start().await;
+    gateway.scheduler.answer(|message| match message {
+        Message::Finish { .. } => reply(Message::NotOwner { owner: None }),
+        message => grant_all(message),
+    });
+    assert_eq!(gateway.outcome("r-1", &[]).await.0, 200);
+    let finishes = || {
+        let calls = gateway.scheduler.calls();
+        let finishes = calls
+            .iter()
+            .filter(|call| matches!(call, Message::Finish { .. }));
+        finishes.count()
+    };
+    eventually(|| finishes() >= 2).await;
+    assert_eq!(gateway.gateway.reports(), 1);
+    gateway.scheduler.answer(grant_all);
+    eventually(|| gateway.gateway.reports() == 0).await;
+}
+
+/// Guards against asking a scheduler that gave the shard up, when another one is named.
+#[tokio::test]
+async fn the_owner_named_by_another_scheduler_is_asked() {
+    let other = FakeScheduler::start("scheduler-2").await;
+    other.answer(grant_all);
+    let log = MemoryLog::default();
+    log.push("contracts", &publish_record());
+    let address = other.address;
+    let gateway = Running::start_with(log, |settings| {
+        let first = settings.cell.schedulers[0].peer;
+        settings.cell = cell(&[("scheduler-1", first), ("scheduler-2", address)]);
+    })
+    .await;
+    gateway.scheduler.answer(|message| match message {
+        Message::Ask { .. } => reply(Message::Verdict(rosemaryworks_wire::Verdict::NotOwner {
+            owner: Some("scheduler-2".into()),
+        })),
+        _ => reply(Message::Done),
+    });
+    gateway.own(1, Some("scheduler-1")).await;
+    gateway.wait_ready().await;
+    other.peer().await;
+    assert_eq!(gateway.outcome("r-1", &[]).await.0, 200);
+}
+
+/// Guards against a gateway that stays useless because the log is down while it starts.
+#[tokio::test]
+async fn contracts_come_from_a_scheduler_while_the_log_is_down() {
+    let log = MemoryLog::default();
+    log.set_down(true);
+    let gateway = Running::start_with(log.clone(), |_| {}).await;
+    gateway.scheduler.peer().await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(!gateway.status.ready.get());
+    let mut snapshot = Snapshot::default();
+    let record = serde_json::from_str(&publish_record()).unwrap();
+    snapshot.register.apply(1, &record);
+    snapshot.owners = vec![(shard(), Epoch(1), "scheduler-1".into(), 1)];
+    gateway.scheduler.answer(move |message| match message {
+        Message::Snapshot => reply(Message::Snapshotted(Box::new(snapshot.clone()))),
+        message => grant_all(message),
+    });
+    gateway.wait_ready().await;
+    assert_eq!(gateway.outcome("r-1", &[]).await.0, 200);
+}
