--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -39,11 +39,14 @@
     Unreached,
 }
 
+/// Name of the instance and the request that it received.
+type Received = (Arc<str>, Request);
+
 /// Service instances that treat requests as the test says; `Answer(200, "done")` by default.
 #[derive(Clone, Default)]
 pub struct FakeInstances {
     next: Arc<Mutex<VecDeque<Treat>>>,
-    received: Arc<Mutex<Vec<(Arc<str>, Request)>>>,
+    received: Arc<Mutex<Vec<Received>>>,
 }
 
 impl FakeInstances {
@@ -52,7 +55,7 @@
     }
 
     /// Requests of which bytes were sent.
-    pub fn received(&self) -> Vec<(Arc<str>, Request)> {
+    pub fn received(&self) -> Vec<Received> {
         self.received.lock().unwrap().clone()
     }
 }
