fix(node): HTTP requests no longer wait for ever for a connection

Placements to one worker got no answer within 2 s and never reached it, and log reads stalled likewise. The client's connection limit was 0, taken for none; ruled out were the stand-in and the server library, which answered all requests of a client with a limit.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -16,6 +16,10 @@
 /// Largest response body in bytes.
 pub const BODY_MAX_BYTES: usize = 64 * 1024 * 1024;
 
+/// Connections of one thread to all addresses together, more than it ever needs. With a limit of 0,
+/// which the library takes as none, requests that find no idle connection may wait for ever.
+const CONNECTIONS_MAX: usize = 1_000_000;
+
 const KEEP_ALIVE_SECONDS: u16 = 60;
 
 /// A request.
@@ -168,9 +172,8 @@
 }
 
 async fn serve(mut receiver: mpsc::UnboundedReceiver<Job>) {
-    // A limit of 0 sets no bound: the limit counts over all addresses, not per address.
     let connector = Connector::default()
-        .limit(0)
+        .limit(CONNECTIONS_MAX)
         .keep_alive(Seconds(KEEP_ALIVE_SECONDS));
     let client = LocalClient::builder()
         .connector::<ntex::SharedCfg>(connector)
