--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -287,12 +287,14 @@
     out: Vec<Step>,
     /// Whether the workers were listed in this epoch.
     listed: bool,
+    /// Whether the workers that were listed lately are known.
+    recalled: bool,
     /// Whether all leases of earlier epochs are known.
     settled: bool,
-    /// Jobs taken over whose tasks wait for the survey.
-    unresolved: VecDeque<Serial>,
-    /// Jobs whose leases are to be given up, looked at in bounded batches.
-    stopping: VecDeque<Serial>,
+    /// Jobs taken over whose tasks wait for the survey, with the next task to look at.
+    unresolved: VecDeque<Key>,
+    /// Jobs whose leases are to be given up, with the next task to look at.
+    stopping: VecDeque<Key>,
     /// Tasks that wait before they are queued again.
     delayed: BTreeSet<(Instant, Key)>,
     /// Jobs whose priority rises at a time.
@@ -317,6 +319,7 @@
             learned: Learned::default(),
             out: Vec::new(),
             listed: false,
+            recalled: false,
             settled: start.clean,
             unresolved: VecDeque::new(),
             stopping: VecDeque::new(),
--- a/crates/core/src/placement/intake.rs
+++ b/crates/core/src/placement/intake.rs
@@ -23,7 +23,7 @@
             return;
         };
         for index in 0..tasks {
-            self.wait(Key { serial, index });
+            self.wait(now, Key { serial, index });
         }
         if urgent || !self.policy.rules.fair {
             self.place_urgent(now);
@@ -61,7 +61,7 @@
         }
         job.started = job.recorded > 0 || states.contains(&Restored::Granted);
         job.failed = !cancelled && job.ended(End::Failed) > 0 && job.spec.restart;
-        self.unresolved.push_back(serial);
+        self.unresolved.push_back(Key::first(serial));
         self.conclude(serial);
     }
 
@@ -71,23 +71,10 @@
             return;
         }
         for _ in 0..RESOLVED_PER_CALL {
-            let Some(serial) = self.unresolved.front().copied() else {
+            let Some(key) = self.book.take_next(&mut self.unresolved) else {
                 return;
             };
-            let Some(job) = self.book.get_mut(serial) else {
-                self.unresolved.pop_front();
-                continue;
-            };
-            let index = job.cursor;
-            job.cursor += 1;
-            if index < job.items.len() {
-                let index = index as u32;
-                self.resolve_one(now, Key { serial, index });
-            } else {
-                job.cursor = 0;
-                self.unresolved.pop_front();
-                self.resolved(serial);
-            }
+            self.resolve_one(now, key);
         }
     }
 
@@ -98,21 +85,13 @@
         let Phase::Unknown { granted } = item.phase else {
             return;
         };
+        // A gang whose other members run is stopped and placed again as a whole by `again`.
         match granted {
             true => self.again(now, key, Gone::Lost),
             false => self.again(now, key, Gone::Unfound),
         }
     }
 
-    fn resolved(&mut self, serial: Serial) {
-        let Some(job) = self.book.get(serial) else {
-            return;
-        };
-        if job.is_stopping() || job.broken {
-            self.stopping.push_back(serial);
-        }
-    }
-
     fn add(&mut self, contract: &Arc<str>, spec: Spec, accepted: Instant) -> Option<Serial> {
         let id = Id {
             contract: contract.clone(),
@@ -146,7 +125,6 @@
             cancelled: false,
             failed: false,
             broken: false,
-            cursor: 0,
             started: false,
             held: 0,
             recorded: 0,
--- a/crates/core/src/placement/link.rs
+++ b/crates/core/src/placement/link.rs
@@ -27,6 +27,21 @@
 pub(crate) const SETTLE_MS: u64 = 2 * LIST_MS;
 
 impl Kernel {
+    /// Takes over workers that were listed lately but no longer are, at the start of an epoch.
+    ///
+    /// They may still run tasks of earlier epochs. Without this call nothing that was taken over is
+    /// placed before all leases of earlier epochs have surely lapsed; with it, as soon as the
+    /// listed workers are surveyed and these have lapsed.
+    pub fn recall(&mut self, now: Instant, workers: Vec<Worker>) {
+        self.recalled = true;
+        for target in workers {
+            if self.fleet.slot(&target.name).is_none() {
+                let link = Link::new(self.began, self.start.clean);
+                self.fleet.add(target, link, now);
+            }
+        }
+    }
+
     /// Takes over the list of workers.
     pub(crate) fn list(&mut self, now: Instant, workers: Vec<(Worker, State)>) {
         self.listed = true;
@@ -50,7 +65,13 @@
             self.wake(now, slot);
         }
         let surveyed = self.listed && self.fleet.unsurveyed == 0;
-        self.settled |= surveyed && now.since(self.began) >= SETTLE_MS;
+        // Without the workers listed lately, one that is no longer listed may still run tasks.
+        let wait_ms = if self.recalled {
+            SETTLE_MS
+        } else {
+            LEASE_LAPSED_MS
+        };
+        self.settled |= surveyed && now.since(self.began) >= wait_ms;
     }
 
     /// Handles a `Sync` that failed or whose answer was lost.
--- a/crates/core/src/placement/pick.rs
+++ b/crates/core/src/placement/pick.rs
@@ -14,6 +14,8 @@
 const LONG_MS: u64 = 60_000;
 /// Milliseconds between attempts to place a gang that found no room.
 const GANG_RETRY_MS: u64 = 500;
+/// Milliseconds in the queue during which a task keeps off the workers on which it failed.
+const AVOID_MS: u64 = 5_000;
 /// Sizes without room that one round remembers.
 const MISSES_MAX: usize = 16;
 
@@ -123,7 +125,7 @@
             return Outcome::Limited;
         };
         let key = Key { serial, index };
-        let Some(slot) = self.pick(key, need) else {
+        let Some(slot) = self.pick(now, key, need) else {
             if self.avoided(key).is_empty() && !need.backfill {
                 misses.add(need.kind, need.long, &need.size);
             }
@@ -153,7 +155,7 @@
         if now < retry || misses.contains(need.kind, need.long, &together) {
             return Outcome::NoRoom;
         }
-        let Some(slots) = self.pick_all(serial, &tasks, need) else {
+        let Some(slots) = self.pick_all(now, serial, &tasks, need) else {
             self.defer_gang(now, serial);
             return Outcome::NoRoom;
         };
@@ -170,14 +172,20 @@
     }
 
     /// Picks workers for all tasks of a gang, or none.
-    fn pick_all(&mut self, serial: Serial, tasks: &[u32], need: &Need) -> Option<Vec<Slot>> {
+    fn pick_all(
+        &mut self,
+        now: Instant,
+        serial: Serial,
+        tasks: &[u32],
+        need: &Need,
+    ) -> Option<Vec<Slot>> {
         let mut slots: Vec<Slot> = Vec::with_capacity(tasks.len());
         for index in tasks {
             let key = Key {
                 serial,
                 index: *index,
             };
-            let Some(slot) = self.pick(key, need) else {
+            let Some(slot) = self.pick(now, key, need) else {
                 break;
             };
             slots.push(slot);
@@ -194,7 +202,7 @@
         (slots.len() == tasks.len()).then_some(slots)
     }
 
-    fn pick(&mut self, key: Key, need: &Need) -> Option<Slot> {
+    fn pick(&mut self, now: Instant, key: Key, need: &Need) -> Option<Slot> {
         let none = HashMap::new();
         let job = self.book.get(key.serial)?;
         let item = job.items.get(key.index as usize)?;
@@ -214,11 +222,13 @@
         if found.is_some() || ask.avoid.is_empty() {
             return found;
         }
-        // When all others are full or none is left, a worker that failed the task is better than
-        // a task that never ends.
-        let all_failed = ask.avoid.len() >= self.fleet.usable();
+        // The other workers may be unable to hold the task for ever.
+        let patient = now.since(item.queued) < AVOID_MS;
+        if patient && ask.avoid.len() < self.fleet.usable() {
+            return None;
+        }
         let ask = Ask { avoid: &[], ..ask };
-        all_failed.then(|| policy.pick(&self.fleet, &ask, &mut self.random))?
+        policy.pick(&self.fleet, &ask, &mut self.random)
     }
 
     fn avoided(&self, key: Key) -> &[Slot] {
--- a/crates/core/src/placement/report.rs
+++ b/crates/core/src/placement/report.rs
@@ -62,14 +62,24 @@
             return;
         };
         let attempt = finished.attempt;
+        let succeeded = finished.result == Result::Succeeded;
+        let restart = self
+            .book
+            .get(key.serial)
+            .is_some_and(|job| job.spec.restart);
         let Some(item) = self.book.item_mut(key) else {
             return self.acknowledge(slot, finished.task.clone(), attempt);
         };
         let same = item.attempts == attempt;
         let current = match &item.phase {
             Phase::Held(hold) => hold.worker == slot && same,
+            // Another worker that was not surveyed yet may hold a later attempt.
+            Phase::Unknown { .. } if restart && !succeeded => {
+                item.attempts = item.attempts.max(attempt);
+                false
+            }
             Phase::Unknown { .. } => true,
-            Phase::Waiting | Phase::Delayed(_) => finished.result == Result::Succeeded,
+            Phase::Waiting | Phase::Delayed(_) => succeeded,
             Phase::Ending(_) if item.keeper == Some((slot, attempt)) => return,
             Phase::Ending(_) | Phase::Ended(_) => false,
         };
--- a/crates/core/src/placement/stop.rs
+++ b/crates/core/src/placement/stop.rs
@@ -48,21 +48,10 @@
     /// Stops a bounded number of tasks of jobs whose leases are given up.
     pub(crate) fn stop_batch(&mut self, now: Instant) {
         for _ in 0..STOPS_PER_CALL {
-            let Some(serial) = self.stopping.front().copied() else {
+            let Some(key) = self.book.take_next(&mut self.stopping) else {
                 return;
             };
-            let Some(job) = self.book.get_mut(serial) else {
-                self.stopping.pop_front();
-                continue;
-            };
-            let index = job.cursor;
-            job.cursor += 1;
-            if index < job.items.len() {
-                let index = index as u32;
-                self.stop_one(now, Key { serial, index });
-            } else {
-                self.stopping.pop_front();
-            }
+            self.stop_one(now, key);
         }
     }
 
@@ -102,8 +91,7 @@
         };
         self.accounts.all[job.account].waiting -= job.waiting.len() as u64;
         job.waiting.clear();
-        job.cursor = 0;
-        self.stopping.push_back(serial);
+        self.stopping.push_back(Key::first(serial));
     }
 
     fn stop_one(&mut self, now: Instant, key: Key) {
--- a/crates/core/src/placement/task.rs
+++ b/crates/core/src/placement/task.rs
@@ -33,11 +33,13 @@
 
 impl Kernel {
     /// Queues a task.
-    pub(crate) fn wait(&mut self, key: Key) {
+    pub(crate) fn wait(&mut self, now: Instant, key: Key) {
         let Some(job) = self.book.get_mut(key.serial) else {
             return;
         };
-        job.items[key.index as usize].phase = Phase::Waiting;
+        let item = &mut job.items[key.index as usize];
+        item.phase = Phase::Waiting;
+        item.queued = now;
         job.waiting.push_back(key.index);
         self.accounts.all[job.account].waiting += 1;
         self.enqueue(key.serial);
@@ -66,7 +68,7 @@
             self.rally(key.serial);
         }
         match wait_ms {
-            0 => self.wait(key),
+            0 => self.wait(now, key),
             _ => self.delay(key, now + wait_ms),
         }
     }
@@ -141,7 +143,7 @@
             self.delayed.pop_first();
             let item = self.book.item(key);
             if item.is_some_and(|item| matches!(item.phase, Phase::Delayed(until) if until == at)) {
-                self.wait(key);
+                self.wait(now, key);
             }
         }
     }
@@ -166,8 +168,7 @@
         };
         if job.held > 0 && !job.broken {
             job.broken = true;
-            job.cursor = 0;
-            self.stopping.push_back(serial);
+            self.stopping.push_back(Key::first(serial));
         }
     }
 }
--- a/crates/core/src/placement/work.rs
+++ b/crates/core/src/placement/work.rs
@@ -22,6 +22,13 @@
     pub(crate) index: u32,
 }
 
+impl Key {
+    /// Returns the first task of a job.
+    pub(crate) fn first(serial: Serial) -> Self {
+        Self { serial, index: 0 }
+    }
+}
+
 /// What is known of a lease that the kernel asked for or found.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Certainty {
@@ -81,6 +88,8 @@
 pub(crate) struct Item {
     pub(crate) phase: Phase,
     pub(crate) attempts: Attempt,
+    /// When the task was last queued.
+    pub(crate) queued: Instant,
     /// Workers on which the task failed.
     pub(crate) failed_on: Vec<Slot>,
     /// Failures and refused placements since the last success.
@@ -94,6 +103,7 @@
         Self {
             phase,
             attempts: 0,
+            queued: Instant::default(),
             failed_on: Vec::new(),
             setbacks: 0,
             keeper: None,
@@ -137,8 +147,6 @@
     pub(crate) failed: bool,
     /// Whether a gang lost a member, so that the others are stopped and placed again with it.
     pub(crate) broken: bool,
-    /// Next task that a cancellation or a resolution looks at.
-    pub(crate) cursor: usize,
     pub(crate) started: bool,
     pub(crate) held: u32,
     pub(crate) recorded: u32,
@@ -194,10 +202,12 @@
 
     /// Returns the terminal state that the ends of the tasks add up to.
     pub(crate) fn verdict(&self) -> State {
-        if self.ended(End::Failed) > 0 || self.failed {
+        if self.ended(End::Failed) > 0 {
             State::Failed
         } else if self.ended(End::Lost) > 0 {
             State::Lost
+        } else if self.failed {
+            State::Failed
         } else if self.ended(End::Cancelled) > 0 {
             State::Cancelled
         } else {
@@ -250,6 +260,19 @@
         job.items.get_mut(key.index as usize)
     }
 
+    /// Takes the next task of the jobs in `queue`, which hold the next task to look at.
+    pub(crate) fn take_next(&self, queue: &mut VecDeque<Key>) -> Option<Key> {
+        while let Some(next) = queue.front_mut() {
+            let key = *next;
+            next.index += 1;
+            if self.item(key).is_some() {
+                return Some(key);
+            }
+            queue.pop_front();
+        }
+        None
+    }
+
     /// Returns the lease of a task for changes.
     pub(crate) fn hold_mut(&mut self, key: Key) -> Option<&mut Hold> {
         self.item_mut(key)?.hold_mut()
--- /dev/null
+++ b/crates/core/tests/placement_faults.rs
@@ -0,0 +1,105 @@
+//! One test per fault that was found in the placement kernel.
+
+#![allow(missing_docs, unreachable_pub, dead_code)]
+
+#[path = "support/vm.rs"]
+mod vm;
+#[path = "support/world.rs"]
+mod world;
+
+use rosemaryworks_core::job::{Kind, Spec, State as JobState};
+use rosemaryworks_core::size::Size;
+
+use world::{World, job};
+
+/// Guards against a job that never ends because it was cancelled before the new owner's survey.
+#[test]
+fn cancel_before_the_survey_ends() {
+    let mut world = World::new(5, 1);
+    let spec = Spec {
+        tasks: 5,
+        kind: Kind::Service,
+        ..job("service")
+    };
+    let id = world.submit(spec);
+    world.take_over(9_000);
+    world.cancel(&id);
+    assert!(world.run_until_ended(60_000));
+    assert_eq!(world.outcomes[&id], JobState::Cancelled);
+}
+
+/// Guards against a gang that waits for ever because its tasks failed on nearly every worker.
+#[test]
+fn gang_that_failed_everywhere_ends() {
+    let mut world = World::new(5, 1);
+    world.truth.insert("gang".into(), (1_000, true));
+    let id = world.submit(Spec {
+        tasks: 5,
+        kind: Kind::Gang,
+        ..job("gang")
+    });
+    assert!(world.run_until_ended(300_000));
+    assert_eq!(world.outcomes[&id], JobState::Failed);
+}
+
+/// Guards against a second lease after a lapsed attempt was reported before all workers were
+/// surveyed.
+#[test]
+fn lapsed_attempt_waits_for_the_survey() {
+    let mut world = World::new(5, 0);
+    let spec = Spec {
+        tasks: 5,
+        kind: Kind::Service,
+        size: Size::new(500, 500),
+        ..job("service")
+    };
+    let id = world.submit(spec);
+    world.take_over(10_500);
+    world.run(51);
+    world.take_over(4_650);
+    world.run(30_000);
+    assert_eq!(
+        world.kernel.status(&id).map(|status| status.running),
+        Some(5)
+    );
+}
+
+/// Guards against a second lease while a worker that is no longer listed still runs the task.
+#[test]
+fn unlisted_worker_is_awaited_by_a_new_owner() {
+    for recall in [false, true] {
+        let mut world = World::new(4, 0);
+        world.recall = recall;
+        let spec = Spec {
+            tasks: 8,
+            size: Size::new(2_000, 500),
+            run_ms: 60_000,
+            ..job("tasks")
+        };
+        world.submit(spec);
+        world.run(1_000);
+        world.vm(1).listed = false;
+        world.list();
+        world.take_over(5_000);
+        assert!(world.run_until_ended(300_000));
+    }
+}
+
+/// Guards against a gang reported as failed although a member was lost.
+#[test]
+fn gang_with_a_lost_member_is_lost() {
+    let mut world = World::new(3, 0);
+    let spec = Spec {
+        tasks: 8,
+        kind: Kind::Gang,
+        run_ms: 60_000,
+        restart: false,
+        ..job("gang")
+    };
+    let id = world.submit(spec);
+    world.run(1_000);
+    let holder = (0..3).find(|index| world.running_on(*index) > 0);
+    world.reboot(holder.expect("holder"));
+    assert!(world.run_until_ended(60_000));
+    assert_eq!(world.outcomes[&id], JobState::Lost);
+}
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -3,11 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use rosemaryworks_core::contract::{Contract, Pool};
-use rosemaryworks_core::job::{End, Id, Kind, Priority, Spec, State as JobState, Task};
+use rosemaryworks_core::contract::Contract;
+use rosemaryworks_core::job::{End, Id, Kind, Spec, State as JobState, Task};
 use rosemaryworks_core::partition::Map;
 use rosemaryworks_core::placement::{
-    Attempt, Event, Finished, Kernel, Lease, Report, Restored, Result, Start, Step,
+    Attempt, Event, Finished, Kernel, Report, Restored, Result, Start, Step,
 };
 use rosemaryworks_core::shard;
 use rosemaryworks_core::size::Size;
@@ -15,71 +15,12 @@
 use rosemaryworks_core::time::Instant;
 use rosemaryworks_core::timing::LEASE_MS;
 
+use super::vm::{Live, Vm};
+pub use super::vm::{contract, job};
+
 /// Milliseconds after which the host gives a call up.
 const CALL_MS: u64 = 1_000;
 
-/// Returns a batch job of one task on one core that runs for 1 s.
-pub fn job(id: &str) -> Spec {
-    Spec {
-        id: id.into(),
-        kind: Kind::Batch,
-        pool: "cpu".into(),
-        tasks: 1,
-        size: Size::new(1_000, 1_000),
-        run_ms: 1_000,
-        priority: Priority::Normal,
-        deadline_ms: None,
-        restart: true,
-        work: None,
-        payload: None,
-    }
-}
-
-/// Returns a contract that may use all of the pool.
-pub fn contract(name: &str) -> Contract {
-    Contract {
-        name: name.into(),
-        weight: 1,
-        keys: Vec::new(),
-        services: BTreeMap::new(),
-        pools: BTreeMap::from([(
-            "cpu".into(),
-            Pool {
-                size: Size::new(1_000_000, 1_000_000),
-                queue: 100_000,
-            },
-        )]),
-        max_priority: Priority::Urgent,
-        urgent_percent: 100,
-    }
-}
-
-/// A lease as the fake worker holds it.
-#[derive(Clone, Debug)]
-struct Live {
-    attempt: Attempt,
-    size: Size,
-    epoch: u64,
-    started: u64,
-    expires: u64,
-    checkpointed: bool,
-}
-
-/// A fake worker.
-#[derive(Clone, Debug)]
-pub struct Vm {
-    pub target: Worker,
-    pub state: State,
-    pub listed: bool,
-    /// Whether calls reach the VM.
-    pub reachable: bool,
-    /// Whether every task that starts here fails.
-    pub bad: bool,
-    epoch: u64,
-    leases: BTreeMap<Task, Live>,
-    finished: Vec<Finished>,
-}
-
 /// A call on its way to a worker.
 #[derive(Clone, Debug)]
 enum Call {
@@ -119,6 +60,8 @@
     /// Share of calls whose answer is lost, in percent.
     pub lose_percent: u64,
     pub policy: &'static str,
+    /// Whether a new kernel learns which workers were listed lately.
+    pub recall: bool,
     /// Steps in the order in which the kernel asked for them.
     pub steps: Vec<Step>,
     epoch: u64,
@@ -146,6 +89,7 @@
             truth: HashMap::new(),
             lose_percent: 0,
             policy: "default",
+            recall: true,
             steps: Vec::new(),
             epoch: 1,
             contracts: Vec::new(),
@@ -260,6 +204,11 @@
             };
             self.feed(event);
         }
+        let gone = self.vms.values().filter(|vm| !vm.listed);
+        let gone = gone.map(|vm| vm.target.clone()).collect();
+        if self.recall {
+            self.kernel.recall(Instant(self.now), gone);
+        }
         self.list();
     }
 
@@ -541,42 +490,6 @@
     }
 }
 
-impl Vm {
-    fn finish(&mut self, task: &Task, result: Result, now: u64) {
-        if let Some(live) = self.leases.remove(task) {
-            self.finished.push(Finished {
-                task: task.clone(),
-                attempt: live.attempt,
-                result,
-                run_ms: now - live.started,
-            });
-        }
-    }
-
-    fn sync(&mut self, acknowledge: &[(Task, Attempt)], epoch: u64, now: u64) -> Report {
-        let acknowledged =
-            |entry: &Finished| acknowledge.contains(&(entry.task.clone(), entry.attempt));
-        self.finished.retain(|entry| !acknowledged(entry));
-        let lease = |(task, live): (&Task, &mut Live)| {
-            live.expires = now + LEASE_MS;
-            live.epoch = epoch;
-            Lease {
-                task: task.clone(),
-                attempt: live.attempt,
-                size: live.size,
-                used: live.size,
-                used_age_ms: 0,
-                checkpointed: live.checkpointed,
-            }
-        };
-        Report {
-            leases: self.leases.iter_mut().map(lease).collect(),
-            finished: self.finished.clone(),
-            leaving: false,
-        }
-    }
-}
-
 fn start(clean: bool, policy: &str, seed: u64) -> Start {
     let mut map = Map::default();
     map.pools.insert("cpu".into(), 1);
