feat(xtask): measure placement against baselines

Cause: policy details need figures. Change: cargo xtask measure with a Scenario trait and seven placement scenarios on simulated workers: decisions, waiting, night, stragglers, packing, gangs, fairness. The fake worker of the tests now starts a newer attempt beside a checkpointed one of the same task, as the platform allows; before, it ignored the placement for ever, which the random test showed as a job without an end.

--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -427,7 +427,8 @@
         let (now, epoch) = (self.now, self.epoch);
         let vm = self.vms.get_mut(worker).expect("vm");
         let known = |finished: &Finished| finished.task == *task && finished.attempt == attempt;
-        if vm.leases.contains_key(task) || vm.finished.iter().any(known) {
+        let running = |live: &Live| !live.checkpointed || live.attempt == attempt;
+        if vm.leases.get(task).is_some_and(running) || vm.finished.iter().any(known) {
             return;
         }
         let live = Live {
--- /dev/null
+++ b/xtask/src/measure.rs
@@ -0,0 +1,115 @@
+//! Runs the real decision code on generated load and compares it with baselines in the same run.
+
+mod cell;
+mod decisions;
+mod fairness;
+mod gangs;
+mod load;
+mod night;
+mod packing;
+mod stragglers;
+mod table;
+mod waiting;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use table::{Row, Table};
+
+/// Placement policies that the default policy is compared with.
+pub(crate) const BASELINES: [&str; 3] = ["fcfs-first-fit", "random", "least-loaded"];
+/// Placement policy under measurement.
+pub(crate) const OURS: &str = "default";
+
+/// Runs the real decision code on generated load and prints ratios against baselines.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "measure")]
+pub(crate) struct Arguments {
+    /// name of the only scenario to run
+    #[argh(option)]
+    scenario: Option<String>,
+    /// first seed (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds (default 5)
+    #[argh(option, default = "5")]
+    seeds: u64,
+    /// file for all figures
+    #[argh(option)]
+    json: Option<PathBuf>,
+}
+
+/// A load whose figures are compared with baselines.
+pub(crate) trait Scenario: Sync {
+    /// Returns the name for the command line.
+    fn name(&self) -> &'static str;
+
+    /// Tells whether wall-clock times are measured, so that nothing else may run meanwhile.
+    fn is_timed(&self) -> bool {
+        false
+    }
+
+    /// Runs the scenario with one seed.
+    fn run(&self, seed: u64) -> Vec<Row>;
+}
+
+/// Returns every scenario.
+fn scenarios() -> Vec<Box<dyn Scenario>> {
+    vec![
+        Box::new(decisions::Decisions),
+        Box::new(waiting::Waiting),
+        Box::new(night::Night),
+        Box::new(stragglers::Stragglers),
+        Box::new(packing::Packing),
+        Box::new(gangs::Gangs),
+        Box::new(fairness::Fairness),
+    ]
+}
+
+/// Runs the scenarios and prints the table.
+pub(crate) fn run(arguments: &Arguments) -> ExitCode {
+    let mut chosen = scenarios();
+    if let Some(name) = &arguments.scenario {
+        chosen.retain(|scenario| scenario.name() == name);
+    }
+    if chosen.is_empty() {
+        let names: Vec<_> = scenarios().iter().map(|known| known.name()).collect();
+        eprintln!("no such scenario; known are: {}", names.join(", "));
+        return ExitCode::from(2);
+    }
+    if cfg!(debug_assertions) {
+        eprintln!("warning: this is a debug build; use --release for figures");
+    }
+    let seeds: Vec<u64> = (arguments.seed..arguments.seed + arguments.seeds.max(1)).collect();
+    let mut table = Table::default();
+    for scenario in &chosen {
+        for rows in measure(scenario.as_ref(), &seeds) {
+            table.add(scenario.name(), rows);
+        }
+    }
+    print!("{table}");
+    match arguments.json.as_ref().map(|path| table.write(path)) {
+        Some(Err(error)) => {
+            eprintln!("figures can't be written: {error}");
+            ExitCode::FAILURE
+        }
+        _ => ExitCode::SUCCESS,
+    }
+}
+
+fn measure(scenario: &dyn Scenario, seeds: &[u64]) -> Vec<Vec<Row>> {
+    if scenario.is_timed() {
+        return seeds.iter().map(|seed| scenario.run(*seed)).collect();
+    }
+    std::thread::scope(|scope| {
+        let runs: Vec<_> = seeds
+            .iter()
+            .map(|seed| scope.spawn(|| scenario.run(*seed)))
+            .collect();
+        runs.into_iter()
+            .map(|run| run.join().expect("scenario panicked"))
+            .collect()
+    })
+}
--- /dev/null
+++ b/xtask/src/measure/gangs.rs
@@ -0,0 +1,100 @@
+//! Gangs beside single tasks in the accelerator pool.
+
+use rosemaryworks_core::job::{Id, Kind};
+use rosemaryworks_core::size::Size;
+
+use super::cell::Cell;
+use super::load::{Load, contract};
+use super::table::{Row, quantile};
+use super::{BASELINES, OURS, Scenario};
+
+/// Simulated time in milliseconds.
+const LENGTH_MS: u64 = 3_600_000;
+/// Size of a VM of the accelerator pool.
+const VM: Size = Size::new(64_000, 256_000).accelerators(8);
+/// Number of VMs.
+const VMS: usize = 13;
+
+/// Gangs of 8 to 48 accelerators beside single tasks.
+#[derive(Debug)]
+pub(crate) struct Gangs;
+
+impl Scenario for Gangs {
+    fn name(&self) -> &'static str {
+        "gangs"
+    }
+
+    fn run(&self, seed: u64) -> Vec<Row> {
+        let ours = simulate(OURS, seed);
+        let others = BASELINES.map(|name| (name, simulate(name, seed)));
+        let figure = |index: usize| others.map(|(name, run)| (name, run[index]));
+        vec![
+            Row::new("gangs placed / submitted", ours[0], &figure(0)),
+            Row::new(
+                "gang wait p99 s, unplaced ones included",
+                ours[1],
+                &figure(1),
+            ),
+            Row::new("single task wait p99 s", ours[2], &figure(2)),
+            Row::new("single tasks started", ours[3], &figure(3)),
+        ]
+    }
+}
+
+fn simulate(policy: &str, seed: u64) -> [f64; 4] {
+    let mut load = Load::new(seed);
+    let mut cell = Cell::new(policy, seed, &[VM; VMS]);
+    cell.tick_ms = 100;
+    cell.publish(contract("a", 1, VM.times(VMS as u64)));
+    let (mut single, mut gang) = (0.0, 60_000.0);
+    let mut gangs: Vec<(Id, u64)> = Vec::new();
+    while cell.now < LENGTH_MS {
+        while single <= cell.now as f64 {
+            let size = Size::new(4_000, 16_000).accelerators(load.within(1..=2));
+            let mut work = load.batch("a", 1, size, 30_000);
+            work.truth.fails = false;
+            work.spec.work = Some("print".into());
+            cell.submit(work);
+            single += load.gap_ms(0.9);
+        }
+        while gang <= cell.now as f64 {
+            let tasks = load.within(8..=48) as u32;
+            let size = Size::new(4_000, 16_000).accelerators(1);
+            let mut work = load.batch("a", tasks, size, 20_000);
+            work.truth.fails = false;
+            work.truth
+                .run_ms
+                .iter_mut()
+                .for_each(|run| *run = (*run).min(60_000));
+            work.spec.kind = Kind::Gang;
+            work.spec.work = Some("preview".into());
+            let submitted = cell.now;
+            gangs.push((cell.submit(work), submitted));
+            gang += load.gap_ms(1.0 / 60.0);
+        }
+        cell.tick();
+    }
+    figures(&cell, &gangs)
+}
+
+fn figures(cell: &Cell, gangs: &[(Id, u64)]) -> [f64; 4] {
+    let queued = |id: &Id| {
+        let status = cell.kernel.status(id);
+        status.is_some_and(|status| status.state == rosemaryworks_core::job::State::Queued)
+    };
+    let placed = gangs.iter().filter(|(id, _)| !queued(id)).count();
+    let unplaced = gangs.iter().filter(|(id, _)| queued(id));
+    let unplaced = unplaced.map(|(_, submitted)| (LENGTH_MS - submitted) as f64);
+    let waits = |kind| cell.waits.iter().filter(move |wait| wait.kind == kind);
+    let mut gang: Vec<f64> = waits(Kind::Gang)
+        .map(|wait| wait.ms)
+        .chain(unplaced)
+        .collect();
+    let mut single: Vec<f64> = waits(Kind::Batch).map(|wait| wait.ms).collect();
+    [
+        placed as f64 / gangs.len().max(1) as f64,
+        quantile(&mut gang, 99.0) / 1_000.0,
+        quantile(&mut single, 99.0) / 1_000.0,
+        single.len() as f64,
+    ]
+}
--- /dev/null
+++ b/xtask/src/measure/load.rs
@@ -0,0 +1,137 @@
+//! Generated work: heavy-tailed run times, stragglers, wrong declarations.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rosemaryworks_core::contract::{Contract, Pool};
+use rosemaryworks_core::job::{Kind, Priority, Spec};
+use rosemaryworks_core::size::Size;
+
+/// Share of tasks that run 100 times as long.
+const STRAGGLER_SHARE: f64 = 0.005;
+/// How much longer a straggler runs.
+const STRAGGLER_FACTOR: u64 = 100;
+/// Share of jobs that can never run.
+const BAD_SHARE: f64 = 0.005;
+
+/// What really happens to a job's tasks.
+#[derive(Clone, Debug)]
+pub(crate) struct Truth {
+    /// Run time of each task in milliseconds.
+    pub(crate) run_ms: Vec<u64>,
+    /// Use of each task.
+    pub(crate) used: Size,
+    /// Whether every task fails.
+    pub(crate) fails: bool,
+}
+
+/// A job with what really happens.
+#[derive(Clone, Debug)]
+pub(crate) struct Work {
+    pub(crate) contract: Arc<str>,
+    pub(crate) spec: Spec,
+    pub(crate) truth: Truth,
+}
+
+/// Generates jobs from a seed.
+#[derive(Debug)]
+pub(crate) struct Load {
+    pub(crate) random: SmallRng,
+    next: u64,
+}
+
+impl Load {
+    /// Creates a generator.
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            random: SmallRng::seed_from_u64(seed),
+            next: 0,
+        }
+    }
+
+    /// Returns a batch job of `contract` whose tasks run for `run_ms` in the middle.
+    pub(crate) fn batch(&mut self, contract: &str, tasks: u32, size: Size, run_ms: u64) -> Work {
+        self.next += 1;
+        let run_ms = (0..tasks).map(|_| self.run_ms(run_ms)).collect::<Vec<_>>();
+        let declared = self.wrong(run_ms[0]);
+        let fails = self.random.random_bool(BAD_SHARE);
+        Work {
+            contract: contract.into(),
+            spec: Spec {
+                id: format!("j{}", self.next).into(),
+                kind: Kind::Batch,
+                pool: "cpu".into(),
+                tasks,
+                size,
+                run_ms: declared,
+                priority: Priority::Normal,
+                deadline_ms: None,
+                restart: true,
+                work: Some(format!("w{}", self.next % 5).into()),
+                payload: None,
+            },
+            truth: Truth {
+                run_ms,
+                used: size,
+                fails,
+            },
+        }
+    }
+
+    /// Returns milliseconds until the next of events that come at random, `rate` per second.
+    pub(crate) fn gap_ms(&mut self, rate: f64) -> f64 {
+        let uniform: f64 = self.random.random_range(1e-9..1.0);
+        -uniform.ln() * 1_000.0 / rate
+    }
+
+    /// Returns a value that is wrong by up to 10 times in either direction, half of them right.
+    pub(crate) fn wrong(&mut self, value: u64) -> u64 {
+        if self.random.random_bool(0.5) {
+            return value;
+        }
+        let exponent: f64 = self.random.random_range(-1.0..1.0);
+        ((value as f64) * 10f64.powf(exponent)) as u64
+    }
+
+    /// Makes the real use differ from the declared size, by up to 10 times less or 2 times more.
+    pub(crate) fn misdeclare(&mut self, work: &mut Work) {
+        let exponent: f64 = self.random.random_range(-1.0..0.3);
+        let factor = 10f64.powf(exponent);
+        let scale = |amount: u64| ((amount as f64 * factor) as u64).max(1);
+        work.truth.used.millicores = scale(work.spec.size.millicores);
+        work.truth.used.memory_mb = scale(work.spec.size.memory_mb);
+    }
+
+    /// Returns a random whole number of `range`.
+    pub(crate) fn within(&mut self, range: std::ops::RangeInclusive<u64>) -> u64 {
+        self.random.random_range(range)
+    }
+
+    fn run_ms(&mut self, middle: u64) -> u64 {
+        let spread: f64 = (0..4).map(|_| self.random.random_range(-1.0..1.0)).sum();
+        let run = ((middle as f64) * (spread * 0.8).exp()) as u64;
+        match self.random.random_bool(STRAGGLER_SHARE) {
+            true => run.max(1) * STRAGGLER_FACTOR,
+            false => run.max(1),
+        }
+    }
+}
+
+/// Returns a contract that may use `size` of the pool.
+pub(crate) fn contract(name: &str, weight: u32, size: Size) -> Contract {
+    let pool = Pool {
+        size,
+        queue: 1_000_000,
+    };
+    Contract {
+        name: name.into(),
+        weight,
+        keys: Vec::new(),
+        services: BTreeMap::new(),
+        pools: BTreeMap::from([("cpu".into(), pool)]),
+        max_priority: Priority::Urgent,
+        urgent_percent: 100,
+    }
+}
--- /dev/null
+++ b/xtask/src/measure/night.rs
@@ -0,0 +1,92 @@
+//! Nightly batch work beside the load of a night: how much is finished by morning.
+
+use rosemaryworks_core::job::{Id, Priority, State};
+use rosemaryworks_core::size::Size;
+
+use super::cell::Cell;
+use super::load::{Load, contract};
+use super::table::Row;
+use super::{BASELINES, OURS, Scenario};
+
+/// Length of the night in milliseconds.
+const NIGHT_MS: u64 = 8 * 3_600_000;
+/// Nightly jobs submitted in the first hour.
+const NIGHTLY_JOBS: u64 = 600;
+/// Other jobs submitted per second all night.
+const OTHER_PER_SECOND: f64 = 0.5;
+
+/// Nightly work of the first deployment.
+#[derive(Debug)]
+pub(crate) struct Night;
+
+impl Scenario for Night {
+    fn name(&self) -> &'static str {
+        "night"
+    }
+
+    fn run(&self, seed: u64) -> Vec<Row> {
+        let ours = simulate(OURS, seed);
+        let others = BASELINES.map(|name| (name, simulate(name, seed)));
+        let share = others.map(|(name, run)| (name, run.0));
+        let last = others.map(|(name, run)| (name, run.1));
+        vec![
+            Row::new("share of jobs finished by morning", ours.0, &share),
+            Row::new("hours to the end of the last job", ours.1, &last),
+        ]
+    }
+}
+
+fn simulate(policy: &str, seed: u64) -> (f64, f64) {
+    let mut load = Load::new(seed);
+    let mut cell = Cell::new(policy, seed, &[Size::new(16_000, 32_000); 35]);
+    cell.tick_ms = 500;
+    for index in 0..20 {
+        let size = Size::new(560_000, 1_120_000);
+        cell.publish(contract(&format!("c{index}"), 1 + index % 4, size));
+    }
+    let mut nightly: Vec<Id> = Vec::new();
+    let (mut next, mut next_nightly) = (0.0, 0.0);
+    while cell.now < NIGHT_MS {
+        while next <= cell.now as f64 {
+            let contract = format!("c{}", load.within(0..=19));
+            let size = Size::new(500 * load.within(1..=8), 1_000 * load.within(1..=8));
+            let tasks = load.within(1..=6) as u32;
+            let work = load.batch(&contract, tasks, size, 60_000);
+            cell.submit(work);
+            next += load.gap_ms(OTHER_PER_SECOND);
+        }
+        while next_nightly <= cell.now as f64 && (nightly.len() as u64) < NIGHTLY_JOBS {
+            nightly.push(submit_nightly(&mut cell, &mut load));
+            next_nightly += load.gap_ms(NIGHTLY_JOBS as f64 / 3_600.0);
+        }
+        cell.tick();
+    }
+    let ends: Vec<_> = nightly.iter().filter_map(|id| cell.ended.get(id)).collect();
+    let good = ends.iter().filter(|end| end.0 == State::Succeeded).count();
+    let last = ends.iter().map(|end| end.1).max().unwrap_or(NIGHT_MS);
+    let last = if ends.len() < nightly.len() {
+        NIGHT_MS
+    } else {
+        last
+    };
+    (
+        good as f64 / nightly.len() as f64,
+        last as f64 / 3_600_000.0,
+    )
+}
+
+fn submit_nightly(cell: &mut Cell, load: &mut Load) -> Id {
+    let contract = format!("c{}", load.within(0..=19));
+    let size = Size::new(1_000 * load.within(1..=4), 1_000 * load.within(1..=8));
+    let mut work = load.batch(&contract, 20, size, 120_000);
+    work.truth.fails = false;
+    // A task that runs longer than the rest of the night can't be finished by any policy.
+    work.truth
+        .run_ms
+        .iter_mut()
+        .for_each(|run| *run = (*run).min(3 * 3_600_000));
+    work.spec.priority = Priority::Nightly;
+    work.spec.work = Some("statements".into());
+    work.spec.deadline_ms = Some(NIGHT_MS - cell.now);
+    cell.submit(work)
+}
--- /dev/null
+++ b/xtask/src/measure/packing.rs
@@ -0,0 +1,87 @@
+//! Use of the pool when the first task finds no room, and VMs against a lower bound.
+
+use rosemaryworks_core::job::State;
+use rosemaryworks_core::size::Size;
+
+use super::cell::Cell;
+use super::load::{Load, Work, contract};
+use super::table::Row;
+use super::{BASELINES, OURS, Scenario};
+
+/// Size of a VM.
+const VM: Size = Size::new(16_000, 32_000);
+/// Number of VMs.
+const VMS: u64 = 35;
+
+/// Filling a pool with tasks of mixed sizes.
+#[derive(Debug)]
+pub(crate) struct Packing;
+
+impl Scenario for Packing {
+    fn name(&self) -> &'static str {
+        "packing"
+    }
+
+    fn run(&self, seed: u64) -> Vec<Row> {
+        let ours = fill(OURS, seed);
+        let others = BASELINES.map(|name| (name, fill(name, seed)));
+        let used = others.map(|(name, run)| (name, run.0));
+        let bound = others.map(|(name, run)| (name, run.1));
+        vec![
+            Row::new("used/usable at the first refused placement", ours.0, &used),
+            Row::new("VMs in use / lower bound, half the work", ours.1, &bound),
+        ]
+    }
+}
+
+/// Returns the share used when the first task waits, and VMs used against the least possible when
+/// half of that was placed.
+fn fill(policy: &str, seed: u64) -> (f64, f64) {
+    let full = place(policy, seed, usize::MAX);
+    let half = place(policy, seed, full.1 / 2);
+    (full.0, half.2)
+}
+
+/// Returns the share used, the number of tasks placed, and VMs used against the lower bound.
+fn place(policy: &str, seed: u64, most: usize) -> (f64, usize, f64) {
+    let mut load = Load::new(seed);
+    let mut cell = Cell::new(policy, seed, &[VM; VMS as usize]);
+    cell.publish(contract("a", 1, VM.times(VMS)));
+    let mut placed = 0;
+    while placed < most {
+        let id = cell.submit(piece(&mut load));
+        cell.tick();
+        if cell
+            .kernel
+            .status(&id)
+            .is_none_or(|status| status.state == State::Queued)
+        {
+            break;
+        }
+        placed += 1;
+    }
+    let held = cell.held();
+    let share = |used: u64, all: u64| used as f64 / all as f64;
+    let cores = share(held.millicores, VM.millicores);
+    let memory = share(held.memory_mb, VM.memory_mb);
+    let used = cell
+        .kernel
+        .targets()
+        .iter()
+        .filter(|target| target.taken > 0)
+        .count();
+    let least = cores.max(memory).ceil();
+    (cores.max(memory) / VMS as f64, placed, used as f64 / least)
+}
+
+/// Returns a long task; most are small, some need most of a VM.
+fn piece(load: &mut Load) -> Work {
+    let large = load.within(0..=9) == 0;
+    let millicores = 500 * load.within(if large { 12..=24 } else { 1..=8 });
+    let memory_mb = millicores * load.within(10..=30) / 10;
+    let size = Size::new(millicores, memory_mb.min(VM.memory_mb));
+    let mut work = load.batch("a", 1, size, 20_000);
+    work.truth.run_ms = vec![1 << 50];
+    work.truth.fails = false;
+    work
+}
