--- /dev/null
+++ b/xtask/src/faults.rs
@@ -0,0 +1,212 @@
+//! `cargo xtask faults`: the real processes under injected failures.
+
+mod crew;
+mod inject;
+mod jobs;
+mod kind;
+mod operators;
+mod proxy;
+mod report;
+mod requests;
+mod scene;
+mod schedule;
+mod setup;
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use error_stack::{Report, ResultExt};
+use rosemaryworks_history::file::{self, Writer};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::cluster::ports::Ports;
+use crate::cluster::process::{Error, Process};
+use crate::cluster::{self, Cluster};
+use crew::Crew;
+use inject::Stage;
+use kind::Kind;
+use operators::Races;
+use scene::Scene;
+use schedule::Entry;
+
+/// Parties that put load on the deployment.
+const CALLERS: u64 = 40;
+const JOB_CALLERS: u64 = 3;
+const OPERATORS: u64 = 4;
+
+/// Longest time after the load within which every acknowledged job must end.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(90);
+
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// run the real processes under injected failures and check what callers and targets saw
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "faults")]
+pub(crate) struct Options {
+    /// seed of the schedule and the load (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// seconds of failures; about 40 s of planned stops and leaving targets follow (default: 120)
+    #[argh(option, default = "120")]
+    seconds: u64,
+    /// names of failures, separated by commas; two names also occur as a pair (default: all, singly
+    /// and in pairs)
+    #[argh(option)]
+    fault: Option<String>,
+    /// first of 500 loopback ports (default: 23000)
+    #[argh(option, default = "23000")]
+    base_port: u16,
+    /// folder for settings, logs and histories (default: a new folder under the temporary folder)
+    #[argh(option)]
+    folder: Option<PathBuf>,
+    /// print the schedule and stop
+    #[argh(switch)]
+    plan: bool,
+}
+
+/// Runs the failures and returns whether every condition was checked and holds.
+///
+/// # Errors
+///
+/// Returns an error if a failure is unknown or the deployment can't be started.
+pub(crate) async fn run(options: Options) -> Result<bool, Report<Error>> {
+    let kinds = kinds(options.fault.as_deref().unwrap_or_default())?;
+    let schedule = schedule::plan(options.seed, options.seconds * 1_000, &kinds);
+    print_schedule(&schedule);
+    if options.plan {
+        return Ok(true);
+    }
+    cluster::build(false)?;
+    let default =
+        || std::env::temp_dir().join(format!("rosemaryworks-faults-{}", std::process::id()));
+    let folder = options.folder.clone().unwrap_or_else(default);
+    let failed = || Error::new("create the folder", folder.display().to_string());
+    std::fs::create_dir_all(&folder).change_context_lazy(failed)?;
+    let unstopped = run_load(&options, &schedule, &folder).await?;
+    for name in &unstopped {
+        println!("{name} did not exit with code 0 at the end");
+    }
+    let paths = [
+        folder.join("platform.history.json"),
+        driver_history(&folder),
+    ];
+    let records = file::read(&[&paths[0], &paths[1]]);
+    let records = records.change_context_lazy(|| Error::new("read", "the histories"))?;
+    let holds = report::print(&records) && unstopped.is_empty();
+    match holds {
+        true => drop(std::fs::remove_dir_all(&folder)),
+        false => println!("histories and logs are kept in {}", folder.display()),
+    }
+    Ok(holds)
+}
+
+fn driver_history(folder: &Path) -> PathBuf {
+    folder.join("driver.history.json")
+}
+
+fn kinds(names: &str) -> Result<Vec<Kind>, Report<Error>> {
+    let names = names.split(',').filter(|name| !name.is_empty());
+    names
+        .map(|name| {
+            Kind::find(name).ok_or_else(|| {
+                let known: Vec<_> = Kind::ALL.iter().map(|(_, name)| *name).collect();
+                let known = format!("known: {}", known.join(", "));
+                Report::new(Error::new("find the failure", name)).attach(known)
+            })
+        })
+        .collect()
+}
+
+fn print_schedule(schedule: &[Entry]) {
+    for entry in schedule {
+        println!(
+            "{:>7} ms to {:>7} ms  {:<18} choice {:016x}",
+            entry.at_ms,
+            entry.ends_ms,
+            entry.kind.name(),
+            entry.choice
+        );
+    }
+}
+
+/// Starts everything, puts it under load and failures, and stops it. Returns the names of processes
+/// that did not exit with code 0.
+async fn run_load(
+    options: &Options,
+    schedule: &[Entry],
+    folder: &Path,
+) -> Result<Vec<String>, Report<Error>> {
+    let ports = Ports::new(options.base_port);
+    let deployment = setup::deployment();
+    let (mut cluster, proxies) =
+        setup::start(deployment.clone(), ports, options.base_port, folder).await?;
+    let ready = cluster.ready().await?;
+    println!("all processes are ready after {} ms", ready.as_millis());
+    let failed = || Error::new("create", "the history");
+    let history = Writer::create(&driver_history(folder)).change_context_lazy(failed)?;
+    let Cluster {
+        client,
+        mut standin,
+        schedulers,
+        gateways,
+        ..
+    } = cluster;
+    let scene = Arc::new(Scene::new(deployment, ports, client, history));
+    let crew = Crew::new(scene.clone(), gateways, schedulers);
+    let stage = Arc::new(Stage {
+        crew,
+        proxies,
+        scene: scene.clone(),
+    });
+    let prepared = operators::prepare(&scene, &[scene::LARGE, scene::SMALL]).await;
+    prepared.map_err(|reason| Report::new(Error::new("publish", "contracts")).attach(reason))?;
+    let mut load = load(&scene, options.seed);
+    stage.play(Instant::now(), schedule).await;
+    stage.proxies.join_all();
+    scene.stop();
+    drain(&mut load).await;
+    scene.history.flush();
+    let mut unstopped = stage.crew.stop_all().await;
+    if !stop_standin(&mut standin).await {
+        unstopped.push("standin".to_owned());
+    }
+    Ok(unstopped)
+}
+
+fn load(scene: &Arc<Scene>, seed: u64) -> JoinSet<()> {
+    let mut load = JoinSet::new();
+    // Each party has a seed of its own.
+    let mut seeds = (seed << 16)..;
+    let mut next = move || seeds.next().unwrap_or_default();
+    for _ in 0..CALLERS {
+        load.spawn(requests::run(scene.clone(), next()));
+    }
+    for _ in 0..JOB_CALLERS {
+        load.spawn(jobs::run(scene.clone(), next()));
+    }
+    let races = Arc::new(Races::default());
+    for _ in 0..OPERATORS {
+        load.spawn(operators::run(scene.clone(), races.clone(), next()));
+    }
+    for gateway in 0..scene.gateways {
+        load.spawn(operators::watch(scene.clone(), gateway));
+    }
+    load
+}
+
+/// Waits until every caller has its last answer.
+async fn drain(load: &mut JoinSet<()>) {
+    let ended = async { while load.join_next().await.is_some() {} };
+    if tokio::time::timeout(DRAIN_TIMEOUT, ended).await.is_err() {
+        println!("{} callers still wait for jobs to end", load.len());
+        load.abort_all();
+    }
+}
+
+async fn stop_standin(standin: &mut Process) -> bool {
+    standin.terminate();
+    standin.wait(STOP_TIMEOUT).await == Some(0)
+}
--- /dev/null
+++ b/xtask/src/faults/crew.rs
@@ -0,0 +1,131 @@
+//! The processes under test.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryworks_history::Event;
+use rosemaryworks_node::http::Request;
+use tokio::sync::Mutex;
+use tokio::time::Instant;
+
+use super::scene::Scene;
+use crate::cluster::process::Process;
+
+/// Longest time that a planned stop may take.
+const STOP_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest time until a restarted process is ready; an outage of the log lasts 60 s.
+const READY_TIMEOUT: Duration = Duration::from_secs(90);
+
+const READY_PERIOD: Duration = Duration::from_millis(100);
+
+/// A process with the port at which it tells its readiness.
+struct Member {
+    port: u16,
+    process: Mutex<Process>,
+}
+
+/// Gateways and schedulers by name.
+pub(crate) struct Crew {
+    members: BTreeMap<String, Member>,
+    scene: Arc<Scene>,
+}
+
+impl Crew {
+    pub(crate) fn new(scene: Arc<Scene>, gateways: Vec<Process>, schedulers: Vec<Process>) -> Self {
+        let ports = scene.ports;
+        let gateways = gateways.into_iter().enumerate();
+        let gateways = gateways.map(|(index, process)| (ports.gateway_admin(index), process));
+        let schedulers = schedulers.into_iter().enumerate();
+        let schedulers =
+            schedulers.map(|(index, process)| (ports.scheduler_status(index), process));
+        let member = |(port, process): (u16, Process)| {
+            let name = process.name().to_owned();
+            let process = Mutex::new(process);
+            (name, Member { port, process })
+        };
+        let members = gateways.chain(schedulers).map(member).collect();
+        Self { members, scene }
+    }
+
+    fn up(&self, name: &str, up: bool) {
+        let process = name.into();
+        self.scene.note(Event::Process { process, up });
+    }
+
+    /// Kills a process at once.
+    pub(crate) async fn kill(&self, name: &str) {
+        self.up(name, false);
+        self.members[name].process.lock().await.kill();
+    }
+
+    /// Freezes a process or lets it run again.
+    pub(crate) async fn pause(&self, name: &str, pause: bool) {
+        let process = self.members[name].process.lock().await;
+        match pause {
+            true => process.pause(),
+            false => process.resume(),
+        }
+    }
+
+    /// Stops a process as planned and waits until it has exited.
+    pub(crate) async fn stop(&self, name: &str) {
+        let mut process = self.members[name].process.lock().await;
+        let note = |began| {
+            let process = name.into();
+            self.scene.note(Event::PlannedStop { process, began });
+        };
+        note(true);
+        process.terminate();
+        match process.wait(STOP_TIMEOUT).await {
+            Some(0) => note(false),
+            Some(code) => println!("{name} ended its planned stop with code {code}"),
+            None => println!("{name} did not end its planned stop in time"),
+        }
+        self.up(name, false);
+    }
+
+    /// Starts a process again and waits until it is ready.
+    pub(crate) async fn restart(&self, name: &str) {
+        let member = &self.members[name];
+        if let Err(report) = member.process.lock().await.restart() {
+            println!("{report:?}");
+            return;
+        }
+        let deadline = Instant::now() + READY_TIMEOUT;
+        let url = format!("http://127.0.0.1:{}/readyz", member.port);
+        while Instant::now() < deadline {
+            let request = Request::new("GET", url.clone(), Duration::from_secs(1));
+            let answer = self.scene.client.send(request).await;
+            if answer.is_ok_and(|response| response.status == 200) {
+                self.up(name, true);
+                return;
+            }
+            tokio::time::sleep(READY_PERIOD).await;
+        }
+        println!("{name} was not ready {READY_TIMEOUT:?} after its restart");
+    }
+
+    /// Stops every process, gateways first, and returns the names of those that did not exit with
+    /// code 0 in time.
+    pub(crate) async fn stop_all(&self) -> Vec<String> {
+        let mut failed = Vec::new();
+        for role in ["gateway", "scheduler"] {
+            let group = || {
+                self.members
+                    .iter()
+                    .filter(|(name, _)| name.starts_with(role))
+            };
+            for (_, member) in group() {
+                member.process.lock().await.terminate();
+            }
+            for (name, member) in group() {
+                if member.process.lock().await.wait(STOP_TIMEOUT).await != Some(0) {
+                    failed.push(name.clone());
+                }
+            }
+        }
+        failed
+    }
+}
--- /dev/null
+++ b/xtask/src/faults/setup.rs
@@ -0,0 +1,124 @@
+//! Starts the processes so that they reach each other and the platform through proxies.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use error_stack::{Report, ResultExt};
+use rosemaryworks_node::http::Client;
+use serde_json::{Value, json};
+
+use super::proxy::Proxies;
+use crate::cluster::deployment::{self, Deployment};
+use crate::cluster::ports::Ports;
+use crate::cluster::process::{Error, Process};
+use crate::cluster::{Cluster, settings};
+
+/// Party names of the platform's log and list of VMs.
+pub(crate) const LOG: &str = "log";
+const DIRECTORY: &str = "directory";
+
+/// Threads of the driver's HTTP client.
+const CLIENT_THREADS: usize = 2;
+
+/// A small deployment, in which callers fill the instances and jobs the workers.
+pub(crate) fn deployment() -> Deployment {
+    let mut deployment = deployment::avvolgi();
+    for pool in &mut deployment.pools {
+        pool.workers = if pool.accelerators > 0 { 6 } else { 15 };
+    }
+    for (service, instances) in deployment.services.iter_mut().zip([9, 6]) {
+        service.instances = instances;
+    }
+    deployment
+}
+
+/// Starts every process with its own addresses of all others.
+pub(crate) async fn start(
+    deployment: Deployment,
+    ports: Ports,
+    base_port: u16,
+    folder: &Path,
+) -> Result<(Cluster, Proxies), Report<Error>> {
+    let files = settings::write(&deployment, &ports, folder)?;
+    let mut proxies = Proxies::default();
+    let mut port = base_port + Ports::SPAN;
+    for (name, path) in files.schedulers.iter().chain(&files.gateways) {
+        let mut content = load(path)?;
+        redirect(&mut content["cell"], name, &mut port, &mut proxies).await?;
+        save(path, &content)?;
+    }
+    tune(&files.standin)?;
+    let start = |program: &str, name: &str, path: &Path| {
+        Process::start(program, name, path, &folder.join(format!("{name}.log")))
+    };
+    let standin = start("rosemary-standin", "standin", &files.standin)?;
+    let mut schedulers = Vec::new();
+    for (name, path) in &files.schedulers {
+        schedulers.push(start("rosemary-scheduler", name, path)?);
+    }
+    let mut gateways = Vec::new();
+    for (name, path) in &files.gateways {
+        gateways.push(start("rosemary-gateway", name, path)?);
+    }
+    let cluster = Cluster {
+        deployment,
+        ports,
+        client: Client::start(CLIENT_THREADS),
+        standin,
+        schedulers,
+        gateways,
+    };
+    Ok((cluster, proxies))
+}
+
+/// Replaces the addresses that process `from` dials by those of proxies.
+async fn redirect(
+    cell: &mut Value,
+    from: &str,
+    port: &mut u16,
+    proxies: &mut Proxies,
+) -> Result<(), Report<Error>> {
+    for scheduler in cell["schedulers"].as_array_mut().into_iter().flatten() {
+        let to = scheduler["name"].as_str().unwrap_or_default().to_owned();
+        redirect_one(&mut scheduler["peer"], from, &to, port, proxies).await?;
+    }
+    redirect_one(&mut cell["log"], from, LOG, port, proxies).await?;
+    redirect_one(&mut cell["directory"], from, DIRECTORY, port, proxies).await
+}
+
+async fn redirect_one(
+    address: &mut Value,
+    from: &str,
+    to: &str,
+    port: &mut u16,
+    proxies: &mut Proxies,
+) -> Result<(), Report<Error>> {
+    let failed = || Error::new("start a proxy", format!("{from} to {to}"));
+    let target = address.as_str().unwrap_or_default();
+    let target: SocketAddr = target.parse().change_context_lazy(failed)?;
+    let listen = SocketAddr::from(([127, 0, 0, 1], *port));
+    *port += 1;
+    let added = proxies.add(from, to, listen, target).await;
+    added.change_context_lazy(failed)?;
+    *address = json!(listen);
+    Ok(())
+}
+
+/// Lets tasks use other amounts than they declare.
+fn tune(path: &Path) -> Result<(), Report<Error>> {
+    let mut content = load(path)?;
+    content["tasks"] = json!({ "use_percent": 60 });
+    content["logging"] = json!({ "level": "warn" });
+    save(path, &content)
+}
+
+fn load(path: &Path) -> Result<Value, Report<Error>> {
+    let failed = || Error::new("read", path.display().to_string());
+    let text = std::fs::read_to_string(path).change_context_lazy(failed)?;
+    serde_json::from_str(&text).change_context_lazy(failed)
+}
+
+fn save(path: &Path, content: &Value) -> Result<(), Report<Error>> {
+    let failed = || Error::new("write", path.display().to_string());
+    std::fs::write(path, format!("{content:#}\n")).change_context_lazy(failed)
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod demo;
+mod faults;
 
 use std::process::ExitCode;
 
@@ -18,6 +19,7 @@
 #[argh(subcommand)]
 enum Task {
     Demo(demo::Options),
+    Faults(faults::Options),
     Settings(cluster::settings::Options),
 }
 
@@ -32,6 +34,7 @@
     };
     let result = match options.task {
         Task::Demo(options) => runtime.block_on(demo::run(options)),
+        Task::Faults(options) => runtime.block_on(faults::run(options)),
         Task::Settings(options) => cluster::settings::run(&options).map(|()| true),
     };
     match result {
