--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -116,6 +116,7 @@
             Unknown::AlreadyDispatched => "already-dispatched",
             Unknown::Deadline => "deadline",
             Unknown::InstanceLost => "instance-lost",
+            Unknown::InstanceRefused => "instance-refused",
             Unknown::NoOwner => "no-owner",
             Unknown::Takeover => "takeover",
         };
--- a/crates/scheduler/src/service.rs
+++ b/crates/scheduler/src/service.rs
@@ -9,6 +9,7 @@
 use rosemaryworks_core::outcome::{Finish, NotRun, Unknown};
 use rosemaryworks_core::routing::{Ask, Event, Kernel, Key, Slot, Start};
 use rosemaryworks_core::target::{Instance, State};
+use rosemaryworks_core::time::Instant;
 use rosemaryworks_core::view;
 use rosemaryworks_node::clock;
 use rosemaryworks_platform::directory::Listing;
@@ -78,12 +79,13 @@
     pub(crate) async fn ask(self: Arc<Self>, ask: Ask) -> Verdict {
         let key = ask.key.clone();
         let idempotent = ask.idempotent;
+        let received = clock::now();
         let patience = Duration::from_millis(ask.remaining_ms.saturating_add(ASK_SLACK_MS));
         let (sender, receiver) = oneshot::channel();
         lock(&self.state).waiting.insert(key.clone(), sender);
         self.feed(Event::Ask(ask));
         match tokio::time::timeout(patience, receiver).await {
-            Ok(Ok(verdict)) => self.checked(verdict),
+            Ok(Ok(verdict)) => self.checked(verdict, received),
             // A later ask with the same key took this one's place.
             Ok(Err(_)) => self.not_owner(),
             Err(_) => {
@@ -98,14 +100,31 @@
     }
 
     /// Takes back a grant that can't be told any more under valid support.
-    fn checked(self: &Arc<Self>, verdict: Verdict) -> Verdict {
-        match verdict {
-            Verdict::Granted { slot, .. } if !self.tenure.holds() => {
+    fn checked(self: &Arc<Self>, verdict: Verdict, received: Instant) -> Verdict {
+        match (verdict, self.tenure.held_at()) {
+            (
+                Verdict::Granted {
+                    epoch,
+                    slot,
+                    instance,
+                    ..
+                },
+                Some(held),
+            ) => {
+                let waited_ms = held.since(received);
+                Verdict::Granted {
+                    epoch,
+                    slot,
+                    instance,
+                    waited_ms,
+                }
+            }
+            (Verdict::Granted { slot, .. }, None) => {
                 self.unused(slot);
                 self.not_owner()
             }
-            Verdict::NotRun(_) if !self.tenure.holds() => self.not_owner(),
-            verdict => verdict,
+            (Verdict::NotRun(_), None) => self.not_owner(),
+            (verdict, _) => verdict,
         }
     }
 
--- a/crates/scheduler/src/service/steps.rs
+++ b/crates/scheduler/src/service/steps.rs
@@ -61,6 +61,7 @@
             epoch: self.tenure.epoch,
             slot,
             instance,
+            waited_ms: 0,
         };
         let valid = self.tenure.holds();
         let verdict = if valid { granted } else { self.not_owner() };
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/tenure.rs
@@ -27,7 +27,17 @@
 
     /// Tells whether this process may act as the owner at this moment.
     pub(crate) fn holds(&self) -> bool {
-        !self.is_over() && clock::now().0 < self.valid_until.load(Ordering::SeqCst)
+        self.held_at().is_some()
+    }
+
+    /// Returns a moment not after the call at which this process could act as the owner.
+    ///
+    /// The validity is read before the clock, so a heartbeat that extends it in between can't make
+    /// a moment count at which there was no support.
+    pub(crate) fn held_at(&self) -> Option<Instant> {
+        let valid_until = Instant(self.valid_until.load(Ordering::SeqCst));
+        let now = clock::now();
+        (now < valid_until && !self.is_over()).then_some(now)
     }
 
     /// Returns the milliseconds for which the support lasts.
--- a/xtask/src/cluster/ports.rs
+++ b/xtask/src/cluster/ports.rs
@@ -7,9 +7,6 @@
 }
 
 impl Ports {
-    /// Number of ports that a deployment takes from its base on.
-    pub(crate) const SPAN: u16 = 400;
-
     pub(crate) const fn new(base: u16) -> Self {
         Self { base }
     }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use error_stack::Report;
 
 /// tasks of the project
 #[derive(Debug, FromArgs)]
@@ -23,6 +24,9 @@
 
 fn main() -> ExitCode {
     let options: Options = argh::from_env();
+    // Failed steps are shown to the caller of the task, for whom backtraces say nothing.
+    Report::install_debug_hook::<std::backtrace::Backtrace>(|_, _| {});
+    Report::install_debug_hook::<std::panic::Location<'_>>(|_, _| {});
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => {
