fix(node): wake requests that wait for a connection

Cause: the HTTP client set the library's connection limit to 0 for no bound. The library wakes requests that wait while another one opens a connection to the same address only if the connections in use are below the limit, which never holds for 0.

Change: the limit is usize::MAX.

Result: requests_to_one_address_do_not_wait_for_each_other fails without the change and passes with it.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -168,9 +168,11 @@
 }
 
 async fn serve(mut receiver: mpsc::UnboundedReceiver<Job>) {
-    // A limit of 0 sets no bound: the limit counts over all addresses, not per address.
+    // The limit counts over all addresses, not per address. With the limit 0, which also sets no
+    // bound, the library never wakes a request that waits while another one opens a connection to
+    // the same address.
     let connector = Connector::default()
-        .limit(0)
+        .limit(usize::MAX)
         .keep_alive(Seconds(KEEP_ALIVE_SECONDS));
     let client = LocalClient::builder()
         .connector::<ntex::SharedCfg>(connector)
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::time::Duration;
 
 use rosemaryworks_node::http::Client;
 use rosemaryworks_platform::log::Append;
@@ -74,3 +75,44 @@
     let status = "HTTP/1.1 500 -\r\ncontent-length: 0\r\n\r\n";
     assert!(matches!(fault(server(status)).await, Fault::Uncertain(_)));
 }
+
+/// Rounds with different distances between the requests.
+const ROUNDS: u64 = 30;
+
+/// Starts a server that answers every request on every connection after 20 ms.
+fn slow_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            std::thread::spawn(move || {
+                let mut part = [0; 4_096];
+                while stream.read(&mut part).is_ok_and(|count| count > 0) {
+                    std::thread::sleep(Duration::from_millis(20));
+                    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 12\r\n\r\n{\"offset\":1}";
+                    stream.write_all(answer.as_bytes()).unwrap();
+                }
+            });
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_to_one_address_do_not_wait_for_each_other() {
+    // Guards against a request that is never sent because another one was opening a connection to
+    // the same address when it came.
+    let client = Client::start(1);
+    for round in 0..ROUNDS {
+        let log = http::Log::new(client.clone(), slow_server());
+        let mut calls = Vec::new();
+        for _ in 0..10 {
+            calls.push(tokio::spawn(log.find("cell", "a-1")));
+            std::thread::sleep(Duration::from_micros(10 * round));
+        }
+        for call in calls {
+            assert_eq!(call.await.unwrap().unwrap(), Some(1));
+        }
+    }
+}
