--- a/xtask/src/faults/setup.rs
+++ b/xtask/src/faults/setup.rs
@@ -17,6 +17,9 @@
 pub(crate) const LOG: &str = "log";
 const DIRECTORY: &str = "directory";
 
+/// First port of the proxies, counted from the base; the deployment takes the ports before it.
+const PROXIES: u16 = 400;
+
 /// Threads of the driver's HTTP client.
 const CLIENT_THREADS: usize = 2;
 
@@ -41,7 +44,7 @@
 ) -> Result<(Cluster, Proxies), Report<Error>> {
     let files = settings::write(&deployment, &ports, folder)?;
     let mut proxies = Proxies::default();
-    let mut port = base_port + Ports::SPAN;
+    let mut port = base_port + PROXIES;
     for (name, path) in files.schedulers.iter().chain(&files.gateways) {
         let mut content = load(path)?;
         redirect(&mut content["cell"], name, &mut port, &mut proxies).await?;
@@ -95,7 +98,7 @@
 ) -> Result<(), Report<Error>> {
     let failed = || Error::new("start a proxy", format!("{from} to {to}"));
     let target = address.as_str().unwrap_or_default();
-    let target: SocketAddr = target.parse().change_context_lazy(failed)?;
+    let target = target.parse::<SocketAddr>().change_context_lazy(failed)?;
     let listen = SocketAddr::from(([127, 0, 0, 1], *port));
     *port += 1;
     let added = proxies.add(from, to, listen, target).await;
