--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod demo;
+mod faults;
 mod measure;
 
 use std::process::ExitCode;
@@ -20,6 +21,7 @@
 #[argh(subcommand)]
 enum Task {
     Demo(demo::Options),
+    Faults(faults::Options),
     Measure(measure::Arguments),
     Settings(cluster::settings::Options),
 }
@@ -38,6 +40,7 @@
     };
     let result = match options.task {
         Task::Demo(options) => runtime.block_on(demo::run(options)),
+        Task::Faults(options) => runtime.block_on(faults::run(options)),
         Task::Measure(options) => return measure::run(&options),
         Task::Settings(options) => cluster::settings::run(&options).map(|()| true),
     };
