fix(scheduler): grants state their wait, and kernels know targets before the first ask

Cause: asks and submissions that arrived between the start of a kernel and its first list of targets would have been refused; the routing kernel expects every intent to end; throttles named no attempt. Change: targets and contracts are fed before a shard is served, claims wait for the list of VMs, withdrawn intents are ended, throttles carry the last attempt, frequent heartbeats are bounded to 10 s.

--- a/crates/core/src/ownership/kernel.rs
+++ b/crates/core/src/ownership/kernel.rs
@@ -18,6 +18,9 @@
 /// Period of heartbeats while a claim lacks support or an owner is suspected, in milliseconds.
 const HEARTBEAT_URGENT_MS: u64 = 100;
 
+/// Longest time for which heartbeats are more frequent, in milliseconds.
+const URGENT_MAX_MS: u64 = 10_000;
+
 /// Milliseconds after which a claim without a known outcome is made again.
 const CLAIM_RETRY_MS: u64 = 2_000;
 
@@ -39,6 +42,8 @@
     born: BTreeMap<Id, Instant>,
     log: LogView,
     next_beat: Instant,
+    /// Since when heartbeats are more frequent.
+    changing_since: Option<Instant>,
     stopping: bool,
 }
 
@@ -59,6 +64,7 @@
             born: BTreeMap::new(),
             log: LogView::default(),
             next_beat: now,
+            changing_since: None,
             stopping: false,
         }
     }
@@ -397,17 +403,27 @@
         self.refresh(now, steps);
     }
 
-    fn beat_period(&self, now: Instant) -> u64 {
-        let majority = self.settings.majority();
-        let mut mine = self.mine.values();
-        let gathering = mine.any(|mine| !mine.releasing && now >= mine.supported_until(majority));
-        let suspecting = claims::is_owner_suspected(now, &self.settings, &self.peers, &self.ledger);
-        match gathering || suspecting {
+    /// Heartbeats are more frequent for a while, so that a takeover doesn't wait for the next one.
+    fn beat_period(&mut self, now: Instant) -> u64 {
+        if !self.is_changing(now) {
+            self.changing_since = None;
+            return HEARTBEAT_MS;
+        }
+        let since = *self.changing_since.get_or_insert(now);
+        match now.since(since) < URGENT_MAX_MS {
             true => HEARTBEAT_URGENT_MS,
             false => HEARTBEAT_MS,
         }
     }
 
+    /// Tells whether a claim lacks support or an owner is suspected.
+    fn is_changing(&self, now: Instant) -> bool {
+        let majority = self.settings.majority();
+        let mut mine = self.mine.values();
+        let gathering = mine.any(|mine| !mine.releasing && now >= mine.supported_until(majority));
+        gathering || claims::is_owner_suspected(now, &self.settings, &self.peers, &self.ledger)
+    }
+
     fn claim_when_due(&mut self, now: Instant, steps: &mut Vec<Step>) {
         if self.stopping || self.log.unreachable || self.caught_up.0.is_none() {
             return;
--- a/crates/scheduler/src/fold.rs
+++ b/crates/scheduler/src/fold.rs
@@ -122,9 +122,8 @@
                 self.jobs.end(job, ended).then_some(Change::Ended)
             }
             Cell::Finished { tasks, .. } => {
-                self.jobs.finish(tasks);
-                let tasks = tasks.iter().map(|(task, _)| task.clone()).collect();
-                Some(Change::Finished(tasks))
+                let tasks = self.jobs.finish(tasks);
+                (!tasks.is_empty()).then_some(Change::Finished(tasks))
             }
             Cell::Granted { tasks, .. } => {
                 self.jobs.grant(tasks);
--- a/crates/scheduler/src/fold/jobs.rs
+++ b/crates/scheduler/src/fold/jobs.rs
@@ -208,7 +208,9 @@
         }
     }
 
-    pub(super) fn finish(&mut self, tasks: &[(Task, End)]) {
+    /// Notes ends of tasks and returns the tasks whose end is new.
+    pub(super) fn finish(&mut self, tasks: &[(Task, End)]) -> Vec<Task> {
+        let mut new = Vec::new();
         for (task, end) in tasks {
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
@@ -216,8 +218,10 @@
             let state = job.tasks.entry(task.index).or_insert(Restored::Pending);
             if !matches!(state, Restored::Ended(_)) {
                 *state = Restored::Ended(*end);
+                new.push(task.clone());
             }
         }
+        new
     }
 
     /// Notes the end of a job and returns whether it is new. The first end counts.
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -25,9 +25,12 @@
     tail::follow(log, health, CELL, 1, |event| match event {
         Event::CaughtUp(_) => {
             back(&mut down, CELL);
+            // Without contracts and VMs a kernel would refuse what it should accept.
             if shared.progress.are_contracts_known() {
-                shared.ownership_event(Owned::CaughtUp);
                 shared.progress.cell_known(&shared.status.ready);
+                if lock(&shared.listing).is_some() {
+                    shared.ownership_event(Owned::CaughtUp);
+                }
             }
         }
         Event::Entries(entries) => entries.iter().for_each(|entry| record(&shared, entry)),
@@ -117,11 +120,7 @@
         match change {
             Change::Cancelled(job) => pool.feed(placement::Event::Cancelled(job)),
             Change::Ended => pool.wake(),
-            Change::Finished(tasks) => {
-                for task in tasks {
-                    pool.feed(placement::Event::EndRecorded(task));
-                }
-            }
+            Change::Finished(tasks) => pool.recorded(tasks),
             Change::Submitted { contract, job } => pool.feed(placement::Event::Submitted {
                 contract,
                 job: job.as_ref().clone(),
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -20,7 +20,7 @@
 
 const CLAIM_PATIENCE: Duration = Duration::from_millis(1_500);
 const RESTATE_PATIENCE: Duration = Duration::from_secs(5);
-const RELEASE_PATIENCE: Duration = Duration::from_secs(2);
+const RELEASE_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Time that a planned stop waits for records that must precede the release.
 const FLUSH_MAX: Duration = Duration::from_secs(2);
--- a/crates/scheduler/src/owner/activate.rs
+++ b/crates/scheduler/src/owner/activate.rs
@@ -61,7 +61,6 @@
 }
 
 fn start_service(shared: &Arc<Shared>, terms: &Terms, tenure: Tenure) {
-    let register = lock(&shared.register);
     let cell = lock(&shared.cell);
     let known = cell.fold.shard(&terms.shard);
     let remembered = known.map(|known| known.requests.remembered(clock::unix_ms()));
@@ -73,20 +72,18 @@
         doubt: terms.doubt == Doubt::Possible,
         clean: terms.clean,
     };
-    let service = Service::start(shared, tenure, start);
-    let hosted = Hosted::Service(service);
-    lock(&shared.hosted).insert(terms.shard.clone(), hosted.clone());
     drop(cell);
+    let hosted = Hosted::Service(Service::start(shared, tenure, start));
+    // An ask that came before the instances and contracts would be refused.
+    hosted.list(shared);
+    let register = lock(&shared.register);
     for entry in register.iter() {
         hosted.contract(&entry.contract);
     }
-    drop(register);
-    hosted.list(shared);
+    lock(&shared.hosted).insert(terms.shard.clone(), hosted);
 }
 
 fn start_pool(shared: &Arc<Shared>, terms: &Terms, tenure: Tenure) {
-    let register = lock(&shared.register);
-    let cell = lock(&shared.cell);
     let start = placement::Start {
         shard: terms.shard.clone(),
         partition: shared.partition.clone(),
@@ -96,6 +93,10 @@
     };
     let pool = Pool::start(shared, tenure, start);
     let hosted = Hosted::Pool(pool.clone());
+    // A submission that came before the workers and contracts would be rejected.
+    hosted.list(shared);
+    let register = lock(&shared.register);
+    let cell = lock(&shared.cell);
     for entry in register.iter() {
         hosted.contract(&entry.contract);
     }
@@ -106,10 +107,9 @@
         pool.feed(event);
     }
     // Records read from here on are told to the kernel one by one.
-    lock(&shared.hosted).insert(terms.shard.clone(), hosted.clone());
+    lock(&shared.hosted).insert(terms.shard.clone(), hosted);
     drop(cell);
     drop(register);
-    hosted.list(shared);
     pool.run();
 }
 
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -7,7 +7,8 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
-use rosemaryworks_core::placement::{Event, Kernel, Start};
+use rosemaryworks_core::job::Task;
+use rosemaryworks_core::placement::{Attempt, Event, Kernel, Start};
 use rosemaryworks_core::target::{State, Worker};
 use rosemaryworks_core::view;
 use rosemaryworks_node::clock;
@@ -35,6 +36,8 @@
     kernel: Kernel,
     workers: HashMap<Arc<str>, Worker>,
     listed: Vec<(Worker, State)>,
+    /// Attempts that were placed or reported last, of tasks whose end isn't recorded.
+    attempts: HashMap<Task, Attempt>,
 }
 
 impl Pool {
@@ -50,6 +53,7 @@
                 kernel: Kernel::new(clock::now(), start),
                 workers: HashMap::new(),
                 listed: Vec::new(),
+                attempts: HashMap::new(),
             }),
             writer,
             ended: Notify::new(),
@@ -69,6 +73,14 @@
         }
     }
 
+    /// Tells the kernel that the ends of tasks are recorded.
+    pub(crate) fn recorded(self: &Arc<Self>, tasks: Vec<Task>) {
+        for task in tasks {
+            lock(&self.state).attempts.remove(&task);
+            self.feed(Event::EndRecorded(task));
+        }
+    }
+
     /// Hands over the list of workers if it changed.
     pub(crate) fn list(self: &Arc<Self>, shared: &Shared) {
         let Some(listing) = lock(&shared.listing).clone() else {
--- a/crates/scheduler/src/pool/jobs.rs
+++ b/crates/scheduler/src/pool/jobs.rs
@@ -16,7 +16,7 @@
 use crate::lock::lock;
 use crate::shared::{Shared, Written};
 
-/// Patience with the append of a submission and with its read-back, each.
+/// Patience with the append of a submission and its read-back.
 const SUBMIT_PATIENCE: Duration = Duration::from_secs(1);
 
 /// Longest time that a call waits for the end of a job.
--- a/crates/scheduler/src/pool/steps.rs
+++ b/crates/scheduler/src/pool/steps.rs
@@ -20,7 +20,7 @@
 use crate::shared::{Shared, Written};
 use crate::writer::Item;
 
-/// Patience with the append of a grant record and with its read-back, each.
+/// Patience with the append of a grant record and its read-back.
 const GRANT_PATIENCE: Duration = Duration::from_secs(1);
 
 /// Pause before a call that can't be made is reported as failed.
@@ -83,7 +83,12 @@
                 worker,
                 task,
                 percent,
-            } => self.control(&worker, task, 0, Action::Throttle(percent)),
+            } => {
+                let attempt = lock(&self.state).attempts.get(&task).copied();
+                if let Some(attempt) = attempt {
+                    self.control(&worker, task, attempt, Action::Throttle(percent));
+                }
+            }
         }
     }
 
@@ -114,11 +119,15 @@
         let answer = shared.platform.workers.place(&worker, grant).await;
         shared.counters.placement(answer.is_ok());
         match answer {
-            Ok(()) => Event::Placed {
-                worker: placing.worker,
-                task: placing.task,
-                attempt: placing.attempt,
-            },
+            Ok(()) => {
+                let attempts = &mut lock(&self.state).attempts;
+                attempts.insert(placing.task.clone(), placing.attempt);
+                Event::Placed {
+                    worker: placing.worker,
+                    task: placing.task,
+                    attempt: placing.attempt,
+                }
+            }
             Err(report) => {
                 self.report("place", &placing.worker, &report);
                 failed(placing, report.current_context().is_certain())
@@ -211,10 +220,15 @@
             acknowledge,
         };
         match shared.platform.workers.sync(&worker, call).await {
-            Ok(report) => Event::Synced {
-                worker: name,
-                report,
-            },
+            Ok(report) => {
+                let leases = report.leases.iter();
+                let running = leases.map(|lease| (lease.task.clone(), lease.attempt));
+                lock(&self.state).attempts.extend(running);
+                Event::Synced {
+                    worker: name,
+                    report,
+                }
+            }
             Err(report) => {
                 self.report("sync", &name, &report);
                 let fault = &report.current_context().fault;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -20,7 +20,7 @@
 use crate::upkeep;
 
 /// Longest time that a planned stop waits for its releases.
-const RELEASE_MAX: Duration = Duration::from_secs(6);
+const RELEASE_MAX: Duration = Duration::from_secs(8);
 const RELEASE_PERIOD: Duration = Duration::from_millis(20);
 
 /// Time after the releases in which answers and notices are still sent.
--- a/crates/scheduler/src/service.rs
+++ b/crates/scheduler/src/service.rs
@@ -9,6 +9,7 @@
 use rosemaryworks_core::outcome::{Finish, NotRun, Unknown};
 use rosemaryworks_core::routing::{Ask, Event, Kernel, Key, Slot, Start};
 use rosemaryworks_core::target::{Instance, State};
+use rosemaryworks_core::time::Instant;
 use rosemaryworks_core::view;
 use rosemaryworks_node::clock;
 use rosemaryworks_platform::directory::Listing;
@@ -35,12 +36,18 @@
 
 struct Inner {
     kernel: Kernel,
-    waiting: HashMap<Key, oneshot::Sender<Verdict>>,
+    waiting: HashMap<Key, Waiting>,
     instances: HashMap<Arc<str>, Instance>,
     listed: Vec<(Instance, State)>,
     surveyed: BTreeSet<(Arc<str>, u64)>,
 }
 
+/// An ask without an answer.
+struct Waiting {
+    received: Instant,
+    reply: oneshot::Sender<Verdict>,
+}
+
 impl Service {
     /// Creates the kernel of a shard whose epoch starts now. Must be called within a tokio runtime.
     pub(crate) fn start(shared: &Arc<Shared>, tenure: Tenure, start: Start) -> Arc<Self> {
@@ -79,9 +86,15 @@
         let key = ask.key.clone();
         let idempotent = ask.idempotent;
         let patience = Duration::from_millis(ask.remaining_ms.saturating_add(ASK_SLACK_MS));
-        let (sender, receiver) = oneshot::channel();
-        lock(&self.state).waiting.insert(key.clone(), sender);
+        let (reply, receiver) = oneshot::channel();
+        let received = clock::now();
+        let waiting = Waiting { received, reply };
+        lock(&self.state).waiting.insert(key.clone(), waiting);
         self.feed(Event::Ask(ask));
+        if !self.tenure.holds() {
+            // The support may have ended after the asks in waiting were answered.
+            self.suspend();
+        }
         match tokio::time::timeout(patience, receiver).await {
             Ok(Ok(verdict)) => self.checked(verdict),
             // A later ask with the same key took this one's place.
@@ -120,7 +133,14 @@
     /// Answers an ask, unless it was answered before.
     fn answer(&self, key: &Key, verdict: Verdict) -> bool {
         let waiting = lock(&self.state).waiting.remove(key);
-        waiting.is_some_and(|waiting| waiting.send(verdict).is_ok())
+        waiting.is_some_and(|waiting| waiting.reply.send(verdict).is_ok())
+    }
+
+    /// Returns the milliseconds from the receipt of an ask to `now`.
+    fn waited_ms(&self, now: Instant, key: &Key) -> u64 {
+        let state = lock(&self.state);
+        let waiting = state.waiting.get(key);
+        waiting.map_or(0, |waiting| now.since(waiting.received))
     }
 
     fn not_owner(&self) -> Verdict {
@@ -139,8 +159,8 @@
     /// Answers every waiting ask: this process doesn't own the shard at the moment.
     pub(crate) fn suspend(self: &Arc<Self>) {
         let waiting = std::mem::take(&mut lock(&self.state).waiting);
-        for (key, sender) in waiting {
-            let _ = sender.send(self.not_owner());
+        for (key, waiting) in waiting {
+            let _ = waiting.reply.send(self.not_owner());
             self.feed(Event::Withdrawn(key));
         }
     }
--- a/crates/scheduler/src/service/steps.rs
+++ b/crates/scheduler/src/service/steps.rs
@@ -17,9 +17,15 @@
 use crate::shared::{Shared, Written};
 use crate::writer::Item;
 
-/// Patience with an intent's append and with its read-back, each.
+/// Patience with the append of an intent and its read-back.
 const INTENT_PATIENCE: Duration = Duration::from_secs(1);
 
+/// Time after which an instance counts as unreachable. The kernel waits 5 s for an answer.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Pause before an instance that isn't listed is reported as unreachable.
+const PROBE_DELAY: Duration = Duration::from_millis(200);
+
 impl Service {
     /// Carries out a step. Events that follow from it at once are added to `events`.
     pub(super) fn carry_out(self: &Arc<Self>, step: Step, events: &mut VecDeque<Event>) {
@@ -57,12 +63,14 @@
         instance: Instance,
         events: &mut VecDeque<Event>,
     ) {
+        let now = clock::now();
         let granted = Verdict::Granted {
             epoch: self.tenure.epoch,
             slot,
             instance,
+            waited_ms: self.waited_ms(now, key),
         };
-        let valid = self.tenure.holds();
+        let valid = self.tenure.holds_at(now);
         let verdict = if valid { granted } else { self.not_owner() };
         let answered = self.answer(key, verdict);
         if valid && answered {
@@ -117,7 +125,7 @@
             Written::Valid => self.feed(Event::Intended(key)),
             Written::Void => {
                 self.answer(&key, self.not_owner());
-                self.feed(Event::Withdrawn(key));
+                self.give_up(key);
             }
             Written::No(_) | Written::Uncertain(_) if self.without_log(shared, &request) => {
                 self.feed(Event::Intended(key));
@@ -130,23 +138,41 @@
                 ));
                 // The id may be recorded, so this attempt is over and the id counts as dispatched.
                 self.answer(&key, Verdict::Unknown(Unknown::AlreadyDispatched));
-                self.feed(Event::Withdrawn(key));
+                self.give_up(key);
             }
         }
     }
 
+    /// Ends an ask whose intent may be recorded. The kernel keeps the id.
+    fn give_up(self: &Arc<Self>, key: Key) {
+        self.feed(Event::Withdrawn(key.clone()));
+        self.feed(Event::Intended(key));
+    }
+
     fn probe(self: &Arc<Self>, name: Arc<str>) {
-        let instance = lock(&self.state).instances.get(&name).cloned();
-        let (Some(shared), Some(instance)) = (self.shared.upgrade(), instance) else {
+        let Some(shared) = self.shared.upgrade() else {
             return;
         };
+        let instance = lock(&self.state).instances.get(&name).cloned();
         let service = self.clone();
         tokio::spawn(async move {
-            let answer = shared.platform.instances.occupancy(&instance).await;
+            let busy = match instance {
+                Some(instance) => occupancy(&shared, &instance).await,
+                None => {
+                    tokio::time::sleep(PROBE_DELAY).await;
+                    None
+                }
+            };
             service.feed(Event::Occupied {
                 instance: name,
-                busy: answer.ok().flatten(),
+                busy,
             });
         });
     }
 }
+
+async fn occupancy(shared: &Shared, instance: &Instance) -> Option<u32> {
+    let call = shared.platform.instances.occupancy(instance);
+    let answer = tokio::time::timeout(PROBE_TIMEOUT, call).await;
+    answer.ok()?.ok().flatten()
+}
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -30,6 +30,9 @@
 use crate::readback::Readback;
 use crate::settings::Settings;
 
+/// Least time that a writer waits for the read-back of a record that was appended.
+const READBACK_MIN: Duration = Duration::from_millis(300);
+
 /// The platform as the scheduler reaches it.
 #[derive(Clone)]
 pub struct Platform {
@@ -188,13 +191,14 @@
         lock(&self.hosted).values().cloned().collect()
     }
 
-    /// Appends `record` to the cell stream and waits until it is read back, each for at most
-    /// `patience`.
+    /// Appends `record` to the cell stream and waits until it is read back, for at most `patience`
+    /// in all or a little longer if the append took most of it.
     pub(crate) async fn write(&self, record: &Cell, patience: Duration) -> Written {
         let text = match serde_json::to_string(record) {
             Ok(text) => text,
             Err(error) => return Written::No(error.to_string()),
         };
+        let deadline = tokio::time::Instant::now() + patience;
         let offset = match self.appender.append(text, patience).await {
             Ok(offset) => offset,
             Err(report) => {
@@ -208,7 +212,8 @@
         };
         self.counters.append(true);
         let verdict = lock(&self.cell).readback.wait(offset);
-        match tokio::time::timeout(patience, verdict).await {
+        let deadline = deadline.max(tokio::time::Instant::now() + READBACK_MIN);
+        match tokio::time::timeout_at(deadline, verdict).await {
             Ok(Ok(true)) => Written::Valid,
             Ok(Ok(false)) => Written::Void,
             _ => Written::Uncertain(format!("record at offset {offset} not read back in time")),
--- a/crates/scheduler/src/snapshot.rs
+++ b/crates/scheduler/src/snapshot.rs
@@ -17,6 +17,7 @@
     if !shared.progress.is_complete() {
         return Snapshot::default();
     }
+    let register = lock(&shared.register).clone();
     let kernel = lock(&shared.ownership);
     let holdings = kernel.ledger().iter();
     let current = holdings.filter(|(_, holding)| !holding.released);
@@ -27,7 +28,7 @@
     Snapshot {
         owners: owners.collect(),
         cell_offset: kernel.ledger().offset(),
-        register: lock(&shared.register).clone(),
+        register,
     }
 }
 
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/tenure.rs
@@ -27,7 +27,12 @@
 
     /// Tells whether this process may act as the owner at this moment.
     pub(crate) fn holds(&self) -> bool {
-        !self.is_over() && clock::now().0 < self.valid_until.load(Ordering::SeqCst)
+        self.holds_at(clock::now())
+    }
+
+    /// Tells whether this process may act as the owner at `now`.
+    pub(crate) fn holds_at(&self, now: Instant) -> bool {
+        !self.is_over() && now.0 < self.valid_until.load(Ordering::SeqCst)
     }
 
     /// Returns the milliseconds for which the support lasts.
