test(core): ownership kernels under random faults

Change: several kernels run over a fake log and network with delays, pauses, cuts, restarts, planned stops, log outages and lost answers.

--- /dev/null
+++ b/crates/core/tests/ownership/world.rs
@@ -0,0 +1,414 @@
+//! Several ownership kernels over a fake log and a fake network, with faults.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use rosemaryworks_core::ownership::{
+    Doubt, Event, Heartbeat, Kernel, LogView, Settings, Step, Support,
+};
+use rosemaryworks_core::record::Cell;
+use rosemaryworks_core::shard::{Epoch, Id};
+use rosemaryworks_core::time::Instant;
+use rosemaryworks_core::timing::{GRANT_VALID_MS, REPEAT_MS};
+
+pub(crate) const STEP_MS: u64 = 10;
+const TICK_MS: u64 = 50;
+const DELAY_MAX_MS: u64 = 60;
+const APPEND_MAX_MS: u64 = 120;
+/// An append whose answer was lost takes effect up to this much later.
+const LATE_MAX_MS: u64 = 4_000;
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fault {
+    Cut { a: usize, b: usize, ms: u64 },
+    LogDown { ms: u64 },
+    Pause { node: usize, ms: u64 },
+    Restart { node: usize },
+    Stop { node: usize },
+}
+
+enum Letter {
+    Beat(Heartbeat, Instant),
+    ClaimFailed(Id),
+    Support(Instant, Support),
+}
+
+struct Node {
+    kernel: Kernel,
+    incarnation: u64,
+    letters: Vec<(u64, Letter)>,
+    read: usize,
+    paused_until: u64,
+    down_until: u64,
+    doubt_at: u64,
+    unreachable: bool,
+    stopping: bool,
+}
+
+pub(crate) struct World {
+    pub(crate) now: u64,
+    nodes: Vec<Node>,
+    names: Vec<Arc<str>>,
+    pub(crate) shards: Vec<Id>,
+    /// Records in the order in which they took effect.
+    log: Vec<Cell>,
+    /// Appends that take effect at a time.
+    appends: Vec<(u64, Cell)>,
+    log_down_until: u64,
+    cuts: BTreeMap<(usize, usize), u64>,
+    seed: u64,
+    /// Last time at which the owner of an epoch could act.
+    acted: BTreeMap<(Id, Epoch), u64>,
+    /// Dispatches without the log.
+    unlogged: BTreeMap<(Id, Epoch), u64>,
+    released: BTreeSet<(Id, Epoch)>,
+    pub(crate) activations: usize,
+    pub(crate) outage_dispatches: usize,
+    pub(crate) violations: Vec<String>,
+}
+
+impl World {
+    pub(crate) fn new(schedulers: usize, shards: u32, seed: u64) -> Self {
+        let names: Vec<Arc<str>> = (0..schedulers).map(|i| format!("s{i}").into()).collect();
+        let shards: Vec<Id> = (0..shards).map(|i| Id::service("booking", i)).collect();
+        let mut world = Self {
+            now: 1_000,
+            nodes: Vec::new(),
+            names,
+            shards,
+            log: Vec::new(),
+            appends: Vec::new(),
+            log_down_until: 0,
+            cuts: BTreeMap::new(),
+            seed,
+            acted: BTreeMap::new(),
+            unlogged: BTreeMap::new(),
+            released: BTreeSet::new(),
+            activations: 0,
+            outage_dispatches: 0,
+            violations: Vec::new(),
+        };
+        for index in 0..schedulers {
+            let node = world.node(index, 1);
+            world.nodes.push(node);
+        }
+        world
+    }
+
+    fn node(&self, index: usize, incarnation: u64) -> Node {
+        let settings = Settings {
+            name: self.names[index].clone(),
+            incarnation,
+            schedulers: self.names.clone(),
+            shards: self.shards.clone(),
+            retention_ms: 20_000,
+        };
+        Node {
+            kernel: Kernel::new(Instant(self.now), settings),
+            incarnation,
+            letters: Vec::new(),
+            read: 0,
+            paused_until: 0,
+            down_until: 0,
+            doubt_at: self.now,
+            unreachable: false,
+            stopping: false,
+        }
+    }
+
+    fn random(&mut self, below: u64) -> u64 {
+        self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.seed;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (z ^ (z >> 31)) % below.max(1)
+    }
+
+    pub(crate) fn inject(&mut self, fault: Fault) {
+        let count = self.nodes.len();
+        match fault {
+            Fault::Cut { a, b, ms } => {
+                let (a, b) = (a % count, b % count);
+                self.cuts.insert((a.min(b), a.max(b)), self.now + ms);
+            }
+            Fault::LogDown { ms } => self.log_down_until = self.now + ms,
+            Fault::Pause { node, ms } => self.nodes[node % count].paused_until = self.now + ms,
+            Fault::Restart { node } => self.restart(node % count, 300),
+            Fault::Stop { node } => {
+                let node = node % count;
+                self.nodes[node].stopping = true;
+                self.feed(node, Event::Stop);
+            }
+        }
+    }
+
+    fn restart(&mut self, index: usize, down_ms: u64) {
+        let incarnation = self.nodes[index].incarnation + 1;
+        let mut node = self.node(index, incarnation);
+        node.down_until = self.now + down_ms;
+        self.nodes[index] = node;
+    }
+
+    /// Ends every fault.
+    pub(crate) fn heal(&mut self) {
+        self.cuts.clear();
+        self.log_down_until = 0;
+        for index in 0..self.nodes.len() {
+            self.nodes[index].paused_until = 0;
+            if self.nodes[index].stopping {
+                self.restart(index, 0);
+            }
+        }
+    }
+
+    pub(crate) fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += STEP_MS;
+            self.write_log();
+            for index in 0..self.nodes.len() {
+                self.step(index);
+            }
+            self.observe();
+        }
+    }
+
+    fn write_log(&mut self) {
+        if self.now < self.log_down_until {
+            return;
+        }
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.appends)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(at, _)| *at <= now);
+        self.appends = later;
+        self.log.extend(due.into_iter().map(|(_, record)| record));
+    }
+
+    fn step(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if self.now < node.paused_until || self.now < node.down_until {
+            return;
+        }
+        let now = self.now;
+        if node.letters.iter().any(|(at, _)| *at <= now) {
+            let (due, later) = std::mem::take(&mut node.letters)
+                .into_iter()
+                .partition::<Vec<_>, _>(|(at, _)| *at <= now);
+            self.nodes[index].letters = later;
+            for (_, letter) in due {
+                self.deliver(index, letter);
+            }
+        }
+        self.read(index);
+        if self.now.is_multiple_of(TICK_MS) {
+            self.tick(index);
+        }
+    }
+
+    fn read(&mut self, index: usize) {
+        if self.now < self.log_down_until {
+            return;
+        }
+        // A slow reader now and then.
+        if self.random(4) == 0 {
+            return;
+        }
+        while let Some(record) = self.log.get(self.nodes[index].read).cloned() {
+            self.nodes[index].read += 1;
+            let offset = self.nodes[index].read as u64;
+            let now = Instant(self.now);
+            let steps = self.nodes[index].kernel.apply(now, offset, &record);
+            self.carry_out(index, steps);
+        }
+        self.feed(index, Event::CaughtUp);
+    }
+
+    fn tick(&mut self, index: usize) {
+        let down = self.now < self.log_down_until;
+        let node = &mut self.nodes[index];
+        node.unreachable = down;
+        if down {
+            node.doubt_at = self.now;
+        }
+        let view = LogView {
+            unreachable: down,
+            doubt_age_ms: self.now - node.doubt_at,
+        };
+        self.feed(index, Event::Tick(view));
+    }
+
+    fn feed(&mut self, index: usize, event: Event) {
+        let steps = self.nodes[index].kernel.handle(Instant(self.now), event);
+        self.carry_out(index, steps);
+    }
+
+    fn deliver(&mut self, index: usize, letter: Letter) {
+        match letter {
+            Letter::Beat(beat, sent) => {
+                let now = Instant(self.now);
+                let (support, steps) = self.nodes[index].kernel.beat(now, &beat);
+                let to = self.index(&beat.node);
+                self.post(index, to, Letter::Support(sent, support));
+                self.carry_out(index, steps);
+            }
+            Letter::ClaimFailed(shard) => self.feed(index, Event::ClaimFailed(shard)),
+            Letter::Support(sent, support) => {
+                self.feed(index, Event::Supported { sent, support });
+            }
+        }
+    }
+
+    fn index(&self, name: &str) -> usize {
+        self.names.iter().position(|n| **n == *name).unwrap()
+    }
+
+    fn post(&mut self, from: usize, to: usize, letter: Letter) {
+        let cut = self.cuts.get(&(from.min(to), from.max(to)));
+        let lost = cut.is_some_and(|until| self.now < *until);
+        let down = self.now < self.nodes[to].down_until;
+        if !lost && !down {
+            let at = self.now + self.random(DELAY_MAX_MS);
+            self.nodes[to].letters.push((at, letter));
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Activate {
+                    shard,
+                    epoch,
+                    doubt,
+                    resumed,
+                    ..
+                } => self.activated(shard, epoch, doubt, resumed),
+                Step::Beat(beat) => {
+                    for to in (0..self.nodes.len()).filter(|to| *to != index) {
+                        let letter = Letter::Beat(beat.clone(), Instant(self.now));
+                        self.post(index, to, letter);
+                    }
+                }
+                Step::Claim { shard, previous } => {
+                    let record = Cell::Claim {
+                        shard: shard.clone(),
+                        previous,
+                        owner: self.names[index].clone(),
+                        incarnation: self.nodes[index].incarnation,
+                    };
+                    self.append(index, record, Some(shard));
+                }
+                Step::Deactivate { .. } => {}
+                Step::Release {
+                    shard,
+                    epoch,
+                    doubt_ms,
+                } => {
+                    // The host records what it dispatched without the log before it releases.
+                    if self.now < self.log_down_until {
+                        continue;
+                    }
+                    self.unlogged.remove(&(shard.clone(), epoch));
+                    self.released.insert((shard.clone(), epoch));
+                    let record = Cell::Release {
+                        shard,
+                        epoch,
+                        doubt_ms,
+                    };
+                    self.append(index, record, None);
+                }
+                Step::Restate { shard, epoch } => {
+                    let record = Cell::Standing {
+                        shard,
+                        epoch,
+                        owner: self.names[index].clone(),
+                        incarnation: self.nodes[index].incarnation,
+                    };
+                    self.append(index, record, None);
+                }
+            }
+        }
+    }
+
+    /// Appends a record. The answer may be lost, and the record may take effect late.
+    fn append(&mut self, index: usize, record: Cell, claim: Option<Id>) {
+        let lost = self.random(8) == 0;
+        if self.now < self.log_down_until && !lost {
+            if let Some(shard) = claim {
+                let at = self.now + self.random(APPEND_MAX_MS);
+                self.nodes[index]
+                    .letters
+                    .push((at, Letter::ClaimFailed(shard)));
+            }
+            return;
+        }
+        let delay = if lost { LATE_MAX_MS } else { APPEND_MAX_MS };
+        let at = self.now + self.random(delay);
+        self.appends.push((at, record));
+    }
+
+    fn activated(&mut self, shard: Id, epoch: Epoch, doubt: Doubt, resumed: bool) {
+        self.activations += 1;
+        for ((other, older), at) in &self.acted {
+            if *other != shard || *older == epoch {
+                continue;
+            }
+            if *older > epoch {
+                self.violations
+                    .push(format!("{shard}: {epoch} activated after {older}"));
+            }
+            let released = self.released.contains(&(shard.clone(), *older));
+            let gap = if released { 0 } else { GRANT_VALID_MS };
+            if self.now < *at + gap {
+                let now = self.now;
+                self.violations.push(format!(
+                    "{shard}: {epoch} activated at {now}, {older} could act at {at}"
+                ));
+            }
+        }
+        if resumed || doubt == Doubt::Possible {
+            return;
+        }
+        for ((other, older), at) in &self.unlogged {
+            if *other == shard && *older < epoch && self.now < *at + REPEAT_MS {
+                let now = self.now;
+                self.violations.push(format!(
+                    "{shard}: {epoch} activated without doubt at {now}, unlogged dispatch of \
+                     {older} at {at}"
+                ));
+            }
+        }
+    }
+
+    /// Returns the epochs of `shard` whose owners could act now, with the owners.
+    pub(crate) fn owners(&self, shard: &Id) -> Vec<(usize, Epoch)> {
+        let now = Instant(self.now);
+        let nodes = self.nodes.iter().enumerate();
+        nodes
+            .filter_map(|(index, node)| {
+                let epoch = node.kernel.ledger().epoch(shard);
+                (now < node.kernel.valid_until(shard, epoch)).then_some((index, epoch))
+            })
+            .collect()
+    }
+
+    fn observe(&mut self) {
+        for shard in self.shards.clone() {
+            let owners = self.owners(&shard);
+            if owners.len() > 1 {
+                let now = self.now;
+                self.violations
+                    .push(format!("{shard}: owners {owners:?} at {now}"));
+            }
+            for (index, epoch) in owners {
+                self.acted.insert((shard.clone(), epoch), self.now);
+                let node = &self.nodes[index];
+                let outage = node.kernel.is_outage(Instant(self.now), &shard);
+                if outage && self.now >= node.paused_until {
+                    self.outage_dispatches += 1;
+                    self.unlogged.insert((shard.clone(), epoch), self.now);
+                }
+            }
+        }
+    }
+}
