test(core): a restarted scheduler keeps its earlier promises

Cause: a trial without the silence of a new incarnation passed all ownership tests. Change: a directed test restarts a supporter between suspicion and the end of its promise. Result: fails without the silence, passes with it.

--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -153,3 +153,23 @@
         assert_ne!(owners[0].0, 2, "{shard} stayed with the stopped scheduler");
     }
 }
+
+/// Guards against a restarted scheduler that supports a new owner although its earlier incarnation
+/// still supports the old one.
+#[test]
+fn restart_keeps_promises() {
+    for seed in 0..12 {
+        let mut world = World::new(5, 10, seed);
+        world.run(6_000);
+        // Schedulers 1 and 2 made no promise to 0, so one more supporter makes a majority.
+        for b in [1, 2] {
+            world.inject(Fault::Cut { a: 0, b, ms: 9_000 });
+        }
+        world.run(4_000);
+        world.inject(Fault::Pause { node: 0, ms: 6_000 });
+        world.run(1_900 + seed * 50);
+        world.inject(Fault::Restart { node: 3 });
+        world.run(8_000);
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -133,7 +133,10 @@
             }
             Fault::LogDown { ms } => self.log_down_until = self.now + ms,
             Fault::Pause { node, ms } => self.nodes[node % count].paused_until = self.now + ms,
-            Fault::Restart { node } => self.restart(node % count, 300),
+            Fault::Restart { node } => {
+                let down_ms = 20 + self.random(300);
+                self.restart(node % count, down_ms);
+            }
             Fault::Stop { node } => {
                 let node = node % count;
                 self.nodes[node].stopping = true;
