--- a/crates/scheduler/src/service.rs
+++ b/crates/scheduler/src/service.rs
@@ -36,18 +36,12 @@
 
 struct Inner {
     kernel: Kernel,
-    waiting: HashMap<Key, Waiting>,
+    waiting: HashMap<Key, oneshot::Sender<Verdict>>,
     instances: HashMap<Arc<str>, Instance>,
     listed: Vec<(Instance, State)>,
     surveyed: BTreeSet<(Arc<str>, u64)>,
 }
 
-/// An ask without an answer.
-struct Waiting {
-    received: Instant,
-    reply: oneshot::Sender<Verdict>,
-}
-
 impl Service {
     /// Creates the kernel of a shard whose epoch starts now. Must be called within a tokio runtime.
     pub(crate) fn start(shared: &Arc<Shared>, tenure: Tenure, start: Start) -> Arc<Self> {
@@ -85,18 +79,17 @@
     pub(crate) async fn ask(self: Arc<Self>, ask: Ask) -> Verdict {
         let key = ask.key.clone();
         let idempotent = ask.idempotent;
-        let patience = Duration::from_millis(ask.remaining_ms.saturating_add(ASK_SLACK_MS));
-        let (reply, receiver) = oneshot::channel();
         let received = clock::now();
-        let waiting = Waiting { received, reply };
-        lock(&self.state).waiting.insert(key.clone(), waiting);
+        let patience = Duration::from_millis(ask.remaining_ms.saturating_add(ASK_SLACK_MS));
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.state).waiting.insert(key.clone(), sender);
         self.feed(Event::Ask(ask));
         if !self.tenure.holds() {
             // The support may have ended after the asks in waiting were answered.
             self.suspend();
         }
         match tokio::time::timeout(patience, receiver).await {
-            Ok(Ok(verdict)) => self.checked(verdict),
+            Ok(Ok(verdict)) => self.checked(verdict, received),
             // A later ask with the same key took this one's place.
             Ok(Err(_)) => self.not_owner(),
             Err(_) => {
@@ -111,14 +104,31 @@
     }
 
     /// Takes back a grant that can't be told any more under valid support.
-    fn checked(self: &Arc<Self>, verdict: Verdict) -> Verdict {
-        match verdict {
-            Verdict::Granted { slot, .. } if !self.tenure.holds() => {
+    fn checked(self: &Arc<Self>, verdict: Verdict, received: Instant) -> Verdict {
+        match (verdict, self.tenure.held_at()) {
+            (
+                Verdict::Granted {
+                    epoch,
+                    slot,
+                    instance,
+                    ..
+                },
+                Some(held),
+            ) => {
+                let waited_ms = held.since(received);
+                Verdict::Granted {
+                    epoch,
+                    slot,
+                    instance,
+                    waited_ms,
+                }
+            }
+            (Verdict::Granted { slot, .. }, None) => {
                 self.unused(slot);
                 self.not_owner()
             }
-            Verdict::NotRun(_) if !self.tenure.holds() => self.not_owner(),
-            verdict => verdict,
+            (Verdict::NotRun(_), None) => self.not_owner(),
+            (verdict, _) => verdict,
         }
     }
 
@@ -133,14 +143,7 @@
     /// Answers an ask, unless it was answered before.
     fn answer(&self, key: &Key, verdict: Verdict) -> bool {
         let waiting = lock(&self.state).waiting.remove(key);
-        waiting.is_some_and(|waiting| waiting.reply.send(verdict).is_ok())
-    }
-
-    /// Returns the milliseconds from the receipt of an ask to `now`.
-    fn waited_ms(&self, now: Instant, key: &Key) -> u64 {
-        let state = lock(&self.state);
-        let waiting = state.waiting.get(key);
-        waiting.map_or(0, |waiting| now.since(waiting.received))
+        waiting.is_some_and(|waiting| waiting.send(verdict).is_ok())
     }
 
     fn not_owner(&self) -> Verdict {
@@ -160,7 +163,7 @@
     pub(crate) fn suspend(self: &Arc<Self>) {
         let waiting = std::mem::take(&mut lock(&self.state).waiting);
         for (key, waiting) in waiting {
-            let _ = waiting.reply.send(self.not_owner());
+            let _ = waiting.send(self.not_owner());
             self.feed(Event::Withdrawn(key));
         }
     }
--- a/crates/scheduler/src/service/steps.rs
+++ b/crates/scheduler/src/service/steps.rs
@@ -63,14 +63,13 @@
         instance: Instance,
         events: &mut VecDeque<Event>,
     ) {
-        let now = clock::now();
         let granted = Verdict::Granted {
             epoch: self.tenure.epoch,
             slot,
             instance,
-            waited_ms: self.waited_ms(now, key),
+            waited_ms: 0,
         };
-        let valid = self.tenure.holds_at(now);
+        let valid = self.tenure.holds();
         let verdict = if valid { granted } else { self.not_owner() };
         let answered = self.answer(key, verdict);
         if valid && answered {
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/tenure.rs
@@ -27,12 +27,17 @@
 
     /// Tells whether this process may act as the owner at this moment.
     pub(crate) fn holds(&self) -> bool {
-        self.holds_at(clock::now())
+        self.held_at().is_some()
     }
 
-    /// Tells whether this process may act as the owner at `now`.
-    pub(crate) fn holds_at(&self, now: Instant) -> bool {
-        !self.is_over() && now.0 < self.valid_until.load(Ordering::SeqCst)
+    /// Returns a moment not after the call at which this process could act as the owner.
+    ///
+    /// The validity is read before the clock, so a heartbeat that extends it in between can't make
+    /// a moment count at which there was no support.
+    pub(crate) fn held_at(&self) -> Option<Instant> {
+        let valid_until = Instant(self.valid_until.load(Ordering::SeqCst));
+        let now = clock::now();
+        (now < valid_until && !self.is_over()).then_some(now)
     }
 
     /// Returns the milliseconds for which the support lasts.
