--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -117,7 +117,6 @@
             Unknown::Deadline => "deadline",
             Unknown::InstanceRefused => "instance-refused",
             Unknown::InstanceLost => "instance-lost",
-            Unknown::InstanceRefused => "instance-refused",
             Unknown::NoOwner => "no-owner",
             Unknown::Takeover => "takeover",
         };
