fix(core): a young cell knows that no dispatch is unrecorded

Cause: when all schedulers start at once, the first claims came before a peer had read the log to its end twice; a takeover within the first two minutes then answered unknown to every non-idempotent request. Change: shards that were never claimed wait until no scheduler appeared for 1.5 s, which is less than the time in which new incarnations support nobody. Tests of the scheduler process over an in-memory platform: log down, answer lost, paused owner, takeover, planned stop, start while the log is down.

--- a/crates/core/src/ownership/claims.rs
+++ b/crates/core/src/ownership/claims.rs
@@ -24,6 +24,8 @@
     if live < settings.majority() || !peers.is_settled(now) {
         return Vec::new();
     }
+    // A reader that saw a shard unclaimed knows later how long it has had owners; see `Kernel::doubt`.
+    let quiet = peers.is_quiet(now);
     let limit = limit(settings.shards.len(), loads.len());
     let mut free = Vec::new();
     for shard in &settings.shards {
@@ -41,7 +43,8 @@
         let Some(name) = candidate(shard, &loads, limit) else {
             continue;
         };
-        if name == settings.name {
+        let first = ledger.get(shard).is_none();
+        if name == settings.name && (quiet || !first) {
             due.push((shard.clone(), ledger.epoch(shard)));
         }
         if let Some(load) = loads.get_mut(&name) {
--- a/crates/core/src/ownership/peers.rs
+++ b/crates/core/src/ownership/peers.rs
@@ -10,6 +10,9 @@
 /// Gap between two events after which this process is taken to have been paused, in milliseconds.
 const PAUSE_MS: u64 = 1_000;
 
+/// Milliseconds that a new process needs to follow the log to its end twice.
+const QUIET_MS: u64 = 1_500;
+
 /// One other scheduler.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Peer {
@@ -37,6 +40,8 @@
     /// Since when this process listens without a pause.
     listening: Instant,
     last: Instant,
+    /// When the last peer or new incarnation of a peer appeared.
+    newest: Instant,
 }
 
 impl Peers {
@@ -45,6 +50,7 @@
             peers: names.map(|name| (name, Peer::default())).collect(),
             listening: now,
             last: now,
+            newest: now,
         }
     }
 
@@ -78,6 +84,7 @@
         }
         if incarnation > peer.incarnation {
             peer.answer = None;
+            self.newest = now;
         }
         peer.incarnation = incarnation;
         peer.stopping = stopping;
@@ -93,6 +100,9 @@
         if support.incarnation < peer.incarnation {
             return false;
         }
+        if support.incarnation > peer.incarnation {
+            self.newest = now;
+        }
         peer.incarnation = support.incarnation;
         peer.heard = Some(now);
         if peer.answer.as_ref().is_some_and(|last| last.sent > sent) {
@@ -119,6 +129,11 @@
         now.since(self.listening) > SUSPECT_MS || self.live(now).count() == self.peers.len()
     }
 
+    /// Tells whether every peer had time to read the log to its end since it appeared.
+    pub(super) fn is_quiet(&self, now: Instant) -> bool {
+        now.since(self.newest) >= QUIET_MS
+    }
+
     /// Returns the names of peers that answered a heartbeat of late.
     pub(super) fn live(&self, now: Instant) -> impl Iterator<Item = &Arc<str>> {
         let fresh = move |peer: &Peer| {
--- /dev/null
+++ b/crates/scheduler/tests/scheduler.rs
@@ -0,0 +1,173 @@
+//! Schedulers of one cell over a platform in memory.
+
+#[path = "support/cell.rs"]
+mod cell;
+#[path = "support/log.rs"]
+mod log;
+#[path = "support/targets.rs"]
+mod targets;
+
+use std::time::{Duration, Instant};
+
+use cell::{Cell, pool, service};
+use rosemaryworks_core::job::State;
+use rosemaryworks_core::outcome::{NotRun, Unknown};
+use rosemaryworks_platform::log::CELL;
+use rosemaryworks_wire::{Submission, Verdict};
+
+/// Detection, claim, support and survey together take at most this long.
+const TAKEOVER_MAX: Duration = Duration::from_millis(8_300);
+
+fn is_granted(verdict: &Verdict) -> bool {
+    matches!(verdict, Verdict::Granted { .. })
+}
+
+/// Guards against a second dispatch of a non-idempotent request.
+#[test]
+fn a_non_idempotent_request_is_granted_once() {
+    let cell = Cell::start(3);
+    let owner = cell.owner(&service()).unwrap();
+    assert!(is_granted(&cell.ask(&owner, "r1", false)));
+    assert_eq!(cell.log.find_text(CELL, "\"r1\"").len(), 1);
+    let again = cell.ask(&owner, "r1", false);
+    assert_eq!(again, Verdict::Unknown(Unknown::AlreadyDispatched));
+    for name in cell.processes.keys().filter(|name| **name != owner) {
+        let verdict = cell.ask(name, "r2", true);
+        assert!(matches!(verdict, Verdict::NotOwner { owner: Some(o) } if o == owner));
+    }
+}
+
+/// Guards against a log outage that callers notice, and against ids that are lost with it.
+#[test]
+fn grants_go_on_while_the_log_is_down() {
+    let cell = Cell::start(3);
+    let owner = cell.owner(&service()).unwrap();
+    cell.log.set_down(true);
+    assert!(is_granted(&cell.ask(&owner, "r1", true)));
+    // Within a second or so a majority regards the log as unreachable.
+    std::thread::sleep(Duration::from_secs(3));
+    let verdict = cell.ask(&owner, "r2", false);
+    assert!(is_granted(&verdict), "{verdict:?}");
+    let pool_owner = cell.owner(&pool()).unwrap();
+    let submission = cell.submit(&pool_owner, "j1", 100);
+    assert_eq!(submission, Submission::Unavailable(NotRun::LogUnavailable));
+    assert!(cell.log.find_text(CELL, "\"r2\"").is_empty());
+    cell.log.set_down(false);
+    cell.wait_for("the intent is written", || {
+        !cell.log.find_text(CELL, "\"r2\"").is_empty()
+    });
+    assert!(cell.log.find_text(CELL, "\"j1\"").is_empty());
+}
+
+/// Guards against a job that is lost, or accepted twice, because the answer of an append was lost.
+#[test]
+fn a_lost_answer_loses_no_job() {
+    let cell = Cell::start(3);
+    let owner = cell.owner(&pool()).unwrap();
+    cell.log.lose_answers(1);
+    let submission = cell.submit(&owner, "j1", 300);
+    assert!(
+        matches!(submission, Submission::Accepted(_)),
+        "{submission:?}"
+    );
+    let submission = cell.submit(&owner, "j1", 300);
+    assert!(
+        matches!(submission, Submission::Accepted(_)),
+        "{submission:?}"
+    );
+    assert_eq!(cell.submit(&owner, "j1", 301), Submission::Conflict);
+    let status = cell.status(&owner, "j1", 10_000).unwrap();
+    assert_eq!(status.state, State::Succeeded);
+    assert_eq!(cell.targets.starts().len(), 1);
+}
+
+/// Guards against an owner that grants after a pause in which another scheduler took over.
+#[test]
+fn a_paused_owner_grants_nothing_after_a_takeover() {
+    let cell = Cell::start(3);
+    let owner = cell.owner(&service()).unwrap();
+    let before = cell.ask(&owner, "r0", true);
+    cell.pause(&owner, Duration::from_secs(6));
+    let others = || cell.processes.keys().filter(|name| **name != owner);
+    let granted = |name: &std::sync::Arc<str>| is_granted(&cell.ask(name, "r1", true));
+    let start = Instant::now();
+    while !others().any(granted) {
+        assert!(start.elapsed() < TAKEOVER_MAX);
+    }
+    // Answered when the pause ends.
+    let verdict = cell.ask(&owner, "r2", true);
+    assert!(matches!(verdict, Verdict::NotOwner { .. }), "{verdict:?}");
+    let after = cell.ask_owner("r3", true);
+    let epoch = |verdict| match verdict {
+        Verdict::Granted { epoch, .. } => epoch,
+        other => panic!("{other:?}"),
+    };
+    assert!(epoch(before) < epoch(after));
+}
+
+/// Guards against a new owner that dispatches what the old one has dispatched.
+#[test]
+fn a_new_owner_knows_the_intents() {
+    let mut cell = Cell::start(3);
+    let owner = cell.owner(&service()).unwrap();
+    assert!(is_granted(&cell.ask(&owner, "r1", false)));
+    cell.kill(&owner);
+    let start = Instant::now();
+    let verdict = cell.ask_owner("r1", false);
+    assert_eq!(verdict, Verdict::Unknown(Unknown::AlreadyDispatched));
+    assert!(start.elapsed() < TAKEOVER_MAX);
+    // The log was up all the time, so nothing else is in doubt.
+    let verdict = cell.ask_owner("r2", false);
+    assert!(is_granted(&verdict), "{verdict:?}");
+}
+
+/// Guards against a planned stop that callers notice, or that ends while a shard is not released.
+#[test]
+fn a_planned_stop_hands_over_at_once() {
+    let mut cell = Cell::start(3);
+    let owner = cell.owner(&service()).unwrap();
+    assert!(is_granted(&cell.ask(&owner, "r1", false)));
+    cell.stop(&owner);
+    let start = Instant::now();
+    let verdict = cell.ask_owner("r2", false);
+    assert!(is_granted(&verdict), "{verdict:?}");
+    assert!(start.elapsed() < Duration::from_secs(1));
+    let again = cell.ask_owner("r1", false);
+    assert_eq!(again, Verdict::Unknown(Unknown::AlreadyDispatched));
+}
+
+/// Guards against a job that is dropped or run twice when its owner dies.
+#[test]
+fn a_job_outlives_its_owner() {
+    let mut cell = Cell::start(3);
+    let owner = cell.owner(&pool()).unwrap();
+    let submission = cell.submit(&owner, "j1", 4_000);
+    assert!(
+        matches!(submission, Submission::Accepted(_)),
+        "{submission:?}"
+    );
+    cell.wait_for("the task is started", || !cell.targets.starts().is_empty());
+    cell.kill(&owner);
+    cell.wait_for("the pool has a new owner", || cell.owner(&pool()).is_some());
+    let owner = cell.owner(&pool()).unwrap();
+    let status = cell.status(&owner, "j1", 10_000).unwrap();
+    assert_eq!(status.state, State::Succeeded);
+    assert_eq!(cell.targets.starts().len(), 1);
+    assert_eq!(cell.log.find_text(CELL, "\"ended\"").len(), 1);
+}
+
+/// Guards against a scheduler that can't start while the log is down although its peers know all.
+#[test]
+fn a_restart_takes_the_state_from_a_peer_while_the_log_is_down() {
+    let mut cell = Cell::start(3);
+    let owner = cell.owner(&service()).unwrap();
+    let index = (0..3).find(|index| format!("s{index}") != *owner).unwrap();
+    cell.log.set_down(true);
+    cell.kill(&format!("s{index}"));
+    cell.spawn(index);
+    let name = format!("s{index}");
+    let ready = &cell.processes[&*name].node.ready;
+    cell.wait_for("the scheduler is ready", || ready.get());
+    // Its support counts again for the owner.
+    assert!(is_granted(&cell.ask_owner("r1", true)));
+}
--- /dev/null
+++ b/crates/scheduler/tests/support/cell.rs
@@ -0,0 +1,359 @@
+//! A cell of schedulers in one process, each on a runtime of its own, with one gateway.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use rosemaryworks_core::contract::{Contract, Pool, Revision, Service};
+use rosemaryworks_core::job::{Id as JobId, Kind, Priority, Spec, Status};
+use rosemaryworks_core::outcome::{Finish, Request};
+use rosemaryworks_core::partition::Map;
+use rosemaryworks_core::record::Config;
+use rosemaryworks_core::routing::{Ask, Key};
+use rosemaryworks_core::shard::Id;
+use rosemaryworks_core::size::Size;
+use rosemaryworks_node::settings::{Cell as CellSettings, Scheduler as Entry};
+use rosemaryworks_node::status::Status as Node;
+use rosemaryworks_platform::log::CONTRACTS;
+use rosemaryworks_scheduler::{Platform, Scheduler, Settings};
+use rosemaryworks_wire::link::{Client, Handler, Peer, Reply};
+use rosemaryworks_wire::{Hello, Message, Role, Submission, Verdict};
+use tokio::runtime::{Builder, Runtime};
+
+use crate::log::MemoryLog;
+use crate::targets::Targets;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+
+pub(crate) struct Process {
+    runtime: Runtime,
+    scheduler: Option<Scheduler>,
+    pub(crate) node: Node,
+}
+
+/// Schedulers by name, the platform and a gateway that holds no grants.
+pub(crate) struct Cell {
+    pub(crate) log: MemoryLog,
+    pub(crate) targets: Targets,
+    pub(crate) processes: BTreeMap<Arc<str>, Process>,
+    settings: CellSettings,
+    gateway: Runtime,
+    links: BTreeMap<Arc<str>, Client>,
+    asks: AtomicU64,
+}
+
+struct Gateway;
+
+impl Handler for Gateway {
+    fn call(&self, _peer: &Peer, message: Message) -> Reply {
+        let reply = match message {
+            Message::Survey { .. } => Message::Outstanding(Vec::new()),
+            _ => Message::Done,
+        };
+        Box::pin(std::future::ready(reply))
+    }
+
+    fn notice(&self, _peer: &Peer, _message: Message) {}
+
+    fn opened(&self, _peer: &Peer) {}
+
+    fn closed(&self, _peer: &Peer) {}
+}
+
+pub(crate) fn service() -> Id {
+    Id::service("booking", 0)
+}
+
+pub(crate) fn pool() -> Id {
+    Id::pool("cpu", 0)
+}
+
+fn runtime() -> Runtime {
+    Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .unwrap()
+}
+
+fn unused() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl Cell {
+    /// Starts `count` schedulers and waits until one owns each shard.
+    pub(crate) fn start(count: usize) -> Self {
+        let entry = |index| Entry {
+            name: format!("s{index}").into(),
+            zone: "a".into(),
+            peer: unused(),
+        };
+        let settings = CellSettings {
+            name: "cell".into(),
+            schedulers: (0..count).map(entry).collect(),
+            gateways: vec!["g1".into()],
+            partition: Map {
+                pools: [("cpu".into(), 1)].into(),
+                services: [("booking".into(), 1)].into(),
+            },
+            log: unused(),
+            directory: unused(),
+        };
+        let mut cell = Self {
+            log: MemoryLog::default(),
+            targets: Targets::default(),
+            processes: BTreeMap::new(),
+            settings,
+            gateway: runtime(),
+            links: BTreeMap::new(),
+            asks: AtomicU64::new(0),
+        };
+        cell.log.push(CONTRACTS, &publish());
+        for index in 0..count {
+            cell.spawn(index);
+        }
+        cell.dial();
+        cell.wait_for("every shard has an owner", || {
+            cell.owner(&service()).is_some() && cell.owner(&pool()).is_some()
+        });
+        cell
+    }
+
+    /// Starts the scheduler `index`.
+    pub(crate) fn spawn(&mut self, index: usize) {
+        let entry = &self.settings.schedulers[index];
+        let settings = Settings {
+            node: entry.name.clone(),
+            zone: "a".into(),
+            peer_listen: entry.peer,
+            status_listen: unused(),
+            cell: self.settings.clone(),
+            log: Default::default(),
+            placement_policy: "default".into(),
+            retention_ms: 3_600_000,
+        };
+        let platform = Platform {
+            log: Arc::new(self.log.clone()),
+            workers: Arc::new(self.targets.clone()),
+            instances: Arc::new(self.targets.clone()),
+            directory: Arc::new(self.targets.clone()),
+        };
+        let runtime = runtime();
+        let node = Node::default();
+        let status = node.clone();
+        let scheduler = runtime.block_on(async {
+            let listener = tokio::net::TcpListener::bind(settings.peer_listen).await;
+            Scheduler::start(settings, platform, listener.unwrap(), status)
+        });
+        let process = Process {
+            runtime,
+            scheduler: Some(scheduler),
+            node,
+        };
+        let name = self.settings.schedulers[index].name.clone();
+        self.processes.insert(name, process);
+    }
+
+    fn dial(&mut self) {
+        let own = Hello {
+            node: "g1".into(),
+            role: Role::Gateway,
+            zone: "a".into(),
+            incarnation: 1,
+        };
+        let _guard = self.gateway.enter();
+        for entry in &self.settings.schedulers {
+            let name = entry.name.clone();
+            let handler = Arc::new(Gateway);
+            let link = Client::start(name.clone(), entry.peer, own.clone(), handler);
+            self.links.insert(name, link);
+        }
+    }
+
+    /// Waits up to 10 s until `holds`.
+    pub(crate) fn wait_for(&self, what: &str, holds: impl Fn() -> bool) {
+        let end = Instant::now() + Duration::from_secs(10);
+        while !holds() {
+            assert!(Instant::now() < end, "not in time: {what}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Ends the scheduler without a planned stop.
+    pub(crate) fn kill(&mut self, name: &str) {
+        let mut process = self.processes.remove(name).unwrap();
+        drop(process.scheduler.take());
+        // The address is free again once the tasks have ended.
+        process.runtime.shutdown_timeout(Duration::from_secs(1));
+    }
+
+    /// Ends the scheduler with a planned stop.
+    pub(crate) fn stop(&mut self, name: &str) {
+        let mut process = self.processes.remove(name).unwrap();
+        let scheduler = process.scheduler.take().unwrap();
+        process.runtime.block_on(scheduler.stop());
+        process.runtime.shutdown_background();
+    }
+
+    /// Blocks every task of the scheduler.
+    pub(crate) fn pause(&self, name: &str, pause: Duration) {
+        let runtime = &self.processes[name].runtime;
+        runtime.spawn(async move { std::thread::sleep(pause) });
+    }
+
+    /// Calls one scheduler.
+    pub(crate) fn call(&self, name: &str, message: Message) -> Option<Message> {
+        let call = self.links[name].call(message, CALL_TIMEOUT);
+        self.gateway.block_on(call).ok()
+    }
+
+    /// Returns the scheduler that serves `shard` now.
+    pub(crate) fn owner(&self, shard: &Id) -> Option<Arc<str>> {
+        let serves = |name: &&Arc<str>| match self.call(name, Message::Inspect) {
+            Some(Message::Inspected(inspected)) => inspected.shards.iter().any(|s| s.0 == *shard),
+            _ => false,
+        };
+        self.processes.keys().find(serves).cloned()
+    }
+
+    /// Asks `name` for a slot.
+    pub(crate) fn ask(&self, name: &str, id: &str, idempotent: bool) -> Verdict {
+        let number = self.asks.fetch_add(1, Ordering::SeqCst);
+        let ask = Ask {
+            key: Key {
+                gateway: "g1".into(),
+                number,
+            },
+            request: Request {
+                contract: "shops".into(),
+                id: id.into(),
+            },
+            idempotent,
+            attempt: Some(1),
+            remaining_ms: 10_000,
+            exclude: Vec::new(),
+        };
+        let message = Message::Ask {
+            shard: service(),
+            ask,
+        };
+        match self.call(name, message) {
+            Some(Message::Verdict(verdict)) => {
+                self.finish(name, &verdict);
+                verdict
+            }
+            other => panic!("{name} answered {other:?}"),
+        }
+    }
+
+    /// Asks whichever scheduler serves the shard, until one does.
+    pub(crate) fn ask_owner(&self, id: &str, idempotent: bool) -> Verdict {
+        let end = Instant::now() + Duration::from_secs(10);
+        loop {
+            if let Some(owner) = self.owner(&service()) {
+                match self.ask(&owner, id, idempotent) {
+                    Verdict::NotOwner { .. } => {}
+                    verdict => return verdict,
+                }
+            }
+            assert!(Instant::now() < end, "no owner in time");
+        }
+    }
+
+    fn finish(&self, name: &str, verdict: &Verdict) {
+        if let Verdict::Granted { epoch, slot, .. } = verdict {
+            let finish = Message::Finish {
+                shard: service(),
+                epoch: *epoch,
+                slot: *slot,
+                finish: Finish::Answered,
+                run_ms: 1,
+            };
+            self.call(name, finish);
+        }
+    }
+
+    /// Submits a job of one task to `name`.
+    pub(crate) fn submit(&self, name: &str, id: &str, run_ms: u64) -> Submission {
+        let message = Message::Submit {
+            shard: pool(),
+            contract: "shops".into(),
+            job: Box::new(job(id, run_ms)),
+        };
+        match self.call(name, message) {
+            Some(Message::Submission(submission)) => submission,
+            other => panic!("{name} answered {other:?}"),
+        }
+    }
+
+    /// Returns the status of a job as `name` tells it, after waiting for its end.
+    pub(crate) fn status(&self, name: &str, id: &str, wait_ms: u64) -> Option<Status> {
+        let job = JobId {
+            contract: "shops".into(),
+            job: id.into(),
+        };
+        let message = Message::Status {
+            shard: pool(),
+            job,
+            wait_ms,
+        };
+        match self.call(name, message) {
+            Some(Message::Told(status)) => Some(status),
+            _ => None,
+        }
+    }
+}
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        let names: Vec<_> = self.processes.keys().cloned().collect();
+        names.iter().for_each(|name| self.kill(name));
+    }
+}
+
+fn job(id: &str, run_ms: u64) -> Spec {
+    Spec {
+        id: id.into(),
+        kind: Kind::Batch,
+        pool: "cpu".into(),
+        tasks: 1,
+        size: Size::new(1_000, 1_000),
+        run_ms,
+        priority: Priority::Normal,
+        deadline_ms: None,
+        restart: false,
+        work: None,
+        payload: None,
+    }
+}
+
+fn publish() -> Config {
+    let service = Service {
+        rate: 1_000,
+        burst: 1_000,
+        concurrency: 100,
+        queue: 100,
+    };
+    let pool = Pool {
+        size: Size::new(64_000, 128_000),
+        queue: 100,
+    };
+    Config::Publish {
+        id: "publish-1".into(),
+        expected: Revision(0),
+        contract: Box::new(Contract {
+            name: "shops".into(),
+            weight: 1,
+            keys: vec!["key".into()],
+            services: [("booking".into(), service)].into(),
+            pools: [("cpu".into(), pool)].into(),
+            max_priority: Priority::Urgent,
+            urgent_percent: 50,
+        }),
+        operator: "operator".into(),
+        at_unix_ms: 1,
+    }
+}
