--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod demo;
+mod measure;
 
 use std::process::ExitCode;
 
@@ -19,6 +20,7 @@
 #[argh(subcommand)]
 enum Task {
     Demo(demo::Options),
+    Measure(measure::Arguments),
     Settings(cluster::settings::Options),
 }
 
@@ -36,6 +38,7 @@
     };
     let result = match options.task {
         Task::Demo(options) => runtime.block_on(demo::run(options)),
+        Task::Measure(options) => return measure::run(&options),
         Task::Settings(options) => cluster::settings::run(&options).map(|()| true),
     };
     match result {
