--- /dev/null
+++ b/crates/admin/tests/api.rs
@@ -0,0 +1,224 @@
+//! Administration API: publishing, comparing, draining, and the audit trail.
+
+mod support;
+
+use std::time::Duration;
+
+use rosemaryworks_core::shard::{Epoch, Id};
+use rosemaryworks_core::size::Size;
+use rosemaryworks_core::target::State;
+use rosemaryworks_core::view;
+use rosemaryworks_wire::{Inspected, Message};
+use serde_json::{Value, json};
+use support::fakes::{TEAM_KEY, reply};
+use support::{Server, publication};
+
+/// Guards against an accepted contract that is not in the stream or not in force.
+#[tokio::test]
+async fn a_publish_is_in_force_when_it_is_accepted() {
+    let server = Server::start().await;
+    let (status, body) = server.publish("change-1", 0, 100).await;
+    assert_eq!((status, &body["revision"]), (200, &json!(1)), "{body}");
+    assert_eq!(server.log.records("contracts").len(), 1);
+    assert!(server.contracts.get("dala").is_some());
+    let (status, list) = server.call("GET", "/v1/contracts", Value::Null).await;
+    assert_eq!((status, &list[0]["operator"]), (200, &json!("ada")));
+}
+
+/// Guards against two operators who both believe that their revision is in force.
+#[tokio::test]
+async fn of_two_racing_publishes_one_conflicts() {
+    let server = Server::start().await;
+    let (first, second) = tokio::join!(
+        server.publish("change-1", 0, 100),
+        server.publish("change-2", 0, 200),
+    );
+    let mut statuses = [first.0, second.0];
+    statuses.sort_unstable();
+    assert_eq!(statuses, [200, 409]);
+    let lost = if first.0 == 409 { first.1 } else { second.1 };
+    assert_eq!(lost["current"], json!(1), "{lost}");
+}
+
+/// Guards against a repeat that changes the contract again, or is told another verdict.
+#[tokio::test]
+async fn a_repeated_change_has_the_same_verdict() {
+    let server = Server::start().await;
+    let first = server.publish("change-1", 0, 100).await;
+    assert_eq!(server.publish("change-2", 0, 200).await.0, 409);
+    assert_eq!(server.publish("change-1", 0, 100).await, first);
+    assert_eq!(server.publish("change-2", 0, 200).await.0, 409);
+    assert_eq!(server.log.records("contracts").len(), 2);
+    let drain = json!({ "id": "change-1" });
+    let (status, body) = server.call("POST", "/v1/targets/cpu-1/drain", drain).await;
+    assert_eq!(status, 409, "{body}");
+}
+
+/// Guards against faults that are found one at a time, and against a bad contract in the stream.
+#[tokio::test]
+async fn a_bad_contract_is_refused_with_every_fault() {
+    let server = Server::start().await;
+    let mut body = publication("change-1", 0, 0);
+    body["contract"]["weight"] = json!(0);
+    body["contract"]["keys"] = json!(["short"]);
+    let (status, answer) = server.call("PUT", "/v1/contracts/dala", body).await;
+    let faults = answer["faults"].as_array().unwrap();
+    let paths: Vec<&str> = faults
+        .iter()
+        .filter_map(|fault| fault["path"].as_str())
+        .collect();
+    assert_eq!(status, 400);
+    assert_eq!(paths, ["weight", "keys[0]", "services.booking.rate"]);
+    let mut body = publication("change-1", 0, 100);
+    body["contract"]["services"]["booking"]["rates"] = json!(1);
+    let (status, answer) = server.call("PUT", "/v1/contracts/dala", body).await;
+    assert_eq!(status, 400);
+    assert_eq!(
+        answer["faults"][0]["path"],
+        json!("contract.services.booking.rates")
+    );
+    assert!(server.log.records("contracts").is_empty());
+}
+
+/// Guards against changes without an operator's key, and against refusals that leave no trace.
+#[tokio::test]
+async fn refusals_are_in_the_audit_trail() {
+    let server = Server::start().await;
+    let body = publication("change-1", 0, 100);
+    let path = "/v1/contracts/dala";
+    let (status, _) = server.call_as(TEAM_KEY, "PUT", path, body).await;
+    assert_eq!(status, 401);
+    assert_eq!(server.publish("change-2", 0, 0).await.0, 400);
+    assert_eq!(server.publish("change-3", 7, 100).await.0, 409);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let (_, trail) = server.call("GET", "/v1/audit", Value::Null).await;
+    let refusals = trail["refusals"].as_array().unwrap();
+    assert_eq!(refusals.len(), 2, "{trail}");
+    assert_eq!(refusals[0]["operator"], Value::Null);
+    assert_eq!(refusals[1]["operator"], json!("ada"));
+    assert!(
+        refusals[1]["reason"]
+            .as_str()
+            .unwrap()
+            .contains("services.booking.rate")
+    );
+    assert_eq!(
+        trail["changes"][0]["verdict"]["conflict"]["current"],
+        json!(0)
+    );
+    assert_eq!(
+        server
+            .call_as(TEAM_KEY, "GET", "/v1/audit", Value::Null)
+            .await
+            .0,
+        401
+    );
+}
+
+/// Guards against a publish that hangs or seems accepted while the log is down.
+#[tokio::test]
+async fn a_publish_while_the_log_is_down_is_refused() {
+    let server = Server::start().await;
+    server.log.set_down(true);
+    let (status, body) = server.publish("change-1", 0, 100).await;
+    let error = body["error"].as_str().unwrap();
+    assert_eq!(status, 503);
+    assert!(error.contains("the change was not made"), "{error}");
+    server.log.set_down(false);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(server.log.records("contracts").is_empty());
+}
+
+/// Guards against an append that took effect and is written or refused a second time because its
+/// answer was lost.
+#[tokio::test]
+async fn a_publish_whose_answer_is_lost_is_accepted_once() {
+    let server = Server::start().await;
+    server.log.lose_answers();
+    let (status, body) = server.publish("change-1", 0, 100).await;
+    assert_eq!((status, &body["revision"]), (200, &json!(1)), "{body}");
+    assert_eq!(server.log.records("contracts").len(), 1);
+}
+
+/// Guards against keys in answers that don't ask for them, and against a diff that misses a field.
+#[tokio::test]
+async fn revisions_are_compared_without_keys() {
+    let server = Server::start().await;
+    server.publish("change-1", 0, 100).await;
+    let mut body = publication("change-2", 1, 200);
+    body["contract"]["keys"] = json!([TEAM_KEY, "another-key-0123456789"]);
+    assert_eq!(server.call("PUT", "/v1/contracts/dala", body).await.0, 200);
+    let path = "/v1/contracts/dala/diff?from=1&to=2";
+    let (_, changes) = server.call("GET", path, Value::Null).await;
+    let expected = json!([
+        { "path": "keys[1]", "to": "anot..." },
+        { "path": "services.booking.rate", "from": 100, "to": 200 },
+    ]);
+    assert_eq!(changes, expected);
+    let (_, shown) = server.call("GET", "/v1/contracts/dala", Value::Null).await;
+    assert_eq!(shown["contract"]["keys"][0], json!("team..."));
+    assert_eq!(shown["revisions"], json!([1, 2]));
+    let path = "/v1/contracts/dala?keys=true&revision=1";
+    let (_, shown) = server.call("GET", path, Value::Null).await;
+    assert_eq!(shown["contract"]["keys"], json!([TEAM_KEY]));
+    let path = "/v1/contracts/dala/diff?from=1&to=9";
+    assert_eq!(server.call("GET", path, Value::Null).await.0, 404);
+}
+
+fn inspected() -> Inspected {
+    let shard = Id::pool("cpu", 0);
+    Inspected {
+        shards: vec![(shard.clone(), Epoch(7))],
+        targets: vec![view::Target {
+            name: "cpu-1".into(),
+            shard,
+            state: State::Live,
+            size: Size::new(16_000, 32_000),
+            held: Size::ZERO,
+            slots: 0,
+            taken: 0,
+            condition: None,
+        }],
+        jobs: Vec::new(),
+    }
+}
+
+/// Guards against owners, targets and tasks that are shown of the wrong scheduler or not at all.
+#[tokio::test]
+async fn the_cell_is_shown_from_its_schedulers() {
+    let server = Server::start().await;
+    server.scheduler.answer(|message| match message {
+        Message::Inspect => reply(Message::Inspected(Box::new(inspected()))),
+        Message::Tasks { job, .. } if &*job.job == "job-1" => reply(Message::TaskList(Vec::new())),
+        _ => reply(Message::NoJob),
+    });
+    let drain = json!({ "id": "change-1" });
+    let (status, body) = server.call("POST", "/v1/targets/cpu-1/drain", drain).await;
+    assert_eq!(status, 200, "{body}");
+    let (_, cell) = server.call("GET", "/v1/cell", Value::Null).await;
+    let shards = json!([
+        { "shard": "pool/cpu/0", "owner": "scheduler-1", "epoch": 7 },
+        { "shard": "service/booking/0", "owner": null, "epoch": null },
+    ]);
+    assert_eq!(cell["shards"], shards);
+    assert_eq!(cell["drained"], json!(["cpu-1"]));
+    let (_, targets) = server.call("GET", "/v1/targets", Value::Null).await;
+    assert_eq!(targets["items"][0]["drained"], json!(true), "{targets}");
+    assert_eq!(targets["unreached"], json!([]));
+    let path = "/v1/jobs/dala/job-1/tasks";
+    assert_eq!(
+        server.call("GET", path, Value::Null).await,
+        (200, json!([]))
+    );
+    let path = "/v1/jobs/dala/job-2/tasks";
+    assert_eq!(server.call("GET", path, Value::Null).await.0, 404);
+}
+
+/// Guards against a body that fills the memory.
+#[tokio::test]
+async fn a_body_beyond_the_limit_is_refused() {
+    let server = Server::start().await;
+    let body = json!("x".repeat(1024 * 1024));
+    let (status, answer) = server.call("PUT", "/v1/contracts/dala", body).await;
+    assert_eq!(status, 413, "{answer}");
+}
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -50,7 +50,8 @@
     exclude: Vec<Arc<str>>,
     /// Owner named by the last `NotOwner`.
     hint: Option<Arc<str>>,
-    /// Whether a grant to an earlier ask of this search may exist. It was not and won't be used.
+    /// Whether the owner may know the id from an earlier ask of this search, whose grant was not and
+    /// won't be used.
     unused: bool,
 }
 
@@ -88,6 +89,7 @@
                 pause(&mut changes, inquiry.deadline).await;
             }
             Replied::Verdict(Verdict::NotOwner { owner }) => {
+                search.unused |= search.is_owner(&peer);
                 search.hint = owner.filter(|owner| *owner != peer.hello().node);
                 match search.hint {
                     Some(_) => tokio::time::sleep(HINT_DELAY).await,
@@ -133,6 +135,13 @@
         }
     }
 
+    /// Tells whether the peer owns the shard as far as is known. An owner that lost its support
+    /// while it decided may have recorded the id.
+    fn is_owner(&self, peer: &Peer) -> bool {
+        let owner = self.gateway.links.owners.name(&self.shard);
+        owner.is_some_and(|owner| owner == peer.hello().node)
+    }
+
     /// Numbers an ask that is about to be sent to `peer`.
     fn sent(&self, peer: &Peer) -> Sent {
         Sent {
