fix(gateway): refusals arrive, and stops and rejections are told right

- A refused request whose body was not read closed the connection while the caller still sent, and the reset lost the 413 or 401.
The rest of the body is now read and dropped within 16 MiB and 2 s.
- not-run could be said after a retry although an instance had received bytes of the first dispatch and rejected it.
It is unknown now.
- Callers who waited for a job were cut off by a stop.
They now get the state of the job when the stop begins, and the stop waits for them.
- Callers without a key could fill the audit stream.
- A delayed copy of a drain record drained a target again after it was undrained. core::register now ignores a repeated id of a drain as it does for a publish.

Events of single requests are logged at debug; metrics count them.

--- a/crates/admin/src/api.rs
+++ b/crates/admin/src/api.rs
@@ -9,6 +9,7 @@
 use rosemaryworks_wire::link::Client;
 use serde::{Deserialize, Serialize};
 
+use crate::audit::Refusals;
 use crate::contracts::Contracts;
 use crate::keys;
 
@@ -44,8 +45,8 @@
     pub schedulers: Arc<[Client]>,
     /// Appends to the contracts stream.
     pub publishes: Appender,
-    /// Appends to the audit stream.
-    pub refusals: Appender,
+    /// Writes to the audit stream.
+    pub refusals: Refusals,
     /// Log from which the audit stream is read.
     pub log: Arc<dyn Log>,
     /// Runtime on which calls to other processes run.
--- a/crates/admin/src/body.rs
+++ b/crates/admin/src/body.rs
@@ -1,5 +1,7 @@
 //! JSON bodies of requests and answers.
 
+use std::time::Duration;
+
 use ntex::http::StatusCode;
 use ntex::web::HttpResponse;
 use ntex::web::types::Payload;
@@ -10,6 +12,12 @@
 /// Largest body of a request in bytes.
 pub(crate) const BODY_MAX_BYTES: usize = 1024 * 1024;
 
+/// Most bytes of a refused body that are read.
+const DISCARD_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// Longest time for which a refused body is read.
+const DISCARD_MAX: Duration = Duration::from_secs(2);
+
 /// Why a change is not made.
 #[derive(Debug, Serialize)]
 pub(crate) struct Error {
@@ -78,6 +86,7 @@
     while let Some(chunk) = payload.recv().await {
         let chunk = chunk.map_err(|error| Error::new(400, format!("unreadable body: {error}")))?;
         if body.len() + chunk.len() > BODY_MAX_BYTES {
+            discard(payload).await;
             let limit = format!("the body exceeds the limit of {BODY_MAX_BYTES} bytes");
             return Err(Error::new(413, limit));
         }
@@ -86,6 +95,22 @@
     Ok(body)
 }
 
+/// Reads and drops the rest of a body that is refused, within bounds. A connection that is closed
+/// while its caller still sends is reset, and the answer is lost with it.
+pub(crate) async fn discard(payload: &mut Payload) {
+    let drop = async {
+        let mut bytes = 0;
+        while let Some(Ok(chunk)) = payload.recv().await {
+            bytes += chunk.len();
+            if bytes > DISCARD_MAX_BYTES {
+                return;
+            }
+        }
+    };
+    // A slower caller loses the answer.
+    let _ = tokio::time::timeout(DISCARD_MAX, drop).await;
+}
+
 /// Parses a body and names the field of a fault.
 pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Answer<T> {
     let mut deserializer = serde_json::Deserializer::from_slice(body);
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -15,5 +15,6 @@
 mod routes;
 
 pub use api::{Api, Operator};
+pub use audit::Refusals;
 pub use contracts::Contracts;
 pub use routes::routes;
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -48,6 +48,12 @@
     })
 }
 
+/// Answers a request whose body was not read.
+async fn refused(error: Error, payload: &mut Payload) -> HttpResponse {
+    body::discard(payload).await;
+    respond::<()>(Err(error))
+}
+
 /// Runs `work` on the runtime of the links, so that it isn't bound to the handler's thread and ends
 /// even if the caller goes.
 async fn run<T: Send + 'static>(
@@ -68,7 +74,7 @@
     let change = format!("publish contract {}", name.as_str());
     let operator = match authenticate(&api, &request, &change) {
         Ok(operator) => operator,
-        Err(error) => return respond::<()>(Err(error)),
+        Err(error) => return refused(error, &mut payload).await,
     };
     let answer = publish_named(&api, &operator, &name, &mut payload).await;
     note_refusal(&api, operator, &change, &answer);
@@ -109,7 +115,7 @@
     let change = format!("{verb} target {target}");
     let operator = match authenticate(&api, &request, &change) {
         Ok(operator) => operator,
-        Err(error) => return respond::<()>(Err(error)),
+        Err(error) => return refused(error, &mut payload).await,
     };
     let answer = drain_named(&api, &operator, &target, &verb, &mut payload).await;
     note_refusal(&api, operator, &change, &answer);
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -222,3 +222,35 @@
     let (status, answer) = server.call("PUT", "/v1/contracts/dala", body).await;
     assert_eq!(status, 413, "{answer}");
 }
+
+/// Guards against a delayed copy of an append that drains a target again after it was undrained.
+#[tokio::test]
+async fn a_repeated_drain_record_changes_nothing() {
+    let server = Server::start().await;
+    for (id, verb) in [("change-1", "drain"), ("change-2", "undrain")] {
+        let path = format!("/v1/targets/cpu-1/{verb}");
+        assert_eq!(server.call("POST", &path, json!({ "id": id })).await.0, 200);
+    }
+    let record = server.log.records("contracts")[0].clone();
+    server.log.push("contracts", &record);
+    assert!(server.contracts.applied(3, Duration::from_secs(2)).await);
+    assert!(!server.contracts.is_drained("cpu-1"));
+}
+
+/// Guards against callers without a key who fill the log with refusals.
+#[tokio::test]
+async fn refusals_are_recorded_at_a_bounded_rate() {
+    let server = Server::start().await;
+    for _ in 0..150 {
+        let body = publication("change-1", 0, 100);
+        let (status, _) = server
+            .call_as(TEAM_KEY, "PUT", "/v1/contracts/dala", body)
+            .await;
+        assert_eq!(status, 401);
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let recorded = server.log.records("audit").len();
+    assert!((100..150).contains(&recorded), "{recorded}");
+    let (_, trail) = server.call("GET", "/v1/audit?limit=20", Value::Null).await;
+    assert_eq!(trail["refusals"].as_array().map(Vec::len), Some(20));
+}
--- a/crates/admin/tests/support/mod.rs
+++ b/crates/admin/tests/support/mod.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use ntex::web::{App, HttpServer};
-use rosemaryworks_admin::{Api, Contracts, Operator, routes};
+use rosemaryworks_admin::{Api, Contracts, Operator, Refusals, routes};
 use rosemaryworks_node::clock;
 use rosemaryworks_node::http::{Client, Request};
 use rosemaryworks_platform::appender::Appender;
@@ -131,7 +131,7 @@
         operators: [operator].into(),
         schedulers: [link].into(),
         publishes: appender("contracts"),
-        refusals: appender("audit"),
+        refusals: Refusals::new(appender("audit")),
         log: Arc::new(log.clone()),
         runtime: tokio::runtime::Handle::current(),
     }
--- a/crates/core/src/register.rs
+++ b/crates/core/src/register.rs
@@ -127,6 +127,8 @@
         }
         self.offset = offset;
         match record {
+            // A delayed append may repeat a change after a later one undid it.
+            Config::Drain { id, .. } if self.verdict(id).is_some() => Verdict::Repeated,
             Config::Drain {
                 target, drained, ..
             } => {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,4 +1,5 @@
-//! Numbered log events of the gateway.
+//! Numbered log events of the gateway. Events of single requests have the level `debug`; the metrics
+//! count them.
 
 use log::Level;
 use rosemaryworks_node::event::Event;
@@ -18,13 +19,13 @@
 /// A new owner asked for the outstanding grants of a shard.
 pub(crate) const SURVEYED: Event = Event::new(507, Level::Info, "surveyed");
 /// A grant arrived too late to be used.
-pub(crate) const GRANT_UNUSED: Event = Event::new(508, Level::Warn, "grant not used");
+pub(crate) const GRANT_UNUSED: Event = Event::new(508, Level::Debug, "grant not used");
 /// A verdict did not arrive.
-pub(crate) const VERDICT_LOST: Event = Event::new(509, Level::Warn, "verdict lost");
+pub(crate) const VERDICT_LOST: Event = Event::new(509, Level::Debug, "verdict lost");
 /// An instance did not give a whole answer.
-pub(crate) const INSTANCE_FAILED: Event = Event::new(510, Level::Warn, "instance failed");
+pub(crate) const INSTANCE_FAILED: Event = Event::new(510, Level::Debug, "instance failed");
 /// A request ended after its caller's deadline.
-pub(crate) const ANSWERED_LATE: Event = Event::new(511, Level::Info, "answered late");
+pub(crate) const ANSWERED_LATE: Event = Event::new(511, Level::Debug, "answered late");
 /// A link carried a message that the gateway doesn't take.
 pub(crate) const UNEXPECTED: Event = Event::new(512, Level::Warn, "unexpected message");
 /// The gateway refuses new requests and waits for those in flight.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -55,15 +55,19 @@
 ) {
     let _busy = gateway.request();
     let mut exclude = Vec::new();
+    let mut rejected = false;
     let outcome = loop {
         let grant = match ask::obtain(&gateway, &inquiry, &shard, &exclude).await {
             Asked::Granted(grant) => grant,
-            Asked::Ended(outcome) => break outcome,
+            Asked::Ended(outcome) => break outcome.after(rejected),
         };
         let instance = grant.instance.name.clone();
         match attempt(&gateway, &inquiry, grant).await {
-            Attempt::Ended(outcome) => break outcome,
-            Attempt::Retry => exclude.push(instance),
+            Attempt::Ended(outcome) => break outcome.after(rejected),
+            Attempt::Retry { sent } => {
+                rejected |= sent;
+                exclude.push(instance);
+            }
         }
     };
     if reply.send(outcome).is_err() {
@@ -78,7 +82,10 @@
 /// What follows a dispatch.
 enum Attempt {
     Ended(Outcome),
-    Retry,
+    /// Another instance is asked for. `sent` tells whether bytes reached the last one.
+    Retry {
+        sent: bool,
+    },
 }
 
 async fn attempt(gateway: &Gateway, inquiry: &Inquiry, grant: Grant) -> Attempt {
@@ -94,7 +101,7 @@
         Dispatched::NotSent => {
             if retry(gateway, inquiry) {
                 report::briefly(gateway, grant, Finish::NotSent).await;
-                return Attempt::Retry;
+                return Attempt::Retry { sent: false };
             }
             let outcome = inquiry.not_sent(NotRun::NoInstance, Unknown::InstanceLost);
             (Finish::NotSent, outcome)
@@ -102,7 +109,7 @@
         Dispatched::Rejected => {
             if retry(gateway, inquiry) {
                 report::briefly(gateway, grant, Finish::Rejected).await;
-                return Attempt::Retry;
+                return Attempt::Retry { sent: true };
             }
             let outcome = Outcome::Unknown(Unknown::InstanceRefused);
             (Finish::Rejected, outcome)
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -1,5 +1,7 @@
 //! Bodies of callers.
 
+use std::time::Duration;
+
 use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
 
@@ -8,6 +10,12 @@
 /// Largest body of a request in bytes.
 pub(super) const BODY_MAX_BYTES: usize = 1024 * 1024;
 
+/// Most bytes of a refused body that are read.
+const DISCARD_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// Longest time for which a refused body is read.
+const DISCARD_MAX: Duration = Duration::from_secs(2);
+
 /// Reads a whole body.
 pub(super) async fn read(request: &HttpRequest, payload: &mut Payload) -> Result<Vec<u8>, Refusal> {
     let declared = request.headers().get("content-length");
@@ -27,6 +35,22 @@
     Ok(body)
 }
 
+/// Reads and drops the rest of a body that is refused, within bounds. A connection that is closed
+/// while its caller still sends is reset, and the answer is lost with it.
+pub(super) async fn discard(payload: &mut Payload) {
+    let drop = async {
+        let mut bytes = 0;
+        while let Some(Ok(chunk)) = payload.recv().await {
+            bytes += chunk.len();
+            if bytes > DISCARD_MAX_BYTES {
+                return;
+            }
+        }
+    };
+    // A slower caller loses the answer.
+    let _ = tokio::time::timeout(DISCARD_MAX, drop).await;
+}
+
 fn too_large() -> Refusal {
     Refusal::new(
         413,
--- a/crates/gateway/src/http/headers.rs
+++ b/crates/gateway/src/http/headers.rs
@@ -29,6 +29,9 @@
 /// Returns the contract whose key the caller has. Callers can't tell a wrong key from an unknown
 /// contract.
 pub(super) fn contract(gateway: &Gateway, request: &HttpRequest) -> Result<Arc<Contract>, Refusal> {
+    if !gateway.contracts.progress().known {
+        return Err(Refusal::new(503, "the contracts are not known yet"));
+    }
     let name = value(request, "rosemary-contract")?;
     let name = name.ok_or_else(|| Refusal::new(400, "rosemary-contract: is missing"))?;
     let given = value(request, "authorization")?.and_then(keys::bearer);
--- a/crates/gateway/src/http/jobs.rs
+++ b/crates/gateway/src/http/jobs.rs
@@ -81,7 +81,11 @@
     request: HttpRequest,
     mut payload: Payload,
 ) -> HttpResponse {
-    respond(submit_checked(&gateway, &request, &mut payload).await)
+    let answer = submit_checked(&gateway, &request, &mut payload).await;
+    if answer.is_err() {
+        body::discard(&mut payload).await;
+    }
+    respond(answer)
 }
 
 async fn submit_checked(
@@ -101,11 +105,10 @@
             format!("pool: the contract doesn't include {:?}", job.pool),
         )
     })?;
-    let busy = gateway.request();
+    let _busy = gateway.request();
     let contract = Contract::clone(&contract);
     let work = jobs::submit(gateway.clone(), shard, contract, job);
     let submission = gateway.runtime.spawn(work).await;
-    drop(busy);
     Ok(submitted(submission.unwrap_or(Submission::Unknown)))
 }
 
@@ -179,6 +182,7 @@
     wait_ms: u64,
 ) -> Result<Answer, Refusal> {
     let (contract, id) = identify(gateway, request, id)?;
+    let _busy = gateway.request();
     let found = find(gateway, &contract, &id, wait_ms).await;
     Ok(match found {
         Ok(Some((_, status))) => Answer::completed(200, json!(status)),
--- a/crates/gateway/src/http/requests.rs
+++ b/crates/gateway/src/http/requests.rs
@@ -31,6 +31,7 @@
         Ok(inquiry) => inquiry,
         Err(refusal) => {
             gateway.meters.refused();
+            body::discard(&mut payload).await;
             return refusal.answer(refused_outcome(&request));
         }
     };
--- a/crates/gateway/src/inquiry.rs
+++ b/crates/gateway/src/inquiry.rs
@@ -50,3 +50,14 @@
     NotRun(NotRun),
     Unknown(Unknown),
 }
+
+impl Outcome {
+    /// Returns what the caller is told if an instance `rejected` an earlier dispatch. Bytes of the
+    /// request reached that instance, so `not-run` must not be said.
+    pub(crate) fn after(self, rejected: bool) -> Self {
+        match self {
+            Self::NotRun(_) if rejected => Self::Unknown(Unknown::InstanceRefused),
+            outcome => outcome,
+        }
+    }
+}
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -90,7 +90,8 @@
     }
 }
 
-/// Returns the status of a job, after its end or `wait_ms` at the latest.
+/// Returns the status of a job, after its end or `wait_ms` at the latest. Waits no longer while the
+/// gateway stops.
 pub(crate) async fn status(
     gateway: Gateway,
     shard: shard::Id,
@@ -109,10 +110,12 @@
         let timeout_ms = wait_ms + CALL_MS;
         let reply = call(&gateway, &shard, &message, timeout_ms, deadline, &mut false).await?;
         match reply {
-            Message::Told(status) if status.state.is_terminal() || clock::now() >= end => {
-                return Ok(Some(status));
+            Message::Told(status) => {
+                let ended = status.state.is_terminal() || clock::now() >= end;
+                if ended || gateway.is_stopping() {
+                    return Ok(Some(status));
+                }
             }
-            Message::Told(_) => {}
             Message::NoJob => return Ok(None),
             _ => return Err(Missing::Unknown),
         }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
-use rosemaryworks_admin::{Api, Contracts};
+use rosemaryworks_admin::{Api, Contracts, Refusals};
 use rosemaryworks_gateway::server::{Servers, bind};
 use rosemaryworks_gateway::{Gateway, Links, Parts, Settings, events, readiness};
 use rosemaryworks_node::status::Status;
@@ -128,7 +128,7 @@
         operators: settings.operators.clone().into(),
         schedulers: links.clients(),
         publishes: appender(CONTRACTS),
-        refusals: appender(AUDIT),
+        refusals: Refusals::new(appender(AUDIT)),
         log: log.clone(),
         runtime: runtime.clone(),
     };
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -9,20 +9,25 @@
 
 const PERIOD: Duration = Duration::from_millis(200);
 
+/// Periods between two requests for the contracts of the schedulers. Each answer carries them all.
+const RESTORE_PERIODS: u32 = 5;
+
 /// Watches what the gateway needs to serve, until the future is dropped. Takes the contracts from a
 /// scheduler if the log is down at the start.
 pub async fn watch(gateway: Gateway, ready: Ready) {
-    let mut warned = false;
+    let mut waited = 0;
     loop {
         let progress = gateway.contracts.progress();
         if !progress.known
             && let Some(error) = progress.failed
         {
-            if !warned {
+            if waited == 0 {
                 events::LOG_DOWN_AT_START.log(format_args!("error={error:?}"));
-                warned = true;
             }
-            gateway.links.restore(&gateway.contracts).await;
+            if waited % RESTORE_PERIODS == 0 {
+                gateway.links.restore(&gateway.contracts).await;
+            }
+            waited += 1;
         }
         update(&gateway, &ready);
         gateway.meter_links();
--- a/crates/gateway/tests/jobs.rs
+++ b/crates/gateway/tests/jobs.rs
@@ -163,3 +163,23 @@
     let (code, body) = call(&gateway, "POST", "/v1/jobs/job-1/cancel", "").await;
     assert_eq!((code, &body["state"]), (200, &json!("cancelled")));
 }
+
+/// Guards against a stop that cuts off callers who wait for a job.
+#[tokio::test]
+async fn waiting_ends_when_the_gateway_stops() {
+    let gateway = Running::start().await;
+    gateway.scheduler.answer(|message| match message {
+        Message::Status { wait_ms, .. } => Box::pin(async move {
+            tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            Message::Told(status(State::Running))
+        }),
+        _ => reply(Message::Done),
+    });
+    let path = "/v1/jobs/job-1/wait?timeout-ms=60000";
+    let stop = async {
+        support::eventually(|| gateway.gateway.requests() == 1).await;
+        gateway.gateway.stop();
+    };
+    let ((code, body), ()) = tokio::join!(call(&gateway, "GET", path, ""), stop);
+    assert_eq!((code, &body["state"]), (200, &json!("running")));
+}
--- a/crates/gateway/tests/outcomes.rs
+++ b/crates/gateway/tests/outcomes.rs
@@ -406,3 +406,29 @@
     );
     assert!(gateway.instances.received().is_empty());
 }
+
+/// Guards against `not-run` after a retry whose first instance received the request.
+#[tokio::test]
+async fn a_refused_retry_of_a_rejected_request_is_unknown() {
+    let gateway = Running::start().await;
+    gateway.scheduler.answer(|message| match message {
+        Message::Ask { ask, .. } if !ask.exclude.is_empty() => {
+            reply(Message::Verdict(Verdict::NotRun(NotRun::NoInstance)))
+        }
+        message => grant_all(message),
+    });
+    gateway.instances.treat(&[Treat::Reject]);
+    is(
+        gateway.outcome("r-1", &[IDEMPOTENT]).await,
+        504,
+        "unknown",
+        "instance-refused",
+    );
+    gateway.instances.treat(&[Treat::Unreached]);
+    is(
+        gateway.outcome("r-2", &[IDEMPOTENT]).await,
+        503,
+        "not-run",
+        "no-instance",
+    );
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
-use rosemaryworks_admin::{Api, Contracts, Operator};
+use rosemaryworks_admin::{Api, Contracts, Operator, Refusals};
 use rosemaryworks_core::routing::{Ask, Key};
 use rosemaryworks_core::shard::{Epoch, Id};
 use rosemaryworks_core::target::Instance;
@@ -310,7 +310,7 @@
         operators: settings.operators.clone().into(),
         schedulers: links.clients(),
         publishes: appender("contracts"),
-        refusals: appender("audit"),
+        refusals: Refusals::new(appender("audit")),
         log: Arc::new(log.clone()),
         runtime: runtime.clone(),
     };
