fix(gateway): send jobs to the shards in which their contract has a share

The gateway took the smallest raw limit of a pool to decide whether a contract is pinned, the placement kernel its whole cores. A contract of 8 cores in 3 shards was spread by the gateway and had no share in two of them. Both use core::placement::smallest now; contract::Pool::smallest is gone.

--- a/crates/core/src/contract.rs
+++ b/crates/core/src/contract.rs
@@ -59,24 +59,6 @@
     pub queue: u32,
 }
 
-impl Pool {
-    /// Returns the limit that [`Map::home`](crate::partition::Map::home) takes for the customer's
-    /// jobs: the smallest resource limit that isn't zero.
-    #[must_use]
-    pub fn smallest(&self) -> u64 {
-        let limits = [
-            self.size.millicores,
-            self.size.memory_mb,
-            self.size.accelerators,
-        ];
-        limits
-            .into_iter()
-            .filter(|limit| *limit > 0)
-            .min()
-            .unwrap_or(0)
-    }
-}
-
 /// A customer's contract.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/gateway/tests/jobs.rs
+++ b/crates/gateway/tests/jobs.rs
@@ -183,3 +183,43 @@
     let ((code, body), ()) = tokio::join!(call(&gateway, "GET", path, ""), stop);
     assert_eq!((code, &body["state"]), (200, &json!("running")));
 }
+
+/// Guards against jobs that are sent to a shard in which their contract has no share, because the
+/// gateway and the placement kernel disagree on which contracts are pinned.
+#[tokio::test]
+async fn jobs_go_to_shards_where_the_contract_has_a_share() {
+    let log = support::fakes::MemoryLog::default();
+    log.push("contracts", &support::fakes::publish_record());
+    let change = |settings: &mut rosemaryworks_gateway::Settings| {
+        settings.cell.partition.pools = [("cpu".into(), 3)].into();
+    };
+    let gateway = Running::start_with(log, change).await;
+    let accepted = Submission::Accepted(status(State::Queued));
+    let accepted = Message::Submission(accepted);
+    gateway.scheduler.answer(move |_| reply(accepted.clone()));
+    gateway.wait_ready().await;
+    for index in 0..10 {
+        let mut spec = spec();
+        spec["id"] = json!(format!("job-{index}"));
+        let body = spec.to_string();
+        assert_eq!(call(&gateway, "POST", "/v1/jobs", &body).await.0, 200);
+    }
+    let contract = serde_json::from_value(support::fakes::contract_json()).unwrap();
+    let contract: rosemaryworks_core::contract::Contract = contract;
+    let size = contract.pools["cpu"].size;
+    let smallest = rosemaryworks_core::placement::smallest(&contract.pools["cpu"]);
+    let partition = &support::settings(&gateway.scheduler).cell.partition;
+    let mut partition = partition.clone();
+    partition.pools = [("cpu".into(), 3)].into();
+    let submitted = gateway.scheduler.calls().into_iter();
+    let shards = submitted.filter_map(|call| match call {
+        Message::Submit { shard, .. } => Some(shard),
+        _ => None,
+    });
+    let shards: Vec<_> = shards.collect();
+    assert_eq!(shards.len(), 10);
+    for shard in shards {
+        let share = partition.share_size(&shard, "dala", &size, smallest);
+        assert_eq!(share, size, "{shard}");
+    }
+}
