fix(gateway): ends of grants don't overtake surveys or outlast deadlines

The end of a grant could reach a new owner before the answer to its survey: the owner ignored the end and then held the slot for a request that had ended. Ends are now told to a new owner only 200 ms after the survey. A grant that was not used is in no survey, so a new owner is not told of it.

The wait for the owner's acknowledgement before a retry could outlast the deadline; the caller was told unknown although nothing was sent. It ends with the deadline now.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -66,9 +66,11 @@
 pub(crate) struct Diff {
     #[argh(positional)]
     pub(crate) name: String,
-    #[argh(positional)]
+    /// older revision
+    #[argh(option, arg_name = "REVISION")]
     pub(crate) from: u64,
-    #[argh(positional)]
+    /// newer revision
+    #[argh(option, arg_name = "REVISION")]
     pub(crate) to: u64,
 }
 
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -59,7 +59,7 @@
         run(words(&format!("publish {path} --expected 1"))).await.0,
         Some(0)
     );
-    let (code, out, _) = run(words("diff dala 1 2")).await;
+    let (code, out, _) = run(words("diff dala --from 1 --to 2")).await;
     assert_eq!(
         (code, &*out),
         (Some(0), "PATH    FROM  TO\nweight  2     9\n")
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -116,7 +116,7 @@
                 ));
                 gateway.meters.unused();
                 search.unused = true;
-                report::briefly(gateway, grant, Finish::Unused).await;
+                report::briefly(gateway, grant, Finish::Unused, inquiry.deadline).await;
             }
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -100,7 +100,7 @@
         Dispatched::Lost => (Finish::Lost, Outcome::Unknown(Unknown::InstanceLost)),
         Dispatched::NotSent => {
             if retry(gateway, inquiry) {
-                report::briefly(gateway, grant, Finish::NotSent).await;
+                report::briefly(gateway, grant, Finish::NotSent, inquiry.deadline).await;
                 return Attempt::Retry { sent: false };
             }
             let outcome = inquiry.not_sent(NotRun::NoInstance, Unknown::InstanceLost);
@@ -108,7 +108,7 @@
         }
         Dispatched::Rejected => {
             if retry(gateway, inquiry) {
-                report::briefly(gateway, grant, Finish::Rejected).await;
+                report::briefly(gateway, grant, Finish::Rejected, inquiry.deadline).await;
                 return Attempt::Retry { sent: true };
             }
             let outcome = Outcome::Unknown(Unknown::InstanceRefused);
--- a/crates/gateway/src/grants.rs
+++ b/crates/gateway/src/grants.rs
@@ -9,6 +9,9 @@
 use rosemaryworks_core::target::Instance;
 use rosemaryworks_core::time::Instant;
 
+/// Milliseconds after which the answer to a survey has reached the owner.
+const SETTLE_MS: u64 = 200;
+
 /// A grant of an owner.
 #[derive(Clone, Debug)]
 pub(crate) struct Grant {
@@ -31,8 +34,14 @@
 #[derive(Debug, Default)]
 struct Inner {
     used: HashMap<u64, Grant>,
-    /// Epoch of the last survey per shard. Grants of older epochs may not be used any more.
-    surveyed: HashMap<Id, Epoch>,
+    /// Last survey per shard. Grants of older epochs may not be used any more.
+    surveys: HashMap<Id, Survey>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Survey {
+    epoch: Epoch,
+    at: Instant,
 }
 
 impl Grants {
@@ -44,8 +53,8 @@
     /// before a survey may not. A survey sees every grant that was put into use before it.
     pub(crate) fn use_at(&self, now: Instant, grant: &Grant) -> bool {
         self.with(|inner| {
-            let fence = inner.surveyed.get(&grant.shard);
-            let fenced = fence.is_some_and(|epoch| *epoch > grant.epoch);
+            let survey = inner.surveys.get(&grant.shard);
+            let fenced = survey.is_some_and(|survey| survey.epoch > grant.epoch);
             if fenced || now >= grant.expires {
                 return false;
             }
@@ -54,16 +63,28 @@
         })
     }
 
+    /// Tells whether the answer to the last survey of the shard has surely reached the owner. The end
+    /// of a grant must not overtake it, or the owner would hold the slot for a request that has ended.
+    pub(crate) fn is_settled(&self, now: Instant, shard: &Id) -> bool {
+        self.with(|inner| {
+            let survey = inner.surveys.get(shard);
+            survey.is_none_or(|survey| now.since(survey.at) >= SETTLE_MS)
+        })
+    }
+
     /// Forgets a grant whose end an owner acknowledged.
     pub(crate) fn forget(&self, grant: &Grant) {
         self.with(|inner| inner.used.remove(&grant.key.number));
     }
 
     /// Answers the survey of a new owner.
-    pub(crate) fn survey(&self, shard: &Id, epoch: Epoch) -> Vec<Outstanding> {
+    pub(crate) fn survey(&self, now: Instant, shard: &Id, epoch: Epoch) -> Vec<Outstanding> {
         self.with(|inner| {
-            let fence = inner.surveyed.entry(shard.clone()).or_insert(epoch);
-            *fence = epoch.max(*fence);
+            let survey = Survey { epoch, at: now };
+            let last = inner.surveys.entry(shard.clone()).or_insert(survey);
+            if last.epoch <= epoch {
+                *last = survey;
+            }
             let older = |grant: &&Grant| grant.shard == *shard && grant.epoch < epoch;
             inner.used.values().filter(older).map(outstanding).collect()
         })
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rosemaryworks_admin::Contracts;
+use rosemaryworks_node::clock;
 use rosemaryworks_node::settings::Cell;
 use rosemaryworks_wire::link::{Client, Handler, Peer, Reply};
 use rosemaryworks_wire::{Hello, Message, Snapshot};
@@ -111,7 +112,7 @@
     fn call(&self, peer: &Peer, message: Message) -> Reply {
         let reply = match message {
             Message::Survey { shard, epoch } => {
-                let outstanding = self.grants.survey(&shard, epoch);
+                let outstanding = self.grants.survey(clock::now(), &shard, epoch);
                 let owner = &peer.hello().node;
                 self.owners.learn(&shard, epoch, Some(owner.clone()));
                 let count = outstanding.len();
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -4,6 +4,8 @@
 
 use rosemaryworks_core::outcome::Finish;
 use rosemaryworks_core::shard::Epoch;
+use rosemaryworks_core::time::Instant;
+use rosemaryworks_node::clock;
 use rosemaryworks_wire::Message;
 use rosemaryworks_wire::link::Peer;
 use tokio::task::JoinHandle;
@@ -44,22 +46,31 @@
     gateway.runtime.spawn(report)
 }
 
-/// Reports the end of a grant in the background and waits a short time for the acknowledgement, so
-/// that a following ask finds the slot free.
-pub(crate) async fn briefly(gateway: &Gateway, grant: Grant, finish: Finish) {
+/// Reports the end of a grant in the background and waits a short time for the acknowledgement, but
+/// not beyond `deadline`, so that a following ask finds the slot free.
+pub(crate) async fn briefly(gateway: &Gateway, grant: Grant, finish: Finish, deadline: Instant) {
+    let left = Duration::from_millis(deadline.since(clock::now()));
     let reported = spawn(gateway, grant, finish, 0);
     // The report goes on after the wait.
-    let _ = tokio::time::timeout(BRIEF, reported).await;
+    let _ = tokio::time::timeout(BRIEF.min(left), reported).await;
 }
 
 async fn try_end(gateway: &Gateway, grant: &Grant, finish: Finish, run_ms: u64) -> bool {
     let links = &gateway.links;
     let owner = links.owners.get(&grant.shard);
     let newer = owner.filter(|owner| owner.epoch > grant.epoch);
+    let newer_epoch = newer.is_some();
     let (name, message) = match newer {
         None => (Some(grant.owner.clone()), finish_of(grant, finish, run_ms)),
         Some(owner) => (owner.name, outstanding_of(grant, finish)),
     };
+    // No survey listed the grant of an earlier epoch that was not used.
+    if newer_epoch && finish == Finish::Unused {
+        return true;
+    }
+    if newer_epoch && !links.grants.is_settled(clock::now(), &grant.shard) {
+        return false;
+    }
     let Some(peer) = name.and_then(|name| links.peer(&name)) else {
         return false;
     };
--- a/crates/gateway/tests/outcomes.rs
+++ b/crates/gateway/tests/outcomes.rs
@@ -432,3 +432,21 @@
         "no-instance",
     );
 }
+
+/// Guards against `unknown` because the report of an unused grant outlasts the deadline.
+#[tokio::test]
+async fn a_report_does_not_outlast_the_deadline() {
+    let gateway = Running::start().await;
+    gateway.scheduler.answer(|message| match message {
+        Message::Ask { .. } => grant_all(message),
+        _ => never(),
+    });
+    gateway.instances.treat(&[Treat::Unreached]);
+    let soon = ("rosemary-deadline-ms", "200");
+    is(
+        gateway.outcome("r-1", &[soon, IDEMPOTENT]).await,
+        503,
+        "not-run",
+        "deadline",
+    );
+}
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -136,3 +136,23 @@
     gateway.wait_ready().await;
     assert_eq!(gateway.outcome("r-1", &[]).await.0, 200);
 }
+
+/// Guards against an end that overtakes the answer to the survey: the owner would ignore it and hold
+/// the slot for a request that has ended.
+#[tokio::test]
+async fn an_end_does_not_overtake_the_survey() {
+    let gateway = Running::start().await;
+    gateway.instances.treat(&[Treat::Slow(100)]);
+    let answered = async { gateway.outcome("r-1", &[]).await };
+    let takeover = async {
+        eventually(|| gateway.instances.received().len() == 1).await;
+        tokio::time::sleep(Duration::from_millis(80)).await;
+        let outstanding = survey(&gateway, 2).await;
+        (outstanding, std::time::Instant::now())
+    };
+    let (_, (outstanding, surveyed)) = tokio::join!(answered, takeover);
+    assert_eq!(outstanding.len(), 1);
+    let told = |call: &Message| matches!(call, Message::OutstandingFinished { .. });
+    eventually(|| gateway.scheduler.calls().iter().any(told)).await;
+    assert!(surveyed.elapsed() >= Duration::from_millis(150));
+}
