perf(core): the share closed to long work follows the mix of work

Cause: work counted as long from 60 s, so with a pool-wide p90 above that a fifth of the pool stood idle; unlearned work with a declared time 10 times too short filled the closed share. Change: work is long from 4 times the pool's median expected time, only learned or urgent work enters the closed share, and the share follows what short work held lately, 0 to 50%.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -12,6 +12,7 @@
 mod learned;
 mod lease;
 mod link;
+mod mix;
 mod pick;
 pub mod policy;
 mod pressure;
@@ -38,6 +39,7 @@
 use crate::placement::account::Accounts;
 use crate::placement::fleet::Fleet;
 use crate::placement::learned::Learned;
+use crate::placement::mix::Mix;
 use crate::placement::reservation::Reservation;
 use crate::placement::work::{Book, Key, Serial};
 use crate::shard;
@@ -284,6 +286,7 @@
     book: Book,
     accounts: Accounts,
     learned: Learned,
+    mix: Mix,
     out: Vec<Step>,
     /// Whether the workers were listed in this epoch.
     listed: bool,
@@ -312,11 +315,12 @@
         Self {
             began: now,
             random: random::Random::new(start.seed),
-            fleet: Fleet::new(policy.rules.closes),
+            fleet: Fleet::default(),
             policy,
             book: Book::default(),
             accounts: Accounts::default(),
             learned: Learned::default(),
+            mix: Mix::default(),
             out: Vec::new(),
             listed: false,
             recalled: false,
@@ -372,6 +376,7 @@
         self.place_urgent(now);
         self.stop_batch(now);
         self.place_rest(now);
+        self.review_mix(now);
     }
 
     fn revise(&mut self, contract: Arc<Contract>) {
--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -10,8 +10,6 @@
 use crate::target;
 use crate::time::Instant;
 
-/// One worker in this many is closed to long work.
-const CLOSED_EVERY: Slot = 5;
 /// Candidates that a search looks at before it gives up.
 const LOOK_AT: usize = 16;
 
@@ -23,7 +21,7 @@
 }
 
 /// The shard's workers.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Fleet {
     workers: Vec<Option<Worker>>,
     names: HashMap<Arc<str>, Slot>,
@@ -46,32 +44,11 @@
     pub(crate) total: Size,
     /// Workers whose leases of earlier epochs are not known yet.
     pub(crate) unsurveyed: usize,
-    /// Whether a share of the workers is closed to long work.
-    closes: bool,
+    /// Share of the workers that is closed to long work.
+    closed_percent: u64,
 }
 
 impl Fleet {
-    /// Creates a fleet without workers.
-    pub(crate) fn new(closes: bool) -> Self {
-        Self {
-            workers: Vec::new(),
-            names: HashMap::new(),
-            vacant: Vec::new(),
-            racks: HashMap::new(),
-            rack_members: Vec::new(),
-            open: Index::default(),
-            closed: Index::default(),
-            reserved: Index::default(),
-            due: BTreeSet::new(),
-            sizes: HashMap::new(),
-            largest: Vec::new(),
-            largest_open: Vec::new(),
-            total: Size::ZERO,
-            unsurveyed: 0,
-            closes,
-        }
-    }
-
     /// Returns the position of a worker.
     pub(crate) fn slot(&self, name: &str) -> Option<Slot> {
         self.names.get(name).copied()
@@ -125,6 +102,31 @@
         self.open.len() + self.closed.len() + self.reserved.len()
     }
 
+    /// Closes a share of the workers to long work.
+    pub(crate) fn close(&mut self, percent: u64) {
+        self.closed_percent = percent;
+        for slot in 0..self.workers.len() as Slot {
+            self.set_closed(slot, rank(slot) < percent);
+        }
+        self.measure();
+    }
+
+    fn set_closed(&mut self, slot: Slot, closed: bool) {
+        let Some(worker) = self.get_mut(slot) else {
+            return;
+        };
+        if worker.closed == closed {
+            return;
+        }
+        let listed = worker.listed;
+        self.set_listed(slot, false);
+        if let Some(worker) = self.get_mut(slot) {
+            worker.closed = closed;
+        }
+        self.set_listed(slot, listed);
+        self.refresh(slot);
+    }
+
     /// Finds the largest sizes after a change of the list.
     pub(crate) fn measure(&mut self) {
         let open = self.sizes.iter().filter(|entry| entry.1.open > 0);
@@ -139,7 +141,7 @@
         self.rack_members[rack as usize].push(slot);
         self.names.insert(target.name.clone(), slot);
         self.unsurveyed += usize::from(!link.surveyed);
-        let closed = self.closes && slot % CLOSED_EVERY == CLOSED_EVERY - 1;
+        let closed = rank(slot) < self.closed_percent;
         let worker = Worker {
             target,
             rack,
@@ -356,3 +358,8 @@
     }
     front
 }
+
+/// Returns a number below 100 that spreads neighbouring workers.
+fn rank(slot: Slot) -> u64 {
+    u64::from(slot) * 37 % 100
+}
--- a/crates/core/src/placement/learned.rs
+++ b/crates/core/src/placement/learned.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// Tells whether enough attempts ended to trust the learned run time.
+    pub(crate) fn knows_run(&self, group: Option<usize>) -> bool {
+        let group = group.and_then(|group| self.groups.get(group));
+        group.is_some_and(|group| group.run_ms.samples() >= SAMPLES_MIN)
+    }
+
     /// Returns the larger of the declared size and the learned peak use.
     pub(crate) fn size(&self, group: Option<usize>, declared: &Size) -> Size {
         let Some(group) = group.and_then(|group| self.groups.get(group)) else {
--- a/crates/core/src/placement/lease.rs
+++ b/crates/core/src/placement/lease.rs
@@ -2,6 +2,7 @@
 
 use crate::job::{Priority, Task};
 use crate::placement::index::Slot;
+use crate::placement::pick::Need;
 use crate::placement::task::Gone;
 use crate::placement::work::{Certainty, Hold, Key, Phase};
 use crate::placement::{Attempt, Kernel, Step};
@@ -10,13 +11,17 @@
 
 impl Kernel {
     /// Grants a lease for a waiting task and asks the worker to take it.
-    pub(crate) fn grant(&mut self, now: Instant, key: Key, slot: Slot, charge: Size) {
+    pub(crate) fn grant(&mut self, now: Instant, key: Key, slot: Slot, need: &Need) {
+        let charge = need.size;
         let Some(item) = self.book.item_mut(key) else {
             return;
         };
         item.attempts += 1;
         let attempt = item.attempts;
-        self.hold(key, Hold::new(slot, Certainty::Placing, charge, now));
+        let mut hold = Hold::new(slot, Certainty::Placing, charge, now);
+        hold.short = !need.long;
+        self.hold(key, hold);
+        self.mix.placed(need.run_ms);
         let Some(worker) = self.fleet.get_mut(slot) else {
             return;
         };
@@ -118,6 +123,9 @@
         let (slot, charge) = (hold.worker, hold.charge);
         let urgent = job.spec.priority == Priority::Urgent;
         job.held += 1;
+        if hold.short {
+            self.mix.short_held += charge.millicores;
+        }
         if let Some(worker) = self.fleet.get(slot) {
             *job.racks.entry(worker.rack).or_default() += 1;
         }
@@ -133,6 +141,10 @@
         let hold = item.hold()?.clone();
         item.phase = Phase::Delayed(Instant::default());
         job.held -= 1;
+        if hold.short {
+            let held = self.mix.short_held;
+            self.mix.short_held = held.saturating_sub(hold.charge.millicores);
+        }
         let urgent = job.spec.priority == Priority::Urgent;
         self.accounts.all[job.account].release(&hold.charge, urgent);
         let rack = self.fleet.get(hold.worker).map(|worker| worker.rack);
@@ -203,6 +215,7 @@
             stopped: None,
             checkpointed: None,
             throttled: false,
+            short: false,
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/placement/mix.rs
@@ -0,0 +1,80 @@
+//! How much of the pool is closed to long work, from the work that ran lately.
+
+use crate::placement::Kernel;
+use crate::placement::quantile::Quantile;
+use crate::time::Instant;
+
+/// Expected run time relative to the pool's median from which work is long.
+const LONG_FACTOR: u64 = 4;
+/// Expected run time below which no work is long, in milliseconds.
+const LONG_MIN_MS: u64 = 30_000;
+/// Milliseconds between two reviews of the closed share.
+const REVIEW_MS: u64 = 10_000;
+/// Room for short work relative to the most that it held lately, in percent.
+const HEADROOM_PERCENT: u64 = 125;
+/// Part of the earlier peak that remains after a review, in percent.
+const PEAK_KEPT_PERCENT: u64 = 95;
+/// Largest closed share in percent.
+const CLOSED_MAX_PERCENT: u64 = 50;
+/// Change of the closed share per review in percent, which bounds the work of one review.
+const CHANGE_PERCENT: u64 = 5;
+
+/// What kinds of work the pool ran lately.
+#[derive(Debug, Default)]
+pub(crate) struct Mix {
+    /// Expected run times of placed tasks in milliseconds.
+    expected: Quantile,
+    /// Processor time held by short tasks.
+    pub(crate) short_held: u64,
+    peak: u64,
+    /// Whether short work found no room since the last review.
+    pub(crate) starved: bool,
+    /// Whether long work found no room since the last review.
+    pub(crate) long_waits: bool,
+    percent: u64,
+    reviewed: Instant,
+}
+
+impl Mix {
+    /// Takes the expected run time of a placed task in milliseconds.
+    pub(crate) fn placed(&mut self, expected_ms: u64) {
+        self.expected.add(expected_ms);
+    }
+
+    /// Returns the expected run time from which work is long, in milliseconds.
+    pub(crate) fn long_ms(&self) -> u64 {
+        (LONG_FACTOR * self.expected.at(50)).max(LONG_MIN_MS)
+    }
+}
+
+impl Kernel {
+    /// Adapts the closed share to the processor time that short work needs.
+    pub(crate) fn review_mix(&mut self, now: Instant) {
+        if !self.policy.rules.closes || now.since(self.mix.reviewed) < REVIEW_MS {
+            return;
+        }
+        let mix = &mut self.mix;
+        mix.reviewed = now;
+        mix.peak = (mix.peak * PEAK_KEPT_PERCENT / 100).max(mix.short_held);
+        let total = self.fleet.total.millicores.max(1);
+        let needed = mix.peak * HEADROOM_PERCENT / total;
+        let wanted = match std::mem::take(&mut mix.starved) {
+            true => CLOSED_MAX_PERCENT,
+            false => needed.min(CLOSED_MAX_PERCENT),
+        };
+        // Without long work that waits there is nothing to keep out.
+        let wanted = if std::mem::take(&mut mix.long_waits) {
+            wanted
+        } else {
+            mix.percent
+        };
+        let percent = wanted.clamp(
+            mix.percent.saturating_sub(CHANGE_PERCENT),
+            mix.percent + CHANGE_PERCENT,
+        );
+        if percent != mix.percent {
+            mix.percent = percent;
+            self.fleet.close(percent);
+        }
+    }
+}
--- a/crates/core/src/placement/pick.rs
+++ b/crates/core/src/placement/pick.rs
@@ -10,8 +10,6 @@
 use crate::size::Size;
 use crate::time::Instant;
 
-/// Learned run time from which work is long, in milliseconds.
-const LONG_MS: u64 = 60_000;
 /// Milliseconds between attempts to place a gang that found no room.
 const GANG_RETRY_MS: u64 = 500;
 /// Milliseconds in the queue during which a task keeps off the workers on which it failed.
@@ -50,10 +48,12 @@
 
 /// What a job's tasks need.
 #[derive(Clone, Copy, Debug)]
-struct Need {
+pub(crate) struct Need {
     kind: Kind,
-    size: Size,
-    long: bool,
+    pub(crate) size: Size,
+    /// Expected run time in milliseconds.
+    pub(crate) run_ms: u64,
+    pub(crate) long: bool,
     backfill: bool,
     urgent: bool,
     account: usize,
@@ -97,13 +97,18 @@
         let job = self.book.get(serial)?;
         let size = self.charge_of(serial);
         let run_ms = self.expected_ms(serial);
-        let long = job.spec.kind == Kind::Service || run_ms >= LONG_MS;
+        let urgent = job.spec.priority == Priority::Urgent;
+        // A declared run time may be wrong, so that only learned ones open the closed share.
+        let known = urgent || self.learned.knows_run(job.group);
+        let service = job.spec.kind == Kind::Service;
+        let long = service || !known || run_ms >= self.mix.long_ms();
         Some(Need {
             kind: job.spec.kind,
             size,
+            run_ms,
             long: long && self.fleet.open_can_hold(&size),
             backfill: !long && self.may_backfill(now, serial, run_ms),
-            urgent: job.spec.priority == Priority::Urgent,
+            urgent,
             account: job.account,
         })
     }
@@ -129,10 +134,12 @@
             if self.avoided(key).is_empty() && !need.backfill {
                 misses.add(need.kind, need.long, &need.size);
             }
+            self.mix.starved |= !need.long;
+            self.mix.long_waits |= need.long;
             return Outcome::NoRoom;
         };
         self.withdraw_first(serial);
-        self.grant(now, key, slot, need.size);
+        self.grant(now, key, slot, need);
         Outcome::Placed(1)
     }
 
@@ -166,7 +173,7 @@
                 index: *index,
             };
             self.withdraw_first(serial);
-            self.grant(now, key, slot, need.size);
+            self.grant(now, key, slot, need);
         }
         Outcome::Placed(tasks.len())
     }
--- a/crates/core/src/placement/work.rs
+++ b/crates/core/src/placement/work.rs
@@ -61,6 +61,8 @@
     pub(crate) checkpointed: Option<Instant>,
     /// Whether the task is throttled.
     pub(crate) throttled: bool,
+    /// Whether the task was short work when it was placed.
+    pub(crate) short: bool,
 }
 
 /// Where a task stands.
