--- a/crates/core/src/placement/reservation.rs
+++ b/crates/core/src/placement/reservation.rs
@@ -3,7 +3,7 @@
 use crate::job::Kind;
 use crate::placement::Kernel;
 use crate::placement::index::Slot;
-use crate::placement::work::Serial;
+use crate::placement::work::{Key, Serial};
 use crate::placement::worker::Worker;
 use crate::size::Size;
 use crate::time::Instant;
@@ -78,58 +78,66 @@
         }
     }
 
-    /// Chooses the workers that are expected to be free first.
+    /// Chooses the places that are expected to be free first.
     fn reserve(&mut self, now: Instant, serial: Serial) -> Option<Reservation> {
         let size = self.charge_of(serial);
-        let tasks = self.book.get(serial)?.waiting.len() as u64;
+        let tasks = self.book.get(serial)?.waiting.len();
         let workers = self.fleet.iter().filter(|(_, worker)| worker.is_usable());
-        let mut offers: Vec<(Instant, Slot, u64)> = workers
+        let mut offers: Vec<(Instant, Slot)> = workers
             .take(COMPARED_MAX)
-            .filter_map(|(slot, worker)| self.offer(now, slot, worker, &size))
+            .flat_map(|(slot, worker)| self.offers(now, slot, worker, &size, tasks))
             .collect();
+        if offers.len() < tasks {
+            return None;
+        }
         offers.sort_unstable();
-        let mut reservation = Reservation {
+        offers.truncate(tasks);
+        let ready = offers.last()?.0;
+        let mut workers: Vec<Slot> = offers.iter().map(|offer| offer.1).collect();
+        workers.sort_unstable();
+        workers.dedup();
+        Some(Reservation {
             serial,
-            workers: Vec::new(),
-            ready: now,
-        };
-        let mut places = 0;
-        for (ready, slot, holds) in offers {
-            reservation.workers.push(slot);
-            reservation.ready = reservation.ready.max(ready);
-            places += holds;
-            if places >= tasks {
-                return Some(reservation);
-            }
-        }
-        None
+            workers,
+            ready,
+        })
     }
 
-    /// Returns when a worker is expected to be free and how many tasks it holds then.
-    fn offer(
+    /// Returns when each further place for a task of `size` is expected to be free on a worker.
+    fn offers(
         &self,
         now: Instant,
         slot: Slot,
         worker: &Worker,
         size: &Size,
-    ) -> Option<(Instant, Slot, u64)> {
-        let mut stuck = Size::ZERO;
-        let mut ready = now;
+        most: usize,
+    ) -> Vec<(Instant, Slot)> {
+        let mut ends: Vec<(Instant, Size)> = Vec::new();
         for key in &worker.keys {
-            let job = self.book.get(key.serial)?;
-            let hold = job.items.get(key.index as usize)?.hold()?;
-            if job.spec.kind == Kind::Service {
-                stuck += hold.charge;
-                continue;
-            }
-            let ran_ms = now.since(hold.since);
-            let expected_ms = self.expected_ms(key.serial);
-            // A task that overran its expected time is expected to run as long again.
-            let left_ms = expected_ms.checked_sub(ran_ms).unwrap_or(ran_ms);
-            ready = ready.max(now + left_ms);
+            ends.extend(self.expected_end(now, *key));
+        }
+        ends.sort_unstable_by_key(|end| end.0);
+        let mut free = worker.free();
+        let mut offers = vec![(now, slot); free.holds(size).min(most as u64) as usize];
+        for (end, charge) in ends {
+            free += charge;
+            let places = free.holds(size).min(most as u64) as usize;
+            offers.resize(places.max(offers.len()), (end, slot));
+        }
+        offers
+    }
+
+    /// Returns when a lease is expected to end and what becomes free then; services never end.
+    fn expected_end(&self, now: Instant, key: Key) -> Option<(Instant, Size)> {
+        let job = self.book.get(key.serial)?;
+        let hold = job.items.get(key.index as usize)?.hold()?;
+        if job.spec.kind == Kind::Service {
+            return None;
         }
-        let room = worker.target.size - stuck;
-        let holds = room.holds(size);
-        (holds > 0).then_some((ready, slot, holds))
+        let ran_ms = now.since(hold.since);
+        let expected_ms = self.expected_ms(key.serial);
+        // A task that overran its expected time is expected to run as long again.
+        let left_ms = expected_ms.checked_sub(ran_ms).unwrap_or(ran_ms);
+        Some((now + left_ms, hold.charge))
     }
 }
