perf(core): reserve workers for urgent work that finds no room

Cause: in a full pool large urgent tasks waited until a worker happened to have room, and could not use workers reserved for a gang. Change: urgent work that waited 0.5 s reserves the places that become free first, and may use workers reserved for others after all others are full.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -304,7 +304,7 @@
     promotions: BTreeSet<(Instant, Serial)>,
     /// Number of reports taken.
     reports: u64,
-    reservation: Option<Reservation>,
+    reservations: Vec<Reservation>,
 }
 
 impl Kernel {
@@ -330,7 +330,7 @@
             delayed: BTreeSet::new(),
             promotions: BTreeSet::new(),
             reports: 0,
-            reservation: None,
+            reservations: Vec::new(),
             start,
         }
     }
--- a/crates/core/src/placement/pick.rs
+++ b/crates/core/src/placement/pick.rs
@@ -107,7 +107,7 @@
             size,
             run_ms,
             long: long && self.fleet.open_can_hold(&size),
-            backfill: !long && self.may_backfill(now, serial, run_ms),
+            backfill: urgent || (!long && self.may_backfill(now, run_ms)),
             urgent,
             account: job.account,
         })
@@ -123,7 +123,8 @@
         if !self.accounts.all[need.account].allows(&need.size, need.urgent) {
             return Outcome::Limited;
         }
-        if misses.contains(need.kind, need.long, &need.size) {
+        let reserved = self.has_reservation(serial);
+        if !reserved && misses.contains(need.kind, need.long, &need.size) {
             return Outcome::NoRoom;
         }
         let Some(index) = self.first_waiting(serial) else {
@@ -131,11 +132,12 @@
         };
         let key = Key { serial, index };
         let Some(slot) = self.pick(now, key, need) else {
-            if self.avoided(key).is_empty() && !need.backfill {
+            if self.avoided(key).is_empty() && (!need.backfill || need.urgent) {
                 misses.add(need.kind, need.long, &need.size);
             }
             self.mix.starved |= !need.long;
             self.mix.long_waits |= need.long;
+            self.consider_reservation(now, serial, need);
             return Outcome::NoRoom;
         };
         self.withdraw_first(serial);
@@ -163,7 +165,7 @@
             return Outcome::NoRoom;
         }
         let Some(slots) = self.pick_all(now, serial, &tasks, need) else {
-            self.defer_gang(now, serial);
+            self.defer_gang(now, serial, need);
             return Outcome::NoRoom;
         };
         self.drop_reservation(serial);
@@ -224,6 +226,10 @@
                 &none
             },
         };
+        let reserved = self.pick_reserved(key.serial, &need.size, ask.avoid);
+        if reserved.is_some() {
+            return reserved;
+        }
         let policy = self.policy.of(need.kind);
         let found = policy.pick(&self.fleet, &ask, &mut self.random);
         if found.is_some() || ask.avoid.is_empty() {
@@ -258,10 +264,10 @@
         }
     }
 
-    fn defer_gang(&mut self, now: Instant, serial: Serial) {
+    fn defer_gang(&mut self, now: Instant, serial: Serial, need: &Need) {
         if let Some(job) = self.book.get_mut(serial) {
             job.retry = now + GANG_RETRY_MS;
         }
-        self.consider_reservation(now, serial);
+        self.consider_reservation(now, serial, need);
     }
 }
--- a/crates/core/src/placement/policy/batch.rs
+++ b/crates/core/src/placement/policy/batch.rs
@@ -21,7 +21,7 @@
                 None
             }
         };
-        reserved().or_else(short).or_else(|| fit(&fleet.open))
+        short().or_else(|| fit(&fleet.open)).or_else(reserved)
     }
 }
 
--- a/crates/core/src/placement/policy/gang.rs
+++ b/crates/core/src/placement/policy/gang.rs
@@ -20,9 +20,9 @@
                 None
             }
         };
-        reserved()
-            .or_else(|| fit(&fleet.open))
+        fit(&fleet.open)
             .or_else(|| fit(&fleet.closed))
+            .or_else(reserved)
     }
 }
 
--- a/crates/core/src/placement/queue.rs
+++ b/crates/core/src/placement/queue.rs
@@ -126,7 +126,7 @@
         for level in [Priority::Urgent, Priority::Normal, Priority::Nightly] {
             self.round(now, level, &mut budget);
         }
-        self.review_reservation(now);
+        self.review_reservations(now);
     }
 
     fn round(&mut self, now: Instant, level: Priority, budget: &mut Budget) {
--- a/crates/core/src/placement/reservation.rs
+++ b/crates/core/src/placement/reservation.rs
@@ -1,74 +1,129 @@
-//! Workers reserved for a gang that waited long for room.
+//! Workers reserved for gangs that waited long and for urgent work that found no room.
 
-use crate::job::Kind;
+use crate::job::{Kind, Priority};
 use crate::placement::Kernel;
 use crate::placement::index::Slot;
+use crate::placement::pick::Need;
 use crate::placement::work::{Key, Serial};
 use crate::placement::worker::Worker;
 use crate::size::Size;
 use crate::time::Instant;
 
 /// Milliseconds that a gang waits before workers are reserved for it.
-const RESERVE_AFTER_MS: u64 = 5_000;
+const GANG_AFTER_MS: u64 = 5_000;
+/// Milliseconds that urgent work waits before workers are reserved for it.
+const URGENT_AFTER_MS: u64 = 500;
 /// Milliseconds beyond the expected time after which other workers are chosen.
 const OVERDUE_MS: u64 = 10_000;
 /// Workers compared for a reservation.
 const COMPARED_MAX: usize = 4_096;
+/// Reservations at a time; further work waits for its turn.
+const RESERVATIONS_MAX: usize = 8;
+/// Places reserved for one urgent batch job at a time.
+const URGENT_PLACES: usize = 8;
 
-/// Workers kept free for one gang.
+/// Workers kept free for one job.
 #[derive(Clone, Debug)]
 pub(crate) struct Reservation {
     serial: Serial,
+    gang: bool,
     workers: Vec<Slot>,
     /// When the workers are expected to be free.
     ready: Instant,
 }
 
 impl Kernel {
-    /// Tells whether a job's tasks may use reserved workers.
-    pub(crate) fn may_backfill(&self, now: Instant, serial: Serial, run_ms: u64) -> bool {
-        let reservation = self.reservation.as_ref();
-        reservation.is_some_and(|held| held.serial == serial || now + run_ms <= held.ready)
+    /// Tells whether work that ends within `run_ms` leaves all reserved workers in time.
+    pub(crate) fn may_backfill(&self, now: Instant, run_ms: u64) -> bool {
+        let end = now + run_ms;
+        let mut reservations = self.reservations.iter();
+        !self.reservations.is_empty() && reservations.all(|held| end <= held.ready)
     }
 
-    /// Reserves workers for a gang that found no room, if it waited long enough.
-    pub(crate) fn consider_reservation(&mut self, now: Instant, serial: Serial) {
-        let waited = self
-            .book
-            .get(serial)
-            .map_or(0, |job| now.since(job.accepted));
-        let idle = self.reservation.is_none();
-        if !self.policy.rules.reserves || !idle || waited < RESERVE_AFTER_MS {
+    /// Tells whether workers are reserved for a job.
+    pub(crate) fn has_reservation(&self, serial: Serial) -> bool {
+        self.reservations.iter().any(|held| held.serial == serial)
+    }
+
+    /// Returns a worker with room among those reserved for the job.
+    pub(crate) fn pick_reserved(
+        &self,
+        serial: Serial,
+        size: &Size,
+        avoid: &[Slot],
+    ) -> Option<Slot> {
+        let own = self
+            .reservations
+            .iter()
+            .find(|held| held.serial == serial)?;
+        let fits = |slot: &Slot| size.fits(&self.fleet.reserved.free(*slot));
+        let workers = own.workers.iter().copied();
+        workers.filter(|slot| !avoid.contains(slot)).find(fits)
+    }
+
+    /// Reserves workers for a job that found no room, if it waited long enough.
+    pub(crate) fn consider_reservation(&mut self, now: Instant, serial: Serial, need: &Need) {
+        let Some(job) = self.book.get(serial) else {
+            return;
+        };
+        let gang = job.spec.kind == Kind::Gang;
+        let urgent = job.spec.priority == Priority::Urgent;
+        let after_ms = if urgent {
+            URGENT_AFTER_MS
+        } else {
+            GANG_AFTER_MS
+        };
+        let ripe = now.since(job.accepted) >= after_ms && (gang || urgent);
+        let held = self.has_reservation(serial);
+        if !self.policy.rules.reserves || !ripe || held || !self.make_way(serial, gang) {
             return;
         }
-        let Some(reservation) = self.reserve(now, serial) else {
+        let Some(reservation) = self.reserve(now, serial, gang, &need.size) else {
             return;
         };
         self.mark(&reservation.workers, true);
-        self.reservation = Some(reservation);
+        self.reservations.push(reservation);
     }
 
-    /// Drops the reservation of a gang.
+    /// Drops the reservation of a job.
     pub(crate) fn drop_reservation(&mut self, serial: Serial) {
-        let held = self.reservation.take_if(|held| held.serial == serial);
-        if let Some(reservation) = held {
+        let held = self
+            .reservations
+            .iter()
+            .position(|held| held.serial == serial);
+        if let Some(position) = held {
+            let reservation = self.reservations.swap_remove(position);
             self.mark(&reservation.workers, false);
         }
     }
 
-    /// Drops a reservation whose gang no longer waits or whose workers didn't become free.
-    pub(crate) fn review_reservation(&mut self, now: Instant) {
-        let Some(held) = &self.reservation else {
-            return;
+    /// Drops reservations whose job no longer waits or whose workers didn't become free.
+    pub(crate) fn review_reservations(&mut self, now: Instant) {
+        let stale = |held: &&Reservation| {
+            let overdue = now >= held.ready + OVERDUE_MS;
+            overdue || self.book.get(held.serial).is_none_or(|job| !job.queued)
         };
-        let serial = held.serial;
-        let overdue = now >= held.ready + OVERDUE_MS;
-        let queued = self.book.get(serial).is_some_and(|job| job.queued);
-        if overdue || !queued {
+        let stale = self.reservations.iter().filter(stale);
+        let stale: Vec<Serial> = stale.map(|held| held.serial).collect();
+        for serial in stale {
             self.drop_reservation(serial);
         }
     }
 
+    /// Tells whether one more reservation may be made. Only the oldest waiting gang holds one;
+    /// numbers follow the order of arrival.
+    fn make_way(&mut self, serial: Serial, gang: bool) -> bool {
+        if gang {
+            let other = self.reservations.iter().find(|held| held.gang);
+            match other.map(|held| held.serial) {
+                Some(holder) if holder < serial => return false,
+                Some(holder) => self.drop_reservation(holder),
+                None => {}
+            }
+        }
+        self.reservations.len() < RESERVATIONS_MAX
+    }
+
     fn mark(&mut self, workers: &[Slot], reserved: bool) {
         for slot in workers {
             if let Some(worker) = self.fleet.get_mut(*slot) {
@@ -79,13 +134,24 @@
     }
 
     /// Chooses the places that are expected to be free first.
-    fn reserve(&mut self, now: Instant, serial: Serial) -> Option<Reservation> {
-        let size = self.charge_of(serial);
-        let tasks = self.book.get(serial)?.waiting.len();
-        let workers = self.fleet.iter().filter(|(_, worker)| worker.is_usable());
+    fn reserve(
+        &mut self,
+        now: Instant,
+        serial: Serial,
+        gang: bool,
+        size: &Size,
+    ) -> Option<Reservation> {
+        let waiting = self.book.get(serial)?.waiting.len();
+        let tasks = if gang {
+            waiting
+        } else {
+            waiting.min(URGENT_PLACES)
+        };
+        let eligible = |worker: &Worker| worker.is_usable() && !worker.reserved;
+        let workers = self.fleet.iter().filter(|(_, worker)| eligible(worker));
         let mut offers: Vec<(Instant, Slot)> = workers
             .take(COMPARED_MAX)
-            .flat_map(|(slot, worker)| self.offers(now, slot, worker, &size, tasks))
+            .flat_map(|(slot, worker)| self.offers(now, slot, worker, size, tasks))
             .collect();
         if offers.len() < tasks {
             return None;
@@ -98,6 +164,7 @@
         workers.dedup();
         Some(Reservation {
             serial,
+            gang,
             workers,
             ready,
         })
