--- /dev/null
+++ b/xtask/src/measure/routing/kernel.rs
@@ -0,0 +1,166 @@
+//! The routing kernel as a router of the simulation.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant as Clock};
+
+use rosemaryworks_core::contract::{Contract, Service};
+use rosemaryworks_core::job::Priority;
+use rosemaryworks_core::outcome::{Finish, Request};
+use rosemaryworks_core::partition::Map;
+use rosemaryworks_core::routing::{Ask, Event, Kernel, Key, Slot, Start, Step};
+use rosemaryworks_core::shard::Id;
+use rosemaryworks_core::target::{Instance, State};
+use rosemaryworks_core::time::Instant;
+
+use super::load::Job;
+use super::sim::{Act, Router, SLOTS};
+
+const ZONES: [&str; 3] = ["milano", "torino", "bologna"];
+
+/// A kernel with instances `0`, `1` and so on, and contracts `c0`, `c1` and so on.
+pub(crate) struct Routing {
+    kernel: Kernel,
+    slots: HashMap<usize, Slot>,
+    /// Events handled.
+    pub(crate) events: u64,
+    /// Time spent in the kernel.
+    pub(crate) spent: Duration,
+}
+
+impl Routing {
+    /// Creates a kernel for `instances` and contracts with `weights`.
+    pub(crate) fn new(instances: usize, weights: &[u32]) -> Self {
+        let mut partition = Map::default();
+        partition.services.insert("s".into(), 1);
+        let start = Start {
+            shard: Id::service("s", 0),
+            partition: Arc::new(partition),
+            gateways: Vec::new(),
+            remembered: Vec::new(),
+            doubt: false,
+            clean: true,
+        };
+        let mut routing = Self {
+            kernel: Kernel::new(Instant(0), start),
+            slots: HashMap::new(),
+            events: 0,
+            spent: Duration::ZERO,
+        };
+        for (number, weight) in weights.iter().enumerate() {
+            let contract = contract(number, *weight);
+            routing.feed(0, Event::Contract(Arc::new(contract)));
+        }
+        let list = (0..instances).map(|n| (instance(n), State::Live)).collect();
+        routing.feed(0, Event::Listed(list));
+        routing
+    }
+
+    fn feed(&mut self, now: u64, event: Event) -> Vec<Act> {
+        let begin = Clock::now();
+        let steps = self.kernel.handle(Instant(now / 1_000), event);
+        self.spent += begin.elapsed();
+        self.events += 1;
+        steps
+            .into_iter()
+            .filter_map(|step| self.act(step))
+            .collect()
+    }
+
+    fn act(&mut self, step: Step) -> Option<Act> {
+        match step {
+            Step::Grant {
+                key,
+                slot,
+                instance,
+            } => {
+                let job = key.number as usize;
+                self.slots.insert(job, slot);
+                let instance = instance.name.parse().ok()?;
+                Some(Act::Start { job, instance })
+            }
+            Step::Refuse { key, .. } | Step::Unsure { key, .. } => {
+                Some(Act::Refuse(key.number as usize))
+            }
+            Step::Intend { .. } | Step::Probe(_) => None,
+        }
+    }
+
+    fn key(number: usize) -> Key {
+        Key {
+            gateway: "g".into(),
+            number: number as u64,
+        }
+    }
+}
+
+fn contract(number: usize, weight: u32) -> Contract {
+    let limits = Service {
+        rate: 1_000_000,
+        burst: 1_000_000,
+        concurrency: 100_000,
+        queue: 10_000,
+    };
+    Contract {
+        name: format!("c{number}").into(),
+        weight,
+        keys: Vec::new(),
+        services: BTreeMap::from([("s".into(), limits)]),
+        pools: BTreeMap::new(),
+        max_priority: Priority::Normal,
+        urgent_percent: 0,
+    }
+}
+
+fn instance(number: usize) -> Instance {
+    Instance {
+        name: number.to_string().into(),
+        service: "s".into(),
+        zone: ZONES[number % ZONES.len()].into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        slots: SLOTS as u32,
+        connections: 64,
+    }
+}
+
+impl Router for Routing {
+    fn arrive(&mut self, now: u64, number: usize, job: &Job) -> Vec<Act> {
+        let ask = Ask {
+            key: Self::key(number),
+            request: Request {
+                contract: format!("c{}", job.contract).into(),
+                id: number.to_string().into(),
+            },
+            idempotent: true,
+            attempt: None,
+            remaining_ms: job.deadline.saturating_sub(now) / 1_000,
+            exclude: job.failed.iter().map(|n| n.to_string().into()).collect(),
+        };
+        self.feed(now, Event::Ask(ask))
+    }
+
+    fn leave(&mut self, now: u64, number: usize, _: usize, run: Option<u64>) -> Vec<Act> {
+        let Some(slot) = self.slots.remove(&number) else {
+            return Vec::new();
+        };
+        let finish = run.map_or(Finish::Rejected, |_| Finish::Answered);
+        let run_ms = run.unwrap_or(0) / 1_000;
+        self.feed(
+            now,
+            Event::Finished {
+                slot,
+                finish,
+                run_ms,
+            },
+        )
+    }
+
+    /// Callers stop waiting at the deadline that the kernel knows, so nothing is withdrawn.
+    fn expire(&mut self, _now: u64, _number: usize) -> Vec<Act> {
+        Vec::new()
+    }
+
+    fn tick(&mut self, now: u64) -> Vec<Act> {
+        self.feed(now, Event::Tick)
+    }
+}
