feat(core): refuse asks by the 95th percentile of run times and a margin on the wait

Cause: in a load spike every admitted ask waited until just before its deadline, and a quarter of the capacity went to answers that came too late.

Change: an ask may wait only if 1.1 times the expected wait plus the learned 95th percentile of its run time fits into the remaining time.

--- a/crates/core/src/routing/learned.rs
+++ b/crates/core/src/routing/learned.rs
@@ -36,12 +36,13 @@
     }
 }
 
-/// Median and mean of run times, in constant memory.
+/// Median, 95th percentile and mean of run times, in constant memory.
 #[derive(Clone, Debug)]
 pub(crate) struct Learned {
     count: u64,
     mean_ms: f64,
     median: Quantile,
+    high: Quantile,
 }
 
 impl Default for Learned {
@@ -50,6 +51,7 @@
             count: 0,
             mean_ms: 0.0,
             median: Quantile::new(0.5),
+            high: Quantile::new(0.95),
         }
     }
 }
@@ -63,12 +65,14 @@
         if self.count == 1 {
             self.mean_ms = run;
             self.median.log = log;
+            self.high.log = log;
             return;
         }
         let age = 1.0 / self.count as f64;
         self.mean_ms += (run - self.mean_ms) * age.max(MEAN_WEIGHT);
         let step = (2.0 * age).max(STEP_MIN);
         self.median.observe(log, step);
+        self.high.observe(log, step);
     }
 
     /// Tells whether enough requests finished to rely on the estimates.
@@ -85,4 +89,9 @@
     pub(crate) fn median_ms(&self) -> f64 {
         self.median.get()
     }
+
+    /// Returns the 95th percentile of run times in milliseconds.
+    pub(crate) fn high_ms(&self) -> f64 {
+        self.high.get()
+    }
 }
--- a/crates/core/src/routing/tenants.rs
+++ b/crates/core/src/routing/tenants.rs
@@ -21,6 +21,11 @@
 /// Number before that of the first ask, with room for asks put in front of others.
 const FIRST: u64 = 1 << 32;
 
+/// Factor on the expected wait of an ask, for the error of learned run times.
+///
+/// Without it, more than a tenth of the requests of a load spike were answered too late.
+const WAIT_MARGIN: f64 = 1.1;
+
 /// Cost charged for a request whose run time isn't known, in milliseconds of slot time.
 const COST_UNKNOWN_MS: f64 = 10.0;
 
@@ -199,7 +204,7 @@
             .map_or(COST_UNKNOWN_MS, |learned| learned.mean_ms().max(1.0))
     }
 
-    /// Returns the expected milliseconds until the last ask of `number` is answered, if `slots`
+    /// Returns the milliseconds in which the last ask of `number` is likely answered, if `slots`
     /// serve the shard and contracts of long requests may hold `long_max` of them.
     pub(crate) fn expected_ms(&self, number: usize, slots: u64, long_max: u64) -> f64 {
         let Some(learned) = self.learned(number) else {
@@ -211,7 +216,7 @@
         let fair = usable * tenant.weight / weights.max(tenant.weight);
         let limit = tenant.limits.map_or(0, |limits| limits.concurrency) as f64;
         let wait = tenant.queue.len() as f64 * learned.mean_ms() / fair.min(limit).max(1.0);
-        wait + learned.median_ms()
+        wait * WAIT_MARGIN + learned.high_ms()
     }
 
     /// Finds the contracts whose requests run much longer than those of another active contract.
