--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -7,6 +7,7 @@
 mod load;
 mod night;
 mod packing;
+mod routing;
 mod stragglers;
 mod table;
 mod waiting;
@@ -65,6 +66,9 @@
         Box::new(packing::Packing),
         Box::new(gangs::Gangs),
         Box::new(fairness::Fairness),
+        Box::new(routing::CREST),
+        Box::new(routing::BLOCKING),
+        Box::new(routing::FAIRNESS),
     ]
 }
 
--- /dev/null
+++ b/xtask/src/measure/routing.rs
@@ -0,0 +1,107 @@
+//! Measures the routing kernel on generated load against baselines in the same run.
+//!
+//! A discrete-event simulation stands for callers, gateways and instances. The kernel under test is
+//! the one that schedulers run.
+
+mod baseline;
+mod blocking;
+mod crest;
+mod fairness;
+mod kernel;
+mod load;
+mod sim;
+
+use super::Scenario;
+use super::table::Row;
+
+/// Policy under measurement.
+const OURS: &str = "kernel";
+
+/// The same policy with and without a retry budget, beside failing instances.
+const BUDGET: &str = "kernel, budget 10%";
+const NO_BUDGET: &str = "kernel, no budget";
+
+/// A figure of one seed: metric, policy and value.
+type Figure = (String, String, f64);
+
+/// A scenario of the routing kernel.
+pub(crate) struct Routing {
+    name: &'static str,
+    figures: fn(u64) -> Vec<Figure>,
+}
+
+/// Arrivals grow tenfold within 2 s.
+pub(crate) const CREST: Routing = Routing {
+    name: "routing-crest",
+    figures: crest::figures,
+};
+
+/// Short requests beside stragglers.
+pub(crate) const BLOCKING: Routing = Routing {
+    name: "routing-blocking",
+    figures: blocking::figures,
+};
+
+/// Contracts with different weights, and a greedy contract.
+pub(crate) const FAIRNESS: Routing = Routing {
+    name: "routing-fairness",
+    figures: fairness::figures,
+};
+
+impl Scenario for Routing {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    fn run(&self, seed: u64) -> Vec<Row> {
+        rows(&(self.figures)(seed))
+    }
+}
+
+/// Joins the figures of all policies for each metric, in the order of the metrics.
+fn rows(figures: &[Figure]) -> Vec<Row> {
+    let mut metrics: Vec<&str> = Vec::new();
+    for (metric, _, _) in figures {
+        if !metrics.contains(&metric.as_str()) {
+            metrics.push(metric);
+        }
+    }
+    let rows = metrics.iter().flat_map(|metric| {
+        let of_metric = figures.iter().filter(|figure| figure.0 == **metric);
+        let values: Vec<_> = of_metric
+            .map(|(_, policy, value)| (policy.as_str(), *value))
+            .collect();
+        [plain(metric, &values), failing(metric, &values)]
+    });
+    rows.flatten().collect()
+}
+
+fn value(values: &[(&str, f64)], policy: &str) -> Option<f64> {
+    values
+        .iter()
+        .find(|(name, _)| *name == policy)
+        .map(|(_, value)| *value)
+}
+
+fn plain(metric: &str, values: &[(&str, f64)]) -> Option<Row> {
+    let ours = value(values, OURS)?;
+    let is_baseline = |(name, _): &&(&str, f64)| ![OURS, BUDGET, NO_BUDGET].contains(name);
+    let baselines: Vec<_> = values.iter().filter(is_baseline).copied().collect();
+    Some(Row::new(metric, ours, &baselines))
+}
+
+fn failing(metric: &str, values: &[(&str, f64)]) -> Option<Row> {
+    let (ours, other) = (value(values, BUDGET)?, value(values, NO_BUDGET)?);
+    let name = format!("{metric}, failing instances");
+    Some(Row::new(name, ours, &[("no-budget", other)]))
+}
+
+/// Returns the quantile `share` of `values`, or 0 if there are none.
+fn quantile(mut values: Vec<f64>, share: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let at = (values.len() as f64 * share) as usize;
+    values
+        .get(at.min(values.len().saturating_sub(1)))
+        .copied()
+        .unwrap_or(0.0)
+}
