perf(core): a new epoch starts with a fifth of the pool closed to long work

Cause: the closed share started at 0 and grew only after long work had filled the pool. Change: it starts at 20% and then follows the mix of work.

--- a/crates/core/src/placement/mix.rs
+++ b/crates/core/src/placement/mix.rs
@@ -16,11 +16,13 @@
 const PEAK_KEPT_PERCENT: u64 = 95;
 /// Largest closed share in percent.
 const CLOSED_MAX_PERCENT: u64 = 50;
+/// Closed share of a new epoch in percent.
+pub(crate) const CLOSED_START_PERCENT: u64 = 20;
 /// Change of the closed share per review in percent, which bounds the work of one review.
 const CHANGE_PERCENT: u64 = 5;
 
 /// What kinds of work the pool ran lately.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Mix {
     /// Expected run times of placed tasks in milliseconds.
     expected: Quantile,
@@ -35,6 +37,20 @@
     reviewed: Instant,
 }
 
+impl Default for Mix {
+    fn default() -> Self {
+        Self {
+            expected: Quantile::default(),
+            short_held: 0,
+            peak: 0,
+            starved: false,
+            long_waits: false,
+            percent: CLOSED_START_PERCENT,
+            reviewed: Instant::default(),
+        }
+    }
+}
+
 impl Mix {
     /// Takes the expected run time of a placed task in milliseconds.
     pub(crate) fn placed(&mut self, expected_ms: u64) {
