--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod demo;
 mod faults;
+mod measure;
 
 use std::process::ExitCode;
 
@@ -21,6 +22,7 @@
 enum Task {
     Demo(demo::Options),
     Faults(faults::Options),
+    Measure(measure::Arguments),
     Settings(cluster::settings::Options),
 }
 
@@ -39,6 +41,7 @@
     let result = match options.task {
         Task::Demo(options) => runtime.block_on(demo::run(options)),
         Task::Faults(options) => runtime.block_on(faults::run(options)),
+        Task::Measure(options) => return measure::run(&options),
         Task::Settings(options) => cluster::settings::run(&options).map(|()| true),
     };
     match result {
