--- a/xtask/src/faults.rs
+++ b/xtask/src/faults.rs
@@ -52,8 +52,8 @@
     /// seconds of failures; about 40 s of planned stops and leaving targets follow (default: 120)
     #[argh(option, default = "120")]
     seconds: u64,
-    /// names of failures, separated by commas; two names also occur as a pair (default: all, singly
-    /// and in pairs)
+    /// names of failures, separated by commas; names joined by + strike together (default: all,
+    /// singly and in pairs)
     #[argh(option)]
     fault: Option<String>,
     /// first of 500 loopback ports (default: 23000)
@@ -73,8 +73,8 @@
 ///
 /// Returns an error if a failure is unknown or the deployment can't be started.
 pub(crate) async fn run(options: Options) -> Result<bool, Report<Error>> {
-    let kinds = kinds(options.fault.as_deref().unwrap_or_default())?;
-    let schedule = schedule::plan(options.seed, options.seconds * 1_000, &kinds);
+    let groups = groups(options.fault.as_deref().unwrap_or_default())?;
+    let schedule = schedule::plan(options.seed, options.seconds * 1_000, groups);
     print_schedule(&schedule);
     if options.plan {
         return Ok(true);
@@ -107,19 +107,22 @@
     folder.join("driver.history.json")
 }
 
-fn kinds(names: &str) -> Result<Vec<Kind>, Report<Error>> {
-    let names = names.split(',').filter(|name| !name.is_empty());
-    names
-        .map(|name| {
-            Kind::find(name).ok_or_else(|| {
-                let known: Vec<_> = Kind::ALL.iter().map(|(_, name)| *name).collect();
-                let known = format!("known: {}", known.join(", "));
-                Report::new(Error::new("find the failure", name)).attach(known)
-            })
-        })
+/// Reads names of failures; those joined by `+` strike together.
+fn groups(names: &str) -> Result<Vec<Vec<Kind>>, Report<Error>> {
+    let groups = names.split(',').filter(|group| !group.is_empty());
+    groups
+        .map(|group| group.split('+').map(kind).collect())
         .collect()
 }
 
+fn kind(name: &str) -> Result<Kind, Report<Error>> {
+    Kind::find(name).ok_or_else(|| {
+        let known: Vec<_> = Kind::ALL.iter().map(|(_, name)| *name).collect();
+        let known = format!("known: {}", known.join(", "));
+        Report::new(Error::new("find the failure", name)).attach(known)
+    })
+}
+
 fn print_schedule(schedule: &[Entry]) {
     for entry in schedule {
         println!(
--- a/xtask/src/faults/schedule.rs
+++ b/xtask/src/faults/schedule.rs
@@ -34,11 +34,13 @@
     pub(crate) choice: u64,
 }
 
-/// Returns the failures of a run in time order. `kinds` limits them; an empty list means all, singly
-/// and in pairs. Two kinds given by the caller also occur as a pair.
-pub(crate) fn plan(seed: u64, total_ms: u64, kinds: &[Kind]) -> Vec<Entry> {
+/// Returns the failures of a run in time order. Those of one group strike together. Without groups
+/// all kinds occur, singly and in pairs.
+pub(crate) fn plan(seed: u64, total_ms: u64, mut groups: Vec<Vec<Kind>>) -> Vec<Entry> {
     let mut random = SmallRng::seed_from_u64(seed);
-    let mut groups = groups(kinds);
+    if groups.is_empty() {
+        groups = all();
+    }
     let mut entries = Vec::new();
     let mut at_ms = LEAD_MS;
     loop {
@@ -92,15 +94,8 @@
     group.iter().enumerate().map(entry).collect()
 }
 
-fn groups(kinds: &[Kind]) -> Vec<Vec<Kind>> {
+fn all() -> Vec<Vec<Kind>> {
+    let singles = Kind::ALL.iter().map(|(kind, _)| vec![*kind]);
     let pairs = Kind::PAIRS.iter().map(|(one, other)| vec![*one, *other]);
-    if kinds.is_empty() {
-        let all = Kind::ALL.iter().map(|(kind, _)| vec![*kind]);
-        return all.chain(pairs).collect();
-    }
-    let mut groups: Vec<Vec<Kind>> = kinds.iter().map(|kind| vec![*kind]).collect();
-    if kinds.len() == 2 {
-        groups.push(kinds.to_vec());
-    }
-    groups
+    singles.chain(pairs).collect()
 }
