fix: not-run is not said of later attempts of idempotent requests, and stops are bounded

Owners remember ids of non-idempotent requests only, so a refusal of a later idempotent attempt is told as unknown with the new reason earlier-attempt.

A stop now waits until every caller was told an outcome, and then at most 10 s for answers and acknowledgements that nobody waits for.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -36,6 +36,8 @@
     AlreadyDispatched,
     /// The answer did not arrive before the deadline.
     Deadline,
+    /// This attempt was not run, but an earlier one may have run.
+    EarlierAttempt,
     /// The instance answered that it did not run the request, after the request was sent to it.
     InstanceRefused,
     /// The connection to the instance failed after the request was sent.
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -97,7 +97,7 @@
                 }
             }
             Replied::Verdict(Verdict::NotRun(reason)) => {
-                return Asked::Ended(Outcome::NotRun(reason));
+                return Asked::Ended(search.refused(reason));
             }
             Replied::Verdict(Verdict::Unknown(reason)) => {
                 return Asked::Ended(search.unsure(reason));
@@ -226,6 +226,15 @@
         });
     }
 
+    /// Returns the outcome when the owner refuses. It vouches for fresh ids only, and remembers only
+    /// those of non-idempotent requests.
+    fn refused(&self, reason: NotRun) -> Outcome {
+        match self.inquiry.idempotent {
+            true => self.inquiry.not_sent(reason, Unknown::EarlierAttempt),
+            false => Outcome::NotRun(reason),
+        }
+    }
+
     /// Returns the outcome when the owner says that the request may have run. If this search had an
     /// earlier ask, the owner may know the id only from there.
     fn unsure(&self, reason: Unknown) -> Outcome {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -32,5 +32,5 @@
 pub const DRAINING: Event = Event::new(513, Level::Info, "draining");
 /// The gateway can't be started.
 pub const START_FAILED: Event = Event::new(514, Level::Error, "start failed");
-/// The gateway stops although owners did not acknowledge the ends of grants.
-pub const REPORTS_LEFT: Event = Event::new(515, Level::Warn, "ends of grants not acknowledged");
+/// The gateway stops although requests past their deadlines, or reports to owners, are left.
+pub const LEFT: Event = Event::new(515, Level::Warn, "stopped before all requests ended");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -50,6 +50,7 @@
     /// gateway's previous incarnation, and numbers used twice would be taken for the same ask.
     number: AtomicU64,
     stopping: AtomicBool,
+    callers: Count,
     requests: Count,
     reports: Count,
 }
@@ -86,6 +87,7 @@
             meters: Meters::new(&parts.metrics),
             number: AtomicU64::new(clock::incarnation()),
             stopping: AtomicBool::new(false),
+            callers: Count::default(),
             requests: Count::default(),
             reports: Count::default(),
         }))
@@ -108,7 +110,14 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
-    /// Returns the number of requests in flight.
+    /// Returns the number of callers who wait for an outcome.
+    #[must_use]
+    pub fn callers(&self) -> usize {
+        self.callers.get()
+    }
+
+    /// Returns the number of requests in flight. A request stays in flight until its instance has
+    /// answered, even if its caller was told an outcome.
     #[must_use]
     pub fn requests(&self) -> usize {
         self.requests.get()
@@ -133,6 +142,11 @@
         }
     }
 
+    /// Counts a caller as waiting until the returned guard is dropped.
+    pub(crate) fn caller(&self) -> Counted {
+        self.callers.enter()
+    }
+
     /// Counts a request as in flight until the returned guard is dropped.
     pub(crate) fn request(&self) -> Counted {
         self.requests.enter()
--- a/crates/gateway/src/http/jobs.rs
+++ b/crates/gateway/src/http/jobs.rs
@@ -105,7 +105,7 @@
             format!("pool: the contract doesn't include {:?}", job.pool),
         )
     })?;
-    let _busy = gateway.request();
+    let _caller = gateway.caller();
     let contract = Contract::clone(&contract);
     let work = jobs::submit(gateway.clone(), shard, contract, job);
     let submission = gateway.runtime.spawn(work).await;
@@ -182,7 +182,7 @@
     wait_ms: u64,
 ) -> Result<Answer, Refusal> {
     let (contract, id) = identify(gateway, request, id)?;
-    let _busy = gateway.request();
+    let _caller = gateway.caller();
     let found = find(gateway, &contract, &id, wait_ms).await;
     Ok(match found {
         Ok(Some((_, status))) => Answer::completed(200, json!(status)),
@@ -250,7 +250,7 @@
     if gateway.is_stopping() {
         return Ok(Answer::not_run(&NotRun::Stopping));
     }
-    let _busy = gateway.request();
+    let _caller = gateway.caller();
     let shard = match find(gateway, &contract, &id, 0).await {
         Ok(Some((shard, _))) => shard,
         Ok(None) => return Ok(no_job(&id)),
--- a/crates/gateway/src/http/reply.rs
+++ b/crates/gateway/src/http/reply.rs
@@ -138,6 +138,7 @@
     let message = match reason {
         Unknown::AlreadyDispatched => "already dispatched",
         Unknown::Deadline => "no answer before the deadline",
+        Unknown::EarlierAttempt => "this attempt was not run; an earlier one may have run",
         Unknown::InstanceRefused => "the instance refused the request after it was sent",
         Unknown::InstanceLost => "the connection to the instance failed",
         Unknown::NoOwner => "no scheduler could be asked and an earlier attempt may have run",
--- a/crates/gateway/src/http/requests.rs
+++ b/crates/gateway/src/http/requests.rs
@@ -37,6 +37,7 @@
     };
     let id = inquiry.request.id.clone();
     let service = inquiry.service.clone();
+    let _caller = gateway.caller();
     let outcome = decide(&gateway, inquiry).await;
     let elapsed_ms = clock::now().since(received);
     gateway.meters.ended(&service, outcome.name(), elapsed_ms);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -24,8 +24,9 @@
 /// Threads of the HTTP client.
 const CLIENT_THREADS: usize = 2;
 
-/// Time for the owners to acknowledge the last grants after every request has ended.
-const REPORT_MAX: Duration = Duration::from_secs(10);
+/// Time after the last caller was told an outcome in which instances may still answer requests
+/// whose deadline has passed, and owners acknowledge the ends of grants.
+const LEFT_MAX: Duration = Duration::from_secs(10);
 
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -175,24 +176,28 @@
     system.block_on(servers.run(callers, operators, stopped))
 }
 
-/// Refuses new requests and waits for those in flight, then for the owners' acknowledgements.
+/// Refuses new requests and waits until every caller was told an outcome, which their deadlines
+/// bound. Then waits a limited time for what nobody waits for: answers after the deadline, and the
+/// owners' acknowledgements. Owners keep the slots of what is left until the instances are free.
 async fn finish(gateway: &Gateway) {
     gateway.stop();
-    events::DRAINING.log(format_args!(
-        "requests={} reports={}",
-        gateway.requests(),
-        gateway.reports()
-    ));
-    while gateway.requests() > 0 {
+    let left = || {
+        let (callers, requests) = (gateway.callers(), gateway.requests());
+        format!(
+            "callers={callers} requests={requests} reports={}",
+            gateway.reports()
+        )
+    };
+    events::DRAINING.log(format_args!("{}", left()));
+    while gateway.callers() > 0 {
         tokio::time::sleep(POLL_PERIOD).await;
     }
-    let reported = async {
-        while gateway.reports() > 0 {
+    let ended = async {
+        while gateway.requests() + gateway.reports() > 0 {
             tokio::time::sleep(POLL_PERIOD).await;
         }
     };
-    if tokio::time::timeout(REPORT_MAX, reported).await.is_err() {
-        let reports = gateway.reports();
-        events::REPORTS_LEFT.log(format_args!("reports={reports}"));
+    if tokio::time::timeout(LEFT_MAX, ended).await.is_err() {
+        events::LEFT.log(format_args!("{}", left()));
     }
 }
--- a/crates/gateway/tests/jobs.rs
+++ b/crates/gateway/tests/jobs.rs
@@ -177,7 +177,7 @@
     });
     let path = "/v1/jobs/job-1/wait?timeout-ms=60000";
     let stop = async {
-        support::eventually(|| gateway.gateway.requests() == 1).await;
+        support::eventually(|| gateway.gateway.callers() == 1).await;
         gateway.gateway.stop();
     };
     let ((code, body), ()) = tokio::join!(call(&gateway, "GET", path, ""), stop);
--- a/crates/gateway/tests/outcomes.rs
+++ b/crates/gateway/tests/outcomes.rs
@@ -450,3 +450,27 @@
         "deadline",
     );
 }
+
+/// Guards against `not-run` for a later attempt of an idempotent request: the owner doesn't remember
+/// its id, and fault runs saw earlier attempts that had run.
+#[tokio::test]
+async fn a_refused_later_attempt_of_an_idempotent_request_is_unknown() {
+    let gateway = Running::start().await;
+    let verdict = Message::Verdict(Verdict::NotRun(NotRun::Concurrency));
+    gateway.scheduler.answer(move |_| reply(verdict.clone()));
+    let second = ("rosemary-attempt", "2");
+    let outcome = gateway.outcome("r-1", &[IDEMPOTENT, second]).await;
+    is(outcome, 504, "unknown", "earlier-attempt");
+    is(
+        gateway.outcome("r-2", &[IDEMPOTENT]).await,
+        429,
+        "not-run",
+        "concurrency",
+    );
+    is(
+        gateway.outcome("r-3", &[second]).await,
+        429,
+        "not-run",
+        "concurrency",
+    );
+}
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -115,6 +115,7 @@
         let reason = match reason {
             Unknown::AlreadyDispatched => "already-dispatched",
             Unknown::Deadline => "deadline",
+            Unknown::EarlierAttempt => "earlier-attempt",
             Unknown::InstanceRefused => "instance-refused",
             Unknown::InstanceLost => "instance-lost",
             Unknown::NoOwner => "no-owner",
