perf(scheduler): fewer ticks, shorter heartbeats

Change: kernels without waiting work tick less often, records of owners no longer run the ownership kernel, heartbeats have short field names and answers name only suspected schedulers.

--- a/crates/core/src/ownership/kernel.rs
+++ b/crates/core/src/ownership/kernel.rs
@@ -130,7 +130,7 @@
             incarnation: self.settings.incarnation,
             claims,
             log: self.log,
-            hears: self.peers.hears(now),
+            suspects: self.peers.suspects(now),
         };
         (support, self.next(now))
     }
@@ -157,8 +157,10 @@
                     self.stated(now, shard, &mut steps);
                 }
             }
+            // Records of owners change nothing here, and there are many.
             _ => {
                 self.ledger.apply(offset, record);
+                return steps;
             }
         }
         steps.extend(self.next(now));
--- a/crates/core/src/ownership/message.rs
+++ b/crates/core/src/ownership/message.rs
@@ -37,6 +37,6 @@
     pub claims: Vec<(Id, Epoch)>,
     /// How the supporter sees the log.
     pub log: LogView,
-    /// Schedulers that the supporter hears.
-    pub hears: Vec<Arc<str>>,
+    /// Schedulers that the supporter has not heard of for so long that they may be down.
+    pub suspects: Vec<Arc<str>>,
 }
--- a/crates/core/src/ownership/peers.rs
+++ b/crates/core/src/ownership/peers.rs
@@ -1,6 +1,6 @@
 //! What this scheduler knows of the others.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::message::{LogView, Support};
@@ -30,7 +30,7 @@
     /// When the answer arrived.
     received: Instant,
     log: LogView,
-    hears: BTreeSet<Arc<str>>,
+    suspects: Vec<Arc<str>>,
 }
 
 /// All other schedulers.
@@ -112,7 +112,7 @@
             sent,
             received: now,
             log: support.log,
-            hears: support.hears.iter().cloned().collect(),
+            suspects: support.suspects.clone(),
         });
         true
     }
@@ -146,10 +146,10 @@
             .map(|(name, _)| name)
     }
 
-    /// Returns the names of peers that are not suspected, as this process tells others.
-    pub(super) fn hears(&self, now: Instant) -> Vec<Arc<str>> {
-        let heard = |name: &&Arc<str>| !self.is_suspect(now, name);
-        self.peers.keys().filter(heard).cloned().collect()
+    /// Returns the names of suspected peers, as this process tells others.
+    pub(super) fn suspects(&self, now: Instant) -> Vec<Arc<str>> {
+        let suspected = |name: &&Arc<str>| self.is_suspect(now, name);
+        self.peers.keys().filter(suspected).cloned().collect()
     }
 
     /// Returns the number of peers other than `name` that may hear `name`. A peer without a fresh
@@ -157,7 +157,8 @@
     pub(super) fn hearers(&self, now: Instant, name: &str) -> usize {
         let deaf = |peer: &Peer| {
             let answer = peer.answer.as_ref();
-            answer.is_some_and(|a| now.since(a.sent) <= SUSPECT_MS && !a.hears.contains(name))
+            let suspects = |answer: &Answer| answer.suspects.iter().any(|s| **s == *name);
+            answer.is_some_and(|a| now.since(a.sent) <= SUSPECT_MS && suspects(a))
         };
         let others = self.peers.iter().filter(|(peer, _)| &***peer != name);
         others.filter(|(_, peer)| !deaf(peer)).count()
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -112,7 +112,7 @@
         claims: support.claims,
         log_unreachable: support.log.unreachable,
         log_doubt_age_ms: support.log.doubt_age_ms,
-        hears: support.hears,
+        suspects: support.suspects,
     }
 }
 
--- a/crates/scheduler/src/fold/jobs.rs
+++ b/crates/scheduler/src/fold/jobs.rs
@@ -159,6 +159,11 @@
         jobs
     }
 
+    /// Returns the number of jobs that have not ended.
+    pub(crate) fn open(&self) -> usize {
+        self.jobs.len().saturating_sub(self.ended.len())
+    }
+
     /// Returns the ids of all jobs.
     pub(crate) fn ids(&self) -> Vec<Id> {
         self.jobs.keys().cloned().collect()
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -114,7 +114,11 @@
         cell.readback.note(entry.offset, valid);
         change
     };
-    shared.own(|kernel| ((), kernel.apply(now, entry.offset, &record)));
+    match is_ownership(&record) {
+        true => shared.own(|kernel| ((), kernel.apply(now, entry.offset, &record))),
+        // Only the offset is noted; no step follows.
+        false => drop(lock(&shared.ownership).apply(now, entry.offset, &record)),
+    }
     report(&record, entry.offset);
     if let Some((Hosted::Pool(pool), change)) = change {
         match change {
@@ -129,6 +133,13 @@
     }
 }
 
+fn is_ownership(record: &Cell) -> bool {
+    matches!(
+        record,
+        Cell::Claim { .. } | Cell::Release { .. } | Cell::Standing { .. }
+    )
+}
+
 fn report(record: &Cell, offset: u64) {
     if let Cell::Claim {
         shard,
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -56,7 +56,7 @@
             ),
             queues: metrics.register(
                 "queue_length",
-                "Asks without an answer, by shard",
+                "Asks without an answer or jobs without an end, by shard",
                 Family::default(),
             ),
             refusals: metrics.register(
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -26,7 +26,8 @@
 const FLUSH_MAX: Duration = Duration::from_secs(2);
 const FLUSH_PERIOD: Duration = Duration::from_millis(10);
 
-const TICK: Duration = Duration::from_millis(50);
+/// The period of the most frequent heartbeats.
+const TICK: Duration = Duration::from_millis(100);
 
 /// Feeds the time to the ownership kernel until the future is dropped.
 pub(crate) async fn tick(shared: Arc<Shared>) {
@@ -109,7 +110,9 @@
         .filter(|hosted| hosted.tenure().epoch == epoch);
     let Some(hosted) = hosted else { return };
     if !over {
-        events::SUSPENDED.log(format_args!("shard={shard} epoch={epoch}"));
+        if !shared.progress.is_stopping() {
+            events::SUSPENDED.log(format_args!("shard={shard} epoch={epoch}"));
+        }
         hosted.suspend();
         return;
     }
--- a/crates/scheduler/src/owner/beat.rs
+++ b/crates/scheduler/src/owner/beat.rs
@@ -47,7 +47,7 @@
         claims,
         log_unreachable,
         log_doubt_age_ms,
-        hears,
+        suspects,
     } = reply
     else {
         return;
@@ -60,7 +60,7 @@
             unreachable: log_unreachable,
             doubt_age_ms: log_doubt_age_ms,
         },
-        hears,
+        suspects,
     };
     shared.ownership_event(Event::Supported { sent, support });
 }
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -22,6 +22,9 @@
 
 const TICK: Duration = Duration::from_millis(50);
 
+/// Period while no job is open.
+const TICK_IDLE: Duration = Duration::from_millis(200);
+
 /// The placement kernel of one shard and epoch.
 pub(crate) struct Pool {
     pub(crate) tenure: Arc<Tenure>,
@@ -100,6 +103,13 @@
         self.feed(Event::Listed(listed));
     }
 
+    /// Returns the number of jobs that have not ended.
+    pub(crate) fn open(&self, shared: &Shared) -> usize {
+        let cell = lock(&shared.cell);
+        let known = cell.fold.shard(&self.tenure.shard);
+        known.map_or(0, |known| known.jobs.open())
+    }
+
     /// Wakes everything that waits for the end of a job.
     pub(crate) fn wake(&self) {
         self.ended.notify_waiters();
@@ -129,10 +139,10 @@
 }
 
 async fn tick(pool: Arc<Pool>) {
-    let mut ticks = tokio::time::interval(TICK);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     while !pool.tenure.is_over() {
-        ticks.tick().await;
+        let open = pool.shared.upgrade().map_or(0, |shared| pool.open(&shared));
+        let period = if open == 0 { TICK_IDLE } else { TICK };
+        tokio::time::sleep(period).await;
         pool.feed(Event::Tick);
     }
 }
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -30,6 +30,11 @@
         ready.clear("stopping");
     }
 
+    /// Tells whether the process is about to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
     /// Tells whether contracts are known, so that shards may be claimed.
     pub(crate) fn are_contracts_known(&self) -> bool {
         self.contracts.load(Ordering::SeqCst)
@@ -41,7 +46,7 @@
     }
 
     fn update(&self, ready: &Ready) {
-        if self.is_complete() && !self.stopping.load(Ordering::SeqCst) && !ready.get() {
+        if self.is_complete() && !self.is_stopping() && !ready.get() {
             ready.set();
             events::READY.log(format_args!("streams=followed"));
         }
--- a/crates/scheduler/src/service.rs
+++ b/crates/scheduler/src/service.rs
@@ -23,6 +23,9 @@
 
 const TICK: Duration = Duration::from_millis(20);
 
+/// Period while no ask waits.
+const TICK_IDLE: Duration = Duration::from_millis(100);
+
 /// Milliseconds after the caller's deadline at which an ask without a decision is given up.
 const ASK_SLACK_MS: u64 = 1_000;
 
@@ -227,10 +230,12 @@
 }
 
 async fn tick(service: Arc<Service>) {
-    let mut ticks = tokio::time::interval(TICK);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     while !service.tenure.is_over() {
-        ticks.tick().await;
+        let period = match service.waiting() {
+            0 => TICK_IDLE,
+            _ => TICK,
+        };
+        tokio::time::sleep(period).await;
         service.feed(Event::Tick);
     }
 }
--- a/crates/scheduler/src/upkeep.rs
+++ b/crates/scheduler/src/upkeep.rs
@@ -60,7 +60,9 @@
     let tenure = hosted.tenure();
     let shard = tenure.shard.to_string();
     shared.counters.margin(&shard, tenure.margin_ms());
-    if let Hosted::Service(service) = hosted {
-        shared.counters.queue(&shard, service.waiting());
-    }
+    let queue = match hosted {
+        Hosted::Pool(pool) => pool.open(shared),
+        Hosted::Service(service) => service.waiting(),
+    };
+    shared.counters.queue(&shard, queue);
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -34,21 +34,28 @@
     pub incarnation: u64,
 }
 
-/// Heartbeat of a scheduler.
+/// Heartbeat of a scheduler. Fields have short names on the wire, because heartbeats are most of what
+/// idle schedulers send.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Beat {
     /// Name of the scheduler.
+    #[serde(rename = "n")]
     pub node: Arc<str>,
     /// Incarnation of the scheduler.
+    #[serde(rename = "i")]
     pub incarnation: u64,
     /// Shards for which the scheduler asks for support.
+    #[serde(rename = "c")]
     pub claims: Vec<(shard::Id, Epoch)>,
     /// Whether the sender regards the log as unreachable now.
+    #[serde(rename = "u")]
     pub log_unreachable: bool,
     /// Milliseconds since the sender last regarded the log as unreachable, or since its start if
     /// that is later and it can't tell.
+    #[serde(rename = "d")]
     pub log_doubt_age_ms: u64,
     /// Whether the scheduler is about to stop and takes no shards.
+    #[serde(rename = "s")]
     pub stopping: bool,
 }
 
@@ -221,14 +228,17 @@
     /// Reply to `Beat`.
     Supported {
         /// Claims of the heartbeat that the sender supports.
+        #[serde(rename = "c")]
         claims: Vec<(shard::Id, Epoch)>,
         /// Whether the sender regards the log as unreachable now.
+        #[serde(rename = "u")]
         log_unreachable: bool,
         /// As in [`Beat`].
+        #[serde(rename = "d")]
         log_doubt_age_ms: u64,
-        /// Schedulers that the sender heard of late.
-        #[serde(default)]
-        hears: Vec<Arc<str>>,
+        /// Schedulers that the sender has not heard of for so long that they may be down.
+        #[serde(default, rename = "x", skip_serializing_if = "Vec::is_empty")]
+        suspects: Vec<Arc<str>>,
     },
     /// Call, new owner to gateway: asks for grants of earlier epochs. Answered by `Outstanding`.
     Survey {
