--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -6,6 +6,7 @@
 use rosemaryworks_core::job::{Id, Spec, Status};
 use rosemaryworks_core::outcome::NotRun;
 use rosemaryworks_core::partition::Map;
+use rosemaryworks_core::placement::smallest;
 use rosemaryworks_core::shard::{self, Kind};
 use rosemaryworks_core::time::Instant;
 use rosemaryworks_node::clock;
@@ -41,7 +42,7 @@
     pool: &str,
     id: &str,
 ) -> Option<shard::Id> {
-    let limit = contract.pools.get(pool)?.smallest();
+    let limit = smallest(contract.pools.get(pool)?);
     partition.home(Kind::Pool, pool, &contract.name, id, limit)
 }
 
@@ -90,7 +91,8 @@
     }
 }
 
-/// Returns the status of a job, after its end or `wait_ms` at the latest.
+/// Returns the status of a job, after its end or `wait_ms` at the latest. Waits no longer while the
+/// gateway stops.
 pub(crate) async fn status(
     gateway: Gateway,
     shard: shard::Id,
@@ -109,10 +111,12 @@
         let timeout_ms = wait_ms + CALL_MS;
         let reply = call(&gateway, &shard, &message, timeout_ms, deadline, &mut false).await?;
         match reply {
-            Message::Told(status) if status.state.is_terminal() || clock::now() >= end => {
-                return Ok(Some(status));
+            Message::Told(status) => {
+                let ended = status.state.is_terminal() || clock::now() >= end;
+                if ended || gateway.is_stopping() {
+                    return Ok(Some(status));
+                }
             }
-            Message::Told(_) => {}
             Message::NoJob => return Ok(None),
             _ => return Err(Missing::Unknown),
         }
