--- a/xtask/src/cluster/settings.rs
+++ b/xtask/src/cluster/settings.rs
@@ -50,15 +50,29 @@
         ))
         .attach("known: avvolgi, dala")
     })?;
-    write(&deployment, &Ports::new(options.base_port), &options.folder)?;
+    let ports = Ports::new(options.base_port);
+    let standin = standin(&deployment, &ports, None);
+    write_all(&deployment, &ports, &options.folder, &standin)?;
     Ok(())
 }
 
-/// Writes all settings files of a deployment into `folder`.
+/// Writes all settings files of a deployment into `folder`, where the stand-in also writes its
+/// history.
 pub(crate) fn write(
     deployment: &Deployment,
     ports: &Ports,
     folder: &Path,
+) -> Result<Files, Report<Error>> {
+    let history = folder.join("platform.history.json");
+    let standin = standin(deployment, ports, Some(&history));
+    write_all(deployment, ports, folder, &standin)
+}
+
+fn write_all(
+    deployment: &Deployment,
+    ports: &Ports,
+    folder: &Path,
+    standin: &Value,
 ) -> Result<Files, Report<Error>> {
     let save = |name: &str, value: &Value| {
         let path = folder.join(format!("{name}.json"));
@@ -68,7 +82,7 @@
             .change_context_lazy(|| Error::new("write", path.display().to_string()))?;
         Ok::<_, Report<Error>>(path)
     };
-    let standin = save("standin", &standin(deployment, ports, folder))?;
+    let standin = save("standin", standin)?;
     let mut files = Files {
         standin,
         schedulers: Vec::new(),
@@ -138,7 +152,7 @@
     })
 }
 
-fn standin(deployment: &Deployment, ports: &Ports, folder: &Path) -> Value {
+fn standin(deployment: &Deployment, ports: &Ports, history: Option<&Path>) -> Value {
     let mut port = ports.workers();
     let mut take = |count: usize| {
         let first = port;
@@ -175,6 +189,6 @@
         "directory": { "address": address(ports.directory()) },
         "workers": workers,
         "instances": instances,
-        "history": folder.join("platform.history.json"),
+        "history": history,
     })
 }
