perf(core): spread the renewals of workers that were listed together

Cause: all workers of a new epoch reported in the same tick, so that freed capacity came in lumps every 2 s. Change: the second renewal of a worker comes after a random part of the period; at most 1,250 workers are synchronised per call.

--- a/crates/core/src/placement/link.rs
+++ b/crates/core/src/placement/link.rs
@@ -12,7 +12,7 @@
 use crate::timing::{LEASE_LAPSED_MS, LEASE_MS, LIST_MS, RENEW_MS};
 
 /// Workers synchronised per call; 25,000 workers every 2 s need 625 per 50 ms.
-const SYNCS_PER_CALL: usize = 2_000;
+const SYNCS_PER_CALL: usize = 1_250;
 /// Milliseconds between tries while a worker doesn't answer.
 const RETRY_MS: u64 = 1_000;
 /// Milliseconds of failures after which renewals stop, so that the leases lapse for sure.
@@ -112,6 +112,7 @@
         if worker.link.fenced {
             return;
         }
+        let first = !std::mem::replace(&mut worker.link.answered, true);
         worker.acknowledging.clear();
         worker.link.contact = now;
         worker.link.failing = None;
@@ -120,7 +121,12 @@
             worker.link.distrusted = None;
         }
         self.fleet.set_surveyed(slot);
-        self.fleet.wake_at(slot, (sent + RENEW_MS).max(now));
+        // Workers listed together must not all report at the same time.
+        let wait_ms = match first {
+            true => self.random.below(RENEW_MS),
+            false => RENEW_MS,
+        };
+        self.fleet.wake_at(slot, (sent + wait_ms).max(now));
         let freed = self.take_report(now, slot, sent, report);
         self.fleet.refresh(slot);
         if freed {
--- a/crates/core/src/placement/worker.rs
+++ b/crates/core/src/placement/worker.rs
@@ -32,6 +32,8 @@
     pub(crate) contact: Instant,
     /// When the first of the consecutive failures happened.
     pub(crate) failing: Option<Instant>,
+    /// Whether the worker answered a `Sync` of this epoch.
+    pub(crate) answered: bool,
     /// Whether the worker answered a `Sync` of this epoch, or its leases surely lapsed.
     pub(crate) surveyed: bool,
     /// Whether all leases surely lapsed because the worker couldn't be reached.
@@ -145,6 +147,7 @@
             outstanding: None,
             contact: epoch_start,
             failing: None,
+            answered: false,
             surveyed,
             lapsed: false,
             fenced: false,
