--- a/crates/core/src/routing/demand.rs
+++ b/crates/core/src/routing/demand.rs
@@ -10,7 +10,7 @@
 const FALL_WEIGHT: f64 = 0.05;
 
 /// Slots reserved beyond the mean demand, in standard deviations of a Poisson load.
-const DEVIATIONS: f64 = 3.0;
+const DEVIATIONS: f64 = 1.5;
 
 /// Greatest part of the slots that is reserved.
 const RESERVED_MAX: f64 = 0.75;
