--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -1,196 +1,24 @@
 //! Focused tests of the routing kernel, one failure each.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
-
-use rosemaryworks_core::contract::{Contract, Service};
-use rosemaryworks_core::job::Priority;
-use rosemaryworks_core::outcome::{Finish, NotRun, Request, Unknown};
-use rosemaryworks_core::partition::Map;
-use rosemaryworks_core::routing::{Ask, Event, Kernel, Key, Outstanding, Slot, Start, Step};
-use rosemaryworks_core::shard::Id;
-use rosemaryworks_core::target::{Instance, State};
-use rosemaryworks_core::time::Instant;
+#[path = "support/cell.rs"]
+mod cell;
+#[path = "support/host.rs"]
+mod host;
+
+use rosemaryworks_core::outcome::{Finish, NotRun, Unknown};
+use rosemaryworks_core::routing::{Event, Key, Outstanding, Start, Step};
+use rosemaryworks_core::target::State;
 use rosemaryworks_core::timing::{DEADLINE_MAX_MS, REPEAT_MS};
 
-const LEAVING: State = State::Leaving { within_ms: None };
-
-/// A kernel with one gateway `g` and the answers that it gave.
-struct Host {
-    kernel: Kernel,
-    now: u64,
-    next: u64,
-    steps: Vec<Step>,
-}
-
-fn start(clean: bool) -> Start {
-    let mut partition = Map::default();
-    partition.services.insert("booking".into(), 1);
-    Start {
-        shard: Id::service("booking", 0),
-        partition: Arc::new(partition),
-        gateways: vec!["g".into()],
-        remembered: Vec::new(),
-        doubt: false,
-        clean,
-    }
-}
-
-fn contract(name: &str, limits: Service) -> Event {
-    Event::Contract(Arc::new(Contract {
-        name: name.into(),
-        weight: 1,
-        keys: Vec::new(),
-        services: BTreeMap::from([("booking".into(), limits)]),
-        pools: BTreeMap::new(),
-        max_priority: Priority::Normal,
-        urgent_percent: 0,
-    }))
-}
-
-fn limits(rate: u32, concurrency: u32, queue: u32) -> Service {
-    Service {
-        rate,
-        burst: rate,
-        concurrency,
-        queue,
-    }
-}
-
-fn instance(name: &str, zone: &str) -> Instance {
-    Instance {
-        name: name.into(),
-        service: "booking".into(),
-        zone: zone.into(),
-        address: "127.0.0.1:1".parse().unwrap(),
-        slots: 8,
-        connections: 64,
-    }
-}
-
-fn listed(names: &[(&str, State)]) -> Event {
-    let zone = |name: &str| name[..1].to_owned();
-    let one = |(name, state): &(&str, State)| (instance(name, &zone(name)), *state);
-    Event::Listed(names.iter().map(one).collect())
-}
-
-fn request(id: &str) -> Request {
-    Request {
-        contract: "c".into(),
-        id: id.into(),
-    }
-}
-
-impl Host {
-    fn new(start: Start, instances: &[(&str, State)]) -> Self {
-        let mut host = Self {
-            kernel: Kernel::new(Instant(1_000_000), start),
-            now: 1_000_000,
-            next: 0,
-            steps: Vec::new(),
-        };
-        host.feed(contract("c", limits(1_000, 1_000, 1_000)));
-        host.feed(listed(instances));
-        host
-    }
-
-    fn feed(&mut self, event: Event) -> Vec<Step> {
-        self.steps = self.kernel.handle(Instant(self.now), event);
-        self.steps.clone()
-    }
-
-    fn wait(&mut self, millis: u64) -> Vec<Step> {
-        let mut steps = Vec::new();
-        let end = self.now + millis;
-        while self.now < end {
-            self.now = end.min(self.now + 20);
-            steps.extend(self.feed(Event::Tick));
-        }
-        steps
-    }
-
-    fn key(&mut self) -> Key {
-        self.next += 1;
-        Key {
-            gateway: "g".into(),
-            number: self.next,
-        }
-    }
-
-    fn ask(&mut self, id: &str, idempotent: bool) -> (Key, Vec<Step>) {
-        self.ask_with(id, idempotent, 10_000, &[])
-    }
-
-    fn ask_with(
-        &mut self,
-        id: &str,
-        idempotent: bool,
-        remaining_ms: u64,
-        exclude: &[&str],
-    ) -> (Key, Vec<Step>) {
-        let key = self.key();
-        let steps = self.feed(Event::Ask(Ask {
-            key: key.clone(),
-            request: request(id),
-            idempotent,
-            attempt: None,
-            remaining_ms,
-            exclude: exclude.iter().map(|name| (*name).into()).collect(),
-        }));
-        (key, steps)
-    }
-
-    fn grants(&mut self, count: usize) -> Vec<(Slot, Arc<str>)> {
-        (0..count)
-            .filter_map(|_| granted(&self.ask("id", true).1))
-            .collect()
-    }
-
-    fn finish(&mut self, slot: Slot, finish: Finish, run_ms: u64) -> Vec<Step> {
-        self.feed(Event::Finished {
-            slot,
-            finish,
-            run_ms,
-        })
-    }
-
-    fn occupied(&mut self, name: &str, busy: Option<u32>) -> Vec<Step> {
-        let instance = name.into();
-        self.feed(Event::Occupied { instance, busy })
-    }
-
-    fn taken(&self, name: &str) -> u32 {
-        let targets = self.kernel.targets();
-        let target = targets.iter().find(|target| &*target.name == name);
-        target.map_or(0, |target| target.taken)
-    }
-}
-
-fn granted(steps: &[Step]) -> Option<(Slot, Arc<str>)> {
-    steps.iter().find_map(|step| match step {
-        Step::Grant { slot, instance, .. } => Some((*slot, instance.name.clone())),
-        _ => None,
-    })
-}
-
-fn refused(steps: &[Step]) -> Option<NotRun> {
-    steps.iter().find_map(|step| match step {
-        Step::Refuse { reason, .. } => Some(reason.clone()),
-        _ => None,
-    })
-}
+use cell::{contract, request, start};
+use host::{Host, granted, limits, listed, refused, unsure};
 
-fn unsure(steps: &[Step]) -> Option<Unknown> {
-    steps.iter().find_map(|step| match step {
-        Step::Unsure { reason, .. } => Some(reason.clone()),
-        _ => None,
-    })
-}
+const LEAVING: State = State::Leaving { within_ms: None };
 
 /// Guards against a ninth request at an instance with 8 slots, and a slot not reused when free.
 #[test]
 fn a_full_instance_gets_the_next_request_when_a_slot_is_free() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let slots = host.grants(9);
     assert_eq!(slots.len(), 8);
     let steps = host.finish(slots[0].0, Finish::Answered, 20);
@@ -200,7 +28,7 @@
 /// Guards against a lost request's slot being reused while the instance may still run it.
 #[test]
 fn a_lost_slot_stays_taken_until_the_instance_reports_it_free() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let slots = host.grants(8);
     let steps = host.finish(slots[0].0, Finish::Lost, 20);
     assert!(steps.contains(&Step::Probe("a1".into())));
@@ -217,7 +45,7 @@
 /// Guards against a lost slot that is never freed when the instance can't tell its occupancy.
 #[test]
 fn a_lost_slot_is_free_after_the_longest_deadline() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let slots = host.grants(1);
     host.finish(slots[0].0, Finish::Lost, 20);
     host.wait(DEADLINE_MAX_MS - 100);
@@ -229,7 +57,7 @@
 /// Guards against grants to an instance whose connections fail.
 #[test]
 fn an_instance_with_failed_connections_waits_for_a_probe() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let slots = host.grants(1);
     host.finish(slots[0].0, Finish::NotSent, 0);
     assert_eq!(granted(&host.ask("x", true).1), None);
@@ -240,7 +68,7 @@
 /// Guards against an instance that can't tell its occupancy staying out of use for ever.
 #[test]
 fn an_instance_that_cannot_tell_is_tried_with_one_request() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let slots = host.grants(1);
     host.finish(slots[0].0, Finish::NotSent, 0);
     host.occupied("a1", None);
@@ -254,7 +82,7 @@
 /// Guards against new work on a leaving instance, also for a slot reserved before the notice.
 #[test]
 fn a_leaving_instance_gets_no_grant() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let (key, _) = host.ask("x", false);
     host.feed(listed(&[("a1", LEAVING), ("b1", State::Live)]));
     let steps = host.feed(Event::Intended(key));
@@ -266,7 +94,7 @@
 /// Guards against a second dispatch of a non-idempotent request.
 #[test]
 fn an_intended_id_is_never_granted_again() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let (key, steps) = host.ask("x", false);
     assert!(matches!(steps[..], [Step::Intend { .. }]));
     let again = host.ask("x", false).1;
@@ -281,7 +109,7 @@
 /// Guards against an id that stays blocked although its intent was never stored.
 #[test]
 fn a_failed_intent_leaves_the_id_fresh() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let (key, _) = host.ask("x", false);
     let steps = host.feed(Event::IntentFailed(key));
     assert_eq!(refused(&steps), Some(NotRun::LogUnavailable));
@@ -293,7 +121,7 @@
 /// Guards against two queued asks of one id both being dispatched.
 #[test]
 fn of_two_queued_asks_of_one_id_one_is_dispatched() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let slots = host.grants(8);
     host.ask("x", false);
     host.ask("x", false);
@@ -305,7 +133,7 @@
 /// Guards against a grant after a withdrawal, a leaked slot and a forgotten id.
 #[test]
 fn a_withdrawn_ask_is_not_granted_and_its_slot_is_free() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let (key, _) = host.ask("x", false);
     host.feed(Event::Withdrawn(key.clone()));
     assert_eq!(host.taken("a1"), 0);
@@ -322,7 +150,7 @@
 /// with the same number.
 #[test]
 fn a_reused_number_is_not_granted_by_the_intent_of_the_former_ask() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let (key, _) = host.ask("x", false);
     host.feed(Event::GatewayLost("g".into()));
     host.next = 0;
@@ -334,16 +162,16 @@
 /// Guards against callers waiting for an answer that can't come in time.
 #[test]
 fn an_ask_that_cannot_meet_its_deadline_is_refused_at_once() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     for _ in 0..20 {
         let slots = host.grants(1);
         host.wait(100);
         host.finish(slots[0].0, Finish::Answered, 100);
     }
     host.grants(8);
-    let steps = host.ask_with("x", true, 50, &[]).1;
+    let steps = host.ask_with(request("c", "x"), true, 50, &[]).1;
     assert_eq!(refused(&steps), Some(NotRun::Deadline));
-    let (key, steps) = host.ask_with("x", true, 400, &[]);
+    let (key, steps) = host.ask_with(request("c", "x"), true, 400, &[]);
     assert_eq!(steps, Vec::new());
     let reason = NotRun::Deadline;
     assert!(host.wait(401).contains(&Step::Refuse { key, reason }));
@@ -352,7 +180,7 @@
 /// Guards against a contract that holds more slots than its concurrency, or queues more asks.
 #[test]
 fn concurrency_and_queue_are_bounded() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     host.feed(contract("c", limits(1_000, 2, 1)));
     assert_eq!(host.grants(2).len(), 2);
     assert_eq!(host.ask("x", true).1, Vec::new());
@@ -362,7 +190,7 @@
 /// Guards against a contract that exceeds its rate.
 #[test]
 fn the_rate_is_bounded() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     host.feed(contract("c", limits(4, 100, 0)));
     assert_eq!(host.grants(6).len(), 4);
     assert_eq!(refused(&host.ask("x", true).1), Some(NotRun::Rate));
@@ -373,29 +201,23 @@
 /// Guards against requests without a contract for the service.
 #[test]
 fn an_unknown_contract_is_refused() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
-    let key = host.key();
-    let steps = host.feed(Event::Ask(Ask {
-        key,
-        request: Request {
-            contract: "other".into(),
-            id: "x".into(),
-        },
-        idempotent: true,
-        attempt: None,
-        remaining_ms: 1_000,
-        exclude: Vec::new(),
-    }));
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
+    let steps = host.ask_with(request("other", "x"), true, 1_000, &[]).1;
     assert_eq!(refused(&steps), Some(NotRun::NotInContract));
 }
 
 /// Guards against a retry at the instance that failed, and an availability zone left out.
 #[test]
 fn instances_are_excluded_and_zones_take_turns() {
-    let mut host = Host::new(start(true), &[("a1", State::Live), ("b1", State::Live)]);
-    let steps = host.ask_with("x", true, 1_000, &["a1"]).1;
+    let mut host = Host::new(
+        start(true, &["g"]),
+        &[("a1", State::Live), ("b1", State::Live)],
+    );
+    let steps = host.ask_with(request("c", "x"), true, 1_000, &["a1"]).1;
     assert_eq!(granted(&steps).unwrap().1, "b1".into());
-    let steps = host.ask_with("x", true, 1_000, &["a1", "b1"]).1;
+    let steps = host
+        .ask_with(request("c", "x"), true, 1_000, &["a1", "b1"])
+        .1;
     assert_eq!(refused(&steps), Some(NotRun::NoInstance));
     host.grants(3);
     assert_eq!((host.taken("a1"), host.taken("b1")), (2, 2));
@@ -404,7 +226,7 @@
 /// Guards against grants before a new owner knows what runs at an instance.
 #[test]
 fn a_new_owner_waits_for_the_occupancy() {
-    let mut host = Host::new(start(false), &[("a1", State::Live)]);
+    let mut host = Host::new(start(false, &["g"]), &[("a1", State::Live)]);
     assert_eq!(host.steps, vec![Step::Probe("a1".into())]);
     assert_eq!(host.grants(1), Vec::new());
     let steps = host.occupied("a1", Some(6));
@@ -415,14 +237,14 @@
 /// Guards against slots freed too early, or never, when instances can't tell their occupancy.
 #[test]
 fn unaccounted_slots_are_held_unless_every_gateway_answers() {
-    let mut silent = Host::new(start(false), &[("a1", State::Live)]);
+    let mut silent = Host::new(start(false, &["g"]), &[("a1", State::Live)]);
     silent.occupied("a1", None);
     silent.wait(DEADLINE_MAX_MS - 100);
     assert_eq!(silent.grants(1), Vec::new());
     silent.wait(200);
     assert_eq!(silent.grants(1).len(), 1);
 
-    let mut host = Host::new(start(false), &[("a1", State::Live)]);
+    let mut host = Host::new(start(false, &["g"]), &[("a1", State::Live)]);
     host.occupied("a1", None);
     host.feed(Event::Surveyed {
         gateway: "g".into(),
@@ -442,7 +264,7 @@
             gateway: "g".into(),
             number: 1_000 + number,
         },
-        request: request(&format!("o{number}")),
+        request: request("c", &format!("o{number}")),
         idempotent: false,
         instance: "a1".into(),
     }
@@ -451,7 +273,7 @@
 /// Guards against slots that stay lost after a takeover in which everything was accounted for.
 #[test]
 fn requests_of_earlier_epochs_are_not_counted_twice() {
-    let mut host = Host::new(start(false), &[("a1", State::Live)]);
+    let mut host = Host::new(start(false, &["g"]), &[("a1", State::Live)]);
     host.feed(Event::Surveyed {
         gateway: "g".into(),
         outstanding: (0..4).map(outstanding).collect(),
@@ -466,8 +288,8 @@
 fn doubt_makes_non_idempotent_requests_unknown() {
     let doubt = Start {
         doubt: true,
-        remembered: vec![(request("old"), 1_000)],
-        ..start(true)
+        remembered: vec![(request("c", "old"), 1_000)],
+        ..start(true, &["g"])
     };
     let mut host = Host::new(doubt, &[("a1", State::Live)]);
     assert_eq!(unsure(&host.ask("x", false).1), Some(Unknown::Takeover));
@@ -482,7 +304,7 @@
 /// Guards against slots of a dead gateway being reused while its requests run.
 #[test]
 fn slots_of_a_lost_gateway_stay_taken() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let slots = host.grants(8);
     host.ask("queued", true);
     host.feed(Event::GatewayLost("g".into()));
@@ -500,39 +322,21 @@
 /// Guards against long requests taking every slot while short ones wait.
 #[test]
 fn long_requests_leave_slots_to_short_ones() {
-    let mut host = Host::new(start(true), &[("a1", State::Live)]);
+    let long = |host: &mut Host| host.ask_with(request("long", "x"), true, 60_000, &[]).1;
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     host.feed(contract("long", limits(1_000, 1_000, 1_000)));
     for run_ms in [10, 10, 10, 10, 10, 10, 10, 10, 10, 10] {
         let slot = host.grants(1)[0].0;
         host.finish(slot, Finish::Answered, run_ms);
-        let slot = host.ask_long().unwrap();
+        let slot = granted(&long(&mut host)).unwrap().0;
         host.finish(slot, Finish::Answered, 1_000);
     }
     host.wait(40);
-    let taken = (0..8).filter_map(|_| host.ask_long()).count();
+    let taken = (0..8).filter_map(|_| granted(&long(&mut host))).count();
     assert!(taken < 8, "long requests took all slots");
     assert_eq!(host.grants(1).len(), 1);
 }
 
-impl Host {
-    fn ask_long(&mut self) -> Option<Slot> {
-        let key = self.key();
-        let request = Request {
-            contract: "long".into(),
-            id: "x".into(),
-        };
-        let steps = self.feed(Event::Ask(Ask {
-            key,
-            request,
-            idempotent: true,
-            attempt: None,
-            remaining_ms: 60_000,
-            exclude: Vec::new(),
-        }));
-        granted(&steps).map(|(slot, _)| slot)
-    }
-}
-
 /// Guards against a request being forgotten that its gateway lost, or whose gateway was replaced,
 /// before the gateway answered the survey. Found by random event orders.
 #[test]
@@ -542,7 +346,7 @@
         finish: Finish::Lost,
     };
     for event in [lost, Event::GatewayLost("g".into())] {
-        let mut host = Host::new(start(false), &[("a1", State::Live)]);
+        let mut host = Host::new(start(false, &["g"]), &[("a1", State::Live)]);
         host.feed(event);
         host.occupied("a1", None);
         host.feed(Event::Surveyed {
--- a/crates/core/tests/routing_random.rs
+++ b/crates/core/tests/routing_random.rs
@@ -1,19 +1,24 @@
 //! Random event orders against a small fake of instances, gateways and the log.
 
+#[path = "support/cell.rs"]
+mod cell;
+#[path = "support/grant.rs"]
+mod grant;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use quickcheck::{Gen, QuickCheck};
-use rosemaryworks_core::contract::{Contract, Service};
-use rosemaryworks_core::job::Priority;
+use rosemaryworks_core::contract::Service;
 use rosemaryworks_core::outcome::{Finish, Request};
-use rosemaryworks_core::partition::Map;
 use rosemaryworks_core::routing::{Ask, Event, Kernel, Key, Outstanding, Slot, Start, Step};
-use rosemaryworks_core::shard::Id;
-use rosemaryworks_core::target::{Instance, State};
+use rosemaryworks_core::target::State;
 use rosemaryworks_core::time::Instant;
 use rosemaryworks_core::timing::{DEADLINE_MAX_MS, GRANT_VALID_MS, REMEMBER_MS, REPEAT_MS};
 
+use cell::{contract, instance, request, start};
+use grant::Grant;
+
 const SLOTS: u32 = 3;
 const LIMITS: Service = Service {
     rate: 40,
@@ -28,24 +33,6 @@
 const INSTANCES: [&str; 2] = ["i0", "i1"];
 const GATEWAYS: [&str; 3] = ["g0", "g1", "g2"];
 
-/// A grant as its gateway and instance see it.
-#[derive(Clone, Debug)]
-struct Grant {
-    key: Key,
-    slot: Slot,
-    epoch: u64,
-    request: Request,
-    idempotent: bool,
-    instance: Arc<str>,
-    granted: u64,
-    started: Option<u64>,
-    ended: Option<u64>,
-    /// Whether the gateway will still report on the grant.
-    reports: bool,
-    /// Whether the owner knows that the gateway holds the grant.
-    linked: bool,
-}
-
 /// The fake cell.
 struct World {
     now: u64,
@@ -68,16 +55,11 @@
 }
 
 fn kernel(now: u64, clean: bool, doubt: bool, logged: &[(Request, u64)]) -> Kernel {
-    let mut partition = Map::default();
-    partition.services.insert("s".into(), 1);
     let age = |(request, at): &(Request, u64)| (request.clone(), now - at);
     let start = Start {
-        shard: Id::service("s", 0),
-        partition: Arc::new(partition),
-        gateways: GATEWAYS.map(Into::into).to_vec(),
         remembered: logged.iter().map(age).collect(),
         doubt,
-        clean,
+        ..start(clean, &GATEWAYS)
     };
     Kernel::new(Instant(now), start)
 }
@@ -108,31 +90,13 @@
 
     fn configure(&mut self) {
         for name in ["a", "b"] {
-            self.feed(Event::Contract(Arc::new(Contract {
-                name: name.into(),
-                weight: 1,
-                keys: Vec::new(),
-                services: BTreeMap::from([("s".into(), LIMITS)]),
-                pools: BTreeMap::new(),
-                max_priority: Priority::Normal,
-                urgent_percent: 0,
-            })));
+            self.feed(contract(name, LIMITS));
         }
         self.list();
     }
 
     fn list(&mut self) {
-        let one = |(name, state): (&Arc<str>, &State)| {
-            let instance = Instance {
-                name: name.clone(),
-                service: "s".into(),
-                zone: "z".into(),
-                address: "127.0.0.1:1".parse().unwrap(),
-                slots: SLOTS,
-                connections: 64,
-            };
-            (instance, *state)
-        };
+        let one = |(name, state): (&Arc<str>, &State)| (instance(name, SLOTS), *state);
         let list = self.states.iter().map(one).collect();
         self.feed(Event::Listed(list));
     }
@@ -224,10 +188,7 @@
             number: self.numbers[gateway],
         };
         let idempotent = value.is_multiple_of(2);
-        let request = Request {
-            contract: if pick < 128 { "a" } else { "b" }.into(),
-            id: self.id(value).into(),
-        };
+        let request = request(if pick < 128 { "a" } else { "b" }, &self.id(value));
         self.open.insert(key.clone(), (request.clone(), idempotent));
         self.feed(Event::Ask(Ask {
             key,
@@ -265,7 +226,7 @@
         let now = self.now;
         for grant in &mut self.grants {
             let old = now.saturating_sub(grant.granted) + 2_000 >= DEADLINE_MAX_MS;
-            if grant.started.is_some() && grant.ended.is_none() && old {
+            if grant.is_running() && old {
                 grant.ended = Some(now);
             }
         }
@@ -319,14 +280,12 @@
     }
 
     fn busy(&self, instance: &str) -> u32 {
-        let runs = |g: &&Grant| g.started.is_some() && g.ended.is_none();
         let here = self.grants.iter().filter(|g| &*g.instance == instance);
-        here.filter(runs).count() as u32
+        here.filter(|g| g.is_running()).count() as u32
     }
 
     fn end(&mut self, pick: u8) {
-        let runs = |g: &Grant| g.started.is_some() && g.ended.is_none();
-        if let Some(at) = self.pick(pick, runs) {
+        if let Some(at) = self.pick(pick, Grant::is_running) {
             self.grants[at].ended = Some(self.now);
         }
     }
@@ -363,7 +322,7 @@
 
     /// The connection breaks; the instance goes on.
     fn lose(&mut self, pick: u8, value: u16) {
-        let runs = |g: &Grant| g.reports && g.started.is_some() && g.ended.is_none();
+        let runs = |g: &Grant| g.reports && g.is_running();
         let Some(at) = self.pick(pick, runs).filter(|_| value.is_multiple_of(2)) else {
             return;
         };
--- /dev/null
+++ b/crates/core/tests/support/grant.rs
@@ -0,0 +1,30 @@
+//! Grants in the fake cell.
+
+use std::sync::Arc;
+
+use rosemaryworks_core::outcome::Request;
+use rosemaryworks_core::routing::{Key, Slot};
+
+/// A grant as its gateway and instance see it.
+#[derive(Clone, Debug)]
+pub(crate) struct Grant {
+    pub(crate) key: Key,
+    pub(crate) slot: Slot,
+    pub(crate) epoch: u64,
+    pub(crate) request: Request,
+    pub(crate) idempotent: bool,
+    pub(crate) instance: Arc<str>,
+    pub(crate) granted: u64,
+    pub(crate) started: Option<u64>,
+    pub(crate) ended: Option<u64>,
+    /// Whether the gateway will still report on the grant.
+    pub(crate) reports: bool,
+    /// Whether the owner knows that the gateway holds the grant.
+    pub(crate) linked: bool,
+}
+
+impl Grant {
+    pub(crate) fn is_running(&self) -> bool {
+        self.started.is_some() && self.ended.is_none()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/support/host.rs
@@ -0,0 +1,139 @@
+//! A host of one kernel with one gateway.
+
+use std::sync::Arc;
+
+use rosemaryworks_core::contract::Service;
+use rosemaryworks_core::outcome::{Finish, NotRun, Request, Unknown};
+use rosemaryworks_core::routing::{Ask, Event, Kernel, Key, Slot, Start, Step};
+use rosemaryworks_core::target::State;
+use rosemaryworks_core::time::Instant;
+
+use crate::cell::{contract, instance, request};
+
+/// A kernel with one gateway `g` and the answers that it gave.
+pub(crate) struct Host {
+    pub(crate) kernel: Kernel,
+    now: u64,
+    pub(crate) next: u64,
+    pub(crate) steps: Vec<Step>,
+}
+
+pub(crate) fn limits(rate: u32, concurrency: u32, queue: u32) -> Service {
+    Service {
+        rate,
+        burst: rate,
+        concurrency,
+        queue,
+    }
+}
+
+pub(crate) fn listed(names: &[(&str, State)]) -> Event {
+    let one = |(name, state): &(&str, State)| (instance(name, 8), *state);
+    Event::Listed(names.iter().map(one).collect())
+}
+
+impl Host {
+    pub(crate) fn new(start: Start, instances: &[(&str, State)]) -> Self {
+        let mut host = Self {
+            kernel: Kernel::new(Instant(1_000_000), start),
+            now: 1_000_000,
+            next: 0,
+            steps: Vec::new(),
+        };
+        host.feed(contract("c", limits(1_000, 1_000, 1_000)));
+        host.feed(listed(instances));
+        host
+    }
+
+    pub(crate) fn feed(&mut self, event: Event) -> Vec<Step> {
+        self.steps = self.kernel.handle(Instant(self.now), event);
+        self.steps.clone()
+    }
+
+    pub(crate) fn wait(&mut self, millis: u64) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let end = self.now + millis;
+        while self.now < end {
+            self.now = end.min(self.now + 20);
+            steps.extend(self.feed(Event::Tick));
+        }
+        steps
+    }
+
+    pub(crate) fn key(&mut self) -> Key {
+        self.next += 1;
+        Key {
+            gateway: "g".into(),
+            number: self.next,
+        }
+    }
+
+    pub(crate) fn ask(&mut self, id: &str, idempotent: bool) -> (Key, Vec<Step>) {
+        self.ask_with(request("c", id), idempotent, 10_000, &[])
+    }
+
+    pub(crate) fn ask_with(
+        &mut self,
+        request: Request,
+        idempotent: bool,
+        remaining_ms: u64,
+        exclude: &[&str],
+    ) -> (Key, Vec<Step>) {
+        let key = self.key();
+        let steps = self.feed(Event::Ask(Ask {
+            key: key.clone(),
+            request,
+            idempotent,
+            attempt: None,
+            remaining_ms,
+            exclude: exclude.iter().map(|name| (*name).into()).collect(),
+        }));
+        (key, steps)
+    }
+
+    pub(crate) fn grants(&mut self, count: usize) -> Vec<(Slot, Arc<str>)> {
+        (0..count)
+            .filter_map(|_| granted(&self.ask("id", true).1))
+            .collect()
+    }
+
+    pub(crate) fn finish(&mut self, slot: Slot, finish: Finish, run_ms: u64) -> Vec<Step> {
+        self.feed(Event::Finished {
+            slot,
+            finish,
+            run_ms,
+        })
+    }
+
+    pub(crate) fn occupied(&mut self, name: &str, busy: Option<u32>) -> Vec<Step> {
+        let instance = name.into();
+        self.feed(Event::Occupied { instance, busy })
+    }
+
+    pub(crate) fn taken(&self, name: &str) -> u32 {
+        let targets = self.kernel.targets();
+        let target = targets.iter().find(|target| &*target.name == name);
+        target.map_or(0, |target| target.taken)
+    }
+}
+
+pub(crate) fn granted(steps: &[Step]) -> Option<(Slot, Arc<str>)> {
+    steps.iter().find_map(|step| match step {
+        Step::Grant { slot, instance, .. } => Some((*slot, instance.name.clone())),
+        _ => None,
+    })
+}
+
+pub(crate) fn refused(steps: &[Step]) -> Option<NotRun> {
+    steps.iter().find_map(|step| match step {
+        Step::Refuse { reason, .. } => Some(reason.clone()),
+        _ => None,
+    })
+}
+
+pub(crate) fn unsure(steps: &[Step]) -> Option<Unknown> {
+    steps.iter().find_map(|step| match step {
+        Step::Unsure { reason, .. } => Some(reason.clone()),
+        _ => None,
+    })
+}
