--- a/crates/core/src/placement/pick.rs
+++ b/crates/core/src/placement/pick.rs
@@ -10,8 +10,6 @@
 use crate::size::Size;
 use crate::time::Instant;
 
-/// Learned run time from which work is long, in milliseconds.
-const LONG_MS: u64 = 60_000;
 /// Milliseconds between attempts to place a gang that found no room.
 const GANG_RETRY_MS: u64 = 500;
 /// Milliseconds in the queue during which a task keeps off the workers on which it failed.
@@ -50,10 +48,12 @@
 
 /// What a job's tasks need.
 #[derive(Clone, Copy, Debug)]
-struct Need {
+pub(crate) struct Need {
     kind: Kind,
-    size: Size,
-    long: bool,
+    pub(crate) size: Size,
+    /// Expected run time in milliseconds.
+    pub(crate) run_ms: u64,
+    pub(crate) long: bool,
     backfill: bool,
     urgent: bool,
     account: usize,
@@ -97,13 +97,18 @@
         let job = self.book.get(serial)?;
         let size = self.charge_of(serial);
         let run_ms = self.expected_ms(serial);
-        let long = job.spec.kind == Kind::Service || run_ms >= LONG_MS;
+        let urgent = job.spec.priority == Priority::Urgent;
+        // A declared run time may be wrong, so that only learned ones open the closed share.
+        let known = urgent || self.learned.knows_run(job.group);
+        let service = job.spec.kind == Kind::Service;
+        let long = service || !known || run_ms >= self.mix.long_ms();
         Some(Need {
             kind: job.spec.kind,
             size,
+            run_ms,
             long: long && self.fleet.open_can_hold(&size),
-            backfill: !long && self.may_backfill(now, serial, run_ms),
-            urgent: job.spec.priority == Priority::Urgent,
+            backfill: urgent || (!long && self.may_backfill(now, run_ms)),
+            urgent,
             account: job.account,
         })
     }
@@ -118,7 +123,8 @@
         if !self.accounts.all[need.account].allows(&need.size, need.urgent) {
             return Outcome::Limited;
         }
-        if misses.contains(need.kind, need.long, &need.size) {
+        let reserved = self.has_reservation(serial);
+        if !reserved && misses.contains(need.kind, need.long, &need.size) {
             return Outcome::NoRoom;
         }
         let Some(index) = self.first_waiting(serial) else {
@@ -126,13 +132,16 @@
         };
         let key = Key { serial, index };
         let Some(slot) = self.pick(now, key, need) else {
-            if self.avoided(key).is_empty() && !need.backfill {
+            if self.avoided(key).is_empty() && (!need.backfill || need.urgent) {
                 misses.add(need.kind, need.long, &need.size);
             }
+            self.mix.starved |= !need.long;
+            self.mix.long_waits |= need.long;
+            self.consider_reservation(now, serial, need);
             return Outcome::NoRoom;
         };
         self.withdraw_first(serial);
-        self.grant(now, key, slot, need.size);
+        self.grant(now, key, slot, need);
         Outcome::Placed(1)
     }
 
@@ -156,7 +165,7 @@
             return Outcome::NoRoom;
         }
         let Some(slots) = self.pick_all(now, serial, &tasks, need) else {
-            self.defer_gang(now, serial);
+            self.defer_gang(now, serial, need);
             return Outcome::NoRoom;
         };
         self.drop_reservation(serial);
@@ -166,7 +175,7 @@
                 index: *index,
             };
             self.withdraw_first(serial);
-            self.grant(now, key, slot, need.size);
+            self.grant(now, key, slot, need);
         }
         Outcome::Placed(tasks.len())
     }
@@ -217,6 +226,10 @@
                 &none
             },
         };
+        let reserved = self.pick_reserved(key.serial, &need.size, ask.avoid);
+        if reserved.is_some() {
+            return reserved;
+        }
         let policy = self.policy.of(need.kind);
         let found = policy.pick(&self.fleet, &ask, &mut self.random);
         if found.is_some() || ask.avoid.is_empty() {
@@ -251,10 +264,10 @@
         }
     }
 
-    fn defer_gang(&mut self, now: Instant, serial: Serial) {
+    fn defer_gang(&mut self, now: Instant, serial: Serial, need: &Need) {
         if let Some(job) = self.book.get_mut(serial) {
             job.retry = now + GANG_RETRY_MS;
         }
-        self.consider_reservation(now, serial);
+        self.consider_reservation(now, serial, need);
     }
 }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -115,8 +115,8 @@
         let reason = match reason {
             Unknown::AlreadyDispatched => "already-dispatched",
             Unknown::Deadline => "deadline",
-            Unknown::InstanceLost => "instance-lost",
             Unknown::InstanceRefused => "instance-refused",
+            Unknown::InstanceLost => "instance-lost",
             Unknown::NoOwner => "no-owner",
             Unknown::Takeover => "takeover",
         };
--- a/crates/scheduler/src/service.rs
+++ b/crates/scheduler/src/service.rs
@@ -84,6 +84,10 @@
         let (sender, receiver) = oneshot::channel();
         lock(&self.state).waiting.insert(key.clone(), sender);
         self.feed(Event::Ask(ask));
+        if !self.tenure.holds() {
+            // The support may have ended after the asks in waiting were answered.
+            self.suspend();
+        }
         match tokio::time::timeout(patience, receiver).await {
             Ok(Ok(verdict)) => self.checked(verdict, received),
             // A later ask with the same key took this one's place.
@@ -158,8 +162,8 @@
     /// Answers every waiting ask: this process doesn't own the shard at the moment.
     pub(crate) fn suspend(self: &Arc<Self>) {
         let waiting = std::mem::take(&mut lock(&self.state).waiting);
-        for (key, sender) in waiting {
-            let _ = sender.send(self.not_owner());
+        for (key, waiting) in waiting {
+            let _ = waiting.send(self.not_owner());
             self.feed(Event::Withdrawn(key));
         }
     }
