feat(xtask): measure the routing kernel's time per event

Cause: the kernel must decide on tens of thousands of asks a second, and the crest scenario showed one size of shard only.

Change: scenario routing-speed with up to 192 instances and 180 contracts.

--- a/xtask/src/measure/routing.rs
+++ b/xtask/src/measure/routing.rs
@@ -10,11 +10,12 @@
 mod kernel;
 mod load;
 mod sim;
+mod speed;
 
 use std::fmt;
 
 /// Names of the scenarios.
-pub(crate) const NAMES: [&str; 3] = ["crest", "blocking", "fairness"];
+pub(crate) const NAMES: [&str; 4] = ["crest", "blocking", "fairness", "routing-speed"];
 
 /// Seeds per scenario.
 const SEEDS: u64 = 5;
@@ -53,6 +54,7 @@
         "blocking" => ("blocking", blocking::figures),
         "crest" => ("crest", crest::figures),
         "fairness" => ("fairness", fairness::figures),
+        "routing-speed" => ("speed", speed::figures),
         _ => return Vec::new(),
     };
     let runs = run_seeds(seed, figures);
--- a/xtask/src/measure/routing/crest.rs
+++ b/xtask/src/measure/routing/crest.rs
@@ -41,8 +41,6 @@
     }
     let mut router = Routing::new(INSTANCES, &[1]);
     figures.extend(served("kernel", &go(&mut router, None, seed)));
-    let micros = router.spent.as_secs_f64() * 1e6 / router.events as f64;
-    figures.push(("microseconds per event".into(), "kernel".into(), micros));
     for (policy, budget) in [("budget 10%", Some(0.1)), ("no budget", None)] {
         let faults = Faults {
             instances: INSTANCES / 2,
--- /dev/null
+++ b/xtask/src/measure/routing/speed.rs
@@ -0,0 +1,44 @@
+//! Time that the kernel takes per event, by size of the shard.
+
+use super::Figure;
+use super::kernel::Routing;
+use super::load::{self, Stream};
+use super::sim::{self, SLOTS};
+
+const RUN_MS: f64 = 50.0;
+const SECONDS: f64 = 10.0;
+
+/// Instances and contracts.
+const SIZES: [(usize, usize); 3] = [(12, 10), (48, 180), (192, 180)];
+
+fn flat(_: f64) -> f64 {
+    1.0
+}
+
+/// Measures one seed.
+pub(crate) fn figures(seed: u64) -> Vec<Figure> {
+    let cases = SIZES.iter().flat_map(|size| [(*size, 0.8), (*size, 1.5)]);
+    let figure = |((instances, contracts), load)| {
+        let metric = format!("{instances} instances, {contracts} contracts, load {load}: us/event");
+        let micros = micros(instances, contracts, load, seed);
+        (metric, "kernel".into(), micros)
+    };
+    cases.map(figure).collect()
+}
+
+fn micros(instances: usize, contracts: usize, load: f64, seed: u64) -> f64 {
+    let capacity = (instances * SLOTS) as f64 / (RUN_MS * load::mean_factor() / 1e3);
+    let stream = |contract| Stream {
+        contract,
+        rate: flat,
+        scale: load * capacity / contracts as f64,
+        run_ms: RUN_MS,
+        stragglers: 0.0,
+        deadline_ms: 2_000,
+    };
+    let streams: Vec<_> = (0..contracts).map(stream).collect();
+    let jobs = load::generate(seed, &streams, SECONDS);
+    let mut router = Routing::new(instances, &vec![1; contracts]);
+    sim::run(&mut router, jobs, None, seed);
+    router.spent.as_secs_f64() * 1e6 / router.events as f64
+}
