--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -69,6 +69,7 @@
         Box::new(routing::CREST),
         Box::new(routing::BLOCKING),
         Box::new(routing::FAIRNESS),
+        Box::new(routing::SPEED),
     ]
 }
 
--- a/xtask/src/measure/routing.rs
+++ b/xtask/src/measure/routing.rs
@@ -10,6 +10,7 @@
 mod kernel;
 mod load;
 mod sim;
+mod speed;
 
 use super::Scenario;
 use super::table::Row;
@@ -48,11 +49,23 @@
     figures: fairness::figures,
 };
 
+/// Time of the routing kernel per event.
+pub(crate) const SPEED: Routing = Routing {
+    name: SPEED_NAME,
+    figures: speed::figures,
+};
+
+const SPEED_NAME: &str = "routing-speed";
+
 impl Scenario for Routing {
     fn name(&self) -> &'static str {
         self.name
     }
 
+    fn is_timed(&self) -> bool {
+        self.name == SPEED_NAME
+    }
+
     fn run(&self, seed: u64) -> Vec<Row> {
         rows(&(self.figures)(seed))
     }
