fix(gateway): a missing attempt number proves nothing, and stops come to an end

- An idempotent request without attempt numbers whose third attempt was told not-run while the second ran.
The gateway took a missing number on an idempotent request for the first attempt.
Callers repeat such requests without numbers, so only rosemary-attempt: 1 marks the first attempt now.
- A gateway that never stopped, because callers kept polling the wait route.
A stopping gateway answers these calls at once and doesn't wait for them, and it waits for callers no longer than the longest deadline.
- Asks that waited in an owner's queue and were dispatched after their caller had gone and repeated the request elsewhere.
An ask is withdrawn when nobody waits for its outcome; a dispatched request still goes on to its end.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -55,12 +55,13 @@
     unused: bool,
 }
 
-/// Asks for a slot until an owner decides or the deadline passes.
+/// Asks for a slot until an owner decides, the deadline passes or nobody waits for `reply`.
 pub(crate) async fn obtain(
     gateway: &Gateway,
     inquiry: &Inquiry,
     shard: &Id,
     exclude: &[Arc<str>],
+    reply: &mut oneshot::Sender<Outcome>,
 ) -> Asked {
     let mut search = Search {
         gateway,
@@ -73,7 +74,7 @@
     let mut owner_seen = false;
     loop {
         let now = clock::now();
-        if now >= inquiry.deadline {
+        if now >= inquiry.deadline || reply.is_closed() {
             return Asked::Ended(search.expired(owner_seen));
         }
         let mut changes = gateway.links.owners.changes();
@@ -82,7 +83,7 @@
             continue;
         };
         let sent = search.sent(&peer);
-        match search.ask(&peer, &sent, &mut changes).await {
+        match search.ask(&peer, &sent, &mut changes, reply).await {
             Replied::Unsent => pause(&mut changes, inquiry.deadline).await,
             Replied::Lost => {
                 search.unused = true;
@@ -107,7 +108,7 @@
                 let Some(grant) = sent.grant(granted) else {
                     continue;
                 };
-                if gateway.links.grants.use_at(clock::now(), &grant) {
+                if !reply.is_closed() && gateway.links.grants.use_at(clock::now(), &grant) {
                     return Asked::Granted(grant);
                 }
                 events::GRANT_UNUSED.log(format_args!(
@@ -154,7 +155,13 @@
         }
     }
 
-    async fn ask(&self, peer: &Peer, sent: &Sent, changes: &mut watch::Receiver<u64>) -> Replied {
+    async fn ask(
+        &self,
+        peer: &Peer,
+        sent: &Sent,
+        changes: &mut watch::Receiver<u64>,
+        reply: &mut oneshot::Sender<Outcome>,
+    ) -> Replied {
         let remaining_ms = self.inquiry.deadline.since(sent.at);
         let call = Message::Ask {
             shard: self.shard.clone(),
@@ -185,6 +192,7 @@
                     }
                 }
                 () = &mut deadline => break,
+                () = reply.closed() => break,
             }
         }
         self.withdraw(peer, &sent.key);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -45,19 +45,19 @@
     )
 }
 
-/// Carries out a request and tells `reply` the outcome. Goes on to the end of the instance's answer
-/// even if nobody waits for the outcome any more.
+/// Carries out a request and tells `reply` the outcome. Once the request is dispatched, goes on to
+/// the end of the instance's answer even if nobody waits for the outcome any more.
 pub(crate) async fn run(
     gateway: Gateway,
     inquiry: Inquiry,
     shard: Id,
-    reply: oneshot::Sender<Outcome>,
+    mut reply: oneshot::Sender<Outcome>,
 ) {
     let _busy = gateway.request();
     let mut exclude = Vec::new();
     let mut rejected = false;
     let outcome = loop {
-        let grant = match ask::obtain(&gateway, &inquiry, &shard, &exclude).await {
+        let grant = match ask::obtain(&gateway, &inquiry, &shard, &exclude, &mut reply).await {
             Asked::Granted(grant) => grant,
             Asked::Ended(outcome) => break outcome.after(rejected),
         };
--- a/crates/gateway/src/http/jobs.rs
+++ b/crates/gateway/src/http/jobs.rs
@@ -182,7 +182,10 @@
     wait_ms: u64,
 ) -> Result<Answer, Refusal> {
     let (contract, id) = identify(gateway, request, id)?;
-    let _caller = gateway.caller();
+    // A stopping gateway answers at once and doesn't wait for these calls: they could go on for ever.
+    let stopping = gateway.is_stopping();
+    let _caller = (!stopping).then(|| gateway.caller());
+    let wait_ms = if stopping { 0 } else { wait_ms };
     let found = find(gateway, &contract, &id, wait_ms).await;
     Ok(match found {
         Ok(Some((_, status))) => Answer::completed(200, json!(status)),
--- a/crates/gateway/src/http/requests.rs
+++ b/crates/gateway/src/http/requests.rs
@@ -37,7 +37,6 @@
     };
     let id = inquiry.request.id.clone();
     let service = inquiry.service.clone();
-    let _caller = gateway.caller();
     let outcome = decide(&gateway, inquiry).await;
     let elapsed_ms = clock::now().since(received);
     gateway.meters.ended(&service, outcome.name(), elapsed_ms);
@@ -47,10 +46,8 @@
 /// Returns the outcome of a request that is refused for its own fault: this attempt did not run, an
 /// earlier one may have.
 fn refused_outcome(request: &HttpRequest) -> &'static str {
-    let attempt = headers::attempt(request);
-    let idempotent = headers::idempotent(request);
-    match (idempotent, attempt) {
-        (Ok(idempotent), Ok(attempt)) if is_first(idempotent, attempt) => "not-run",
+    match headers::attempt(request) {
+        Ok(attempt) if is_first(attempt) => "not-run",
         _ => "unknown",
     }
 }
@@ -104,6 +101,7 @@
     if gateway.is_stopping() {
         return inquiry.not_sent(NotRun::Stopping, Unknown::NoOwner);
     }
+    let _caller = gateway.caller();
     let Some(shard) = exchange::shard(&gateway.cell.partition, &inquiry) else {
         return inquiry.not_sent(NotRun::NoInstance, Unknown::NoOwner);
     };
--- a/crates/gateway/src/inquiry.rs
+++ b/crates/gateway/src/inquiry.rs
@@ -25,7 +25,7 @@
     /// Returns the outcome of a request of which this gateway sent no byte. The gateway alone can
     /// say `not-run` only on the first attempt: an earlier one may have run through another gateway.
     pub(crate) fn not_sent(&self, reason: NotRun, otherwise: Unknown) -> Outcome {
-        match is_first(self.idempotent, self.attempt) {
+        match is_first(self.attempt) {
             true => Outcome::NotRun(reason),
             false => Outcome::Unknown(otherwise),
         }
@@ -37,10 +37,10 @@
     }
 }
 
-/// Tells whether the caller marks the attempt as the first use of the id. An idempotent request
-/// without a number counts as the first.
-pub(crate) fn is_first(idempotent: bool, attempt: Option<u32>) -> bool {
-    attempt == Some(1) || (idempotent && attempt.is_none())
+/// Tells whether the caller marks the attempt as the first use of the id. A missing number says
+/// nothing, also for idempotent requests: callers repeat those without numbers too.
+pub(crate) fn is_first(attempt: Option<u32>) -> bool {
+    attempt == Some(1)
 }
 
 /// What the caller is told.
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -9,6 +9,7 @@
 
 use argh::FromArgs;
 use rosemaryworks_admin::{Api, Contracts, Refusals};
+use rosemaryworks_core::timing::DEADLINE_MAX_MS;
 use rosemaryworks_gateway::server::{Servers, bind};
 use rosemaryworks_gateway::{Gateway, Links, Parts, Settings, events, readiness};
 use rosemaryworks_node::status::Status;
@@ -24,6 +25,9 @@
 /// Threads of the HTTP client.
 const CLIENT_THREADS: usize = 2;
 
+/// Time within which every caller is told an outcome: the longest deadline and some more.
+const CALLERS_MAX: Duration = Duration::from_millis(DEADLINE_MAX_MS + 5_000);
+
 /// Time after the last caller was told an outcome in which instances may still answer requests
 /// whose deadline has passed, and owners acknowledge the ends of grants.
 const LEFT_MAX: Duration = Duration::from_secs(10);
@@ -189,9 +193,13 @@
         )
     };
     events::DRAINING.log(format_args!("{}", left()));
-    while gateway.callers() > 0 {
-        tokio::time::sleep(POLL_PERIOD).await;
-    }
+    let told = async {
+        while gateway.callers() > 0 {
+            tokio::time::sleep(POLL_PERIOD).await;
+        }
+    };
+    // Every outcome is told by the deadline of its request.
+    let _ = tokio::time::timeout(CALLERS_MAX, told).await;
     let ended = async {
         while gateway.requests() + gateway.reports() > 0 {
             tokio::time::sleep(POLL_PERIOD).await;
--- a/crates/gateway/tests/jobs.rs
+++ b/crates/gateway/tests/jobs.rs
@@ -182,6 +182,10 @@
     };
     let ((code, body), ()) = tokio::join!(call(&gateway, "GET", path, ""), stop);
     assert_eq!((code, &body["state"]), (200, &json!("running")));
+    let (code, _) = tokio::time::timeout(Duration::from_secs(1), call(&gateway, "GET", path, ""))
+        .await
+        .expect("a stopping gateway doesn't wait for jobs");
+    assert_eq!((code, gateway.gateway.callers()), (200, 0));
 }
 
 /// Guards against jobs that are sent to a shard in which their contract has no share, because the
