test(scheduler): retention and cancellation

Cause: nothing checked that what is in force survives the retention of the log. Change: two tests over the in-memory platform.

--- a/crates/scheduler/tests/scheduler.rs
+++ b/crates/scheduler/tests/scheduler.rs
@@ -12,7 +12,7 @@
 use cell::{Cell, pool, service};
 use rosemaryworks_core::job::State;
 use rosemaryworks_core::outcome::{NotRun, Unknown};
-use rosemaryworks_platform::log::CELL;
+use rosemaryworks_platform::log::{CELL, CONTRACTS};
 use rosemaryworks_wire::{Submission, Verdict};
 
 /// Detection, claim, support and survey together take at most this long.
@@ -171,3 +171,63 @@
     // Its support counts again for the owner.
     assert!(is_granted(&cell.ask_owner("r1", true)));
 }
+
+/// Guards against claims, jobs, request ids and contracts that expire from the log while they are in
+/// force.
+#[test]
+fn what_is_in_force_outlives_the_retention() {
+    let mut cell = Cell::with_retention(3, 10_000);
+    let owner = cell.owner(&service()).unwrap();
+    assert!(is_granted(&cell.ask(&owner, "r1", false)));
+    let pool_owner = cell.owner(&pool()).unwrap();
+    let submission = cell.submit(&pool_owner, "j1", 60_000);
+    assert!(
+        matches!(submission, Submission::Accepted(_)),
+        "{submission:?}"
+    );
+    let (cell_end, contracts_end) = (cell.log.next(CELL), cell.log.next(CONTRACTS));
+    cell.wait_for("everything is stated again", || {
+        let twice = |stream, text| cell.log.find_text(stream, text).len() >= 2;
+        twice(CELL, "\"r1\"")
+            && twice(CELL, "\"submitted\"")
+            && cell.log.find_text(CELL, "\"standing\"").len() >= 2
+            && cell.log.find_text(CONTRACTS, "\"standing\"").len() == 1
+    });
+    cell.log.expire(CELL, cell_end);
+    cell.log.expire(CONTRACTS, contracts_end);
+    // A scheduler that starts now reads only what was stated again, and then owns every shard.
+    let names: Vec<_> = cell.processes.keys().cloned().collect();
+    cell.restart(&names);
+    let verdict = cell.ask_owner("r1", false);
+    assert!(matches!(verdict, Verdict::Unknown(_)), "{verdict:?}");
+    let verdict = cell.ask_owner("r2", true);
+    assert!(is_granted(&verdict), "{verdict:?}");
+    cell.wait_for("the pool has an owner", || cell.owner(&pool()).is_some());
+    let owner = cell.owner(&pool()).unwrap();
+    let status = cell.status(&owner, "j1", 0).unwrap();
+    assert!(!status.state.is_terminal(), "{status:?}");
+    assert_eq!(cell.targets.starts().len(), 1);
+}
+
+/// Guards against a cancellation that leaves a task running or ends its job twice.
+#[test]
+fn a_cancelled_job_ends_once() {
+    let cell = Cell::start(3);
+    let owner = cell.owner(&pool()).unwrap();
+    let submission = cell.submit(&owner, "j1", 60_000);
+    assert!(
+        matches!(submission, Submission::Accepted(_)),
+        "{submission:?}"
+    );
+    cell.wait_for("the task is started", || !cell.targets.starts().is_empty());
+    let submission = cell.cancel(&owner, "j1");
+    assert!(
+        matches!(submission, Submission::Accepted(_)),
+        "{submission:?}"
+    );
+    let status = cell.status(&owner, "j1", 10_000).unwrap();
+    assert_eq!(status.state, State::Cancelled);
+    assert_eq!(cell.log.find_text(CELL, "\"ended\"").len(), 1);
+    let unknown = cell.cancel(&owner, "j2");
+    assert!(matches!(unknown, Submission::Rejected(_)), "{unknown:?}");
+}
--- a/crates/scheduler/tests/support/cell.rs
+++ b/crates/scheduler/tests/support/cell.rs
@@ -42,6 +42,7 @@
     gateway: Runtime,
     links: BTreeMap<Arc<str>, Client>,
     asks: AtomicU64,
+    retention_ms: u64,
 }
 
 struct Gateway;
@@ -86,6 +87,11 @@
 impl Cell {
     /// Starts `count` schedulers and waits until one owns each shard.
     pub(crate) fn start(count: usize) -> Self {
+        Self::with_retention(count, 3_600_000)
+    }
+
+    /// As [`Cell::start`], for a log that keeps records for `retention_ms`.
+    pub(crate) fn with_retention(count: usize, retention_ms: u64) -> Self {
         let entry = |index| Entry {
             name: format!("s{index}").into(),
             zone: "a".into(),
@@ -110,6 +116,7 @@
             gateway: runtime(),
             links: BTreeMap::new(),
             asks: AtomicU64::new(0),
+            retention_ms,
         };
         cell.log.push(CONTRACTS, &publish());
         for index in 0..count {
@@ -133,7 +140,7 @@
             cell: self.settings.clone(),
             log: Default::default(),
             placement_policy: "default".into(),
-            retention_ms: 3_600_000,
+            retention_ms: self.retention_ms,
         };
         let platform = Platform {
             log: Arc::new(self.log.clone()),
@@ -198,6 +205,16 @@
         process.runtime.shutdown_background();
     }
 
+    /// Kills the schedulers and starts them again.
+    pub(crate) fn restart(&mut self, names: &[Arc<str>]) {
+        names.iter().for_each(|name| self.kill(name));
+        for index in 0..self.settings.schedulers.len() {
+            if names.contains(&self.settings.schedulers[index].name) {
+                self.spawn(index);
+            }
+        }
+    }
+
     /// Blocks every task of the scheduler.
     pub(crate) fn pause(&self, name: &str, pause: Duration) {
         let runtime = &self.processes[name].runtime;
@@ -289,6 +306,19 @@
         }
     }
 
+    /// Cancels a job at `name`.
+    pub(crate) fn cancel(&self, name: &str, id: &str) -> Submission {
+        let job = JobId {
+            contract: "shops".into(),
+            job: id.into(),
+        };
+        let message = Message::Cancel { shard: pool(), job };
+        match self.call(name, message) {
+            Some(Message::Submission(submission)) => submission,
+            other => panic!("{name} answered {other:?}"),
+        }
+    }
+
     /// Returns the status of a job as `name` tells it, after waiting for its end.
     pub(crate) fn status(&self, name: &str, id: &str, wait_ms: u64) -> Option<Status> {
         let job = JobId {
--- a/crates/scheduler/tests/support/log.rs
+++ b/crates/scheduler/tests/support/log.rs
@@ -14,6 +14,8 @@
 struct Streams {
     records: HashMap<String, Vec<Arc<str>>>,
     appends: HashMap<String, Offset>,
+    /// Offsets of the first record kept.
+    first: HashMap<String, Offset>,
 }
 
 /// Clones share the same streams.
@@ -38,6 +40,17 @@
         self.0.lost_answers.store(count, Ordering::SeqCst);
     }
 
+    /// Forgets all records before the first kept one.
+    pub(crate) fn expire(&self, stream: &str, before: Offset) {
+        let mut streams = self.0.streams.lock().unwrap();
+        streams.first.insert(stream.to_owned(), before);
+    }
+
+    /// Returns the offset of the next record.
+    pub(crate) fn next(&self, stream: &str) -> Offset {
+        self.page(stream, 1, 0).next
+    }
+
     /// Appends a record without a fault.
     pub(crate) fn push(&self, stream: &str, record: &impl serde::Serialize) {
         let record = serde_json::to_string(record).unwrap();
@@ -78,9 +91,10 @@
             offset,
             record: record.clone(),
         });
+        let first = streams.first.get(stream).copied().unwrap_or(1);
         Page {
             entries: entries.take(limit as usize).collect(),
-            first: 1,
+            first,
             next: records.len() as Offset + 1,
         }
     }
@@ -132,6 +146,10 @@
                     return unreached("read");
                 }
                 let page = log.page(&stream, from, limit);
+                if from < page.first {
+                    let first = page.first;
+                    return failed("read", Fault::Expired { first });
+                }
                 if !page.entries.is_empty() {
                     return Ok(page);
                 }
--- a/crates/scheduler/tests/support/targets.rs
+++ b/crates/scheduler/tests/support/targets.rs
@@ -90,7 +90,16 @@
         let result = self.check(worker, control.epoch);
         if result.is_ok() && control.action == Action::Stop {
             let key = (worker.name.clone(), control.task, control.attempt);
-            self.0.lock().unwrap().running.remove(&key);
+            let mut state = self.0.lock().unwrap();
+            if let Some((grant, since)) = state.running.remove(&key) {
+                let finished = Finished {
+                    task: grant.task,
+                    attempt: grant.attempt,
+                    result: End::Stopped,
+                    run_ms: since.elapsed().as_millis() as u64,
+                };
+                state.finished.insert(key, finished);
+            }
         }
         Box::pin(std::future::ready(result))
     }
