feat(xtask): measure control cost and recovery of real processes

Change: scenarios control (CPU, memory, link bytes and appends per role at today's size, and with more workers, contracts, tasks and requests) and recovery (owner of a worker shard killed, time until an urgent task starts there).

--- a/xtask/src/cluster/process.rs
+++ b/xtask/src/cluster/process.rs
@@ -79,6 +79,10 @@
         &self.name
     }
 
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Asks the process to stop gracefully.
     pub(crate) fn terminate(&self) {
         self.signal(libc::SIGTERM);
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -7,6 +7,7 @@
 mod load;
 mod night;
 mod packing;
+mod processes;
 mod routing;
 mod stragglers;
 mod table;
@@ -75,12 +76,18 @@
 
 /// Runs the scenarios and prints the table.
 pub(crate) fn run(arguments: &Arguments) -> ExitCode {
+    if let Some(name) = &arguments.scenario
+        && processes::NAMES.contains(&name.as_str())
+    {
+        return run_processes(name, arguments);
+    }
     let mut chosen = scenarios();
     if let Some(name) = &arguments.scenario {
         chosen.retain(|scenario| scenario.name() == name);
     }
     if chosen.is_empty() {
-        let names: Vec<_> = scenarios().iter().map(|known| known.name()).collect();
+        let mut names: Vec<_> = scenarios().iter().map(|known| known.name()).collect();
+        names.extend(processes::NAMES);
         eprintln!("no such scenario; known are: {}", names.join(", "));
         return ExitCode::from(2);
     }
@@ -94,6 +101,25 @@
             table.add(scenario.name(), rows);
         }
     }
+    finish(arguments, &table)
+}
+
+/// Runs a scenario of real processes with one seed.
+fn run_processes(name: &str, arguments: &Arguments) -> ExitCode {
+    match processes::run(name, arguments.seed) {
+        Ok(rows) => {
+            let mut table = Table::default();
+            table.add(name, rows);
+            finish(arguments, &table)
+        }
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn finish(arguments: &Arguments, table: &Table) -> ExitCode {
     print!("{table}");
     match arguments.json.as_ref().map(|path| table.write(path)) {
         Some(Err(error)) => {
--- /dev/null
+++ b/xtask/src/measure/processes/operator.rs
@@ -0,0 +1,179 @@
+//! Calls a deployment as an operator and a customer.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use error_stack::Report;
+use rosemaryworks_core::contract::{Contract, Pool, Service};
+use rosemaryworks_core::job::{Priority, Spec};
+use rosemaryworks_core::size::Size;
+use rosemaryworks_node::http::{Client, Request, Response};
+use serde_json::{Value, json};
+
+use crate::cluster::Cluster;
+use crate::cluster::deployment::Deployment;
+use crate::cluster::ports::Ports;
+use crate::cluster::process::Error;
+use crate::cluster::settings::OPERATOR_KEY;
+
+const KEY: &str = "measure-key-0123456789";
+const TIMEOUT: Duration = Duration::from_secs(20);
+const OWNED_TIMEOUT: Duration = Duration::from_secs(30);
+const POLL_PERIOD: Duration = Duration::from_millis(20);
+
+/// An operator and a customer of one deployment.
+#[derive(Clone)]
+pub(super) struct Operator {
+    client: Client,
+    ports: Ports,
+    shards: usize,
+}
+
+impl Operator {
+    pub(super) fn new(cluster: &Cluster) -> Self {
+        let pools = cluster.deployment.pools.iter().map(|pool| pool.shards);
+        let services = cluster.deployment.services.iter();
+        let shards: u32 = pools.chain(services.map(|service| service.shards)).sum();
+        Self {
+            client: cluster.client.clone(),
+            ports: cluster.ports,
+            shards: shards as usize,
+        }
+    }
+
+    async fn admin(
+        &self,
+        gateway: usize,
+        method: &'static str,
+        path: &str,
+        body: String,
+    ) -> Result<Response, Report<Error>> {
+        let url = format!(
+            "http://127.0.0.1:{}{path}",
+            self.ports.gateway_admin(gateway)
+        );
+        let request = Request::new(method, url, TIMEOUT)
+            .header("authorization", &format!("Bearer {OPERATOR_KEY}"))
+            .body(body);
+        expect(path, self.client.send(request).await)
+    }
+
+    /// Calls a gateway as the customer `contract`.
+    pub(super) async fn call(
+        &self,
+        gateway: usize,
+        method: &'static str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Result<Response, Report<Error>> {
+        let url = format!("http://127.0.0.1:{}{path}", self.ports.gateway(gateway));
+        let mut request = Request::new(method, url, TIMEOUT)
+            .header("authorization", &format!("Bearer {KEY}"))
+            .header("content-type", "application/json")
+            .body(body);
+        for (name, value) in headers {
+            request = request.header(name, value);
+        }
+        expect(path, self.client.send(request).await)
+    }
+
+    /// Publishes a contract.
+    pub(super) async fn publish(&self, contract: &Contract) -> Result<(), Report<Error>> {
+        let id = format!("publish-{}", contract.name);
+        let body = json!({ "id": id, "expected": 0, "contract": contract });
+        let path = format!("/v1/contracts/{}", contract.name);
+        self.admin(0, "PUT", &path, body.to_string()).await?;
+        Ok(())
+    }
+
+    /// Submits a job for `contract`.
+    pub(super) async fn submit(&self, contract: &str, job: &Spec) -> Result<(), Report<Error>> {
+        let body = serde_json::to_string(job).unwrap_or_default();
+        self.call(
+            0,
+            "POST",
+            "/v1/jobs",
+            &[("rosemary-contract", contract)],
+            body,
+        )
+        .await?;
+        Ok(())
+    }
+
+    /// Returns the owner of each shard that has one, as gateway `gateway` knows it.
+    pub(super) async fn owners(
+        &self,
+        gateway: usize,
+    ) -> Result<BTreeMap<String, String>, Report<Error>> {
+        let response = self
+            .admin(gateway, "GET", "/v1/cell", String::new())
+            .await?;
+        let cell: Value = serde_json::from_slice(&response.body).unwrap_or_default();
+        let shards = cell["shards"].as_array().cloned().unwrap_or_default();
+        let owner = |shard: &Value| {
+            let name = shard["shard"].as_str()?.to_owned();
+            Some((name, shard["owner"].as_str()?.to_owned()))
+        };
+        Ok(shards.iter().filter_map(owner).collect())
+    }
+
+    /// Waits until every shard has an owner.
+    pub(super) async fn owned(&self) -> Result<(), Report<Error>> {
+        let started = Instant::now();
+        while self.owners(0).await?.len() < self.shards {
+            if started.elapsed() > OWNED_TIMEOUT {
+                return Err(Report::new(Error::new(
+                    "find an owner of every shard",
+                    "the cell",
+                )));
+            }
+            tokio::time::sleep(POLL_PERIOD).await;
+        }
+        Ok(())
+    }
+}
+
+fn expect(
+    path: &str,
+    response: Result<Response, rosemaryworks_node::http::Error>,
+) -> Result<Response, Report<Error>> {
+    let failed = || Report::new(Error::new("call", path));
+    match response {
+        Ok(response) if (200..300).contains(&response.status) => Ok(response),
+        Ok(response) => {
+            let body = String::from_utf8_lossy(&response.body).into_owned();
+            Err(failed().attach(format!("{} {body}", response.status)))
+        }
+        Err(error) => Err(failed().attach(error.to_string())),
+    }
+}
+
+/// Returns a contract that includes every service and pool, with limits above what is measured.
+pub(super) fn contract(name: &str, deployment: &Deployment) -> Contract {
+    let service = Service {
+        rate: 5_000,
+        burst: 5_000,
+        concurrency: 400,
+        queue: 2_000,
+    };
+    let pool = |accelerators: u64| Pool {
+        size: Size::new(100_000_000, 100_000_000).accelerators(accelerators),
+        queue: 20_000,
+    };
+    let pools = deployment.pools.iter();
+    let pools = pools.map(|group| (Arc::from(group.name), pool(group.accelerators * 1_000)));
+    let services = deployment.services.iter();
+    Contract {
+        name: name.into(),
+        weight: 1,
+        keys: vec![KEY.into()],
+        services: services
+            .map(|group| (Arc::from(group.name), service))
+            .collect(),
+        pools: pools.collect(),
+        max_priority: Priority::Urgent,
+        urgent_percent: 100,
+    }
+}
