perf(core): bound the comparison of workers for a reservation

Cause: each reservation compared 4,096 workers, and several waiting jobs did so in one call. Change: 512 workers from a random position, or four per place, at most once in 50 ms.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -305,6 +305,8 @@
     /// Number of reports taken.
     reports: u64,
     reservations: Vec<Reservation>,
+    /// When workers may be compared for a further reservation.
+    compare_at: Instant,
 }
 
 impl Kernel {
@@ -335,6 +337,7 @@
             promotions: BTreeSet::new(),
             reports: 0,
             reservations: Vec::new(),
+            compare_at: now,
             start,
         }
     }
--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -70,6 +70,17 @@
         workers.filter_map(|(slot, worker)| Some((slot as Slot, worker.as_ref()?)))
     }
 
+    /// Returns all workers, starting at a position.
+    pub(crate) fn iter_from(&self, from: Slot) -> impl Iterator<Item = (Slot, &Worker)> {
+        let slots = (from..self.len()).chain(0..from);
+        slots.filter_map(|slot| Some((slot, self.get(slot)?)))
+    }
+
+    /// Returns the number of positions, used or not.
+    pub(crate) fn len(&self) -> Slot {
+        self.workers.len() as Slot
+    }
+
     /// Returns the sizes of listed workers with their counts.
     pub(crate) fn sizes(&self) -> impl Iterator<Item = (&Size, &Kin)> {
         self.sizes.iter()
--- a/crates/core/src/placement/reservation.rs
+++ b/crates/core/src/placement/reservation.rs
@@ -15,8 +15,12 @@
 const URGENT_AFTER_MS: u64 = 500;
 /// Milliseconds beyond the expected time after which other workers are chosen.
 const OVERDUE_MS: u64 = 10_000;
-/// Workers compared for a reservation.
-const COMPARED_MAX: usize = 4_096;
+/// Workers compared for a reservation, unless the job needs more places.
+const COMPARED: usize = 512;
+/// Workers compared for each place.
+const COMPARED_PER_PLACE: usize = 4;
+/// Milliseconds between two comparisons, each of which takes about 0.1 ms.
+const COMPARE_EVERY_MS: u64 = 50;
 /// Reservations at a time; further work waits for its turn.
 const RESERVATIONS_MAX: usize = 8;
 /// Places reserved for one urgent batch job at a time.
@@ -75,9 +79,11 @@
         };
         let ripe = now.since(job.accepted) >= after_ms && (gang || urgent);
         let held = self.has_reservation(serial);
-        if !self.policy.rules.reserves || !ripe || held || !self.make_way(serial, gang) {
+        let early = now < self.compare_at;
+        if !self.policy.rules.reserves || !ripe || held || early || !self.make_way(serial, gang) {
             return;
         }
+        self.compare_at = now + COMPARE_EVERY_MS;
         let Some(reservation) = self.reserve(now, serial, gang, &need.size) else {
             return;
         };
@@ -148,9 +154,11 @@
             waiting.min(URGENT_PLACES)
         };
         let eligible = |worker: &Worker| worker.is_usable() && !worker.reserved;
-        let workers = self.fleet.iter().filter(|(_, worker)| eligible(worker));
+        let compared = COMPARED.max(COMPARED_PER_PLACE * tasks);
+        let from = self.random.below(self.fleet.len() as u64) as Slot;
+        let workers = self.fleet.iter_from(from).take(compared);
+        let workers = workers.filter(|(_, worker)| eligible(worker));
         let mut offers: Vec<(Instant, Slot)> = workers
-            .take(COMPARED_MAX)
             .flat_map(|(slot, worker)| self.offers(now, slot, worker, size, tasks))
             .collect();
         if offers.len() < tasks {
