feat(xtask): measure the loss of half of the instances during a crest

Cause: asks were admitted for a capacity that may be gone when they are served.

Change: the crest scenario has rows in which half of the instances leave at second 18; answers in time from then to second 22 against the capacity left.

--- a/xtask/src/measure/routing/baseline.rs
+++ b/xtask/src/measure/routing/baseline.rs
@@ -24,6 +24,8 @@
 pub(crate) struct Baseline {
     choice: Choice,
     running: Vec<usize>,
+    /// Instances that get no requests, from the first on.
+    leaving: usize,
     queues: Vec<VecDeque<usize>>,
     /// Requests per queue, without those whose callers stopped waiting.
     waiting: Vec<usize>,
@@ -41,6 +43,7 @@
         Self {
             choice,
             running: vec![0; instances],
+            leaving: 0,
             queues: vec![VecDeque::new(); instances],
             waiting: vec![0; instances],
             place: Vec::new(),
@@ -52,10 +55,10 @@
         let count = self.running.len();
         match &mut self.choice {
             Choice::FirstFit => 0,
-            Choice::LeastLoaded => (0..count)
+            Choice::LeastLoaded => (self.leaving..count)
                 .min_by_key(|at| self.running[*at] + self.waiting[*at])
                 .unwrap_or(0),
-            Choice::Random(rng) => rng.random_range(0..count),
+            Choice::Random(rng) => rng.random_range(self.leaving..count),
         }
     }
 
@@ -69,7 +72,7 @@
 
     fn serve(&mut self) -> Vec<Act> {
         let mut acts = Vec::new();
-        for instance in 0..self.running.len() {
+        for instance in self.leaving..self.running.len() {
             let source = self.source(instance);
             while self.running[instance] < SLOTS {
                 let Some(job) = self.queues[source].pop_front() else {
@@ -113,6 +116,25 @@
         vec![Act::Refuse(number)]
     }
 
+    fn leaving(&mut self, _now: u64, count: usize) -> Vec<Act> {
+        self.leaving = count;
+        if matches!(self.choice, Choice::FirstFit) {
+            return Vec::new();
+        }
+        for number in 0..self.place.len() {
+            let Some(from) = self.place[number].filter(|queue| *queue < count) else {
+                continue;
+            };
+            let to = self.queue();
+            self.place[number] = Some(to);
+            self.waiting[from] -= 1;
+            self.waiting[to] += 1;
+            self.queues[to].push_back(number);
+        }
+        self.queues[..count].iter_mut().for_each(VecDeque::clear);
+        self.serve()
+    }
+
     fn tick(&mut self, _now: u64) -> Vec<Act> {
         Vec::new()
     }
--- a/xtask/src/measure/routing/crest.rs
+++ b/xtask/src/measure/routing/crest.rs
@@ -17,6 +17,9 @@
 /// Seconds after the crest in which the service must be as before it.
 const AFTER: (f64, f64) = (29.0, 38.0);
 
+/// Seconds from the loss of half of the instances on.
+const LOSS: (f64, f64) = (18.0, 22.0);
+
 /// Load relative to capacity: 0.3, then growing tenfold from second 10 to 12, then back.
 fn shape(second: f64) -> f64 {
     match second {
@@ -47,6 +50,7 @@
             share: 0.6,
             period: (10.0, 25.0),
             budget,
+            leave: None,
         };
         let mut router = Routing::new(INSTANCES, &[1]);
         let outcome = go(&mut router, Some(faults), seed);
@@ -55,6 +59,34 @@
         figures.push(("retries / requests".into(), policy.clone(), share));
         figures.extend(served(&policy, &outcome));
     }
+    figures.extend(loss(seed));
+    figures
+}
+
+/// Half of the instances leave service during the crest, while the queue is as long as the
+/// deadline allows.
+fn loss(seed: u64) -> Vec<Figure> {
+    let mut figures = Vec::new();
+    for name in ["fcfs-first-fit", "random", "least-loaded", "kernel"] {
+        let mut kernel = Routing::new(INSTANCES, &[1]);
+        let mut baseline = Baseline::new(name, INSTANCES, seed);
+        let router: &mut dyn Router = match name {
+            "kernel" => &mut kernel,
+            _ => &mut baseline,
+        };
+        let faults = Faults {
+            instances: INSTANCES / 2,
+            share: 0.0,
+            period: (0.0, 0.0),
+            budget: None,
+            leave: Some(LOSS.0),
+        };
+        let outcome = go(router, Some(faults), seed);
+        let served = in_time(&outcome, |at, _| (LOSS.0..LOSS.1).contains(&at));
+        let share = served as f64 / (capacity() / 2.0 * (LOSS.1 - LOSS.0));
+        let metric = "answered in time / capacity, half lost".into();
+        figures.push((metric, name.into(), share));
+    }
     figures
 }
 
--- a/xtask/src/measure/routing/kernel.rs
+++ b/xtask/src/measure/routing/kernel.rs
@@ -21,6 +21,7 @@
 /// A kernel with instances `0`, `1` and so on, and contracts `c0`, `c1` and so on.
 pub(crate) struct Routing {
     kernel: Kernel,
+    instances: usize,
     slots: HashMap<usize, Slot>,
     /// Events handled.
     pub(crate) events: u64,
@@ -43,6 +44,7 @@
         };
         let mut routing = Self {
             kernel: Kernel::new(Instant(0), start),
+            instances,
             slots: HashMap::new(),
             events: 0,
             spent: Duration::ZERO,
@@ -51,11 +53,20 @@
             let contract = contract(number, *weight);
             routing.feed(0, Event::Contract(Arc::new(contract)));
         }
-        let list = (0..instances).map(|n| (instance(n), State::Live)).collect();
-        routing.feed(0, Event::Listed(list));
+        routing.list(0, 0);
         routing
     }
 
+    /// Lists all instances, the first `leaving` as leaving.
+    fn list(&mut self, now: u64, leaving: usize) -> Vec<Act> {
+        let state = |n| match n < leaving {
+            true => State::Leaving { within_ms: None },
+            false => State::Live,
+        };
+        let list = (0..self.instances).map(|n| (instance(n), state(n)));
+        self.feed(now, Event::Listed(list.collect()))
+    }
+
     fn feed(&mut self, now: u64, event: Event) -> Vec<Act> {
         let begin = Clock::now();
         let steps = self.kernel.handle(Instant(now / 1_000), event);
@@ -160,6 +171,10 @@
         Vec::new()
     }
 
+    fn leaving(&mut self, now: u64, count: usize) -> Vec<Act> {
+        self.list(now, count)
+    }
+
     fn tick(&mut self, now: u64) -> Vec<Act> {
         self.feed(now, Event::Tick)
     }
--- a/xtask/src/measure/routing/sim.rs
+++ b/xtask/src/measure/routing/sim.rs
@@ -42,6 +42,8 @@
     fn leave(&mut self, now: u64, number: usize, instance: usize, run: Option<u64>) -> Vec<Act>;
     /// The caller stopped waiting. Has no effect on a request that was dispatched.
     fn expire(&mut self, now: u64, number: usize) -> Vec<Act>;
+    /// The first `count` instances are leaving: they get no new requests.
+    fn leaving(&mut self, now: u64, count: usize) -> Vec<Act>;
     /// Time passed.
     fn tick(&mut self, now: u64) -> Vec<Act>;
 }
@@ -71,6 +73,8 @@
     pub(crate) period: (f64, f64),
     /// Share of the requests that may be retried; `None` for no limit.
     pub(crate) budget: Option<f64>,
+    /// Second in which the instances leave service.
+    pub(crate) leave: Option<f64>,
 }
 
 /// Result of a simulation.
@@ -95,6 +99,7 @@
         ok: bool,
     },
     Expire(usize),
+    Leave(usize),
     Tick,
 }
 
@@ -138,6 +143,9 @@
     for number in 0..sim.outcome.jobs.len() {
         sim.announce(number);
     }
+    if let Some((faults, second)) = faults.and_then(|f| Some((f, f.leave?))) {
+        sim.push((second * 1e6) as u64, Event::Leave(faults.instances));
+    }
     sim.push(0, Event::Tick);
     while let Some(Reverse((now, _, event))) = sim.events.pop() {
         sim.handle(now, event);
@@ -167,6 +175,7 @@
             }
             Event::End { job, instance, ok } => self.end(now, job, instance, ok),
             Event::Expire(number) => self.expire(now, number),
+            Event::Leave(count) => self.router.leaving(now, count),
             Event::Tick => {
                 if now < self.until {
                     self.push(now + TICK_US, Event::Tick);
