feat(core): drop queued asks that would be answered too late

Cause: asks are admitted for the capacity at their arrival. When half of the instances left service during a crest, a quarter of the capacity left went to answers after the deadline.

Change: a queued ask is refused instead of dispatched when less than the contract's median run time remains. An ask that can be served on arrival is always tried: a new test showed that contracts would otherwise be refused for ever once run times had been learned while instances were slow.

--- a/crates/core/src/routing/dispatch.rs
+++ b/crates/core/src/routing/dispatch.rs
@@ -85,7 +85,12 @@
             return;
         };
         self.places.remove(&waiting.key);
-        if self.tenants.get(found.tenant).limits.is_none() {
+        if self.is_too_late(found.tenant, &waiting) {
+            steps.push(Step::Refuse {
+                key: waiting.key,
+                reason: NotRun::Deadline,
+            });
+        } else if self.tenants.get(found.tenant).limits.is_none() {
             steps.push(Step::Refuse {
                 key: waiting.key,
                 reason: NotRun::NotInContract,
@@ -102,6 +107,15 @@
         }
     }
 
+    /// Tells whether a request that waited is more likely answered too late than in time.
+    ///
+    /// Requests that can be served at once are always tried: otherwise run times learned while the
+    /// instances were slow would never be corrected.
+    fn is_too_late(&self, tenant: usize, waiting: &Waiting) -> bool {
+        let remaining = waiting.deadline.since(self.now);
+        waiting.asked < self.now && self.tenants.is_too_late(tenant, remaining)
+    }
+
     fn take(&mut self, found: &Match, key: &Key, phase: Phase) -> Slot {
         let charged = self.tenants.take(found.tenant);
         self.fleet.take(found.instance);
--- a/crates/core/src/routing/tenant.rs
+++ b/crates/core/src/routing/tenant.rs
@@ -24,6 +24,8 @@
     pub(crate) idempotent: bool,
     /// Instances that must not be chosen.
     pub(crate) exclude: Vec<Arc<str>>,
+    /// Time at which the ask arrived.
+    pub(crate) asked: Instant,
     /// Time at which the caller stops waiting.
     pub(crate) deadline: Instant,
     /// Whether the intent is written already.
@@ -38,6 +40,7 @@
             request: ask.request,
             idempotent: ask.idempotent,
             exclude: ask.exclude,
+            asked: now,
             deadline: now + ask.remaining_ms.min(DEADLINE_MAX_MS),
             intended: false,
         }
--- a/crates/core/src/routing/tenants.rs
+++ b/crates/core/src/routing/tenants.rs
@@ -231,6 +231,13 @@
         wait * WAIT_MARGIN + learned.high_ms()
     }
 
+    /// Tells whether a request of `number` with `remaining_ms` left is more likely answered too late
+    /// than in time.
+    pub(crate) fn is_too_late(&self, number: usize, remaining_ms: u64) -> bool {
+        let learned = self.learned(number);
+        learned.is_some_and(|learned| (remaining_ms as f64) < learned.median_ms())
+    }
+
     /// Finds the contracts whose requests run much longer than those of another active contract.
     pub(crate) fn classify(&mut self, now: Instant) {
         self.short_demand.update(now);
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -177,6 +177,18 @@
     assert!(host.wait(401).contains(&Step::Refuse { key, reason }));
 }
 
+/// Guards against run times learned while instances were slow that refuse all requests for ever.
+#[test]
+fn a_request_that_can_run_at_once_is_tried() {
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
+    for _ in 0..20 {
+        let slots = host.grants(1);
+        host.finish(slots[0].0, Finish::Answered, 5_000);
+    }
+    let steps = host.ask_with(request("c", "x"), true, 1_000, &[]).1;
+    assert!(granted(&steps).is_some());
+}
+
 /// Guards against a contract that holds more slots than its concurrency, or queues more asks.
 #[test]
 fn concurrency_and_queue_are_bounded() {
