test(core): exclude instances in random event orders

Cause: the random test never excluded an instance.

Change: some asks exclude an instance, and no grant may name it.

--- a/crates/core/tests/routing_random.rs
+++ b/crates/core/tests/routing_random.rs
@@ -42,7 +42,7 @@
     numbers: [u64; 3],
     unsurveyed: BTreeSet<usize>,
     states: BTreeMap<Arc<str>, State>,
-    open: BTreeMap<Key, (Request, bool)>,
+    open: BTreeMap<Key, Ask>,
     intents: Vec<(Key, Request)>,
     logged: Vec<(Request, u64)>,
     outage: Option<u64>,
@@ -123,7 +123,9 @@
     }
 
     fn granted(&mut self, key: Key, slot: Slot, instance: Arc<str>) {
-        let (request, idempotent) = self.open.remove(&key).expect("grant without open ask");
+        let ask = self.open.remove(&key).expect("grant without open ask");
+        let (request, idempotent) = (ask.request, ask.idempotent);
+        assert!(!ask.exclude.contains(&instance), "excluded instance");
         assert_eq!(self.states[&instance], State::Live, "grant while leaving");
         if !idempotent {
             let fresh = self.dispatched.insert(request.clone());
@@ -189,15 +191,20 @@
         };
         let idempotent = value.is_multiple_of(2);
         let request = request(if pick < 128 { "a" } else { "b" }, &self.id(value));
-        self.open.insert(key.clone(), (request.clone(), idempotent));
-        self.feed(Event::Ask(Ask {
-            key,
+        let exclude = match value % 7 {
+            0 => vec![INSTANCES[usize::from(pick) % 2].into()],
+            _ => Vec::new(),
+        };
+        let ask = Ask {
+            key: key.clone(),
             request,
             idempotent,
             attempt: None,
             remaining_ms: u64::from(value) % 4_000,
-            exclude: Vec::new(),
-        }));
+            exclude,
+        };
+        self.open.insert(key, ask.clone());
+        self.feed(Event::Ask(ask));
     }
 
     /// Repeats a recent id within the time that callers have, or starts a new one.
