docs(core): state what the routing kernel relies on

Cause: hosts and gateways must keep an order of events that the types don't show.

Change: module docs list it; a test checks that reported requests explain the count of an instance after a takeover.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -2,6 +2,17 @@
 //!
 //! One [`Kernel`] exists per owned service shard and epoch. Its host feeds it events and carries out
 //! the steps it returns.
+//!
+//! A slot is charged for every request that may run at an instance: grants that a gateway will
+//! report on, grants whose report is missing, and requests of which only the number is known. The
+//! kernel relies on its host and the gateways for this:
+//!
+//! - Contracts and the list of instances are fed before the first ask.
+//! - A `Surveyed` is fed before the `OutstandingFinished` of any grant that it lists.
+//! - A gateway lists a grant that it lost (`Finish::Lost`) until its deadline has passed. Where an
+//!   instance can't tell its occupancy, surveys answered by all gateways are the only account of
+//!   earlier requests.
+//! - Every `Intend` is followed by one `Intended` or `IntentFailed`, even if the ask was withdrawn.
 
 mod admission;
 mod bucket;
@@ -182,6 +193,9 @@
     /// Whether earlier owners may have dispatched requests that they couldn't record.
     pub doubt: bool,
     /// Whether nothing of an earlier epoch can be outstanding, as for a shard's first epoch.
+    ///
+    /// Otherwise the host starts the kernel once no gateway begins to use a grant of an earlier
+    /// epoch any more.
     pub clean: bool,
 }
 
@@ -220,9 +234,6 @@
 
 impl Kernel {
     /// Creates the kernel of a shard whose epoch starts at `now`.
-    ///
-    /// Unless `start.clean`, the host has waited until no gateway uses a grant of an earlier epoch
-    /// that it had not used before.
     #[must_use]
     pub fn new(now: Instant, mut start: Start) -> Self {
         let remembered = std::mem::take(&mut start.remembered);
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -368,3 +368,22 @@
         assert_eq!(host.grants(1), Vec::new());
     }
 }
+
+/// Guards against slots that stay lost for a minute after a takeover although the instance's count
+/// is made up of requests that gateways report on.
+#[test]
+fn reported_requests_explain_the_count_of_an_instance() {
+    let mut host = Host::new(start(false, &["g"]), &[("a1", State::Live)]);
+    host.occupied("a1", Some(2));
+    let slots = host.grants(6);
+    assert_eq!(host.taken("a1"), 8);
+    let mut probed = host.wait(1_000);
+    probed.retain(|step| *step == Step::Probe("a1".into()));
+    assert_eq!(probed.len(), 1);
+    host.occupied("a1", Some(6));
+    assert_eq!(host.taken("a1"), 8);
+    for (slot, _) in &slots {
+        host.finish(*slot, Finish::Answered, 1_000);
+    }
+    assert_eq!(host.taken("a1"), 0);
+}
