--- a/crates/gateway/tests/outcomes.rs
+++ b/crates/gateway/tests/outcomes.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rosemaryworks_core::outcome::{Finish, NotRun, Unknown};
+use rosemaryworks_wire::link::Reply;
 use rosemaryworks_wire::{Message, Verdict};
 use support::fakes::{never, reply};
 use support::{Running, Treat, eventually, grant_all, granted};
@@ -17,6 +18,24 @@
     assert_eq!(actual, expected);
 }
 
+/// Grants an ask after `millis`, and says that it waited `waited_ms` at the owner.
+fn grant_after(millis: u64, waited_ms: u64, message: Message) -> Reply {
+    let Message::Ask { ask, .. } = message else {
+        return reply(Message::Done);
+    };
+    Box::pin(async move {
+        tokio::time::sleep(Duration::from_millis(millis)).await;
+        granted(1, ask.key.number, waited_ms)
+    })
+}
+
+fn decide_nothing(message: Message) -> Reply {
+    match message {
+        Message::Ask { .. } => never(),
+        _ => reply(Message::Done),
+    }
+}
+
 fn finishes(gateway: &Running) -> Vec<Finish> {
     let calls = gateway.scheduler.calls().into_iter();
     let finishes = calls.filter_map(|call| match call {
@@ -61,20 +80,12 @@
 #[tokio::test]
 async fn a_grant_that_is_too_old_is_returned_unused() {
     let gateway = Running::start().await;
-    gateway.scheduler.answer(|message| match message {
-        Message::Ask { ask, .. } => Box::pin(async move {
-            tokio::time::sleep(Duration::from_millis(1_050)).await;
-            granted(1, ask.key.number, 0)
-        }),
-        _ => reply(Message::Done),
-    });
+    gateway
+        .scheduler
+        .answer(|message| grant_after(1_050, 0, message));
     let headers = [IDEMPOTENT, FIRST, ("rosemary-deadline-ms", "1500")];
-    is(
-        gateway.outcome("r-1", &headers).await,
-        503,
-        "not-run",
-        "deadline",
-    );
+    let told = gateway.outcome("r-1", &headers).await;
+    is(told, 503, "not-run", "deadline");
     assert!(gateway.instances.received().is_empty());
     eventually(|| finishes(&gateway).contains(&Finish::Unused)).await;
 }
@@ -83,13 +94,9 @@
 #[tokio::test]
 async fn a_grant_that_waited_at_the_owner_is_used() {
     let gateway = Running::start().await;
-    gateway.scheduler.answer(|message| match message {
-        Message::Ask { ask, .. } => Box::pin(async move {
-            tokio::time::sleep(Duration::from_millis(1_200)).await;
-            granted(1, ask.key.number, 1_100)
-        }),
-        _ => reply(Message::Done),
-    });
+    gateway
+        .scheduler
+        .answer(|message| grant_after(1_200, 1_100, message));
     is(gateway.outcome("r-1", &[]).await, 200, "completed", "");
 }
 
@@ -97,42 +104,19 @@
 #[tokio::test]
 async fn a_lost_verdict_is_unknown_unless_nothing_can_have_run() {
     let gateway = Running::start().await;
-    gateway.scheduler.answer(|message| match message {
-        Message::Ask { .. } => never(),
-        _ => reply(Message::Done),
-    });
+    gateway.scheduler.answer(decide_nothing);
     let soon = ("rosemary-deadline-ms", "200");
-    is(
-        gateway.outcome("r-1", &[soon]).await,
-        504,
-        "unknown",
-        "deadline",
-    );
+    let told = gateway.outcome("r-1", &[soon]).await;
+    is(told, 504, "unknown", "deadline");
     let later = ("rosemary-attempt", "2");
-    is(
-        gateway.outcome("r-2", &[soon, later]).await,
-        504,
-        "unknown",
-        "deadline",
-    );
-    is(
-        gateway.outcome("r-3", &[soon, later, IDEMPOTENT]).await,
-        504,
-        "unknown",
-        "deadline",
-    );
-    is(
-        gateway.outcome("r-4", &[soon, FIRST]).await,
-        503,
-        "not-run",
-        "deadline",
-    );
-    is(
-        gateway.outcome("r-5", &[soon, IDEMPOTENT]).await,
-        504,
-        "unknown",
-        "deadline",
-    );
+    let told = gateway.outcome("r-2", &[soon, later]).await;
+    is(told, 504, "unknown", "deadline");
+    let told = gateway.outcome("r-3", &[soon, later, IDEMPOTENT]).await;
+    is(told, 504, "unknown", "deadline");
+    let told = gateway.outcome("r-4", &[soon, FIRST]).await;
+    is(told, 503, "not-run", "deadline");
+    let told = gateway.outcome("r-5", &[soon, IDEMPOTENT]).await;
+    is(told, 504, "unknown", "deadline");
     assert_eq!(gateway.withdrawn().len(), 5);
 }
 
@@ -141,10 +125,7 @@
 #[tokio::test]
 async fn a_new_owner_is_asked_with_a_new_number() {
     let gateway = Running::start().await;
-    gateway.scheduler.answer(|message| match message {
-        Message::Ask { .. } => never(),
-        _ => reply(Message::Done),
-    });
+    gateway.scheduler.answer(decide_nothing);
     let answered = async { gateway.outcome("r-1", &[]).await };
     let takeover = async {
         eventually(|| gateway.asks().len() == 1).await;
@@ -162,13 +143,9 @@
 #[tokio::test]
 async fn a_late_grant_is_returned() {
     let gateway = Running::start().await;
-    gateway.scheduler.answer(|message| match message {
-        Message::Ask { ask, .. } => Box::pin(async move {
-            tokio::time::sleep(Duration::from_millis(300)).await;
-            granted(1, ask.key.number, 0)
-        }),
-        _ => reply(Message::Done),
-    });
+    gateway
+        .scheduler
+        .answer(|message| grant_after(300, 0, message));
     gateway
         .outcome("r-1", &[("rosemary-deadline-ms", "100")])
         .await;
@@ -181,18 +158,10 @@
 async fn a_connection_that_fails_after_bytes_is_unknown() {
     let gateway = Running::start().await;
     gateway.instances.treat(&[Treat::Lose, Treat::Lose]);
-    is(
-        gateway.outcome("r-1", &[FIRST]).await,
-        504,
-        "unknown",
-        "instance-lost",
-    );
-    is(
-        gateway.outcome("r-2", &[IDEMPOTENT]).await,
-        504,
-        "unknown",
-        "instance-lost",
-    );
+    let told = gateway.outcome("r-1", &[FIRST]).await;
+    is(told, 504, "unknown", "instance-lost");
+    let told = gateway.outcome("r-2", &[IDEMPOTENT]).await;
+    is(told, 504, "unknown", "instance-lost");
     assert_eq!(gateway.instances.received().len(), 2);
     eventually(|| finishes(&gateway) == [Finish::Lost, Finish::Lost]).await;
 }
@@ -205,18 +174,10 @@
     gateway
         .instances
         .treat(&[Treat::Unreached, Treat::Unreached]);
-    is(
-        gateway.outcome("r-1", &[FIRST]).await,
-        503,
-        "not-run",
-        "no-instance",
-    );
-    is(
-        gateway.outcome("r-2", &[]).await,
-        504,
-        "unknown",
-        "instance-lost",
-    );
+    let told = gateway.outcome("r-1", &[FIRST]).await;
+    is(told, 503, "not-run", "no-instance");
+    let told = gateway.outcome("r-2", &[]).await;
+    is(told, 504, "unknown", "instance-lost");
     assert_eq!(gateway.asks().len(), 2);
 }
 
@@ -225,19 +186,11 @@
 async fn an_idempotent_request_is_retried_at_another_instance() {
     let gateway = Running::start().await;
     gateway.instances.treat(&[Treat::Unreached]);
-    is(
-        gateway.outcome("r-1", &[IDEMPOTENT]).await,
-        200,
-        "completed",
-        "",
-    );
+    let told = gateway.outcome("r-1", &[IDEMPOTENT]).await;
+    is(told, 200, "completed", "");
     gateway.instances.treat(&[Treat::Reject]);
-    is(
-        gateway.outcome("r-2", &[IDEMPOTENT]).await,
-        200,
-        "completed",
-        "",
-    );
+    let told = gateway.outcome("r-2", &[IDEMPOTENT]).await;
+    is(told, 200, "completed", "");
     let asks = gateway.asks();
     let failed = format!("booking-{}", asks[0].key.number);
     assert_eq!(asks[1].exclude, [failed.into()]);
@@ -258,12 +211,8 @@
         gateway.wait_ready().await;
         gateway.instances.treat(&vec![Treat::Unreached; 20]);
         for id in ["r-1", "r-2", "r-3", "r-4"] {
-            is(
-                gateway.outcome(id, &[IDEMPOTENT, FIRST]).await,
-                503,
-                "not-run",
-                "no-instance",
-            );
+            let told = gateway.outcome(id, &[IDEMPOTENT, FIRST]).await;
+            is(told, 503, "not-run", "no-instance");
         }
         assert_eq!(gateway.asks().len(), asks, "with {percent}%");
     }
@@ -274,12 +223,8 @@
 async fn a_rejected_request_that_is_not_retried_is_unknown() {
     let gateway = Running::start().await;
     gateway.instances.treat(&[Treat::Reject]);
-    is(
-        gateway.outcome("r-1", &[FIRST]).await,
-        504,
-        "unknown",
-        "instance-refused",
-    );
+    let told = gateway.outcome("r-1", &[FIRST]).await;
+    is(told, 504, "unknown", "instance-refused");
     eventually(|| finishes(&gateway) == [Finish::Rejected]).await;
 }
 
@@ -290,12 +235,8 @@
     let gateway = Running::start().await;
     gateway.instances.treat(&[Treat::Slow(400)]);
     let soon = ("rosemary-deadline-ms", "100");
-    is(
-        gateway.outcome("r-1", &[soon]).await,
-        504,
-        "unknown",
-        "deadline",
-    );
+    let told = gateway.outcome("r-1", &[soon]).await;
+    is(told, 504, "unknown", "deadline");
     assert!(finishes(&gateway).is_empty());
     eventually(|| finishes(&gateway) == [Finish::Answered]).await;
     is(gateway.outcome("r-1", &[soon]).await, 200, "completed", "");
@@ -348,12 +289,8 @@
     for (verdict, status, outcome, reason) in cases {
         let verdict = Message::Verdict(verdict);
         gateway.scheduler.answer(move |_| reply(verdict.clone()));
-        is(
-            gateway.outcome("r-1", &[FIRST]).await,
-            status,
-            outcome,
-            reason,
-        );
+        let told = gateway.outcome("r-1", &[FIRST]).await;
+        is(told, status, outcome, reason);
     }
 }
 
@@ -364,18 +301,10 @@
     gateway.own(1, None).await;
     tokio::time::sleep(Duration::from_millis(50)).await;
     let soon = ("rosemary-deadline-ms", "150");
-    is(
-        gateway.outcome("r-1", &[soon, FIRST]).await,
-        503,
-        "not-run",
-        "no-owner",
-    );
-    is(
-        gateway.outcome("r-2", &[soon]).await,
-        504,
-        "unknown",
-        "no-owner",
-    );
+    let told = gateway.outcome("r-1", &[soon, FIRST]).await;
+    is(told, 503, "not-run", "no-owner");
+    let told = gateway.outcome("r-2", &[soon]).await;
+    is(told, 504, "unknown", "no-owner");
     assert!(gateway.asks().is_empty());
 }
 
@@ -385,25 +314,16 @@
     let gateway = Running::start().await;
     let asked = std::sync::atomic::AtomicUsize::new(0);
     gateway.scheduler.answer(move |message| match message {
-        Message::Ask { ask, .. }
-            if asked.fetch_add(1, std::sync::atomic::Ordering::SeqCst) == 0 =>
-        {
-            Box::pin(async move {
-                tokio::time::sleep(Duration::from_millis(1_050)).await;
-                granted(1, ask.key.number, 0)
-            })
+        Message::Ask { .. } if asked.fetch_add(1, std::sync::atomic::Ordering::SeqCst) == 0 => {
+            grant_after(1_050, 0, message)
         }
         Message::Ask { .. } => reply(Message::Verdict(Verdict::Unknown(
             Unknown::AlreadyDispatched,
         ))),
         _ => reply(Message::Done),
     });
-    is(
-        gateway.outcome("r-1", &[FIRST]).await,
-        503,
-        "not-run",
-        "no-owner",
-    );
+    let told = gateway.outcome("r-1", &[FIRST]).await;
+    is(told, 503, "not-run", "no-owner");
     assert!(gateway.instances.received().is_empty());
 }
 
@@ -418,19 +338,11 @@
         message => grant_all(message),
     });
     gateway.instances.treat(&[Treat::Reject]);
-    is(
-        gateway.outcome("r-1", &[IDEMPOTENT, FIRST]).await,
-        504,
-        "unknown",
-        "instance-refused",
-    );
+    let told = gateway.outcome("r-1", &[IDEMPOTENT, FIRST]).await;
+    is(told, 504, "unknown", "instance-refused");
     gateway.instances.treat(&[Treat::Unreached]);
-    is(
-        gateway.outcome("r-2", &[IDEMPOTENT, FIRST]).await,
-        503,
-        "not-run",
-        "no-instance",
-    );
+    let told = gateway.outcome("r-2", &[IDEMPOTENT, FIRST]).await;
+    is(told, 503, "not-run", "no-instance");
 }
 
 /// Guards against `unknown` because the report of an unused grant outlasts the deadline.
@@ -443,12 +355,8 @@
     });
     gateway.instances.treat(&[Treat::Unreached]);
     let soon = ("rosemary-deadline-ms", "200");
-    is(
-        gateway.outcome("r-1", &[soon, IDEMPOTENT, FIRST]).await,
-        503,
-        "not-run",
-        "deadline",
-    );
+    let told = gateway.outcome("r-1", &[soon, IDEMPOTENT, FIRST]).await;
+    is(told, 503, "not-run", "deadline");
 }
 
 /// Guards against `not-run` for a later attempt of an idempotent request: the owner doesn't remember
@@ -463,18 +371,10 @@
     is(outcome, 504, "unknown", "earlier-attempt");
     let outcome = gateway.outcome("r-1", &[IDEMPOTENT]).await;
     is(outcome, 504, "unknown", "earlier-attempt");
-    is(
-        gateway.outcome("r-2", &[IDEMPOTENT, FIRST]).await,
-        429,
-        "not-run",
-        "concurrency",
-    );
-    is(
-        gateway.outcome("r-3", &[second]).await,
-        429,
-        "not-run",
-        "concurrency",
-    );
+    let told = gateway.outcome("r-2", &[IDEMPOTENT, FIRST]).await;
+    is(told, 429, "not-run", "concurrency");
+    let told = gateway.outcome("r-3", &[second]).await;
+    is(told, 429, "not-run", "concurrency");
 }
 
 /// Guards against an ask that goes on waiting, and is dispatched later, after its caller has gone and
@@ -482,10 +382,7 @@
 #[tokio::test]
 async fn an_ask_is_withdrawn_when_its_caller_has_gone() {
     let gateway = Running::start().await;
-    gateway.scheduler.answer(|message| match message {
-        Message::Ask { .. } => never(),
-        _ => reply(Message::Done),
-    });
+    gateway.scheduler.answer(decide_nothing);
     let mut call = gateway.call("r-1", &[]);
     call.timeout = Duration::from_millis(200);
     let client = rosemaryworks_node::http::Client::start(1);
