feat(gateway): bound on the bytes of bodies held at once

Requests wait at the gateway while a shard has no owner. With bodies of up to 1 MiB their memory had no bound other than the request rate times the deadline. The setting bodies_max_bytes (default 48 MiB) bounds it; further requests are refused with 503.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -24,7 +24,7 @@
 
 /// Pause before a scheduler that was named as the owner is asked, so that two schedulers that name
 /// each other are not asked without end.
-const HINT_DELAY: Duration = Duration::from_millis(5);
+const HINT_DELAY: Duration = Duration::from_millis(20);
 
 /// What became of the asks.
 pub(crate) enum Asked {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -142,7 +142,7 @@
 async fn dispatch(gateway: &Gateway, inquiry: &Inquiry, grant: &Grant) -> Dispatched {
     let request = Request {
         headers: headers(inquiry),
-        body: inquiry.body.clone(),
+        body: inquiry.body.bytes.clone(),
         timeout_ms: ANSWER_MAX_MS,
     };
     match gateway.instances.send(&grant.instance, request).await {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use rosemaryworks_platform::Instances;
 
 use crate::answers::Answers;
+use crate::bodies::Bodies;
 use crate::budget::Budget;
 use crate::links::Links;
 use crate::metrics::Meters;
@@ -44,6 +45,7 @@
     pub(crate) links: Links,
     pub(crate) runtime: tokio::runtime::Handle,
     pub(crate) answers: Answers,
+    pub(crate) bodies: Bodies,
     pub(crate) budget: Budget,
     pub(crate) meters: Meters,
     /// Number of the next ask. Starts with the incarnation: an owner may still hold asks of the
@@ -83,6 +85,7 @@
             links: parts.links,
             runtime: parts.runtime,
             answers: Answers::new(settings.answers_max_bytes),
+            bodies: Bodies::new(settings.bodies_max_bytes),
             budget: Budget::new(settings.retry_percent),
             meters: Meters::new(&parts.metrics),
             number: AtomicU64::new(clock::incarnation()),
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -6,9 +6,9 @@
 use ntex::web::types::Payload;
 
 use super::reply::Refusal;
-
-/// Largest body of a request in bytes.
-pub(super) const BODY_MAX_BYTES: usize = 1024 * 1024;
+use crate::gateway::Gateway;
+use crate::inquiry::Body;
+use crate::settings::BODY_MAX_BYTES;
 
 /// Most bytes of a refused body that are read.
 const DISCARD_MAX_BYTES: usize = 16 * 1024 * 1024;
@@ -17,22 +17,33 @@
 const DISCARD_MAX: Duration = Duration::from_secs(2);
 
 /// Reads a whole body.
-pub(super) async fn read(request: &HttpRequest, payload: &mut Payload) -> Result<Vec<u8>, Refusal> {
+pub(super) async fn read(
+    gateway: &Gateway,
+    request: &HttpRequest,
+    payload: &mut Payload,
+) -> Result<Body, Refusal> {
     let declared = request.headers().get("content-length");
     let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
-    if declared.is_some_and(|bytes| bytes > BODY_MAX_BYTES) {
+    let most = declared.unwrap_or(BODY_MAX_BYTES);
+    if most > BODY_MAX_BYTES {
         return Err(too_large());
     }
-    let mut body = Vec::with_capacity(declared.unwrap_or(0));
+    let busy = || Refusal::new(503, "too many bytes of requests are held already");
+    let mut reserved = gateway.bodies.reserve(most).ok_or_else(busy)?;
+    let mut bytes = Vec::with_capacity(declared.unwrap_or(0));
     while let Some(chunk) = payload.recv().await {
         let chunk =
             chunk.map_err(|error| Refusal::new(400, format!("unreadable body: {error}")))?;
-        if body.len() + chunk.len() > BODY_MAX_BYTES {
+        if bytes.len() + chunk.len() > BODY_MAX_BYTES {
             return Err(too_large());
         }
-        body.extend_from_slice(&chunk);
+        bytes.extend_from_slice(&chunk);
     }
-    Ok(body)
+    reserved.shrink(bytes.len());
+    Ok(Body {
+        bytes,
+        _reserved: reserved,
+    })
 }
 
 /// Reads and drops the rest of a body that is refused, within bounds. A connection that is closed
--- a/crates/gateway/src/http/jobs.rs
+++ b/crates/gateway/src/http/jobs.rs
@@ -94,7 +94,7 @@
     payload: &mut Payload,
 ) -> Result<Answer, Refusal> {
     let contract = headers::contract(gateway, request)?;
-    let job = parse(&body::read(request, payload).await?)?;
+    let job = parse(&body::read(gateway, request, payload).await?.bytes)?;
     if gateway.is_stopping() {
         return Ok(Answer::not_run(&NotRun::Stopping));
     }
--- a/crates/gateway/src/http/requests.rs
+++ b/crates/gateway/src/http/requests.rs
@@ -83,7 +83,7 @@
         attempt: headers::attempt(request)?,
         content_type: headers::value(request, "content-type")?.map(Into::into),
         concurrency: limits.concurrency,
-        body: body::read(request, payload).await?,
+        body: body::read(gateway, request, payload).await?,
         received,
         deadline: received + deadline_ms,
     })
--- a/crates/gateway/src/inquiry.rs
+++ b/crates/gateway/src/inquiry.rs
@@ -6,21 +6,31 @@
 use rosemaryworks_core::time::Instant;
 use rosemaryworks_platform::instances::Response;
 
+use crate::bodies::Reserved;
+
 /// A request that passed all checks of the gateway.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Inquiry {
     pub(crate) service: Arc<str>,
     pub(crate) request: Request,
     pub(crate) idempotent: bool,
     pub(crate) attempt: Option<u32>,
     pub(crate) content_type: Option<Arc<str>>,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Body,
     /// Concurrency limit of the contract, which decides the shard.
     pub(crate) concurrency: u32,
     pub(crate) received: Instant,
     pub(crate) deadline: Instant,
 }
 
+/// A body with the reservation of its bytes.
+#[derive(Debug)]
+pub(crate) struct Body {
+    pub(crate) bytes: Vec<u8>,
+    /// Held until the request has ended.
+    pub(crate) _reserved: Reserved,
+}
+
 impl Inquiry {
     /// Returns the outcome of a request of which this gateway sent no byte. The gateway alone can
     /// say `not-run` only on the first attempt: an earlier one may have run through another gateway.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod ask;
+mod bodies;
 mod budget;
 pub mod events;
 mod exchange;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,6 +10,9 @@
 use rosemaryworks_node::settings::{Cell, Check, Faults};
 use serde::{Deserialize, Serialize};
 
+/// Largest body of a request in bytes.
+pub const BODY_MAX_BYTES: usize = 1024 * 1024;
+
 /// Settings of the gateway.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -39,6 +42,9 @@
     /// Bytes of completed answers that are kept for repeats of non-idempotent requests.
     #[serde(default = "answers_max_bytes")]
     pub answers_max_bytes: usize,
+    /// Bytes of request bodies that are held at once. Further requests are refused.
+    #[serde(default = "bodies_max_bytes")]
+    pub bodies_max_bytes: usize,
     /// Threads that serve callers.
     #[serde(default = "threads")]
     pub http_threads: usize,
@@ -59,6 +65,10 @@
     8 * 1024 * 1024
 }
 
+const fn bodies_max_bytes() -> usize {
+    48 * 1024 * 1024
+}
+
 const fn threads() -> usize {
     2
 }
@@ -87,6 +97,9 @@
             "runtime_threads",
             message,
         );
+        let bodies = self.bodies_max_bytes >= BODY_MAX_BYTES;
+        let message = format!("must be at least {BODY_MAX_BYTES}, the size of the largest body");
+        faults.require(bodies, "bodies_max_bytes", message);
         let drain = self.drain_ms <= 60_000;
         faults.require(drain, "drain_ms", "must be at most 60000");
     }
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -144,3 +144,23 @@
     );
     assert!(!text.contains(TEAM_KEY));
 }
+
+/// Guards against waiting requests whose bodies fill the memory.
+#[tokio::test]
+async fn bodies_held_at_once_are_bounded() {
+    let gateway = Running::start().await;
+    gateway
+        .instances
+        .treat(&[Treat::Slow(400), Treat::Slow(400)]);
+    let large = |id: &str| gateway.call(id, &[FIRST]).body(vec![b'x'; 1024 * 1024]);
+    let (first, second) = (gateway.send(large("r-1")), gateway.send(large("r-2")));
+    let third = async {
+        eventually(|| gateway.instances.received().len() == 2).await;
+        gateway.send(large("r-3")).await
+    };
+    let (first, second, third) = tokio::join!(first, second, third);
+    assert_eq!((first.status, second.status, third.status), (200, 200, 503));
+    assert_eq!(third.header("rosemary-outcome"), Some("not-run"));
+    eventually(|| gateway.gateway.requests() == 0).await;
+    assert_eq!(gateway.send(large("r-4")).await.status, 200);
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -160,6 +160,7 @@
         drain_ms: 0,
         retry_percent: 100,
         answers_max_bytes: 1024 * 1024,
+        bodies_max_bytes: 2 * 1024 * 1024,
         http_threads: 1,
         runtime_threads: 1,
     }
