--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -16,5 +16,5 @@
 
 pub use api::{Api, Operator};
 pub use audit::Refusals;
-pub use contracts::Contracts;
+pub use contracts::{Contracts, Progress};
 pub use routes::routes;
--- a/crates/gateway/src/http/requests.rs
+++ b/crates/gateway/src/http/requests.rs
@@ -17,8 +17,9 @@
 use crate::gateway::Gateway;
 use crate::inquiry::{Inquiry, Outcome, is_first};
 
-/// Milliseconds after the deadline that the handler leaves for a decision made at the deadline.
-const GRACE_MS: u64 = 20;
+/// Milliseconds after the deadline that the handler leaves for a decision made at the deadline. With
+/// 20, callers on a busy machine were told `unknown` in place of `not-run`.
+const GRACE_MS: u64 = 100;
 
 pub(super) async fn take(
     gateway: State<Gateway>,
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -66,8 +66,8 @@
         open.into_iter().nth(usize::try_from(index).ok()?)
     }
 
-    /// Takes the contracts from the scheduler that knows the most of them. Returns whether any
-    /// scheduler had some.
+    /// Takes the contracts from the scheduler that knows the most of them, and what it knows of
+    /// owners. Returns whether any scheduler had some.
     pub async fn restore(&self, contracts: &Contracts) -> bool {
         let mut best: Option<Snapshot> = None;
         for client in self.clients.iter() {
@@ -83,6 +83,9 @@
         let Some(best) = best else { return false };
         let offset = best.register.offset();
         contracts.restore(best.register);
+        for (shard, epoch, owner, _) in best.owners {
+            self.owners.learn(&shard, epoch, Some(owner));
+        }
         events::RESTORED.log(format_args!("offset={offset}"));
         true
     }
@@ -94,20 +97,11 @@
     }
 }
 
-#[derive(Clone)]
 struct Listener {
     owners: Owners,
     grants: Grants,
 }
 
-impl Listener {
-    fn take(&self, snapshot: &Snapshot) {
-        for (shard, epoch, owner, _) in &snapshot.owners {
-            self.owners.learn(shard, *epoch, Some(owner.clone()));
-        }
-    }
-}
-
 impl Handler for Listener {
     fn call(&self, peer: &Peer, message: Message) -> Reply {
         let reply = match message {
@@ -147,13 +141,6 @@
     fn opened(&self, peer: &Peer) {
         events::LINK_OPENED.log(format_args!("peer={}", peer.hello().node));
         self.owners.touch();
-        let (peer, listener) = (peer.clone(), self.clone());
-        tokio::spawn(async move {
-            let reply = peer.call(Message::Snapshot, SNAPSHOT_TIMEOUT).await;
-            if let Ok(Message::Snapshotted(snapshot)) = reply {
-                listener.take(&snapshot);
-            }
-        });
     }
 
     fn closed(&self, peer: &Peer) {
