fix(core): a small pool closes no more than its share; cheaper list calls

Change: closed workers are spread evenly by position. Jobs are boxed, so that the job map grows without moving them, and a list call touches only workers that changed.

--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -370,7 +370,12 @@
     front
 }
 
-/// Returns a number below 100 that spreads neighbouring workers.
+/// Returns the closed share in percent above which a worker is closed.
+///
+/// Closed workers are spread evenly, and a pool of few workers closes no more than its share.
 fn rank(slot: Slot) -> u64 {
-    u64::from(slot) * 37 % 100
+    const RANKS: [u64; 20] = [
+        12, 4, 16, 8, 0, 14, 6, 18, 10, 2, 13, 5, 17, 9, 1, 15, 7, 19, 11, 3,
+    ];
+    RANKS[slot as usize % RANKS.len()] * 100 / RANKS.len() as u64
 }
--- a/crates/core/src/placement/link.rs
+++ b/crates/core/src/placement/link.rs
@@ -1,6 +1,5 @@
 //! Synchronisation with workers: renewals, lost answers, lapsed leases and the VM list.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use crate::placement::index::Slot;
@@ -45,13 +44,14 @@
     /// Takes over the list of workers.
     pub(crate) fn list(&mut self, now: Instant, workers: Vec<(Worker, State)>) {
         self.listed = true;
-        let mut unlisted: HashSet<Slot> = self.fleet.iter().map(|entry| entry.0).collect();
+        let mut seen = vec![false; self.fleet.len() as usize];
         for (target, state) in workers {
-            let slot = self.list_one(now, target, state);
-            unlisted.remove(&slot);
+            let slot = self.list_one(now, target, state) as usize;
+            seen.resize(seen.len().max(slot + 1), false);
+            seen[slot] = true;
         }
-        for slot in unlisted {
-            self.unlist(now, slot);
+        for slot in (0..).zip(seen).filter(|(_, seen)| !seen) {
+            self.unlist(now, slot.0);
         }
         self.fleet.measure();
     }
@@ -174,7 +174,9 @@
                 _,
             ) => Some(Departure::At(now + ms)),
         };
-        self.fleet.set_departure(slot, departure);
+        if departure != known {
+            self.fleet.set_departure(slot, departure);
+        }
         if self.fleet.get(slot).is_some_and(|worker| !worker.listed) {
             self.fleet.set_listed(slot, true);
             self.fleet.wake_at(slot, now);
--- a/crates/core/src/placement/views.rs
+++ b/crates/core/src/placement/views.rs
@@ -21,7 +21,7 @@
     /// Returns all jobs.
     #[must_use]
     pub fn jobs(&self) -> Vec<Status> {
-        self.book.iter().map(|entry| status(entry.1)).collect()
+        self.book.iter().map(status).collect()
     }
 
     /// Returns the tasks of a job for operators.
--- a/crates/core/src/placement/work.rs
+++ b/crates/core/src/placement/work.rs
@@ -223,7 +223,8 @@
 pub(crate) struct Book {
     next: Serial,
     serials: HashMap<Id, Serial>,
-    jobs: HashMap<Serial, Job>,
+    /// Boxed, so that the map can grow without moving the jobs.
+    jobs: HashMap<Serial, Box<Job>>,
     ended: VecDeque<Serial>,
 }
 
@@ -232,7 +233,7 @@
     pub(crate) fn add(&mut self, job: Job) -> Serial {
         self.next += 1;
         self.serials.insert(job.id.clone(), self.next);
-        self.jobs.insert(self.next, job);
+        self.jobs.insert(self.next, Box::new(job));
         self.next
     }
 
@@ -243,12 +244,12 @@
 
     /// Returns a job.
     pub(crate) fn get(&self, serial: Serial) -> Option<&Job> {
-        self.jobs.get(&serial)
+        self.jobs.get(&serial).map(Box::as_ref)
     }
 
     /// Returns a job for changes.
     pub(crate) fn get_mut(&mut self, serial: Serial) -> Option<&mut Job> {
-        self.jobs.get_mut(&serial)
+        self.jobs.get_mut(&serial).map(Box::as_mut)
     }
 
     /// Returns a task.
@@ -291,8 +292,8 @@
     }
 
     /// Returns all jobs.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Serial, &Job)> {
-        self.jobs.iter()
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values().map(Box::as_ref)
     }
 
     /// Keeps an ended job's state for callers and forgets the oldest beyond the limit.
--- a/xtask/src/measure/cell.rs
+++ b/xtask/src/measure/cell.rs
@@ -126,12 +126,18 @@
             later: VecDeque::new(),
             soon: VecDeque::new(),
         };
-        let listed = cell.vms.iter().map(|vm| (vm.target.clone(), State::Live));
-        let listed = listed.collect();
-        cell.feed(Event::Listed(listed));
+        cell.list();
         cell
     }
 
+    /// Hands the list of workers to the kernel and returns the time that it took in microseconds.
+    pub(crate) fn list(&mut self) -> f64 {
+        let listed = self.vms.iter().map(|vm| (vm.target.clone(), State::Live));
+        let listed = listed.collect();
+        self.feed(Event::Listed(listed));
+        self.cost.calls_us.last().copied().unwrap_or(0.0)
+    }
+
     /// Makes one worker in `every` fail everything.
     pub(crate) fn spoil(&mut self, every: usize) {
         self.vms
--- a/xtask/src/measure/decisions.rs
+++ b/xtask/src/measure/decisions.rs
@@ -29,6 +29,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Figures {
     placing_p99_us: f64,
+    list_us: f64,
     p50_us: f64,
     p99_us: f64,
     max_us: f64,
@@ -67,6 +68,7 @@
                 ));
             };
             add("placing call p99 us", |run| run.placing_p99_us);
+            add("list call us", |run| run.list_us);
             add("call p50 us", |run| run.p50_us);
             add("call p99 us", |run| run.p99_us);
             add("call max us", |run| run.max_us);
@@ -100,9 +102,11 @@
     drive(&mut cell, &mut load, workers, TAKEN_MS);
     let taken = std::mem::take(&mut cell.cost);
     let (mut calls, mut placing) = (taken.calls_us, taken.placing_us);
+    let list_us = cell.list();
     let burst = burst(&mut cell, &mut load, workers);
     Figures {
         placing_p99_us: quantile(&mut placing, 99.0),
+        list_us,
         p50_us: quantile(&mut calls, 50.0),
         p99_us: quantile(&mut calls, 99.0),
         max_us: quantile(&mut calls, 100.0),
