fix(scheduler): a planned stop finishes intents that are being written

Cause: a planned stop answered such asks with NotOwner although their ids were recorded, so the next owner had to answer unknown. Change: the stop first takes no new asks, hands queued ones to the next owner, and grants those whose intents are under way. One log line tells of an outage or of failing writes instead of one per record, and contracts are stated again in parallel.

--- a/crates/scheduler/src/contracts.rs
+++ b/crates/scheduler/src/contracts.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use rosemaryworks_core::record::{Config, Offset};
 use rosemaryworks_core::time::Instant;
 use rosemaryworks_node::clock;
@@ -33,17 +34,23 @@
     if !hosted.is_some_and(|hosted| hosted.tenure().holds()) {
         return;
     }
-    for (record, name) in due {
-        let Ok(text) = serde_json::to_string(&record) else {
-            continue;
-        };
-        let written = shared.config_appender.append(text, PATIENCE).await.is_ok();
+    let records = due.iter().map(|(record, _)| append(shared, record));
+    let written = join_all(records).await;
+    for ((record, name), written) in due.into_iter().zip(written) {
+        // The age of a contract follows from its offset once the record is read back.
         if let (Config::Drain { .. }, true) = (&record, written) {
             ages.drained.insert(name, clock::now());
         }
     }
 }
 
+async fn append(shared: &Shared, record: &Config) -> bool {
+    match serde_json::to_string(record) {
+        Ok(text) => shared.config_appender.append(text, PATIENCE).await.is_ok(),
+        Err(_) => false,
+    }
+}
+
 /// Returns the records to be stated again, with the names of what they state.
 fn due(shared: &Shared, ages: &mut Ages) -> Vec<(Config, Arc<str>)> {
     let now = clock::now();
--- a/crates/scheduler/src/hosted.rs
+++ b/crates/scheduler/src/hosted.rs
@@ -44,6 +44,21 @@
         }
     }
 
+    /// Takes no new work before a planned stop.
+    pub(crate) fn drain(&self) {
+        if let Self::Service(service) = self {
+            service.drain();
+        }
+    }
+
+    /// Tells whether nothing is under way that the next owner couldn't finish.
+    pub(crate) fn is_drained(&self) -> bool {
+        match self {
+            Self::Pool(_) => true,
+            Self::Service(service) => service.is_drained(),
+        }
+    }
+
     /// Answers what waits: this process isn't the owner any more, at least for now.
     pub(crate) fn suspend(&self) {
         if let Self::Service(service) = self {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -12,6 +12,7 @@
 
 use crate::events;
 use crate::follow;
+use crate::hosted::Hosted;
 use crate::links::Inbox;
 use crate::listing;
 use crate::owner;
@@ -19,6 +20,9 @@
 use crate::shared::{Platform, Shared};
 use crate::upkeep;
 
+/// Longest time that a planned stop waits for intents that are being written.
+const DRAIN_MAX: Duration = Duration::from_millis(1_500);
+
 /// Longest time that a planned stop waits for its releases.
 const RELEASE_MAX: Duration = Duration::from_secs(8);
 const RELEASE_PERIOD: Duration = Duration::from_millis(20);
@@ -67,6 +71,12 @@
         let shared = &self.shared;
         shared.progress.stop(&shared.status.ready);
         events::STOPPING.log(format_args!("shards={}", shared.all_hosted().len()));
+        let hosted = shared.all_hosted();
+        hosted.iter().for_each(Hosted::drain);
+        let deadline = tokio::time::Instant::now() + DRAIN_MAX;
+        while !hosted.iter().all(Hosted::is_drained) && tokio::time::Instant::now() < deadline {
+            tokio::time::sleep(RELEASE_PERIOD).await;
+        }
         shared.ownership_event(Event::Stop);
         let deadline = tokio::time::Instant::now() + RELEASE_MAX;
         while !shared.all_hosted().is_empty() {
--- a/crates/scheduler/src/service.rs
+++ b/crates/scheduler/src/service.rs
@@ -3,6 +3,7 @@
 mod steps;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
@@ -35,11 +36,17 @@
     shared: Weak<Shared>,
     state: Mutex<Inner>,
     pub(crate) writer: Writer,
+    /// Whether a planned stop has begun, so that no new ask is taken.
+    draining: AtomicBool,
+    /// Whether the last intent was kept in memory.
+    without_log: AtomicBool,
 }
 
 struct Inner {
     kernel: Kernel,
     waiting: HashMap<Key, oneshot::Sender<Verdict>>,
+    /// Asks whose intents are being written.
+    intending: BTreeSet<Key>,
     instances: HashMap<Arc<str>, Instance>,
     listed: Vec<(Instance, State)>,
     surveyed: BTreeSet<(Arc<str>, u64)>,
@@ -57,11 +64,14 @@
             state: Mutex::new(Inner {
                 kernel: Kernel::new(clock::now(), start),
                 waiting: HashMap::new(),
+                intending: BTreeSet::new(),
                 instances: HashMap::new(),
                 listed: Vec::new(),
                 surveyed: BTreeSet::new(),
             }),
             writer,
+            draining: AtomicBool::new(false),
+            without_log: AtomicBool::new(false),
         });
         tokio::spawn(tick(service.clone()));
         service
@@ -80,6 +90,9 @@
 
     /// Decides on an ask.
     pub(crate) async fn ask(self: Arc<Self>, ask: Ask) -> Verdict {
+        if self.draining.load(Ordering::SeqCst) {
+            return self.not_owner();
+        }
         let key = ask.key.clone();
         let idempotent = ask.idempotent;
         let received = clock::now();
@@ -162,6 +175,30 @@
         }
     }
 
+    /// Takes no new asks and sends those that only wait for a slot to the next owner.
+    ///
+    /// An ask whose intent is being written is still granted here: the next owner would have to
+    /// answer that it may have been dispatched.
+    pub(crate) fn drain(self: &Arc<Self>) {
+        self.draining.store(true, Ordering::SeqCst);
+        let queued: Vec<Key> = {
+            let state = lock(&self.state);
+            let keys = state.waiting.keys();
+            keys.filter(|key| !state.intending.contains(key))
+                .cloned()
+                .collect()
+        };
+        for key in queued {
+            self.answer(&key, self.not_owner());
+            self.feed(Event::Withdrawn(key));
+        }
+    }
+
+    /// Tells whether no intent is being written.
+    pub(crate) fn is_drained(&self) -> bool {
+        lock(&self.state).intending.is_empty()
+    }
+
     /// Answers every waiting ask: this process doesn't own the shard at the moment.
     pub(crate) fn suspend(self: &Arc<Self>) {
         let waiting = std::mem::take(&mut lock(&self.state).waiting);
--- a/crates/scheduler/src/service/steps.rs
+++ b/crates/scheduler/src/service/steps.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rosemaryworks_core::outcome::{Finish, Request, Unknown};
@@ -93,18 +94,29 @@
             events.push_back(Event::Intended(key));
             return;
         }
+        lock(&self.state).intending.insert(key.clone());
         let service = self.clone();
-        tokio::spawn(async move { service.record_intent(&shared, key, request).await });
+        tokio::spawn(async move {
+            service
+                .clone()
+                .record_intent(&shared, key.clone(), request)
+                .await;
+            lock(&service.state).intending.remove(&key);
+        });
     }
 
     /// Keeps the request in memory until the log returns, if this is allowed now.
     fn without_log(&self, shared: &Shared, request: &Request) -> bool {
         let outage = self.tenure.holds() && shared.is_outage(&self.tenure.shard);
-        if outage {
+        // One line tells of all requests of an outage.
+        let first = outage && !self.without_log.swap(true, Ordering::SeqCst);
+        if first {
             events::OUTAGE.log(format_args!(
                 "shard={} epoch={} request={}/{}",
                 self.tenure.shard, self.tenure.epoch, request.contract, request.id
             ));
+        }
+        if outage {
             self.writer.push(Item::Intent {
                 request: request.clone(),
                 at_unix_ms: clock::unix_ms(),
@@ -121,7 +133,10 @@
             at_unix_ms: clock::unix_ms(),
         };
         match shared.write(&record, INTENT_PATIENCE).await {
-            Written::Valid => self.feed(Event::Intended(key)),
+            Written::Valid => {
+                self.without_log.store(false, Ordering::SeqCst);
+                self.feed(Event::Intended(key));
+            }
             Written::Void => {
                 self.answer(&key, self.not_owner());
                 self.give_up(key);
--- a/crates/scheduler/src/writer.rs
+++ b/crates/scheduler/src/writer.rs
@@ -1,7 +1,7 @@
 //! Writes records that must reach the log sooner or later, however long the log is away.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -38,14 +38,20 @@
 pub(crate) struct Writer {
     items: mpsc::UnboundedSender<Item>,
     open: Arc<AtomicUsize>,
+    /// Whether the last write failed.
+    failing: Arc<AtomicBool>,
 }
 
 impl Writer {
-    /// Starts a writer. Returns it with the task that runs it.
+    /// Creates a writer. Returns it with the queue that [`Writer::run`] writes.
     pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<Item>) {
         let (items, receiver) = mpsc::unbounded_channel();
-        let open = Arc::new(AtomicUsize::new(0));
-        (Self { items, open }, receiver)
+        let writer = Self {
+            items,
+            open: Arc::default(),
+            failing: Arc::default(),
+        };
+        (writer, receiver)
     }
 
     /// Queues an item.
@@ -75,35 +81,39 @@
             }
             let records = records(tenure.as_ref(), std::mem::take(&mut items));
             let writes = records.iter();
-            let writes = writes.map(|record| persist(&shared, tenure.as_ref(), record));
+            let writes = writes.map(|record| self.persist(&shared, tenure.as_ref(), record));
             if join_all(writes).await.contains(&false) {
                 return;
             }
             self.open.fetch_sub(count, Ordering::SeqCst);
         }
     }
-}
 
-/// Writes one record, however often it takes. Returns whether the epoch goes on.
-async fn persist(shared: &Shared, tenure: &Tenure, record: &Cell) -> bool {
-    loop {
-        if tenure.is_over() {
-            return false;
-        }
-        match shared.write(record, PATIENCE).await {
-            Written::Valid => return true,
-            Written::Void => {
-                events::RECORD_VOID.log(format_args!(
-                    "shard={} epoch={}",
-                    tenure.shard, tenure.epoch
-                ));
-                return false;
-            }
-            Written::No(reason) | Written::Uncertain(reason) => {
-                events::WRITE_RETRIED.log(format_args!("shard={} reason={reason}", tenure.shard));
-                tokio::time::sleep(RETRY_DELAY).await;
+    /// Writes one record, however often it takes. Returns whether the epoch goes on.
+    async fn persist(&self, shared: &Shared, tenure: &Tenure, record: &Cell) -> bool {
+        while !tenure.is_over() {
+            match shared.write(record, PATIENCE).await {
+                Written::Valid => {
+                    self.failing.store(false, Ordering::SeqCst);
+                    return true;
+                }
+                Written::Void => {
+                    events::RECORD_VOID.log(format_args!(
+                        "shard={} epoch={}",
+                        tenure.shard, tenure.epoch
+                    ));
+                    return false;
+                }
+                Written::No(reason) | Written::Uncertain(reason) => {
+                    if !self.failing.swap(true, Ordering::SeqCst) {
+                        events::WRITE_RETRIED
+                            .log(format_args!("shard={} reason={reason}", tenure.shard));
+                    }
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
             }
         }
+        false
     }
 }
 
--- a/crates/scheduler/tests/scheduler.rs
+++ b/crates/scheduler/tests/scheduler.rs
@@ -136,6 +136,23 @@
     assert_eq!(again, Verdict::Unknown(Unknown::AlreadyDispatched));
 }
 
+/// Guards against a planned stop that gives up a request whose intent is being written, which the
+/// next owner then has to answer as unknown.
+#[test]
+fn a_planned_stop_finishes_intents() {
+    let mut cell = Cell::start(3);
+    let owner = cell.owner(&service()).unwrap();
+    cell.log.set_delay(Duration::from_millis(300));
+    let asked = cell.ask_later(&owner, "r1", false);
+    std::thread::sleep(Duration::from_millis(100));
+    cell.stop(&owner);
+    let verdict = asked.join().unwrap();
+    assert!(
+        matches!(verdict, Some(Verdict::Granted { .. })),
+        "{verdict:?}"
+    );
+}
+
 /// Guards against a job that is dropped or run twice when its owner dies.
 #[test]
 fn a_job_outlives_its_owner() {
--- a/crates/scheduler/tests/support/cell.rs
+++ b/crates/scheduler/tests/support/cell.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use rosemaryworks_core::contract::{Contract, Pool, Revision, Service};
@@ -236,8 +237,25 @@
         self.processes.keys().find(serves).cloned()
     }
 
-    /// Asks `name` for a slot.
-    pub(crate) fn ask(&self, name: &str, id: &str, idempotent: bool) -> Verdict {
+    /// Asks `name` for a slot from another thread.
+    pub(crate) fn ask_later(
+        &self,
+        name: &str,
+        id: &str,
+        idempotent: bool,
+    ) -> JoinHandle<Option<Verdict>> {
+        let message = self.ask_message(id, idempotent);
+        let peer = self.links[name].peer().unwrap();
+        let handle = self.gateway.handle().clone();
+        std::thread::spawn(
+            move || match handle.block_on(peer.call(message, CALL_TIMEOUT)) {
+                Ok(Message::Verdict(verdict)) => Some(verdict),
+                _ => None,
+            },
+        )
+    }
+
+    fn ask_message(&self, id: &str, idempotent: bool) -> Message {
         let number = self.asks.fetch_add(1, Ordering::SeqCst);
         let ask = Ask {
             key: Key {
@@ -253,10 +271,15 @@
             remaining_ms: 10_000,
             exclude: Vec::new(),
         };
-        let message = Message::Ask {
+        Message::Ask {
             shard: service(),
             ask,
-        };
+        }
+    }
+
+    /// Asks `name` for a slot.
+    pub(crate) fn ask(&self, name: &str, id: &str, idempotent: bool) -> Verdict {
+        let message = self.ask_message(id, idempotent);
         match self.call(name, message) {
             Some(Message::Verdict(verdict)) => {
                 self.finish(name, &verdict);
--- a/crates/scheduler/tests/support/log.rs
+++ b/crates/scheduler/tests/support/log.rs
@@ -27,6 +27,7 @@
     streams: Mutex<Streams>,
     down: AtomicBool,
     lost_answers: AtomicUsize,
+    delay_ms: AtomicUsize,
 }
 
 impl MemoryLog {
@@ -35,6 +36,12 @@
         self.0.down.store(down, Ordering::SeqCst);
     }
 
+    /// Delays every append.
+    pub(crate) fn set_delay(&self, delay: Duration) {
+        let delay_ms = delay.as_millis() as usize;
+        self.0.delay_ms.store(delay_ms, Ordering::SeqCst);
+    }
+
     /// Loses the answers of the next `count` appends, which take effect.
     pub(crate) fn lose_answers(&self, count: usize) {
         self.0.lost_answers.store(count, Ordering::SeqCst);
@@ -112,6 +119,8 @@
     fn append(&self, append: Append) -> Answer<Offset> {
         let log = self.clone();
         Box::pin(async move {
+            let delay_ms = log.0.delay_ms.load(Ordering::SeqCst) as u64;
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
             if log.is_down() {
                 return unreached("append");
             }
