fix(core): contracts with a low rate or burst have a share in every shard they use

Cause: whether a contract is pinned to one shard was decided by its concurrency alone. A spread contract with a rate or burst below the number of shards had a rate of 0 in some of them, and every request there was refused. Change: the smallest of rate, burst and concurrency decides, at the gateway and in the routing kernel. An unknown placement_policy is a fault of the settings; it was taken for the default before.

--- a/crates/core/src/contract.rs
+++ b/crates/core/src/contract.rs
@@ -49,6 +49,16 @@
     pub queue: u32,
 }
 
+impl Service {
+    /// Returns the limit that decides whether the contract is pinned to one shard of the service.
+    ///
+    /// The queue doesn't count: a share without a place in the queue still admits requests.
+    #[must_use]
+    pub fn smallest(&self) -> u64 {
+        u64::from(self.concurrency.min(self.rate).min(self.burst))
+    }
+}
+
 /// Limits on a customer's tasks in one worker pool.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/core/src/routing/tenant.rs
+++ b/crates/core/src/routing/tenant.rs
@@ -65,7 +65,7 @@
     /// include the service.
     pub(crate) fn of(contract: &Contract, map: &Map, shard: &Id) -> Option<Self> {
         let service = contract.services.get(&shard.group)?;
-        let smallest = u64::from(service.concurrency);
+        let smallest = service.smallest();
         let share = |limit: u32| map.share(shard, &contract.name, u64::from(limit), smallest);
         Some(Self {
             rate: share(service.rate),
--- a/crates/core/tests/partition.rs
+++ b/crates/core/tests/partition.rs
@@ -1,6 +1,7 @@
 //! Tests of the mapping to shards and the split of limits.
 
 use quickcheck::quickcheck;
+use rosemaryworks_core::contract::Service;
 use rosemaryworks_core::partition::Map;
 use rosemaryworks_core::shard::{Id, Kind};
 
@@ -34,6 +35,20 @@
         let limit = 4 * u64::from(count.max(1)) + u64::from(extra);
         map.shards().iter().all(|id| map.share(id, &contract, limit, limit) >= 4)
     }
+
+    /// Guards against a contract with a high concurrency and a low rate or burst: spread by its
+    /// concurrency alone, it had a rate of 0 in some of its shards.
+    fn a_service_limit_has_a_share_wherever_requests_go(count: u8, limits: (u32, u32, u32)) -> bool {
+        let map = map(count);
+        let (rate, burst, concurrency) = (limits.0.max(1), limits.1.max(1), limits.2.max(1));
+        let service = Service { rate, burst, concurrency, queue: 0 };
+        let smallest = service.smallest();
+        (0..20).all(|key| {
+            let home = map.home(Kind::Service, "s", "c", &format!("r-{key}"), smallest).unwrap();
+            let share = |limit: u32| map.share(&home, "c", limit.into(), smallest);
+            [rate, burst, concurrency].iter().all(|limit| share(*limit) > 0)
+        })
+    }
 }
 
 /// The shards are computed with FNV-1a elsewhere.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -41,7 +41,7 @@
         &inquiry.service,
         &inquiry.request.contract,
         &inquiry.request.id,
-        u64::from(inquiry.concurrency),
+        inquiry.smallest_limit,
     )
 }
 
--- a/crates/gateway/src/http/requests.rs
+++ b/crates/gateway/src/http/requests.rs
@@ -83,7 +83,7 @@
         idempotent: headers::idempotent(request)?,
         attempt: headers::attempt(request)?,
         content_type: headers::value(request, "content-type")?.map(Into::into),
-        concurrency: limits.concurrency,
+        smallest_limit: limits.smallest(),
         body: body::read(gateway, request, payload).await?,
         received,
         deadline: received + deadline_ms,
--- a/crates/gateway/src/inquiry.rs
+++ b/crates/gateway/src/inquiry.rs
@@ -17,8 +17,8 @@
     pub(crate) attempt: Option<u32>,
     pub(crate) content_type: Option<Arc<str>>,
     pub(crate) body: Body,
-    /// Concurrency limit of the contract, which decides the shard.
-    pub(crate) concurrency: u32,
+    /// Smallest limit of the contract for the service, which decides the shard.
+    pub(crate) smallest_limit: u64,
     pub(crate) received: Instant,
     pub(crate) deadline: Instant,
 }
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rosemaryworks_core::placement::policy;
 use rosemaryworks_node::logging;
 use rosemaryworks_node::settings::{Cell, Check, Faults};
 use serde::{Deserialize, Serialize};
@@ -50,7 +51,12 @@
         let schedulers = &self.cell.schedulers;
         let known = schedulers.iter().any(|s| s.name == self.node);
         faults.require(known, "node", "is not one of cell.schedulers");
-        faults.require_name(&self.placement_policy, "placement_policy");
+        let policies = policy::names();
+        faults.require(
+            policies.contains(&&*self.placement_policy),
+            "placement_policy",
+            format!("must be one of {}", policies.join(", ")),
+        );
         faults.require(
             self.peer_listen != self.status_listen,
             "status_listen",
