fix(core): an attempt is not refused as not run while an earlier one waits

Cause: two asks with the same non-idempotent id could wait at one owner. Change: an ask for an id that waits already is answered unknown with the reason earlier-attempt. The test of two queued asks stated that both wait; it now states that the second is answered at once, that exactly one is dispatched, and that a withdrawn ask frees the id.

--- a/crates/core/src/routing/admission.rs
+++ b/crates/core/src/routing/admission.rs
@@ -51,6 +51,10 @@
         if self.memory.contains(&ask.request) {
             return Some(Unknown::AlreadyDispatched);
         }
+        // Were this ask refused as not run, the earlier attempt could still run later.
+        if self.tenants.is_queued(&ask.request) {
+            return Some(Unknown::EarlierAttempt);
+        }
         let doubted = self.start.doubt && self.now.since(self.started) < REPEAT_MS;
         doubted.then_some(Unknown::Takeover)
     }
--- a/crates/core/src/routing/tenants.rs
+++ b/crates/core/src/routing/tenants.rs
@@ -1,6 +1,6 @@
 //! All contracts of a shard and the weighted fair order between them.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use super::bucket::Bucket;
@@ -8,6 +8,7 @@
 use super::learned::Learned;
 use super::tenant::{Limits, Tenant, Waiting};
 use crate::contract::Contract;
+use crate::outcome::Request;
 use crate::time::Instant;
 
 /// Asks waiting in one shard at most.
@@ -37,6 +38,8 @@
     all: Vec<Tenant>,
     waiting: BTreeSet<usize>,
     deadlines: BTreeSet<(Instant, usize, u64)>,
+    /// Non-idempotent requests that wait in a queue.
+    queued: HashSet<Request>,
     next: u64,
     virtual_time: f64,
     shared: Learned,
@@ -128,6 +131,9 @@
         }
         tenant.active = now;
         self.deadlines.insert((waiting.deadline, number, seq));
+        if !waiting.idempotent {
+            self.queued.insert(waiting.request.clone());
+        }
         tenant.queue.insert(seq, waiting);
         self.waiting.insert(number);
     }
@@ -140,9 +146,15 @@
             self.waiting.remove(&number);
         }
         self.deadlines.remove(&(waiting.deadline, number, seq));
+        self.queued.remove(&waiting.request);
         Some(waiting)
     }
 
+    /// Tells whether an ask for the non-idempotent `request` waits in a queue.
+    pub(crate) fn is_queued(&self, request: &Request) -> bool {
+        self.queued.contains(request)
+    }
+
     /// Returns the ask whose deadline passed longest ago.
     pub(crate) fn overdue(&self, now: Instant) -> Option<(usize, u64)> {
         let (deadline, tenant, seq) = self.deadlines.first()?;
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -118,16 +118,32 @@
     assert!(matches!(steps[..], [Step::Intend { .. }]));
 }
 
-/// Guards against two queued asks of one id both being dispatched.
+/// Guards against two queued asks of one id both being dispatched, and against the later one being
+/// refused as not run while the earlier one may still run.
 #[test]
 fn of_two_queued_asks_of_one_id_one_is_dispatched() {
     let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
     let slots = host.grants(8);
     host.ask("x", false);
-    host.ask("x", false);
-    host.finish(slots[0].0, Finish::Answered, 20);
-    let steps = host.finish(slots[1].0, Finish::Answered, 20);
-    assert_eq!(unsure(&steps), Some(Unknown::AlreadyDispatched));
+    let second = host.ask("x", false).1;
+    assert_eq!(unsure(&second), Some(Unknown::EarlierAttempt));
+    let first = host.finish(slots[0].0, Finish::Answered, 20);
+    assert!(matches!(first[..], [Step::Intend { .. }]));
+    assert_eq!(host.finish(slots[1].0, Finish::Answered, 20), Vec::new());
+    let third = host.ask("x", false).1;
+    assert_eq!(unsure(&third), Some(Unknown::AlreadyDispatched));
+}
+
+/// Guards against an id that stays blocked after its queued ask ended.
+#[test]
+fn a_withdrawn_queued_ask_leaves_the_id_fresh() {
+    let mut host = Host::new(start(true, &["g"]), &[("a1", State::Live)]);
+    let slots = host.grants(8);
+    let (key, _) = host.ask("x", false);
+    host.feed(Event::Withdrawn(key));
+    assert_eq!(unsure(&host.ask("x", false).1), None);
+    let steps = host.finish(slots[0].0, Finish::Answered, 20);
+    assert!(matches!(steps[..], [Step::Intend { .. }]));
 }
 
 /// Guards against a grant after a withdrawal, a leaked slot and a forgotten id.
