fix(scheduler): ids that moved to another shard are known there

Cause: a revision of a contract that changes whether it is pinned moves the home of its request and job ids to other shards. The new home did not know what the old one had recorded, so a non-idempotent id could be dispatched and a job accepted a second time. Change: a recorded intent is not granted if another shard of the service recorded the id; a submission is void in the fold if another shard of the pool has the job, and its status is told from the fold. Cancelling such a job is refused with the reason.

--- a/crates/scheduler/src/fold.rs
+++ b/crates/scheduler/src/fold.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use rosemaryworks_core::job::{Id as JobId, Spec, Task};
+use rosemaryworks_core::outcome::Request;
 use rosemaryworks_core::ownership::{Ledger, Verdict};
 use rosemaryworks_core::record::{Cell, Offset};
 use rosemaryworks_core::shard::{Epoch, Id};
@@ -53,11 +54,42 @@
         self.shards.get(shard)
     }
 
-    /// Returns the job `job` of `shard`.
+    /// Returns the job `job` of `shard`, or of another shard of the same group.
+    ///
+    /// A revision of a contract that changes whether it is pinned moves the home of its ids to
+    /// other shards. A job stays where it was accepted.
     pub(crate) fn job(&self, shard: &Id, job: &JobId) -> Option<&Job> {
+        let own = self.own_job(shard, job);
+        own.or_else(|| {
+            let mut others = self.siblings(shard);
+            others.find_map(|other| other.jobs.get(job))
+        })
+    }
+
+    /// Returns the job `job` of `shard` itself.
+    pub(crate) fn own_job(&self, shard: &Id, job: &JobId) -> Option<&Job> {
         self.shard(shard)?.jobs.get(job)
     }
 
+    /// Tells whether another shard of the same group recorded the request.
+    pub(crate) fn is_recorded_elsewhere(&self, shard: &Id, request: &Request) -> bool {
+        self.siblings(shard)
+            .any(|other| other.requests.contains(request))
+    }
+
+    /// Returns the other shards of the group of `shard`.
+    fn siblings<'a, 'b>(&'a self, shard: &'b Id) -> impl Iterator<Item = &'a Shard> + use<'a, 'b> {
+        let first = Id {
+            index: 0,
+            ..shard.clone()
+        };
+        let group = self.shards.range(first..);
+        let group = group.take_while(|(id, _)| id.kind == shard.kind && id.group == shard.group);
+        group
+            .filter(|(id, _)| id.index != shard.index)
+            .map(|(_, state)| state)
+    }
+
     /// Applies the record at `offset` and returns its verdict and what the shard's owner is told.
     pub(crate) fn apply(
         &mut self,
@@ -70,11 +102,26 @@
             return (verdict, None);
         }
         let id = shard_of(record);
+        if self.is_elsewhere(id, record) {
+            return (Verdict::Void, None);
+        }
         let shard = self.shards.entry(id.clone()).or_default();
         let change = shard.apply(now, record);
         (verdict, change.map(|change| (id.clone(), change)))
     }
 
+    /// Tells whether the record submits a job that another shard of the group has.
+    fn is_elsewhere(&self, shard: &Id, record: &Cell) -> bool {
+        let Cell::Submitted { contract, job, .. } = record else {
+            return false;
+        };
+        let job = JobId {
+            contract: contract.clone(),
+            job: job.id.clone(),
+        };
+        self.own_job(shard, &job).is_none() && self.job(shard, &job).is_some()
+    }
+
     /// Forgets ended jobs and old request ids.
     pub(crate) fn expire(&mut self, unix_ms: u64, ended_max_ms: u64) {
         for shard in self.shards.values_mut() {
--- a/crates/scheduler/src/fold/requests.rs
+++ b/crates/scheduler/src/fold/requests.rs
@@ -32,6 +32,10 @@
             .collect()
     }
 
+    pub(super) fn contains(&self, request: &Request) -> bool {
+        self.0.contains_key(request)
+    }
+
     pub(super) fn note(&mut self, now: Instant, requests: &[Request], at_unix_ms: u64) {
         for request in requests {
             let entry = self.0.entry(request.clone()).or_insert(Entry {
--- a/crates/scheduler/src/pool/jobs.rs
+++ b/crates/scheduler/src/pool/jobs.rs
@@ -71,6 +71,14 @@
         if status.state.is_terminal() {
             return Submission::Accepted(status);
         }
+        if lock(&shared.cell)
+            .fold
+            .own_job(&self.tenure.shard, id)
+            .is_none()
+        {
+            let reason = "the job was accepted before a revision of its contract moved its home";
+            return Submission::Rejected(reason.into());
+        }
         let record = Cell::Cancelled {
             shard: self.tenure.shard.clone(),
             epoch: self.tenure.epoch,
--- a/crates/scheduler/src/service/steps.rs
+++ b/crates/scheduler/src/service/steps.rs
@@ -133,6 +133,10 @@
             at_unix_ms: clock::unix_ms(),
         };
         match shared.write(&record, INTENT_PATIENCE).await {
+            Written::Valid if self.is_recorded_elsewhere(shared, &request) => {
+                self.answer(&key, Verdict::Unknown(Unknown::AlreadyDispatched));
+                self.give_up(key);
+            }
             Written::Valid => {
                 self.without_log.store(false, Ordering::SeqCst);
                 self.feed(Event::Intended(key));
@@ -157,6 +161,14 @@
         }
     }
 
+    /// Tells whether another shard recorded the request, which was its home before a revision of
+    /// its contract. Of two shards that record one id at the same time, each may see the other's
+    /// record, and then neither dispatches.
+    fn is_recorded_elsewhere(&self, shared: &Shared, request: &Request) -> bool {
+        let cell = lock(&shared.cell);
+        cell.fold.is_recorded_elsewhere(&self.tenure.shard, request)
+    }
+
     /// Ends an ask whose intent may be recorded. The kernel keeps the id.
     fn give_up(self: &Arc<Self>, key: Key) {
         self.feed(Event::Withdrawn(key.clone()));
