fix(core): a later attempt elsewhere no longer changes a lease's number

A report of a later attempt of an earlier owner, from another worker, overwrote the number of the lease held here; the kernel then took its own lease for a foreign one and placed the task again. Change: the highest reported number is kept apart from the number of the held lease, and a new attempt exceeds both.

--- a/crates/core/src/placement/lease.rs
+++ b/crates/core/src/placement/lease.rs
@@ -16,7 +16,8 @@
         let Some(item) = self.book.item_mut(key) else {
             return;
         };
-        item.attempts += 1;
+        // A number that a worker still reports must not be used again.
+        item.attempts = item.attempts.max(item.reported) + 1;
         let attempt = item.attempts;
         let mut hold = Hold::new(slot, Certainty::Placing, charge, now);
         hold.short = !need.long;
--- a/crates/core/src/placement/report.rs
+++ b/crates/core/src/placement/report.rs
@@ -70,14 +70,12 @@
         let Some(item) = self.book.item_mut(key) else {
             return self.acknowledge(slot, finished.task.clone(), attempt);
         };
+        item.reported = item.reported.max(attempt);
         let same = item.attempts == attempt;
         let current = match &item.phase {
             Phase::Held(hold) => hold.worker == slot && same,
             // Another worker that was not surveyed yet may hold a later attempt.
-            Phase::Unknown { .. } if restart && !succeeded => {
-                item.attempts = item.attempts.max(attempt);
-                false
-            }
+            Phase::Unknown { .. } if restart && !succeeded => false,
             Phase::Unknown { .. } => true,
             Phase::Waiting | Phase::Delayed(_) => succeeded,
             Phase::Ending(_) if item.keeper == Some((slot, attempt)) => return,
@@ -86,7 +84,7 @@
         if !current {
             return self.acknowledge(slot, finished.task.clone(), attempt);
         }
-        item.attempts = item.attempts.max(attempt);
+        item.attempts = attempt;
         item.keeper = Some((slot, attempt));
         self.withdraw(key);
         self.unhold(key);
@@ -149,7 +147,7 @@
             return self.foreign(slot, lease);
         };
         let same = item.attempts == lease.attempt;
-        item.attempts = item.attempts.max(lease.attempt);
+        item.reported = item.reported.max(lease.attempt);
         match &item.phase {
             Phase::Held(hold) if hold.worker == slot && same => self.renewed(now, key, sent, lease),
             Phase::Unknown { .. } if !lease.checkpointed => self.adopt(now, key, slot, lease),
@@ -193,6 +191,7 @@
         hold.peak = lease.used;
         self.hold(key, hold);
         if let Some(job) = self.book.get_mut(key.serial) {
+            job.items[key.index as usize].attempts = lease.attempt;
             job.started = true;
         }
         if self.is_unwanted(key) {
--- a/crates/core/src/placement/work.rs
+++ b/crates/core/src/placement/work.rs
@@ -89,7 +89,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Item {
     pub(crate) phase: Phase,
+    /// Number of the last attempt granted or adopted here.
     pub(crate) attempts: Attempt,
+    /// Highest number of an attempt that a worker reported.
+    pub(crate) reported: Attempt,
     /// When the task was last queued.
     pub(crate) queued: Instant,
     /// Workers on which the task failed.
@@ -105,6 +108,7 @@
         Self {
             phase,
             attempts: 0,
+            reported: 0,
             queued: Instant::default(),
             failed_on: Vec::new(),
             setbacks: 0,
--- a/crates/core/tests/placement_faults.rs
+++ b/crates/core/tests/placement_faults.rs
@@ -7,7 +7,8 @@
 #[path = "support/world.rs"]
 mod world;
 
-use rosemaryworks_core::job::{Kind, Spec, State as JobState};
+use rosemaryworks_core::job::{Kind, Spec, State as JobState, Task};
+use rosemaryworks_core::placement::{Event, Lease, Report, Step};
 use rosemaryworks_core::size::Size;
 
 use world::{World, job};
@@ -128,3 +129,50 @@
     assert!(world.run_until_ended(60_000));
     assert_eq!(world.outcomes[&id], JobState::Lost);
 }
+
+/// Guards against a lease that is given up because another worker reports a later attempt of the
+/// task, which an earlier owner granted.
+#[test]
+fn later_attempt_elsewhere_leaves_the_lease_alone() {
+    let mut world = World::new(2, 0);
+    let id = world.submit(Spec {
+        kind: Kind::Service,
+        ..job("service")
+    });
+    world.run(1_000);
+    let holder = usize::from(world.running_on(0) == 0);
+    let other = format!("w{}", 1 - holder);
+    let lease = Lease {
+        task: Task {
+            job: id.clone(),
+            index: 0,
+        },
+        attempt: 7,
+        size: Size::new(1_000, 1_000),
+        used: Size::ZERO,
+        used_age_ms: 0,
+        checkpointed: false,
+    };
+    let synced = |step: &Step| matches!(step, Step::Sync { worker, .. } if **worker == *other);
+    let from = world.steps.len();
+    while !world.steps[from..].iter().any(synced) {
+        world.feed(Event::Tick);
+        world.now += 50;
+    }
+    let report = Report {
+        leases: vec![lease],
+        ..Report::default()
+    };
+    world.feed(Event::Synced {
+        worker: other.as_str().into(),
+        report,
+    });
+    world.run(10_000);
+    let stopped = |step: &Step| matches!(step, Step::Stop { attempt: 1, .. });
+    assert!(!world.steps.iter().any(stopped));
+    assert_eq!(world.placed.len(), 1);
+    assert_eq!(
+        world.kernel.status(&id).map(|status| status.running),
+        Some(1)
+    );
+}
