--- a/crates/scheduler/src/service.rs
+++ b/crates/scheduler/src/service.rs
@@ -3,7 +3,7 @@
 mod steps;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
@@ -38,6 +38,8 @@
     pub(crate) writer: Writer,
     /// Whether a planned stop has begun, so that no new ask is taken.
     draining: AtomicBool,
+    /// When an uncertain intent was logged last.
+    uncertain_logged: AtomicU64,
     /// Whether the last intent was kept in memory.
     without_log: AtomicBool,
 }
@@ -71,6 +73,7 @@
             }),
             writer,
             draining: AtomicBool::new(false),
+            uncertain_logged: AtomicU64::new(0),
             without_log: AtomicBool::new(false),
         });
         tokio::spawn(tick(service.clone()));
--- a/crates/scheduler/src/service/steps.rs
+++ b/crates/scheduler/src/service/steps.rs
@@ -9,6 +9,7 @@
 use rosemaryworks_core::record::Cell;
 use rosemaryworks_core::routing::{Event, Key, Slot, Step};
 use rosemaryworks_core::target::Instance;
+use rosemaryworks_core::time::Instant;
 use rosemaryworks_node::clock;
 use rosemaryworks_wire::Verdict;
 
@@ -24,6 +25,9 @@
 /// Time after which an instance counts as unreachable. The kernel waits 5 s for an answer.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Least time between two log lines on uncertain intents, in milliseconds.
+const REPORT_PERIOD_MS: u64 = 1_000;
+
 /// Pause before an instance that isn't listed is reported as unreachable.
 const PROBE_DELAY: Duration = Duration::from_millis(200);
 
@@ -146,10 +150,7 @@
             }
             Written::No(_) => self.feed(Event::IntentFailed(key)),
             Written::Uncertain(reason) => {
-                events::INTENT_UNCERTAIN.log(format_args!(
-                    "shard={} request={}/{} reason={reason}",
-                    self.tenure.shard, request.contract, request.id
-                ));
+                self.report_uncertain(&request, &reason);
                 // The id may be recorded, so this attempt is over and the id counts as dispatched.
                 self.answer(&key, Verdict::Unknown(Unknown::AlreadyDispatched));
                 self.give_up(key);
@@ -157,6 +158,20 @@
         }
     }
 
+    /// Logs an uncertain intent, at most one in [`REPORT_PERIOD_MS`]: a slow log makes many.
+    fn report_uncertain(&self, request: &Request, reason: &str) {
+        let now = clock::now();
+        let last = Instant(self.uncertain_logged.load(Ordering::SeqCst));
+        if last != Instant(0) && now.since(last) < REPORT_PERIOD_MS {
+            return;
+        }
+        self.uncertain_logged.store(now.0, Ordering::SeqCst);
+        events::INTENT_UNCERTAIN.log(format_args!(
+            "shard={} request={}/{} reason={reason}",
+            self.tenure.shard, request.contract, request.id
+        ));
+    }
+
     /// Ends an ask whose intent may be recorded. The kernel keeps the id.
     fn give_up(self: &Arc<Self>, key: Key) {
         self.feed(Event::Withdrawn(key.clone()));
