--- a/crates/core/tests/support/vm.rs
+++ b/crates/core/tests/support/vm.rs
@@ -1,10 +1,13 @@
 //! A fake worker, and the jobs and contracts of placement tests.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use rosemaryworks_core::contract::{Contract, Pool};
 use rosemaryworks_core::job::{Kind, Priority, Spec, Task};
-use rosemaryworks_core::placement::{Attempt, Finished, Lease, Report, Result};
+use rosemaryworks_core::partition::Map;
+use rosemaryworks_core::placement::{Attempt, Finished, Lease, Report, Result, Start};
+use rosemaryworks_core::shard;
 use rosemaryworks_core::size::Size;
 use rosemaryworks_core::target::{State, Worker};
 use rosemaryworks_core::timing::LEASE_MS;
@@ -106,3 +109,16 @@
         }
     }
 }
+
+/// Returns the start of an epoch of the only shard.
+pub fn start(clean: bool, policy: &str, seed: u64) -> Start {
+    let mut map = Map::default();
+    map.pools.insert("cpu".into(), 1);
+    Start {
+        shard: shard::Id::pool("cpu", 0),
+        partition: Arc::new(map),
+        clean,
+        policy: policy.into(),
+        seed,
+    }
+}
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -5,17 +5,15 @@
 
 use rosemaryworks_core::contract::Contract;
 use rosemaryworks_core::job::{End, Id, Kind, Spec, State as JobState, Task};
-use rosemaryworks_core::partition::Map;
 use rosemaryworks_core::placement::{
-    Attempt, Event, Finished, Kernel, Report, Restored, Result, Start, Step,
+    Attempt, Event, Finished, Kernel, Report, Restored, Result, Step,
 };
-use rosemaryworks_core::shard;
 use rosemaryworks_core::size::Size;
 use rosemaryworks_core::target::{State, Worker};
 use rosemaryworks_core::time::Instant;
 use rosemaryworks_core::timing::LEASE_MS;
 
-use super::vm::{Live, Vm};
+use super::vm::{Live, Vm, start};
 pub use super::vm::{contract, job};
 
 /// Milliseconds after which the host gives a call up.
@@ -490,15 +488,3 @@
         }
     }
 }
-
-fn start(clean: bool, policy: &str, seed: u64) -> Start {
-    let mut map = Map::default();
-    map.pools.insert("cpu".into(), 1);
-    Start {
-        shard: shard::Id::pool("cpu", 0),
-        partition: Arc::new(map),
-        clean,
-        policy: policy.into(),
-        seed,
-    }
-}
