perf: ends of short jobs are known early, and a takeover recalls workers listed lately

Cause: cargo xtask demo reported 300 ms tasks as ended after 1.9 to 2.0 s, because workers are asked for their reports only with renewals every 2 s. After a takeover, tasks found at no worker waited 8.8 s, because workers that had left the list were unknown to the new owner. Change: a worker is also asked shortly after the next expected end of a task, at most every 250 ms; a late task is looked at again after a quarter of its time. The new test of short jobs fails without the change.

--- a/crates/core/src/placement/lease.rs
+++ b/crates/core/src/placement/lease.rs
@@ -54,6 +54,7 @@
         if self.is_unwanted(key) {
             self.stop(now, key);
         }
+        self.expect_end(now, slot);
         self.fleet.refresh(slot);
     }
 
--- a/crates/core/src/placement/link.rs
+++ b/crates/core/src/placement/link.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use crate::job::Kind;
 use crate::placement::index::Slot;
 use crate::placement::task::Gone;
+use crate::placement::work::{Key, Phase};
 use crate::placement::worker::{Departure, Link};
 use crate::placement::{Kernel, Report, Step};
 use crate::target::{State, Worker};
@@ -22,6 +24,12 @@
 const CALL_MAX_MS: u64 = 30_000;
 /// Milliseconds after a stop or the like at which the worker is asked for its report.
 const HURRY_MS: u64 = 200;
+/// Least time between two reports of a worker whose tasks are about to end, in milliseconds.
+const EARLY_MIN_MS: u64 = 250;
+/// Milliseconds after the expected end of a task at which its worker is asked for its report.
+const EARLY_SLACK_MS: u64 = 50;
+/// Tasks of one worker looked at for the next expected end.
+const EARLY_TASKS_MAX: usize = 64;
 /// Milliseconds after the start of an epoch until the VM list is regarded as complete.
 pub(crate) const SETTLE_MS: u64 = 2 * LIST_MS;
 
@@ -128,6 +136,7 @@
         };
         self.fleet.wake_at(slot, (sent + wait_ms).max(now));
         let freed = self.take_report(now, slot, sent, report);
+        self.expect_end(now, slot);
         self.fleet.refresh(slot);
         if freed {
             self.place_urgent(now);
@@ -145,6 +154,45 @@
         }
     }
 
+    /// Asks for the worker's report when its next task is expected to end, if that is before the
+    /// next renewal. Without this a short task's end is known only with the renewal, up to 2 s late.
+    pub(crate) fn expect_end(&mut self, now: Instant, slot: Slot) {
+        let Some(worker) = self.fleet.get(slot) else {
+            return;
+        };
+        let calm = worker.link.outstanding.is_none() && worker.link.failing.is_none();
+        if !calm || !worker.listed || worker.link.fenced {
+            return;
+        }
+        let keys = worker.keys.iter().take(EARLY_TASKS_MAX);
+        let ends = keys.filter_map(|key| self.next_end(now, *key));
+        let Some(end) = ends.min() else {
+            return;
+        };
+        let at = (end + EARLY_SLACK_MS).max(now + EARLY_MIN_MS);
+        if at < worker.wake {
+            self.fleet.wake_at(slot, at);
+        }
+    }
+
+    /// Returns when a confirmed task is expected to end. A task that is late is looked at again
+    /// after a quarter of the time that it has been running.
+    fn next_end(&self, now: Instant, key: Key) -> Option<Instant> {
+        let job = self.book.get(key.serial)?;
+        if job.spec.kind == Kind::Service {
+            return None;
+        }
+        let item = job.items.get(key.index as usize)?;
+        let Phase::Held(hold) = &item.phase else {
+            return None;
+        };
+        let end = hold.since + self.learned.run_ms(job.group, &job.spec);
+        match end > now {
+            true => Some(end),
+            false => Some(now + now.since(hold.since) / 4),
+        }
+    }
+
     fn list_one(&mut self, now: Instant, target: Worker, state: State) -> Slot {
         let slot = match self.fleet.slot(&target.name) {
             Some(slot) => {
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -55,6 +55,29 @@
     }
 }
 
+/// Guards against the end of a short job that becomes known only with the next renewal, up to 2 s
+/// late.
+#[test]
+fn a_short_job_ends_soon_after_its_tasks() {
+    for seed in 1..=10 {
+        let mut world = World::new(6, seed);
+        world.take_over(100);
+        world.run(3_000);
+        let short = world.submit(Spec {
+            tasks: 4,
+            run_ms: 300,
+            ..job("short")
+        });
+        // Shorter than one renewal period, and with room for the delays of the fake workers.
+        world.run(1_500);
+        assert_eq!(
+            world.outcomes.get(&short),
+            Some(&JobState::Succeeded),
+            "seed {seed}"
+        );
+    }
+}
+
 /// Guards against a gang that is placed in part.
 #[test]
 fn gang_is_placed_whole_or_not() {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -20,6 +20,7 @@
 mod progress;
 mod readback;
 mod scheduler;
+mod seen;
 mod serve;
 mod service;
 mod settings;
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rosemaryworks_core::timing::LIST_MS;
+use rosemaryworks_node::clock;
 
 use crate::events;
 use crate::lock::lock;
@@ -25,6 +26,7 @@
                         listing.instances.len()
                     ));
                 }
+                lock(&shared.seen).note(clock::now(), &listing);
                 *lock(&shared.listing) = Some(Arc::new(listing));
                 for hosted in shared.all_hosted() {
                     hosted.list(&shared);
--- a/crates/scheduler/src/owner/activate.rs
+++ b/crates/scheduler/src/owner/activate.rs
@@ -93,6 +93,7 @@
     };
     let pool = Pool::start(shared, tenure, start);
     let hosted = Hosted::Pool(pool.clone());
+    pool.recall(shared);
     // A submission that came before the workers and contracts would be rejected.
     hosted.list(shared);
     let register = lock(&shared.register);
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -84,6 +84,25 @@
         }
     }
 
+    /// Tells the kernel which workers were listed lately, so that it need not wait for the leases
+    /// of workers that it has never heard of.
+    pub(crate) fn recall(&self, shared: &Shared) {
+        let now = clock::now();
+        let Some(lately) = lock(&shared.seen).lately(now) else {
+            return;
+        };
+        let own = lately.into_iter().filter(|worker| {
+            let shard = shared.partition.rack(&worker.pool, &worker.rack);
+            shard.is_some_and(|shard| shard == self.tenure.shard)
+        });
+        let own: Vec<Worker> = own.collect();
+        let mut state = lock(&self.state);
+        for worker in &own {
+            state.workers.insert(worker.name.clone(), worker.clone());
+        }
+        state.kernel.recall(now, own);
+    }
+
     /// Hands over the list of workers if it changed.
     pub(crate) fn list(self: &Arc<Self>, shared: &Shared) {
         let Some(listing) = lock(&shared.listing).clone() else {
--- /dev/null
+++ b/crates/scheduler/src/seen.rs
@@ -0,0 +1,44 @@
+//! Workers that the list of VMs named lately.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use rosemaryworks_core::target::Worker;
+use rosemaryworks_core::time::Instant;
+use rosemaryworks_core::timing::LEASE_LAPSED_MS;
+use rosemaryworks_platform::directory::Listing;
+
+/// Milliseconds for which a worker that is no longer listed is kept: every lease that it may have
+/// held when it was listed last has surely lapsed by then.
+const KEPT_MS: u64 = 4 * LEASE_LAPSED_MS;
+
+/// Workers listed lately, with the time at which each was listed last.
+#[derive(Debug, Default)]
+pub(crate) struct Seen {
+    since: Option<Instant>,
+    workers: HashMap<Arc<str>, (Worker, Instant)>,
+}
+
+impl Seen {
+    /// Notes a list.
+    pub(crate) fn note(&mut self, now: Instant, listing: &Listing) {
+        self.since.get_or_insert(now);
+        for (worker, _) in &listing.workers {
+            self.workers
+                .insert(worker.name.clone(), (worker.clone(), now));
+        }
+        self.workers.retain(|_, (_, at)| now.since(*at) < KEPT_MS);
+    }
+
+    /// Returns every worker listed lately, or `None` if this process has not followed the list long
+    /// enough to know all that may still hold a lease.
+    pub(crate) fn lately(&self, now: Instant) -> Option<Vec<Worker>> {
+        let known = self.since.is_some_and(|since| now.since(since) > KEPT_MS);
+        known.then(|| {
+            self.workers
+                .values()
+                .map(|(worker, _)| worker.clone())
+                .collect()
+        })
+    }
+}
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -28,6 +28,7 @@
 use crate::lock::lock;
 use crate::metrics::Counters;
 use crate::readback::Readback;
+use crate::seen::Seen;
 use crate::settings::Settings;
 
 /// Least time that a writer waits for the read-back of a record that was appended.
@@ -83,6 +84,7 @@
     pub(crate) peers: OnceLock<Vec<Client>>,
     pub(crate) gateways: Gateways,
     pub(crate) listing: Mutex<Option<Arc<Listing>>>,
+    pub(crate) seen: Mutex<Seen>,
     pub(crate) status: Status,
     pub(crate) counters: Counters,
     pub(crate) progress: crate::progress::Progress,
@@ -135,6 +137,7 @@
             peers: OnceLock::new(),
             gateways: Gateways::default(),
             listing: Mutex::default(),
+            seen: Mutex::default(),
             status,
             progress: crate::progress::Progress::default(),
         })
