--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -114,7 +114,7 @@
         if let Some(code) = process.exited() {
             let log = process.log_tail();
             return Err(Report::new(Error::new("start", process.name()))
-                .attach(format!("exited with code {code}:\n{log}")));
+                .attach_printable(format!("exited with code {code}:\n{log}")));
         }
         let request = Request::new("GET", url.clone(), Duration::from_secs(1));
         let reason = match client.send(request).await {
@@ -123,7 +123,9 @@
             Err(error) => error.to_string(),
         };
         if started.elapsed() > READY_TIMEOUT {
-            return Err(Report::new(Error::new("become ready", process.name())).attach(reason));
+            return Err(
+                Report::new(Error::new("become ready", process.name())).attach_printable(reason)
+            );
         }
         tokio::time::sleep(READY_PERIOD).await;
     }
--- a/xtask/src/cluster/settings.rs
+++ b/xtask/src/cluster/settings.rs
@@ -48,7 +48,7 @@
             "find the deployment",
             options.deployment.clone(),
         ))
-        .attach("known: avvolgi, dala")
+        .attach_printable("known: avvolgi, dala")
     })?;
     let ports = Ports::new(options.base_port);
     let standin = standin(&deployment, &ports, None);
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -61,7 +61,8 @@
     let mut right = true;
     for name in names {
         let deployment = Deployment::find(name).ok_or_else(|| {
-            Report::new(Error::new("find the deployment", name)).attach("known: avvolgi, dala")
+            Report::new(Error::new("find the deployment", name))
+                .attach_printable("known: avvolgi, dala")
         })?;
         let folder = match &options.folder {
             Some(folder) => folder.join(name),
--- a/xtask/src/faults.rs
+++ b/xtask/src/faults.rs
@@ -119,7 +119,7 @@
     Kind::find(name).ok_or_else(|| {
         let known: Vec<_> = Kind::ALL.iter().map(|(_, name)| *name).collect();
         let known = format!("known: {}", known.join(", "));
-        Report::new(Error::new("find the failure", name)).attach(known)
+        Report::new(Error::new("find the failure", name)).attach_printable(known)
     })
 }
 
@@ -165,7 +165,9 @@
         scene: scene.clone(),
     });
     let prepared = operators::prepare(&scene, &[scene::LARGE, scene::SMALL]).await;
-    prepared.map_err(|reason| Report::new(Error::new("publish", "contracts")).attach(reason))?;
+    prepared.map_err(|reason| {
+        Report::new(Error::new("publish", "contracts")).attach_printable(reason)
+    })?;
     let mut load = load(&scene, options.seed);
     stage.play(Instant::now(), schedule).await;
     stage.proxies.join_all();
--- a/xtask/src/measure/processes/operator.rs
+++ b/xtask/src/measure/processes/operator.rs
@@ -144,9 +144,9 @@
         Ok(response) if (200..300).contains(&response.status) => Ok(response),
         Ok(response) => {
             let body = String::from_utf8_lossy(&response.body).into_owned();
-            Err(failed().attach(format!("{} {body}", response.status)))
+            Err(failed().attach_printable(format!("{} {body}", response.status)))
         }
-        Err(error) => Err(failed().attach(error.to_string())),
+        Err(error) => Err(failed().attach_printable(error.to_string())),
     }
 }
 
