fix: a restarted gateway shows no older contracts, and a draining one closes connections

Change: the administration API answers 503 until the contracts are known, as the callers' side did already. From SIGTERM on, a gateway closes each connection after its next answer. Test modules follow the house rule on file names.

--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -39,13 +39,18 @@
 fn authenticate(api: &Api, request: &HttpRequest, change: &str) -> Answer<Arc<str>> {
     let header = request.headers().get("authorization");
     let operator = api.operator(header.and_then(|value| value.to_str().ok()));
-    operator.ok_or_else(|| {
+    let operator = operator.ok_or_else(|| {
         let reason = "no operator has this key";
         if !change.is_empty() {
             audit::refuse(api, None, change, reason);
         }
         Error::new(401, reason)
-    })
+    })?;
+    // Until the stream was read to its end, older revisions than those in force would be shown.
+    match api.contracts.progress().known {
+        true => Ok(operator),
+        false => Err(Error::new(503, "the contracts are not known yet")),
+    }
 }
 
 /// Answers a request whose body was not read.
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -1,5 +1,6 @@
 //! Administration API: publishing, comparing, draining, and the audit trail.
 
+#[path = "support/server.rs"]
 mod support;
 
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use rosemaryworks_core::view;
 use rosemaryworks_wire::{Inspected, Message};
 use serde_json::{Value, json};
-use support::fakes::{TEAM_KEY, reply};
+use support::fakes::{MemoryLog, TEAM_KEY, reply};
 use support::{Server, publication};
 
 /// Guards against an accepted contract that is not in the stream or not in force.
@@ -115,6 +116,32 @@
     );
 }
 
+/// Guards against older revisions that are shown by a process that has not read the stream yet: a
+/// fault run saw a restarted gateway show revision 3 after it had shown 16 before.
+#[tokio::test]
+async fn nothing_is_shown_before_the_contracts_are_known() {
+    let log = MemoryLog::default();
+    log.set_down(true);
+    let server = Server::start_with(log).await;
+    for path in [
+        "/v1/contracts",
+        "/v1/contracts/dala",
+        "/v1/cell",
+        "/v1/audit",
+    ] {
+        let (status, body) = server.call("GET", path, Value::Null).await;
+        assert_eq!(status, 503, "{path}: {body}");
+    }
+    server.log.set_down(false);
+    while !server.contracts.progress().known {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(
+        server.call("GET", "/v1/contracts", Value::Null).await.0,
+        200
+    );
+}
+
 /// Guards against a publish that hangs or seems accepted while the log is down.
 #[tokio::test]
 async fn a_publish_while_the_log_is_down_is_refused() {
--- a/crates/admin/tests/support/mod.rs
+++ b/crates/admin/tests/support/server.rs
@@ -44,8 +44,16 @@
 }
 
 impl Server {
+    /// Starts the API and waits until it knows the contracts.
     pub async fn start() -> Self {
-        let log = MemoryLog::default();
+        let server = Self::start_with(MemoryLog::default()).await;
+        while !server.contracts.progress().known {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        server
+    }
+
+    pub async fn start_with(log: MemoryLog) -> Self {
         let scheduler = FakeScheduler::start("scheduler-1").await;
         let contracts = Contracts::default();
         let api = api(&log, &scheduler, &contracts);
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -1,6 +1,6 @@
 //! `rosemaryctl` against a running administration API.
 
-#[path = "../../admin/tests/support/mod.rs"]
+#[path = "../../admin/tests/support/server.rs"]
 mod support;
 
 use std::path::PathBuf;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -51,6 +51,7 @@
     /// Number of the next ask. Starts with the incarnation: an owner may still hold asks of the
     /// gateway's previous incarnation, and numbers used twice would be taken for the same ask.
     number: AtomicU64,
+    draining: AtomicBool,
     stopping: AtomicBool,
     callers: Count,
     requests: Count,
@@ -89,6 +90,7 @@
             budget: Budget::new(settings.retry_percent),
             meters: Meters::new(&parts.metrics),
             number: AtomicU64::new(clock::incarnation()),
+            draining: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             callers: Count::default(),
             requests: Count::default(),
@@ -102,6 +104,18 @@
         &self.node
     }
 
+    /// Closes each connection after the next answer from now on, so that callers move to other
+    /// gateways and no request arrives on a connection that is being closed.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether connections are closed after their next answer.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
     /// Refuses requests from now on.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::SeqCst);
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -6,7 +6,10 @@
 mod reply;
 mod requests;
 
-use ntex::web::{self, ServiceConfig};
+use ntex::http::ConnectionType;
+use ntex::web::{self, HttpResponse, ServiceConfig};
+
+use crate::gateway::Gateway;
 
 /// Adds the routes. The application's state must hold a [`Gateway`](crate::Gateway).
 pub fn routes(config: &mut ServiceConfig) {
@@ -18,3 +21,13 @@
         web::resource("/v1/jobs/{id}/wait").route(web::get().to(jobs::wait)),
     ));
 }
+
+/// Closes the connection after the answer if the gateway is about to stop.
+fn close_if_draining(gateway: &Gateway, mut response: HttpResponse) -> HttpResponse {
+    if gateway.is_draining() {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response
+}
--- a/crates/gateway/src/http/jobs.rs
+++ b/crates/gateway/src/http/jobs.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 
 use super::reply::{self, Refusal};
-use super::{body, headers};
+use super::{body, close_if_draining, headers};
 use crate::gateway::Gateway;
 use crate::jobs::{self, Missing};
 
@@ -69,11 +69,12 @@
     }
 }
 
-fn respond(answer: Result<Answer, Refusal>) -> HttpResponse {
-    match answer {
+fn respond(gateway: &Gateway, answer: Result<Answer, Refusal>) -> HttpResponse {
+    let response = match answer {
         Ok(answer) => answer.respond(),
         Err(refusal) => refusal.answer("not-run"),
-    }
+    };
+    close_if_draining(gateway, response)
 }
 
 pub(super) async fn submit(
@@ -85,7 +86,7 @@
     if answer.is_err() {
         body::discard(&mut payload).await;
     }
-    respond(answer)
+    respond(&gateway, answer)
 }
 
 async fn submit_checked(
@@ -156,7 +157,8 @@
     request: HttpRequest,
     id: Path<String>,
 ) -> HttpResponse {
-    respond(status_checked(&gateway, &request, &id, 0).await)
+    let answer = status_checked(&gateway, &request, &id, 0).await;
+    respond(&gateway, answer)
 }
 
 #[derive(Deserialize)]
@@ -172,7 +174,8 @@
     query: Query<Wait>,
 ) -> HttpResponse {
     let wait_ms = query.timeout_ms.unwrap_or(WAIT_DEFAULT_MS).min(WAIT_MAX_MS);
-    respond(status_checked(&gateway, &request, &id, wait_ms).await)
+    let answer = status_checked(&gateway, &request, &id, wait_ms).await;
+    respond(&gateway, answer)
 }
 
 async fn status_checked(
@@ -241,7 +244,8 @@
     request: HttpRequest,
     id: Path<String>,
 ) -> HttpResponse {
-    respond(cancel_checked(&gateway, &request, &id).await)
+    let answer = cancel_checked(&gateway, &request, &id).await;
+    respond(&gateway, answer)
 }
 
 async fn cancel_checked(
--- a/crates/gateway/src/http/requests.rs
+++ b/crates/gateway/src/http/requests.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 
 use super::reply::{self, Refusal};
-use super::{body, headers};
+use super::{body, close_if_draining, headers};
 use crate::exchange;
 use crate::gateway::Gateway;
 use crate::inquiry::{Inquiry, Outcome, is_first};
@@ -33,7 +33,8 @@
         Err(refusal) => {
             gateway.meters.refused();
             body::discard(&mut payload).await;
-            return refusal.answer(refused_outcome(&request));
+            let answer = refusal.answer(refused_outcome(&request));
+            return close_if_draining(&gateway, answer);
         }
     };
     let id = inquiry.request.id.clone();
@@ -41,7 +42,7 @@
     let outcome = decide(&gateway, inquiry).await;
     let elapsed_ms = clock::now().since(received);
     gateway.meters.ended(&service, outcome.name(), elapsed_ms);
-    reply::outcome(&id, &outcome)
+    close_if_draining(&gateway, reply::outcome(&id, &outcome))
 }
 
 /// Returns the outcome of a request that is refused for its own fault: this attempt did not run, an
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -170,6 +170,7 @@
             return;
         }
         watching.abort();
+        gateway.drain();
         ready.clear("stopping");
         event::STOPPING.log(format_args!("node={}", gateway.node()));
         tokio::time::sleep(drain).await;
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -1,5 +1,6 @@
 //! Faults of callers, and how the gateway tells them.
 
+#[path = "support/running.rs"]
 mod support;
 
 use std::time::Duration;
@@ -29,6 +30,26 @@
     assert!(gateway.asks().is_empty());
 }
 
+/// Guards against requests that arrive on a connection while a stopping gateway closes it: two calls
+/// of a fault run were cut off so.
+#[tokio::test]
+async fn a_draining_gateway_closes_connections_after_their_answers() {
+    let gateway = Running::start().await;
+    let answer = gateway.send(gateway.call("r-1", &[FIRST])).await;
+    assert_eq!(answer.header("connection"), None);
+    gateway.gateway.drain();
+    let answer = gateway.send(gateway.call("r-2", &[FIRST])).await;
+    assert_eq!(
+        (answer.status, answer.header("connection")),
+        (200, Some("close"))
+    );
+    let refused = gateway.call("r-3", &[("rosemary-attempt", "0")]);
+    assert_eq!(
+        gateway.send(refused).await.header("connection"),
+        Some("close")
+    );
+}
+
 /// Guards against unchecked values that would reach the owner or the instance.
 #[tokio::test]
 async fn bad_headers_are_named() {
--- a/crates/gateway/tests/jobs.rs
+++ b/crates/gateway/tests/jobs.rs
@@ -1,5 +1,6 @@
 //! Jobs: every reply of the owner as callers see it.
 
+#[path = "support/running.rs"]
 mod support;
 
 use std::time::Duration;
--- a/crates/gateway/tests/outcomes.rs
+++ b/crates/gateway/tests/outcomes.rs
@@ -1,5 +1,6 @@
 //! Outcomes that callers are told, per failure.
 
+#[path = "support/running.rs"]
 mod support;
 
 use std::time::Duration;
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -1,5 +1,6 @@
 //! Surveys of new owners and reports on grants of earlier epochs.
 
+#[path = "support/running.rs"]
 mod support;
 
 use std::time::Duration;
