--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -5,7 +5,7 @@
 
 mod account;
 mod admission;
-mod blame;
+mod failures;
 mod fleet;
 mod index;
 mod intake;
--- a/crates/core/src/placement/lease.rs
+++ b/crates/core/src/placement/lease.rs
@@ -82,7 +82,7 @@
             hold.certainty = Certainty::Doubtful;
             hold.changed = now;
         }
-        self.hurry(now, slot);
+        self.sync_soon(now, slot);
     }
 
     /// Tells whether a task's lease is to be given up.
@@ -114,7 +114,7 @@
             task,
             attempt,
         });
-        self.hurry(now, slot);
+        self.sync_soon(now, slot);
     }
 
     /// Counts a lease on the worker, the contract and the job.
--- a/crates/core/src/placement/link.rs
+++ b/crates/core/src/placement/link.rs
@@ -23,7 +23,7 @@
 /// Milliseconds after which a call that the host never answered counts as failed.
 const CALL_MAX_MS: u64 = 30_000;
 /// Milliseconds after a stop or the like at which the worker is asked for its report.
-const HURRY_MS: u64 = 200;
+const SOON_MS: u64 = 200;
 /// Least time between two reports of a worker whose tasks are about to end, in milliseconds.
 const EARLY_MIN_MS: u64 = 250;
 /// Milliseconds after the expected end of a task at which its worker is asked for its report.
@@ -144,13 +144,13 @@
     }
 
     /// Asks for the worker's report soon.
-    pub(crate) fn hurry(&mut self, now: Instant, slot: Slot) {
+    pub(crate) fn sync_soon(&mut self, now: Instant, slot: Slot) {
         let Some(worker) = self.fleet.get(slot) else {
             return;
         };
         let calm = worker.link.outstanding.is_none() && worker.link.failing.is_none();
-        if calm && worker.listed && !worker.link.fenced && worker.wake > now + HURRY_MS {
-            self.fleet.wake_at(slot, now + HURRY_MS);
+        if calm && worker.listed && !worker.link.fenced && worker.wake > now + SOON_MS {
+            self.fleet.wake_at(slot, now + SOON_MS);
         }
     }
 
--- a/crates/core/src/placement/stop.rs
+++ b/crates/core/src/placement/stop.rs
@@ -81,7 +81,7 @@
                 attempt,
             });
         }
-        self.hurry(now, slot);
+        self.sync_soon(now, slot);
     }
 
     fn give_up_leases(&mut self, serial: Serial) {
--- a/crates/core/src/routing/fleet.rs
+++ b/crates/core/src/routing/fleet.rs
@@ -180,8 +180,8 @@
     pub(crate) fn unconfirmed(&self, limit: Instant) -> Vec<usize> {
         let doubtful = self.all.iter().enumerate().filter(|(_, i)| i.unknown > 0);
         let due = doubtful.filter(|(_, i)| {
-            i.census
-                .is_some_and(|census| !census.confirmed && census.answered <= limit)
+            i.count
+                .is_some_and(|count| !count.confirmed && count.answered <= limit)
         });
         due.map(|(number, _)| number).collect()
     }
--- a/crates/core/src/routing/instance.rs
+++ b/crates/core/src/routing/instance.rs
@@ -24,7 +24,7 @@
 
 /// A count of requests by an instance.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Census {
+pub(crate) struct Count {
     /// Time at which the probe was sent.
     pub(crate) sent: Instant,
     /// Time at which the answer arrived.
@@ -63,7 +63,7 @@
     /// Whether `unknown` includes requests of this epoch.
     pub(crate) pooled: bool,
     /// Last count of requests by the instance.
-    pub(crate) census: Option<Census>,
+    pub(crate) count: Option<Count>,
     /// Counts in a row while slots were in doubt.
     pub(crate) recounts: u32,
     /// Whether the instance answered a probe or is known not to.
@@ -101,7 +101,7 @@
             unknown: 0,
             unknown_until: now,
             pooled: false,
-            census: None,
+            count: None,
             recounts: 0,
             counted: true,
             tells: false,
--- a/crates/core/src/routing/takeover.rs
+++ b/crates/core/src/routing/takeover.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::instance::Census;
+use super::instance::Count;
 use super::slots::{Held, Phase};
 use super::{Kernel, Key, Outstanding};
 use crate::outcome::Finish;
@@ -95,7 +95,7 @@
         let sent = instance.answered(now, busy);
         match (busy, sent) {
             (Some(busy), Some(sent)) => {
-                instance.census = Some(Census {
+                instance.count = Some(Count {
                     sent,
                     answered: now,
                     busy,
@@ -117,14 +117,14 @@
         if instance.unknown == 0 {
             return;
         }
-        let Some(census) = &mut instance.census else {
+        let Some(count) = &mut instance.count else {
             return;
         };
-        if dispatched + ARRIVE_MS > census.sent || granted + run_ms < census.answered {
+        if dispatched + ARRIVE_MS > count.sent || granted + run_ms < count.answered {
             return;
         }
-        census.known += 1;
-        let (rest, sent) = (census.busy.saturating_sub(census.known), census.sent);
+        count.known += 1;
+        let (rest, sent) = (count.busy.saturating_sub(count.known), count.sent);
         self.recount(number, rest, sent);
     }
 
@@ -141,12 +141,12 @@
             let held = self
                 .slots
                 .select(|held| held.instance == number && matches!(held.phase, Phase::Outstanding));
-            let Some(census) = &mut self.fleet.get_mut(number).census else {
+            let Some(count) = &mut self.fleet.get_mut(number).count else {
                 continue;
             };
-            census.confirmed = true;
-            census.known += held.len() as u32;
-            let (rest, sent) = (census.busy.saturating_sub(census.known), census.sent);
+            count.confirmed = true;
+            count.known += held.len() as u32;
+            let (rest, sent) = (count.busy.saturating_sub(count.known), count.sent);
             self.recount(number, rest, sent);
         }
     }
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -39,7 +39,7 @@
             run_ms,
         } => {
             let current = hosted_service(&shared, &shard);
-            let current = current.filter(|service| service.tenure.epoch == epoch);
+            let current = current.filter(|service| service.term.epoch == epoch);
             let event = Event::Finished {
                 slot,
                 finish,
@@ -92,7 +92,7 @@
 }
 
 async fn ask(shared: &Arc<Shared>, shard: &Id, ask: Ask) -> Verdict {
-    match hosted_service(shared, shard).filter(|service| service.tenure.holds()) {
+    match hosted_service(shared, shard).filter(|service| service.term.holds()) {
         Some(service) => service.ask(ask).await,
         None => Verdict::NotOwner {
             owner: other_owner(shared, shard),
@@ -130,11 +130,11 @@
 fn inspect(shared: &Shared) -> Inspected {
     let mut inspected = Inspected::default();
     for hosted in shared.all_hosted() {
-        let tenure = hosted.tenure();
-        if !tenure.holds() {
+        let term = hosted.term();
+        if !term.holds() {
             continue;
         }
-        inspected.shards.push((tenure.shard.clone(), tenure.epoch));
+        inspected.shards.push((term.shard.clone(), term.epoch));
         inspected.targets.extend(hosted.targets());
         if let Hosted::Pool(pool) = &hosted {
             inspected.jobs.extend(pool.jobs(shared));
@@ -153,7 +153,7 @@
 /// Returns the pool shard if this process may act as its owner now.
 fn pool(shared: &Shared, shard: &Id) -> Option<Arc<Pool>> {
     match shared.hosted(shard) {
-        Some(Hosted::Pool(pool)) if pool.tenure.holds() => Some(pool),
+        Some(Hosted::Pool(pool)) if pool.term.holds() => Some(pool),
         _ => None,
     }
 }
--- a/crates/scheduler/src/contracts.rs
+++ b/crates/scheduler/src/contracts.rs
@@ -31,7 +31,7 @@
     let due = due(shared, ages);
     let first = shared.partition.shards().into_iter().next();
     let hosted = first.and_then(|shard| shared.hosted(&shard));
-    if !hosted.is_some_and(|hosted| hosted.tenure().holds()) {
+    if !hosted.is_some_and(|hosted| hosted.term().holds()) {
         return;
     }
     let records = due.iter().map(|(record, _)| append(shared, record));
--- a/crates/scheduler/src/hosted.rs
+++ b/crates/scheduler/src/hosted.rs
@@ -8,7 +8,7 @@
 use crate::pool::Pool;
 use crate::service::Service;
 use crate::shared::Shared;
-use crate::tenure::Tenure;
+use crate::term::Term;
 
 /// The kernel of one owned shard and epoch. Clones share the kernel.
 #[derive(Clone)]
@@ -18,10 +18,10 @@
 }
 
 impl Hosted {
-    pub(crate) fn tenure(&self) -> &Tenure {
+    pub(crate) fn term(&self) -> &Term {
         match self {
-            Self::Pool(pool) => &pool.tenure,
-            Self::Service(service) => &service.tenure,
+            Self::Pool(pool) => &pool.term,
+            Self::Service(service) => &service.term,
         }
     }
 
@@ -68,7 +68,7 @@
 
     /// Ends the epoch.
     pub(crate) fn end(&self) {
-        self.tenure().end();
+        self.term().end();
         self.suspend();
         match self {
             Self::Pool(pool) => pool.wake(),
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -27,7 +27,7 @@
 mod shared;
 mod snapshot;
 mod survey;
-mod tenure;
+mod term;
 mod upkeep;
 mod writer;
 
--- a/crates/scheduler/src/links.rs
+++ b/crates/scheduler/src/links.rs
@@ -52,13 +52,13 @@
             lost(&self.0, &hello.node);
         }
         for hosted in self.0.all_hosted() {
-            let tenure = hosted.tenure();
-            if !tenure.holds() {
+            let term = hosted.term();
+            if !term.holds() {
                 continue;
             }
             let _ = peer.notify(Message::Owned {
-                shard: tenure.shard.clone(),
-                epoch: tenure.epoch,
+                shard: term.shard.clone(),
+                epoch: term.epoch,
                 owner: Some(self.0.settings.node.clone()),
             });
             if let Hosted::Service(service) = hosted {
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -107,7 +107,7 @@
 fn deactivate(shared: &Arc<Shared>, shard: &Id, epoch: Epoch, over: bool) {
     let hosted = shared
         .hosted(shard)
-        .filter(|hosted| hosted.tenure().epoch == epoch);
+        .filter(|hosted| hosted.term().epoch == epoch);
     let Some(hosted) = hosted else { return };
     if !over {
         if !shared.progress.is_stopping() {
@@ -125,7 +125,7 @@
 async fn release(shared: Arc<Shared>, shard: Id, epoch: Epoch, doubt_ms: u64) {
     let hosted = shared
         .hosted(&shard)
-        .filter(|hosted| hosted.tenure().epoch == epoch);
+        .filter(|hosted| hosted.term().epoch == epoch);
     if let Some(hosted) = &hosted {
         // Records of this epoch are void after the release.
         if !flush(hosted).await {
--- a/crates/scheduler/src/owner/activate.rs
+++ b/crates/scheduler/src/owner/activate.rs
@@ -18,7 +18,7 @@
 use crate::service::Service;
 use crate::shared::Shared;
 use crate::survey;
-use crate::tenure::Tenure;
+use crate::term::Term;
 
 /// What the ownership kernel says of the epoch.
 pub(super) struct Terms {
@@ -53,14 +53,14 @@
 
 fn start(shared: &Arc<Shared>, terms: &Terms) {
     let valid_until = lock(&shared.ownership).valid_until(&terms.shard, terms.epoch);
-    let tenure = Tenure::new(terms.shard.clone(), terms.epoch, valid_until);
+    let term = Term::new(terms.shard.clone(), terms.epoch, valid_until);
     match terms.shard.kind {
-        Kind::Pool => start_pool(shared, terms, tenure),
-        Kind::Service => start_service(shared, terms, tenure),
+        Kind::Pool => start_pool(shared, terms, term),
+        Kind::Service => start_service(shared, terms, term),
     }
 }
 
-fn start_service(shared: &Arc<Shared>, terms: &Terms, tenure: Tenure) {
+fn start_service(shared: &Arc<Shared>, terms: &Terms, term: Term) {
     let cell = lock(&shared.cell);
     let known = cell.fold.shard(&terms.shard);
     let remembered = known.map(|known| known.requests.remembered(clock::unix_ms()));
@@ -73,7 +73,7 @@
         clean: terms.clean,
     };
     drop(cell);
-    let hosted = Hosted::Service(Service::start(shared, tenure, start));
+    let hosted = Hosted::Service(Service::start(shared, term, start));
     // An ask that came before the instances and contracts would be refused.
     hosted.list(shared);
     let register = lock(&shared.register);
@@ -83,7 +83,7 @@
     lock(&shared.hosted).insert(terms.shard.clone(), hosted);
 }
 
-fn start_pool(shared: &Arc<Shared>, terms: &Terms, tenure: Tenure) {
+fn start_pool(shared: &Arc<Shared>, terms: &Terms, term: Term) {
     let start = placement::Start {
         shard: terms.shard.clone(),
         partition: shared.partition.clone(),
@@ -91,7 +91,7 @@
         policy: shared.settings.placement_policy.clone(),
         seed: hash(&[&terms.shard.to_string(), &terms.epoch.to_string()]),
     };
-    let pool = Pool::start(shared, tenure, start);
+    let pool = Pool::start(shared, term, start);
     let hosted = Hosted::Pool(pool.clone());
     pool.recall(shared);
     // A submission that came before the workers and contracts would be rejected.
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -17,7 +17,7 @@
 
 use crate::lock::lock;
 use crate::shared::Shared;
-use crate::tenure::Tenure;
+use crate::term::Term;
 use crate::writer::Writer;
 
 const TICK: Duration = Duration::from_millis(50);
@@ -27,7 +27,7 @@
 
 /// The placement kernel of one shard and epoch.
 pub(crate) struct Pool {
-    pub(crate) tenure: Arc<Tenure>,
+    pub(crate) term: Arc<Term>,
     shared: Weak<Shared>,
     state: Mutex<Inner>,
     pub(crate) writer: Writer,
@@ -45,12 +45,12 @@
 
 impl Pool {
     /// Creates the kernel of a shard whose epoch starts now. Must be called within a tokio runtime.
-    pub(crate) fn start(shared: &Arc<Shared>, tenure: Tenure, start: Start) -> Arc<Self> {
+    pub(crate) fn start(shared: &Arc<Shared>, term: Term, start: Start) -> Arc<Self> {
         let (writer, receiver) = Writer::new();
-        let tenure = Arc::new(tenure);
-        tokio::spawn(writer.clone().run(shared.clone(), tenure.clone(), receiver));
+        let term = Arc::new(term);
+        tokio::spawn(writer.clone().run(shared.clone(), term.clone(), receiver));
         Arc::new(Self {
-            tenure,
+            term,
             shared: Arc::downgrade(shared),
             state: Mutex::new(Inner {
                 kernel: Kernel::new(clock::now(), start),
@@ -93,7 +93,7 @@
         };
         let own = lately.into_iter().filter(|worker| {
             let shard = shared.partition.rack(&worker.pool, &worker.rack);
-            shard.is_some_and(|shard| shard == self.tenure.shard)
+            shard.is_some_and(|shard| shard == self.term.shard)
         });
         let own: Vec<Worker> = own.collect();
         let mut state = lock(&self.state);
@@ -108,7 +108,7 @@
         let Some(listing) = lock(&shared.listing).clone() else {
             return;
         };
-        let listed = workers(shared, &self.tenure, &listing);
+        let listed = workers(shared, &self.term, &listing);
         {
             let mut state = lock(&self.state);
             if state.listed == listed {
@@ -125,7 +125,7 @@
     /// Returns the number of jobs that have not ended.
     pub(crate) fn open(&self, shared: &Shared) -> usize {
         let cell = lock(&shared.cell);
-        let known = cell.fold.shard(&self.tenure.shard);
+        let known = cell.fold.shard(&self.term.shard);
         known.map_or(0, |known| known.jobs.open())
     }
 
@@ -139,12 +139,12 @@
     }
 }
 
-fn workers(shared: &Shared, tenure: &Tenure, listing: &Listing) -> Vec<(Worker, State)> {
+fn workers(shared: &Shared, term: &Term, listing: &Listing) -> Vec<(Worker, State)> {
     let register = lock(&shared.register);
     let listed = listing.workers.iter();
     let own = listed.filter(|(worker, _)| {
         let shard = shared.partition.rack(&worker.pool, &worker.rack);
-        shard.is_some_and(|shard| shard == tenure.shard)
+        shard.is_some_and(|shard| shard == term.shard)
     });
     let drained = |name: &str| register.is_drained(name);
     own.map(|(worker, state)| {
@@ -158,7 +158,7 @@
 }
 
 async fn tick(pool: Arc<Pool>) {
-    while !pool.tenure.is_over() {
+    while !pool.term.is_over() {
         let open = pool.shared.upgrade().map_or(0, |shared| pool.open(&shared));
         let period = if open == 0 { TICK_IDLE } else { TICK };
         tokio::time::sleep(period).await;
--- a/crates/scheduler/src/pool/jobs.rs
+++ b/crates/scheduler/src/pool/jobs.rs
@@ -47,15 +47,15 @@
             Err(Refusal::Never(reason)) => return Submission::Rejected(reason),
         }
         let record = Cell::Submitted {
-            shard: self.tenure.shard.clone(),
-            epoch: self.tenure.epoch,
+            shard: self.term.shard.clone(),
+            epoch: self.term.epoch,
             contract,
             job: job.clone(),
             at_unix_ms: clock::unix_ms(),
         };
         match shared.write(&record, SUBMIT_PATIENCE).await {
             Written::Valid => {
-                events::JOB_ACCEPTED.log(format_args!("shard={} job={id}", self.tenure.shard));
+                events::JOB_ACCEPTED.log(format_args!("shard={} job={id}", self.term.shard));
                 // Of two submissions of one id, the one that comes first in the log counts.
                 self.known(shared, &id, &job).unwrap_or(Submission::Unknown)
             }
@@ -73,15 +73,15 @@
         }
         if lock(&shared.cell)
             .fold
-            .own_job(&self.tenure.shard, id)
+            .own_job(&self.term.shard, id)
             .is_none()
         {
             let reason = "the job was accepted before a revision of its contract moved its home";
             return Submission::Rejected(reason.into());
         }
         let record = Cell::Cancelled {
-            shard: self.tenure.shard.clone(),
-            epoch: self.tenure.epoch,
+            shard: self.term.shard.clone(),
+            epoch: self.term.epoch,
             job: id.clone(),
         };
         match shared.write(&record, SUBMIT_PATIENCE).await {
@@ -96,7 +96,7 @@
     /// Returns what callers see of a job.
     pub(crate) fn status(&self, shared: &Shared, id: &Id) -> Option<Status> {
         let cell = lock(&shared.cell);
-        let job = cell.fold.job(&self.tenure.shard, id)?;
+        let job = cell.fold.job(&self.term.shard, id)?;
         let recorded = job.status();
         let running = lock(&self.state).kernel.status(id);
         let Some(mut status) = running else {
@@ -122,7 +122,7 @@
             let ended = self.ended.notified();
             let status = self.status(shared, id)?;
             let now = tokio::time::Instant::now();
-            if status.state.is_terminal() || now >= deadline || self.tenure.is_over() {
+            if status.state.is_terminal() || now >= deadline || self.term.is_over() {
                 return Some(status);
             }
             let period = WAIT_PERIOD.min(deadline - now);
@@ -136,7 +136,7 @@
         let running = lock(&self.state).kernel.tasks(id);
         let recorded = || {
             let cell = lock(&shared.cell);
-            Some(cell.fold.job(&self.tenure.shard, id)?.views())
+            Some(cell.fold.job(&self.term.shard, id)?.views())
         };
         running.or_else(recorded)
     }
@@ -145,7 +145,7 @@
     pub(crate) fn jobs(&self, shared: &Shared) -> Vec<Status> {
         let ids: Vec<Id> = {
             let cell = lock(&shared.cell);
-            let shard = cell.fold.shard(&self.tenure.shard);
+            let shard = cell.fold.shard(&self.term.shard);
             let jobs = shard.map(|shard| shard.jobs.ids());
             jobs.unwrap_or_default()
         };
@@ -158,7 +158,7 @@
     fn known(&self, shared: &Shared, id: &Id, job: &Spec) -> Option<Submission> {
         let same = {
             let cell = lock(&shared.cell);
-            let known = cell.fold.job(&self.tenure.shard, id)?;
+            let known = cell.fold.job(&self.term.shard, id)?;
             *known.spec == *job
         };
         match same {
@@ -171,7 +171,7 @@
         match written {
             Written::No(_) => Submission::Unavailable(NotRun::LogUnavailable),
             Written::Void => Submission::NotOwner {
-                owner: shared.owner(&self.tenure.shard),
+                owner: shared.owner(&self.term.shard),
             },
             Written::Uncertain(_) | Written::Valid => Submission::Unknown,
         }
--- a/crates/scheduler/src/pool/steps.rs
+++ b/crates/scheduler/src/pool/steps.rs
@@ -46,8 +46,8 @@
             } => self.control(&worker, task, attempt, Action::Checkpoint),
             Step::EndJob { job, state, reason } => {
                 let record = Cell::Ended {
-                    shard: self.tenure.shard.clone(),
-                    epoch: self.tenure.epoch,
+                    shard: self.term.shard.clone(),
+                    epoch: self.term.epoch,
                     job,
                     state,
                     reason,
@@ -141,19 +141,19 @@
         let worker = lock(&self.state).workers.get(&placing.worker).cloned()?;
         let spec = {
             let cell = lock(&shared.cell);
-            let job = cell.fold.job(&self.tenure.shard, &placing.task.job)?;
+            let job = cell.fold.job(&self.term.shard, &placing.task.job)?;
             job.spec.clone()
         };
         if placing.log_first && !self.record_grant(shared, &placing.task).await {
             return None;
         }
         // The worker also refuses an old epoch, but only once it has seen the newer one.
-        self.tenure.holds().then_some((worker, spec))
+        self.term.holds().then_some((worker, spec))
     }
 
     fn lease(&self, placing: &Placing, spec: &Spec) -> Grant {
         Grant {
-            epoch: self.tenure.epoch,
+            epoch: self.term.epoch,
             task: placing.task.clone(),
             attempt: placing.attempt,
             size: placing.size,
@@ -169,8 +169,8 @@
             return true;
         }
         let record = Cell::Granted {
-            shard: self.tenure.shard.clone(),
-            epoch: self.tenure.epoch,
+            shard: self.term.shard.clone(),
+            epoch: self.term.epoch,
             tasks: vec![task.clone()],
         };
         match shared.write(&record, GRANT_PATIENCE).await {
@@ -182,7 +182,7 @@
 
     /// Keeps the grant in memory until the log returns, if this is allowed now.
     fn without_log(&self, shared: &Shared, task: &Task) -> bool {
-        let outage = self.tenure.holds() && shared.is_outage(&self.tenure.shard);
+        let outage = self.term.holds() && shared.is_outage(&self.term.shard);
         if outage {
             self.writer.push(Item::Granted(task.clone()));
         }
@@ -207,7 +207,7 @@
         acknowledge: Vec<(Task, Attempt)>,
     ) -> Event {
         let worker = lock(&self.state).workers.get(&name).cloned();
-        let (Some(worker), true) = (worker, self.tenure.holds()) else {
+        let (Some(worker), true) = (worker, self.term.holds()) else {
             tokio::time::sleep(FAILURE_DELAY).await;
             return Event::SyncFailed {
                 worker: name,
@@ -215,7 +215,7 @@
             };
         };
         let call = Sync {
-            epoch: self.tenure.epoch,
+            epoch: self.term.epoch,
             lease_ms: LEASE_MS,
             acknowledge,
         };
@@ -244,14 +244,13 @@
     /// still shows the task.
     fn control(self: &Arc<Self>, name: &str, task: Task, attempt: Attempt, action: Action) {
         let worker = lock(&self.state).workers.get(name).cloned();
-        let (Some(shared), Some(worker), true) =
-            (self.shared.upgrade(), worker, self.tenure.holds())
+        let (Some(shared), Some(worker), true) = (self.shared.upgrade(), worker, self.term.holds())
         else {
             return;
         };
         let pool = self.clone();
         let control = Control {
-            epoch: self.tenure.epoch,
+            epoch: self.term.epoch,
             task,
             attempt,
             action,
@@ -271,7 +270,7 @@
         };
         event.log(format_args!(
             "shard={} epoch={} step={step} worker={worker} reason={failure}",
-            self.tenure.shard, self.tenure.epoch
+            self.term.shard, self.term.epoch
         ));
     }
 }
--- a/crates/scheduler/src/service.rs
+++ b/crates/scheduler/src/service.rs
@@ -19,7 +19,7 @@
 
 use crate::lock::lock;
 use crate::shared::Shared;
-use crate::tenure::Tenure;
+use crate::term::Term;
 use crate::writer::Writer;
 
 const TICK: Duration = Duration::from_millis(20);
@@ -32,7 +32,7 @@
 
 /// The routing kernel of one shard and epoch.
 pub(crate) struct Service {
-    pub(crate) tenure: Arc<Tenure>,
+    pub(crate) term: Arc<Term>,
     shared: Weak<Shared>,
     state: Mutex<Inner>,
     pub(crate) writer: Writer,
@@ -56,12 +56,12 @@
 
 impl Service {
     /// Creates the kernel of a shard whose epoch starts now. Must be called within a tokio runtime.
-    pub(crate) fn start(shared: &Arc<Shared>, tenure: Tenure, start: Start) -> Arc<Self> {
+    pub(crate) fn start(shared: &Arc<Shared>, term: Term, start: Start) -> Arc<Self> {
         let (writer, receiver) = Writer::new();
-        let tenure = Arc::new(tenure);
-        tokio::spawn(writer.clone().run(shared.clone(), tenure.clone(), receiver));
+        let term = Arc::new(term);
+        tokio::spawn(writer.clone().run(shared.clone(), term.clone(), receiver));
         let service = Arc::new(Self {
-            tenure,
+            term,
             shared: Arc::downgrade(shared),
             state: Mutex::new(Inner {
                 kernel: Kernel::new(clock::now(), start),
@@ -103,7 +103,7 @@
         let (sender, receiver) = oneshot::channel();
         lock(&self.state).waiting.insert(key.clone(), sender);
         self.feed(Event::Ask(ask));
-        if !self.tenure.holds() {
+        if !self.term.holds() {
             // The support may have ended after the asks in waiting were answered.
             self.suspend();
         }
@@ -124,7 +124,7 @@
 
     /// Takes back a grant that can't be told any more under valid support.
     fn checked(self: &Arc<Self>, verdict: Verdict, received: Instant) -> Verdict {
-        match (verdict, self.tenure.held_at()) {
+        match (verdict, self.term.held_at()) {
             (
                 Verdict::Granted {
                     epoch,
@@ -167,7 +167,7 @@
 
     fn not_owner(&self) -> Verdict {
         let shared = self.shared.upgrade();
-        let owner = shared.and_then(|shared| shared.owner(&self.tenure.shard));
+        let owner = shared.and_then(|shared| shared.owner(&self.term.shard));
         let own = |owner: &Arc<str>| {
             self.shared
                 .upgrade()
@@ -216,7 +216,7 @@
         let Some(listing) = lock(&shared.listing).clone() else {
             return;
         };
-        let listed = instances(shared, &self.tenure, &listing);
+        let listed = instances(shared, &self.term, &listing);
         {
             let mut state = lock(&self.state);
             if state.listed == listed {
@@ -251,12 +251,12 @@
     }
 }
 
-fn instances(shared: &Shared, tenure: &Tenure, listing: &Listing) -> Vec<(Instance, State)> {
+fn instances(shared: &Shared, term: &Term, listing: &Listing) -> Vec<(Instance, State)> {
     let register = lock(&shared.register);
     let listed = listing.instances.iter();
     let own = listed.filter(|(instance, _)| {
         let shard = shared.partition.instance(&instance.service, &instance.name);
-        shard.is_some_and(|shard| shard == tenure.shard)
+        shard.is_some_and(|shard| shard == term.shard)
     });
     let drained = |name: &str| register.is_drained(name);
     own.map(|(instance, state)| {
@@ -270,7 +270,7 @@
 }
 
 async fn tick(service: Arc<Service>) {
-    while !service.tenure.is_over() {
+    while !service.term.is_over() {
         let period = match service.waiting() {
             0 => TICK_IDLE,
             _ => TICK,
--- a/crates/scheduler/src/service/steps.rs
+++ b/crates/scheduler/src/service/steps.rs
@@ -43,7 +43,7 @@
             Step::Intend { key, request } => self.intend(key, request, events),
             Step::Probe(name) => self.probe(name),
             Step::Refuse { key, reason } => {
-                let verdict = match self.tenure.holds() {
+                let verdict = match self.term.holds() {
                     true => Verdict::NotRun(reason.clone()),
                     false => self.not_owner(),
                 };
@@ -69,12 +69,12 @@
         events: &mut VecDeque<Event>,
     ) {
         let granted = Verdict::Granted {
-            epoch: self.tenure.epoch,
+            epoch: self.term.epoch,
             slot,
             instance,
             waited_ms: 0,
         };
-        let valid = self.tenure.holds();
+        let valid = self.term.holds();
         let verdict = if valid { granted } else { self.not_owner() };
         let answered = self.answer(key, verdict);
         if valid && answered {
@@ -111,13 +111,13 @@
 
     /// Keeps the request in memory until the log returns, if this is allowed now.
     fn without_log(&self, shared: &Shared, request: &Request) -> bool {
-        let outage = self.tenure.holds() && shared.is_outage(&self.tenure.shard);
+        let outage = self.term.holds() && shared.is_outage(&self.term.shard);
         // One line tells of all requests of an outage.
         let first = outage && !self.without_log.swap(true, Ordering::SeqCst);
         if first {
             events::OUTAGE.log(format_args!(
                 "shard={} epoch={} request={}/{}",
-                self.tenure.shard, self.tenure.epoch, request.contract, request.id
+                self.term.shard, self.term.epoch, request.contract, request.id
             ));
         }
         if outage {
@@ -131,8 +131,8 @@
 
     async fn record_intent(self: Arc<Self>, shared: &Shared, key: Key, request: Request) {
         let record = Cell::Intent {
-            shard: self.tenure.shard.clone(),
-            epoch: self.tenure.epoch,
+            shard: self.term.shard.clone(),
+            epoch: self.term.epoch,
             requests: vec![request.clone()],
             at_unix_ms: clock::unix_ms(),
         };
@@ -167,7 +167,7 @@
     /// record, and then neither dispatches.
     fn is_recorded_elsewhere(&self, shared: &Shared, request: &Request) -> bool {
         let cell = lock(&shared.cell);
-        cell.fold.is_recorded_elsewhere(&self.tenure.shard, request)
+        cell.fold.is_recorded_elsewhere(&self.term.shard, request)
     }
 
     /// Logs an uncertain intent, at most one in [`REPORT_PERIOD_MS`]: a slow log makes many.
@@ -180,7 +180,7 @@
         self.uncertain_logged.store(now.0, Ordering::SeqCst);
         events::INTENT_UNCERTAIN.log(format_args!(
             "shard={} request={}/{} reason={reason}",
-            self.tenure.shard, request.contract, request.id
+            self.term.shard, request.contract, request.id
         ));
     }
 
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -148,8 +148,8 @@
         let mut kernel = lock(&self.ownership);
         let (result, steps) = act(&mut kernel);
         for hosted in lock(&self.hosted).values() {
-            let tenure = hosted.tenure();
-            tenure.extend(kernel.valid_until(&tenure.shard, tenure.epoch));
+            let term = hosted.term();
+            term.extend(kernel.valid_until(&term.shard, term.epoch));
         }
         for step in steps {
             // The receiver lives as long as the process.
--- a/crates/scheduler/src/survey.rs
+++ b/crates/scheduler/src/survey.rs
@@ -25,17 +25,17 @@
 async fn survey(shared: Arc<Shared>, service: Arc<Service>, peer: Peer) {
     let gateway = peer.hello().node.clone();
     let incarnation = peer.hello().incarnation;
-    let tenure = &service.tenure;
-    while !tenure.is_over() {
+    let term = &service.term;
+    while !term.is_over() {
         let call = Message::Survey {
-            shard: tenure.shard.clone(),
-            epoch: tenure.epoch,
+            shard: term.shard.clone(),
+            epoch: term.epoch,
         };
         if let Ok(Message::Outstanding(outstanding)) = peer.call(call, TIMEOUT).await {
             events::SURVEYED.log(format_args!(
                 "shard={} epoch={} gateway={gateway} outstanding={}",
-                tenure.shard,
-                tenure.epoch,
+                term.shard,
+                term.epoch,
                 outstanding.len()
             ));
             service.feed(Event::Surveyed {
--- a/crates/scheduler/src/tenure.rs
+++ b/crates/scheduler/src/term.rs
@@ -8,14 +8,14 @@
 
 /// One epoch of a shard that this process owns.
 #[derive(Debug)]
-pub(crate) struct Tenure {
+pub(crate) struct Term {
     pub(crate) shard: Id,
     pub(crate) epoch: Epoch,
     valid_until: AtomicU64,
     over: AtomicBool,
 }
 
-impl Tenure {
+impl Term {
     pub(crate) fn new(shard: Id, epoch: Epoch, valid_until: Instant) -> Self {
         Self {
             shard,
--- a/crates/scheduler/src/upkeep.rs
+++ b/crates/scheduler/src/upkeep.rs
@@ -26,7 +26,7 @@
             .fold
             .expire(clock::unix_ms(), retention_ms);
         for hosted in shared.all_hosted() {
-            if hosted.tenure().holds() {
+            if hosted.term().holds() {
                 restate(&shared, &hosted);
             }
             gauge(&shared, &hosted);
@@ -41,12 +41,11 @@
 
 /// Queues the records of an owned shard that would expire from the log.
 fn restate(shared: &Shared, hosted: &Hosted) {
-    let tenure = hosted.tenure();
+    let term = hosted.term();
     let age_ms = shared.settings.retention_ms / 2;
-    let records =
-        lock(&shared.cell)
-            .fold
-            .restate(clock::now(), &tenure.shard, tenure.epoch, age_ms);
+    let records = lock(&shared.cell)
+        .fold
+        .restate(clock::now(), &term.shard, term.epoch, age_ms);
     let writer = match hosted {
         Hosted::Pool(pool) => &pool.writer,
         Hosted::Service(service) => &service.writer,
@@ -57,9 +56,9 @@
 }
 
 fn gauge(shared: &Shared, hosted: &Hosted) {
-    let tenure = hosted.tenure();
-    let shard = tenure.shard.to_string();
-    shared.counters.margin(&shard, tenure.margin_ms());
+    let term = hosted.term();
+    let shard = term.shard.to_string();
+    shared.counters.margin(&shard, term.margin_ms());
     let queue = match hosted {
         Hosted::Pool(pool) => pool.open(shared),
         Hosted::Service(service) => service.waiting(),
--- a/crates/scheduler/src/writer.rs
+++ b/crates/scheduler/src/writer.rs
@@ -12,7 +12,7 @@
 
 use crate::events;
 use crate::shared::{Shared, Written};
-use crate::tenure::Tenure;
+use crate::term::Term;
 
 const PATIENCE: Duration = Duration::from_secs(5);
 const RETRY_DELAY: Duration = Duration::from_millis(200);
@@ -20,7 +20,7 @@
 /// Most tasks, requests or records taken from the queue at once.
 const BATCH_MAX: usize = 500;
 
-/// Something to be written under the epoch of the tenure.
+/// Something to be written under the epoch of the term.
 #[derive(Clone, Debug)]
 pub(crate) enum Item {
     /// A task ended.
@@ -66,11 +66,11 @@
         self.open.load(Ordering::SeqCst)
     }
 
-    /// Writes the items of `receiver` until the tenure is over.
+    /// Writes the items of `receiver` until the term is over.
     pub(crate) async fn run(
         self,
         shared: Arc<Shared>,
-        tenure: impl AsRef<Tenure> + Send + 'static,
+        term: impl AsRef<Term> + Send + 'static,
         mut receiver: mpsc::UnboundedReceiver<Item>,
     ) {
         let mut items = Vec::new();
@@ -79,9 +79,9 @@
             if count == 0 {
                 return;
             }
-            let records = records(tenure.as_ref(), std::mem::take(&mut items));
+            let records = records(term.as_ref(), std::mem::take(&mut items));
             let writes = records.iter();
-            let writes = writes.map(|record| self.persist(&shared, tenure.as_ref(), record));
+            let writes = writes.map(|record| self.persist(&shared, term.as_ref(), record));
             if join_all(writes).await.contains(&false) {
                 return;
             }
@@ -90,24 +90,22 @@
     }
 
     /// Writes one record, however often it takes. Returns whether the epoch goes on.
-    async fn persist(&self, shared: &Shared, tenure: &Tenure, record: &Cell) -> bool {
-        while !tenure.is_over() {
+    async fn persist(&self, shared: &Shared, term: &Term, record: &Cell) -> bool {
+        while !term.is_over() {
             match shared.write(record, PATIENCE).await {
                 Written::Valid => {
                     self.failing.store(false, Ordering::SeqCst);
                     return true;
                 }
                 Written::Void => {
-                    events::RECORD_VOID.log(format_args!(
-                        "shard={} epoch={}",
-                        tenure.shard, tenure.epoch
-                    ));
+                    events::RECORD_VOID
+                        .log(format_args!("shard={} epoch={}", term.shard, term.epoch));
                     return false;
                 }
                 Written::No(reason) | Written::Uncertain(reason) => {
                     if !self.failing.swap(true, Ordering::SeqCst) {
                         events::WRITE_RETRIED
-                            .log(format_args!("shard={} reason={reason}", tenure.shard));
+                            .log(format_args!("shard={} reason={reason}", term.shard));
                     }
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
@@ -118,8 +116,8 @@
 }
 
 /// Joins neighbouring items of one kind into one record.
-fn records(tenure: &Tenure, items: Vec<Item>) -> Vec<Cell> {
-    let (shard, epoch) = (&tenure.shard, tenure.epoch);
+fn records(term: &Term, items: Vec<Item>) -> Vec<Cell> {
+    let (shard, epoch) = (&term.shard, term.epoch);
     let mut records: Vec<Cell> = Vec::new();
     for item in items {
         match (item, records.last_mut()) {
--- a/xtask/src/faults.rs
+++ b/xtask/src/faults.rs
@@ -1,10 +1,10 @@
 //! `cargo xtask faults`: the real processes under injected failures.
 
-mod crew;
 mod inject;
 mod jobs;
 mod kind;
 mod operators;
+mod processes;
 mod proxy;
 mod report;
 mod requests;
@@ -25,10 +25,10 @@
 use crate::cluster::ports::Ports;
 use crate::cluster::process::{Error, Process};
 use crate::cluster::{self, Cluster};
-use crew::Crew;
 use inject::Stage;
 use kind::Kind;
 use operators::Races;
+use processes::Processes;
 use scene::Scene;
 use schedule::Entry;
 
@@ -158,9 +158,9 @@
         ..
     } = cluster;
     let scene = Arc::new(Scene::new(deployment, ports, client, history));
-    let crew = Crew::new(scene.clone(), gateways, schedulers);
+    let processes = Processes::new(scene.clone(), gateways, schedulers);
     let stage = Arc::new(Stage {
-        crew,
+        processes,
         proxies,
         scene: scene.clone(),
     });
@@ -174,7 +174,7 @@
     scene.stop();
     drain(&mut load).await;
     scene.history.flush();
-    let mut unstopped = stage.crew.stop_all().await;
+    let mut unstopped = stage.processes.stop_all().await;
     if !stop_standin(&mut standin).await {
         unstopped.push("standin".to_owned());
     }
--- a/xtask/src/faults/inject.rs
+++ b/xtask/src/faults/inject.rs
@@ -9,8 +9,8 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
-use super::crew::Crew;
 use super::kind::Kind;
+use super::processes::Processes;
 use super::proxy::Proxies;
 use super::scene::Scene;
 use super::schedule::Entry;
@@ -23,7 +23,7 @@
 
 /// Everything that failures act on.
 pub(crate) struct Stage {
-    pub(crate) crew: Crew,
+    pub(crate) processes: Processes,
     pub(crate) proxies: Proxies,
     pub(crate) scene: Arc<Scene>,
 }
@@ -114,16 +114,16 @@
                 self.scene.waves.fetch_add(1, Ordering::SeqCst);
             }
             Kind::OperatorRace => self.scene.race.store(true, Ordering::SeqCst),
-            Kind::KillGateway => self.crew.kill(&gateway).await,
-            Kind::KillScheduler => self.crew.kill(&scheduler).await,
+            Kind::KillGateway => self.processes.kill(&gateway).await,
+            Kind::KillScheduler => self.processes.kill(&scheduler).await,
             Kind::KillEntry => {
-                self.crew.kill(&gateway).await;
-                self.crew.kill(&scheduler).await;
+                self.processes.kill(&gateway).await;
+                self.processes.kill(&scheduler).await;
             }
-            Kind::PauseGateway => self.crew.pause(&gateway, true).await,
-            Kind::PauseScheduler => self.crew.pause(&scheduler, true).await,
-            Kind::StopGateway => self.crew.stop(&gateway).await,
-            Kind::StopScheduler => self.crew.stop(&scheduler).await,
+            Kind::PauseGateway => self.processes.pause(&gateway, true).await,
+            Kind::PauseScheduler => self.processes.pause(&scheduler, true).await,
+            Kind::StopGateway => self.processes.stop(&gateway).await,
+            Kind::StopScheduler => self.processes.stop(&scheduler).await,
             Kind::CutLog | Kind::CutOneWay | Kind::CutSchedulers | Kind::Isolate => {
                 self.cut(kind, aim, true);
             }
@@ -163,13 +163,16 @@
         match kind {
             Kind::CancelWave => {}
             Kind::OperatorRace => self.scene.race.store(false, Ordering::SeqCst),
-            Kind::KillGateway | Kind::StopGateway => self.crew.restart(&gateway).await,
-            Kind::KillScheduler | Kind::StopScheduler => self.crew.restart(&scheduler).await,
+            Kind::KillGateway | Kind::StopGateway => self.processes.restart(&gateway).await,
+            Kind::KillScheduler | Kind::StopScheduler => self.processes.restart(&scheduler).await,
             Kind::KillEntry => {
-                tokio::join!(self.crew.restart(&gateway), self.crew.restart(&scheduler));
+                tokio::join!(
+                    self.processes.restart(&gateway),
+                    self.processes.restart(&scheduler)
+                );
             }
-            Kind::PauseGateway => self.crew.pause(&gateway, false).await,
-            Kind::PauseScheduler => self.crew.pause(&scheduler, false).await,
+            Kind::PauseGateway => self.processes.pause(&gateway, false).await,
+            Kind::PauseScheduler => self.processes.pause(&scheduler, false).await,
             Kind::CutLog | Kind::CutOneWay | Kind::CutSchedulers | Kind::Isolate => {
                 self.cut(kind, aim, false);
             }
--- a/xtask/src/faults/crew.rs
+++ b/xtask/src/faults/processes.rs
@@ -27,12 +27,12 @@
 }
 
 /// Gateways and schedulers by name.
-pub(crate) struct Crew {
+pub(crate) struct Processes {
     members: BTreeMap<String, Member>,
     scene: Arc<Scene>,
 }
 
-impl Crew {
+impl Processes {
     pub(crate) fn new(scene: Arc<Scene>, gateways: Vec<Process>, schedulers: Vec<Process>) -> Self {
         let ports = scene.ports;
         let gateways = gateways.into_iter().enumerate();
