refactor: one piece of code for starting processes, contracts of xtask and refused bodies

Change: Cluster::start_from serves demo and fault runs; cluster::contract::uniform serves demo and measurements; the gateway uses the administration API's discard.

--- a/crates/admin/src/body.rs
+++ b/crates/admin/src/body.rs
@@ -97,7 +97,7 @@
 
 /// Reads and drops the rest of a body that is refused, within bounds. A connection that is closed
 /// while its caller still sends is reset, and the answer is lost with it.
-pub(crate) async fn discard(payload: &mut Payload) {
+pub async fn discard(payload: &mut Payload) {
     let drop = async {
         let mut bytes = 0;
         while let Some(Ok(chunk)) = payload.recv().await {
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -16,5 +16,6 @@
 
 pub use api::{Api, Operator};
 pub use audit::Refusals;
+pub use body::discard;
 pub use contracts::{Contracts, Progress};
 pub use routes::routes;
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -1,7 +1,5 @@
 //! Bodies of callers.
 
-use std::time::Duration;
-
 use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
 
@@ -10,12 +8,6 @@
 use crate::inquiry::Body;
 use crate::settings::BODY_MAX_BYTES;
 
-/// Most bytes of a refused body that are read.
-const DISCARD_MAX_BYTES: usize = 16 * 1024 * 1024;
-
-/// Longest time for which a refused body is read.
-const DISCARD_MAX: Duration = Duration::from_secs(2);
-
 /// Reads a whole body.
 pub(super) async fn read(
     gateway: &Gateway,
@@ -46,22 +38,6 @@
     })
 }
 
-/// Reads and drops the rest of a body that is refused, within bounds. A connection that is closed
-/// while its caller still sends is reset, and the answer is lost with it.
-pub(super) async fn discard(payload: &mut Payload) {
-    let drop = async {
-        let mut bytes = 0;
-        while let Some(Ok(chunk)) = payload.recv().await {
-            bytes += chunk.len();
-            if bytes > DISCARD_MAX_BYTES {
-                return;
-            }
-        }
-    };
-    // A slower caller loses the answer.
-    let _ = tokio::time::timeout(DISCARD_MAX, drop).await;
-}
-
 fn too_large() -> Refusal {
     Refusal::new(
         413,
--- a/crates/gateway/src/http/jobs.rs
+++ b/crates/gateway/src/http/jobs.rs
@@ -4,6 +4,7 @@
 
 use ntex::web::types::{Path, Payload, Query, State};
 use ntex::web::{HttpRequest, HttpResponse};
+use rosemaryworks_admin::discard;
 use rosemaryworks_core::contract::{Contract, is_name};
 use rosemaryworks_core::job::{Id, Spec, Status, TASKS_MAX};
 use rosemaryworks_core::outcome::NotRun;
@@ -84,7 +85,7 @@
 ) -> HttpResponse {
     let answer = submit_checked(&gateway, &request, &mut payload).await;
     if answer.is_err() {
-        body::discard(&mut payload).await;
+        discard(&mut payload).await;
     }
     respond(&gateway, answer)
 }
--- a/crates/gateway/src/http/requests.rs
+++ b/crates/gateway/src/http/requests.rs
@@ -4,6 +4,7 @@
 
 use ntex::web::types::{Path, Payload, State};
 use ntex::web::{HttpRequest, HttpResponse};
+use rosemaryworks_admin::discard;
 use rosemaryworks_core::contract::is_name;
 use rosemaryworks_core::outcome::{NotRun, Request, Unknown};
 use rosemaryworks_core::shard::{Id, Kind};
@@ -32,7 +33,7 @@
         Ok(inquiry) => inquiry,
         Err(refusal) => {
             gateway.meters.refused();
-            body::discard(&mut payload).await;
+            discard(&mut payload).await;
             let answer = refusal.answer(refused_outcome(&request));
             return close_if_draining(&gateway, answer);
         }
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -1,5 +1,6 @@
 //! Starts a whole deployment on loopback: stand-in, gateways and schedulers as child processes.
 
+pub(crate) mod contract;
 pub(crate) mod deployment;
 pub(crate) mod ports;
 pub(crate) mod process;
@@ -14,6 +15,7 @@
 use deployment::Deployment;
 use ports::Ports;
 use process::{Error, Process};
+use settings::Files;
 
 /// Longest time from the start of the processes until all of them are ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -42,6 +44,20 @@
         folder: &Path,
     ) -> Result<Self, Report<Error>> {
         let files = settings::write(&deployment, &ports, folder)?;
+        Self::start_from(&files, deployment, ports, folder)
+    }
+
+    /// Starts all processes from settings files that are written already.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a program can't be started.
+    pub(crate) fn start_from(
+        files: &Files,
+        deployment: Deployment,
+        ports: Ports,
+        folder: &Path,
+    ) -> Result<Self, Report<Error>> {
         let start = |program: &str, name: &str, path: &PathBuf| {
             Process::start(program, name, path, &folder.join(format!("{name}.log")))
         };
--- a/xtask/src/faults/setup.rs
+++ b/xtask/src/faults/setup.rs
@@ -4,13 +4,12 @@
 use std::path::Path;
 
 use error_stack::{Report, ResultExt};
-use rosemaryworks_node::http::Client;
 use serde_json::{Value, json};
 
 use super::proxy::Proxies;
 use crate::cluster::deployment::{self, Deployment};
 use crate::cluster::ports::Ports;
-use crate::cluster::process::{Error, Process};
+use crate::cluster::process::Error;
 use crate::cluster::{Cluster, settings};
 
 /// Party names of the platform's log and list of VMs.
@@ -20,9 +19,6 @@
 /// First port of the proxies, counted from the base; the deployment takes the ports before it.
 const PROXIES: u16 = 400;
 
-/// Threads of the driver's HTTP client.
-const CLIENT_THREADS: usize = 2;
-
 /// A small deployment, in which callers fill the instances and jobs the workers.
 pub(crate) fn deployment() -> Deployment {
     let mut deployment = deployment::avvolgi();
@@ -51,26 +47,7 @@
         save(path, &content)?;
     }
     tune(&files.standin)?;
-    let start = |program: &str, name: &str, path: &Path| {
-        Process::start(program, name, path, &folder.join(format!("{name}.log")))
-    };
-    let standin = start("rosemary-standin", "standin", &files.standin)?;
-    let mut schedulers = Vec::new();
-    for (name, path) in &files.schedulers {
-        schedulers.push(start("rosemary-scheduler", name, path)?);
-    }
-    let mut gateways = Vec::new();
-    for (name, path) in &files.gateways {
-        gateways.push(start("rosemary-gateway", name, path)?);
-    }
-    let cluster = Cluster {
-        deployment,
-        ports,
-        client: Client::start(CLIENT_THREADS),
-        standin,
-        schedulers,
-        gateways,
-    };
+    let cluster = Cluster::start_from(&files, deployment, ports, folder)?;
     Ok((cluster, proxies))
 }
 
--- a/xtask/src/measure/processes/operator.rs
+++ b/xtask/src/measure/processes/operator.rs
@@ -1,23 +1,38 @@
 //! Calls a deployment as an operator and a customer.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use error_stack::Report;
 use rosemaryworks_core::contract::{Contract, Pool, Service};
-use rosemaryworks_core::job::{Priority, Spec};
+use rosemaryworks_core::job::Spec;
 use rosemaryworks_core::size::Size;
 use rosemaryworks_node::http::{Client, Request, Response};
 use serde_json::{Value, json};
 
 use crate::cluster::Cluster;
+use crate::cluster::contract::uniform;
 use crate::cluster::deployment::Deployment;
 use crate::cluster::ports::Ports;
 use crate::cluster::process::Error;
 use crate::cluster::settings::OPERATOR_KEY;
 
 const KEY: &str = "measure-key-0123456789";
+
+const ACCELERATORS: u64 = 8_000;
+
+const SERVICE: Service = Service {
+    rate: 5_000,
+    burst: 5_000,
+    concurrency: 400,
+    queue: 2_000,
+};
+
+const POOL: Pool = Pool {
+    size: Size::new(100_000_000, 100_000_000),
+    queue: 20_000,
+};
+
 const TIMEOUT: Duration = Duration::from_secs(20);
 const OWNED_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL_PERIOD: Duration = Duration::from_millis(20);
@@ -152,28 +167,5 @@
 
 /// Returns a contract that includes every service and pool, with limits above what is measured.
 pub(super) fn contract(name: &str, deployment: &Deployment) -> Contract {
-    let service = Service {
-        rate: 5_000,
-        burst: 5_000,
-        concurrency: 400,
-        queue: 2_000,
-    };
-    let pool = |accelerators: u64| Pool {
-        size: Size::new(100_000_000, 100_000_000).accelerators(accelerators),
-        queue: 20_000,
-    };
-    let pools = deployment.pools.iter();
-    let pools = pools.map(|group| (Arc::from(group.name), pool(group.accelerators * 1_000)));
-    let services = deployment.services.iter();
-    Contract {
-        name: name.into(),
-        weight: 1,
-        keys: vec![KEY.into()],
-        services: services
-            .map(|group| (Arc::from(group.name), service))
-            .collect(),
-        pools: pools.collect(),
-        max_priority: Priority::Urgent,
-        urgent_percent: 100,
-    }
+    uniform(deployment, (name, KEY), SERVICE, POOL, ACCELERATORS)
 }
