fix(gateway): an ask goes on when its peer turns out to be the owner

Cause: cargo xtask demo from a fresh clone answered the first request to each service as unknown (already-dispatched). The gateway had asked a scheduler before it knew the owner; when the notice came that this scheduler is the owner, it withdrew the ask and asked again, and the id was recorded by then. Ruled out: a takeover (epochs and owners did not change) and a slow log (one append of the intent). Change: first news of an owner that names the peer asked ends nothing; any later change of owner or epoch does, as before.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -174,7 +174,7 @@
                 exclude: self.exclude.clone(),
             },
         };
-        let asked = self.gateway.links.owners.get(&self.shard);
+        let mut asked = self.gateway.links.owners.get(&self.shard);
         let mut verdict = self.call(peer, sent.clone(), call);
         let deadline = tokio::time::sleep(Duration::from_millis(remaining_ms));
         tokio::pin!(deadline);
@@ -186,6 +186,11 @@
                     _ => break,
                 },
                 _ = changes.changed() => {
+                    // First news of an owner, and it is the peer asked: an ask withdrawn now may
+                    // be recorded as dispatched already.
+                    if asked.is_none() && self.is_owner(peer) {
+                        asked = self.gateway.links.owners.get(&self.shard);
+                    }
                     // Another owner in place of the one asked: its verdict may never come.
                     if self.gateway.links.owners.get(&self.shard) != asked {
                         break;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -127,6 +127,12 @@
         self.stopping.load(Ordering::SeqCst)
     }
 
+    /// Tells whether the contracts in force are known.
+    #[must_use]
+    pub fn contracts_known(&self) -> bool {
+        self.contracts.progress().known
+    }
+
     /// Returns the number of callers who wait for an outcome.
     #[must_use]
     pub fn callers(&self) -> usize {
--- a/crates/gateway/src/http/headers.rs
+++ b/crates/gateway/src/http/headers.rs
@@ -29,7 +29,7 @@
 /// Returns the contract whose key the caller has. Callers can't tell a wrong key from an unknown
 /// contract.
 pub(super) fn contract(gateway: &Gateway, request: &HttpRequest) -> Result<Arc<Contract>, Refusal> {
-    if !gateway.contracts.progress().known {
+    if !gateway.contracts_known() {
         return Err(Refusal::new(503, "the contracts are not known yet"));
     }
     let name = value(request, "rosemary-contract")?;
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -54,6 +54,31 @@
     assert!(survey(&gateway, 3).await.is_empty());
 }
 
+/// Guards against an ask that is withdrawn when its peer turns out to be the owner: the first
+/// request to a new cell was answered `unknown`, because its id was recorded by then.
+#[tokio::test]
+async fn an_ask_goes_on_when_its_peer_becomes_the_owner() {
+    let log = MemoryLog::default();
+    log.push("contracts", &publish_record());
+    let gateway = Running::start_with(log, |_| {}).await;
+    gateway.scheduler.answer(|_| {
+        Box::pin(async {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            granted(1, 1, 0)
+        })
+    });
+    eventually(|| gateway.gateway.contracts_known()).await;
+    let answered = async { gateway.outcome("r-1", &[]).await };
+    let owned = async {
+        eventually(|| !gateway.asks().is_empty()).await;
+        gateway.own(1, Some("scheduler-1")).await;
+    };
+    let (outcome, ()) = tokio::join!(answered, owned);
+    assert_eq!(outcome.0, 200, "{outcome:?}");
+    assert_eq!(gateway.asks().len(), 1);
+    assert!(gateway.withdrawn().is_empty());
+}
+
 /// Guards against the use of a grant of an earlier epoch after its shard was surveyed: the new owner
 /// may have given the slot to another request.
 #[tokio::test]
