test: ports passed to a process before it binds them come from a range of their own

The test asked the system for a free port, closed that listener and bound the port later; another test of the same run got the port in between. Ruled out: a listener left from an earlier run (the port differs in every run).

Change: port::unused() of the stand-in hands out each port once, below the range that the system picks from. The three test supports that had a copy of the old way use it; the test of a closed port uses the discard port.

--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use rosemaryworks_node::http::{Client, Request};
+use rosemaryworks_standin::port;
 use serde_json::{Value, json};
 
 fn settings(listen: u16, admin: u16) -> Value {
@@ -45,11 +46,6 @@
     (status.code(), String::from_utf8(stderr).unwrap())
 }
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().port()
-}
-
 /// Guards against settings of which only the first fault is told.
 #[test]
 fn every_fault_of_the_settings_is_named() {
@@ -114,7 +110,7 @@
 /// the balancer's notice or ends with an error.
 #[tokio::test]
 async fn without_a_log_it_is_unready_and_stops_on_sigterm() {
-    let (listen, admin) = (free_port(), free_port());
+    let (listen, admin) = (port::unused().port(), port::unused().port());
     let path = file("process.json", &settings(listen, admin).to_string());
     let mut process = Process(command(&path).stderr(Stdio::piped()).spawn().unwrap());
     let client = Client::start(1);
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -40,9 +40,8 @@
 #[tokio::test]
 async fn closed_port_is_unreached() {
     // Guards against refusing to retry work that certainly never left this process.
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    // Nothing listens at the discard port.
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
     assert!(matches!(fault(address).await, Fault::Unreached(_)));
 }
 
--- a/crates/scheduler/tests/support/cell.rs
+++ b/crates/scheduler/tests/support/cell.rs
@@ -1,7 +1,6 @@
 //! A cell of schedulers in one process, each on a runtime of its own, with one gateway.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
@@ -19,6 +18,7 @@
 use rosemaryworks_node::status::Status as Node;
 use rosemaryworks_platform::log::CONTRACTS;
 use rosemaryworks_scheduler::{Platform, Scheduler, Settings};
+use rosemaryworks_standin::port;
 use rosemaryworks_wire::link::{Client, Handler, Peer, Reply};
 use rosemaryworks_wire::{Hello, Message, Role, Submission, Verdict};
 use tokio::runtime::{Builder, Runtime};
@@ -80,11 +80,6 @@
         .unwrap()
 }
 
-fn unused() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
 impl Cell {
     /// Starts `count` schedulers and waits until one owns each shard.
     pub(crate) fn start(count: usize) -> Self {
@@ -96,7 +91,7 @@
         let entry = |index| Entry {
             name: format!("s{index}").into(),
             zone: "a".into(),
-            peer: unused(),
+            peer: port::unused(),
         };
         let settings = CellSettings {
             name: "cell".into(),
@@ -106,8 +101,8 @@
                 pools: [("cpu".into(), 1)].into(),
                 services: [("booking".into(), 1)].into(),
             },
-            log: unused(),
-            directory: unused(),
+            log: port::unused(),
+            directory: port::unused(),
         };
         let mut cell = Self {
             log: MemoryLog::default(),
@@ -137,7 +132,7 @@
             node: entry.name.clone(),
             zone: "a".into(),
             peer_listen: entry.peer,
-            status_listen: unused(),
+            status_listen: port::unused(),
             cell: self.settings.clone(),
             log: Default::default(),
             placement_policy: "default".into(),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod instance;
 pub mod log;
 pub mod platform;
+pub mod port;
 pub mod server;
 pub mod settings;
 pub mod worker;
--- a/crates/standin/tests/standin/common.rs
+++ b/crates/standin/tests/standin/common.rs
@@ -1,6 +1,5 @@
 //! A stand-in on free loopback ports.
 
-use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +12,7 @@
 use rosemaryworks_history::{Event, Record};
 use rosemaryworks_node::http::{Client, Request};
 use rosemaryworks_platform::workers::Grant;
-use rosemaryworks_standin::{Platform, Settings, server};
+use rosemaryworks_standin::{Platform, Settings, port, server};
 use serde_json::json;
 
 pub(crate) struct Standin {
@@ -23,30 +22,21 @@
     path: PathBuf,
 }
 
-fn port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().port()
-}
-
-fn address() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port()))
-}
-
 impl Standin {
     /// Starts a stand-in with one worker of two cores and one instance of two slots.
     pub(crate) fn start(name: &str) -> Self {
         let path = std::env::temp_dir().join(format!("{name}-{}.jsonl", std::process::id()));
         let settings = json!({
-            "control": address(),
-            "log": {"address": address()},
-            "directory": {"address": address(), "lag_ms": 200},
+            "control": port::unused(),
+            "log": {"address": port::unused()},
+            "directory": {"address": port::unused(), "lag_ms": 200},
             "workers": [{
                 "pool": "cpu", "count": 1, "per_rack": 1, "zones": ["a"],
-                "size": {"millicores": 2000, "memory_mb": 1000}, "base_port": port(),
+                "size": {"millicores": 2000, "memory_mb": 1000}, "base_port": port::unused().port(),
             }],
             "instances": [{
                 "service": "booking", "count": 1, "zones": ["a"], "slots": 2, "connections": 3,
-                "base_port": port(),
+                "base_port": port::unused().port(),
             }],
             "tasks": {"clock_slow_percent": 0, "usage_lag_ms": 0},
             "history": path,
