feat(admin): show which revision every scheduler applies, and check it in fault runs

Cause: "in force everywhere within 12 s" was checked at gateways only, and operators had no way to see a scheduler that lags.

Change: schedulers answer Revisions with the revision of each contract that their kernels apply; GET /v1/rollout and rosemaryctl rollout list who is behind. Fault runs poll it and the history check has a condition "enforcement" with the same rule as "configuration".

--- a/crates/admin/src/cell.rs
+++ b/crates/admin/src/cell.rs
@@ -14,7 +14,7 @@
 use crate::api::Api;
 use crate::body::{Answer, Error};
 
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// State of the cell for operators.
 #[derive(Debug, Serialize)]
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -12,6 +12,7 @@
 mod events;
 pub mod keys;
 mod publish;
+mod rollout;
 mod routes;
 
 pub use api::{Api, Operator};
--- a/crates/admin/src/routes.rs
+++ b/crates/admin/src/routes.rs
@@ -16,6 +16,7 @@
 use crate::cell;
 use crate::diff;
 use crate::publish::{self, Accepted, Drain, Publish};
+use crate::rollout;
 
 const AUDIT_DEFAULT_LIMIT: usize = 100;
 
@@ -28,6 +29,7 @@
             .route(web::put().to(put)),
         web::resource("/v1/contracts/{name}/diff").route(web::get().to(compare)),
         web::resource("/v1/cell").route(web::get().to(show_cell)),
+        web::resource("/v1/rollout").route(web::get().to(show_rollout)),
         web::resource("/v1/targets").route(web::get().to(targets)),
         web::resource("/v1/targets/{name}/{verb}").route(web::post().to(drain)),
         web::resource("/v1/jobs").route(web::get().to(jobs)),
@@ -227,6 +229,13 @@
     }
 }
 
+async fn show_rollout(api: State<Api>, request: HttpRequest) -> HttpResponse {
+    match authenticate(&api, &request, "") {
+        Ok(_) => respond(run(&api, rollout::rollout((*api).clone())).await),
+        Err(error) => respond::<()>(Err(error)),
+    }
+}
+
 async fn targets(api: State<Api>, request: HttpRequest) -> HttpResponse {
     match authenticate(&api, &request, "") {
         Ok(_) => respond(run(&api, cell::targets((*api).clone())).await),
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use rosemaryworks_core::contract::Revision;
 use rosemaryworks_core::shard::{Epoch, Id};
 use rosemaryworks_core::size::Size;
 use rosemaryworks_core::target::State;
@@ -192,6 +193,37 @@
     assert_eq!(server.call("GET", path, Value::Null).await.0, 404);
 }
 
+/// Guards against a revision that is told as in force everywhere while a scheduler lacks it.
+#[tokio::test]
+async fn a_rollout_names_the_schedulers_that_are_behind() {
+    let server = Server::start().await;
+    for (change, expected) in [("change-1", 0), ("change-2", 1)] {
+        assert_eq!(server.publish(change, expected, 100).await.0, 200);
+    }
+    let answer = |revision| {
+        move |message| match message {
+            Message::Revisions => {
+                let revisions: Option<u64> = revision;
+                let list = revisions.map(|number| vec![("dala".into(), Revision(number))]);
+                reply(Message::RevisionList(list))
+            }
+            _ => reply(Message::Done),
+        }
+    };
+    for (revision, behind) in [(1, json!(["scheduler-1"])), (2, json!([]))] {
+        server.scheduler.answer(answer(Some(revision)));
+        let (_, rollout) = server.call("GET", "/v1/rollout", Value::Null).await;
+        let contract = &rollout["contracts"][0];
+        assert_eq!(contract["newest"], json!(2), "{rollout}");
+        assert_eq!(contract["processes"]["scheduler-1"], json!(revision));
+        assert_eq!(contract["behind"], behind);
+        assert_eq!(rollout["unreached"], json!([]));
+    }
+    server.scheduler.answer(answer(None));
+    let (_, rollout) = server.call("GET", "/v1/rollout", Value::Null).await;
+    assert_eq!(rollout["unreached"], json!(["scheduler-1"]), "{rollout}");
+}
+
 fn inspected() -> Inspected {
     let shard = Id::pool("cpu", 0);
     Inspected {
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -35,6 +35,7 @@
     Drain(Drain),
     Jobs(Jobs),
     Publish(Publish),
+    Rollout(Rollout),
     Show(Show),
     Targets(Targets),
     Tasks(Tasks),
@@ -116,6 +117,11 @@
     pub(crate) id: Option<String>,
 }
 
+/// Show which revisions the schedulers, and the gateway asked, have in force.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "rollout")]
+pub(crate) struct Rollout {}
+
 /// Show a contract.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "show")]
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -23,6 +23,7 @@
         Command::Drain(drain) => change(&drain.target, "drain", &drain.id)?,
         Command::Jobs(_) => Request::get("/v1/jobs"),
         Command::Publish(publish) => publication(publish)?,
+        Command::Rollout(_) => Request::get("/v1/rollout"),
         Command::Show(show) => {
             let mut path = format!("/v1/contracts/{}?keys={}", name(&show.name)?, show.keys);
             if let Some(revision) = show.revision {
@@ -107,6 +108,7 @@
             ]),
             answer,
         ),
+        Command::Rollout(_) => rollout(answer),
         Command::Show(_) => format!("{answer:#}\n"),
         Command::Targets(_) => partial(
             &Table::new(&[
@@ -137,15 +139,35 @@
 fn cell(answer: &Value) -> String {
     let schedulers = Table::new(&["name", "zone", "reachable"]).text(&answer["schedulers"]);
     let shards = Table::new(&["shard", "owner", "epoch"]).text(&answer["shards"]);
-    let drained = answer["drained"].as_array().into_iter().flatten();
-    let drained: Vec<&str> = drained.filter_map(Value::as_str).collect();
+    let drained = names(&answer["drained"]);
     let drained = match drained.is_empty() {
         true => String::new(),
-        false => format!("\ndrained: {}\n", drained.join(", ")),
+        false => format!("\ndrained: {drained}\n"),
     };
     format!("{schedulers}\n{shards}{drained}")
 }
 
+fn rollout(answer: &Value) -> String {
+    let table = Table::new(&["name", "newest", "behind"]);
+    let mut items = answer["contracts"].clone();
+    for item in items.as_array_mut().into_iter().flatten() {
+        item["behind"] = json!(names(&item["behind"]));
+    }
+    partial(
+        &table,
+        &json!({ "items": items, "unreached": answer["unreached"] }),
+    )
+}
+
+/// Returns a list of names as one text.
+fn names(list: &Value) -> String {
+    let names = list.as_array().into_iter().flatten();
+    names
+        .filter_map(Value::as_str)
+        .collect::<Vec<&str>>()
+        .join(", ")
+}
+
 fn audit(answer: &Value) -> String {
     let fields = [
         "offset",
@@ -168,13 +190,9 @@
 
 fn partial(table: &Table, answer: &Value) -> String {
     let text = table.text(&answer["items"]);
-    let unreached = answer["unreached"].as_array().into_iter().flatten();
-    let unreached: Vec<&str> = unreached.filter_map(Value::as_str).collect();
+    let unreached = names(&answer["unreached"]);
     match unreached.is_empty() {
         true => text,
-        false => format!(
-            "{text}incomplete: no answer from {}\n",
-            unreached.join(", ")
-        ),
+        false => format!("{text}incomplete: no answer from {unreached}\n"),
     }
 }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -118,6 +118,20 @@
     assert!(err.contains("the log can't be reached"), "{err}");
 }
 
+/// Guards against a rollout whose lagging scheduler doesn't show.
+#[tokio::test]
+async fn the_rollout_shows_who_is_behind() {
+    let server = Server::start().await;
+    assert_eq!(server.publish("change-1", 0, 100).await.0, 200);
+    server
+        .scheduler
+        .answer(|_| reply(Message::RevisionList(Some(Vec::new()))));
+    let address = server.address.to_string();
+    let (code, out, err) = ctl(&address, OPERATOR_KEY, &["rollout"]).await;
+    assert_eq!((code, &*err), (Some(0), ""));
+    assert!(out.contains("dala  1       scheduler-1"), "{out}");
+}
+
 /// Guards against targets and shards that are missing in the tables.
 #[tokio::test]
 async fn targets_are_drained_and_listed() {
--- a/crates/history/src/check.rs
+++ b/crates/history/src/check.rs
@@ -95,7 +95,8 @@
         at_most_once::check(records),
         leaving::check(records),
         planned_stop::check(records),
-        configuration::check(records),
+        configuration::gateways(records),
+        configuration::schedulers(records),
         linearizable::check(records),
         nothing_dropped::check(records),
     ]
--- a/crates/history/src/check/configuration.rs
+++ b/crates/history/src/check/configuration.rs
@@ -32,11 +32,42 @@
     name: Arc<str>,
 }
 
+/// Checks what gateways show.
+pub(super) fn gateways(records: &[Record]) -> Finding {
+    check("configuration", records, |event| match event {
+        Event::Shown {
+            process,
+            contract,
+            revision,
+        } => Some((process, contract, *revision)),
+        _ => None,
+    })
+}
+
+/// Checks what schedulers apply.
+pub(super) fn schedulers(records: &[Record]) -> Finding {
+    check("enforcement", records, |event| match event {
+        Event::Enforced {
+            process,
+            contract,
+            revision,
+        } => Some((process, contract, *revision)),
+        _ => None,
+    })
+}
+
+/// Process, contract and revision that were seen.
+type Look<'a> = (&'a Arc<str>, &'a Arc<str>, u64);
+
 /// Checks every look at a process: it shows no revision older than one that was accepted 12 s
 /// before, nor older than one that it showed before. The time doesn't run while the log is down or
 /// the process is paused, cut off or not ready.
-pub(super) fn check(records: &[Record]) -> Finding {
-    let mut finding = Finding::new("configuration");
+fn check<'a>(
+    condition: &'static str,
+    records: &'a [Record],
+    look: impl Fn(&'a Event) -> Option<Look<'a>>,
+) -> Finding {
+    let mut finding = Finding::new(condition);
     let mut accepted = Accepted::default();
     let mut hindered = Hindered::default();
     let mut shown: HashMap<(&Arc<str>, &Arc<str>), u64> = HashMap::new();
@@ -44,24 +75,19 @@
         let at_us = record.at_us;
         hindered.apply(record);
         accepted.apply(record);
-        let Event::Shown {
-            process,
-            contract,
-            revision,
-        } = &record.event
-        else {
+        let Some((process, contract, revision)) = look(&record.event) else {
             continue;
         };
         let last = shown.entry((process, contract)).or_default();
-        finding.require(revision >= last, at_us, || {
+        finding.require(revision >= *last, at_us, || {
             format!("{process} shows revision {revision} of {contract} after {last}")
         });
-        *last = (*last).max(*revision);
+        *last = (*last).max(revision);
         let Some(free_us) = hindered.free_since(process) else {
             continue;
         };
         let due = accepted.due(contract, at_us, free_us);
-        if *revision < due {
+        if revision < due {
             let seen =
                 format!("{process} shows revision {revision} of {contract}, and {due} is due");
             finding.violate(at_us, seen);
--- a/crates/history/src/record.rs
+++ b/crates/history/src/record.rs
@@ -318,7 +318,16 @@
         /// Requests still running.
         busy: u32,
     },
-    /// Driver: the contract that a process has in force.
+    /// Driver: the revision of a contract that a scheduler applies.
+    Enforced {
+        /// Scheduler.
+        process: Arc<str>,
+        /// Contract.
+        contract: Arc<str>,
+        /// Revision; 0 if there is none.
+        revision: u64,
+    },
+    /// Driver: the revision of a contract that a gateway shows.
     Shown {
         /// Process asked.
         process: Arc<str>,
--- a/crates/history/tests/checks/processes.rs
+++ b/crates/history/tests/checks/processes.rs
@@ -70,6 +70,30 @@
     }
 }
 
+fn enforced(process: &str, revision: u64) -> Event {
+    Event::Enforced {
+        process: process.into(),
+        contract: "dala".into(),
+        revision,
+    }
+}
+
+#[test]
+fn schedulers_enforce_in_time_and_never_revert() {
+    // Guards against a scheduler that applies an older revision than the gateways show.
+    let run = |ms, first, last| {
+        vec![
+            at(1, published("p-1", 0)),
+            at(2, published("p-2", 1)),
+            at(3, shown("gateway-0", 2)),
+            at(1_000, enforced("scheduler-0", first)),
+            at(ms, enforced("scheduler-0", last)),
+        ]
+    };
+    tell_apart("enforcement", run(12_100, 1, 1), run(11_900, 1, 1));
+    tell_apart("enforcement", run(5_000, 2, 1), run(5_000, 1, 2));
+}
+
 #[test]
 fn configuration_is_in_force_in_time() {
     // Guards against a process that doesn't follow the contracts stream.
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use rosemaryworks_core::contract::Revision;
 use rosemaryworks_core::ownership::Heartbeat;
 use rosemaryworks_core::routing::{Ask, Event};
 use rosemaryworks_core::shard::Id;
@@ -10,6 +11,7 @@
 use rosemaryworks_wire::{Beat, Inspected, Message, Submission, Verdict};
 
 use crate::hosted::Hosted;
+use crate::lock::lock;
 use crate::pool::Pool;
 use crate::service::Service;
 use crate::shared::Shared;
@@ -53,6 +55,7 @@
             let event = Event::OutstandingFinished { key, finish };
             now(feed(&shared, &shard, current, event))
         }
+        Message::Revisions => now(Message::RevisionList(revisions(&shared))),
         Message::Snapshot => now(Message::Snapshotted(Box::new(snapshot::take(&shared)))),
         Message::Status {
             shard,
@@ -143,6 +146,19 @@
     inspected
 }
 
+/// Returns the revisions that the kernels of this process apply.
+fn revisions(shared: &Shared) -> Option<Vec<(Arc<str>, Revision)>> {
+    let known = shared.progress.are_contracts_known();
+    // Kernels take a revision under the same lock.
+    let register = lock(&shared.register);
+    let entries = register.iter();
+    known.then(|| {
+        entries
+            .map(|entry| (entry.contract.name.clone(), entry.revision))
+            .collect()
+    })
+}
+
 fn hosted_service(shared: &Shared, shard: &Id) -> Option<Arc<Service>> {
     match shared.hosted(shard) {
         Some(Hosted::Service(service)) => Some(service),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use rosemaryworks_core::contract::Revision;
 use rosemaryworks_core::job::{Id, Spec, Status};
 use rosemaryworks_core::outcome::{Finish, NotRun, Unknown};
 use rosemaryworks_core::record::Offset;
@@ -201,6 +202,11 @@
     },
     /// Notice, scheduler to scheduler: the sender released its support claims for these epochs.
     Released(Vec<(shard::Id, Epoch)>),
+    /// Reply to `Revisions`: revision in force per contract; `None` until the scheduler has read the
+    /// contracts.
+    RevisionList(Option<Vec<(Arc<str>, Revision)>>),
+    /// Call, administration API to scheduler. Answered by `RevisionList`.
+    Revisions,
     /// Call, any process to a scheduler. Answered by `Snapshotted`.
     Snapshot,
     /// Reply to `Snapshot`.
--- a/xtask/src/faults.rs
+++ b/xtask/src/faults.rs
@@ -199,6 +199,7 @@
     for gateway in 0..scene.gateways {
         load.spawn(operators::watch(scene.clone(), gateway));
     }
+    load.spawn(operators::watch_schedulers(scene.clone()));
     load
 }
 
--- a/xtask/src/faults/operators.rs
+++ b/xtask/src/faults/operators.rs
@@ -1,4 +1,5 @@
-//! Operators that race to publish contracts, and a watcher of what each gateway has in force.
+//! Operators that race to publish contracts, and watchers of what gateways and schedulers have in
+//! force.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -15,6 +16,8 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(9);
 const SHOW_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longer than a gateway waits for the answers of the schedulers.
+const ROLLOUT_TIMEOUT: Duration = Duration::from_secs(4);
 const SHOW_PERIOD: Duration = Duration::from_millis(700);
 
 /// Contracts that operators race for at any time.
@@ -146,6 +149,38 @@
     }
 }
 
+/// Notes again and again what the schedulers have in force, as the gateways in turn tell.
+///
+/// One call is made at a time, so that no answer is noted after a later one.
+pub(crate) async fn watch_schedulers(scene: Arc<Scene>) {
+    for gateway in (0..scene.gateways).cycle() {
+        if scene.is_stopping() {
+            break;
+        }
+        let request = scene.admin(gateway, "GET", "/v1/rollout", ROLLOUT_TIMEOUT);
+        if let Ok(response) = scene.client.send(request).await
+            && response.status == 200
+        {
+            enforced(&scene, &json(&response));
+        }
+        tokio::time::sleep(SHOW_PERIOD).await;
+    }
+}
+
+fn enforced(scene: &Scene, rollout: &Value) {
+    for entry in rollout["contracts"].as_array().into_iter().flatten() {
+        let processes = entry["processes"].as_object().into_iter().flatten();
+        let schedulers = processes.filter(|(process, _)| process.starts_with("scheduler-"));
+        for (process, revision) in schedulers {
+            scene.note(Event::Enforced {
+                process: process.as_str().into(),
+                contract: entry["name"].as_str().unwrap_or_default().into(),
+                revision: revision.as_u64().unwrap_or_default(),
+            });
+        }
+    }
+}
+
 /// Publishes the contracts of the callers and waits until every gateway has them in force.
 pub(crate) async fn prepare(scene: &Scene, names: &[&str]) -> Result<(), String> {
     for name in names {
