feat(xtask): the demo waits until every scheduler applies the contract

Cause: the demo told "in force" from the gateways alone, and its list of steps took ten lines for each of them.

Change: a step that reads the rollout; the steps are collected by one type.

--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -116,65 +116,55 @@
 
 async fn outcomes(cluster: &Cluster) -> Vec<Row> {
     let caller = Caller::new(cluster);
-    let mut rows = Vec::new();
     let contract = contract::demo(&cluster.deployment);
-    rows.push(
-        row(
-            "publish contract demo",
-            "accepted",
-            caller.publish(&contract),
-        )
-        .await,
-    );
-    rows.push(
-        row(
-            "contract in force at every gateway",
-            "in force",
-            caller.in_force(),
-        )
-        .await,
-    );
+    let mut steps = Steps::default();
+    let publish = caller.publish(&contract);
+    steps
+        .run("publish contract demo", "accepted", publish)
+        .await;
+    let what = "contract in force at every gateway";
+    steps.run(what, "in force", caller.in_force()).await;
+    let what = "contract in force at every scheduler";
+    steps.run(what, "in force", caller.enforced()).await;
     for service in &cluster.deployment.services {
-        let what = format!("request to {}", service.name);
-        rows.push(row(&what, "completed", caller.request(service.name)).await);
-        let what = format!("same id again at another gateway ({})", service.name);
-        rows.push(
-            row(
-                &what,
-                "unknown: already-dispatched",
-                caller.repeat(service.name),
-            )
-            .await,
-        );
+        let name = service.name;
+        let what = format!("request to {name}");
+        steps.run(&what, "completed", caller.request(name)).await;
+        let what = format!("same id again at another gateway ({name})");
+        let expected = "unknown: already-dispatched";
+        steps.run(&what, expected, caller.repeat(name)).await;
     }
-    rows.push(
-        row(
-            "batch job, 8 tasks on cpu",
-            "succeeded",
-            caller.job("batch", "cpu", 8),
-        )
-        .await,
-    );
-    rows.push(
-        row(
-            "gang job, 4 tasks on gpu",
-            "succeeded",
-            caller.job("gang", "gpu", 4),
-        )
-        .await,
-    );
-    rows
+    let batch = caller.job("batch", "cpu", 8);
+    steps
+        .run("batch job, 8 tasks on cpu", "succeeded", batch)
+        .await;
+    let gang = caller.job("gang", "gpu", 4);
+    steps
+        .run("gang job, 4 tasks on gpu", "succeeded", gang)
+        .await;
+    steps.0
 }
 
-async fn row(what: &str, expected: &'static str, outcome: impl Future<Output = String>) -> Row {
-    let started = std::time::Instant::now();
-    let outcome = tokio::time::timeout(OUTCOME_TIMEOUT, outcome).await;
-    let outcome = outcome.unwrap_or_else(|_| "no outcome in time".to_owned());
-    Row {
-        what: what.to_owned(),
-        expected,
-        outcome,
-        elapsed: started.elapsed(),
+/// Outcomes of the steps so far.
+#[derive(Default)]
+struct Steps(Vec<Row>);
+
+impl Steps {
+    async fn run(
+        &mut self,
+        what: &str,
+        expected: &'static str,
+        outcome: impl Future<Output = String>,
+    ) {
+        let started = std::time::Instant::now();
+        let outcome = tokio::time::timeout(OUTCOME_TIMEOUT, outcome).await;
+        let outcome = outcome.unwrap_or_else(|_| "no outcome in time".to_owned());
+        self.0.push(Row {
+            what: what.to_owned(),
+            expected,
+            outcome,
+            elapsed: started.elapsed(),
+        });
     }
 }
 
--- a/xtask/src/demo/caller.rs
+++ b/xtask/src/demo/caller.rs
@@ -81,6 +81,26 @@
         "in force".to_owned()
     }
 
+    /// Waits until every scheduler applies the contract.
+    pub(crate) async fn enforced(&self) -> String {
+        loop {
+            let request = self.admin(0, "GET", "/v1/rollout");
+            let rollout = match self.send(request).await {
+                Ok(response) if response.status == 200 => json(&response),
+                Ok(response) => return text(&response),
+                Err(error) => return error,
+            };
+            let mut contracts = rollout["contracts"].as_array().into_iter().flatten();
+            let entry = contracts.find(|entry| entry["name"] == contract::NAME);
+            let is_empty = |list: &Value| list.as_array().is_some_and(Vec::is_empty);
+            let everywhere = entry.is_some_and(|entry| is_empty(&entry["behind"]));
+            if everywhere && is_empty(&rollout["unreached"]) {
+                return "in force".to_owned();
+            }
+            tokio::time::sleep(POLL_PERIOD).await;
+        }
+    }
+
     /// Sends a non-idempotent request through the first gateway and checks that the answer is its
     /// own.
     pub(crate) async fn request(&self, service: &str) -> String {
