fix(wire): a link reads while it sends, and closes when its peer doesn't

Cause: one loop sent and received in turn and waited for each send without a bound. Two faults follow. When both ends had more to send than the socket buffers hold, each waited for the other to read, and the link stood still for ever. When the peer was paused with full buffers, neither the check for silence nor the pings ran, so the link counted as open until the peer resumed.

Change: reading and sending are two futures. Each is bounded by SILENCE_MAX (15 s): silence while reading, a packet that isn't taken while sending.

--- a/crates/wire/src/link/connection.rs
+++ b/crates/wire/src/link/connection.rs
@@ -6,11 +6,13 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message as Packet;
 
@@ -19,12 +21,15 @@
 use crate::frame::{Frame, Kind};
 use crate::message::{Hello, Message};
 
-/// Silence after which a connection is closed. Pings keep an idle one alive.
+/// Time after which a connection is closed if nothing arrives or the peer doesn't take what is sent.
+/// Pings keep an idle one alive.
 const SILENCE_MAX: Duration = Duration::from_secs(15);
 
 /// Period of pings on an idle connection.
 const PING_PERIOD: Duration = Duration::from_secs(5);
 
+type Sink = SplitSink<WebSocketStream<TcpStream>, Packet>;
+
 /// Future of a reply.
 pub type Reply = Pin<Box<dyn Future<Output = Message> + Send>>;
 
@@ -174,17 +179,17 @@
     opened: impl FnOnce(&Peer),
 ) {
     let (mut sink, mut stream) = socket.split();
-    let (outgoing, mut queue) = mpsc::unbounded_channel();
+    let (outgoing, queue) = mpsc::unbounded_channel();
     let hello = Frame {
         id: 0,
         kind: Kind::Notice,
         message: Message::Hello(own.clone()),
     };
     let Ok(bytes) = hello.encode() else { return };
-    if sink.send(Packet::Binary(bytes.into())).await.is_err() {
+    if !send(&mut sink, Packet::Binary(bytes.into())).await {
         return;
     }
-    let first = tokio::time::timeout(SILENCE_MAX, stream.next()).await;
+    let first = timeout(SILENCE_MAX, stream.next()).await;
     let Some(hello) = introduction(first.ok().flatten()) else {
         return;
     };
@@ -199,33 +204,11 @@
     };
     opened(&peer);
     handler.opened(&peer);
-    let mut pings = tokio::time::interval(PING_PERIOD);
-    let mut heard = Instant::now();
-    loop {
-        tokio::select! {
-            packet = queue.recv() => {
-                let Some(packet) = packet else { break };
-                if sink.send(packet).await.is_err() {
-                    break;
-                }
-            }
-            packet = stream.next() => {
-                heard = Instant::now();
-                match packet {
-                    Some(Ok(Packet::Binary(bytes))) => take(&peer, handler, &bytes),
-                    Some(Ok(Packet::Ping(_) | Packet::Pong(_))) => {}
-                    _ => break,
-                }
-            }
-            _ = pings.tick() => {
-                if heard.elapsed() > SILENCE_MAX {
-                    break;
-                }
-                if sink.send(Packet::Ping(Vec::new().into())).await.is_err() {
-                    break;
-                }
-            }
-        }
+    // Reading goes on while a send waits for the peer. Two ends that read only between their sends
+    // would wait for each other for ever once the socket buffers in both directions are full.
+    tokio::select! {
+        () = read(stream, &peer, handler) => {}
+        () = write(sink, queue) => {}
     }
     {
         let mut waiting = peer.inner.waiting();
@@ -235,6 +218,42 @@
     handler.closed(&peer);
 }
 
+/// Takes what arrives until the connection is closed or silent.
+async fn read(
+    mut stream: SplitStream<WebSocketStream<TcpStream>>,
+    peer: &Peer,
+    handler: &Arc<dyn Handler>,
+) {
+    while let Ok(Some(Ok(packet))) = timeout(SILENCE_MAX, stream.next()).await {
+        match packet {
+            Packet::Binary(bytes) => take(peer, handler, &bytes),
+            Packet::Ping(_) | Packet::Pong(_) => {}
+            _ => return,
+        }
+    }
+}
+
+/// Sends what is queued, and pings, until the peer doesn't take it.
+async fn write(mut sink: Sink, mut queue: mpsc::UnboundedReceiver<Packet>) {
+    let mut pings = tokio::time::interval(PING_PERIOD);
+    pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let packet = tokio::select! {
+            packet = queue.recv() => packet,
+            _ = pings.tick() => Some(Packet::Ping(Vec::new().into())),
+        };
+        let Some(packet) = packet else { return };
+        if !send(&mut sink, packet).await {
+            return;
+        }
+    }
+}
+
+/// Sends a packet. Returns whether the peer took it in time.
+async fn send(sink: &mut Sink, packet: Packet) -> bool {
+    matches!(timeout(SILENCE_MAX, sink.send(packet)).await, Ok(Ok(())))
+}
+
 fn introduction(
     packet: Option<Result<Packet, tokio_tungstenite::tungstenite::Error>>,
 ) -> Option<Hello> {
--- /dev/null
+++ b/crates/wire/tests/link.rs
@@ -0,0 +1,165 @@
+//! Links whose peer is slow, paused or gone.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use rosemaryworks_wire::link::{Client, Handler, Peer, Reply, serve};
+use rosemaryworks_wire::{FRAME_MAX_BYTES, Frame, Hello, Kind, Message, Role, Submission};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio_tungstenite::tungstenite::Message as Packet;
+
+const FRAMES: usize = 32;
+
+const LARGE_BYTES: usize = FRAME_MAX_BYTES - 1024;
+
+/// Far longer than a silence after which a link is closed.
+const LONG: Duration = Duration::from_secs(120);
+
+/// Counts notices and keeps the number of closed links.
+#[derive(Default)]
+struct Inbox {
+    notices: AtomicUsize,
+    closed: AtomicUsize,
+}
+
+impl Handler for Inbox {
+    fn call(&self, _: &Peer, _: Message) -> Reply {
+        Box::pin(async { Message::Done })
+    }
+
+    fn notice(&self, _: &Peer, _: Message) {
+        self.notices.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn opened(&self, _: &Peer) {}
+
+    fn closed(&self, _: &Peer) {
+        self.closed.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+/// An inbox that also passes on the first open link.
+struct First {
+    inbox: Inbox,
+    opened: std::sync::Mutex<Option<oneshot::Sender<Peer>>>,
+}
+
+impl Handler for First {
+    fn call(&self, peer: &Peer, message: Message) -> Reply {
+        self.inbox.call(peer, message)
+    }
+
+    fn notice(&self, peer: &Peer, message: Message) {
+        self.inbox.notice(peer, message);
+    }
+
+    fn opened(&self, peer: &Peer) {
+        if let Some(opened) = self.opened.lock().unwrap().take() {
+            let _ = opened.send(peer.clone());
+        }
+    }
+
+    fn closed(&self, peer: &Peer) {
+        self.inbox.closed(peer);
+    }
+}
+
+fn hello(node: &str) -> Hello {
+    Hello {
+        node: node.into(),
+        role: Role::Scheduler,
+        zone: "milano".into(),
+        incarnation: 1,
+    }
+}
+
+/// A notice of nearly the largest size.
+fn large() -> Message {
+    Message::Submission(Submission::Rejected("x".repeat(LARGE_BYTES).into()))
+}
+
+async fn open(client: &Client) -> Peer {
+    for _ in 0..200 {
+        if let Some(peer) = client.peer() {
+            return peer;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("no link was opened");
+}
+
+/// Guards against two ends that each wait for the other to read: neither read while it sent, so a
+/// link that carried more than the socket buffers hold in both directions stood still for ever.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn both_ends_send_much_at_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (opened, dialled) = oneshot::channel();
+    let far = Arc::new(First {
+        inbox: Inbox::default(),
+        opened: std::sync::Mutex::new(Some(opened)),
+    });
+    tokio::spawn(serve(listener, hello("far"), far.clone()));
+    let near = Arc::new(Inbox::default());
+    let client = Client::start("far".into(), address, hello("near"), near.clone());
+    let ends = [open(&client).await, dialled.await.unwrap()];
+    let message = large();
+    for _ in 0..FRAMES {
+        for end in &ends {
+            end.notify(message.clone()).unwrap();
+        }
+    }
+    let reply = ends[0].call(Message::Snapshot, Duration::from_secs(20));
+    assert_eq!(reply.await.unwrap(), Message::Done);
+    let reply = ends[1].call(Message::Snapshot, Duration::from_secs(20));
+    assert_eq!(reply.await.unwrap(), Message::Done);
+    assert_eq!(near.notices.load(Ordering::SeqCst), FRAMES);
+    assert_eq!(far.inbox.notices.load(Ordering::SeqCst), FRAMES);
+    assert_eq!(near.closed.load(Ordering::SeqCst), 0);
+}
+
+/// Introduces itself as a scheduler and then neither reads nor sends, as a paused process does.
+async fn paused(listener: TcpListener) {
+    let (stream, _) = listener.accept().await.unwrap();
+    let mut socket = tokio_tungstenite::accept_async(stream).await.unwrap();
+    let frame = Frame {
+        id: 0,
+        kind: Kind::Notice,
+        message: Message::Hello(hello("paused")),
+    };
+    let bytes = frame.encode().unwrap();
+    socket.send(Packet::Binary(bytes.into())).await.unwrap();
+    let _ = socket.next().await;
+    // Keeps the connection open.
+    std::future::pending::<()>().await;
+}
+
+/// Guards against a link to a paused process that counts as open for as long as the process is
+/// paused: a send that the peer doesn't take kept the check for silence from running.
+#[tokio::test]
+async fn a_link_whose_peer_does_not_read_is_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(paused(listener));
+    let near = Arc::new(Inbox::default());
+    let client = Client::start("paused".into(), address, hello("near"), near.clone());
+    let peer = open(&client).await;
+    let message = large();
+    for _ in 0..FRAMES {
+        peer.notify(message.clone()).unwrap();
+    }
+    let call = tokio::spawn({
+        let peer = peer.clone();
+        async move { peer.call(Message::Snapshot, 4 * LONG).await }
+    });
+    // Lets the writer fill the socket's buffers before time runs fast.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    tokio::time::pause();
+    tokio::time::sleep(LONG).await;
+    assert!(peer.is_closed());
+    assert_eq!(near.closed.load(Ordering::SeqCst), 1);
+    assert!(call.await.unwrap().is_err());
+}
