fix(gateway): nothing in a planned stop outlives its deadline

Cause, from a review of every await without a bound on the way of a stop: - The stop waited 10 s for requests whose deadlines had passed, and no longer than 10 s for requests within their deadlines whose callers had gone. - A body that never arrives had no bound. Its request kept its handler and its share of the bytes of bodies for ever. - A caller who waits for a job whose owner is paused was told after up to 13 s for each pool of the contract, one pool after the other. A cancel took 10 s more. - A caller was counted only once its body had arrived and the gateway had checked that it wasn't stopping, so a stop in between cut the caller off. - The report on a request was counted only when its task ran, so a stop could miss it.

A body must arrive before the deadline (10 s for jobs), else the answer is 408 with `not-run` for a first attempt. The pools of a contract are asked for a job at the same time, and 4 s after the stop began no owner is waited for. Callers count from the start of their handler, reports from the end of their request.

Ruled out by reading: asks (bounded by the deadline, withdrawn at its end), the search for an owner (50 ms pauses), grants that arrive late (returned as reports), locks across awaits (none; clippy denies them), the HTTP client (each request has a timeout that covers the wait for a connection), appends and read-backs (told at the end of their patience), the HTTP server (2 s).

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -53,7 +53,7 @@
     shard: Id,
     mut reply: oneshot::Sender<Outcome>,
 ) {
-    let _busy = gateway.request();
+    let _busy = gateway.request(inquiry.deadline);
     let mut exclude = Vec::new();
     let mut rejected = false;
     let outcome = loop {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,18 +2,21 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use rosemaryworks_admin::Contracts;
 use rosemaryworks_core::routing::Key;
+use rosemaryworks_core::time::Instant;
 use rosemaryworks_node::clock;
 use rosemaryworks_node::metrics::Metrics;
 use rosemaryworks_node::settings::Cell;
 use rosemaryworks_platform::Instances;
+use tokio::sync::watch;
 
 use crate::answers::Answers;
 use crate::bodies::Bodies;
 use crate::budget::Budget;
+use crate::inflight::{Count, Counted, Flying, InFlight};
 use crate::links::Links;
 use crate::metrics::Meters;
 use crate::settings::Settings;
@@ -52,9 +55,9 @@
     /// gateway's previous incarnation, and numbers used twice would be taken for the same ask.
     number: AtomicU64,
     draining: AtomicBool,
-    stopping: AtomicBool,
+    stopping: watch::Sender<bool>,
     callers: Count,
-    requests: Count,
+    requests: InFlight,
     reports: Count,
 }
 
@@ -91,9 +94,9 @@
             meters: Meters::new(&parts.metrics),
             number: AtomicU64::new(clock::incarnation()),
             draining: AtomicBool::new(false),
-            stopping: AtomicBool::new(false),
+            stopping: watch::Sender::new(false),
             callers: Count::default(),
-            requests: Count::default(),
+            requests: InFlight::default(),
             reports: Count::default(),
         }))
     }
@@ -118,13 +121,23 @@
 
     /// Refuses requests from now on.
     pub fn stop(&self) {
-        self.stopping.store(true, Ordering::SeqCst);
+        self.stopping.send_replace(true);
     }
 
     /// Tells whether requests are refused.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::SeqCst)
+        *self.stopping.borrow()
+    }
+
+    /// Waits until requests are refused.
+    pub(crate) async fn stopped(&self) {
+        // The sender lives as long as the gateway.
+        let _ = self
+            .stopping
+            .subscribe()
+            .wait_for(|stopping| *stopping)
+            .await;
     }
 
     /// Tells whether the contracts in force are known.
@@ -146,6 +159,12 @@
         self.requests.get()
     }
 
+    /// Returns the number of requests in flight whose deadlines have not passed.
+    #[must_use]
+    pub fn requests_in_time(&self) -> usize {
+        self.requests.in_time(clock::now())
+    }
+
     /// Returns the number of ended grants that no owner has acknowledged.
     #[must_use]
     pub fn reports(&self) -> usize {
@@ -170,9 +189,17 @@
         self.callers.enter()
     }
 
+    /// Counts a caller like [`Gateway::caller`] unless requests are refused, which callers who go
+    /// on asking could otherwise keep up for ever.
+    pub(crate) fn caller_unless_stopping(&self) -> Option<Counted> {
+        // Counted before the check, so that a stop that begins in between waits for the caller.
+        let caller = self.caller();
+        (!self.is_stopping()).then_some(caller)
+    }
+
     /// Counts a request as in flight until the returned guard is dropped.
-    pub(crate) fn request(&self) -> Counted {
-        self.requests.enter()
+    pub(crate) fn request(&self, deadline: Instant) -> Flying {
+        self.requests.enter(deadline)
     }
 
     /// Counts a report as not acknowledged until the returned guard is dropped.
@@ -180,27 +207,3 @@
         self.reports.enter()
     }
 }
-
-/// Counts work in progress.
-#[derive(Debug, Default)]
-struct Count(Arc<AtomicUsize>);
-
-impl Count {
-    fn get(&self) -> usize {
-        self.0.load(Ordering::SeqCst)
-    }
-
-    fn enter(&self) -> Counted {
-        self.0.fetch_add(1, Ordering::SeqCst);
-        Counted(self.0.clone())
-    }
-}
-
-/// Counts one piece of work until it is dropped.
-pub(crate) struct Counted(Arc<AtomicUsize>);
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
-}
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -1,18 +1,36 @@
 //! Bodies of callers.
 
+use std::time::Duration;
+
 use ntex::web::HttpRequest;
 use ntex::web::types::Payload;
+use rosemaryworks_core::time::Instant;
+use rosemaryworks_node::clock;
 
-use super::reply::Refusal;
+use super::reply::{self, Refusal};
 use crate::gateway::Gateway;
 use crate::inquiry::Body;
 use crate::settings::BODY_MAX_BYTES;
 
-/// Reads a whole body.
+/// Reads a whole body, which must arrive before `deadline`.
 pub(super) async fn read(
     gateway: &Gateway,
     request: &HttpRequest,
     payload: &mut Payload,
+    deadline: Instant,
+) -> Result<Body, Refusal> {
+    let left = Duration::from_millis(deadline.since(clock::now()));
+    let body = tokio::time::timeout(left, whole(gateway, request, payload)).await;
+    body.unwrap_or_else(|_| {
+        let message = "the body did not arrive before the deadline";
+        Err(Refusal::new(reply::TOO_SLOW, message))
+    })
+}
+
+async fn whole(
+    gateway: &Gateway,
+    request: &HttpRequest,
+    payload: &mut Payload,
 ) -> Result<Body, Refusal> {
     let declared = request.headers().get("content-length");
     let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
--- a/crates/gateway/src/http/jobs.rs
+++ b/crates/gateway/src/http/jobs.rs
@@ -9,14 +9,16 @@
 use rosemaryworks_core::job::{Id, Spec, Status, TASKS_MAX};
 use rosemaryworks_core::outcome::NotRun;
 use rosemaryworks_core::shard;
+use rosemaryworks_node::clock;
 use rosemaryworks_wire::Submission;
 use serde::Deserialize;
 use serde_json::{Value, json};
+use tokio::task::JoinSet;
 
 use super::reply::{self, Refusal};
 use super::{body, close_if_draining, headers};
 use crate::gateway::Gateway;
-use crate::jobs::{self, Missing};
+use crate::jobs::{self, ANSWER_MS, Missing};
 
 /// Longest wait for the end of a job in milliseconds.
 const WAIT_MAX_MS: u64 = 60_000;
@@ -83,8 +85,12 @@
     request: HttpRequest,
     mut payload: Payload,
 ) -> HttpResponse {
+    let _caller = gateway.caller_unless_stopping();
     let answer = submit_checked(&gateway, &request, &mut payload).await;
-    if answer.is_err() {
+    if answer
+        .as_ref()
+        .is_err_and(|refusal| refusal.status != reply::TOO_SLOW)
+    {
         discard(&mut payload).await;
     }
     respond(&gateway, answer)
@@ -96,7 +102,8 @@
     payload: &mut Payload,
 ) -> Result<Answer, Refusal> {
     let contract = headers::contract(gateway, request)?;
-    let job = parse(&body::read(gateway, request, payload).await?.bytes)?;
+    let deadline = clock::now() + ANSWER_MS;
+    let job = parse(&body::read(gateway, request, payload, deadline).await?.bytes)?;
     if gateway.is_stopping() {
         return Ok(Answer::not_run(&NotRun::Stopping));
     }
@@ -107,7 +114,6 @@
             format!("pool: the contract doesn't include {:?}", job.pool),
         )
     })?;
-    let _caller = gateway.caller();
     let contract = Contract::clone(&contract);
     let work = jobs::submit(gateway.clone(), shard, contract, job);
     let submission = gateway.runtime.spawn(work).await;
@@ -187,9 +193,8 @@
 ) -> Result<Answer, Refusal> {
     let (contract, id) = identify(gateway, request, id)?;
     // A stopping gateway answers at once and doesn't wait for these calls: they could go on for ever.
-    let stopping = gateway.is_stopping();
-    let _caller = (!stopping).then(|| gateway.caller());
-    let wait_ms = if stopping { 0 } else { wait_ms };
+    let caller = gateway.caller_unless_stopping();
+    let wait_ms = if caller.is_some() { wait_ms } else { 0 };
     let found = find(gateway, &contract, &id, wait_ms).await;
     Ok(match found {
         Ok(Some((_, status))) => Answer::completed(200, json!(status)),
@@ -220,18 +225,24 @@
     Ok((contract, id))
 }
 
-/// Finds a job in the pools of the contract. Waits for its end only where it is.
+/// Finds a job in the pools of the contract, which are asked at the same time: a pool without an
+/// owner must not use up the time of the others. Waits for the job's end only where it is.
 async fn find(
     gateway: &Gateway,
     contract: &Contract,
     id: &Id,
     wait_ms: u64,
 ) -> Result<Option<(shard::Id, Status)>, Missing> {
-    let mut missing = None;
+    let mut searches = JoinSet::new();
     for shard in jobs::homes(&gateway.cell.partition, contract, &id.job) {
         let work = jobs::status(gateway.clone(), shard.clone(), id.clone(), wait_ms);
-        match gateway.runtime.spawn(work).await {
-            Ok(Ok(Some(status))) => return Ok(Some((shard, status))),
+        let search = async move { work.await.map(|found| found.map(|status| (shard, status))) };
+        searches.spawn_on(search, &gateway.runtime);
+    }
+    let mut missing = None;
+    while let Some(search) = searches.join_next().await {
+        match search {
+            Ok(Ok(Some(found))) => return Ok(Some(found)),
             Ok(Ok(None)) => {}
             Ok(Err(other)) => missing = Some(other),
             Err(_) => missing = Some(Missing::Unknown),
@@ -255,10 +266,9 @@
     id: &str,
 ) -> Result<Answer, Refusal> {
     let (contract, id) = identify(gateway, request, id)?;
-    if gateway.is_stopping() {
+    let Some(_caller) = gateway.caller_unless_stopping() else {
         return Ok(Answer::not_run(&NotRun::Stopping));
-    }
-    let _caller = gateway.caller();
+    };
     let shard = match find(gateway, &contract, &id, 0).await {
         Ok(Some((shard, _))) => shard,
         Ok(None) => return Ok(no_job(&id)),
--- a/crates/gateway/src/http/reply.rs
+++ b/crates/gateway/src/http/reply.rs
@@ -28,6 +28,11 @@
     REQUEST_ID,
 ];
 
+/// Status of a request whose body doesn't arrive in time.
+pub(super) const TOO_SLOW: u16 = 408;
+
+const TOO_LARGE: u16 = 413;
+
 /// A request that the gateway does not take because of a fault of the request itself.
 #[derive(Debug)]
 pub(super) struct Refusal {
@@ -53,7 +58,7 @@
         let mut builder = builder(self.status);
         builder.set_header(OUTCOME, outcome);
         // The rest of a body that was not read would be taken for the next request.
-        if self.status == 413 {
+        if matches!(self.status, TOO_LARGE | TOO_SLOW) {
             builder.force_close();
         }
         json_body(builder, &body)
--- a/crates/gateway/src/http/requests.rs
+++ b/crates/gateway/src/http/requests.rs
@@ -29,11 +29,14 @@
     mut payload: Payload,
 ) -> HttpResponse {
     let received = clock::now();
+    let _caller = gateway.caller_unless_stopping();
     let inquiry = match check(&gateway, &request, &service, &mut payload, received).await {
         Ok(inquiry) => inquiry,
         Err(refusal) => {
             gateway.meters.refused();
-            discard(&mut payload).await;
+            if refusal.status != reply::TOO_SLOW {
+                discard(&mut payload).await;
+            }
             let answer = refusal.answer(refused_outcome(&request));
             return close_if_draining(&gateway, answer);
         }
@@ -75,7 +78,7 @@
     let limits = contract.services.get(service);
     let limits = limits
         .ok_or_else(|| Refusal::new(403, format!("the contract doesn't include {service}")))?;
-    let deadline_ms = headers::deadline_ms(request)?;
+    let deadline = received + headers::deadline_ms(request)?;
     Ok(Inquiry {
         service: service.into(),
         request: Request {
@@ -86,9 +89,9 @@
         attempt: headers::attempt(request)?,
         content_type: headers::value(request, "content-type")?.map(Into::into),
         smallest_limit: limits.smallest(),
-        body: body::read(gateway, request, payload).await?,
+        body: body::read(gateway, request, payload, deadline).await?,
         received,
-        deadline: received + deadline_ms,
+        deadline,
     })
 }
 
@@ -104,7 +107,6 @@
     if gateway.is_stopping() {
         return inquiry.not_sent(NotRun::Stopping, Unknown::NoOwner);
     }
-    let _caller = gateway.caller();
     let Some(shard) = exchange::shard(&gateway.cell.partition, &inquiry) else {
         return inquiry.not_sent(NotRun::NoInstance, Unknown::NoOwner);
     };
--- /dev/null
+++ b/crates/gateway/src/inflight.rs
@@ -0,0 +1,79 @@
+//! Counts work in progress, so that a planned stop can wait for it.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use rosemaryworks_core::time::Instant;
+
+/// Counts work in progress.
+#[derive(Debug, Default)]
+pub(crate) struct Count(Arc<AtomicUsize>);
+
+impl Count {
+    pub(crate) fn get(&self) -> usize {
+        self.0.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn enter(&self) -> Counted {
+        self.0.fetch_add(1, Ordering::SeqCst);
+        Counted(self.0.clone())
+    }
+}
+
+/// Counts one piece of work until it is dropped.
+pub(crate) struct Counted(Arc<AtomicUsize>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Number of requests in flight by deadline.
+type ByDeadline = BTreeMap<Instant, usize>;
+
+/// Counts requests in flight.
+#[derive(Debug, Default)]
+pub(crate) struct InFlight(Arc<Mutex<ByDeadline>>);
+
+impl InFlight {
+    pub(crate) fn get(&self) -> usize {
+        lock(&self.0).values().sum()
+    }
+
+    /// Returns the number of requests whose deadlines have not passed.
+    pub(crate) fn in_time(&self, now: Instant) -> usize {
+        lock(&self.0).range(now..).map(|(_, count)| count).sum()
+    }
+
+    pub(crate) fn enter(&self, deadline: Instant) -> Flying {
+        *lock(&self.0).entry(deadline).or_default() += 1;
+        Flying {
+            requests: self.0.clone(),
+            deadline,
+        }
+    }
+}
+
+/// Counts one request until it is dropped.
+pub(crate) struct Flying {
+    requests: Arc<Mutex<ByDeadline>>,
+    deadline: Instant,
+}
+
+impl Drop for Flying {
+    fn drop(&mut self) {
+        let mut requests = lock(&self.requests);
+        if let Some(count) = requests.get_mut(&self.deadline) {
+            *count -= 1;
+            if *count == 0 {
+                requests.remove(&self.deadline);
+            }
+        }
+    }
+}
+
+fn lock(requests: &Mutex<ByDeadline>) -> MutexGuard<'_, ByDeadline> {
+    requests.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -92,12 +92,28 @@
 }
 
 /// Returns the status of a job, after its end or `wait_ms` at the latest. Waits no longer while the
-/// gateway stops.
+/// gateway stops; an owner that doesn't answer then is not waited for.
 pub(crate) async fn status(
     gateway: Gateway,
     shard: shard::Id,
     job: Id,
     wait_ms: u64,
+) -> Result<Option<Status>, Missing> {
+    let stopped = async {
+        gateway.stopped().await;
+        tokio::time::sleep(Duration::from_millis(CALL_MS)).await;
+    };
+    tokio::select! {
+        status = search(&gateway, &shard, &job, wait_ms) => status,
+        () = stopped => Err(Missing::Unknown),
+    }
+}
+
+async fn search(
+    gateway: &Gateway,
+    shard: &shard::Id,
+    job: &Id,
+    wait_ms: u64,
 ) -> Result<Option<Status>, Missing> {
     let end = clock::now() + wait_ms;
     loop {
@@ -109,7 +125,7 @@
         };
         let deadline = clock::now() + wait_ms + ANSWER_MS;
         let timeout_ms = wait_ms + CALL_MS;
-        let reply = call(&gateway, &shard, &message, timeout_ms, deadline, &mut false).await?;
+        let reply = call(gateway, shard, &message, timeout_ms, deadline, &mut false).await?;
         match reply {
             Message::Told(status) => {
                 let ended = status.state.is_terminal() || clock::now() >= end;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod gateway;
 mod grants;
 pub mod http;
+mod inflight;
 mod inquiry;
 mod jobs;
 mod links;
@@ -21,6 +22,7 @@
 mod report;
 pub mod server;
 pub mod settings;
+pub mod stop;
 
 pub use gateway::{Gateway, Parts};
 pub use links::Links;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -9,8 +9,8 @@
 
 use argh::FromArgs;
 use rosemaryworks_admin::{Api, Contracts, Refusals};
-use rosemaryworks_core::timing::DEADLINE_MAX_MS;
 use rosemaryworks_gateway::server::{Servers, bind};
+use rosemaryworks_gateway::stop::finish;
 use rosemaryworks_gateway::{Gateway, Links, Parts, Settings, events, readiness};
 use rosemaryworks_node::status::Status;
 use rosemaryworks_node::{clock, event, http, logging, settings, shutdown};
@@ -25,15 +25,6 @@
 /// Threads of the HTTP client.
 const CLIENT_THREADS: usize = 2;
 
-/// Time within which every caller is told an outcome: the longest deadline and some more.
-const CALLERS_MAX: Duration = Duration::from_millis(DEADLINE_MAX_MS + 5_000);
-
-/// Time after the last caller was told an outcome in which instances may still answer requests
-/// whose deadline has passed, and owners acknowledge the ends of grants.
-const LEFT_MAX: Duration = Duration::from_secs(10);
-
-const POLL_PERIOD: Duration = Duration::from_millis(20);
-
 /// Takes requests and jobs of callers and dispatches them.
 #[derive(FromArgs)]
 struct Arguments {
@@ -180,33 +171,3 @@
     let system = ntex::rt::System::new("gateway", ntex::rt::DefaultRuntime);
     system.block_on(servers.run(callers, operators, stopped))
 }
-
-/// Refuses new requests and waits until every caller was told an outcome, which their deadlines
-/// bound. Then waits a limited time for what nobody waits for: answers after the deadline, and the
-/// owners' acknowledgements. Owners keep the slots of what is left until the instances are free.
-async fn finish(gateway: &Gateway) {
-    gateway.stop();
-    let left = || {
-        let (callers, requests) = (gateway.callers(), gateway.requests());
-        format!(
-            "callers={callers} requests={requests} reports={}",
-            gateway.reports()
-        )
-    };
-    events::DRAINING.log(format_args!("{}", left()));
-    let told = async {
-        while gateway.callers() > 0 {
-            tokio::time::sleep(POLL_PERIOD).await;
-        }
-    };
-    // Every outcome is told by the deadline of its request.
-    let _ = tokio::time::timeout(CALLERS_MAX, told).await;
-    let ended = async {
-        while gateway.requests() + gateway.reports() > 0 {
-            tokio::time::sleep(POLL_PERIOD).await;
-        }
-    };
-    if tokio::time::timeout(LEFT_MAX, ended).await.is_err() {
-        events::LEFT.log(format_args!("{}", left()));
-    }
-}
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -12,6 +12,7 @@
 
 use crate::gateway::Gateway;
 use crate::grants::Grant;
+use crate::inflight::Counted;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(100);
@@ -22,7 +23,17 @@
 
 /// Reports the end of a grant until the owner of its epoch, or of a later one, acknowledges it.
 pub(crate) async fn end(gateway: &Gateway, grant: Grant, finish: Finish, run_ms: u64) {
-    let _report = gateway.report();
+    let report = gateway.report();
+    until_acknowledged(gateway, grant, finish, run_ms, report).await;
+}
+
+async fn until_acknowledged(
+    gateway: &Gateway,
+    grant: Grant,
+    finish: Finish,
+    run_ms: u64,
+    _report: Counted,
+) {
     let mut delay = RETRY_DELAY_MIN;
     loop {
         if try_end(gateway, &grant, finish, run_ms).await {
@@ -41,9 +52,12 @@
     finish: Finish,
     run_ms: u64,
 ) -> JoinHandle<()> {
+    // Counted before the request ends, so that a stop doesn't miss it in between.
+    let report = gateway.report();
     let reporter = gateway.clone();
-    let report = async move { end(&reporter, grant, finish, run_ms).await };
-    gateway.runtime.spawn(report)
+    gateway.runtime.spawn(async move {
+        until_acknowledged(&reporter, grant, finish, run_ms, report).await;
+    })
 }
 
 /// Reports the end of a grant in the background and waits a short time for the acknowledgement, but
