fix(node): every planned stop ends, also when the process hangs

The cause wasn't found. What was ruled out: - A lost SIGTERM: a scheduler that gets SIGTERM while it is paused, or after a pause, exits with code 0 (tests/process.rs, 3 s pauses). - The steps of the stop: each has a limit (1.5 s, 8 s, 0.3 s). - A cycle of locks: `ownership` is taken while `register` is held (Contract event, outage check), against the stated order, but nothing takes `register` while it holds `ownership`.

Change: a thread with a runtime of its own ends the process with code 1 and E104 if a planned stop exceeds its limit (scheduler 20 s; gateway drain_ms and 85 s), so that a hang is told and the takeover begins. Both binaries install their signal handlers before they start to serve; until then SIGTERM ended them at once.

Result: tests/shutdown.rs, in which every other thread is blocked, passes with the change; without it the process never ends on its own.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -9,11 +9,13 @@
 
 use argh::FromArgs;
 use rosemaryworks_admin::{Api, Contracts, Refusals};
+use rosemaryworks_core::timing::DEADLINE_MAX_MS;
 use rosemaryworks_gateway::server::{Servers, bind};
 use rosemaryworks_gateway::stop::finish;
 use rosemaryworks_gateway::{Gateway, Links, Parts, Settings, events, readiness};
+use rosemaryworks_node::shutdown::{self, Signals};
 use rosemaryworks_node::status::Status;
-use rosemaryworks_node::{clock, event, http, logging, settings, shutdown};
+use rosemaryworks_node::{clock, event, http, logging, settings};
 use rosemaryworks_platform::appender::Appender;
 use rosemaryworks_platform::health::Health;
 use rosemaryworks_platform::log::{AUDIT, CONTRACTS};
@@ -25,6 +27,10 @@
 /// Threads of the HTTP client.
 const CLIENT_THREADS: usize = 2;
 
+/// Time after `drain_ms` at which a planned stop has surely ended: the longest deadline, the last
+/// reports, and the answers of both servers.
+const STOP_MAX: Duration = Duration::from_millis(DEADLINE_MAX_MS + 25_000);
+
 /// Takes requests and jobs of callers and dispatches them.
 #[derive(FromArgs)]
 struct Arguments {
@@ -151,15 +157,17 @@
     callers: TcpListener,
     operators: TcpListener,
 ) -> io::Result<()> {
+    let drain = Duration::from_millis(settings.drain_ms);
+    shutdown::bound(drain + STOP_MAX)?;
     let (stop, stopped) = watch::channel(false);
     let (gateway, ready) = (servers.gateway.clone(), servers.status.ready.clone());
     let watching = runtime.spawn(readiness::watch(gateway.clone(), ready.clone()));
-    let drain = Duration::from_millis(settings.drain_ms);
+    let mut signals = {
+        let _guard = runtime.enter();
+        Signals::install()?
+    };
     runtime.spawn(async move {
-        if let Err(error) = shutdown::requested().await {
-            events::START_FAILED.log(format_args!("signals: {error}"));
-            return;
-        }
+        signals.requested().await;
         watching.abort();
         gateway.drain();
         ready.clear("stopping");
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -50,3 +50,5 @@
 pub const STOPPING: Event = Event::new(102, Level::Info, "stopping");
 /// The process finished its shutdown.
 pub const STOPPED: Event = Event::new(103, Level::Info, "stopped");
+/// The planned stop took too long and the process ends without it.
+pub const STOP_EXCEEDED: Event = Event::new(104, Level::Error, "planned stop did not end");
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -4,17 +4,22 @@
 use std::path::PathBuf;
 use std::process::exit;
 use std::sync::Arc;
+use std::time::Duration;
 
 use argh::FromArgs;
 use rosemaryworks_node::http::Client;
+use rosemaryworks_node::shutdown::{self, Signals};
 use rosemaryworks_node::status::Status;
-use rosemaryworks_node::{logging, settings, shutdown};
+use rosemaryworks_node::{logging, settings};
 use rosemaryworks_platform::http;
 use rosemaryworks_scheduler::{Platform, Scheduler, Settings, serve};
 
 /// Threads of the HTTP client.
 const CLIENT_THREADS: usize = 2;
 
+/// Time after which a planned stop has surely ended: intents being written, releases, last answers.
+const STOP_MAX: Duration = Duration::from_secs(20);
+
 /// Owns shards of a cell: grants slots of service instances and places tasks on workers.
 #[derive(FromArgs)]
 struct Arguments {
@@ -54,6 +59,9 @@
 }
 
 fn run(settings: Settings) {
+    if let Err(error) = shutdown::bound(STOP_MAX) {
+        fail(1, &format!("signals can't be handled: {error}"));
+    }
     let peers = bind(settings.peer_listen, "peer_listen");
     let status_listener = bind(settings.status_listen, "status_listen");
     let status = Status::default();
@@ -70,10 +78,11 @@
     let result = runtime.block_on(async {
         peers.set_nonblocking(true)?;
         let listener = tokio::net::TcpListener::from_std(peers)?;
+        let mut signals = Signals::install()?;
         let scheduler = Scheduler::start(settings, platform, listener, status);
-        let requested = shutdown::requested().await;
+        signals.requested().await;
         scheduler.stop().await;
-        requested
+        std::io::Result::Ok(())
     });
     if let Err(error) = result {
         fail(1, &format!("scheduler failed: {error}"));
