--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -11,9 +11,11 @@
 use rosemaryworks_admin::{Api, Contracts, Refusals};
 use rosemaryworks_core::timing::DEADLINE_MAX_MS;
 use rosemaryworks_gateway::server::{Servers, bind};
+use rosemaryworks_gateway::stop::finish;
 use rosemaryworks_gateway::{Gateway, Links, Parts, Settings, events, readiness};
+use rosemaryworks_node::shutdown::{self, Signals};
 use rosemaryworks_node::status::Status;
-use rosemaryworks_node::{clock, event, http, logging, settings, shutdown};
+use rosemaryworks_node::{clock, event, http, logging, settings};
 use rosemaryworks_platform::appender::Appender;
 use rosemaryworks_platform::health::Health;
 use rosemaryworks_platform::log::{AUDIT, CONTRACTS};
@@ -25,14 +27,9 @@
 /// Threads of the HTTP client.
 const CLIENT_THREADS: usize = 2;
 
-/// Time within which every caller is told an outcome: the longest deadline and some more.
-const CALLERS_MAX: Duration = Duration::from_millis(DEADLINE_MAX_MS + 5_000);
-
-/// Time after the last caller was told an outcome in which instances may still answer requests
-/// whose deadline has passed, and owners acknowledge the ends of grants.
-const LEFT_MAX: Duration = Duration::from_secs(10);
-
-const POLL_PERIOD: Duration = Duration::from_millis(20);
+/// Time after `drain_ms` at which a planned stop has surely ended: the longest deadline, the last
+/// reports, and the answers of both servers.
+const STOP_MAX: Duration = Duration::from_millis(DEADLINE_MAX_MS + 25_000);
 
 /// Takes requests and jobs of callers and dispatches them.
 #[derive(FromArgs)]
@@ -160,15 +157,17 @@
     callers: TcpListener,
     operators: TcpListener,
 ) -> io::Result<()> {
+    let drain = Duration::from_millis(settings.drain_ms);
+    shutdown::bound(drain + STOP_MAX)?;
     let (stop, stopped) = watch::channel(false);
     let (gateway, ready) = (servers.gateway.clone(), servers.status.ready.clone());
     let watching = runtime.spawn(readiness::watch(gateway.clone(), ready.clone()));
-    let drain = Duration::from_millis(settings.drain_ms);
+    let mut signals = {
+        let _guard = runtime.enter();
+        Signals::install()?
+    };
     runtime.spawn(async move {
-        if let Err(error) = shutdown::requested().await {
-            events::START_FAILED.log(format_args!("signals: {error}"));
-            return;
-        }
+        signals.requested().await;
         watching.abort();
         gateway.drain();
         ready.clear("stopping");
@@ -180,33 +179,3 @@
     let system = ntex::rt::System::new("gateway", ntex::rt::DefaultRuntime);
     system.block_on(servers.run(callers, operators, stopped))
 }
-
-/// Refuses new requests and waits until every caller was told an outcome, which their deadlines
-/// bound. Then waits a limited time for what nobody waits for: answers after the deadline, and the
-/// owners' acknowledgements. Owners keep the slots of what is left until the instances are free.
-async fn finish(gateway: &Gateway) {
-    gateway.stop();
-    let left = || {
-        let (callers, requests) = (gateway.callers(), gateway.requests());
-        format!(
-            "callers={callers} requests={requests} reports={}",
-            gateway.reports()
-        )
-    };
-    events::DRAINING.log(format_args!("{}", left()));
-    let told = async {
-        while gateway.callers() > 0 {
-            tokio::time::sleep(POLL_PERIOD).await;
-        }
-    };
-    // Every outcome is told by the deadline of its request.
-    let _ = tokio::time::timeout(CALLERS_MAX, told).await;
-    let ended = async {
-        while gateway.requests() + gateway.reports() > 0 {
-            tokio::time::sleep(POLL_PERIOD).await;
-        }
-    };
-    if tokio::time::timeout(LEFT_MAX, ended).await.is_err() {
-        events::LEFT.log(format_args!("{}", left()));
-    }
-}
