fix(scheduler): submissions in flight count against a contract's queue

Cause: a submission was checked against the tasks that wait, and its own tasks were counted only when its record was read back. All submissions in flight saw the same room.

Change: the placement kernel counts the tasks of a submission from its check until the job's event arrives or its record is known not to be written. A repeat of an id in flight needs no room of its own.

--- a/crates/core/src/placement/account.rs
+++ b/crates/core/src/placement/account.rs
@@ -34,11 +34,27 @@
     pub(crate) held: Size,
     pub(crate) urgent_held: Size,
     pub(crate) waiting: u64,
+    /// Jobs by id whose records are being written.
+    pub(crate) arriving: HashMap<Arc<str>, Arrival>,
     queues: [BTreeSet<Serial>; 3],
     cursors: [Serial; 3],
 }
 
+/// A job whose record is being written.
+#[derive(Debug, Default)]
+pub(crate) struct Arrival {
+    pub(crate) tasks: u64,
+    /// Submissions of the id in flight.
+    pub(crate) writers: u32,
+}
+
 impl Account {
+    /// Returns the tasks of arriving jobs other than `id`.
+    pub(crate) fn arriving(&self, id: &str) -> u64 {
+        let others = self.arriving.iter().filter(|(other, _)| &***other != id);
+        others.map(|(_, arrival)| arrival.tasks).sum()
+    }
+
     /// Tells whether the limits allow `size` more.
     pub(crate) fn allows(&self, size: &Size, urgent: bool) -> bool {
         let within = (self.held + *size).fits(&self.limit);
--- a/crates/core/src/placement/admission.rs
+++ b/crates/core/src/placement/admission.rs
@@ -1,7 +1,9 @@
 //! Whether a job may be accepted.
 
+use std::sync::Arc;
+
 use crate::contract::is_name;
-use crate::job::{Kind, Priority, Spec, TASKS_MAX};
+use crate::job::{Id, Kind, Priority, Spec, TASKS_MAX};
 use crate::outcome::NotRun;
 use crate::placement::account::Account;
 use crate::placement::{Kernel, Refusal};
@@ -24,6 +26,39 @@
         check_queue(account, job)
     }
 
+    /// Admits a job whose record is about to be written. Its tasks count as waiting until the job is
+    /// submitted or withdrawn, so that submissions in flight can't exceed the queue together.
+    ///
+    /// # Errors
+    ///
+    /// As [`Kernel::admit`].
+    pub fn admit_arriving(&mut self, contract: &Arc<str>, job: &Spec) -> Verdict {
+        self.admit(contract, job)?;
+        let account = self.accounts.open(contract);
+        let arriving = &mut self.accounts.all[account].arriving;
+        let arrival = arriving.entry(job.id.clone()).or_default();
+        arrival.tasks = arrival.tasks.max(u64::from(job.tasks));
+        arrival.writers += 1;
+        Ok(())
+    }
+
+    /// Ends a reservation. If the record was read back, the job's event ends it, which may still be
+    /// on its way.
+    pub fn end_arrival(&mut self, id: &Id, read_back: bool) {
+        if read_back && self.book.serial(id).is_none() {
+            return;
+        }
+        let account = self.accounts.open(&id.contract);
+        let arriving = &mut self.accounts.all[account].arriving;
+        let Some(arrival) = arriving.get_mut(&id.job) else {
+            return;
+        };
+        arrival.writers -= 1;
+        if arrival.writers == 0 {
+            arriving.remove(&id.job);
+        }
+    }
+
     fn account(&self, name: &str, job: &Spec) -> std::result::Result<&Account, Refusal> {
         let account = self.accounts.get(name);
         let contract = account.and_then(|account| account.contract.as_ref());
@@ -124,7 +159,7 @@
         );
         return Err(never(reason));
     }
-    if account.waiting + tasks > account.queue {
+    if account.waiting + account.arriving(&job.id) + tasks > account.queue {
         return Err(Refusal::Later(NotRun::Concurrency));
     }
     Ok(())
--- a/crates/core/src/placement/intake.rs
+++ b/crates/core/src/placement/intake.rs
@@ -19,6 +19,8 @@
     pub(crate) fn submit(&mut self, now: Instant, contract: &Arc<str>, spec: Spec) {
         let urgent = spec.priority == Priority::Urgent;
         let tasks = spec.tasks;
+        let account = self.accounts.open(contract);
+        self.accounts.all[account].arriving.remove(&spec.id);
         let Some(serial) = self.add(contract, spec, now) else {
             return;
         };
--- a/crates/core/tests/placement_workers.rs
+++ b/crates/core/tests/placement_workers.rs
@@ -9,7 +9,7 @@
 
 use std::collections::BTreeSet;
 
-use rosemaryworks_core::job::{Kind, Priority, Spec, State as JobState};
+use rosemaryworks_core::job::{Id, Kind, Priority, Spec, State as JobState};
 use rosemaryworks_core::outcome::NotRun;
 use rosemaryworks_core::placement::{Event, Lease, Refusal, Report, Step};
 use rosemaryworks_core::size::Size;
@@ -123,6 +123,46 @@
     assert_eq!(later, Err(Refusal::Later(NotRun::Concurrency)));
 }
 
+/// Guards against submissions in flight that exceed the queue together, and against reservations
+/// that outlast them.
+#[test]
+fn submissions_in_flight_count_against_the_queue() {
+    let mut world = World::new(2, 0);
+    let mut small = contract("a");
+    small.pools.get_mut("cpu").expect("pool").queue = 4;
+    world.publish(small);
+    let spec = |id| Spec {
+        tasks: 2,
+        size: Size::new(4_000, 1_000),
+        ..job(id)
+    };
+    let id = |job: &str| Id {
+        contract: "a".into(),
+        job: job.into(),
+    };
+    let full = Err(Refusal::Later(NotRun::Concurrency));
+    let reserve = |world: &mut World, id| world.kernel.admit_arriving(&"a".into(), &spec(id));
+    assert_eq!(reserve(&mut world, "one"), Ok(()));
+    assert_eq!(reserve(&mut world, "two"), Ok(()));
+    assert_eq!(reserve(&mut world, "three"), full);
+    // A repeat of an id in flight needs no more room.
+    assert_eq!(reserve(&mut world, "two"), Ok(()));
+    world.kernel.end_arrival(&id("two"), false);
+    assert_eq!(reserve(&mut world, "three"), full);
+    world.kernel.end_arrival(&id("two"), false);
+    assert_eq!(reserve(&mut world, "three"), Ok(()));
+    // Read back, but not yet told to the kernel.
+    world.kernel.end_arrival(&id("one"), true);
+    assert_eq!(reserve(&mut world, "four"), full);
+    world.kernel.end_arrival(&id("three"), false);
+    world.submit(spec("one"));
+    world.run(1_000);
+    for next in ["five", "six"] {
+        assert_eq!(reserve(&mut world, next), Ok(()));
+    }
+    assert_eq!(reserve(&mut world, "seven"), full);
+}
+
 /// Guards against new work on a leaving worker and against tasks that a stated end cuts off.
 #[test]
 fn leaving_worker_is_vacated() {
--- a/crates/scheduler/src/pool/jobs.rs
+++ b/crates/scheduler/src/pool/jobs.rs
@@ -40,7 +40,7 @@
         if let Some(submission) = self.known(shared, &id, &job) {
             return submission;
         }
-        let admitted = lock(&self.state).kernel.admit(&contract, &job);
+        let admitted = lock(&self.state).kernel.admit_arriving(&contract, &job);
         match admitted {
             Ok(()) => {}
             Err(Refusal::Later(reason)) => return Submission::Unavailable(reason),
@@ -53,7 +53,10 @@
             job: job.clone(),
             at_unix_ms: clock::unix_ms(),
         };
-        match shared.write(&record, SUBMIT_PATIENCE).await {
+        let written = shared.write(&record, SUBMIT_PATIENCE).await;
+        let read_back = written == Written::Valid;
+        lock(&self.state).kernel.end_arrival(&id, read_back);
+        match written {
             Written::Valid => {
                 events::JOB_ACCEPTED.log(format_args!("shard={} job={id}", self.term.shard));
                 // Of two submissions of one id, the one that comes first in the log counts.
--- a/crates/scheduler/tests/scheduler.rs
+++ b/crates/scheduler/tests/scheduler.rs
@@ -81,6 +81,21 @@
     assert_eq!(cell.targets.starts().len(), 1);
 }
 
+/// Guards against concurrent submissions that exceed the contract's queue by the number in flight.
+#[test]
+fn concurrent_submissions_stay_within_the_queue() {
+    let cell = Cell::start(3);
+    let owner = cell.owner(&pool()).unwrap();
+    // No record is read back before the last submission arrives.
+    cell.log.set_delay(Duration::from_millis(500));
+    let ids: Vec<String> = (0..150).map(|index| format!("j{index}")).collect();
+    let submissions = cell.submit_together(&owner, &ids);
+    let accepted = |submission: &&Submission| matches!(submission, Submission::Accepted(_));
+    let refused = Submission::Unavailable(NotRun::Concurrency);
+    assert_eq!(submissions.iter().filter(accepted).count(), 100);
+    assert_eq!(submissions.iter().filter(|it| **it == refused).count(), 50);
+}
+
 /// Guards against an owner that grants after a pause in which another scheduler took over.
 #[test]
 fn a_paused_owner_grants_nothing_after_a_takeover() {
--- a/crates/scheduler/tests/support/cell.rs
+++ b/crates/scheduler/tests/support/cell.rs
@@ -324,6 +324,27 @@
         }
     }
 
+    /// Submits jobs of one task to `name`, all at once.
+    pub(crate) fn submit_together(&self, name: &str, ids: &[String]) -> Vec<Submission> {
+        let peer = self.links[name].peer().unwrap();
+        let calls = ids.iter().map(|id| {
+            let message = Message::Submit {
+                shard: pool(),
+                contract: "shops".into(),
+                job: Box::new(job(id, 60_000)),
+            };
+            let peer = peer.clone();
+            self.gateway
+                .spawn(async move { peer.call(message, CALL_TIMEOUT).await })
+        });
+        let calls: Vec<_> = calls.collect();
+        let answer = |call| match self.gateway.block_on(call) {
+            Ok(Ok(Message::Submission(submission))) => submission,
+            other => panic!("{name} answered {other:?}"),
+        };
+        calls.into_iter().map(answer).collect()
+    }
+
     /// Cancels a job at `name`.
     pub(crate) fn cancel(&self, name: &str, id: &str) -> Submission {
         let job = JobId {
