fix(scheduler): a job whose home moved can be cancelled through its new home

Cause: a revision that changes whether a contract is pinned moves the home of its job ids. The new home tells the status of a job that another shard holds from the log, but refused to cancel it.

Change: the new home passes the cancel on to the owner of the shard that holds the job.

--- a/crates/scheduler/src/fold.rs
+++ b/crates/scheduler/src/fold.rs
@@ -62,10 +62,20 @@
         let own = self.own_job(shard, job);
         own.or_else(|| {
             let mut others = self.siblings(shard);
-            others.find_map(|other| other.jobs.get(job))
+            others.find_map(|(_, other)| other.jobs.get(job))
         })
     }
 
+    /// Returns the shard that holds the job: `shard` or another one of the same group.
+    pub(crate) fn holder(&self, shard: &Id, job: &JobId) -> Option<Id> {
+        if self.own_job(shard, job).is_some() {
+            return Some(shard.clone());
+        }
+        let mut others = self.siblings(shard);
+        let holder = others.find(|(_, other)| other.jobs.get(job).is_some());
+        holder.map(|(holder, _)| holder.clone())
+    }
+
     /// Returns the job `job` of `shard` itself.
     pub(crate) fn own_job(&self, shard: &Id, job: &JobId) -> Option<&Job> {
         self.shard(shard)?.jobs.get(job)
@@ -74,20 +84,21 @@
     /// Tells whether another shard of the same group recorded the request.
     pub(crate) fn is_recorded_elsewhere(&self, shard: &Id, request: &Request) -> bool {
         self.siblings(shard)
-            .any(|other| other.requests.contains(request))
+            .any(|(_, other)| other.requests.contains(request))
     }
 
     /// Returns the other shards of the group of `shard`.
-    fn siblings<'a, 'b>(&'a self, shard: &'b Id) -> impl Iterator<Item = &'a Shard> + use<'a, 'b> {
+    fn siblings<'a, 'b>(
+        &'a self,
+        shard: &'b Id,
+    ) -> impl Iterator<Item = (&'a Id, &'a Shard)> + use<'a, 'b> {
         let first = Id {
             index: 0,
             ..shard.clone()
         };
         let group = self.shards.range(first..);
         let group = group.take_while(|(id, _)| id.kind == shard.kind && id.group == shard.group);
-        group
-            .filter(|(id, _)| id.index != shard.index)
-            .map(|(_, state)| state)
+        group.filter(|(id, _)| id.index != shard.index)
     }
 
     /// Applies the record at `offset` and returns its verdict and what the shard's owner is told.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 mod listing;
 mod lock;
 mod metrics;
+mod moved;
 mod owner;
 mod pool;
 mod progress;
--- a/crates/scheduler/src/pool/jobs.rs
+++ b/crates/scheduler/src/pool/jobs.rs
@@ -14,6 +14,7 @@
 use super::Pool;
 use crate::events;
 use crate::lock::lock;
+use crate::moved;
 use crate::shared::{Shared, Written};
 
 /// Patience with the append of a submission and its read-back.
@@ -66,7 +67,7 @@
         }
     }
 
-    /// Cancels a job.
+    /// Cancels a job, at the shard that holds it.
     pub(crate) async fn cancel(&self, shared: &Shared, id: &Id) -> Submission {
         let Some(status) = self.status(shared, id) else {
             return Submission::Rejected("no such job".into());
@@ -74,14 +75,15 @@
         if status.state.is_terminal() {
             return Submission::Accepted(status);
         }
-        if lock(&shared.cell)
-            .fold
-            .own_job(&self.term.shard, id)
-            .is_none()
-        {
-            let reason = "the job was accepted before a revision of its contract moved its home";
-            return Submission::Rejected(reason.into());
+        let holder = lock(&shared.cell).fold.holder(&self.term.shard, id);
+        match holder.filter(|holder| *holder != self.term.shard) {
+            Some(holder) => moved::cancel(shared, &holder, id).await,
+            None => self.cancel_own(shared, id).await,
         }
+    }
+
+    /// Cancels a job of this shard.
+    pub(crate) async fn cancel_own(&self, shared: &Shared, id: &Id) -> Submission {
         let record = Cell::Cancelled {
             shard: self.term.shard.clone(),
             epoch: self.term.epoch,
--- a/crates/scheduler/tests/moved.rs
+++ b/crates/scheduler/tests/moved.rs
@@ -10,20 +10,25 @@
 #[allow(dead_code)]
 mod targets;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use cell::{Cell, pool, service};
-use rosemaryworks_core::job::Spec;
+use rosemaryworks_core::job::{Spec, State};
 use rosemaryworks_core::outcome::{Request, Unknown};
 use rosemaryworks_core::record;
 use rosemaryworks_core::shard::{Epoch, Id};
+use rosemaryworks_core::size::Size;
 use rosemaryworks_platform::log::CELL;
-use rosemaryworks_wire::{Submission, Verdict};
+use rosemaryworks_wire::{Message, Submission, Verdict};
 
 /// Time after which a record appended behind the schedulers' backs was surely read.
 const READ_TIME: Duration = Duration::from_secs(2);
 
+/// Enough shards that the owner of the first has another one, but not all.
+const SHARDS: u32 = 6;
+
 /// Claims another shard of the group of `shard` and returns its epoch.
 fn claim_other(cell: &Cell, shard: &Id) -> (Id, Epoch) {
     let other = Id {
@@ -114,6 +119,63 @@
     );
 }
 
+/// Returns the current epoch of `shard`.
+fn epoch(cell: &Cell, shard: &Id) -> Epoch {
+    let owner = cell.owner(shard).unwrap();
+    let Some(Message::Inspected(inspected)) = cell.call(&owner, Message::Inspect) else {
+        panic!("{owner} doesn't answer");
+    };
+    let found = inspected.shards.iter().find(|(other, _)| other == shard);
+    found.unwrap().1
+}
+
+/// Guards against jobs that can't be cancelled any more because a revision moved their home, by the
+/// same owner or another one.
+#[test]
+fn a_job_of_another_shard_is_cancelled_through_its_new_home() {
+    let cell = Cell::with_pools(3, 3_600_000, SHARDS);
+    let shard = |index| Id { index, ..pool() };
+    let shards: Vec<Id> = (0..SHARDS).map(shard).collect();
+    cell.wait_for("every shard has an owner", || {
+        shards.iter().all(|shard| cell.owner(shard).is_some())
+    });
+    let home = cell.owner(&pool()).unwrap();
+    let mut owners = BTreeSet::new();
+    for shard in &shards[1..] {
+        let id = format!("moved-{}", shard.index);
+        let submitted = record::Cell::Submitted {
+            shard: shard.clone(),
+            epoch: epoch(&cell, shard),
+            contract: "shops".into(),
+            // No worker is large enough, so the job waits.
+            job: Box::new(Spec {
+                size: Size::new(63_000, 100),
+                ..cell::job(&id, 60_000)
+            }),
+            at_unix_ms: unix_ms(),
+        };
+        cell.log.push(CELL, &submitted);
+        cell.wait_for("the new home knows the job", || {
+            cell.status(&home, &id, 0).is_some()
+        });
+        let submission = cell.cancel(&home, &id);
+        assert!(
+            matches!(submission, Submission::Accepted(_)),
+            "{submission:?}"
+        );
+        cell.wait_for("the job ends", || {
+            let status = cell.status(&home, &id, 0);
+            status.is_some_and(|status| status.state == State::Cancelled)
+        });
+        owners.insert(cell.owner(shard).unwrap() == home);
+    }
+    assert_eq!(
+        owners.len(),
+        2,
+        "one owner has all shards or none: {owners:?}"
+    );
+}
+
 fn records(cell: &Cell, text: &str) -> Vec<record::Cell> {
     let records = cell.log.find_text(CELL, text);
     records
--- a/crates/scheduler/tests/support/cell.rs
+++ b/crates/scheduler/tests/support/cell.rs
@@ -88,6 +88,11 @@
 
     /// As [`Cell::start`], for a log that keeps records for `retention_ms`.
     pub(crate) fn with_retention(count: usize, retention_ms: u64) -> Self {
+        Self::with_pools(count, retention_ms, 1)
+    }
+
+    /// As [`Cell::with_retention`], with `pools` shards of workers.
+    pub(crate) fn with_pools(count: usize, retention_ms: u64, pools: u32) -> Self {
         let entry = |index| Entry {
             name: format!("s{index}").into(),
             zone: "a".into(),
@@ -98,7 +103,7 @@
             schedulers: (0..count).map(entry).collect(),
             gateways: vec!["g1".into()],
             partition: Map {
-                pools: [("cpu".into(), 1)].into(),
+                pools: [("cpu".into(), pools)].into(),
                 services: [("booking".into(), 1)].into(),
             },
             log: port::unused(),
@@ -383,7 +388,7 @@
     }
 }
 
-fn job(id: &str, run_ms: u64) -> Spec {
+pub(crate) fn job(id: &str, run_ms: u64) -> Spec {
     Spec {
         id: id.into(),
         kind: Kind::Batch,
