--- a/crates/scheduler/tests/support/cell.rs
+++ b/crates/scheduler/tests/support/cell.rs
@@ -88,6 +88,11 @@
 
     /// As [`Cell::start`], for a log that keeps records for `retention_ms`.
     pub(crate) fn with_retention(count: usize, retention_ms: u64) -> Self {
+        Self::with_pools(count, retention_ms, 1)
+    }
+
+    /// As [`Cell::with_retention`], with `pools` shards of workers.
+    pub(crate) fn with_pools(count: usize, retention_ms: u64, pools: u32) -> Self {
         let entry = |index| Entry {
             name: format!("s{index}").into(),
             zone: "a".into(),
@@ -98,7 +103,7 @@
             schedulers: (0..count).map(entry).collect(),
             gateways: vec!["g1".into()],
             partition: Map {
-                pools: [("cpu".into(), 1)].into(),
+                pools: [("cpu".into(), pools)].into(),
                 services: [("booking".into(), 1)].into(),
             },
             log: port::unused(),
@@ -324,6 +329,27 @@
         }
     }
 
+    /// Submits jobs of one task to `name`, all at once.
+    pub(crate) fn submit_together(&self, name: &str, ids: &[String]) -> Vec<Submission> {
+        let peer = self.links[name].peer().unwrap();
+        let calls = ids.iter().map(|id| {
+            let message = Message::Submit {
+                shard: pool(),
+                contract: "shops".into(),
+                job: Box::new(job(id, 60_000)),
+            };
+            let peer = peer.clone();
+            self.gateway
+                .spawn(async move { peer.call(message, CALL_TIMEOUT).await })
+        });
+        let calls: Vec<_> = calls.collect();
+        let answer = |call| match self.gateway.block_on(call) {
+            Ok(Ok(Message::Submission(submission))) => submission,
+            other => panic!("{name} answered {other:?}"),
+        };
+        calls.into_iter().map(answer).collect()
+    }
+
     /// Cancels a job at `name`.
     pub(crate) fn cancel(&self, name: &str, id: &str) -> Submission {
         let job = JobId {
@@ -362,7 +388,7 @@
     }
 }
 
-fn job(id: &str, run_ms: u64) -> Spec {
+pub(crate) fn job(id: &str, run_ms: u64) -> Spec {
     Spec {
         id: id.into(),
         kind: Kind::Batch,
