--- a/xtask/src/faults.rs
+++ b/xtask/src/faults.rs
@@ -30,7 +30,7 @@
 use operators::Races;
 use processes::Processes;
 use scene::Scene;
-use schedule::Entry;
+use schedule::{Entry, Lengths};
 
 /// Parties that put load on the deployment.
 const CALLERS: u64 = 40;
@@ -56,6 +56,9 @@
     /// singly and in pairs)
     #[argh(option)]
     fault: Option<String>,
+    /// seconds of one outage of the log, the failure log-down (default: 60)
+    #[argh(option)]
+    outage_seconds: Option<u64>,
     /// first of 500 loopback ports (default: 23000)
     #[argh(option, default = "23000")]
     base_port: u16,
@@ -74,7 +77,12 @@
 /// Returns an error if a failure is unknown or the deployment can't be started.
 pub(crate) async fn run(options: Options) -> Result<bool, Report<Error>> {
     let groups = groups(options.fault.as_deref().unwrap_or_default())?;
-    let schedule = schedule::plan(options.seed, options.seconds * 1_000, groups);
+    let outage_ms = options.outage_seconds.map(|seconds| seconds * 1_000);
+    let lengths = Lengths {
+        total_ms: options.seconds * 1_000,
+        outage_ms: outage_ms.unwrap_or(Kind::LogDown.lasts_ms()),
+    };
+    let schedule = schedule::plan(options.seed, lengths, groups);
     print_schedule(&schedule);
     if options.plan {
         return Ok(true);
--- a/xtask/src/faults/schedule.rs
+++ b/xtask/src/faults/schedule.rs
@@ -34,9 +34,27 @@
     pub(crate) choice: u64,
 }
 
+/// How long a run and its failures last.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Lengths {
+    /// Milliseconds of failures.
+    pub(crate) total_ms: u64,
+    /// Milliseconds of one outage of the log.
+    pub(crate) outage_ms: u64,
+}
+
+impl Lengths {
+    const fn lasts_ms(self, kind: Kind) -> u64 {
+        match kind {
+            Kind::LogDown => self.outage_ms,
+            kind => kind.lasts_ms(),
+        }
+    }
+}
+
 /// Returns the failures of a run in time order. Those of one group strike together. Without groups
 /// all kinds occur, singly and in pairs.
-pub(crate) fn plan(seed: u64, total_ms: u64, mut groups: Vec<Vec<Kind>>) -> Vec<Entry> {
+pub(crate) fn plan(seed: u64, lengths: Lengths, mut groups: Vec<Vec<Kind>>) -> Vec<Entry> {
     let mut random = SmallRng::seed_from_u64(seed);
     if groups.is_empty() {
         groups = all();
@@ -50,13 +68,13 @@
             let choice = random.random();
             let delay_ms = random.random_range(0..=PAIR_DELAY_MS);
             let pause_ms = random.random_range(PAUSE_MS.0..=PAUSE_MS.1);
-            let part = part(group, at_ms, delay_ms, choice);
+            let part = part(group, lengths, at_ms, delay_ms, choice);
             let ends_ms = part
                 .iter()
                 .map(|entry| entry.ends_ms)
                 .max()
                 .unwrap_or(at_ms);
-            if ends_ms > total_ms {
+            if ends_ms > lengths.total_ms {
                 continue;
             }
             entries.extend(part);
@@ -66,27 +84,27 @@
             break;
         }
     }
-    entries.extend(closing(at_ms, &mut random));
+    entries.extend(closing(at_ms, lengths, &mut random));
     entries
 }
 
 /// Returns what every run ends with, so that no check is empty.
-fn closing(mut at_ms: u64, random: &mut SmallRng) -> Vec<Entry> {
+fn closing(mut at_ms: u64, lengths: Lengths, random: &mut SmallRng) -> Vec<Entry> {
     let mut entries = Vec::new();
     for kind in CLOSING {
-        let part = part(&[kind], at_ms, 0, random.random());
-        at_ms += kind.lasts_ms() + PAUSE_MS.0;
+        let part = part(&[kind], lengths, at_ms, 0, random.random());
+        at_ms += lengths.lasts_ms(kind) + PAUSE_MS.0;
         entries.extend(part);
     }
     entries
 }
 
-fn part(group: &[Kind], at_ms: u64, delay_ms: u64, choice: u64) -> Vec<Entry> {
+fn part(group: &[Kind], lengths: Lengths, at_ms: u64, delay_ms: u64, choice: u64) -> Vec<Entry> {
     let entry = |(index, kind): (usize, &Kind)| {
         let at_ms = at_ms + delay_ms * index as u64;
         Entry {
             at_ms,
-            ends_ms: at_ms + kind.lasts_ms(),
+            ends_ms: at_ms + lengths.lasts_ms(*kind),
             kind: *kind,
             choice,
         }
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -15,6 +15,7 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use argh::FromArgs;
 
@@ -38,6 +39,12 @@
     /// number of seeds (default 5)
     #[argh(option, default = "5")]
     seeds: u64,
+    /// seconds for which the log is down in log-return (default 60)
+    #[argh(option, default = "60")]
+    outage_seconds: u64,
+    /// first of 400 loopback ports of scenarios with real processes (default 25000)
+    #[argh(option, default = "25000")]
+    base_port: u16,
     /// file for all figures
     #[argh(option)]
     json: Option<PathBuf>,
@@ -104,12 +111,20 @@
     finish(arguments, &table)
 }
 
-/// Runs a scenario of real processes with one seed.
+/// Runs a scenario of real processes.
 fn run_processes(name: &str, arguments: &Arguments) -> ExitCode {
-    match processes::run(name, arguments.seed) {
-        Ok(rows) => {
+    let options = processes::Options {
+        base_port: arguments.base_port,
+        outage: Duration::from_secs(arguments.outage_seconds),
+        seed: arguments.seed,
+        seeds: arguments.seeds.max(1),
+    };
+    match processes::run(name, &options) {
+        Ok(runs) => {
             let mut table = Table::default();
-            table.add(name, rows);
+            for rows in runs {
+                table.add(name, rows);
+            }
             finish(arguments, &table)
         }
         Err(report) => {
--- a/xtask/src/measure/processes.rs
+++ b/xtask/src/measure/processes.rs
@@ -3,11 +3,13 @@
 //! These scenarios take minutes and the whole machine, so they run only when named.
 
 mod control;
+mod log_return;
 mod operator;
 mod recovery;
 mod sample;
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
 
@@ -18,29 +20,44 @@
 use crate::cluster::process::Error;
 
 /// Names of the scenarios.
-pub(crate) const NAMES: [&str; 2] = ["control", "recovery"];
+pub(crate) const NAMES: [&str; 3] = ["control", "log-return", "recovery"];
 
-/// First of the loopback ports taken.
-const BASE_PORT: u16 = 25_000;
+/// How a scenario is run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Options {
+    /// First of the loopback ports taken.
+    pub(crate) base_port: u16,
+    /// Length of the outage of `log-return`.
+    pub(crate) outage: Duration,
+    /// First seed.
+    pub(crate) seed: u64,
+    /// Repetitions of `log-return`.
+    pub(crate) seeds: u64,
+}
 
-/// Runs a scenario with one seed.
-pub(crate) fn run(name: &str, seed: u64) -> Result<Vec<Row>, Report<Error>> {
+/// Runs a scenario and returns the rows of each repetition.
+pub(crate) fn run(name: &str, options: &Options) -> Result<Vec<Vec<Row>>, Report<Error>> {
     let failed = || Error::new("start a runtime for", name.to_owned());
     let runtime = tokio::runtime::Runtime::new().change_context_lazy(failed)?;
     crate::cluster::build(!cfg!(debug_assertions))?;
     match name {
-        "control" => runtime.block_on(control::rows()),
-        _ => runtime.block_on(recovery::rows(seed)),
+        "control" => Ok(vec![runtime.block_on(control::rows(options))?]),
+        "log-return" => runtime.block_on(log_return::rows(options)),
+        _ => Ok(vec![runtime.block_on(recovery::rows(options))?]),
     }
 }
 
 /// Starts a deployment and waits until its shards have owners.
-async fn start(deployment: Deployment, name: &str) -> Result<(Cluster, PathBuf), Report<Error>> {
+async fn start(
+    deployment: Deployment,
+    options: &Options,
+    name: &str,
+) -> Result<(Cluster, PathBuf), Report<Error>> {
     let folder = format!("rosemaryworks-measure-{}", std::process::id());
     let folder = std::env::temp_dir().join(folder).join(name);
     std::fs::create_dir_all(&folder)
         .change_context_lazy(|| Error::new("create", folder.display().to_string()))?;
-    let mut cluster = Cluster::start(deployment, Ports::new(BASE_PORT), &folder)?;
+    let mut cluster = Cluster::start(deployment, Ports::new(options.base_port), &folder)?;
     cluster.ready().await?;
     operator::Operator::new(&cluster).owned().await?;
     Ok((cluster, folder))
--- a/xtask/src/measure/processes/control.rs
+++ b/xtask/src/measure/processes/control.rs
@@ -7,6 +7,7 @@
 use rosemaryworks_core::job::{Kind, Priority, Spec};
 use rosemaryworks_core::size::Size;
 
+use super::Options;
 use super::operator::{Operator, contract};
 use super::sample::{Costs, sample};
 use crate::cluster::deployment::{Deployment, dala};
@@ -62,11 +63,11 @@
 ];
 
 /// Measures every setting. The baseline of each row is today's size without load.
-pub(super) async fn rows() -> Result<Vec<Row>, Report<Error>> {
+pub(super) async fn rows(options: &Options) -> Result<Vec<Row>, Report<Error>> {
     let mut rows = Vec::new();
     let mut today = None;
     for setting in SETTINGS {
-        let costs = measure(setting).await?;
+        let costs = measure(options, setting).await?;
         let base = *today.get_or_insert(costs);
         let figures = figures(&costs).into_iter().zip(figures(&base));
         rows.extend(figures.map(|((what, ours), (_, base))| {
@@ -92,7 +93,7 @@
     ]
 }
 
-async fn measure(setting: Setting) -> Result<Costs, Report<Error>> {
+async fn measure(options: &Options, setting: Setting) -> Result<Costs, Report<Error>> {
     let deployment = Deployment {
         pools: dala()
             .pools
@@ -109,7 +110,7 @@
         ..dala()
     };
     let name = setting.name.replace([' ', '/'], "-");
-    let (mut cluster, folder) = super::start(deployment, &name).await?;
+    let (mut cluster, folder) = super::start(deployment, options, &name).await?;
     let operator = Operator::new(&cluster);
     publish(&operator, &cluster.deployment, setting.contracts).await?;
     if setting.tasks > 0 {
--- /dev/null
+++ b/xtask/src/measure/processes/log_return.rs
@@ -0,0 +1,72 @@
+//! Takes the log away under load, gives it back, and compares what callers see before, meanwhile
+//! and after.
+
+mod figures;
+mod jobs;
+mod load;
+
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use rosemaryworks_history::file;
+use serde_json::json;
+
+use super::Options;
+use super::operator::{Operator, contract};
+use crate::cluster::deployment::dala;
+use crate::cluster::process::Error;
+use crate::measure::table::Row;
+use figures::{Run, Window};
+use load::Load;
+
+const CONTRACT: &str = "measure-0";
+
+/// Load before the first window, in which queues and learned run times settle.
+const SETTLE: Duration = Duration::from_secs(6);
+
+/// Length of the windows before the outage and after the return.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Time after the last window in which its jobs start. Longer than the bound for urgent work, so
+/// that a job without a start has missed it.
+const REST: Duration = Duration::from_secs(9);
+
+/// Repeats the outage, each time with a new deployment, and returns the rows of each repetition.
+pub(super) async fn rows(options: &Options) -> Result<Vec<Vec<Row>>, Report<Error>> {
+    let mut rows = Vec::new();
+    for seed in options.seed..options.seed + options.seeds {
+        rows.push(repetition(options, seed).await?);
+    }
+    Ok(rows)
+}
+
+async fn repetition(options: &Options, seed: u64) -> Result<Vec<Row>, Report<Error>> {
+    let name = format!("log-return-{seed}");
+    let (mut cluster, folder) = super::start(dala(), options, &name).await?;
+    let operator = Operator::new(&cluster);
+    operator
+        .publish(&contract(CONTRACT, &cluster.deployment))
+        .await?;
+    let lasting = SETTLE + WINDOW * 2 + options.outage;
+    for job in jobs::backlog(lasting) {
+        operator.submit(CONTRACT, &job).await?;
+    }
+    let load = Load::start(&operator, seed);
+    tokio::time::sleep(SETTLE).await;
+    let before = Window::last(WINDOW).await;
+    operator.inject(&json!({ "fault": "log-down" })).await?;
+    let during = Window::last(options.outage).await;
+    operator.inject(&json!({ "fault": "log-up" })).await?;
+    let after = Window::last(WINDOW).await;
+    let calls = load.stop(REST).await;
+    let unstopped = cluster.stop().await;
+    if let Some(name) = unstopped.first() {
+        return Err(Report::new(Error::new("stop", name.clone())));
+    }
+    let history = folder.join("platform.history.json");
+    let records = file::read(&[&history])
+        .change_context_lazy(|| Error::new("read", history.display().to_string()))?;
+    // The folder holds nothing that the rows don't show.
+    let _ = std::fs::remove_dir_all(&folder);
+    Ok(Run::new(CONTRACT, &calls, &records).rows([before, during, after]))
+}
--- /dev/null
+++ b/xtask/src/measure/processes/log_return/load.rs
@@ -0,0 +1,209 @@
+//! Requests and jobs at a steady rate, whatever the answers.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use rosemaryworks_core::job::{Priority, Spec};
+use rosemaryworks_history::file::unix_us;
+use rosemaryworks_node::http::{Error, Response};
+use tokio::task::JoinSet;
+
+use super::super::operator::Operator;
+use super::{CONTRACT, jobs};
+
+const GATEWAYS: usize = 6;
+
+const SERVICES: [&str; 2] = ["/v1/services/booking", "/v1/services/planning"];
+
+/// Gap between two requests; every second one is non-idempotent.
+const REQUEST_GAP: Duration = Duration::from_millis(5);
+
+/// Gap between two urgent jobs, and between two batch jobs.
+const JOB_GAP: Duration = Duration::from_millis(200);
+
+/// Pause before a refused job is submitted again, and the longest time for which it is.
+const RESUBMIT_DELAY: Duration = Duration::from_millis(200);
+const RESUBMIT_MAX: Duration = Duration::from_secs(5);
+
+/// What a caller is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Outcome {
+    Completed,
+    NoAnswer,
+    NotRun,
+    Unknown,
+}
+
+impl Outcome {
+    fn new(answer: &Result<Response, Error>) -> Self {
+        let Ok(response) = answer else {
+            return Self::NoAnswer;
+        };
+        match response.header("rosemary-outcome") {
+            Some("completed") => Self::Completed,
+            Some("not-run") => Self::NotRun,
+            _ => Self::Unknown,
+        }
+    }
+}
+
+/// A call with its first answer.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    /// Unix time in microseconds at which the call was made.
+    pub(super) at_us: u64,
+    /// Microseconds from the call to the first answer.
+    pub(super) took_us: u64,
+    pub(super) outcome: Outcome,
+    pub(super) what: What,
+}
+
+/// What was called for.
+#[derive(Clone, Debug)]
+pub(super) enum What {
+    Job {
+        id: String,
+        urgent: bool,
+        /// Unix time in microseconds at which the job was accepted, perhaps after refusals.
+        accepted_us: Option<u64>,
+    },
+    Request,
+}
+
+/// A load in progress.
+pub(super) struct Load {
+    party: Arc<Party>,
+    streams: JoinSet<()>,
+}
+
+/// The customer who calls.
+struct Party {
+    calls: Mutex<Vec<Call>>,
+    operator: Operator,
+    seed: u64,
+    stopping: AtomicBool,
+}
+
+impl Load {
+    /// Starts the load. The seed makes its ids unique.
+    pub(super) fn start(operator: &Operator, seed: u64) -> Self {
+        let party = Arc::new(Party {
+            calls: Mutex::default(),
+            operator: operator.clone(),
+            seed,
+            stopping: AtomicBool::new(false),
+        });
+        let mut streams = JoinSet::new();
+        streams.spawn(party.clone().stream(REQUEST_GAP, Party::request));
+        streams.spawn(party.clone().stream(JOB_GAP, Party::urgent));
+        streams.spawn(party.clone().stream(JOB_GAP, Party::batch));
+        Self { party, streams }
+    }
+
+    /// Ends the load, waits `rest` and until every call has its answer, and returns the calls.
+    pub(super) async fn stop(self, rest: Duration) -> Vec<Call> {
+        self.party.stopping.store(true, Ordering::SeqCst);
+        tokio::time::sleep(rest).await;
+        self.streams.join_all().await;
+        self.party.with(std::mem::take)
+    }
+}
+
+impl Party {
+    fn with<T>(&self, act: impl FnOnce(&mut Vec<Call>) -> T) -> T {
+        act(&mut self.calls.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Makes a call every `gap`, whether or not the earlier ones are answered, until the load
+    /// stops; then waits for the answers.
+    async fn stream<F>(self: Arc<Self>, gap: Duration, call: fn(Arc<Self>, u64) -> F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let mut open = JoinSet::new();
+        let mut ticks = tokio::time::interval(gap);
+        let mut number = 0;
+        while !self.stopping.load(Ordering::SeqCst) {
+            ticks.tick().await;
+            number += 1;
+            open.spawn(call(self.clone(), number));
+            while open.try_join_next().is_some() {}
+        }
+        open.join_all().await;
+    }
+
+    async fn request(self: Arc<Self>, number: u64) {
+        let id = format!("measure-{}-{number}", self.seed);
+        let idempotent = number.is_multiple_of(2).to_string();
+        let headers = [
+            ("rosemary-contract", CONTRACT),
+            ("rosemary-request-id", &*id),
+            ("rosemary-idempotent", &*idempotent),
+            ("rosemary-attempt", "1"),
+        ];
+        let body = format!("{{\"token\":\"{id}\",\"run_ms\":20,\"length\":500}}");
+        let path = SERVICES[(number / 2) as usize % SERVICES.len()];
+        let gateway = number as usize % GATEWAYS;
+        let at_us = unix_us();
+        let answer = self
+            .operator
+            .send(gateway, "POST", path, &headers, body)
+            .await;
+        let call = Call {
+            at_us,
+            took_us: unix_us().saturating_sub(at_us),
+            outcome: Outcome::new(&answer),
+            what: What::Request,
+        };
+        self.with(|calls| calls.push(call));
+    }
+
+    async fn urgent(self: Arc<Self>, number: u64) {
+        let job = jobs::urgent(format!("urgent-{}-{number}", self.seed), number);
+        self.submit(job, number).await;
+    }
+
+    async fn batch(self: Arc<Self>, number: u64) {
+        let job = jobs::batch(format!("batch-{}-{number}", self.seed), number);
+        self.submit(job, number).await;
+    }
+
+    /// Submits a job until it is accepted or [`RESUBMIT_MAX`] is over.
+    async fn submit(self: Arc<Self>, job: Spec, number: u64) {
+        let body = serde_json::to_string(&job).unwrap_or_default();
+        let headers = [("rosemary-contract", CONTRACT)];
+        let begun = Instant::now();
+        let at_us = unix_us();
+        let mut first = None;
+        let mut gateway = number as usize % GATEWAYS;
+        let accepted_us = loop {
+            let answer = self
+                .operator
+                .send(gateway, "POST", "/v1/jobs", &headers, body.clone())
+                .await;
+            let outcome = Outcome::new(&answer);
+            first.get_or_insert((outcome, unix_us().saturating_sub(at_us)));
+            if outcome == Outcome::Completed {
+                break Some(unix_us());
+            }
+            if begun.elapsed() > RESUBMIT_MAX {
+                break None;
+            }
+            gateway = (gateway + 1) % GATEWAYS;
+            tokio::time::sleep(RESUBMIT_DELAY).await;
+        };
+        let (outcome, took_us) = first.unwrap_or((Outcome::NoAnswer, 0));
+        let call = Call {
+            at_us,
+            took_us,
+            outcome,
+            what: What::Job {
+                id: job.id.to_string(),
+                urgent: job.priority == Priority::Urgent,
+                accepted_us,
+            },
+        };
+        self.with(|calls| calls.push(call));
+    }
+}
--- a/xtask/src/measure/processes/operator.rs
+++ b/xtask/src/measure/processes/operator.rs
@@ -74,7 +74,7 @@
         expect(path, self.client.send(request).await)
     }
 
-    /// Calls a gateway as the customer `contract`.
+    /// Calls a gateway as the customer `contract`. Any status but success is an error.
     pub(super) async fn call(
         &self,
         gateway: usize,
@@ -83,6 +83,19 @@
         headers: &[(&str, &str)],
         body: String,
     ) -> Result<Response, Report<Error>> {
+        let answer = self.send(gateway, method, path, headers, body).await;
+        expect(path, answer)
+    }
+
+    /// Calls a gateway as the customer `contract` and returns whatever it answers.
+    pub(super) async fn send(
+        &self,
+        gateway: usize,
+        method: &'static str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Result<Response, rosemaryworks_node::http::Error> {
         let url = format!("http://127.0.0.1:{}{path}", self.ports.gateway(gateway));
         let mut request = Request::new(method, url, TIMEOUT)
             .header("authorization", &format!("Bearer {KEY}"))
@@ -91,7 +104,15 @@
         for (name, value) in headers {
             request = request.header(name, value);
         }
-        expect(path, self.client.send(request).await)
+        self.client.send(request).await
+    }
+
+    /// Injects a failure into the stand-in of the platform, or ends one.
+    pub(super) async fn inject(&self, fault: &Value) -> Result<(), Report<Error>> {
+        let url = format!("http://127.0.0.1:{}/v1/fault", self.ports.control());
+        let request = Request::new("POST", url, TIMEOUT).body(fault.to_string());
+        expect("/v1/fault", self.client.send(request).await)?;
+        Ok(())
     }
 
     /// Publishes a contract.
--- a/xtask/src/measure/processes/recovery.rs
+++ b/xtask/src/measure/processes/recovery.rs
@@ -11,6 +11,7 @@
 use rosemaryworks_core::size::Size;
 use serde_json::Value;
 
+use super::Options;
 use super::operator::{Operator, contract};
 use crate::cluster::Cluster;
 use crate::cluster::deployment::dala;
@@ -29,8 +30,8 @@
 const REST: Duration = Duration::from_secs(4);
 
 /// Kills owners, one after the other, and returns the times until urgent work started.
-pub(super) async fn rows(seed: u64) -> Result<Vec<Row>, Report<Error>> {
-    let (mut cluster, folder) = super::start(dala(), "recovery").await?;
+pub(super) async fn rows(options: &Options) -> Result<Vec<Row>, Report<Error>> {
+    let (mut cluster, folder) = super::start(dala(), options, "recovery").await?;
     let operator = Operator::new(&cluster);
     operator
         .publish(&contract(CONTRACT, &cluster.deployment))
@@ -38,7 +39,17 @@
     let mut times = Vec::new();
     for round in 0..ROUNDS {
         let shard = Id::pool("cpu", (round % 2) as u32);
-        times.push(kill(&mut cluster, &operator, &folder, &shard, seed, round).await?);
+        times.push(
+            kill(
+                &mut cluster,
+                &operator,
+                &folder,
+                &shard,
+                options.seed,
+                round,
+            )
+            .await?,
+        );
         tokio::time::sleep(REST).await;
         operator.owned().await?;
     }
--- a/xtask/tests/faults.rs
+++ b/xtask/tests/faults.rs
@@ -28,6 +28,20 @@
     assert!(!text.contains("log-down"), "{text}");
 }
 
+#[test]
+fn an_outage_of_the_log_lasts_as_long_as_asked_for() {
+    // Guards against a run of a long outage that ends after the usual one.
+    let arguments = ["--fault", "log-down", "--seconds", "610"];
+    let output = plan(&[&arguments[..], &["--outage-seconds", "600"]].concat());
+    let text = String::from_utf8(output.stdout).unwrap();
+    let outages: Vec<_> = text
+        .lines()
+        .filter(|line| line.contains("log-down"))
+        .collect();
+    assert_eq!(outages.len(), 1, "{text}");
+    assert!(outages[0].contains("5000 ms to  605000 ms"), "{text}");
+}
+
 #[test]
 fn unknown_failures_are_named() {
     // Guards against a misspelt name that passes as a run without failures.
