fix(scheduler): bound the request ids that wait for the log in a long outage

Cause: ids of requests dispatched without the log waited in the writer's queue until the log returned, so their memory grew with the length of the outage. The routing kernel remembers an id for 10 min and the fold drops older ones, so an intent that waited longer is needed by nobody.

Change: the writer drops intents after REMEMBER_MS while a write is under way. Ends, leases and other records wait as long as it takes; they are bounded by the tasks and jobs accepted before. The gauge `unwritten` shows how many records of a shard wait.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(shard.to_string(), "pool/cpu/0");
 //! ```
 
+pub mod backlog;
 pub mod contract;
 pub mod job;
 pub mod outcome;
--- a/crates/scheduler/src/hosted.rs
+++ b/crates/scheduler/src/hosted.rs
@@ -9,6 +9,7 @@
 use crate::service::Service;
 use crate::shared::Shared;
 use crate::term::Term;
+use crate::writer::Writer;
 
 /// The kernel of one owned shard and epoch. Clones share the kernel.
 #[derive(Clone)]
@@ -25,6 +26,14 @@
         }
     }
 
+    /// Returns the queue of records that wait for the log.
+    pub(crate) fn writer(&self) -> &Writer {
+        match self {
+            Self::Pool(pool) => &pool.writer,
+            Self::Service(service) => &service.writer,
+        }
+    }
+
     pub(crate) fn contract(&self, contract: &Arc<Contract>) {
         match self {
             Self::Pool(pool) => pool.feed(rosemaryworks_core::placement::Event::Contract(
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -32,6 +32,7 @@
     margins: Family<Shard, Gauge>,
     takeovers: Counter<u64, AtomicU64>,
     unsure: Family<Reason, Counter>,
+    unwritten: Family<Shard, Gauge>,
 }
 
 impl Counters {
@@ -79,6 +80,11 @@
                 "Requests answered as unknown, by reason",
                 Family::default(),
             ),
+            unwritten: metrics.register(
+                "unwritten",
+                "Ends, grants, request ids and other records that wait for the log, by shard",
+                Family::default(),
+            ),
         }
     }
 
@@ -140,6 +146,12 @@
         self.margins.get_or_create(&Shard { shard }).set(margin);
     }
 
+    pub(crate) fn unwritten(&self, shard: &str, count: usize) {
+        let shard = shard.to_owned();
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.unwritten.get_or_create(&Shard { shard }).set(count);
+    }
+
     /// Removes the gauges of a shard that is no longer owned.
     pub(crate) fn forget(&self, shard: &str) {
         let label = Shard {
@@ -147,6 +159,7 @@
         };
         self.queues.remove(&label);
         self.margins.remove(&label);
+        self.unwritten.remove(&label);
     }
 
     pub(crate) fn link_bytes(&self, sent: u64, received: u64) {
--- a/crates/scheduler/src/upkeep.rs
+++ b/crates/scheduler/src/upkeep.rs
@@ -46,12 +46,8 @@
     let records = lock(&shared.cell)
         .fold
         .restate(clock::now(), &term.shard, term.epoch, age_ms);
-    let writer = match hosted {
-        Hosted::Pool(pool) => &pool.writer,
-        Hosted::Service(service) => &service.writer,
-    };
     for record in records {
-        writer.push(Item::Record(Box::new(record)));
+        hosted.writer().push(Item::Record(Box::new(record)));
     }
 }
 
@@ -64,4 +60,6 @@
         Hosted::Service(service) => service.waiting(),
     };
     shared.counters.queue(&shard, queue);
+    let unwritten = hosted.writer().open();
+    shared.counters.unwritten(&shard, unwritten);
 }
--- a/crates/scheduler/src/writer.rs
+++ b/crates/scheduler/src/writer.rs
@@ -5,9 +5,13 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use rosemaryworks_core::backlog::Backlog;
 use rosemaryworks_core::job::{End, Task};
 use rosemaryworks_core::outcome::Request;
 use rosemaryworks_core::record::Cell;
+use rosemaryworks_core::time::Instant;
+use rosemaryworks_core::timing::REMEMBER_MS;
+use rosemaryworks_node::clock;
 use tokio::sync::mpsc;
 
 use crate::events;
@@ -20,6 +24,9 @@
 /// Most tasks, requests or records taken from the queue at once.
 const BATCH_MAX: usize = 500;
 
+/// Period at which items that are no longer needed are dropped while the log is away.
+const EXPIRE_PERIOD: Duration = Duration::from_secs(1);
+
 /// Something to be written under the epoch of the term.
 #[derive(Clone, Debug)]
 pub(crate) enum Item {
@@ -33,10 +40,24 @@
     Record(Box<Cell>),
 }
 
+impl Item {
+    /// Returns the time from which nobody needs the item, if it is pushed now. The id of a request
+    /// is remembered for [`REMEMBER_MS`]; everything else is needed whenever the log returns.
+    fn expires(&self) -> Option<Instant> {
+        matches!(self, Self::Intent { .. }).then(|| clock::now() + REMEMBER_MS)
+    }
+}
+
+/// An item with the time from which nobody needs it.
+type Pushed = (Item, Option<Instant>);
+
 /// Queue of one hosted shard. The order of items is kept.
+///
+/// While the log is away, intents are bounded by the ids that the routing kernel remembers, and
+/// everything else by the tasks and jobs that were accepted before.
 #[derive(Clone, Debug)]
 pub(crate) struct Writer {
-    items: mpsc::UnboundedSender<Item>,
+    items: mpsc::UnboundedSender<Pushed>,
     open: Arc<AtomicUsize>,
     /// Whether the last write failed.
     failing: Arc<AtomicBool>,
@@ -44,7 +65,7 @@
 
 impl Writer {
     /// Creates a writer. Returns it with the queue that [`Writer::run`] writes.
-    pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<Item>) {
+    pub(crate) fn new() -> (Self, mpsc::UnboundedReceiver<Pushed>) {
         let (items, receiver) = mpsc::unbounded_channel();
         let writer = Self {
             items,
@@ -57,11 +78,12 @@
     /// Queues an item.
     pub(crate) fn push(&self, item: Item) {
         self.open.fetch_add(1, Ordering::SeqCst);
+        let expires = item.expires();
         // The receiver ends only with the epoch, after which nothing may be written.
-        let _ = self.items.send(item);
+        let _ = self.items.send((item, expires));
     }
 
-    /// Returns the number of items not yet written.
+    /// Returns the number of items not yet written, without those that are no longer needed.
     pub(crate) fn open(&self) -> usize {
         self.open.load(Ordering::SeqCst)
     }
@@ -71,24 +93,55 @@
         self,
         shared: Arc<Shared>,
         term: impl AsRef<Term> + Send + 'static,
-        mut receiver: mpsc::UnboundedReceiver<Item>,
+        mut receiver: mpsc::UnboundedReceiver<Pushed>,
     ) {
-        let mut items = Vec::new();
+        let mut backlog = Backlog::default();
         loop {
-            let count = receiver.recv_many(&mut items, BATCH_MAX).await;
-            if count == 0 {
-                return;
+            if backlog.is_empty() {
+                match receiver.recv().await {
+                    Some((item, expires)) => backlog.push(item, expires),
+                    None => return,
+                }
             }
-            let records = records(term.as_ref(), std::mem::take(&mut items));
-            let writes = records.iter();
-            let writes = writes.map(|record| self.persist(&shared, term.as_ref(), record));
-            if join_all(writes).await.contains(&false) {
+            drain(&mut receiver, &mut backlog);
+            let items = backlog.take(BATCH_MAX);
+            let count = items.len();
+            let write = self.persist_all(&shared, term.as_ref(), items);
+            if !self.watch(write, &mut receiver, &mut backlog).await {
                 return;
             }
             self.open.fetch_sub(count, Ordering::SeqCst);
         }
     }
 
+    /// Waits for a write and meanwhile drops items that are no longer needed.
+    async fn watch(
+        &self,
+        write: impl Future<Output = bool>,
+        receiver: &mut mpsc::UnboundedReceiver<Pushed>,
+        backlog: &mut Backlog<Item>,
+    ) -> bool {
+        tokio::pin!(write);
+        loop {
+            tokio::select! {
+                goes_on = &mut write => return goes_on,
+                () = tokio::time::sleep(EXPIRE_PERIOD) => {
+                    drain(receiver, backlog);
+                    let dropped = backlog.expire(clock::now());
+                    self.open.fetch_sub(dropped, Ordering::SeqCst);
+                }
+            }
+        }
+    }
+
+    /// Writes items, however often it takes. Returns whether the epoch goes on.
+    async fn persist_all(&self, shared: &Shared, term: &Term, items: Vec<Item>) -> bool {
+        let records = records(term, items);
+        let writes = records.iter();
+        let writes = writes.map(|record| self.persist(shared, term, record));
+        !join_all(writes).await.contains(&false)
+    }
+
     /// Writes one record, however often it takes. Returns whether the epoch goes on.
     async fn persist(&self, shared: &Shared, term: &Term, record: &Cell) -> bool {
         while !term.is_over() {
@@ -115,6 +168,12 @@
     }
 }
 
+fn drain(receiver: &mut mpsc::UnboundedReceiver<Pushed>, backlog: &mut Backlog<Item>) {
+    while let Ok((item, expires)) = receiver.try_recv() {
+        backlog.push(item, expires);
+    }
+}
+
 /// Joins neighbouring items of one kind into one record.
 fn records(term: &Term, items: Vec<Item>) -> Vec<Cell> {
     let (shard, epoch) = (&term.shard, term.epoch);
