perf(placement): a new epoch closes no share of the pool until short work needs it

Cause: each epoch closed 20% of the workers to long work and to work whose run time isn't learned, and the share changed only while long work found no room. A pool without short work left a fifth of its workers empty.

Change: the share starts at 0 and follows the demand of short work, whether or not long work waits.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -314,14 +314,10 @@
     #[must_use]
     pub fn new(now: Instant, start: Start) -> Self {
         let policy = policy::Set::named(&start.policy);
-        let mut fleet = Fleet::default();
-        if policy.rules.closes {
-            fleet.close(mix::CLOSED_START_PERCENT);
-        }
         Self {
             began: now,
             random: random::Random::new(start.seed),
-            fleet,
+            fleet: Fleet::default(),
             policy,
             book: Book::default(),
             accounts: Accounts::default(),
--- a/crates/core/src/placement/mix.rs
+++ b/crates/core/src/placement/mix.rs
@@ -16,13 +16,11 @@
 const PEAK_KEPT_PERCENT: u64 = 95;
 /// Largest closed share in percent.
 const CLOSED_MAX_PERCENT: u64 = 50;
-/// Closed share of a new epoch in percent.
-pub(crate) const CLOSED_START_PERCENT: u64 = 20;
 /// Change of the closed share per review in percent, which bounds the work of one review.
 const CHANGE_PERCENT: u64 = 5;
 
 /// What kinds of work the pool ran lately.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Mix {
     /// Expected run times of placed tasks in milliseconds.
     expected: Quantile,
@@ -31,26 +29,12 @@
     peak: u64,
     /// Whether short work found no room since the last review.
     pub(crate) starved: bool,
-    /// Whether long work found no room since the last review.
-    pub(crate) long_waits: bool,
+    /// Closed share in percent. It starts at 0, because a share that no short work uses is lost to
+    /// long work and to work whose run time is not learned yet.
     percent: u64,
     reviewed: Instant,
 }
 
-impl Default for Mix {
-    fn default() -> Self {
-        Self {
-            expected: Quantile::default(),
-            short_held: 0,
-            peak: 0,
-            starved: false,
-            long_waits: false,
-            percent: CLOSED_START_PERCENT,
-            reviewed: Instant::default(),
-        }
-    }
-}
-
 impl Mix {
     /// Takes the expected run time of a placed task in milliseconds.
     pub(crate) fn placed(&mut self, expected_ms: u64) {
@@ -78,12 +62,6 @@
             true => CLOSED_MAX_PERCENT,
             false => needed.min(CLOSED_MAX_PERCENT),
         };
-        // Without long work that waits there is nothing to keep out.
-        let wanted = if std::mem::take(&mut mix.long_waits) {
-            wanted
-        } else {
-            mix.percent
-        };
         let percent = wanted.clamp(
             mix.percent.saturating_sub(CHANGE_PERCENT),
             mix.percent + CHANGE_PERCENT,
--- a/crates/core/src/placement/pick.rs
+++ b/crates/core/src/placement/pick.rs
@@ -136,7 +136,6 @@
                 misses.add(need.kind, need.long, &need.size);
             }
             self.mix.starved |= !need.long;
-            self.mix.long_waits |= need.long;
             self.consider_reservation(now, serial, need);
             return Outcome::NoRoom;
         };
