feat(scheduler): a takeover is in doubt only since the shard was last settled

Cause: whether an owner may have granted requests without the log was judged by the time since each scheduler last regarded the log as unreachable or was started. After any outage, or restarts in a row, every takeover within 120 s answered `unknown` to non-idempotent requests, although nothing was missing in the log.

Change: heartbeats are numbered and report per claim whether the shard is settled. The ownership kernel counts permits to grant without the log under its own lock (`permit`, `recorded` in place of `is_outage`), and counts only agreements to heartbeats after the last settled one. Schedulers remember whether they agreed since, and answers name the unsettled shards of which they are clear.

Tests: the random plans of ownership now write unlogged dispatches late, cut single schedulers from the log and have short outages; the times of dispatches no longer draw from the world's random numbers, so that plans are unaffected by their number. Six directed plans and two tests with hosted kernels.

Conclusion: an outage whose grants were written, and restarts in a row, leave no doubt.

--- a/crates/core/src/ownership.rs
+++ b/crates/core/src/ownership.rs
@@ -30,11 +30,12 @@
 mod peers;
 mod promises;
 mod settings;
+mod settlement;
 mod step;
 
 pub use choice::{candidate, limit};
 pub use kernel::Kernel;
 pub use ledger::{Holding, Ledger, Verdict};
-pub use message::{Heartbeat, LogView, Support};
+pub use message::{Claim, Heartbeat, LogView, Support};
 pub use settings::Settings;
 pub use step::{Doubt, Event, Step};
--- a/crates/core/src/ownership/kernel.rs
+++ b/crates/core/src/ownership/kernel.rs
@@ -1,19 +1,22 @@
 //! Claims shards and tells when this scheduler may act as their owner.
 
+mod outage;
+
 use std::collections::BTreeMap;
 
 use super::claims;
 use super::ledger::{Holding, Ledger, Verdict};
-use super::message::{Heartbeat, LogView, Support};
-use super::mine::Mine;
-use super::peers::{DOUBT_WINDOW_MS, Peers};
+use super::message::{Claim, Heartbeat, LogView, Support};
+use super::mine::{Mine, Vote};
+use super::peers::Peers;
 use super::promises::Promises;
 use super::settings::Settings;
+use super::settlement::Settlement;
 use super::step::{Doubt, Event, Step};
 use crate::record::{Cell, Offset};
 use crate::shard::{Epoch, Id};
 use crate::time::Instant;
-use crate::timing::{HEARTBEAT_MS, REPEAT_MS, SUPPORT_MS};
+use crate::timing::{HEARTBEAT_MS, REPEAT_MS};
 
 /// Period of heartbeats while a claim lacks support or an owner is suspected, in milliseconds.
 const HEARTBEAT_URGENT_MS: u64 = 100;
@@ -34,6 +37,7 @@
     ledger: Ledger,
     peers: Peers,
     promises: Promises,
+    settlement: Settlement,
     mine: BTreeMap<Id, Mine>,
     pending: BTreeMap<Id, Instant>,
     /// Times of the last and the second last `CaughtUp`.
@@ -42,6 +46,8 @@
     born: BTreeMap<Id, Instant>,
     log: LogView,
     next_beat: Instant,
+    /// Number of the last heartbeat.
+    sequence: u64,
     /// Since when heartbeats are more frequent.
     changing_since: Option<Instant>,
     stopping: bool,
@@ -58,12 +64,14 @@
             settings,
             ledger: Ledger::default(),
             promises: Promises::new(now),
+            settlement: Settlement::default(),
             mine: BTreeMap::new(),
             pending: BTreeMap::new(),
             caught_up: (None, None),
             born: BTreeMap::new(),
             log: LogView::default(),
             next_beat: now,
+            sequence: 0,
             changing_since: None,
             stopping: false,
         }
@@ -93,23 +101,6 @@
         })
     }
 
-    /// Tells whether a majority, this scheduler included, regards the log as unreachable and
-    /// supports this scheduler as the owner of `shard`.
-    #[must_use]
-    pub fn is_outage(&self, now: Instant, shard: &Id) -> bool {
-        let Some(mine) = self.mine.get(shard).filter(|mine| mine.active) else {
-            return false;
-        };
-        let agrees = |name: &str| match *name == *self.settings.name {
-            true => self.log.unreachable,
-            false => self.peers.log_unreachable(now, name),
-        };
-        let supporters = mine.support.iter();
-        let valid = supporters.filter(|(_, sent)| now < **sent + SUPPORT_MS);
-        let agreeing = valid.filter(|(name, _)| agrees(name)).count();
-        self.log.unreachable && agreeing >= self.settings.majority()
-    }
-
     /// Takes a heartbeat of a peer and returns the answer and what to do next.
     pub fn beat(&mut self, now: Instant, beat: &Heartbeat) -> (Support, Vec<Step>) {
         self.peers.running(now);
@@ -117,18 +108,26 @@
             .peers
             .beat(now, &beat.node, beat.incarnation, beat.stopping);
         let claimant = (&beat.node, beat.incarnation);
-        let claims = beat.claims.iter();
-        let supported = claims.filter(|(shard, epoch)| {
-            known
-                && self
-                    .promises
-                    .grant(now, &self.ledger, shard, *epoch, claimant)
-        });
-        let claims = supported.cloned().collect();
+        let caught_up = self.caught_up.0.is_some();
+        let (mut claims, mut clear) = (Vec::new(), Vec::new());
+        for claim in beat.claims.iter().filter(|_| known) {
+            let (shard, epoch) = (&claim.shard, claim.epoch);
+            let promises = &mut self.promises;
+            if promises.grant(now, &self.ledger, shard, epoch, claimant) {
+                let unreachable = self.log.unreachable;
+                self.settlement
+                    .supported(claim, beat.sequence, unreachable, caught_up);
+                claims.push((shard.clone(), epoch));
+            }
+            if !claim.settled && self.settlement.is_clear(shard) {
+                clear.push(shard.clone());
+            }
+        }
         let support = Support {
             node: self.settings.name.clone(),
             incarnation: self.settings.incarnation,
             claims,
+            clear,
             log: self.log,
             suspects: self.peers.suspects(now),
         };
@@ -183,8 +182,18 @@
             }
             Event::Skipped => self.ledger.skip(),
             Event::Stop => self.stop(now, &mut steps),
-            Event::Supported { sent, support } => self.supported(now, sent, &support),
-            Event::Tick(log) => self.log = log,
+            Event::Supported {
+                sent,
+                sequence,
+                support,
+            } => self.supported(now, sent, sequence, &support),
+            Event::Tick(log) => {
+                // Agreements count only in answer to a heartbeat that reports the shard as unsettled.
+                if log.unreachable && !self.log.unreachable {
+                    self.next_beat = now;
+                }
+                self.log = log;
+            }
         }
         steps.extend(self.next(now));
         steps
@@ -218,6 +227,9 @@
         let mine = Mine {
             epoch: holding.epoch,
             support: BTreeMap::new(),
+            votes: BTreeMap::new(),
+            settled: 0,
+            unlogged: 0,
             clean,
             released: before.filter(|b| b.released).map(|b| b.doubt_ms),
             majority_at: None,
@@ -253,14 +265,18 @@
         }
     }
 
-    fn supported(&mut self, now: Instant, sent: Instant, support: &Support) {
+    fn supported(&mut self, now: Instant, sent: Instant, sequence: u64, support: &Support) {
         if !self.peers.answered(now, sent, support) {
             return;
         }
+        let vote = Vote {
+            sequence,
+            sent,
+            unreachable: support.log.unreachable,
+        };
         for (shard, epoch) in &support.claims {
             if let Some(mine) = self.mine.get_mut(shard).filter(|m| m.epoch == *epoch) {
-                let last = mine.support.entry(support.node.clone()).or_insert(sent);
-                *last = sent.max(*last);
+                mine.support(&support.node, vote);
             }
         }
     }
@@ -346,27 +362,6 @@
         }
     }
 
-    /// Tells whether earlier owners may have dispatched requests without the log. A majority must
-    /// have regarded the log as unreachable for that.
-    fn doubt(&self, now: Instant, shard: &Id) -> Doubt {
-        let mine = &self.mine[shard];
-        if mine.clean || mine.released == Some(0) {
-            return Doubt::None;
-        }
-        if mine.released.is_some() {
-            return Doubt::Possible;
-        }
-        let age = self.born.get(shard).map(|born| now.since(*born));
-        let window = age.map_or(DOUBT_WINDOW_MS, |age| age.min(DOUBT_WINDOW_MS));
-        let asked = mine.majority_at.unwrap_or(now);
-        let own = usize::from(self.log.doubt_age_ms >= window);
-        let clear = own + self.peers.without_doubt(now, asked, window);
-        match clear + self.settings.majority() > self.settings.schedulers.len() {
-            true => Doubt::None,
-            false => Doubt::Possible,
-        }
-    }
-
     fn restate_when_due(&mut self, now: Instant, shard: &Id, steps: &mut Vec<Step>) {
         let mine = self.mine.get_mut(shard).expect("the shard is claimed");
         if mine.active && now >= mine.restate_at {
@@ -383,26 +378,50 @@
             return;
         }
         self.next_beat = now + self.beat_period(now);
+        self.sequence += 1;
+        let claims = self.own_claims(now);
+        steps.push(Step::Beat(Heartbeat {
+            node: self.settings.name.clone(),
+            incarnation: self.settings.incarnation,
+            sequence: self.sequence,
+            claims,
+            stopping: self.stopping,
+        }));
+        // A scheduler that is its own majority is supported from here on.
+        self.refresh(now, steps);
+    }
+
+    /// Returns the own claims for the heartbeat that is sent now, and supports them.
+    fn own_claims(&mut self, now: Instant) -> Vec<Claim> {
         let claimant = (&self.settings.name, self.settings.incarnation);
+        let vote = Vote {
+            sequence: self.sequence,
+            sent: now,
+            unreachable: self.log.unreachable,
+        };
+        let caught_up = self.caught_up.0.is_some();
         let mut claims = Vec::new();
         for (shard, mine) in &mut self.mine {
             if mine.releasing {
                 continue;
             }
+            let claim = Claim {
+                shard: shard.clone(),
+                epoch: mine.epoch,
+                settled: mine.is_settled(now, vote.unreachable),
+            };
+            if claim.settled {
+                mine.settled = vote.sequence;
+            }
             let own = &mut self.promises;
             if own.grant(now, &self.ledger, shard, mine.epoch, claimant) {
-                mine.support.insert(self.settings.name.clone(), now);
+                mine.support(&self.settings.name, vote);
+                self.settlement
+                    .supported(&claim, vote.sequence, vote.unreachable, caught_up);
             }
-            claims.push((shard.clone(), mine.epoch));
+            claims.push(claim);
         }
-        steps.push(Step::Beat(Heartbeat {
-            node: self.settings.name.clone(),
-            incarnation: self.settings.incarnation,
-            claims,
-            stopping: self.stopping,
-        }));
-        // A scheduler that is its own majority is supported from here on.
-        self.refresh(now, steps);
+        claims
     }
 
     /// Heartbeats are more frequent for a while, so that a takeover doesn't wait for the next one.
--- a/crates/core/src/ownership/message.rs
+++ b/crates/core/src/ownership/message.rs
@@ -13,6 +13,18 @@
     pub doubt_age_ms: u64,
 }
 
+/// A claim as its owner reports it in a heartbeat.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Claim {
+    /// Shard.
+    pub shard: Id,
+    /// Epoch that the claim created.
+    pub epoch: Epoch,
+    /// Whether the owner acts, can reach the log, has recorded every request that it granted
+    /// without the log, and no doubt period is running.
+    pub settled: bool,
+}
+
 /// A heartbeat: asks for support of claims.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Heartbeat {
@@ -20,8 +32,10 @@
     pub node: Arc<str>,
     /// Incarnation of the sender.
     pub incarnation: u64,
+    /// Number of the heartbeat, counted by the sender's incarnation from 1.
+    pub sequence: u64,
     /// Claims for which the sender asks for support.
-    pub claims: Vec<(Id, Epoch)>,
+    pub claims: Vec<Claim>,
     /// Whether the sender is about to stop and takes no shards.
     pub stopping: bool,
 }
@@ -35,6 +49,9 @@
     pub incarnation: u64,
     /// Claims supported.
     pub claims: Vec<(Id, Epoch)>,
+    /// Shards of the heartbeat's unsettled claims of which the supporter is clear. Only an owner
+    /// that doesn't act yet needs to know, and its claims are unsettled.
+    pub clear: Vec<Id>,
     /// How the supporter sees the log.
     pub log: LogView,
     /// Schedulers that the supporter has not heard of for so long that they may be down.
--- a/crates/core/src/ownership/peers.rs
+++ b/crates/core/src/ownership/peers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::message::{LogView, Support};
+use crate::shard::Id;
 use crate::time::Instant;
 use crate::timing::{REPEAT_MS, SUPPORT_MS, SUSPECT_MS};
 
@@ -30,6 +31,7 @@
     /// When the answer arrived.
     received: Instant,
     log: LogView,
+    clear: Vec<Id>,
     suspects: Vec<Arc<str>>,
 }
 
@@ -112,6 +114,7 @@
             sent,
             received: now,
             log: support.log,
+            clear: support.clear.clone(),
             suspects: support.suspects.clone(),
         });
         true
@@ -164,21 +167,23 @@
         others.filter(|(_, peer)| !deaf(peer)).count()
     }
 
-    /// Tells whether the last answer of `name` said that the log is unreachable.
-    pub(super) fn log_unreachable(&self, now: Instant, name: &str) -> bool {
-        let answer = self.get(name).and_then(|peer| peer.answer.as_ref());
-        answer.is_some_and(|a| a.log.unreachable && now.since(a.sent) < SUPPORT_MS)
-    }
-
-    /// Returns the number of peers that certainly did not regard the log as unreachable within
-    /// `window_ms` before now, as they said in answers to heartbeats sent at or after `asked`.
-    pub(super) fn without_doubt(&self, now: Instant, asked: Instant, window_ms: u64) -> usize {
+    /// Returns the number of peers that are clear of `shard`, or certainly did not regard the log as
+    /// unreachable within `window_ms` before now, as they said in answers to heartbeats sent at or
+    /// after `asked`.
+    pub(super) fn without_doubt(
+        &self,
+        now: Instant,
+        asked: Instant,
+        window_ms: u64,
+        shard: &Id,
+    ) -> usize {
         let clear = |peer: &&Peer| {
             let Some(answer) = &peer.answer else {
                 return false;
             };
             let doubtful = answer.received - answer.log.doubt_age_ms;
-            answer.sent >= asked && now.since(doubtful) >= window_ms
+            let clear = answer.clear.contains(shard) || now.since(doubtful) >= window_ms;
+            answer.sent >= asked && clear
         };
         self.peers.values().filter(clear).count()
     }
--- a/crates/core/src/ownership/step.rs
+++ b/crates/core/src/ownership/step.rs
@@ -30,6 +30,8 @@
     Supported {
         /// When the heartbeat was sent.
         sent: Instant,
+        /// Number of the heartbeat.
+        sequence: u64,
         /// The answer.
         support: Support,
     },
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -4,6 +4,8 @@
 mod world;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use rosemaryworks_core::ownership::Doubt;
+use rosemaryworks_core::shard::Id;
 use world::{Fault, World};
 
 /// Suspicion, claim, support and grant validity together take at most this long.
@@ -41,8 +43,11 @@
 fn fault(g: &mut Gen) -> Fault {
     let node = usize::arbitrary(g) % 6;
     let ms = u64::arbitrary(g) % 9_000;
-    match u8::arbitrary(g) % 6 {
+    match u8::arbitrary(g) % 9 {
         0 => Fault::LogDown { ms },
+        // Short outages in a row.
+        6 => Fault::LogDown { ms: ms % 1_500 },
+        7 => Fault::CutLog { node, ms },
         1 => Fault::Restart { node },
         2 => Fault::Stop { node },
         3 => Fault::Pause { node, ms },
@@ -173,3 +178,156 @@
         assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+/// Returns a world of five schedulers whose shards are settled and have owners.
+fn settled(seed: u64) -> World {
+    let mut world = World::new(5, 4, seed);
+    world.run(8_000);
+    world.activations.clear();
+    world
+}
+
+/// Returns the owner of `shard`.
+fn owner(world: &World, shard: &Id) -> usize {
+    world.owners(shard)[0].0
+}
+
+/// Returns what the last activation of `shard` said, if it had a new owner.
+fn last_doubt(world: &World, shard: &Id) -> Option<Doubt> {
+    let mut all = world.activations.iter().rev();
+    all.find(|(other, _)| other == shard)
+        .map(|(_, doubt)| *doubt)
+}
+
+/// Guards against a doubt that rests on the time of an outage alone, although everything that was
+/// dispatched in it is in the log.
+#[test]
+fn an_outage_that_is_written_leaves_no_doubt() {
+    for seed in 0..20 {
+        let mut world = settled(seed);
+        let shard = world.shards[0].clone();
+        world.inject(Fault::LogDown { ms: 10_000 });
+        world.run(12_000);
+        assert!(world.outage_dispatches > 0, "seed {seed}");
+        let node = owner(&world, &shard);
+        world.inject(Fault::Restart { node });
+        world.run(TAKEOVER_MAX_MS);
+        assert_eq!(last_doubt(&world, &shard), Some(Doubt::None), "seed {seed}");
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Guards against a takeover that dispatches a request again which an owner dispatched without the
+/// log before it was killed, also when the next owner is killed in its doubt period.
+#[test]
+fn an_owner_killed_in_an_outage_leaves_doubt() {
+    for seed in 0..20 {
+        let mut world = settled(seed);
+        let shard = world.shards[0].clone();
+        world.inject(Fault::LogDown { ms: 4_500 });
+        world.run(4_000);
+        assert!(world.outage_dispatches > 0, "seed {seed}");
+        for _ in 0..2 {
+            let node = owner(&world, &shard);
+            world.activations.clear();
+            world.inject(Fault::Restart { node });
+            world.run(TAKEOVER_MAX_MS);
+            let doubt = last_doubt(&world, &shard);
+            assert_eq!(doubt, Some(Doubt::Possible), "seed {seed}");
+        }
+    }
+}
+
+/// Guards against an owner that reports a shard as settled when the log is back but before what it
+/// dispatched without the log is written.
+#[test]
+fn a_shard_is_unsettled_until_everything_is_written() {
+    let mut dispatched = 0;
+    for seed in 0..6 {
+        for wait in 0..40 {
+            let mut world = World::new(3, 1, seed);
+            world.run(8_000);
+            let node = owner(&world, &world.shards[0]);
+            world.inject(Fault::LogDown { ms: 1_000 });
+            world.run(1_000 + 10 * wait);
+            dispatched += world.outage_dispatches;
+            world.inject(Fault::Restart { node });
+            world.run(TAKEOVER_MAX_MS);
+            let none = Vec::<String>::new();
+            assert_eq!(world.violations, none, "seed {seed}, wait {wait}");
+        }
+    }
+    assert!(dispatched > 0);
+}
+
+/// Guards against restarts in a row that leave every later takeover in doubt, because too many
+/// schedulers started lately.
+#[test]
+fn restarts_in_a_row_leave_no_doubt() {
+    for seed in 0..20 {
+        let mut world = settled(seed);
+        for node in 0..3 {
+            world.inject(Fault::Restart { node });
+            world.run(TAKEOVER_MAX_MS);
+        }
+        assert!(!world.activations.is_empty(), "seed {seed}");
+        for (shard, doubt) in &world.activations {
+            assert_eq!(*doubt, Doubt::None, "{shard}, seed {seed}");
+        }
+    }
+}
+
+/// Guards against outage mode that rests on agreements from before a heartbeat that reported the
+/// shard as settled: the peers that agreed are clear again.
+#[test]
+fn agreements_end_when_the_shard_is_settled() {
+    let mut dispatched = 0;
+    for seed in 0..6 {
+        // Some waits end while the answers to the first settled heartbeat are on their way.
+        for wait in 0..60 {
+            let mut world = World::new(3, 1, seed);
+            world.run(8_000);
+            let node = owner(&world, &world.shards[0]);
+            world.inject(Fault::LogDown { ms: 1_000 });
+            world.run(1_000 + 10 * wait);
+            dispatched += world.outage_dispatches;
+            for b in (0..3).filter(|b| *b != node) {
+                world.inject(Fault::Cut {
+                    a: node,
+                    b,
+                    ms: 500,
+                });
+            }
+            world.inject(Fault::LogDown { ms: 200 });
+            world.run(150);
+            world.inject(Fault::Restart { node });
+            world.run(TAKEOVER_MAX_MS);
+            let none = Vec::<String>::new();
+            assert_eq!(world.violations, none, "seed {seed}, wait {wait}");
+        }
+    }
+    assert!(dispatched > 0);
+}
+
+/// Guards against restarted schedulers that count as clear although their earlier incarnations
+/// agreed to outage mode.
+#[test]
+fn a_restarted_scheduler_is_not_clear() {
+    for seed in 0..20 {
+        let mut world = settled(seed);
+        let shard = world.shards[0].clone();
+        world.inject(Fault::LogDown { ms: 3_500 });
+        world.run(3_000);
+        assert!(world.outage_dispatches > 0, "seed {seed}");
+        let node = owner(&world, &shard);
+        for peer in 0..4 {
+            world.inject(Fault::Restart { node: node + peer });
+        }
+        world.run(TAKEOVER_MAX_MS);
+        assert_eq!(
+            last_doubt(&world, &shard),
+            Some(Doubt::Possible),
+            "seed {seed}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/core/tests/ownership/unlogged.rs
@@ -0,0 +1,48 @@
+//! How nodes write what they dispatched without the log.
+
+use rosemaryworks_core::record::Cell;
+
+use super::World;
+
+impl World {
+    /// Appends what the node dispatched without the log.
+    pub(super) fn write_dispatches(&mut self, index: usize) {
+        let open: Vec<_> = self.nodes[index].unlogged.keys().cloned().collect();
+        for (shard, epoch) in open {
+            let record = Cell::Intent {
+                shard,
+                epoch,
+                requests: Vec::new(),
+                at_unix_ms: self.now,
+            };
+            self.append(index, record, None);
+        }
+    }
+
+    /// Tells the kernel which dispatches are in the log, if `record` is the node's own and valid.
+    pub(super) fn read_back(&mut self, index: usize, record: &Cell) {
+        let Cell::Intent {
+            shard,
+            epoch,
+            at_unix_ms,
+            ..
+        } = record
+        else {
+            return;
+        };
+        let node = &mut self.nodes[index];
+        let holding = node.kernel.ledger().get(shard);
+        let valid = holding.is_some_and(|h| h.epoch == *epoch && !h.released);
+        let key = (shard.clone(), *epoch);
+        let Some(times) = node.unlogged.get_mut(&key).filter(|_| valid) else {
+            return;
+        };
+        let before = times.len();
+        times.retain(|time| time > at_unix_ms);
+        let written = (before - times.len()) as u64;
+        if times.is_empty() {
+            node.unlogged.remove(&key);
+        }
+        node.kernel.recorded(shard, *epoch, written);
+    }
+}
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -1,10 +1,13 @@
 //! Several ownership kernels over a fake log and a fake network, with faults.
 
+#[path = "unlogged.rs"]
+mod unlogged;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use rosemaryworks_core::ownership::{
-    Doubt, Event, Heartbeat, Kernel, LogView, Settings, Step, Support,
+    Doubt, Event, Heartbeat, Kernel, Ledger, LogView, Settings, Step, Support, Verdict,
 };
 use rosemaryworks_core::record::Cell;
 use rosemaryworks_core::shard::{Epoch, Id};
@@ -17,10 +20,13 @@
 const APPEND_MAX_MS: u64 = 120;
 /// An append whose answer was lost takes effect up to this much later.
 const LATE_MAX_MS: u64 = 4_000;
+/// Period at which a node appends what it dispatched without the log.
+const WRITE_MS: u64 = 100;
 
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Fault {
     Cut { a: usize, b: usize, ms: u64 },
+    CutLog { node: usize, ms: u64 },
     LogDown { ms: u64 },
     Pause { node: usize, ms: u64 },
     Restart { node: usize },
@@ -30,7 +36,7 @@
 enum Letter {
     Beat(Heartbeat, Instant),
     ClaimFailed(Id),
-    Support(Instant, Support),
+    Support(Instant, u64, Support),
 }
 
 struct Node {
@@ -41,7 +47,9 @@
     paused_until: u64,
     down_until: u64,
     doubt_at: u64,
-    unreachable: bool,
+    log_cut_until: u64,
+    /// Times of the node's dispatches that it has not read back.
+    unlogged: BTreeMap<(Id, Epoch), Vec<u64>>,
     stopping: bool,
 }
 
@@ -52,6 +60,8 @@
     pub(crate) shards: Vec<Id>,
     /// Records in the order in which they took effect.
     log: Vec<Cell>,
+    /// Fold of the log.
+    ledger: Ledger,
     /// Appends that take effect at a time.
     appends: Vec<(u64, Cell)>,
     log_down_until: u64,
@@ -59,10 +69,11 @@
     seed: u64,
     /// Last time at which the owner of an epoch could act.
     acted: BTreeMap<(Id, Epoch), u64>,
-    /// Dispatches without the log.
-    unlogged: BTreeMap<(Id, Epoch), u64>,
+    /// Times of dispatches that are not in the log.
+    unlogged: BTreeMap<(Id, Epoch), Vec<u64>>,
     released: BTreeSet<(Id, Epoch)>,
-    pub(crate) activations: usize,
+    /// First activations of epochs.
+    pub(crate) activations: Vec<(Id, Doubt)>,
     pub(crate) outage_dispatches: usize,
     pub(crate) violations: Vec<String>,
 }
@@ -77,6 +88,7 @@
             names,
             shards,
             log: Vec::new(),
+            ledger: Ledger::default(),
             appends: Vec::new(),
             log_down_until: 0,
             cuts: BTreeMap::new(),
@@ -84,7 +96,7 @@
             acted: BTreeMap::new(),
             unlogged: BTreeMap::new(),
             released: BTreeSet::new(),
-            activations: 0,
+            activations: Vec::new(),
             outage_dispatches: 0,
             violations: Vec::new(),
         };
@@ -111,7 +123,8 @@
             paused_until: 0,
             down_until: 0,
             doubt_at: self.now,
-            unreachable: false,
+            log_cut_until: 0,
+            unlogged: BTreeMap::new(),
             stopping: false,
         }
     }
@@ -131,6 +144,7 @@
                 let (a, b) = (a % count, b % count);
                 self.cuts.insert((a.min(b), a.max(b)), self.now + ms);
             }
+            Fault::CutLog { node, ms } => self.nodes[node % count].log_cut_until = self.now + ms,
             Fault::LogDown { ms } => self.log_down_until = self.now + ms,
             Fault::Pause { node, ms } => self.nodes[node % count].paused_until = self.now + ms,
             Fault::Restart { node } => {
@@ -158,6 +172,7 @@
         self.log_down_until = 0;
         for index in 0..self.nodes.len() {
             self.nodes[index].paused_until = 0;
+            self.nodes[index].log_cut_until = 0;
             if self.nodes[index].stopping {
                 self.restart(index, 0);
             }
@@ -185,7 +200,27 @@
             .into_iter()
             .partition::<Vec<_>, _>(|(at, _)| *at <= now);
         self.appends = later;
-        self.log.extend(due.into_iter().map(|(_, record)| record));
+        for (_, record) in due {
+            self.log.push(record.clone());
+            let verdict = self.ledger.apply(self.log.len() as u64, &record);
+            if let (
+                Cell::Intent {
+                    shard,
+                    epoch,
+                    at_unix_ms,
+                    ..
+                },
+                Verdict::Valid,
+            ) = (record, verdict)
+            {
+                let times = self.unlogged.entry((shard, epoch)).or_default();
+                times.retain(|time| *time > at_unix_ms);
+            }
+        }
+    }
+
+    fn reaches_log(&self, index: usize) -> bool {
+        self.now >= self.log_down_until && self.now >= self.nodes[index].log_cut_until
     }
 
     fn step(&mut self, index: usize) {
@@ -207,10 +242,13 @@
         if self.now.is_multiple_of(TICK_MS) {
             self.tick(index);
         }
+        if self.now.is_multiple_of(WRITE_MS) {
+            self.write_dispatches(index);
+        }
     }
 
     fn read(&mut self, index: usize) {
-        if self.now < self.log_down_until {
+        if !self.reaches_log(index) {
             return;
         }
         // A slow reader now and then.
@@ -222,15 +260,15 @@
             let offset = self.nodes[index].read as u64;
             let now = Instant(self.now);
             let steps = self.nodes[index].kernel.apply(now, offset, &record);
+            self.read_back(index, &record);
             self.carry_out(index, steps);
         }
         self.feed(index, Event::CaughtUp);
     }
 
     fn tick(&mut self, index: usize) {
-        let down = self.now < self.log_down_until;
+        let down = !self.reaches_log(index);
         let node = &mut self.nodes[index];
-        node.unreachable = down;
         if down {
             node.doubt_at = self.now;
         }
@@ -252,12 +290,17 @@
                 let now = Instant(self.now);
                 let (support, steps) = self.nodes[index].kernel.beat(now, &beat);
                 let to = self.index(&beat.node);
-                self.post(index, to, Letter::Support(sent, support));
+                self.post(index, to, Letter::Support(sent, beat.sequence, support));
                 self.carry_out(index, steps);
             }
             Letter::ClaimFailed(shard) => self.feed(index, Event::ClaimFailed(shard)),
-            Letter::Support(sent, support) => {
-                self.feed(index, Event::Supported { sent, support });
+            Letter::Support(sent, sequence, support) => {
+                let event = Event::Supported {
+                    sent,
+                    sequence,
+                    support,
+                };
+                self.feed(index, event);
             }
         }
     }
@@ -308,7 +351,7 @@
                     doubt_ms,
                 } => {
                     // The host records what it dispatched without the log before it releases.
-                    if self.now < self.log_down_until {
+                    if !self.reaches_log(index) {
                         continue;
                     }
                     self.unlogged.remove(&(shard.clone(), epoch));
@@ -336,7 +379,7 @@
     /// Appends a record. The answer may be lost, and the record may take effect late.
     fn append(&mut self, index: usize, record: Cell, claim: Option<Id>) {
         let lost = self.random(8) == 0;
-        if self.now < self.log_down_until && !lost {
+        if !self.reaches_log(index) && !lost {
             if let Some(shard) = claim {
                 let at = self.now + self.random(APPEND_MAX_MS);
                 self.nodes[index]
@@ -351,7 +394,9 @@
     }
 
     fn activated(&mut self, shard: Id, epoch: Epoch, doubt: Doubt, resumed: bool) {
-        self.activations += 1;
+        if !resumed {
+            self.activations.push((shard.clone(), doubt));
+        }
         for ((other, older), at) in &self.acted {
             if *other != shard || *older == epoch {
                 continue;
@@ -372,7 +417,8 @@
         if resumed || doubt == Doubt::Possible {
             return;
         }
-        for ((other, older), at) in &self.unlogged {
+        for ((other, older), times) in &self.unlogged {
+            let Some(at) = times.last() else { continue };
             if *other == shard && *older < epoch && self.now < *at + REPEAT_MS {
                 let now = self.now;
                 self.violations.push(format!(
@@ -405,11 +451,16 @@
             }
             for (index, epoch) in owners {
                 self.acted.insert((shard.clone(), epoch), self.now);
-                let node = &self.nodes[index];
-                let outage = node.kernel.is_outage(Instant(self.now), &shard);
-                if outage && self.now >= node.paused_until {
+                let asked = (self.now / STEP_MS).is_multiple_of(4);
+                if self.now < self.nodes[index].paused_until || !asked {
+                    continue;
+                }
+                let node = &mut self.nodes[index];
+                if node.kernel.permit(Instant(self.now), &shard, epoch) {
                     self.outage_dispatches += 1;
-                    self.unlogged.insert((shard.clone(), epoch), self.now);
+                    let key = (shard.clone(), epoch);
+                    node.unlogged.entry(key.clone()).or_default().push(self.now);
+                    self.unlogged.entry(key).or_default().push(self.now);
                 }
             }
         }
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use rosemaryworks_core::ownership::Heartbeat;
+use rosemaryworks_core::ownership::{Claim, Heartbeat};
 use rosemaryworks_core::routing::{Ask, Event};
 use rosemaryworks_core::shard::Id;
 use rosemaryworks_node::clock;
@@ -101,15 +101,24 @@
 }
 
 fn beat(shared: &Shared, beat: Beat) -> Message {
+    let settled = beat.settled.into_iter().chain(std::iter::repeat(false));
+    let claims = beat.claims.into_iter().zip(settled);
+    let claims = claims.map(|((shard, epoch), settled)| Claim {
+        shard,
+        epoch,
+        settled,
+    });
     let heartbeat = Heartbeat {
         node: beat.node,
         incarnation: beat.incarnation,
-        claims: beat.claims,
+        sequence: beat.sequence,
+        claims: claims.collect(),
         stopping: beat.stopping,
     };
     let support = shared.own(|kernel| kernel.beat(clock::now(), &heartbeat));
     Message::Supported {
         claims: support.claims,
+        clear: support.clear,
         log_unreachable: support.log.unreachable,
         log_doubt_age_ms: support.log.doubt_age_ms,
         suspects: support.suspects,
--- a/crates/scheduler/src/owner/beat.rs
+++ b/crates/scheduler/src/owner/beat.rs
@@ -18,10 +18,13 @@
 /// Sends `heartbeat` to every scheduler with an open link.
 pub(super) fn send(shared: &Arc<Shared>, heartbeat: &Heartbeat) {
     let log = shared.log_view();
+    let claims = heartbeat.claims.iter();
     let beat = Beat {
         node: heartbeat.node.clone(),
         incarnation: heartbeat.incarnation,
-        claims: heartbeat.claims.clone(),
+        sequence: heartbeat.sequence,
+        claims: claims.map(|c| (c.shard.clone(), c.epoch)).collect(),
+        settled: heartbeat.claims.iter().map(|c| c.settled).collect(),
         log_unreachable: log.unreachable,
         log_doubt_age_ms: log.doubt_age_ms,
         stopping: heartbeat.stopping,
@@ -36,15 +39,17 @@
 async fn exchange(shared: Arc<Shared>, peer: Peer, beat: Beat) {
     // Support is counted from a time at or before the sending.
     let sent = clock::now();
+    let sequence = beat.sequence;
     let Ok(reply) = peer.call(Message::Beat(beat), TIMEOUT).await else {
         return;
     };
-    take(&shared, &peer, sent, reply);
+    take(&shared, &peer, (sent, sequence), reply);
 }
 
-fn take(shared: &Shared, peer: &Peer, sent: Instant, reply: Message) {
+fn take(shared: &Shared, peer: &Peer, (sent, sequence): (Instant, u64), reply: Message) {
     let Message::Supported {
         claims,
+        clear,
         log_unreachable,
         log_doubt_age_ms,
         suspects,
@@ -56,11 +61,16 @@
         node: peer.hello().node.clone(),
         incarnation: peer.hello().incarnation,
         claims,
+        clear,
         log: LogView {
             unreachable: log_unreachable,
             doubt_age_ms: log_doubt_age_ms,
         },
         suspects,
     };
-    shared.ownership_event(Event::Supported { sent, support });
+    shared.ownership_event(Event::Supported {
+        sent,
+        sequence,
+        support,
+    });
 }
--- a/crates/scheduler/src/pool/steps.rs
+++ b/crates/scheduler/src/pool/steps.rs
@@ -182,7 +182,7 @@
 
     /// Keeps the grant in memory until the log returns, if this is allowed now.
     fn without_log(&self, shared: &Shared, task: &Task) -> bool {
-        let outage = self.term.holds() && shared.is_outage(&self.term.shard);
+        let outage = shared.permit(&self.term);
         if outage {
             self.writer.push(Item::Granted(task.clone()));
         }
--- a/crates/scheduler/src/service/steps.rs
+++ b/crates/scheduler/src/service/steps.rs
@@ -111,7 +111,7 @@
 
     /// Keeps the request in memory until the log returns, if this is allowed now.
     fn without_log(&self, shared: &Shared, request: &Request) -> bool {
-        let outage = self.term.holds() && shared.is_outage(&self.term.shard);
+        let outage = shared.permit(&self.term);
         // One line tells of all requests of an outage.
         let first = outage && !self.without_log.swap(true, Ordering::SeqCst);
         if first {
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -30,6 +30,7 @@
 use crate::readback::Readback;
 use crate::seen::Seen;
 use crate::settings::Settings;
+use crate::term::Term;
 
 /// Least time that a writer waits for the read-back of a record that was appended.
 const READBACK_MIN: Duration = Duration::from_millis(300);
@@ -172,10 +173,17 @@
         }
     }
 
-    /// Tells whether a majority regards the log as unreachable and supports this process as the
-    /// owner of `shard`.
-    pub(crate) fn is_outage(&self, shard: &Id) -> bool {
-        lock(&self.ownership).is_outage(clock::now(), shard)
+    /// Takes a permit for one grant without the log, if a majority agrees to that. The holder writes
+    /// the grant to the log later and then calls [`Self::recorded`].
+    pub(crate) fn permit(&self, term: &Term) -> bool {
+        let mut kernel = lock(&self.ownership);
+        term.holds() && kernel.permit(clock::now(), &term.shard, term.epoch)
+    }
+
+    /// Notes that the grants of `count` permits are in the log.
+    pub(crate) fn recorded(&self, term: &Term, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        lock(&self.ownership).recorded(&term.shard, term.epoch, count);
     }
 
     /// Returns the owner of `shard` that this process knows of.
--- a/crates/scheduler/src/writer.rs
+++ b/crates/scheduler/src/writer.rs
@@ -33,6 +33,13 @@
     Record(Box<Cell>),
 }
 
+impl Item {
+    /// Tells whether the item took a permit of the ownership kernel.
+    fn is_unlogged(&self) -> bool {
+        matches!(self, Self::Granted(_) | Self::Intent { .. })
+    }
+}
+
 /// Queue of one hosted shard. The order of items is kept.
 #[derive(Clone, Debug)]
 pub(crate) struct Writer {
@@ -79,6 +86,7 @@
             if count == 0 {
                 return;
             }
+            let unlogged = items.iter().filter(|item| item.is_unlogged()).count();
             let records = records(term.as_ref(), std::mem::take(&mut items));
             let writes = records.iter();
             let writes = writes.map(|record| self.persist(&shared, term.as_ref(), record));
@@ -86,6 +94,9 @@
                 return;
             }
             self.open.fetch_sub(count, Ordering::SeqCst);
+            if unlogged > 0 {
+                shared.recorded(term.as_ref(), unlogged);
+            }
         }
     }
 
--- a/crates/scheduler/tests/scheduler.rs
+++ b/crates/scheduler/tests/scheduler.rs
@@ -121,6 +121,44 @@
     assert!(is_granted(&verdict), "{verdict:?}");
 }
 
+/// Guards against a takeover that refuses requests for two minutes because of an outage in which
+/// every grant has reached the log since.
+#[test]
+fn a_written_outage_leaves_no_doubt() {
+    let mut cell = Cell::start(3);
+    let owner = cell.owner(&service()).unwrap();
+    cell.log.set_down(true);
+    std::thread::sleep(Duration::from_secs(3));
+    assert!(is_granted(&cell.ask(&owner, "r1", false)));
+    cell.log.set_down(false);
+    cell.wait_for("the intent is written", || {
+        !cell.log.find_text(CELL, "\"r1\"").is_empty()
+    });
+    // A failed append counts as an unreachable log for up to 5 s; then two heartbeats.
+    std::thread::sleep(Duration::from_secs(6));
+    cell.kill(&owner);
+    let verdict = cell.ask_owner("r2", false);
+    assert!(is_granted(&verdict), "{verdict:?}");
+    let again = cell.ask_owner("r1", false);
+    assert_eq!(again, Verdict::Unknown(Unknown::AlreadyDispatched));
+}
+
+/// Guards against a second dispatch of a request that the old owner granted without the log before
+/// it was killed.
+#[test]
+fn an_owner_killed_in_an_outage_leaves_doubt() {
+    let mut cell = Cell::start(3);
+    let owner = cell.owner(&service()).unwrap();
+    cell.log.set_down(true);
+    std::thread::sleep(Duration::from_secs(3));
+    assert!(is_granted(&cell.ask(&owner, "r1", false)));
+    cell.kill(&owner);
+    cell.log.set_down(false);
+    assert!(cell.log.find_text(CELL, "\"r1\"").is_empty());
+    let again = cell.ask_owner("r1", false);
+    assert_eq!(again, Verdict::Unknown(Unknown::Takeover));
+}
+
 /// Guards against a planned stop that callers notice, or that ends while a shard is not released.
 #[test]
 fn a_planned_stop_hands_over_at_once() {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -44,9 +44,16 @@
     /// Incarnation of the scheduler.
     #[serde(rename = "i")]
     pub incarnation: u64,
+    /// Number of the heartbeat, counted by the sender's incarnation.
+    #[serde(default, rename = "q")]
+    pub sequence: u64,
     /// Shards for which the scheduler asks for support.
     #[serde(rename = "c")]
     pub claims: Vec<(shard::Id, Epoch)>,
+    /// Whether the shard is settled, for each of `claims` in their order. Those without a value are
+    /// not.
+    #[serde(default, rename = "t", skip_serializing_if = "Vec::is_empty")]
+    pub settled: Vec<bool>,
     /// Whether the sender regards the log as unreachable now.
     #[serde(rename = "u")]
     pub log_unreachable: bool,
@@ -230,6 +237,10 @@
         /// Claims of the heartbeat that the sender supports.
         #[serde(rename = "c")]
         claims: Vec<(shard::Id, Epoch)>,
+        /// Shards of the heartbeat's unsettled claims of which the sender is clear: it can't have
+        /// helped their earlier owners to grant a request that is not in the log.
+        #[serde(default, rename = "k", skip_serializing_if = "Vec::is_empty")]
+        clear: Vec<shard::Id>,
         /// Whether the sender regards the log as unreachable now.
         #[serde(rename = "u")]
         log_unreachable: bool,
