--- a/crates/scheduler/src/writer.rs
+++ b/crates/scheduler/src/writer.rs
@@ -46,6 +46,11 @@
     fn expires(&self) -> Option<Instant> {
         matches!(self, Self::Intent { .. }).then(|| clock::now() + REMEMBER_MS)
     }
+
+    /// Tells whether the item took a permit of the ownership kernel.
+    fn is_unlogged(&self) -> bool {
+        matches!(self, Self::Granted(_) | Self::Intent { .. })
+    }
 }
 
 /// An item with the time from which nobody needs it.
@@ -106,31 +111,22 @@
             drain(&mut receiver, &mut backlog);
             let items = backlog.take(BATCH_MAX);
             let count = items.len();
+            let unlogged = items.iter().filter(|item| item.is_unlogged()).count();
             let write = self.persist_all(&shared, term.as_ref(), items);
-            if !self.watch(write, &mut receiver, &mut backlog).await {
+            let mut expired = |dropped| self.closed(&shared, term.as_ref(), dropped, dropped);
+            if !watch(write, &mut receiver, &mut backlog, &mut expired).await {
                 return;
             }
-            self.open.fetch_sub(count, Ordering::SeqCst);
+            self.closed(&shared, term.as_ref(), count, unlogged);
         }
     }
 
-    /// Waits for a write and meanwhile drops items that are no longer needed.
-    async fn watch(
-        &self,
-        write: impl Future<Output = bool>,
-        receiver: &mut mpsc::UnboundedReceiver<Pushed>,
-        backlog: &mut Backlog<Item>,
-    ) -> bool {
-        tokio::pin!(write);
-        loop {
-            tokio::select! {
-                goes_on = &mut write => return goes_on,
-                () = tokio::time::sleep(EXPIRE_PERIOD) => {
-                    drain(receiver, backlog);
-                    let dropped = backlog.expire(clock::now());
-                    self.open.fetch_sub(dropped, Ordering::SeqCst);
-                }
-            }
+    /// Notes that `count` items are written or no longer needed, `unlogged` of them with a permit of
+    /// the ownership kernel.
+    fn closed(&self, shared: &Shared, term: &Term, count: usize, unlogged: usize) {
+        self.open.fetch_sub(count, Ordering::SeqCst);
+        if unlogged > 0 {
+            shared.recorded(term, unlogged);
         }
     }
 
@@ -168,6 +164,26 @@
     }
 }
 
+/// Waits for a write and meanwhile drops items that are no longer needed. Only intents expire, and
+/// each of them has a permit.
+async fn watch(
+    write: impl Future<Output = bool>,
+    receiver: &mut mpsc::UnboundedReceiver<Pushed>,
+    backlog: &mut Backlog<Item>,
+    expired: &mut impl FnMut(usize),
+) -> bool {
+    tokio::pin!(write);
+    loop {
+        tokio::select! {
+            goes_on = &mut write => return goes_on,
+            () = tokio::time::sleep(EXPIRE_PERIOD) => {
+                drain(receiver, backlog);
+                expired(backlog.expire(clock::now()));
+            }
+        }
+    }
+}
+
 fn drain(receiver: &mut mpsc::UnboundedReceiver<Pushed>, backlog: &mut Backlog<Item>) {
     while let Ok((item, expires)) = receiver.try_recv() {
         backlog.push(item, expires);
