fix(wire): schedulers tell operators their targets and jobs in pages

Cause: one answer carried all jobs and targets of a scheduler's shards. Beyond 4 MiB it was dropped without a line in the log, and the scheduler counted as unreached. The pages that only need owners fetched it as well.

Change: `Inspect` names what is asked for (shards, targets or jobs) and where to go on; a page has at most 1,000 items, and the administration API reads all pages. The states of jobs are looked up for the page only. A reply that is too large is logged as E202.

--- a/crates/admin/src/cell.rs
+++ b/crates/admin/src/cell.rs
@@ -8,7 +8,7 @@
 use rosemaryworks_core::shard::{Epoch, Id};
 use rosemaryworks_core::view;
 use rosemaryworks_wire::link::Client;
-use rosemaryworks_wire::{Inspected, Message};
+use rosemaryworks_wire::{Inspected, Message, View};
 use serde::Serialize;
 
 use crate::api::Api;
@@ -61,20 +61,32 @@
     unreached: Vec<Arc<str>>,
 }
 
-async fn inspect(client: &Client) -> Option<Inspected> {
-    match client.call(Message::Inspect, CALL_TIMEOUT).await {
-        Ok(Message::Inspected(inspected)) => Some(*inspected),
-        _ => None,
+/// Returns all pages of what a scheduler tells, unless it fails to answer for one.
+async fn inspect(client: &Client, view: View) -> Option<Inspected> {
+    let mut all = Inspected::default();
+    loop {
+        let after = all.next.take();
+        let call = Message::Inspect { view, after };
+        let Ok(Message::Inspected(page)) = client.call(call, CALL_TIMEOUT).await else {
+            return None;
+        };
+        all.shards = page.shards;
+        all.targets.extend(page.targets);
+        all.jobs.extend(page.jobs);
+        all.next = page.next;
+        if all.next.is_none() {
+            return Some(all);
+        }
     }
 }
 
-async fn survey(api: &Api) -> Survey {
+async fn survey(api: &Api, view: View) -> Survey {
     let mut calls = Vec::new();
     for index in 0..api.schedulers.len() {
         let schedulers = api.schedulers.clone();
-        calls.push(tokio::spawn(
-            async move { inspect(&schedulers[index]).await },
-        ));
+        calls.push(tokio::spawn(async move {
+            inspect(&schedulers[index], view).await
+        }));
     }
     let mut survey = Survey {
         inspected: Vec::new(),
@@ -92,7 +104,7 @@
 
 /// Returns the schedulers, and the shards with their owners.
 pub(crate) async fn cell(api: Api) -> Cell {
-    let survey = survey(&api).await;
+    let survey = survey(&api, View::Shards).await;
     let unreached: BTreeSet<&Arc<str>> = survey.unreached.iter().collect();
     let schedulers = api.cell.schedulers.iter().map(|scheduler| Scheduler {
         name: scheduler.name.clone(),
@@ -131,7 +143,7 @@
 
 /// Returns the targets of all shards.
 pub(crate) async fn targets(api: Api) -> Partial<Target> {
-    let survey = survey(&api).await;
+    let survey = survey(&api, View::Targets).await;
     let targets = survey
         .inspected
         .into_iter()
@@ -148,7 +160,7 @@
 
 /// Returns the jobs of all shards.
 pub(crate) async fn jobs(api: Api) -> Partial<Status> {
-    let survey = survey(&api).await;
+    let survey = survey(&api, View::Jobs).await;
     let jobs = survey.inspected.into_iter().flat_map(|(_, all)| all.jobs);
     Partial {
         items: jobs.collect(),
@@ -158,7 +170,7 @@
 
 /// Returns the tasks of a job from the owner of its shard.
 pub(crate) async fn tasks(api: Api, job: job::Id) -> Answer<Vec<view::Task>> {
-    let survey = survey(&api).await;
+    let survey = survey(&api, View::Shards).await;
     for (name, inspected) in &survey.inspected {
         for (shard, _) in &inspected.shards {
             if let Some(tasks) = tasks_at(&api, name, shard, &job).await {
--- a/crates/admin/tests/api.rs
+++ b/crates/admin/tests/api.rs
@@ -9,7 +9,7 @@
 use rosemaryworks_core::size::Size;
 use rosemaryworks_core::target::State;
 use rosemaryworks_core::view;
-use rosemaryworks_wire::{Inspected, Message};
+use rosemaryworks_wire::{Inspected, Message, View};
 use serde_json::{Value, json};
 use support::fakes::{MemoryLog, TEAM_KEY, reply};
 use support::{Server, publication};
@@ -207,6 +207,7 @@
             condition: None,
         }],
         jobs: Vec::new(),
+        next: None,
     }
 }
 
@@ -215,7 +216,7 @@
 async fn the_cell_is_shown_from_its_schedulers() {
     let server = Server::start().await;
     server.scheduler.answer(|message| match message {
-        Message::Inspect => reply(Message::Inspected(Box::new(inspected()))),
+        Message::Inspect { .. } => reply(Message::Inspected(Box::new(inspected()))),
         Message::Tasks { job, .. } if &*job.job == "job-1" => reply(Message::TaskList(Vec::new())),
         _ => reply(Message::NoJob),
     });
@@ -241,6 +242,31 @@
     assert_eq!(server.call("GET", path, Value::Null).await.0, 404);
 }
 
+/// Guards against a list that ends with the first page.
+#[tokio::test]
+async fn all_pages_of_a_scheduler_are_shown() {
+    let server = Server::start().await;
+    server.scheduler.answer(|message| {
+        let Message::Inspect { view, after } = message else {
+            return reply(Message::NoJob);
+        };
+        assert_eq!(view, View::Targets);
+        let mut page = inspected();
+        page.next = match after.as_deref() {
+            None => Some("first".into()),
+            Some("first") => Some("second".into()),
+            Some(_) => None,
+        };
+        reply(Message::Inspected(Box::new(page)))
+    });
+    let (_, targets) = server.call("GET", "/v1/targets", Value::Null).await;
+    assert_eq!(
+        targets["items"].as_array().map(Vec::len),
+        Some(3),
+        "{targets}"
+    );
+}
+
 /// Guards against a body that fills the memory.
 #[tokio::test]
 async fn a_body_beyond_the_limit_is_refused() {
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -7,9 +7,10 @@
 use rosemaryworks_core::shard::Id;
 use rosemaryworks_node::clock;
 use rosemaryworks_wire::link::{Peer, Reply};
-use rosemaryworks_wire::{Beat, Inspected, Message, Submission, Verdict};
+use rosemaryworks_wire::{Beat, Message, Submission, Verdict};
 
 use crate::hosted::Hosted;
+use crate::inspect;
 use crate::pool::Pool;
 use crate::service::Service;
 use crate::shared::Shared;
@@ -47,7 +48,10 @@
             };
             now(feed(&shared, &shard, current, event))
         }
-        Message::Inspect => now(Message::Inspected(Box::new(inspect(&shared)))),
+        Message::Inspect { view, after } => {
+            let page = inspect::page(&shared, view, after.as_deref());
+            now(Message::Inspected(Box::new(page)))
+        }
         Message::OutstandingFinished { shard, key, finish } => {
             let current = hosted_service(&shared, &shard);
             let event = Event::OutstandingFinished { key, finish };
@@ -127,22 +131,6 @@
     }
 }
 
-fn inspect(shared: &Shared) -> Inspected {
-    let mut inspected = Inspected::default();
-    for hosted in shared.all_hosted() {
-        let term = hosted.term();
-        if !term.holds() {
-            continue;
-        }
-        inspected.shards.push((term.shard.clone(), term.epoch));
-        inspected.targets.extend(hosted.targets());
-        if let Hosted::Pool(pool) = &hosted {
-            inspected.jobs.extend(pool.jobs(shared));
-        }
-    }
-    inspected
-}
-
 fn hosted_service(shared: &Shared, shard: &Id) -> Option<Arc<Service>> {
     match shared.hosted(shard) {
         Some(Hosted::Service(service)) => Some(service),
--- /dev/null
+++ b/crates/scheduler/src/inspect.rs
@@ -0,0 +1,70 @@
+//! What this process tells operators about its own shards, in pages.
+
+use std::sync::Arc;
+
+use rosemaryworks_core::job::Id as JobId;
+use rosemaryworks_wire::{Inspected, View};
+
+use crate::hosted::Hosted;
+use crate::pool::Pool;
+use crate::shared::Shared;
+
+/// Most targets or jobs in one answer. With the longest names an item takes about 1 KB, so a page
+/// stays well below the largest frame.
+const PAGE_ITEMS: usize = 1_000;
+
+/// Returns the shards, and the items of `view` that follow the item `after`.
+pub(crate) fn page(shared: &Shared, view: View, after: Option<&str>) -> Inspected {
+    let hosted = shared.all_hosted().into_iter();
+    let held: Vec<Hosted> = hosted.filter(|hosted| hosted.term().holds()).collect();
+    let shards = held.iter().map(|hosted| {
+        let term = hosted.term();
+        (term.shard.clone(), term.epoch)
+    });
+    let mut inspected = Inspected {
+        shards: shards.collect(),
+        ..Inspected::default()
+    };
+    match view {
+        View::Jobs => {
+            let (jobs, next) = cut(jobs(shared, &held), after);
+            let statuses = jobs
+                .into_iter()
+                .filter_map(|(pool, id)| pool.status(shared, &id));
+            inspected.jobs = statuses.collect();
+            inspected.next = next;
+        }
+        View::Shards => {}
+        View::Targets => {
+            let targets = held.iter().flat_map(Hosted::targets);
+            let keyed = targets.map(|target| (format!("{} {}", target.shard, target.name), target));
+            (inspected.targets, inspected.next) = cut(keyed.collect(), after);
+        }
+    }
+    inspected
+}
+
+/// Returns the jobs of all shards with their keys. Their states are looked up only for a page.
+fn jobs(shared: &Shared, held: &[Hosted]) -> Vec<(String, (Arc<Pool>, JobId))> {
+    let pools = held.iter().filter_map(|hosted| match hosted {
+        Hosted::Pool(pool) => Some(pool),
+        Hosted::Service(_) => None,
+    });
+    let keyed = pools.flat_map(|pool| {
+        let ids = pool.ids(shared).into_iter();
+        ids.map(|id| (format!("{} {id}", pool.term.shard), (pool.clone(), id)))
+    });
+    keyed.collect()
+}
+
+/// Returns the page of items that follow `after` in the order of their keys, and the key after which
+/// the next page starts.
+fn cut<T>(mut items: Vec<(String, T)>, after: Option<&str>) -> (Vec<T>, Option<Arc<str>>) {
+    items.retain(|(key, _)| after.is_none_or(|after| **key > *after));
+    items.sort_by(|(one, _), (other, _)| one.cmp(other));
+    let more = items.len() > PAGE_ITEMS;
+    items.truncate(PAGE_ITEMS);
+    let next = items.last().filter(|_| more);
+    let next = next.map(|(key, _)| key.as_str().into());
+    (items.into_iter().map(|(_, item)| item).collect(), next)
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 mod follow;
 mod gateways;
 mod hosted;
+mod inspect;
 mod links;
 mod listing;
 mod lock;
--- a/crates/scheduler/src/pool/jobs.rs
+++ b/crates/scheduler/src/pool/jobs.rs
@@ -146,17 +146,11 @@
         running.or_else(recorded)
     }
 
-    /// Returns the status of every job for operators.
-    pub(crate) fn jobs(&self, shared: &Shared) -> Vec<Status> {
-        let ids: Vec<Id> = {
-            let cell = lock(&shared.cell);
-            let shard = cell.fold.shard(&self.term.shard);
-            let jobs = shard.map(|shard| shard.jobs.ids());
-            jobs.unwrap_or_default()
-        };
-        ids.iter()
-            .filter_map(|id| self.status(shared, id))
-            .collect()
+    /// Returns the ids of all jobs.
+    pub(crate) fn ids(&self, shared: &Shared) -> Vec<Id> {
+        let cell = lock(&shared.cell);
+        let shard = cell.fold.shard(&self.term.shard);
+        shard.map(|shard| shard.jobs.ids()).unwrap_or_default()
     }
 
     /// Answers the submission of an id that the log holds.
--- a/crates/scheduler/tests/moved.rs
+++ b/crates/scheduler/tests/moved.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use cell::{Cell, pool, service};
+use cell::{Cell, SHARDS_ONLY, pool, service};
 use rosemaryworks_core::job::{Spec, State};
 use rosemaryworks_core::outcome::{Request, Unknown};
 use rosemaryworks_core::record;
@@ -122,7 +122,7 @@
 /// Returns the current epoch of `shard`.
 fn epoch(cell: &Cell, shard: &Id) -> Epoch {
     let owner = cell.owner(shard).unwrap();
-    let Some(Message::Inspected(inspected)) = cell.call(&owner, Message::Inspect) else {
+    let Some(Message::Inspected(inspected)) = cell.call(&owner, SHARDS_ONLY) else {
         panic!("{owner} doesn't answer");
     };
     let found = inspected.shards.iter().find(|(other, _)| other == shard);
--- a/crates/scheduler/tests/scheduler.rs
+++ b/crates/scheduler/tests/scheduler.rs
@@ -7,13 +7,18 @@
 #[path = "support/targets.rs"]
 mod targets;
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use cell::{Cell, pool, service};
+use cell::{Cell, SHARDS_ONLY, pool, service};
 use rosemaryworks_core::job::State;
 use rosemaryworks_core::outcome::{NotRun, Unknown};
+use rosemaryworks_core::record;
 use rosemaryworks_platform::log::{CELL, CONTRACTS};
-use rosemaryworks_wire::{Submission, Verdict};
+use rosemaryworks_wire::{Message, Submission, Verdict, View};
+
+/// Jobs whose states together exceed the largest frame.
+const JOBS: usize = 32_000;
 
 /// Detection, claim, support and survey together take at most this long.
 const TAKEOVER_MAX: Duration = Duration::from_millis(8_300);
@@ -96,6 +101,48 @@
     assert_eq!(submissions.iter().filter(|it| **it == refused).count(), 50);
 }
 
+/// Guards against a list of jobs that exceeds the largest frame, so that the answer is never sent.
+#[test]
+fn jobs_are_listed_in_pages() {
+    let cell = Cell::start(1);
+    let owner = cell.owner(&pool()).unwrap();
+    let Some(Message::Inspected(inspected)) = cell.call(&owner, SHARDS_ONLY) else {
+        panic!("{owner} doesn't answer");
+    };
+    let owned = inspected.shards.iter().find(|(shard, _)| *shard == pool());
+    let epoch = owned.unwrap().1;
+    for index in 0..JOBS {
+        let job = Box::new(cell::job(&format!("{}-{index}", "x".repeat(58)), 60_000));
+        let submitted = record::Cell::Submitted {
+            shard: pool(),
+            epoch,
+            contract: "shops".into(),
+            job,
+            at_unix_ms: rosemaryworks_node::clock::unix_ms(),
+        };
+        cell.log.push(CELL, &submitted);
+    }
+    let last = format!("{}-{}", "x".repeat(58), JOBS - 1);
+    cell.wait_for("the jobs are read", || {
+        cell.status(&owner, &last, 0).is_some()
+    });
+    let (mut listed, mut pages, mut after) = (BTreeSet::new(), 0, None);
+    loop {
+        let view = View::Jobs;
+        let call = Message::Inspect { view, after };
+        let Some(Message::Inspected(page)) = cell.call(&owner, call) else {
+            panic!("{owner} doesn't answer for page {pages}");
+        };
+        listed.extend(page.jobs.into_iter().map(|status| status.id.job));
+        pages += 1;
+        after = page.next;
+        if after.is_none() {
+            break;
+        }
+    }
+    assert_eq!((listed.len(), pages), (JOBS, JOBS.div_ceil(1_000)));
+}
+
 /// Guards against an owner that grants after a pause in which another scheduler took over.
 #[test]
 fn a_paused_owner_grants_nothing_after_a_takeover() {
--- a/crates/scheduler/tests/support/cell.rs
+++ b/crates/scheduler/tests/support/cell.rs
@@ -20,7 +20,7 @@
 use rosemaryworks_scheduler::{Platform, Scheduler, Settings};
 use rosemaryworks_standin::port;
 use rosemaryworks_wire::link::{Client, Handler, Peer, Reply};
-use rosemaryworks_wire::{Hello, Message, Role, Submission, Verdict};
+use rosemaryworks_wire::{Hello, Message, Role, Submission, Verdict, View};
 use tokio::runtime::{Builder, Runtime};
 
 use crate::log::MemoryLog;
@@ -28,6 +28,11 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(15);
 
+pub(crate) const SHARDS_ONLY: Message = Message::Inspect {
+    view: View::Shards,
+    after: None,
+};
+
 pub(crate) struct Process {
     runtime: Runtime,
     scheduler: Option<Scheduler>,
@@ -230,7 +235,7 @@
 
     /// Returns the scheduler that serves `shard` now.
     pub(crate) fn owner(&self, shard: &Id) -> Option<Arc<str>> {
-        let serves = |name: &&Arc<str>| match self.call(name, Message::Inspect) {
+        let serves = |name: &&Arc<str>| match self.call(name, SHARDS_ONLY) {
             Some(Message::Inspected(inspected)) => inspected.shards.iter().any(|s| s.0 == *shard),
             _ => false,
         };
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,4 +8,4 @@
 mod message;
 
 pub use frame::{Error, FRAME_MAX_BYTES, Frame, Kind};
-pub use message::{Beat, Hello, Inspected, Message, Role, Snapshot, Submission, Verdict};
+pub use message::{Beat, Hello, Inspected, Message, Role, Snapshot, Submission, Verdict, View};
--- a/crates/wire/src/link/connection.rs
+++ b/crates/wire/src/link/connection.rs
@@ -292,11 +292,16 @@
     let reply = handler.call(&peer, frame.message);
     tokio::spawn(async move {
         let message = reply.await;
-        // A closed link needs no reply.
-        let _ = peer.send(Frame {
+        let sent = peer.send(Frame {
             id: frame.id,
             kind: Kind::Reply,
             message,
         });
+        // A closed link needs no reply. A caller whose reply is too large waits in vain.
+        if let Err(error) = sent
+            && matches!(error.fault, Fault::TooLarge)
+        {
+            log::warn!("E202 reply not sent: {error}");
+        }
     });
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -107,7 +107,18 @@
     Unknown,
 }
 
-/// What a scheduler tells operators about its own shards.
+/// What operators want to see of a scheduler's shards.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum View {
+    /// Shards and their jobs.
+    Jobs,
+    /// Shards only.
+    Shards,
+    /// Shards and their targets.
+    Targets,
+}
+
+/// What a scheduler tells operators about its own shards: a page of what was asked for.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Inspected {
     /// Shards owned, with their epochs.
@@ -116,6 +127,8 @@
     pub targets: Vec<view::Target>,
     /// Jobs of the owned shards.
     pub jobs: Vec<Status>,
+    /// Where the next page starts; `None` on the last one.
+    pub next: Option<Arc<str>>,
 }
 
 /// What a process that can't read the log takes from a peer.
@@ -168,7 +181,12 @@
     /// Notice, both directions, first on a link.
     Hello(Hello),
     /// Call, administration API to scheduler. Answered by `Inspected`.
-    Inspect,
+    Inspect {
+        /// What is asked for.
+        view: View,
+        /// `next` of the page before; `None` for the first page.
+        after: Option<Arc<str>>,
+    },
     /// Reply to `Inspect`.
     Inspected(Box<Inspected>),
     /// Reply to `Status` and `Tasks`: the owner has no such job.
