perf(wire): short field names in the messages of a request

Cause: half of the bytes of an ask, its verdict, the finish and its acknowledgement were field names.

Change: frames and these messages have short names on the wire, defaults are left out, and an instance is a sequence of its fields. Types that also appear in the log or in lists of the platform keep their names there.

The link bytes per request of CAPACITY.md (484 before) were not measured again with real processes.

--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -13,21 +13,28 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Kind {
     /// Expects a reply with the same id.
+    #[serde(rename = "c")]
     Call,
     /// Expects no reply.
+    #[serde(rename = "n")]
     Notice,
     /// Answers a call.
+    #[serde(rename = "r")]
     Reply,
 }
 
-/// One message between two processes.
+/// One message between two processes. Fields have short names on the wire, like those of the messages
+/// of which there are many.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Frame {
     /// Number of the exchange, chosen by the caller and unique on its side of the link.
+    #[serde(rename = "i")]
     pub id: u64,
     /// Role in the exchange.
+    #[serde(rename = "k")]
     pub kind: Kind,
     /// Content.
+    #[serde(rename = "m")]
     pub message: Message,
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -12,6 +12,8 @@
 use rosemaryworks_core::view;
 use serde::{Deserialize, Serialize};
 
+use crate::compact;
+
 /// Kind of process at the other end of a link.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Role {
@@ -63,17 +65,21 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Verdict {
     /// The request may be dispatched once, to this instance.
+    #[serde(rename = "g")]
     Granted {
         /// Epoch of the owner.
+        #[serde(rename = "e")]
         epoch: Epoch,
         /// Slot to report in `Finish`.
+        #[serde(rename = "l")]
         slot: Slot,
         /// Instance.
+        #[serde(rename = "t", with = "compact::instance")]
         instance: Instance,
         /// Milliseconds on the owner's clock from its receipt of the ask to a moment, not after the
         /// grant, at which it held majority support. Extends the validity of a grant that waited in
         /// the owner's queue.
-        #[serde(default)]
+        #[serde(default, rename = "w", skip_serializing_if = "is_zero")]
         waited_ms: u64,
     },
     /// The request was not run and won't be by this attempt.
@@ -146,10 +152,13 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
     /// Call, gateway to owner: asks for a slot. Answered by `Verdict`.
+    #[serde(rename = "a")]
     Ask {
         /// Service shard.
+        #[serde(rename = "s")]
         shard: shard::Id,
         /// The ask.
+        #[serde(rename = "a", with = "compact::ask")]
         ask: Ask,
     },
     /// Call, scheduler to scheduler: heartbeat. Answered by `Supported`.
@@ -163,19 +172,26 @@
         job: Id,
     },
     /// Reply without content.
+    #[serde(rename = "d")]
     Done,
     /// Call, gateway to owner: reports how a granted request ended. Answered by `Done`, or by
     /// `NotOwner` if the epoch is over and the new owner must be told by `OutstandingFinished`.
+    #[serde(rename = "f")]
     Finish {
         /// Service shard.
+        #[serde(rename = "s")]
         shard: shard::Id,
         /// Epoch of the grant.
+        #[serde(rename = "e")]
         epoch: Epoch,
         /// Slot of the grant.
+        #[serde(rename = "l")]
         slot: Slot,
         /// How it ended.
+        #[serde(rename = "f")]
         finish: Finish,
         /// Milliseconds from dispatch to the end of the answer.
+        #[serde(rename = "r")]
         run_ms: u64,
     },
     /// Notice, both directions, first on a link.
@@ -278,6 +294,7 @@
     /// Reply to `Status`.
     Told(Status),
     /// Reply to `Ask`.
+    #[serde(rename = "v")]
     Verdict(Verdict),
     /// Notice, gateway to owner: the ask is no longer needed.
     Withdraw {
@@ -287,3 +304,8 @@
         key: Key,
     },
 }
+
+#[allow(clippy::trivially_copy_pass_by_ref)] // The signature is serde's.
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
