test(gateway): callers who send nothing or half a request don't hold up a stop

Guards the HTTP server's part of a planned stop, which was bounded already: an idle connection, half a head and half a body.

--- a/crates/gateway/tests/process.rs
+++ b/crates/gateway/tests/process.rs
@@ -1,7 +1,7 @@
 //! The binary: settings, busy ports and the planned stop.
 
 use std::io::Write;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
@@ -150,3 +150,39 @@
     std::io::Read::read_to_string(&mut process.0.stderr.take().unwrap(), &mut text).unwrap();
     assert_eq!(text.matches("log is down at start").count(), 1, "{text}");
 }
+
+/// Guards against callers who hold up the stop with a connection on which they send nothing, or
+/// only a part of a request.
+#[tokio::test]
+async fn half_sent_requests_do_not_hold_up_the_stop() {
+    let (listen, admin) = (port::unused().port(), port::unused().port());
+    let path = file("half-sent.json", &settings(listen, admin).to_string());
+    let mut process = Process(command(&path).stderr(Stdio::null()).spawn().unwrap());
+    let end = Instant::now() + Duration::from_secs(10);
+    while TcpStream::connect(("127.0.0.1", listen)).is_err() {
+        assert!(Instant::now() < end, "the process doesn't listen");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let head = "POST /v1/services/booking HTTP/1.1\r\nhost: gateway\r\ncontent-length: 10\r\n";
+    let sent = ["", head, &format!("{head}\r\nab")];
+    let callers = sent.map(|text| {
+        let mut caller = TcpStream::connect(("127.0.0.1", listen)).unwrap();
+        caller.write_all(text.as_bytes()).unwrap();
+        caller
+    });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    terminate(&process);
+    let started = Instant::now();
+    let status = loop {
+        if let Some(status) = process.0.try_wait().unwrap() {
+            break status;
+        }
+        assert!(
+            started.elapsed() < Duration::from_secs(10),
+            "the process does not stop"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert_eq!(status.code(), Some(0));
+    drop(callers);
+}
