--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -13,6 +13,8 @@
 use rosemaryworks_core::view;
 use serde::{Deserialize, Serialize};
 
+use crate::compact;
+
 /// Kind of process at the other end of a link.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Role {
@@ -71,17 +73,21 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Verdict {
     /// The request may be dispatched once, to this instance.
+    #[serde(rename = "g")]
     Granted {
         /// Epoch of the owner.
+        #[serde(rename = "e")]
         epoch: Epoch,
         /// Slot to report in `Finish`.
+        #[serde(rename = "l")]
         slot: Slot,
         /// Instance.
+        #[serde(rename = "t", with = "compact::instance")]
         instance: Instance,
         /// Milliseconds on the owner's clock from its receipt of the ask to a moment, not after the
         /// grant, at which it held majority support. Extends the validity of a grant that waited in
         /// the owner's queue.
-        #[serde(default)]
+        #[serde(default, rename = "w", skip_serializing_if = "is_zero")]
         waited_ms: u64,
     },
     /// The request was not run and won't be by this attempt.
@@ -115,7 +121,18 @@
     Unknown,
 }
 
-/// What a scheduler tells operators about its own shards.
+/// What operators want to see of a scheduler's shards.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum View {
+    /// Shards and their jobs.
+    Jobs,
+    /// Shards only.
+    Shards,
+    /// Shards and their targets.
+    Targets,
+}
+
+/// What a scheduler tells operators about its own shards: a page of what was asked for.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Inspected {
     /// Shards owned, with their epochs.
@@ -124,6 +141,8 @@
     pub targets: Vec<view::Target>,
     /// Jobs of the owned shards.
     pub jobs: Vec<Status>,
+    /// Where the next page starts; `None` on the last one.
+    pub next: Option<Arc<str>>,
 }
 
 /// What a process that can't read the log takes from a peer.
@@ -141,10 +160,13 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
     /// Call, gateway to owner: asks for a slot. Answered by `Verdict`.
+    #[serde(rename = "a")]
     Ask {
         /// Service shard.
+        #[serde(rename = "s")]
         shard: shard::Id,
         /// The ask.
+        #[serde(rename = "a", with = "compact::ask")]
         ask: Ask,
     },
     /// Call, scheduler to scheduler: heartbeat. Answered by `Supported`.
@@ -158,25 +180,37 @@
         job: Id,
     },
     /// Reply without content.
+    #[serde(rename = "d")]
     Done,
     /// Call, gateway to owner: reports how a granted request ended. Answered by `Done`, or by
     /// `NotOwner` if the epoch is over and the new owner must be told by `OutstandingFinished`.
+    #[serde(rename = "f")]
     Finish {
         /// Service shard.
+        #[serde(rename = "s")]
         shard: shard::Id,
         /// Epoch of the grant.
+        #[serde(rename = "e")]
         epoch: Epoch,
         /// Slot of the grant.
+        #[serde(rename = "l")]
         slot: Slot,
         /// How it ended.
+        #[serde(rename = "f")]
         finish: Finish,
         /// Milliseconds from dispatch to the end of the answer.
+        #[serde(rename = "r")]
         run_ms: u64,
     },
     /// Notice, both directions, first on a link.
     Hello(Hello),
     /// Call, administration API to scheduler. Answered by `Inspected`.
-    Inspect,
+    Inspect {
+        /// What is asked for.
+        view: View,
+        /// `next` of the page before; `None` for the first page.
+        after: Option<Arc<str>>,
+    },
     /// Reply to `Inspect`.
     Inspected(Box<Inspected>),
     /// Reply to `Status` and `Tasks`: the owner has no such job.
@@ -277,6 +311,7 @@
     /// Reply to `Status`.
     Told(Status),
     /// Reply to `Ask`.
+    #[serde(rename = "v")]
     Verdict(Verdict),
     /// Notice, gateway to owner: the ask is no longer needed.
     Withdraw {
@@ -286,3 +321,8 @@
         key: Key,
     },
 }
+
+#[allow(clippy::trivially_copy_pass_by_ref)] // The signature is serde's.
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
