fix(xtask): the control scenario waits until its contract is in force

Cause: the setting with 2,000 tasks submits its job right after the publish.

Change: the submission is repeated for at most 12 s, the time within which a contract is in force.

--- a/xtask/src/measure/processes/control.rs
+++ b/xtask/src/measure/processes/control.rs
@@ -16,6 +16,10 @@
 const SETTLE: Duration = Duration::from_secs(6);
 const PERIOD: Duration = Duration::from_secs(20);
 const PUBLISHERS: usize = 50;
+
+/// Time within which an accepted contract is in force everywhere.
+const IN_FORCE_MAX: Duration = Duration::from_secs(12);
+const SUBMIT_RETRY: Duration = Duration::from_millis(100);
 const CALLERS: usize = 20;
 
 /// Size and load of one run.
@@ -113,9 +117,7 @@
     let operator = Operator::new(&cluster);
     publish(&operator, &cluster.deployment, setting.contracts).await?;
     if setting.tasks > 0 {
-        operator
-            .submit("measure-0", &watchers(setting.tasks))
-            .await?;
+        submit(&operator, &watchers(setting.tasks)).await?;
     }
     let load = tokio::spawn(load(operator, setting.requests, SETTLE + PERIOD * 2));
     tokio::time::sleep(SETTLE).await;
@@ -149,6 +151,18 @@
     Ok(())
 }
 
+/// Submits a job once its contract is in force at the owner of its shard. An accepted contract may
+/// reach that scheduler later than the gateway that published it.
+async fn submit(operator: &Operator, job: &Spec) -> Result<(), Report<Error>> {
+    let started = Instant::now();
+    loop {
+        match operator.submit("measure-0", job).await {
+            Err(_) if started.elapsed() < IN_FORCE_MAX => tokio::time::sleep(SUBMIT_RETRY).await,
+            result => return result,
+        }
+    }
+}
+
 /// Returns a job of long-running tasks.
 fn watchers(tasks: u32) -> Spec {
     Spec {
