perf(scheduler): two runtime threads instead of one per core

Cause: tokio's default is a thread per core, ten on the measuring machine. Each wake-up of an idle process also wakes threads that look for work and find none.

Change: setting `runtime_threads`, default 2, as the gateway has it. Two, so that a long decision of one kernel does not hold up heartbeats.

--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -62,6 +62,7 @@
     }
     let platform = platform(&settings);
     let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.runtime_threads)
         .enable_all()
         .build();
     let runtime = runtime.unwrap_or_else(|error| {
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -34,6 +34,9 @@
     /// Milliseconds for which the platform's log keeps records.
     #[serde(default = "default_retention_ms")]
     pub retention_ms: u64,
+    /// Threads that carry links, kernels and calls.
+    #[serde(default = "default_runtime_threads")]
+    pub runtime_threads: usize,
 }
 
 fn default_policy() -> Arc<str> {
@@ -44,6 +47,12 @@
     3_600_000
 }
 
+/// With a thread per core, as the library has it, each wake-up of an idle process also wakes threads
+/// that look for work.
+fn default_runtime_threads() -> usize {
+    2
+}
+
 impl Check for Settings {
     fn check(&self, faults: &mut Faults) {
         faults.require_name(&self.node, "node");
@@ -67,6 +76,12 @@
             "retention_ms",
             format!("must be at least {RETENTION_MIN_MS} ms"),
         );
+        let allowed = 1..=64;
+        faults.require(
+            allowed.contains(&self.runtime_threads),
+            "runtime_threads",
+            "must be 1 to 64 threads",
+        );
         self.cell.check(faults);
     }
 }
--- a/crates/scheduler/tests/support/cell.rs
+++ b/crates/scheduler/tests/support/cell.rs
@@ -137,6 +137,7 @@
             log: Default::default(),
             placement_policy: "default".into(),
             retention_ms: self.retention_ms,
+            runtime_threads: 1,
         };
         let platform = Platform {
             log: Arc::new(self.log.clone()),
