perf(scheduler): kernels name the time at which they are told the time next

Cause: each service shard ticked every 100 ms (20 ms while an ask waited) and each pool shard every 200 ms (50 ms while a job was open), whether anything was due or not.

Change: `next_due(now)` of the routing and placement kernels. Hosts sleep until then or until an event names an earlier time; the former periods are the least gaps between two ticks. A tick before the reported time changes no step.

Tests: placement and routing tests drive each kernel twice, with frequent ticks and with due ones, and compare every step (support/twin.rs, support/pair.rs), also in the random tests. With a due time left out they fail: worker looked at, delayed tasks, end of the survey, review of the closed share, reservations, slots, instances (probe, comparison), queued asks, classification (routing_due.rs), rest of a bounded tick (`what_one_tick_leaves_over_is_due_at_once`). The due time of promotions was left out again, because no step depends on it: a promotion only orders jobs that wait, and then the tick is due anyway.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -5,6 +5,7 @@
 
 mod account;
 mod admission;
+mod due;
 mod failures;
 mod fleet;
 mod index;
--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -282,6 +282,11 @@
         self.due.insert((at, slot));
     }
 
+    /// Returns when the next worker is to be looked at.
+    pub(crate) fn first_due(&self) -> Option<Instant> {
+        self.due.first().map(|due| due.0)
+    }
+
     /// Returns the next worker to look at if its time has come.
     pub(crate) fn next_due(&self, now: Instant) -> Option<Slot> {
         let (at, slot) = self.due.first()?;
--- a/crates/core/src/placement/link.rs
+++ b/crates/core/src/placement/link.rs
@@ -72,6 +72,11 @@
             };
             self.wake(now, slot);
         }
+        self.settled |= self.settles_at().is_some_and(|at| at <= now);
+    }
+
+    /// Returns when all leases of earlier epochs are known, if that only takes time.
+    pub(crate) fn settles_at(&self) -> Option<Instant> {
         let surveyed = self.listed && self.fleet.unsurveyed == 0;
         // Without the workers listed lately, one that is no longer listed may still run tasks.
         let wait_ms = if self.recalled {
@@ -79,7 +84,7 @@
         } else {
             LEASE_LAPSED_MS
         };
-        self.settled |= surveyed && now.since(self.began) >= wait_ms;
+        (surveyed && !self.settled).then_some(self.began + wait_ms)
     }
 
     /// Handles a `Sync` that failed or whose answer was lost.
--- a/crates/core/src/placement/mix.rs
+++ b/crates/core/src/placement/mix.rs
@@ -9,7 +9,7 @@
 /// Expected run time below which no work is long, in milliseconds.
 const LONG_MIN_MS: u64 = 30_000;
 /// Milliseconds between two reviews of the closed share.
-const REVIEW_MS: u64 = 10_000;
+pub(crate) const REVIEW_MS: u64 = 10_000;
 /// Room for short work relative to the most that it held lately, in percent.
 const HEADROOM_PERCENT: u64 = 125;
 /// Part of the earlier peak that remains after a review, in percent.
@@ -34,7 +34,7 @@
     /// Whether long work found no room since the last review.
     pub(crate) long_waits: bool,
     percent: u64,
-    reviewed: Instant,
+    pub(crate) reviewed: Instant,
 }
 
 impl Default for Mix {
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -18,6 +18,7 @@
 mod bucket;
 mod demand;
 mod dispatch;
+mod due;
 mod fleet;
 mod instance;
 mod learned;
@@ -230,6 +231,8 @@
     unreported: bool,
     /// Whether the list of instances arrived.
     listed: bool,
+    /// Whether an event since the last `Tick` may change how contracts are classified.
+    stirred: bool,
 }
 
 impl Kernel {
@@ -256,6 +259,7 @@
             unsurveyed,
             unreported: false,
             listed: false,
+            stirred: false,
             start,
         }
     }
@@ -263,6 +267,7 @@
     /// Takes an event and returns what to do next.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Step> {
         self.now = self.now.max(now);
+        self.stirred = !matches!(event, Event::Tick);
         let mut steps = Vec::new();
         match event {
             Event::Ask(ask) => self.ask(ask, &mut steps),
--- a/crates/core/src/routing/demand.rs
+++ b/crates/core/src/routing/demand.rs
@@ -5,6 +5,9 @@
 /// Milliseconds over which demand is summed.
 const WINDOW_MS: u64 = 500;
 
+/// Windows without requests after which nothing is left of any demand.
+const WINDOWS_MAX: u64 = 1_000;
+
 /// Weight of the newest window when demand rises, and when it falls.
 const RISE_WEIGHT: f64 = 0.5;
 const FALL_WEIGHT: f64 = 0.05;
@@ -25,12 +28,31 @@
 
 impl Demand {
     /// Adds a request that is expected to take `cost_ms` of slot time.
-    pub(crate) fn add(&mut self, cost_ms: f64) {
+    pub(crate) fn add(&mut self, now: Instant, cost_ms: f64) {
+        self.rest(now);
         self.cost_ms += cost_ms;
     }
 
+    /// Returns when the window ends, if requests were added to it.
+    pub(crate) fn ends_at(&self) -> Option<Instant> {
+        (self.cost_ms > 0.0).then_some(self.begin + WINDOW_MS)
+    }
+
+    /// Ends the windows without requests, which are not worth a wake-up of their own.
+    fn rest(&mut self, now: Instant) {
+        if self.cost_ms > 0.0 {
+            return;
+        }
+        let windows = now.since(self.begin) / WINDOW_MS;
+        for _ in 0..windows.min(WINDOWS_MAX) {
+            self.slots -= self.slots * FALL_WEIGHT;
+        }
+        self.begin = self.begin + windows * WINDOW_MS;
+    }
+
     /// Ends the window if it is long enough.
     pub(crate) fn update(&mut self, now: Instant) {
+        self.rest(now);
         let elapsed = now.since(self.begin);
         if elapsed < WINDOW_MS {
             return;
--- /dev/null
+++ b/crates/core/src/routing/due.rs
@@ -0,0 +1,59 @@
+//! When the kernel needs to be told the time next.
+
+use super::Kernel;
+use super::slots::{Held, Phase};
+use super::takeover::CONFIRM_MS;
+use crate::time::Instant;
+use crate::timing::DEADLINE_MAX_MS;
+
+impl Kernel {
+    /// Returns the next time at which a `Tick` may change something, `now` if work is left over, or
+    /// `None` if only an event can.
+    ///
+    /// An earlier `Tick` changes no step. Any event may change the answer.
+    #[must_use]
+    pub fn next_due(&self, now: Instant) -> Option<Instant> {
+        if self.stirred || self.is_busy() {
+            return Some(now);
+        }
+        let times = [
+            self.memory.first_due(),
+            self.tenants.reclassified_at(),
+            self.slot_due(),
+            self.instance_due(),
+        ];
+        let next = times.into_iter().flatten().min()?;
+        Some(next.max(now))
+    }
+
+    /// Tells whether asks wait for a slot, so that the time should be told without delay.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.tenants.len() > 0
+    }
+
+    /// Returns when a slot is doubted or freed next because of its age, or an earlier time.
+    fn slot_due(&self) -> Option<Instant> {
+        let aged = self.slots.before(self.now - DEADLINE_MAX_MS);
+        let aged = aged.iter().filter_map(|slot| self.slots.get(*slot));
+        let overdue = aged.filter_map(|held| match held.phase {
+            Phase::Doubted { until, .. } => Some(until),
+            Phase::Granted | Phase::Outstanding => Some(self.now),
+            Phase::Reserved(_) => None,
+        });
+        let next = self.slots.first_after(self.now - DEADLINE_MAX_MS);
+        let next = next.map(|held: &Held| held.since + DEADLINE_MAX_MS);
+        overdue.chain(next).min()
+    }
+
+    /// Returns when an instance is probed next, or what may run there changes because of its age.
+    fn instance_due(&self) -> Option<Instant> {
+        let compares = self.is_surveyed();
+        let times = self.fleet.iter().flat_map(|(_, instance)| {
+            let compared = instance.compares_from().filter(|_| compares);
+            let compared = compared.map(|answered| answered + CONFIRM_MS);
+            [instance.probe_due(), instance.expires_at(), compared]
+        });
+        times.flatten().min()
+    }
+}
--- a/crates/core/src/routing/instance.rs
+++ b/crates/core/src/routing/instance.rs
@@ -220,11 +220,28 @@
 
     /// Tells whether to probe the instance now.
     pub(crate) fn wants_probe(&self, now: Instant) -> bool {
+        self.probe_due().is_some_and(|at| at <= now)
+    }
+
+    /// Returns when to probe the instance.
+    pub(crate) fn probe_due(&self) -> Option<Instant> {
         let doubtful = self.out || !self.counted || self.doubted > 0 || self.unknown > 0;
-        let waiting = self
-            .probe
-            .is_some_and(|sent| now.since(sent) < PROBE_LOST_MS);
-        self.listed && doubtful && !waiting && now >= self.retry
+        let lost = self.probe.map(|sent| sent + PROBE_LOST_MS);
+        let at = lost.map_or(self.retry, |lost| lost.max(self.retry));
+        (self.listed && doubtful).then_some(at)
+    }
+
+    /// Returns when requests without a known grant have surely ended.
+    pub(crate) fn expires_at(&self) -> Option<Instant> {
+        (self.unknown > 0).then_some(self.unknown_until)
+    }
+
+    /// Returns since when grants of earlier epochs may be compared with the last count.
+    pub(crate) fn compares_from(&self) -> Option<Instant> {
+        let count = self.count.filter(|count| !count.confirmed);
+        count
+            .filter(|_| self.unknown > 0)
+            .map(|count| count.answered)
     }
 
     /// Notes that a probe is sent. The oldest unanswered probe counts.
--- a/crates/core/src/routing/memory.rs
+++ b/crates/core/src/routing/memory.rs
@@ -62,6 +62,11 @@
         self.since.remove(&self.seed.hash_one(request));
     }
 
+    /// Returns when the next identity is old enough to be dropped.
+    pub(crate) fn first_due(&self) -> Option<Instant> {
+        self.order.front().map(|(since, _)| *since + REMEMBER_MS)
+    }
+
     /// Drops identities that are old enough.
     pub(crate) fn expire(&mut self, now: Instant) {
         for _ in 0..EXPIRE_PER_CALL {
--- a/crates/core/src/routing/slots.rs
+++ b/crates/core/src/routing/slots.rs
@@ -78,6 +78,11 @@
         chosen.map(|(slot, _)| *slot).collect()
     }
 
+    /// Returns the first slot taken after `limit`.
+    pub(crate) fn first_after(&self, limit: Instant) -> Option<&Held> {
+        self.held.values().find(|held| held.since > limit)
+    }
+
     /// Returns the slots taken at `limit` or before.
     pub(crate) fn before(&self, limit: Instant) -> Vec<Slot> {
         let old = self.held.iter().take_while(|(_, held)| held.since <= limit);
--- a/crates/core/src/routing/takeover.rs
+++ b/crates/core/src/routing/takeover.rs
@@ -17,7 +17,7 @@
 const ARRIVE_MS: u64 = 50;
 
 /// Milliseconds within which a gateway reports the end of a request.
-const CONFIRM_MS: u64 = 500;
+pub(super) const CONFIRM_MS: u64 = 500;
 
 impl Kernel {
     /// Takes a gateway's answer to the survey.
@@ -37,7 +37,7 @@
     }
 
     /// Tells whether gateways accounted for everything that earlier owners granted.
-    fn is_surveyed(&self) -> bool {
+    pub(super) fn is_surveyed(&self) -> bool {
         !self.start.clean && !self.unreported && self.unsurveyed.is_empty()
     }
 
--- a/crates/core/src/routing/tenants.rs
+++ b/crates/core/src/routing/tenants.rs
@@ -47,6 +47,8 @@
     short_demand: Demand,
     /// Part of the weight of active contracts that belongs to those of short requests.
     short_part: f64,
+    /// When the next active contract ceases to be protected, as of the last classification.
+    protected_until: Option<Instant>,
 }
 
 impl Tenants {
@@ -109,7 +111,7 @@
         self.next += 1;
         let seq = FIRST + self.next;
         if !self.all[tenant].long {
-            self.short_demand.add(self.cost(tenant));
+            self.short_demand.add(now, self.cost(tenant));
         }
         self.insert(now, tenant, seq, waiting);
         seq
@@ -272,5 +274,14 @@
             }
         }
         self.short_part = if total > 0.0 { short / total } else { 0.0 };
+        let active = self.all.iter().filter(|tenant| is_active(tenant));
+        let ends = active.map(|tenant| tenant.active + PROTECT_MS);
+        self.protected_until = ends.min();
+    }
+
+    /// Returns when the classes change without a further event.
+    pub(crate) fn reclassified_at(&self) -> Option<Instant> {
+        let times = [self.short_demand.ends_at(), self.protected_until];
+        times.into_iter().flatten().min()
     }
 }
--- a/crates/core/tests/placement_faults.rs
+++ b/crates/core/tests/placement_faults.rs
@@ -2,6 +2,8 @@
 
 #![allow(missing_docs, unreachable_pub, dead_code)]
 
+#[path = "support/twin.rs"]
+mod twin;
 #[path = "support/vm.rs"]
 mod vm;
 #[path = "support/world.rs"]
@@ -176,3 +178,23 @@
         Some(1)
     );
 }
+
+/// Guards against a bounded tick whose rest is not due: the tasks beyond the first 2,000 of a job
+/// taken over would never end. The world checks that ticks which aren't due change no step.
+#[test]
+fn what_one_tick_leaves_over_is_due_at_once() {
+    let mut world = World::new(0, 1);
+    let spec = Spec {
+        tasks: 2_500,
+        restart: false,
+        ..job("j")
+    };
+    let id = world.submit(spec);
+    for index in 0..2_500 {
+        let job = id.clone();
+        world.granted.insert(Task { job, index });
+    }
+    world.take_over(9_000);
+    assert!(world.run_until_ended(10_000));
+    assert_eq!(world.outcomes[&id], JobState::Lost);
+}
--- /dev/null
+++ b/crates/core/tests/routing_due.rs
@@ -0,0 +1,103 @@
+//! Due times of the routing kernel that random orders of events don't reach.
+
+#[path = "support/cell.rs"]
+mod cell;
+#[path = "support/pair.rs"]
+mod pair;
+
+use rosemaryworks_core::contract::Service;
+use rosemaryworks_core::outcome::Finish;
+use rosemaryworks_core::routing::{Ask, Event, Key, Step};
+use rosemaryworks_core::target::State;
+use rosemaryworks_core::time::Instant;
+
+use cell::{contract, instance, request};
+use pair::Pair;
+
+const LIMITS: Service = Service {
+    rate: 1_000,
+    burst: 1_000,
+    concurrency: 100,
+    queue: 100,
+};
+const SLOTS: u32 = 8;
+/// Finished requests from which run times are learned.
+const LEARNED: u64 = 8;
+
+struct Shard {
+    now: u64,
+    next: u64,
+    kernel: Pair,
+}
+
+impl Shard {
+    fn new() -> Self {
+        let now = 1_000_000;
+        let mut shard = Self {
+            now,
+            next: 0,
+            kernel: Pair::of(now, (true, false), &["g"], &[]),
+        };
+        shard.feed(contract("short", LIMITS));
+        shard.feed(contract("long", LIMITS));
+        shard.feed(Event::Listed(vec![(instance("i0", SLOTS), State::Live)]));
+        shard
+    }
+
+    fn feed(&mut self, event: Event) -> Vec<Step> {
+        self.kernel.handle(Instant(self.now), event)
+    }
+
+    fn wait(&mut self, millis: u64) {
+        for _ in 0..millis / 20 {
+            self.now += 20;
+            self.feed(Event::Tick);
+        }
+    }
+
+    fn ask(&mut self, name: &str) -> Vec<Step> {
+        self.next += 1;
+        let number = self.next;
+        self.feed(Event::Ask(Ask {
+            key: Key {
+                gateway: "g".into(),
+                number,
+            },
+            request: request(name, &number.to_string()),
+            idempotent: true,
+            attempt: None,
+            remaining_ms: 10_000,
+            exclude: Vec::new(),
+        }))
+    }
+
+    fn run(&mut self, name: &str, run_ms: u64) {
+        let steps = self.ask(name);
+        let [Step::Grant { slot, .. }] = steps.as_slice() else {
+            panic!("not granted: {steps:?}");
+        };
+        self.wait(run_ms);
+        self.feed(Event::Finished {
+            slot: *slot,
+            finish: Finish::Answered,
+            run_ms,
+        });
+    }
+}
+
+/// Guards against a class that is found only long after the event that decides it: a burst of long
+/// requests would take all slots. The pair checks that ticks which aren't due change no step.
+#[test]
+fn a_contract_is_classified_soon_after_its_requests_end() {
+    let mut shard = Shard::new();
+    for _ in 0..LEARNED {
+        shard.run("short", 20);
+    }
+    for _ in 0..LEARNED {
+        shard.run("long", 1_000);
+    }
+    shard.wait(20);
+    let burst = (0..SLOTS).flat_map(|_| shard.ask("long"));
+    let granted = burst.filter(|step| matches!(step, Step::Grant { .. }));
+    assert!(granted.count() < SLOTS as usize);
+}
--- a/crates/core/tests/routing_random.rs
+++ b/crates/core/tests/routing_random.rs
@@ -4,6 +4,8 @@
 mod cell;
 #[path = "support/grant.rs"]
 mod grant;
+#[path = "support/pair.rs"]
+mod pair;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -11,13 +13,14 @@
 use quickcheck::{Gen, QuickCheck};
 use rosemaryworks_core::contract::Service;
 use rosemaryworks_core::outcome::{Finish, Request};
-use rosemaryworks_core::routing::{Ask, Event, Kernel, Key, Outstanding, Slot, Start, Step};
+use rosemaryworks_core::routing::{Ask, Event, Key, Outstanding, Slot, Step};
 use rosemaryworks_core::target::State;
 use rosemaryworks_core::time::Instant;
 use rosemaryworks_core::timing::{DEADLINE_MAX_MS, GRANT_VALID_MS, REMEMBER_MS, REPEAT_MS};
 
-use cell::{contract, instance, request, start};
+use cell::{contract, instance, request};
 use grant::Grant;
+use pair::Pair;
 
 const SLOTS: u32 = 3;
 const LIMITS: Service = Service {
@@ -38,7 +41,7 @@
     now: u64,
     epoch: u64,
     epoch_start: u64,
-    kernel: Kernel,
+    kernel: Pair,
     numbers: [u64; 3],
     unsurveyed: BTreeSet<usize>,
     states: BTreeMap<Arc<str>, State>,
@@ -54,23 +57,13 @@
     probes: Vec<(Arc<str>, u64, Option<u32>)>,
 }
 
-fn kernel(now: u64, clean: bool, doubt: bool, logged: &[(Request, u64)]) -> Kernel {
-    let age = |(request, at): &(Request, u64)| (request.clone(), now - at);
-    let start = Start {
-        remembered: logged.iter().map(age).collect(),
-        doubt,
-        ..start(clean, &GATEWAYS)
-    };
-    Kernel::new(Instant(now), start)
-}
-
 impl World {
     fn new() -> Self {
         let mut world = Self {
             now: 1_000_000,
             epoch: 0,
             epoch_start: 1_000_000,
-            kernel: kernel(1_000_000, true, false, &[]),
+            kernel: Pair::of(1_000_000, (true, false), &GATEWAYS, &[]),
             numbers: [0; 3],
             unsurveyed: BTreeSet::new(),
             states: INSTANCES.map(|name| (name.into(), State::Live)).into(),
@@ -454,7 +447,7 @@
         self.admitted.clear();
         self.open.clear();
         self.probes.clear();
-        self.kernel = kernel(now, false, doubt, &self.logged);
+        self.kernel = Pair::of(now, (false, doubt), &GATEWAYS, &self.logged);
         self.unsurveyed = BTreeSet::from([0, 1, 2]);
         self.configure();
     }
@@ -487,10 +480,8 @@
         world.settle();
         true
     }
-    let number = |name, default| {
-        let value = std::env::var(name).ok();
-        value.and_then(|text| text.parse().ok()).unwrap_or(default)
-    };
+    let value = |name| std::env::var(name).ok()?.parse().ok();
+    let number = |name, default| value(name).unwrap_or(default);
     let run: fn(Vec<(u8, u8, u16)>) -> bool = run;
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(600, number("ROUTING_SEED", 1)))
--- /dev/null
+++ b/crates/core/tests/support/twin.rs
@@ -0,0 +1,57 @@
+//! Two placement kernels that take the same events. One is told the time whenever the host likes,
+//! the other one only when the time that it reported has come.
+
+use std::ops::Deref;
+
+use rosemaryworks_core::placement::{Event, Kernel, Start, Step};
+use rosemaryworks_core::target::Worker;
+use rosemaryworks_core::time::Instant;
+
+/// A kernel that is told the time often, checked against one that is told it when due.
+pub struct Twin {
+    often: Kernel,
+    due: Kernel,
+    /// Ticks of the host, and those among them that were due.
+    pub ticks: (u64, u64),
+}
+
+impl Twin {
+    pub fn new(now: Instant, start: Start) -> Self {
+        Self {
+            often: Kernel::new(now, start.clone()),
+            due: Kernel::new(now, start),
+            ticks: (0, 0),
+        }
+    }
+
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Step> {
+        let skipped = matches!(event, Event::Tick) && !self.is_due(now);
+        self.ticks.0 += u64::from(matches!(event, Event::Tick));
+        self.ticks.1 += u64::from(matches!(event, Event::Tick) && !skipped);
+        let name = format!("{event:?}");
+        let due = match skipped {
+            true => Vec::new(),
+            false => self.due.handle(now, event.clone()),
+        };
+        let often = self.often.handle(now, event);
+        assert_eq!(often, due, "a due time is missing before {name} at {now:?}");
+        often
+    }
+
+    pub fn recall(&mut self, now: Instant, workers: Vec<Worker>) {
+        self.due.recall(now, workers.clone());
+        self.often.recall(now, workers);
+    }
+
+    fn is_due(&self, now: Instant) -> bool {
+        self.due.next_due(now).is_some_and(|at| at <= now)
+    }
+}
+
+impl Deref for Twin {
+    type Target = Kernel;
+
+    fn deref(&self) -> &Kernel {
+        &self.often
+    }
+}
--- a/crates/core/tests/support/world.rs
+++ b/crates/core/tests/support/world.rs
@@ -5,14 +5,13 @@
 
 use rosemaryworks_core::contract::Contract;
 use rosemaryworks_core::job::{End, Id, Kind, Spec, State as JobState, Task};
-use rosemaryworks_core::placement::{
-    Attempt, Event, Finished, Kernel, Report, Restored, Result, Step,
-};
+use rosemaryworks_core::placement::{Attempt, Event, Finished, Report, Restored, Result, Step};
 use rosemaryworks_core::size::Size;
 use rosemaryworks_core::target::{State, Worker};
 use rosemaryworks_core::time::Instant;
 use rosemaryworks_core::timing::LEASE_MS;
 
+use super::twin::Twin;
 use super::vm::{Live, Vm, start};
 pub use super::vm::{contract, job};
 
@@ -42,7 +41,7 @@
 /// One shard with its workers, log and kernel.
 pub struct World {
     pub now: u64,
-    pub kernel: Kernel,
+    pub kernel: Twin,
     pub vms: BTreeMap<Arc<str>, Vm>,
     /// Jobs submitted.
     pub jobs: BTreeMap<Id, (Spec, u64)>,
@@ -75,7 +74,7 @@
         let start = start(true, "default", seed);
         let mut world = Self {
             now: 1_000,
-            kernel: Kernel::new(Instant(1_000), start),
+            kernel: Twin::new(Instant(1_000), start),
             vms: BTreeMap::new(),
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
@@ -184,7 +183,7 @@
     pub fn take_over(&mut self, gap_ms: u64) {
         self.epoch += 1;
         self.run_without_kernel(gap_ms);
-        self.kernel = Kernel::new(Instant(self.now), start(false, self.policy, self.seed));
+        self.kernel = Twin::new(Instant(self.now), start(false, self.policy, self.seed));
         for contract in self.contracts.clone() {
             self.feed(Event::Contract(contract));
         }
--- a/crates/scheduler/src/hosted.rs
+++ b/crates/scheduler/src/hosted.rs
@@ -71,8 +71,8 @@
         self.term().end();
         self.suspend();
         match self {
-            Self::Pool(pool) => pool.wake(),
-            Self::Service(_) => {}
+            Self::Pool(pool) => pool.end(),
+            Self::Service(service) => service.end(),
         }
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -28,6 +28,7 @@
 mod snapshot;
 mod survey;
 mod term;
+mod timer;
 mod upkeep;
 mod writer;
 
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -5,11 +5,11 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, Weak};
-use std::time::Duration;
 
 use rosemaryworks_core::job::Task;
-use rosemaryworks_core::placement::{Attempt, Event, Kernel, Start};
+use rosemaryworks_core::placement::{Attempt, Event, Kernel, Start, Step};
 use rosemaryworks_core::target::{State, Worker};
+use rosemaryworks_core::time::Instant;
 use rosemaryworks_core::view;
 use rosemaryworks_node::clock;
 use rosemaryworks_platform::directory::Listing;
@@ -18,12 +18,14 @@
 use crate::lock::lock;
 use crate::shared::Shared;
 use crate::term::Term;
+use crate::timer::{self, Timer};
 use crate::writer::Writer;
 
-const TICK: Duration = Duration::from_millis(50);
+/// Least time between two ticks in milliseconds; bounds the work of one tick and joins due times.
+const TICK_MS: u64 = 50;
 
-/// Period while no job is open.
-const TICK_IDLE: Duration = Duration::from_millis(200);
+/// The same while no task waits or runs.
+const TICK_IDLE_MS: u64 = 200;
 
 /// The placement kernel of one shard and epoch.
 pub(crate) struct Pool {
@@ -37,6 +39,7 @@
 
 struct Inner {
     kernel: Kernel,
+    timer: Timer,
     workers: HashMap<Arc<str>, Worker>,
     listed: Vec<(Worker, State)>,
     /// Attempts that were placed or reported last, of tasks whose end isn't recorded.
@@ -54,6 +57,7 @@
             shared: Arc::downgrade(shared),
             state: Mutex::new(Inner {
                 kernel: Kernel::new(clock::now(), start),
+                timer: Timer::new(),
                 workers: HashMap::new(),
                 listed: Vec::new(),
                 attempts: HashMap::new(),
@@ -70,7 +74,7 @@
 
     /// Hands an event to the kernel and carries out its steps.
     pub(crate) fn feed(self: &Arc<Self>, event: Event) {
-        let steps = lock(&self.state).kernel.handle(clock::now(), event);
+        let steps = lock(&self.state).handle(event);
         for step in steps {
             self.carry_out(step);
         }
@@ -101,6 +105,7 @@
             state.workers.insert(worker.name.clone(), worker.clone());
         }
         state.kernel.recall(now, own);
+        state.reschedule(now);
     }
 
     /// Hands over the list of workers if it changed.
@@ -134,11 +139,52 @@
         self.ended.notify_waiters();
     }
 
+    /// Wakes everything that waits, once the epoch is over.
+    pub(crate) fn end(&self) {
+        self.wake();
+        lock(&self.state).timer.end();
+    }
+
     pub(crate) fn targets(&self) -> Vec<view::Target> {
         lock(&self.state).kernel.targets()
     }
 }
 
+impl Inner {
+    fn handle(&mut self, event: Event) -> Vec<Step> {
+        let now = clock::now();
+        if matches!(event, Event::Tick) {
+            self.timer.ticked(now);
+        }
+        let steps = self.kernel.handle(now, event);
+        self.reschedule(now);
+        steps
+    }
+
+    /// Has the next tick come earlier if an event asks for it.
+    fn reschedule(&mut self, now: Instant) {
+        if !self.timer.is_near(now, TICK_MS) {
+            let due = self.kernel.next_due(now);
+            let gap_ms = self.gap_ms();
+            self.timer.advance(due, gap_ms);
+        }
+    }
+
+    /// Plans the next tick and returns its time.
+    fn plan(&mut self) -> Option<Instant> {
+        let due = self.kernel.next_due(clock::now());
+        let gap_ms = self.gap_ms();
+        self.timer.plan(due, gap_ms)
+    }
+
+    fn gap_ms(&self) -> u64 {
+        match self.kernel.is_busy() {
+            true => TICK_MS,
+            false => TICK_IDLE_MS,
+        }
+    }
+}
+
 fn workers(shared: &Shared, term: &Term, listing: &Listing) -> Vec<(Worker, State)> {
     let register = lock(&shared.register);
     let listed = listing.workers.iter();
@@ -158,10 +204,11 @@
 }
 
 async fn tick(pool: Arc<Pool>) {
+    let earlier = lock(&pool.state).timer.earlier();
     while !pool.term.is_over() {
-        let open = pool.shared.upgrade().map_or(0, |shared| pool.open(&shared));
-        let period = if open == 0 { TICK_IDLE } else { TICK };
-        tokio::time::sleep(period).await;
-        pool.feed(Event::Tick);
+        let at = lock(&pool.state).plan();
+        if timer::wait(&earlier, at).await {
+            pool.feed(Event::Tick);
+        }
     }
 }
--- a/crates/scheduler/src/service.rs
+++ b/crates/scheduler/src/service.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use rosemaryworks_core::outcome::{Finish, NotRun, Unknown};
-use rosemaryworks_core::routing::{Ask, Event, Kernel, Key, Slot, Start};
+use rosemaryworks_core::routing::{Ask, Event, Kernel, Key, Slot, Start, Step};
 use rosemaryworks_core::target::{Instance, State};
 use rosemaryworks_core::time::Instant;
 use rosemaryworks_core::view;
@@ -20,12 +20,14 @@
 use crate::lock::lock;
 use crate::shared::Shared;
 use crate::term::Term;
+use crate::timer::{self, Timer};
 use crate::writer::Writer;
 
-const TICK: Duration = Duration::from_millis(20);
+/// Least time between two ticks in milliseconds; bounds the work of one tick and joins due times.
+const TICK_MS: u64 = 20;
 
-/// Period while no ask waits.
-const TICK_IDLE: Duration = Duration::from_millis(100);
+/// The same while no ask waits for a slot.
+const TICK_IDLE_MS: u64 = 100;
 
 /// Milliseconds after the caller's deadline at which an ask without a decision is given up.
 const ASK_SLACK_MS: u64 = 1_000;
@@ -46,6 +48,7 @@
 
 struct Inner {
     kernel: Kernel,
+    timer: Timer,
     waiting: HashMap<Key, oneshot::Sender<Verdict>>,
     /// Asks whose intents are being written.
     intending: BTreeSet<Key>,
@@ -65,6 +68,7 @@
             shared: Arc::downgrade(shared),
             state: Mutex::new(Inner {
                 kernel: Kernel::new(clock::now(), start),
+                timer: Timer::new(),
                 waiting: HashMap::new(),
                 intending: BTreeSet::new(),
                 instances: HashMap::new(),
@@ -84,7 +88,7 @@
     pub(crate) fn feed(self: &Arc<Self>, event: Event) {
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
-            let steps = lock(&self.state).kernel.handle(clock::now(), event);
+            let steps = lock(&self.state).handle(event);
             for step in steps {
                 self.carry_out(step, &mut events);
             }
@@ -211,6 +215,11 @@
         }
     }
 
+    /// Ends the ticks, once the epoch is over.
+    pub(crate) fn end(&self) {
+        lock(&self.state).timer.end();
+    }
+
     /// Hands over the list of instances if it changed.
     pub(crate) fn list(self: &Arc<Self>, shared: &Shared) {
         let Some(listing) = lock(&shared.listing).clone() else {
@@ -251,6 +260,36 @@
     }
 }
 
+impl Inner {
+    fn handle(&mut self, event: Event) -> Vec<Step> {
+        let now = clock::now();
+        if matches!(event, Event::Tick) {
+            self.timer.ticked(now);
+        }
+        let steps = self.kernel.handle(now, event);
+        if !self.timer.is_near(now, TICK_MS) {
+            let due = self.kernel.next_due(now);
+            let gap_ms = self.gap_ms();
+            self.timer.advance(due, gap_ms);
+        }
+        steps
+    }
+
+    /// Plans the next tick and returns its time.
+    fn plan(&mut self) -> Option<Instant> {
+        let due = self.kernel.next_due(clock::now());
+        let gap_ms = self.gap_ms();
+        self.timer.plan(due, gap_ms)
+    }
+
+    fn gap_ms(&self) -> u64 {
+        match self.kernel.is_busy() {
+            true => TICK_MS,
+            false => TICK_IDLE_MS,
+        }
+    }
+}
+
 fn instances(shared: &Shared, term: &Term, listing: &Listing) -> Vec<(Instance, State)> {
     let register = lock(&shared.register);
     let listed = listing.instances.iter();
@@ -270,12 +309,11 @@
 }
 
 async fn tick(service: Arc<Service>) {
+    let earlier = lock(&service.state).timer.earlier();
     while !service.term.is_over() {
-        let period = match service.waiting() {
-            0 => TICK_IDLE,
-            _ => TICK,
-        };
-        tokio::time::sleep(period).await;
-        service.feed(Event::Tick);
+        let at = lock(&service.state).plan();
+        if timer::wait(&earlier, at).await {
+            service.feed(Event::Tick);
+        }
     }
 }
--- /dev/null
+++ b/crates/scheduler/src/timer.rs
@@ -0,0 +1,79 @@
+//! Tells a hosted kernel the time when it is due, and not more often.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryworks_core::time::Instant;
+use rosemaryworks_node::clock;
+use tokio::sync::Notify;
+
+/// When a hosted kernel is told the time next. Kept under the lock of the kernel, so that no event
+/// comes between the question for the due time and the note of it.
+#[derive(Debug)]
+pub(crate) struct Timer {
+    ticked: Instant,
+    planned: Option<Instant>,
+    earlier: Arc<Notify>,
+}
+
+impl Timer {
+    /// Creates a timer whose first tick is due at once.
+    pub(crate) fn new() -> Self {
+        Self {
+            ticked: Instant::default(),
+            planned: None,
+            earlier: Arc::default(),
+        }
+    }
+
+    /// Returns the signal that the plan was moved to an earlier time.
+    pub(crate) fn earlier(&self) -> Arc<Notify> {
+        self.earlier.clone()
+    }
+
+    /// Plans a tick at `due`, or `gap_ms` after the last one if that is later.
+    pub(crate) fn plan(&mut self, due: Option<Instant>, gap_ms: u64) -> Option<Instant> {
+        self.planned = due.map(|due| due.max(self.ticked + gap_ms));
+        self.planned
+    }
+
+    /// Tells whether a tick is planned within `within_ms`, so that an event need not ask for the
+    /// due time.
+    pub(crate) fn is_near(&self, now: Instant, within_ms: u64) -> bool {
+        self.planned.is_some_and(|at| at <= now + within_ms)
+    }
+
+    /// Moves the plan after an event and wakes the waiting task, if the tick is due earlier now.
+    pub(crate) fn advance(&mut self, due: Option<Instant>, gap_ms: u64) {
+        let before = self.planned;
+        let Some(at) = due.map(|due| due.max(self.ticked + gap_ms)) else {
+            return;
+        };
+        if before.is_none_or(|before| at < before) {
+            self.planned = Some(at);
+            self.earlier.notify_one();
+        }
+    }
+
+    /// Notes that the kernel is told the time now.
+    pub(crate) fn ticked(&mut self, now: Instant) {
+        self.ticked = now;
+    }
+
+    /// Wakes the waiting task, because the epoch is over.
+    pub(crate) fn end(&self) {
+        self.earlier.notify_one();
+    }
+}
+
+/// Waits until `at`, or for ever if that is `None`. Returns whether the time has come; otherwise the
+/// plan changed. A signal sent since the plan was made is not missed.
+pub(crate) async fn wait(earlier: &Notify, at: Option<Instant>) -> bool {
+    let signal = earlier.notified();
+    let Some(at) = at else {
+        signal.await;
+        return false;
+    };
+    let left = Duration::from_millis(at.since(clock::now()));
+    tokio::time::timeout(left, signal).await.is_err()
+}
