test(core): due times of ids and of the protection of short requests

Cause: the random test did not notice when the due time of the oldest remembered id, or that of the classification of contracts, was left out.

Change: two focused tests.

--- a/crates/core/tests/routing_due.rs
+++ b/crates/core/tests/routing_due.rs
@@ -10,6 +10,7 @@
 use rosemaryworks_core::routing::{Ask, Event, Key, Step};
 use rosemaryworks_core::target::State;
 use rosemaryworks_core::time::Instant;
+use rosemaryworks_core::timing::REMEMBER_MS;
 
 use cell::{contract, instance, request};
 use pair::Pair;
@@ -56,6 +57,11 @@
     }
 
     fn ask(&mut self, name: &str) -> Vec<Step> {
+        let id = self.next.to_string();
+        self.ask_with(name, &id, true)
+    }
+
+    fn ask_with(&mut self, name: &str, id: &str, idempotent: bool) -> Vec<Step> {
         self.next += 1;
         let number = self.next;
         self.feed(Event::Ask(Ask {
@@ -63,14 +69,21 @@
                 gateway: "g".into(),
                 number,
             },
-            request: request(name, &number.to_string()),
-            idempotent: true,
+            request: request(name, id),
+            idempotent,
             attempt: None,
             remaining_ms: 10_000,
             exclude: Vec::new(),
         }))
     }
 
+    /// Asks for all slots with long requests and returns how many are granted.
+    fn burst(&mut self) -> usize {
+        let steps = (0..SLOTS).flat_map(|_| self.ask("long"));
+        let granted = steps.filter(|step| matches!(step, Step::Grant { .. }));
+        granted.count()
+    }
+
     fn run(&mut self, name: &str, run_ms: u64) {
         let steps = self.ask(name);
         let [Step::Grant { slot, .. }] = steps.as_slice() else {
@@ -97,7 +110,47 @@
         shard.run("long", 1_000);
     }
     shard.wait(20);
-    let burst = (0..SLOTS).flat_map(|_| shard.ask("long"));
-    let granted = burst.filter(|step| matches!(step, Step::Grant { .. }));
-    assert!(granted.count() < SLOTS as usize);
+    assert!(shard.burst() < SLOTS as usize);
+}
+
+/// Guards against a contract of long requests that is held back although no short ones came for a
+/// minute.
+#[test]
+fn a_contract_of_short_requests_is_protected_for_a_minute() {
+    let mut shard = Shard::new();
+    for _ in 0..LEARNED {
+        shard.run("long", 1_000);
+    }
+    for _ in 0..LEARNED {
+        shard.run("short", 20);
+    }
+    shard.wait(58_800);
+    shard.run("long", 1_000);
+    shard.wait(500);
+    assert_eq!(shard.burst(), SLOTS as usize);
+}
+
+/// Guards against an id that is remembered for longer than told, if nothing else happens.
+#[test]
+fn an_id_is_forgotten_in_time() {
+    let mut shard = Shard::new();
+    let steps = shard.ask_with("short", "id", false);
+    let [Step::Intend { key, .. }] = steps.as_slice() else {
+        panic!("no intent: {steps:?}");
+    };
+    let steps = shard.feed(Event::Intended(key.clone()));
+    let [Step::Grant { slot, .. }] = steps.as_slice() else {
+        panic!("not granted: {steps:?}");
+    };
+    shard.feed(Event::Finished {
+        slot: *slot,
+        finish: Finish::Answered,
+        run_ms: 1,
+    });
+    shard.wait(REMEMBER_MS - 1_000);
+    let steps = shard.ask_with("short", "id", false);
+    assert!(matches!(steps.as_slice(), [Step::Unsure { .. }]));
+    shard.wait(1_020);
+    let steps = shard.ask_with("short", "id", false);
+    assert!(matches!(steps.as_slice(), [Step::Intend { .. }]));
 }
