--- a/crates/core/tests/placement_packing.rs
+++ b/crates/core/tests/placement_packing.rs
@@ -2,6 +2,8 @@
 
 #![allow(missing_docs, unreachable_pub, dead_code)]
 
+#[path = "support/twin.rs"]
+mod twin;
 #[path = "support/vm.rs"]
 mod vm;
 #[path = "support/world.rs"]
--- a/crates/core/tests/support/twin.rs
+++ b/crates/core/tests/support/twin.rs
@@ -2,8 +2,10 @@
 //! the other one only when the time that it reported has come.
 
 use std::ops::Deref;
+use std::sync::Arc;
 
-use rosemaryworks_core::placement::{Event, Kernel, Start, Step};
+use rosemaryworks_core::job::{Id, Spec};
+use rosemaryworks_core::placement::{Event, Kernel, Refusal, Start, Step};
 use rosemaryworks_core::target::Worker;
 use rosemaryworks_core::time::Instant;
 
@@ -43,6 +45,18 @@
         self.often.recall(now, workers);
     }
 
+    pub fn admit_arriving(&mut self, contract: &Arc<str>, job: &Spec) -> Result<(), Refusal> {
+        let due = self.due.admit_arriving(contract, job);
+        let often = self.often.admit_arriving(contract, job);
+        assert_eq!(often, due, "admission of {}", job.id);
+        often
+    }
+
+    pub fn end_arrival(&mut self, job: &Id, read_back: bool) {
+        self.due.end_arrival(job, read_back);
+        self.often.end_arrival(job, read_back);
+    }
+
     fn is_due(&self, now: Instant) -> bool {
         self.due.next_due(now).is_some_and(|at| at <= now)
     }
