feat(xtask): records and task starts of each window of log-return

Cause: the table did not show whether records had queued during the outage. Change: two figures, tasks started and records appended a second.

--- a/xtask/src/measure/processes/log_return/figures.rs
+++ b/xtask/src/measure/processes/log_return/figures.rs
@@ -46,8 +46,8 @@
 
 /// What one repetition showed.
 pub(super) struct Run<'a> {
-    /// Unix times in microseconds of the appends that took effect.
-    appends_us: Vec<u64>,
+    /// Unix time in microseconds of each append that took effect, with its number of records.
+    appends: Vec<(u64, usize)>,
     calls: &'a [Call],
     contract: &'a str,
     /// Unix time in microseconds at which a worker first took a task.
@@ -64,14 +64,16 @@
 impl<'a> Run<'a> {
     pub(super) fn new(contract: &'a str, calls: &'a [Call], records: &'a [Record]) -> Self {
         let mut run = Self {
-            appends_us: Vec::new(),
+            appends: Vec::new(),
             calls,
             contract,
             starts_us: HashMap::new(),
         };
         for record in records {
             match &record.event {
-                Event::Appended { .. } => run.appends_us.push(record.at_us),
+                Event::Appended { records, .. } => {
+                    run.appends.push((record.at_us, records.len()));
+                }
                 Event::LeaseGranted { task, .. } => {
                     run.starts_us.entry(task).or_insert(record.at_us);
                 }
@@ -140,6 +142,8 @@
             figure("jobs submitted", submitted),
             figure("jobs refused at first", refused),
             figure("jobs never accepted", never),
+            figure("tasks started/s", self.starts(window) / window.seconds()),
+            figure("records/s", self.records(window) / window.seconds()),
             figure(
                 "appends/s, mean",
                 self.appends(window).count() as f64 / window.seconds(),
@@ -228,16 +232,27 @@
         again.map_or(f64::INFINITY, |at_us| ms(at_us - window.from_us))
     }
 
-    fn appends(&self, window: &Window) -> impl Iterator<Item = u64> {
+    fn starts(&self, window: &Window) -> f64 {
+        let starts = self.starts_us.values();
+        starts.filter(|at_us| window.contains(**at_us)).count() as f64
+    }
+
+    fn appends(&self, window: &Window) -> impl Iterator<Item = (u64, usize)> {
         let window = *window;
-        let appends = self.appends_us.iter().copied();
-        appends.filter(move |at_us| window.contains(*at_us))
+        let appends = self.appends.iter().copied();
+        appends.filter(move |(at_us, _)| window.contains(*at_us))
+    }
+
+    /// Returns the number of records appended.
+    fn records(&self, window: &Window) -> f64 {
+        let records: usize = self.appends(window).map(|(_, records)| records).sum();
+        records as f64
     }
 
     /// Returns the appends of the second of `window` that has most.
     fn busiest(&self, window: &Window) -> f64 {
         let mut seconds: BTreeMap<u64, u64> = BTreeMap::new();
-        for at_us in self.appends(window) {
+        for (at_us, _) in self.appends(window) {
             *seconds
                 .entry((at_us - window.from_us) / SECOND_US)
                 .or_default() += 1;
