--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -12,8 +12,9 @@
 use rosemaryworks_platform::http;
 use rosemaryworks_scheduler::{Platform, Scheduler, Settings, serve};
 
-/// Threads of the HTTP client.
-const CLIENT_THREADS: usize = 2;
+/// Threads of the HTTP client. Calls that are sent together share the wake-ups of one thread and of
+/// its timer.
+const CLIENT_THREADS: usize = 1;
 
 /// Owns shards of a cell: grants slots of service instances and places tasks on workers.
 #[derive(FromArgs)]
