--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -14,8 +14,9 @@
 use rosemaryworks_platform::http;
 use rosemaryworks_scheduler::{Platform, Scheduler, Settings, serve};
 
-/// Threads of the HTTP client.
-const CLIENT_THREADS: usize = 2;
+/// Threads of the HTTP client. Calls that are sent together share the wake-ups of one thread and of
+/// its timer.
+const CLIENT_THREADS: usize = 1;
 
 /// Time after which a planned stop has surely ended: intents being written, releases, last answers.
 const STOP_MAX: Duration = Duration::from_secs(20);
