perf(placement): fit by the evenness of free cores, memory and accelerators

Cause: the best fit looked only at free cores, so that workers were left with memory that no task could use.

Change: of the first 4 workers with room the one is chosen whose rest becomes least uneven, then the one with the least left of its scarcest resource.

Tried and reverted: considering a reservation also for work that a smaller failed size covers, and reserving a worker for normal batch work that waited 30 s.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -6,6 +6,7 @@
 mod account;
 mod admission;
 mod failures;
+mod fit;
 mod fleet;
 mod index;
 mod intake;
--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
+use crate::placement::fit;
 use crate::placement::index::{Index, Slot};
 use crate::placement::work::Key;
 use crate::placement::worker::{Departure, Due, Health, Link, Worker};
@@ -12,6 +13,8 @@
 
 /// Candidates that a search looks at before it gives up.
 const LOOK_AT: usize = 16;
+/// Workers compared for the best fit. Twice as many pack no tighter and cost twice the search.
+const FITS_COMPARED: usize = 4;
 
 /// Workers of one size.
 #[derive(Clone, Copy, Debug, Default)]
@@ -295,14 +298,28 @@
         }
     }
 
-    /// Returns the fullest worker of `index` that has room, as far as a bounded search finds it.
+    /// Returns the worker of `index` that wastes the least room, among the first with room.
     pub(crate) fn best_fit(&self, index: &Index, size: &Size, avoid: &[Slot]) -> Option<Slot> {
-        if !size.fits(&index.widest()) {
-            return None;
+        let mut best: Option<(u64, Slot)> = None;
+        let mut from = 0;
+        for _ in 0..FITS_COMPARED {
+            let Some(slot) = self.first_fit(index, from, size, avoid) else {
+                break;
+            };
+            let waste = self.waste(index, slot, size);
+            if best.is_none_or(|best| waste < best.0) {
+                best = Some((waste, slot));
+            }
+            from = slot + 1;
         }
-        let fits = |slot: &Slot| size.fits(&index.free(*slot)) && !avoid.contains(slot);
-        let near = index.fullest(size.millicores).take(LOOK_AT).find(fits);
-        near.or_else(|| self.first_fit(index, 0, size, avoid))
+        best.map(|best| best.1)
+    }
+
+    fn waste(&self, index: &Index, slot: Slot, size: &Size) -> u64 {
+        let total = self
+            .get(slot)
+            .map_or(Size::ZERO, |worker| worker.target.size);
+        fit::waste(&total, &index.free(slot), size)
     }
 
     /// Returns the first worker of `index` at or after `from` that has room.
--- a/crates/core/src/placement/index.rs
+++ b/crates/core/src/placement/index.rs
@@ -10,7 +10,7 @@
 /// Finds workers by free capacity without a scan over all of them.
 ///
 /// A segment tree holds the largest free amount of each resource per subtree, which finds the first
-/// worker with room. An ordered set over free processor time finds the fullest and emptiest ones.
+/// worker with room. An ordered set over free processor time finds the emptiest ones.
 #[derive(Debug, Default)]
 pub(crate) struct Index {
     leaves: usize,
@@ -50,11 +50,6 @@
         self.tree.get(leaf).copied().unwrap_or(Size::ZERO)
     }
 
-    /// Returns an upper bound of the free amount of each resource on any single worker.
-    pub(crate) fn widest(&self) -> Size {
-        self.tree.get(1).copied().unwrap_or(Size::ZERO)
-    }
-
     /// Returns the number of workers in the index.
     pub(crate) fn len(&self) -> usize {
         self.order.len()
@@ -73,11 +68,6 @@
         self.descend(1, 0, self.leaves, from as usize, size)
     }
 
-    /// Returns the workers with at least `millicores` free, fullest first.
-    pub(crate) fn fullest(&self, millicores: u64) -> impl Iterator<Item = Slot> + '_ {
-        self.order.range((millicores, 0)..).map(|entry| entry.1)
-    }
-
     /// Returns the workers, emptiest first.
     pub(crate) fn emptiest(&self) -> impl Iterator<Item = Slot> + '_ {
         self.order.iter().rev().map(|entry| entry.1)
--- a/crates/core/src/placement/policy/batch.rs
+++ b/crates/core/src/placement/policy/batch.rs
@@ -1,4 +1,4 @@
-//! Batch work: the fullest worker that has room, so that large tasks keep finding whole workers.
+//! Batch work: the worker that wastes the least room, so that large tasks keep finding whole workers.
 
 use crate::job::Kind;
 use crate::placement::fleet::Fleet;
@@ -6,7 +6,7 @@
 use crate::placement::policy::{ALL_KINDS, Ask, DEFAULT, Plugin, Policy, Rules};
 use crate::placement::random::Random;
 
-/// Picks the fullest worker that has room; short work tries the workers kept for it first.
+/// Picks the worker that wastes the least room; short work tries the workers kept for it first.
 #[derive(Debug)]
 pub(crate) struct BestFit;
 
--- a/crates/core/src/placement/policy/gang.rs
+++ b/crates/core/src/placement/policy/gang.rs
@@ -6,7 +6,7 @@
 use crate::placement::policy::{Ask, DEFAULT, Plugin, Policy, Rules};
 use crate::placement::random::Random;
 
-/// Picks the fullest worker that has room, among all that the ask allows.
+/// Picks the worker that wastes the least room, among all that the ask allows.
 #[derive(Debug)]
 struct Packed;
 
--- a/crates/core/tests/placement_packing.rs
+++ b/crates/core/tests/placement_packing.rs
@@ -59,3 +59,27 @@
     let running = status.map_or(0, |status| status.running);
     assert!((10..20).contains(&running), "{running} long tasks run");
 }
+
+/// Guards against a fit that looks only at processor time: the large task then finds no memory.
+#[test]
+fn tasks_that_complete_each_other_share_a_worker() {
+    let mut world = World::new(3, 1);
+    world.run(200);
+    let mut place = |name: &str, size: Size| {
+        let id = world.submit(Spec {
+            tasks: 1,
+            size,
+            run_ms: LONG_MS,
+            ..job(name)
+        });
+        world.run(500);
+        world.kernel.status(&id).map(|status| status.running)
+    };
+    // Leaves one worker without much memory and one without many cores.
+    place("memory", Size::new(1_000, 7_000));
+    place("cores", Size::new(3_500, 2_000));
+    // Fits on both, and completes the first.
+    place("more-cores", Size::new(500, 500));
+    place("large", Size::new(4_000, 8_000));
+    assert_eq!(place("last", Size::new(500, 5_500)), Some(1));
+}
