--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod due;
 mod failures;
+mod fit;
 mod fleet;
 mod index;
 mod intake;
