fix(core): agreements to the new owner's own epoch leave a takeover without doubt

Cause: when the log goes down while a shard is taken over, the peers agree to outage mode in answer to the new owner's heartbeats, before it acts. They were not clear then, so the takeover was in doubt although the epoch had granted nothing.

Change: whether a scheduler is clear is asked for an epoch, and agreements to that epoch itself don't count; the last agreement to an earlier epoch is kept beside it.

A run with real processes was not made.

--- a/crates/core/src/ownership/kernel.rs
+++ b/crates/core/src/ownership/kernel.rs
@@ -119,7 +119,7 @@
                     .supported(claim, beat.sequence, unreachable, caught_up);
                 claims.push((shard.clone(), epoch));
             }
-            if !claim.settled && self.settlement.is_clear(shard) {
+            if !claim.settled && self.settlement.is_clear(shard, epoch) {
                 clear.push(shard.clone());
             }
         }
--- a/crates/core/src/ownership/kernel/outage.rs
+++ b/crates/core/src/ownership/kernel/outage.rs
@@ -45,7 +45,7 @@
         let age = self.born.get(shard).map(|born| now.since(*born));
         let window = age.map_or(DOUBT_WINDOW_MS, |age| age.min(DOUBT_WINDOW_MS));
         let asked = mine.majority_at.unwrap_or(now);
-        let own = self.settlement.is_clear(shard) || self.log.doubt_age_ms >= window;
+        let own = self.settlement.is_clear(shard, mine.epoch) || self.log.doubt_age_ms >= window;
         let clear = usize::from(own) + self.peers.without_doubt(now, asked, window, shard);
         match clear + self.settings.majority() > self.settings.schedulers.len() {
             true => Doubt::None,
--- a/crates/core/src/ownership/settlement.rs
+++ b/crates/core/src/ownership/settlement.rs
@@ -17,6 +17,17 @@
     settled: Option<Position>,
     /// The last heartbeat in answer to which this scheduler agreed to outage mode.
     agreed: Option<Position>,
+    /// The last one of an epoch before that of `agreed`.
+    agreed_before: Option<Position>,
+}
+
+impl Entry {
+    fn agree(&mut self, position: Option<Position>) {
+        if self.agreed.map(|agreed| agreed.0) < position.map(|position| position.0) {
+            self.agreed_before = self.agreed;
+        }
+        self.agreed = self.agreed.max(position);
+    }
 }
 
 /// What this incarnation heard and answered about all shards. Volatile: a restarted scheduler is
@@ -41,15 +52,21 @@
         let entry = self.0.entry(claim.shard.clone()).or_default();
         match claim.settled {
             true if caught_up => entry.settled = entry.settled.max(position),
-            false if unreachable => entry.agreed = entry.agreed.max(position),
+            false if unreachable => entry.agree(position),
             _ => {}
         }
     }
 
     /// Tells whether this scheduler heard that `shard` is settled and did not agree to outage mode
-    /// in answer to a later heartbeat.
-    pub(super) fn is_clear(&self, shard: &Id) -> bool {
-        let entry = self.0.get(shard);
-        entry.is_some_and(|entry| entry.settled.is_some() && entry.agreed <= entry.settled)
+    /// in answer to a later heartbeat of an epoch before `epoch`.
+    pub(super) fn is_clear(&self, shard: &Id, epoch: Epoch) -> bool {
+        let Some(entry) = self.0.get(shard) else {
+            return false;
+        };
+        let agreed = match entry.agreed {
+            Some(agreed) if agreed.0 == epoch => entry.agreed_before,
+            agreed => agreed,
+        };
+        entry.settled.is_some() && agreed <= entry.settled
     }
 }
--- a/crates/core/tests/ownership.rs
+++ b/crates/core/tests/ownership.rs
@@ -331,3 +331,25 @@
         );
     }
 }
+
+/// Guards against a takeover that is in doubt because its peers agree to outage mode for the new
+/// owner before it acts.
+#[test]
+fn an_outage_that_begins_in_a_takeover_leaves_no_doubt() {
+    let mut takeovers = 0;
+    for seed in 0..20 {
+        let mut world = settled(seed);
+        let node = owner(&world, &world.shards[0]);
+        world.inject(Fault::Restart { node });
+        // The claims are in the log and lack support.
+        world.run(1_500);
+        world.inject(Fault::LogDown { ms: 20_000 });
+        world.run(TAKEOVER_MAX_MS);
+        takeovers += world.activations.len();
+        for (shard, doubt) in &world.activations {
+            assert_eq!(*doubt, Doubt::None, "{shard}, seed {seed}");
+        }
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+    assert!(takeovers > 0);
+}
