--- a/crates/core/src/placement/fleet.rs
+++ b/crates/core/src/placement/fleet.rs
@@ -290,12 +290,6 @@
         self.due.first().map(|due| due.0)
     }
 
-    /// Returns the workers to look at until `at`, in order of time.
-    pub(crate) fn due_until(&self, at: Instant) -> impl Iterator<Item = Slot> {
-        let due = self.due.iter().take_while(move |due| due.0 <= at);
-        due.map(|due| due.1)
-    }
-
     /// Returns the next worker to look at if its time has come.
     pub(crate) fn next_due(&self, now: Instant) -> Option<Slot> {
         let (at, slot) = self.due.first()?;
--- a/crates/core/src/placement/link.rs
+++ b/crates/core/src/placement/link.rs
@@ -14,9 +14,6 @@
 
 /// Workers synchronised per call; 25,000 workers every 2 s need 625 per 50 ms.
 const SYNCS_PER_CALL: usize = 1_250;
-/// Milliseconds by which a renewal comes early to be sent together with others. Calls that are sent
-/// together cost the host fewer wake-ups, and their next renewals are due together too.
-const JOIN_MS: u64 = 200;
 /// Milliseconds between tries while a worker doesn't answer.
 const RETRY_MS: u64 = 1_000;
 /// Milliseconds of failures after which renewals stop, so that the leases lapse for sure.
@@ -69,14 +66,11 @@
 
     /// Looks at the workers whose time has come.
     pub(crate) fn wake_workers(&mut self, now: Instant) {
-        let mut left = SYNCS_PER_CALL;
-        let first = self.fleet.next_due(now);
-        while let (1.., Some(slot)) = (left, self.fleet.next_due(now)) {
+        for _ in 0..SYNCS_PER_CALL {
+            let Some(slot) = self.fleet.next_due(now) else {
+                break;
+            };
             self.wake(now, slot);
-            left -= 1;
-        }
-        if first.is_some() {
-            self.join_renewals(now, left);
         }
         self.settled |= self.settles_at().is_some_and(|at| at <= now);
     }
@@ -93,19 +87,6 @@
         (surveyed && !self.settled).then_some(self.began + wait_ms)
     }
 
-    /// Sends up to `most` renewals that are due soon.
-    fn join_renewals(&mut self, now: Instant, most: usize) {
-        let renews = |slot: &Slot| {
-            let worker = self.fleet.get(*slot);
-            worker.is_some_and(|worker| worker.listed && worker.wake == worker.link.renewal)
-        };
-        let soon = self.fleet.due_until(now + JOIN_MS);
-        let soon: Vec<Slot> = soon.filter(renews).take(most).collect();
-        for slot in soon {
-            self.sync(now, slot);
-        }
-    }
-
     /// Handles a `Sync` that failed or whose answer was lost.
     pub(crate) fn sync_failed(&mut self, now: Instant, name: &str, fenced: bool) {
         let Some(slot) = self.fleet.slot(name) else {
@@ -158,11 +139,7 @@
             true => self.random.below(RENEW_MS),
             false => RENEW_MS,
         };
-        let renewal = (sent + wait_ms).max(now);
-        if let Some(worker) = self.fleet.get_mut(slot) {
-            worker.link.renewal = renewal;
-        }
-        self.fleet.wake_at(slot, renewal);
+        self.fleet.wake_at(slot, (sent + wait_ms).max(now));
         let freed = self.take_report(now, slot, sent, report);
         self.expect_end(now, slot);
         self.fleet.refresh(slot);
@@ -348,7 +325,6 @@
             return;
         };
         worker.link.outstanding = Some(now);
-        worker.link.renewal = Instant::default();
         worker.acknowledging = std::mem::take(&mut worker.acknowledge);
         let step = Step::Sync {
             worker: Arc::clone(&worker.target.name),
--- a/crates/core/src/placement/worker.rs
+++ b/crates/core/src/placement/worker.rs
@@ -40,8 +40,6 @@
     pub(crate) lapsed: bool,
     /// Whether the worker has seen a newer epoch.
     pub(crate) fenced: bool,
-    /// When the next renewal is due, unless a call is under way.
-    pub(crate) renewal: Instant,
     /// Placements whose answer is awaited.
     pub(crate) placing: u32,
     /// Set after a refused placement: no new work until a `Sync` sent later is answered.
@@ -153,7 +151,6 @@
             surveyed,
             lapsed: false,
             fenced: false,
-            renewal: Instant::default(),
             placing: 0,
             distrusted: None,
         }
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -14,7 +14,7 @@
 use rosemaryworks_platform::http;
 use rosemaryworks_scheduler::{Platform, Scheduler, Settings, serve};
 
-/// Threads of the HTTP client. Calls that are sent together share the wake-ups of one thread and of
+/// Threads of the HTTP client. Calls at about the same time share the wake-ups of one thread and of
 /// its timer.
 const CLIENT_THREADS: usize = 1;
 
