fix(scheduler): a submission waits for the revision that its gateway has in force

Cause: a job submitted right after an accepted publish was refused for good (422, "contract ... does not exist") if the owner of its shard had not read the record yet. Ruled out: an older revision at the gateway, which checks the key of the new contract first.

Change: Submit carries the revision at the gateway. An owner with an older one waits for it for at most 1 s, then answers as not run (log-unavailable).

Result: a_submission_waits_for_the_revision_of_its_gateway fails without the wait (Rejected, "contract late does not exist") and passes with it: not run while the revision is missing, accepted when it arrives after 200 ms.

--- a/crates/gateway/src/jobs.rs
+++ b/crates/gateway/src/jobs.rs
@@ -61,8 +61,10 @@
     contract: Contract,
     job: Spec,
 ) -> Submission {
+    let entry = gateway.contracts.entry(&contract.name);
     let message = Message::Submit {
         shard: shard.clone(),
+        revision: entry.map(|entry| entry.revision).unwrap_or_default(),
         contract: contract.name,
         job: Box::new(job),
     };
--- a/crates/scheduler/src/calls.rs
+++ b/crates/scheduler/src/calls.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use rosemaryworks_core::contract::Revision;
+use rosemaryworks_core::outcome::NotRun;
 use rosemaryworks_core::ownership::{Claim, Heartbeat};
 use rosemaryworks_core::routing::{Ask, Event};
 use rosemaryworks_core::shard::Id;
@@ -75,8 +76,13 @@
         Message::Submit {
             shard,
             contract,
+            revision,
             job,
         } => Box::pin(async move {
+            if !shared.applies(&contract, revision).await {
+                let reason = NotRun::LogUnavailable;
+                return Message::Submission(Submission::Unavailable(reason));
+            }
             Message::Submission(match pool(&shared, &shard) {
                 Some(pool) => pool.submit(&shared, contract, job).await,
                 None => Submission::NotOwner {
--- a/crates/scheduler/src/shared.rs
+++ b/crates/scheduler/src/shared.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
+use rosemaryworks_core::contract::Revision;
 use rosemaryworks_core::ownership::{self, LogView, Step};
 use rosemaryworks_core::partition::Map;
 use rosemaryworks_core::record::Cell;
@@ -35,6 +36,11 @@
 /// Least time that a writer waits for the read-back of a record that was appended.
 const READBACK_MIN: Duration = Duration::from_millis(300);
 
+/// Longest time that a submission waits for the revision that the gateway has in force. Revisions
+/// are read within milliseconds while the log answers.
+const REVISION_MAX: Duration = Duration::from_secs(1);
+const REVISION_PERIOD: Duration = Duration::from_millis(10);
+
 /// The platform as the scheduler reaches it.
 #[derive(Clone)]
 pub struct Platform {
@@ -202,6 +208,24 @@
         lock(&self.hosted).values().cloned().collect()
     }
 
+    /// Waits until this process applies `revision` of a contract or a newer one, for at most
+    /// [`REVISION_MAX`]. Returns whether it does.
+    pub(crate) async fn applies(&self, contract: &str, revision: Revision) -> bool {
+        let deadline = tokio::time::Instant::now() + REVISION_MAX;
+        let known = || {
+            lock(&self.register)
+                .get(contract)
+                .map(|entry| entry.revision)
+        };
+        while known().unwrap_or_default() < revision {
+            if tokio::time::Instant::now() >= deadline {
+                return false;
+            }
+            tokio::time::sleep(REVISION_PERIOD).await;
+        }
+        true
+    }
+
     /// Appends `record` to the cell stream and waits until it is read back, for at most `patience`
     /// in all or a little longer if the append took most of it.
     pub(crate) async fn write(&self, record: &Cell, patience: Duration) -> Written {
--- a/crates/scheduler/tests/scheduler.rs
+++ b/crates/scheduler/tests/scheduler.rs
@@ -101,6 +101,21 @@
     assert_eq!(submissions.iter().filter(|it| **it == refused).count(), 50);
 }
 
+/// Guards against a job that is refused for good because its owner has not read the revision of the
+/// contract that the gateway has in force already.
+#[test]
+fn a_submission_waits_for_the_revision_of_its_gateway() {
+    let cell = Cell::start(3);
+    let owner = cell.owner(&pool()).unwrap();
+    let refused = Submission::Unavailable(NotRun::LogUnavailable);
+    assert_eq!(cell.submit_early(&owner, None), refused);
+    let submission = cell.submit_early(&owner, Some(200));
+    assert!(
+        matches!(submission, Submission::Accepted(_)),
+        "{submission:?}"
+    );
+}
+
 /// Guards against a list of jobs that exceeds the largest frame, so that the answer is never sent.
 #[test]
 fn jobs_are_listed_in_pages() {
--- a/crates/scheduler/tests/support/cell.rs
+++ b/crates/scheduler/tests/support/cell.rs
@@ -124,7 +124,7 @@
             asks: AtomicU64::new(0),
             retention_ms,
         };
-        cell.log.push(CONTRACTS, &publish());
+        cell.log.push(CONTRACTS, &publish("shops"));
         for index in 0..count {
             cell.spawn(index);
         }
@@ -327,6 +327,7 @@
         let message = Message::Submit {
             shard: pool(),
             contract: "shops".into(),
+            revision: Revision(1),
             job: Box::new(job(id, run_ms)),
         };
         match self.call(name, message) {
@@ -335,6 +336,29 @@
         }
     }
 
+    /// Submits a job of a contract that `name` doesn't know, and publishes the contract after
+    /// `publish_ms` if that is given.
+    pub(crate) fn submit_early(&self, name: &str, publish_ms: Option<u64>) -> Submission {
+        let message = Message::Submit {
+            shard: pool(),
+            contract: "late".into(),
+            revision: Revision(1),
+            job: Box::new(job("early", 1)),
+        };
+        let peer = self.links[name].peer().unwrap();
+        let call = self
+            .gateway
+            .spawn(async move { peer.call(message, CALL_TIMEOUT).await });
+        if let Some(publish_ms) = publish_ms {
+            std::thread::sleep(Duration::from_millis(publish_ms));
+            self.log.push(CONTRACTS, &publish("late"));
+        }
+        match self.gateway.block_on(call) {
+            Ok(Ok(Message::Submission(submission))) => submission,
+            other => panic!("{name} answered {other:?}"),
+        }
+    }
+
     /// Submits jobs of one task to `name`, all at once.
     pub(crate) fn submit_together(&self, name: &str, ids: &[String]) -> Vec<Submission> {
         let peer = self.links[name].peer().unwrap();
@@ -342,6 +366,7 @@
             let message = Message::Submit {
                 shard: pool(),
                 contract: "shops".into(),
+                revision: Revision(1),
                 job: Box::new(job(id, 60_000)),
             };
             let peer = peer.clone();
@@ -410,7 +435,7 @@
     }
 }
 
-fn publish() -> Config {
+fn publish(name: &str) -> Config {
     let service = Service {
         rate: 1_000,
         burst: 1_000,
@@ -422,10 +447,10 @@
         queue: 100,
     };
     Config::Publish {
-        id: "publish-1".into(),
+        id: format!("publish-{name}").into(),
         expected: Revision(0),
         contract: Box::new(Contract {
-            name: "shops".into(),
+            name: name.into(),
             weight: 1,
             keys: vec!["key".into()],
             services: [("booking".into(), service)].into(),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -269,6 +269,10 @@
         shard: shard::Id,
         /// Contract of the caller.
         contract: Arc<str>,
+        /// Revision of the contract at the gateway. An owner that has an older one in force reads
+        /// this one before it decides.
+        #[serde(default)]
+        revision: Revision,
         /// The job.
         job: Box<Spec>,
     },
