--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rosemaryworks_core::register::Register;
+use rosemaryworks_core::target::State;
 use rosemaryworks_core::timing::LIST_MS;
 use rosemaryworks_node::clock;
 
@@ -40,3 +42,11 @@
         }
     }
 }
+
+/// Returns the state of a listed target. One that operators drained is leaving.
+pub(crate) fn state(register: &Register, target: &str, listed: State) -> State {
+    match (listed, register.is_drained(target)) {
+        (State::Live, true) => State::Leaving { within_ms: None },
+        (state, _) => state,
+    }
+}
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -15,6 +15,7 @@
 use rosemaryworks_platform::directory::Listing;
 use tokio::sync::Notify;
 
+use crate::listing;
 use crate::lock::lock;
 use crate::shared::Shared;
 use crate::term::Term;
@@ -192,12 +193,8 @@
         let shard = shared.partition.rack(&worker.pool, &worker.rack);
         shard.is_some_and(|shard| shard == term.shard)
     });
-    let drained = |name: &str| register.is_drained(name);
     own.map(|(worker, state)| {
-        let state = match (state, drained(&worker.name)) {
-            (State::Live, true) => State::Leaving { within_ms: None },
-            (state, _) => *state,
-        };
+        let state = listing::state(&register, &worker.name, *state);
         (worker.clone(), state)
     })
     .collect()
@@ -205,10 +202,6 @@
 
 async fn tick(pool: Arc<Pool>) {
     let earlier = lock(&pool.state).timer.earlier();
-    while !pool.term.is_over() {
-        let at = lock(&pool.state).plan();
-        if timer::wait(&earlier, at).await {
-            pool.feed(Event::Tick);
-        }
-    }
+    let plan = || lock(&pool.state).plan();
+    timer::run(&pool.term, &earlier, plan, || pool.feed(Event::Tick)).await;
 }
--- a/crates/scheduler/src/service.rs
+++ b/crates/scheduler/src/service.rs
@@ -17,6 +17,7 @@
 use rosemaryworks_wire::Verdict;
 use tokio::sync::oneshot;
 
+use crate::listing;
 use crate::lock::lock;
 use crate::shared::Shared;
 use crate::term::Term;
@@ -297,12 +298,8 @@
         let shard = shared.partition.instance(&instance.service, &instance.name);
         shard.is_some_and(|shard| shard == term.shard)
     });
-    let drained = |name: &str| register.is_drained(name);
     own.map(|(instance, state)| {
-        let state = match (state, drained(&instance.name)) {
-            (State::Live, true) => State::Leaving { within_ms: None },
-            (state, _) => *state,
-        };
+        let state = listing::state(&register, &instance.name, *state);
         (instance.clone(), state)
     })
     .collect()
@@ -310,10 +307,7 @@
 
 async fn tick(service: Arc<Service>) {
     let earlier = lock(&service.state).timer.earlier();
-    while !service.term.is_over() {
-        let at = lock(&service.state).plan();
-        if timer::wait(&earlier, at).await {
-            service.feed(Event::Tick);
-        }
-    }
+    let plan = || lock(&service.state).plan();
+    let tick = || service.feed(Event::Tick);
+    timer::run(&service.term, &earlier, plan, tick).await;
 }
--- a/crates/scheduler/src/timer.rs
+++ b/crates/scheduler/src/timer.rs
@@ -7,6 +7,8 @@
 use rosemaryworks_node::clock;
 use tokio::sync::Notify;
 
+use crate::term::Term;
+
 /// When a hosted kernel is told the time next. Kept under the lock of the kernel, so that no event
 /// comes between the question for the due time and the note of it.
 #[derive(Debug)]
@@ -66,9 +68,23 @@
     }
 }
 
+/// Tells a kernel the time whenever it is due, until its term is over.
+pub(crate) async fn run(
+    term: &Term,
+    earlier: &Notify,
+    plan: impl Fn() -> Option<Instant>,
+    tick: impl Fn(),
+) {
+    while !term.is_over() {
+        if wait(earlier, plan()).await {
+            tick();
+        }
+    }
+}
+
 /// Waits until `at`, or for ever if that is `None`. Returns whether the time has come; otherwise the
 /// plan changed. A signal sent since the plan was made is not missed.
-pub(crate) async fn wait(earlier: &Notify, at: Option<Instant>) -> bool {
+async fn wait(earlier: &Notify, at: Option<Instant>) -> bool {
     let signal = earlier.notified();
     let Some(at) = at else {
         signal.await;
