fix(xtask): demo and fault runs build the programs that they start

Ruled out for measure, which builds its own profile.

Change: both build the profile of xtask itself.

--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -57,7 +57,7 @@
         Some(name) => vec![name.as_str()],
         None => vec!["avvolgi", "dala"],
     };
-    cluster::build(false)?;
+    cluster::build(!cfg!(debug_assertions))?;
     let mut right = true;
     for name in names {
         let deployment = Deployment::find(name).ok_or_else(|| {
--- a/xtask/src/faults.rs
+++ b/xtask/src/faults.rs
@@ -87,7 +87,7 @@
     if options.plan {
         return Ok(true);
     }
-    cluster::build(false)?;
+    cluster::build(!cfg!(debug_assertions))?;
     let default =
         || std::env::temp_dir().join(format!("rosemaryworks-faults-{}", std::process::id()));
     let folder = options.folder.clone().unwrap_or_else(default);
