--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -50,6 +50,7 @@
 use crate::time::Instant;
 
 pub use crate::placement::account::smallest;
+pub use crate::placement::fit::waste;
 
 /// Number of a task's placement attempt. Grows with every lease granted for the task.
 pub type Attempt = u32;
--- a/crates/core/src/placement/fit.rs
+++ b/crates/core/src/placement/fit.rs
@@ -22,7 +22,8 @@
 /// Room is wasted where one resource is used up before the others. The figure counts how much more
 /// uneven the rest becomes, not how uneven it is: otherwise work that needs much of one resource
 /// would be spread over all workers.
-pub(crate) fn waste(total: &Size, free: &Size, size: &Size) -> u64 {
+#[must_use]
+pub fn waste(total: &Size, free: &Size, size: &Size) -> u64 {
     let before = rest(total, free);
     let after = rest(total, &(*free - *size));
     after.least + UNEVEN_WEIGHT * (SCALE + after.uneven - before.uneven)
--- /dev/null
+++ b/crates/entry/src/claim.rs
@@ -0,0 +1,162 @@
+//! Who owns which shard: claims in the platform's log, without I/O.
+//!
+//! A claim is appended on the condition that nothing was written since the claimant read the stream,
+//! so one of several claimants wins. The owner renews its claim; others take a shard over when its
+//! claim has not changed for [`LAPSE_MS`]. Two processes may believe for a while that they own a
+//! shard: the epoch fences the journal and the workers' tokens fence orders, so that only the later
+//! one acts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Time between renewals in milliseconds.
+pub const RENEW_MS: u64 = 500;
+
+/// Time without a change after which a claim may be taken over, in milliseconds. Covers two lost
+/// renewals.
+pub const LAPSE_MS: u64 = 1_600;
+
+/// Time between two looks at the claims in milliseconds.
+pub const LOOK_MS: u64 = 300;
+
+/// Time after a failed look for which claims are not taken over, in milliseconds: their owners could
+/// not renew them either.
+const GRACE_MS: u64 = 1_100;
+
+/// Pause of a candidate for each shard that it owns, in milliseconds, so that shards spread.
+const LOADED_PAUSE_MS: u64 = 150;
+
+/// Largest pause of a candidate that follows from its name, in milliseconds. Keeps candidates from
+/// writing at the same time.
+const NAME_PAUSE_MS: u64 = 100;
+
+/// A claim of a shard.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Claim {
+    /// Epoch; each claim of another owner has a higher one.
+    #[serde(rename = "e")]
+    pub epoch: u64,
+    /// Name of the owner; empty if the shard was given up.
+    #[serde(rename = "n")]
+    pub node: Arc<str>,
+    /// Incarnation of the owner.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+    /// Address of the owner for links.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// Number of the renewal.
+    #[serde(rename = "b")]
+    pub beat: u64,
+}
+
+/// A claim as seen by this process.
+#[derive(Clone, Debug)]
+struct Seen {
+    claim: Claim,
+    changed_ms: u64,
+}
+
+/// All claims.
+#[derive(Debug, Default)]
+pub struct Claims {
+    seen: BTreeMap<u32, Seen>,
+    looked_ms: Option<u64>,
+    grace_until_ms: u64,
+    candidate_since: BTreeMap<u32, u64>,
+}
+
+/// Returns the key of a shard's claim.
+#[must_use]
+pub fn key(shard: u32) -> Arc<str> {
+    format!("shard-{shard}").into()
+}
+
+/// Returns the shard of a claim's key.
+#[must_use]
+pub fn shard_of(key: &str) -> Option<u32> {
+    key.strip_prefix("shard-")?.parse().ok()
+}
+
+impl Claims {
+    /// Takes a claim that was read. Renewals of an older epoch are ignored.
+    pub fn take(&mut self, shard: u32, claim: Claim, now_ms: u64) {
+        if let Some(seen) = self.seen.get(&shard)
+            && (claim.epoch, claim.beat) <= (seen.claim.epoch, seen.claim.beat)
+            && !(claim.epoch == seen.claim.epoch && claim.node.is_empty())
+        {
+            return;
+        }
+        let changed_ms = now_ms;
+        self.seen.insert(shard, Seen { claim, changed_ms });
+    }
+
+    /// Notes a look that reached the end of the stream.
+    pub fn looked(&mut self, now_ms: u64) {
+        let since = self.looked_ms.map_or(0, |at| now_ms.saturating_sub(at));
+        if since > LAPSE_MS - GRACE_MS + LOOK_MS {
+            self.grace_until_ms = now_ms + GRACE_MS;
+        }
+        self.looked_ms = Some(now_ms);
+    }
+
+    /// Returns the claim of a shard.
+    #[must_use]
+    pub fn get(&self, shard: u32) -> Option<&Claim> {
+        self.seen.get(&shard).map(|seen| &seen.claim)
+    }
+
+    /// Returns the owners' addresses with their names.
+    #[must_use]
+    pub fn owners(&self) -> BTreeMap<SocketAddr, Arc<str>> {
+        let claims = self.seen.values().map(|seen| &seen.claim);
+        claims
+            .filter(|claim| !claim.node.is_empty())
+            .map(|claim| (claim.address, claim.node.clone()))
+            .collect()
+    }
+
+    /// Returns the shards among `wanted` to claim now, each with the epoch to claim.
+    pub fn due(
+        &mut self,
+        wanted: &BTreeSet<u32>,
+        node: &str,
+        incarnation: u64,
+        owned: usize,
+        now_ms: u64,
+    ) -> Vec<(u32, u64)> {
+        if self.looked_ms.is_none() {
+            return Vec::new();
+        }
+        let mut due = Vec::new();
+        for &shard in wanted {
+            let (open, epoch) = self.is_open(shard, node, incarnation, now_ms);
+            if !open {
+                self.candidate_since.remove(&shard);
+                continue;
+            }
+            let since = *self.candidate_since.entry(shard).or_insert(now_ms);
+            let name = rosemaryworks_core::partition::hash(&[node, &key(shard)]) % NAME_PAUSE_MS;
+            if now_ms >= since + name + LOADED_PAUSE_MS * owned as u64 {
+                due.push((shard, epoch));
+            }
+        }
+        due
+    }
+
+    fn is_open(&self, shard: u32, node: &str, incarnation: u64, now_ms: u64) -> (bool, u64) {
+        let Some(seen) = self.seen.get(&shard) else {
+            return (true, 1);
+        };
+        let claim = &seen.claim;
+        let given_up = claim.node.is_empty();
+        // An earlier incarnation of this process is gone.
+        let own = &*claim.node == node && claim.incarnation != incarnation;
+        let silent = now_ms >= seen.changed_ms + LAPSE_MS && now_ms >= self.grace_until_ms;
+        let other = claim.incarnation != incarnation;
+        (given_up || own || (silent && other), claim.epoch + 1)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/config.rs
@@ -0,0 +1,57 @@
+//! The configuration in force: routes to queues, and pools.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use rosemaryworks_workflow::Queue;
+
+/// A route from a path to a queue.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Host name in lower case.
+    pub host: Arc<str>,
+    /// Prefix of the path.
+    pub prefix: Arc<str>,
+    /// Queue.
+    pub queue: Arc<Queue>,
+}
+
+/// A version of the configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Config {
+    /// Version; later ones are higher.
+    pub version: u64,
+    /// Routes, longest prefix first.
+    pub routes: Vec<Route>,
+    /// Pools of workers.
+    pub pools: BTreeSet<Arc<str>>,
+}
+
+impl Config {
+    /// Returns the route with the longest prefix of `path`, and the rest of the path.
+    #[must_use]
+    pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(&Route, &'a str)> {
+        self.routes
+            .iter()
+            .filter(|route| route.host.eq_ignore_ascii_case(host))
+            .filter_map(|route| Some((route, path.strip_prefix(&*route.prefix)?)))
+            .max_by_key(|(route, _)| route.prefix.len())
+    }
+
+    /// Returns the shards that the configuration needs.
+    #[must_use]
+    pub fn shards(&self, count: u32) -> BTreeSet<u32> {
+        let pools = self.routes.iter().map(|route| &route.queue.pool);
+        pools
+            .chain(&self.pools)
+            .map(|pool| shard(pool, count))
+            .collect()
+    }
+}
+
+/// Returns the shard of a pool among `count`.
+#[must_use]
+pub fn shard(pool: &str, count: u32) -> u32 {
+    let hash = rosemaryworks_core::partition::hash(&[pool]);
+    u32::try_from(hash % u64::from(count.max(1))).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/entry/src/events.rs
@@ -0,0 +1,45 @@
+//! Log events of the entry process.
+
+use log::Level;
+use rosemaryworks_node::event::Event;
+
+/// The process can't start.
+pub const START_FAILED: Event = Event::new(801, Level::Error, "start failed");
+/// A configuration came into force.
+pub const CONFIGURED: Event = Event::new(802, Level::Info, "configuration in force");
+/// The platform's log stopped answering.
+pub const STORE_LOST: Event = Event::new(803, Level::Warn, "log unreachable");
+/// The platform's log answers again.
+pub const STORE_BACK: Event = Event::new(804, Level::Info, "log reachable again");
+/// A claim of a shard was won.
+pub const CLAIMED: Event = Event::new(805, Level::Info, "shard claimed");
+/// A shard is owned and acted for.
+pub const ACTIVATED: Event = Event::new(806, Level::Info, "shard activated");
+/// A shard is no longer owned.
+pub const DEPOSED: Event = Event::new(807, Level::Warn, "shard given up");
+/// A takeover failed.
+pub const TAKEOVER_FAILED: Event = Event::new(808, Level::Warn, "takeover failed");
+/// A job was accepted, or not.
+pub const SUBMITTED: Event = Event::new(810, Level::Info, "job submitted");
+/// A cancellation was accepted, or not.
+pub const CANCELLED: Event = Event::new(811, Level::Info, "job cancelled");
+/// A job's state was told to a caller.
+pub const INQUIRED: Event = Event::new(812, Level::Debug, "job state told");
+/// A run was ordered.
+pub const STARTED: Event = Event::new(820, Level::Info, "run ordered");
+/// A run was stopped.
+pub const STOPPED: Event = Event::new(821, Level::Info, "run stopped");
+/// A run was slowed down or sped up.
+pub const PACED: Event = Event::new(822, Level::Info, "run paced");
+/// Ends and final states became durable.
+pub const RECORDED: Event = Event::new(823, Level::Info, "progress recorded");
+/// The advice service was asked.
+pub const ADVISED: Event = Event::new(824, Level::Info, "advice received");
+/// A worker doesn't answer.
+pub const WORKER_LOST: Event = Event::new(830, Level::Warn, "worker unreachable");
+/// A worker answers again.
+pub const WORKER_BACK: Event = Event::new(831, Level::Info, "worker reachable");
+/// A record of a stream can't be read.
+pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
+/// A process takes or returns the signal to reload.
+pub const RELOADED: Event = Event::new(833, Level::Info, "reload requested");
--- /dev/null
+++ b/crates/entry/src/intake.rs
@@ -0,0 +1,151 @@
+//! What callers ask: submit, cancel, state of a job, length of a queue.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryworks_node::clock;
+use rosemaryworks_wire::workflow::{Inquired, Message};
+use rosemaryworks_workflow::{Id, Queue, Record, Spec, State};
+
+use crate::config;
+use crate::events;
+use crate::journal;
+use crate::node::Node;
+use crate::submitter::Outcome;
+
+/// Pause before the owner of a shard is asked again, in milliseconds.
+const ASK_AGAIN: Duration = Duration::from_millis(80);
+
+/// Outcome of a submission or cancellation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Accepting {
+    /// It is stored.
+    Accepted,
+    /// It is not stored and never will be.
+    Refused,
+    /// It may be stored.
+    Unknown,
+}
+
+/// Outcome of a question about a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Inquiry {
+    /// State of the job.
+    State(State),
+    /// No such job was accepted.
+    NoSuchJob,
+    /// The owner of the job can't be reached in time.
+    Unavailable,
+}
+
+impl Node {
+    /// Stores a job. `deadline_ms` is on the process's clock.
+    pub async fn submit(
+        self: &Arc<Self>,
+        queue: &Queue,
+        id: Id,
+        spec: Spec,
+        deadline_ms: u64,
+    ) -> Accepting {
+        let began = clock::now();
+        let record = Record::Submitted {
+            id,
+            queue: queue.name.clone(),
+            spec: Arc::new(spec),
+        };
+        let outcome = self.write(&queue.pool, &record, deadline_ms).await;
+        let took_ms = clock::now().since(began);
+        let metrics = &self.parts.metrics;
+        match outcome {
+            Accepting::Accepted => metrics.accepted.inc(),
+            Accepting::Refused => metrics.refused.inc(),
+            Accepting::Unknown => metrics.unknown.inc(),
+        };
+        metrics.accept_seconds.observe(took_ms as f64 / 1_000.0);
+        events::SUBMITTED.log(format_args!(
+            "job={id} queue={} outcome={outcome:?} took_ms={took_ms} store_down={}",
+            queue.name,
+            self.store_is_down()
+        ));
+        outcome
+    }
+
+    /// Stores the cancellation of a job.
+    pub async fn cancel(self: &Arc<Self>, queue: &Queue, id: Id, deadline_ms: u64) -> Accepting {
+        let record = Record::Cancelled { id };
+        let outcome = self.write(&queue.pool, &record, deadline_ms).await;
+        events::CANCELLED.log(format_args!(
+            "job={id} queue={} outcome={outcome:?}",
+            queue.name
+        ));
+        outcome
+    }
+
+    async fn write(&self, pool: &str, record: &Record, deadline_ms: u64) -> Accepting {
+        if self.store_is_down() {
+            // The followers of the log notice its return, so nothing has to wait here.
+            return Accepting::Refused;
+        }
+        let shard = config::shard(pool, self.settings.shards);
+        let written = self
+            .submitter(shard)
+            .write(journal::encode(record), deadline_ms);
+        let left_ms = deadline_ms.saturating_sub(clock::now().0);
+        match tokio::time::timeout(Duration::from_millis(left_ms), written).await {
+            Ok(Ok(Outcome::Stored)) => Accepting::Accepted,
+            Ok(Ok(Outcome::Refused)) => Accepting::Refused,
+            Ok(Ok(Outcome::Unknown) | Err(_)) | Err(_) => Accepting::Unknown,
+        }
+    }
+
+    /// Returns the state of a job.
+    pub async fn inquire(self: &Arc<Self>, queue: &Queue, id: Id, deadline_ms: u64) -> Inquiry {
+        let shard = config::shard(&queue.pool, self.settings.shards);
+        loop {
+            let answer = match self.owner(shard) {
+                Some(owner) => owner.inquire(id),
+                None => match self
+                    .call_owner(shard, Message::Inquire { shard, job: id })
+                    .await
+                {
+                    Some(Message::Inquired(answer)) => answer,
+                    _ => Inquired::CannotTell,
+                },
+            };
+            match answer {
+                Inquired::State(state) => return Inquiry::State(state),
+                Inquired::Unknown => return Inquiry::NoSuchJob,
+                Inquired::CannotTell => {}
+            }
+            if clock::now().0 + ASK_AGAIN.as_millis() as u64 >= deadline_ms {
+                return Inquiry::Unavailable;
+            }
+            tokio::time::sleep(ASK_AGAIN).await;
+        }
+    }
+
+    /// Returns the number of jobs of a queue of which no task has started; `None` if the owner of
+    /// the queue can't be reached in time.
+    pub async fn length(self: &Arc<Self>, queue: &Queue, deadline_ms: u64) -> Option<u64> {
+        let shard = config::shard(&queue.pool, self.settings.shards);
+        loop {
+            let length = match self.owner(shard) {
+                Some(owner) => owner.length(&queue.name),
+                None => {
+                    let queue = queue.name.clone();
+                    match self
+                        .call_owner(shard, Message::Length { shard, queue })
+                        .await
+                    {
+                        Some(Message::LengthIs(length)) => length,
+                        _ => None,
+                    }
+                }
+            };
+            if length.is_some() || clock::now().0 + ASK_AGAIN.as_millis() as u64 >= deadline_ms {
+                return length;
+            }
+            tokio::time::sleep(ASK_AGAIN).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/journal.rs
@@ -0,0 +1,144 @@
+//! Writes the progress of an owned shard to its journal, under the owner's epoch.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use rosemaryworks_node::clock;
+use tokio::sync::Notify;
+
+use rosemaryworks_workflow::Record as Entry;
+
+use crate::events;
+use crate::metrics::Metrics;
+use crate::port::{Append, Fault, Guard, Record, Store, Stream};
+
+/// Producer of every owner of a shard. The epoch tells them apart.
+pub(crate) const PRODUCER: &str = "owner";
+
+/// Time from one append to the next, so that ends that arrive together share one.
+const SPACING: Duration = Duration::from_millis(15);
+
+/// Pause before an append that was refused or got no answer is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Records of one append, at most.
+const BATCH_MAX: usize = 2_000;
+
+/// The journal of one owned shard.
+pub(crate) struct Journal {
+    store: Arc<dyn Store>,
+    shard: u32,
+    epoch: u64,
+    metrics: Metrics,
+    waiting: Mutex<Vec<Entry>>,
+    arrived: Notify,
+}
+
+/// Encodes a record of a shard.
+pub(crate) fn encode(entry: &Entry) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(64);
+    if let Err(error) = ciborium::into_writer(entry, &mut bytes) {
+        // Writing to memory fails only for types that have no encoding.
+        log::error!(target: "rosemaryworks", "E834 record can't be encoded: {error}");
+    }
+    bytes
+}
+
+/// Decodes a record of a shard; `None` if it can't be read.
+pub(crate) fn decode(bytes: &[u8]) -> Option<Entry> {
+    match ciborium::from_reader(bytes) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            events::RECORD_SKIPPED.log(format_args!("bytes={} {error}", bytes.len()));
+            None
+        }
+    }
+}
+
+impl Journal {
+    pub(crate) fn new(store: Arc<dyn Store>, shard: u32, epoch: u64, metrics: Metrics) -> Self {
+        Self {
+            store,
+            shard,
+            epoch,
+            metrics,
+            waiting: Mutex::default(),
+            arrived: Notify::new(),
+        }
+    }
+
+    /// Adds a record to the next append.
+    pub(crate) fn push(&self, entry: Entry) {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.push(entry);
+        self.arrived.notify_one();
+    }
+
+    /// Writes what is pushed. Calls `written` with the number of durable records. Returns when
+    /// another owner has taken over.
+    pub(crate) async fn run(&self, written: impl Fn(u64)) -> Fault {
+        let mut total = 0;
+        let mut sequence = 0;
+        loop {
+            self.arrived.notified().await;
+            loop {
+                let batch = self.next_batch();
+                if batch.is_empty() {
+                    break;
+                }
+                let began = clock::now();
+                if let Err(fault) = self.append(&batch, sequence).await {
+                    return fault;
+                }
+                let took_ms = clock::now().since(began);
+                self.metrics
+                    .append_seconds
+                    .observe(took_ms as f64 / 1_000.0);
+                sequence += 1;
+                total += batch.len() as u64;
+                events::RECORDED.log(format_args!(
+                    "shard={} epoch={} records={} took_ms={took_ms}",
+                    self.shard,
+                    self.epoch,
+                    batch.len()
+                ));
+                written(total);
+                tokio::time::sleep(SPACING).await;
+            }
+        }
+    }
+
+    fn next_batch(&self) -> Vec<Entry> {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = waiting.len().min(BATCH_MAX);
+        waiting.drain(..count).collect()
+    }
+
+    async fn append(&self, batch: &[Entry], sequence: u64) -> Result<(), Fault> {
+        let records: Vec<Record> = batch
+            .iter()
+            .map(|entry| Record {
+                key: None,
+                value: encode(entry),
+            })
+            .collect();
+        loop {
+            let append = Append {
+                stream: Stream::Progress,
+                part: self.shard,
+                records: records.clone(),
+                guard: Guard::Producer {
+                    name: PRODUCER.into(),
+                    epoch: self.epoch,
+                    sequence,
+                },
+            };
+            match self.store.append(append).await {
+                Ok(_) => return Ok(()),
+                Err(Fault::Refused(_) | Fault::Unknown(_)) => {}
+                Err(fault) => return Err(fault),
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/links.rs
@@ -0,0 +1,191 @@
+//! Links between entry processes: every process dials the owners of shards.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rosemaryworks_wire::Message;
+use rosemaryworks_wire::link::{Client, Handler, Peer, Reply, serve};
+use rosemaryworks_wire::workflow::{Inquired, Message as Workflow};
+
+use crate::node::{Node, lock};
+use crate::port::Permits;
+
+/// Time for an answer of another process.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time for an answer to a relayed question beyond its expected time.
+const ADVICE_SLACK_MS: u64 = 1_500;
+
+/// Unanswered calls in a row after which a link is dialled anew.
+const SILENT_CALLS_MAX: u32 = 2;
+
+/// A link to an owner.
+pub(crate) struct Dialled {
+    client: Arc<Client>,
+    silent: u32,
+}
+
+struct Incoming(Arc<Node>);
+
+impl Handler for Incoming {
+    fn call(&self, _peer: &Peer, message: Message) -> Reply {
+        let node = self.0.clone();
+        Box::pin(async move {
+            match message {
+                Message::Workflow(message) => Message::Workflow(node.reply(message).await),
+                other => other,
+            }
+        })
+    }
+
+    fn notice(&self, _peer: &Peer, message: Message) {
+        if let Message::Workflow(Workflow::Released { .. }) = message {
+            self.0.claims_changed.notify_one();
+        }
+    }
+
+    fn opened(&self, peer: &Peer) {
+        lock(&self.0.peers).push(peer.clone());
+    }
+
+    fn closed(&self, _peer: &Peer) {
+        lock(&self.0.peers).retain(|peer| !peer.is_closed());
+    }
+}
+
+/// Takes calls over links that this process dialled.
+struct Outgoing(Arc<Node>);
+
+impl Handler for Outgoing {
+    fn call(&self, peer: &Peer, message: Message) -> Reply {
+        Incoming(self.0.clone()).call(peer, message)
+    }
+
+    fn notice(&self, peer: &Peer, message: Message) {
+        Incoming(self.0.clone()).notice(peer, message);
+    }
+
+    fn opened(&self, _peer: &Peer) {}
+
+    fn closed(&self, _peer: &Peer) {}
+}
+
+impl Node {
+    pub(crate) fn serve_links(self: &Arc<Self>, listener: tokio::net::TcpListener) {
+        let handler = Arc::new(Incoming(self.clone()));
+        tokio::spawn(serve(listener, self.hello.clone(), handler));
+    }
+
+    /// Dials the owners of shards and closes links to processes that own none.
+    pub(crate) fn dial_owners(self: &Arc<Self>) {
+        let owners: BTreeMap<SocketAddr, Arc<str>> = lock(&self.claims).owners();
+        let mut dialled = lock(&self.dialled);
+        dialled.retain(|address, _| owners.contains_key(address));
+        for (address, name) in owners {
+            if address != self.settings.peer_listen {
+                dialled
+                    .entry(address)
+                    .or_insert_with(|| self.dial(name, address));
+            }
+        }
+    }
+
+    fn dial(self: &Arc<Self>, name: Arc<str>, address: SocketAddr) -> Dialled {
+        let handler = Arc::new(Outgoing(self.clone()));
+        let client = Client::start(name, address, self.hello.clone(), handler);
+        Dialled {
+            client: Arc::new(client),
+            silent: 0,
+        }
+    }
+
+    /// Calls the owner of a shard; `None` if it can't be reached.
+    pub(crate) async fn call_owner(
+        self: &Arc<Self>,
+        shard: u32,
+        message: Workflow,
+    ) -> Option<Workflow> {
+        let address = lock(&self.claims).get(shard)?.address;
+        let client = lock(&self.dialled).get(&address)?.client.clone();
+        let reply = client.call(Message::Workflow(message), CALL_TIMEOUT).await;
+        let mut dialled = lock(&self.dialled);
+        let link = dialled.get_mut(&address)?;
+        match reply {
+            Ok(Message::Workflow(reply)) => {
+                link.silent = 0;
+                Some(reply)
+            }
+            Ok(_) => None,
+            Err(_) => {
+                link.silent += 1;
+                if link.silent >= SILENT_CALLS_MAX {
+                    // A connection that went silent without a reset is only noticed so.
+                    let name = link.client.name().clone();
+                    *link = self.dial(name, address);
+                }
+                None
+            }
+        }
+    }
+
+    async fn reply(self: &Arc<Self>, message: Workflow) -> Workflow {
+        match message {
+            Workflow::Advise {
+                step,
+                workers,
+                cost_ms,
+            } => Workflow::Advised(self.advise_here(step, &workers, cost_ms).await),
+            Workflow::Inquire { shard, job } => {
+                let owner = self.owner(shard);
+                Workflow::Inquired(owner.map_or(Inquired::CannotTell, |owner| owner.inquire(job)))
+            }
+            Workflow::Length { shard, queue } => {
+                Workflow::LengthIs(self.owner(shard).and_then(|owner| owner.length(&queue)))
+            }
+            other => other,
+        }
+    }
+
+    /// Puts a question to the advice service from this VM, after those that came before.
+    pub(crate) async fn advise_here(
+        &self,
+        step: rosemaryworks_workflow::StepKey,
+        workers: &[Arc<str>],
+        cost_ms: f64,
+    ) -> Option<Permits> {
+        let _turn = self.advice_turn.acquire().await.ok()?;
+        self.parts.metrics.questions.inc();
+        self.parts.advisor.advise(step, workers, cost_ms).await.ok()
+    }
+
+    /// Puts a question to the advice service from the VM of a peer.
+    pub(crate) async fn advise_through(
+        peer: &Peer,
+        step: rosemaryworks_workflow::StepKey,
+        workers: Vec<Arc<str>>,
+        cost_ms: f64,
+        waiting_ms: f64,
+    ) -> Option<Permits> {
+        let timeout = Duration::from_millis((cost_ms + waiting_ms) as u64 + ADVICE_SLACK_MS);
+        let message = Workflow::Advise {
+            step,
+            workers,
+            cost_ms,
+        };
+        match peer.call(Message::Workflow(message), timeout).await {
+            Ok(Message::Workflow(Workflow::Advised(permits))) => permits,
+            _ => None,
+        }
+    }
+
+    /// Tells every process with a link that a shard was given up.
+    pub(crate) fn tell_released(&self, shard: u32) {
+        let peers: Vec<Peer> = lock(&self.peers).clone();
+        for peer in peers {
+            // A process that misses the notice finds the claim given up at its next look.
+            let _ = peer.notify(Message::Workflow(Workflow::Released { shard }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,56 @@
+//! Counters and histograms of the entry process.
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use rosemaryworks_node::metrics::Metrics as Registry;
+
+/// Metrics of the entry process.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    /// Jobs accepted.
+    pub accepted: Counter,
+    /// Jobs refused because the log refused them or is known to be unreachable.
+    pub refused: Counter,
+    /// Jobs of which it isn't known whether they were accepted.
+    pub unknown: Counter,
+    /// Runs ordered.
+    pub starts: Counter,
+    /// Starts without an answer or refused.
+    pub start_faults: Counter,
+    /// Questions to the advice service.
+    pub questions: Counter,
+    /// Shards owned.
+    pub shards: Gauge,
+    /// Jobs that have not ended, over the owned shards.
+    pub open_jobs: Gauge,
+    /// Time to accept a job in seconds.
+    pub accept_seconds: Histogram,
+    /// Time of an append to a shard's journal in seconds.
+    pub append_seconds: Histogram,
+}
+
+impl Metrics {
+    /// Creates the metrics and registers them.
+    #[must_use]
+    pub fn register(registry: &Registry) -> Self {
+        let counter = |name, help| registry.register(name, help, Counter::default());
+        // From 1 ms to 8 s, which covers the deadlines of callers.
+        let histogram = |name, help| {
+            let buckets = exponential_buckets(0.001, 2.0, 14);
+            registry.register(name, help, Histogram::new(buckets))
+        };
+        Self {
+            accepted: counter("entry_jobs_accepted", "Jobs accepted"),
+            refused: counter("entry_jobs_refused", "Jobs refused"),
+            unknown: counter("entry_jobs_unknown", "Jobs with unknown outcome"),
+            starts: counter("entry_starts", "Runs ordered"),
+            start_faults: counter("entry_start_faults", "Starts refused or unanswered"),
+            questions: counter("entry_questions", "Questions to the advice service"),
+            shards: registry.register("entry_shards", "Shards owned", Gauge::default()),
+            open_jobs: registry.register("entry_open_jobs", "Jobs not ended", Gauge::default()),
+            accept_seconds: histogram("entry_accept_seconds", "Time to accept a job"),
+            append_seconds: histogram("entry_append_seconds", "Time of an append"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,225 @@
+//! The process: its parts, its view of the cell and the shards that it owns.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+
+use rosemaryworks_node::clock;
+use rosemaryworks_node::status::Ready;
+use rosemaryworks_wire::link::Peer;
+use rosemaryworks_wire::{Hello, Role};
+use tokio::sync::{Notify, Semaphore};
+
+use crate::claim::Claims;
+use crate::config::Config;
+use crate::events;
+use crate::links::Dialled;
+use crate::metrics::Metrics;
+use crate::owner::Owner;
+use crate::port::{Advisor, Store, Workers};
+use crate::settings::Settings;
+use crate::submitter::Submitter;
+
+/// Time without an answer of the log after which the process tells that it can't serve, in
+/// milliseconds. Longer than one lost answer and its repetition.
+const STORE_DOWN_MS: u64 = 700;
+
+/// What a process is made of.
+#[derive(Clone)]
+pub struct Parts {
+    /// The platform's log.
+    pub store: Arc<dyn Store>,
+    /// Orders to workers.
+    pub workers: Arc<dyn Workers>,
+    /// The advice service.
+    pub advisor: Arc<dyn Advisor>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Readiness.
+    pub ready: Ready,
+}
+
+/// The process. Clones of the reference share it.
+pub struct Node {
+    pub(crate) settings: Settings,
+    pub(crate) parts: Parts,
+    pub(crate) hello: Hello,
+    pub(crate) claims: Mutex<Claims>,
+    pub(crate) claims_changed: Notify,
+    pub(crate) owned: Mutex<BTreeMap<u32, Arc<Owner>>>,
+    pub(crate) dialled: Mutex<HashMap<std::net::SocketAddr, Dialled>>,
+    pub(crate) peers: Mutex<Vec<Peer>>,
+    /// Advice is served one call at a time for each VM.
+    pub(crate) advice_turn: Semaphore,
+    pub(crate) stopping: AtomicBool,
+    config: RwLock<Option<Arc<Config>>>,
+    submitters: Mutex<HashMap<u32, Arc<Submitter>>>,
+    store_answered_ms: AtomicU64,
+    store_down: AtomicBool,
+    runtime: tokio::runtime::Handle,
+}
+
+/// Locks a value. A panic of another holder leaves it usable.
+pub(crate) fn lock<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
+    value.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Node {
+    /// Creates the process.
+    #[must_use]
+    pub fn new(settings: Settings, parts: Parts, runtime: tokio::runtime::Handle) -> Arc<Self> {
+        let hello = Hello {
+            node: settings.node.clone(),
+            role: Role::Entry,
+            zone: settings.zone.clone(),
+            incarnation: clock::incarnation(),
+        };
+        parts.ready.clear("no configuration yet");
+        Arc::new(Self {
+            settings,
+            parts,
+            hello,
+            claims: Mutex::default(),
+            claims_changed: Notify::new(),
+            owned: Mutex::default(),
+            dialled: Mutex::default(),
+            peers: Mutex::default(),
+            advice_turn: Semaphore::new(1),
+            stopping: AtomicBool::new(false),
+            config: RwLock::new(None),
+            submitters: Mutex::default(),
+            store_answered_ms: AtomicU64::new(clock::now().0),
+            store_down: AtomicBool::new(false),
+            runtime,
+        })
+    }
+
+    /// Starts what runs beside the servers: followers, claims and links. Must be called within a
+    /// tokio runtime.
+    pub fn start(self: &Arc<Self>, links: tokio::net::TcpListener) {
+        self.serve_links(links);
+        tokio::spawn(self.clone().follow_configuration());
+        tokio::spawn(self.clone().hold_claims());
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.config
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts a configuration into force, unless a later one is.
+    pub(crate) fn configure(&self, config: Arc<Config>) {
+        {
+            let mut current = self.config.write().unwrap_or_else(PoisonError::into_inner);
+            if current
+                .as_ref()
+                .is_some_and(|current| current.version >= config.version)
+            {
+                return;
+            }
+            *current = Some(config.clone());
+        }
+        events::CONFIGURED.log(format_args!(
+            "version={} routes={} pools={}",
+            config.version,
+            config.routes.len(),
+            config.pools.len()
+        ));
+        let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
+        for owner in owners {
+            owner.configure(&config);
+        }
+        self.update_ready();
+    }
+
+    /// Notes whether the log answered.
+    pub(crate) fn store_answered(&self, answered: bool) {
+        let now_ms = clock::now().0;
+        if answered {
+            self.store_answered_ms.store(now_ms, Ordering::Relaxed);
+            if self.store_down.swap(false, Ordering::Relaxed) {
+                events::STORE_BACK.log(format_args!("node={}", self.settings.node));
+            }
+        } else {
+            let silent_ms = now_ms.saturating_sub(self.store_answered_ms.load(Ordering::Relaxed));
+            if silent_ms >= STORE_DOWN_MS && !self.store_down.swap(true, Ordering::Relaxed) {
+                events::STORE_LOST.log(format_args!(
+                    "node={} silent_ms={silent_ms}",
+                    self.settings.node
+                ));
+            }
+        }
+        self.update_ready();
+    }
+
+    /// Tells whether the log has not answered for a while.
+    pub(crate) fn store_is_down(&self) -> bool {
+        self.store_down.load(Ordering::Relaxed)
+    }
+
+    fn update_ready(&self) {
+        let ready = &self.parts.ready;
+        if self.stopping.load(Ordering::Relaxed) {
+            ready.clear("stopping");
+        } else if self.config().is_none() {
+            ready.clear("no configuration yet");
+        } else if self.store_is_down() {
+            ready.clear("the log doesn't answer");
+        } else {
+            ready.set();
+        }
+    }
+
+    /// Begins a planned stop: the balancer is told, and shards are given up.
+    pub async fn stop(self: &Arc<Self>) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.update_ready();
+        self.release_all().await;
+    }
+
+    /// Returns the writer of jobs of a shard.
+    pub(crate) fn submitter(&self, shard: u32) -> Arc<Submitter> {
+        let mut submitters = lock(&self.submitters);
+        let start = || {
+            let _guard = self.runtime.enter();
+            let producer = format!("{}-{}", self.settings.node, self.hello.incarnation);
+            Submitter::start(self.parts.store.clone(), shard, producer.into())
+        };
+        submitters.entry(shard).or_insert_with(start).clone()
+    }
+
+    /// Returns the owner of a shard if it is this process.
+    pub(crate) fn owner(&self, shard: u32) -> Option<Arc<Owner>> {
+        lock(&self.owned).get(&shard).cloned()
+    }
+
+    /// Follows the configuration for the life of the process.
+    async fn follow_configuration(self: Arc<Self>) {
+        /// Longest wait of the log for a change. A connection that went silent is noticed within
+        /// this time and the time-out of a call.
+        const WAIT_MS: u64 = 1_000;
+        const RETRY_PAUSE: Duration = Duration::from_millis(150);
+        let mut since = None;
+        loop {
+            match self.parts.store.configuration(since, WAIT_MS).await {
+                Ok(feed) => {
+                    self.store_answered(true);
+                    since = Some(feed.next);
+                    for config in feed.items {
+                        self.configure(config);
+                    }
+                }
+                Err(crate::port::Fault::Expired { .. }) => since = None,
+                Err(_) => {
+                    self.store_answered(false);
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/owner.rs
@@ -0,0 +1,429 @@
+//! A shard that this process owns: its kernel and the tasks that serve it.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use rosemaryworks_node::clock;
+use rosemaryworks_wire::link::Peer;
+use rosemaryworks_wire::workflow::Inquired;
+use rosemaryworks_workflow::{Action, Ask, Id, Order, Pace, Record, Shard, Started, Stop};
+use tokio::sync::Notify;
+
+use crate::config::{self, Config};
+use crate::events;
+use crate::journal::{self, Journal};
+use crate::node::{Node, Parts, lock};
+use crate::port::{Fault, Listing, Stream};
+use crate::session::Session;
+
+/// Longest time between two ticks of the kernel.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time from one tick to the next at least, so that events that arrive together share one.
+const TICK_SPACING: Duration = Duration::from_millis(2);
+
+/// Time between two reads of the list of workers. The bound on starts at leaving workers is 2 s.
+const LIST_PERIOD: Duration = Duration::from_millis(350);
+
+/// Longest wait of the log for a new job.
+const JOBS_WAIT_MS: u64 = 1_000;
+
+/// Pause before a read that failed is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time since the last read of the shard's jobs after which the owner can't tell that a job doesn't
+/// exist, in milliseconds.
+const FRESH_MS: u64 = JOBS_WAIT_MS + 500;
+
+/// Longest wait for the journal at a planned stop.
+const FLUSH_MAX: Duration = Duration::from_millis(400);
+
+/// A shard that this process owns.
+pub(crate) struct Owner {
+    shard: u32,
+    shards: u32,
+    epoch: u64,
+    parts: Parts,
+    state: Mutex<Shard>,
+    journal: Journal,
+    changed: Notify,
+    written: Notify,
+    ended: AtomicBool,
+    beat: AtomicU64,
+    jobs_next: u64,
+    jobs_read_ms: AtomicU64,
+    workers_next: u64,
+    sessions: Mutex<HashMap<Arc<str>, Arc<Session>>>,
+    /// Expected time of the questions on their way through each peer, in milliseconds.
+    asking: Mutex<HashMap<Arc<str>, f64>>,
+}
+
+impl Owner {
+    pub(crate) fn new(
+        node: &Node,
+        shard: u32,
+        state: Shard,
+        jobs_next: u64,
+        workers_next: u64,
+    ) -> Arc<Self> {
+        let epoch = state.epoch();
+        let parts = node.parts.clone();
+        let journal = Journal::new(parts.store.clone(), shard, epoch, parts.metrics.clone());
+        Arc::new(Self {
+            shard,
+            shards: node.settings.shards,
+            epoch,
+            parts,
+            state: Mutex::new(state),
+            journal,
+            changed: Notify::new(),
+            written: Notify::new(),
+            ended: AtomicBool::new(false),
+            beat: AtomicU64::new(0),
+            jobs_next,
+            jobs_read_ms: AtomicU64::new(clock::now().0),
+            workers_next,
+            sessions: Mutex::default(),
+            asking: Mutex::default(),
+        })
+    }
+
+    pub(crate) fn shard(&self) -> u32 {
+        self.shard
+    }
+
+    pub(crate) fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    pub(crate) fn next_beat(&self) -> u64 {
+        self.beat.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    pub(crate) fn state(&self) -> MutexGuard<'_, Shard> {
+        lock(&self.state)
+    }
+
+    pub(crate) fn parts(&self) -> &Parts {
+        &self.parts
+    }
+
+    pub(crate) fn counts(&self) -> (usize, usize) {
+        let state = self.state();
+        (state.open_jobs(), state.host_ids().len())
+    }
+
+    pub(crate) fn is_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+
+    /// Stops acting for the shard.
+    pub(crate) fn end(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        self.changed.notify_one();
+        for session in lock(&self.sessions).values() {
+            session.interrupt();
+        }
+    }
+
+    /// Waits until what happened so far is durable, for a short time.
+    pub(crate) async fn flush(&self) {
+        let until = clock::now().0 + FLUSH_MAX.as_millis() as u64;
+        while !self.state().is_written() && clock::now().0 < until {
+            tokio::time::sleep(TICK_SPACING).await;
+        }
+    }
+
+    /// Tells the kernel's driver that something changed.
+    pub(crate) fn kick(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Puts a configuration into force.
+    pub(crate) fn configure(&self, config: &Config) {
+        let queues = config.routes.iter().map(|route| (*route.queue).clone());
+        self.state().set_queues(queues);
+        self.kick();
+    }
+
+    /// Answers a question about a job.
+    pub(crate) fn inquire(&self, job: Id) -> Inquired {
+        if self.is_ended() {
+            return Inquired::CannotTell;
+        }
+        match self.state().state(job) {
+            Some(state) => Inquired::State(state),
+            None if self.is_fresh() => Inquired::Unknown,
+            None => Inquired::CannotTell,
+        }
+    }
+
+    fn is_fresh(&self) -> bool {
+        clock::now().0 < self.jobs_read_ms.load(Ordering::Relaxed) + FRESH_MS
+    }
+
+    /// Returns the number of waiting jobs of a queue.
+    pub(crate) fn length(&self, queue: &str) -> Option<u64> {
+        let fresh = !self.is_ended() && self.is_fresh();
+        fresh.then(|| self.state().waiting(queue))
+    }
+
+    /// Starts the tasks that serve the shard.
+    pub(crate) fn start(self: &Arc<Self>, node: &Arc<Node>) {
+        tokio::spawn(self.clone().drive(node.clone()));
+        tokio::spawn(self.clone().follow_jobs(node.clone()));
+        tokio::spawn(self.clone().follow_workers(node.clone()));
+        tokio::spawn(self.clone().write_journal(node.clone()));
+        self.kick();
+    }
+
+    async fn write_journal(self: Arc<Self>, node: Arc<Node>) {
+        let written = |count| {
+            self.state().written(count);
+            self.written.notify_waiters();
+        };
+        let fault = self.journal.run(written).await;
+        node.depose(self.shard, self.epoch, &fault.to_string());
+    }
+
+    /// Waits until more ends are durable, or `limit` has passed.
+    pub(crate) async fn wait_written(&self, limit: Duration) {
+        // A wake-up that is missed costs no more than the limit.
+        let _ = tokio::time::timeout(limit, self.written.notified()).await;
+    }
+
+    /// Runs the kernel until the shard is given up.
+    async fn drive(self: Arc<Self>, node: Arc<Node>) {
+        while !self.is_ended() {
+            let actions = {
+                let mut state = self.state();
+                state.tick(clock::now().0, clock::unix_ms());
+                let open = state.open_jobs();
+                self.parts.metrics.open_jobs.set(open as i64);
+                state.take_actions()
+            };
+            for action in actions {
+                self.carry_out(&node, action);
+            }
+            tokio::time::sleep(TICK_SPACING).await;
+            // Without a change, what is due by time is looked for.
+            let _ = tokio::time::timeout(TICK, self.changed.notified()).await;
+        }
+    }
+
+    fn carry_out(self: &Arc<Self>, node: &Arc<Node>, action: Action) {
+        match action {
+            Action::Ask(ask) => {
+                tokio::spawn(self.clone().ask(node.clone(), ask));
+            }
+            Action::Depose => node.depose(self.shard, self.epoch, "a worker knows a later owner"),
+            Action::Look(id) => self.session(&id).interrupt(),
+            Action::Pace(pace) => {
+                tokio::spawn(self.clone().pace(pace));
+            }
+            Action::Record(record) => self.journal.push(record),
+            Action::Start(order) => {
+                tokio::spawn(self.clone().order(order));
+            }
+            Action::Stop(stop) => {
+                tokio::spawn(self.clone().stop(stop));
+            }
+        }
+    }
+
+    fn session(self: &Arc<Self>, id: &Arc<str>) -> Arc<Session> {
+        let mut sessions = lock(&self.sessions);
+        let start = || Session::start(self.clone(), id.clone());
+        sessions.entry(id.clone()).or_insert_with(start).clone()
+    }
+
+    pub(crate) fn forget_session(&self, id: &str) {
+        lock(&self.sessions).remove(id);
+    }
+
+    async fn order(self: Arc<Self>, order: Order) {
+        if self.is_ended() {
+            return;
+        }
+        let began = clock::now();
+        let outcome = self.parts.workers.start(&order).await;
+        events::STARTED.log(format_args!(
+            "task={} attempt={} worker={} token={} outcome={outcome:?} took_ms={}",
+            order.key,
+            order.attempt,
+            order.worker,
+            order.token,
+            clock::now().since(began)
+        ));
+        self.parts.metrics.starts.inc();
+        if !matches!(outcome, Started::Accepted { .. }) {
+            self.parts.metrics.start_faults.inc();
+        }
+        self.state().started(&order, outcome, clock::now().0);
+        self.session(&order.worker).wake();
+        self.kick();
+    }
+
+    async fn stop(self: Arc<Self>, stop: Stop) {
+        if self.is_ended() {
+            return;
+        }
+        let taken = self.parts.workers.stop(&stop).await;
+        events::STOPPED.log(format_args!(
+            "task={} attempt={} worker={} taken={taken}",
+            stop.key, stop.attempt, stop.worker
+        ));
+        if !taken {
+            self.state()
+                .stop_failed(&stop.worker, stop.key, stop.attempt);
+        }
+        self.session(&stop.worker).wake();
+    }
+
+    async fn pace(self: Arc<Self>, pace: Pace) {
+        if self.is_ended() {
+            return;
+        }
+        let taken = self.parts.workers.pace(&pace).await;
+        events::PACED.log(format_args!(
+            "task={} worker={} percent={} taken={taken}",
+            pace.run.key, pace.run.worker, pace.percent
+        ));
+    }
+
+    async fn ask(self: Arc<Self>, node: Arc<Node>, ask: Ask) {
+        let began = clock::now();
+        let (peer, waiting_ms) = self.choose_peer(&node, ask.cost_ms);
+        let name = peer.as_ref().map(|peer| peer.hello().node.clone());
+        let permits = match &peer {
+            Some(peer) => {
+                let workers = ask.workers.clone();
+                Node::advise_through(peer, ask.step, workers, ask.cost_ms, waiting_ms).await
+            }
+            None => node.advise_here(ask.step, &ask.workers, ask.cost_ms).await,
+        };
+        let key = name.clone().unwrap_or_else(|| node.settings.node.clone());
+        if let Some(cost_ms) = lock(&self.asking).get_mut(&key) {
+            *cost_ms = (*cost_ms - ask.cost_ms).max(0.0);
+        }
+        events::ADVISED.log(format_args!(
+            "step={} asked={} good={} through={} took_ms={}",
+            ask.step,
+            ask.workers.len(),
+            permits.as_ref().map_or(-1, |permits| permits.len() as i64),
+            key,
+            clock::now().since(began)
+        ));
+        let now_ms = clock::now().0;
+        let mut state = self.state();
+        match permits {
+            Some(permits) => state.advised(ask.step, permits, now_ms + ask.validity_ms),
+            None => state.unadvised(ask.step, now_ms),
+        }
+        drop(state);
+        self.kick();
+    }
+
+    /// Chooses the VM from which a question is asked: the one with the least time of questions on
+    /// their way. Returns `None` for this VM, and the time of the questions before this one.
+    fn choose_peer(&self, node: &Node, cost_ms: f64) -> (Option<Peer>, f64) {
+        let peers: Vec<Peer> = lock(&node.peers).clone();
+        let mut asking = lock(&self.asking);
+        let own = node.settings.node.clone();
+        let mut best = (None, asking.get(&own).copied().unwrap_or(0.0));
+        for peer in peers {
+            let waiting = asking.get(&peer.hello().node).copied().unwrap_or(0.0);
+            if waiting < best.1 && !peer.is_closed() {
+                best = (Some(peer), waiting);
+            }
+        }
+        let key = best
+            .0
+            .as_ref()
+            .map_or(own, |peer| peer.hello().node.clone());
+        *asking.entry(key).or_default() += cost_ms;
+        best
+    }
+
+    /// Follows the jobs and cancellations of the shard.
+    async fn follow_jobs(self: Arc<Self>, node: Arc<Node>) {
+        let mut next = self.jobs_next;
+        while !self.is_ended() {
+            let read = self
+                .parts
+                .store
+                .read(Stream::Jobs, self.shard, next, JOBS_WAIT_MS);
+            match read.await {
+                Ok(page) => {
+                    node.store_answered(true);
+                    let mut state = self.state();
+                    let now_ms = clock::now().0;
+                    for record in &page.records {
+                        match journal::decode(&record.value) {
+                            Some(Record::Submitted { id, queue, spec }) => {
+                                state.submit(id, queue, spec);
+                            }
+                            Some(Record::Cancelled { id }) => state.cancel(id, now_ms),
+                            _ => {}
+                        }
+                    }
+                    next = page.next;
+                    if page.next >= page.end {
+                        self.jobs_read_ms.store(now_ms, Ordering::Relaxed);
+                    }
+                    drop(state);
+                    if !page.records.is_empty() {
+                        self.kick();
+                    }
+                }
+                Err(Fault::Expired { first }) => next = first,
+                Err(_) => {
+                    node.store_answered(false);
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Follows the list of workers.
+    async fn follow_workers(self: Arc<Self>, node: Arc<Node>) {
+        let mut since = Some(self.workers_next);
+        while !self.is_ended() {
+            tokio::time::sleep(LIST_PERIOD).await;
+            match self.parts.store.workers(since).await {
+                Ok(feed) => {
+                    since = Some(feed.next);
+                    self.take_list(feed.items, feed.whole);
+                }
+                Err(Fault::Expired { .. }) => since = None,
+                Err(_) => node.store_answered(false),
+            }
+        }
+    }
+
+    fn take_list(&self, items: Vec<Listing>, whole: bool) {
+        let now_ms = clock::now().0;
+        let mut state = self.state();
+        let mut missing = if whole { state.host_ids() } else { Vec::new() };
+        for item in items {
+            match item {
+                Listing::Listed(worker) => {
+                    missing.retain(|id| *id != worker.id);
+                    if config::shard(&worker.pool, self.shards) == self.shard {
+                        state.list(worker, now_ms);
+                    } else {
+                        state.unlist(&worker.id, now_ms);
+                    }
+                }
+                Listing::Unlisted(id) => state.unlist(&id, now_ms),
+            }
+        }
+        for id in missing {
+            state.unlist(&id, now_ms);
+        }
+        drop(state);
+        self.kick();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,92 @@
+//! Settings of the process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rosemaryworks_node::logging;
+use rosemaryworks_node::settings::{Check, Faults};
+use serde::{Deserialize, Serialize};
+
+/// Longest lease that a worker accepts, without a setting, in milliseconds.
+const LEASE_MAX_MS: u64 = 6_000;
+
+/// Settings of an entry process.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the process.
+    pub node: Arc<str>,
+    /// Availability zone of the process.
+    pub zone: Arc<str>,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for the balancer's readiness probes.
+    pub readiness_listen: SocketAddr,
+    /// Address for links from other processes.
+    pub peer_listen: SocketAddr,
+    /// Address for metrics.
+    pub metrics_listen: SocketAddr,
+    /// Number of shards; that of the partitions of a stream.
+    pub shards: u32,
+    /// Time from a planned stop to the end of the process in milliseconds, at most.
+    #[serde(default = "defaults::stop_ms")]
+    pub stop_ms: u64,
+    /// Longest lease of a worker in milliseconds.
+    #[serde(default = "defaults::lease_ms")]
+    pub lease_max_ms: u64,
+    /// Time for which the state of a job is kept after its end in milliseconds.
+    #[serde(default = "defaults::keep_ms")]
+    pub keep_ms: u64,
+    /// Time before its due time at which an occurrence may begin in milliseconds.
+    #[serde(default)]
+    pub early_ms: u64,
+    /// Logs.
+    #[serde(default)]
+    pub log: logging::Settings,
+}
+
+mod defaults {
+    pub(super) fn stop_ms() -> u64 {
+        5_000
+    }
+
+    pub(super) fn lease_ms() -> u64 {
+        super::LEASE_MAX_MS
+    }
+
+    pub(super) fn keep_ms() -> u64 {
+        120_000
+    }
+}
+
+impl Settings {
+    /// Returns the length of a worker's lease in milliseconds. Longer than a takeover takes, and no
+    /// longer, because the work of an unreachable worker waits for its end.
+    #[must_use]
+    pub fn lease_ms(&self) -> u64 {
+        self.lease_max_ms.min(LEASE_MAX_MS)
+    }
+}
+
+impl Check for Settings {
+    fn check(&self, faults: &mut Faults) {
+        faults.require(!self.node.is_empty(), "node", "must not be empty");
+        faults.require(!self.zone.is_empty(), "zone", "must not be empty");
+        let shards = (1..=1024).contains(&self.shards);
+        faults.require(shards, "shards", "must be 1 to 1024");
+        let lease = (1_000..=60_000).contains(&self.lease_max_ms);
+        faults.require(lease, "lease_max_ms", "must be 1000 to 60000");
+        let stop = (500..=600_000).contains(&self.stop_ms);
+        faults.require(stop, "stop_ms", "must be 500 to 600000");
+        let listens = [
+            ("listen", self.listen),
+            ("readiness_listen", self.readiness_listen),
+            ("peer_listen", self.peer_listen),
+            ("metrics_listen", self.metrics_listen),
+        ];
+        for (index, (field, address)) in listens.iter().enumerate() {
+            let twice = listens[..index].iter().any(|(_, other)| other == address);
+            faults.require(!twice, *field, "is used twice");
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/submitter.rs
@@ -0,0 +1,199 @@
+//! Writes accepted jobs and cancellations to a shard's stream.
+//!
+//! One append is in flight at a time; what arrives meanwhile goes into the next one. An append
+//! without an answer is repeated with the same sequence number until the log tells its outcome, so
+//! no record is written twice and none is lost whose caller was told that it is stored.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use rosemaryworks_node::clock;
+use tokio::sync::{Notify, oneshot};
+
+use crate::port::{Append, Fault, Guard, Record, Store, Stream};
+
+/// Pause before an append that was refused or got no answer is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// Largest number of records that wait. More wait only while the log doesn't answer.
+const WAITING_MAX: usize = 2_000;
+
+/// Bytes of one append, at most. The log accepts 2 MiB.
+const APPEND_MAX_BYTES: usize = 512 * 1024;
+
+/// Outcome of a write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Outcome {
+    /// The record is stored.
+    Stored,
+    /// The record is not stored and won't be.
+    Refused,
+    /// The record may be stored, now or later.
+    Unknown,
+}
+
+struct Item {
+    value: Vec<u8>,
+    deadline_ms: u64,
+    reply: oneshot::Sender<Outcome>,
+}
+
+/// Writer of one shard's stream.
+pub(crate) struct Submitter {
+    store: Arc<dyn Store>,
+    shard: u32,
+    producer: Arc<str>,
+    waiting: Mutex<VecDeque<Item>>,
+    arrived: Notify,
+}
+
+impl Submitter {
+    /// Starts a writer. Must be called within a tokio runtime.
+    pub(crate) fn start(store: Arc<dyn Store>, shard: u32, producer: Arc<str>) -> Arc<Self> {
+        let submitter = Arc::new(Self {
+            store,
+            shard,
+            producer,
+            waiting: Mutex::default(),
+            arrived: Notify::new(),
+        });
+        tokio::spawn(submitter.clone().run());
+        submitter
+    }
+
+    /// Writes a record. The outcome arrives by `deadline_ms` or shortly after it.
+    pub(crate) fn write(&self, value: Vec<u8>, deadline_ms: u64) -> oneshot::Receiver<Outcome> {
+        let (reply, outcome) = oneshot::channel();
+        let item = Item {
+            value,
+            deadline_ms,
+            reply,
+        };
+        let mut waiting = self.waiting();
+        if waiting.len() < WAITING_MAX {
+            waiting.push_back(item);
+            self.arrived.notify_one();
+        } else {
+            // The caller may have gone.
+            let _ = item.reply.send(Outcome::Refused);
+        }
+        outcome
+    }
+
+    fn waiting(&self) -> std::sync::MutexGuard<'_, VecDeque<Item>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn run(self: Arc<Self>) {
+        let mut sequence = 0;
+        let mut epoch = 1;
+        loop {
+            self.arrived.notified().await;
+            while let Some(batch) = self.next_batch() {
+                match self.carry(batch, epoch, sequence).await {
+                    Step::Next => sequence += 1,
+                    Step::Same => {}
+                    Step::Renew => {
+                        epoch += 1;
+                        sequence = 0;
+                    }
+                }
+            }
+        }
+    }
+
+    fn next_batch(&self) -> Option<Vec<Item>> {
+        let mut waiting = self.waiting();
+        let mut bytes = 0;
+        let mut batch = Vec::new();
+        while let Some(item) = waiting.pop_front() {
+            if batch.is_empty() || bytes + item.value.len() <= APPEND_MAX_BYTES {
+                bytes += item.value.len();
+                batch.push(item);
+            } else {
+                waiting.push_front(item);
+                break;
+            }
+        }
+        (!batch.is_empty()).then_some(batch)
+    }
+
+    /// Repeats an append until its outcome is known.
+    async fn carry(&self, mut batch: Vec<Item>, epoch: u64, sequence: u64) -> Step {
+        let mut records: Vec<Record> = Vec::new();
+        let mut in_doubt = false;
+        loop {
+            if in_doubt {
+                batch = expire(batch, Outcome::Unknown);
+            } else {
+                batch = expire(batch, Outcome::Refused);
+                if batch.is_empty() {
+                    return Step::Same;
+                }
+                records = batch
+                    .iter()
+                    .map(|item| Record {
+                        key: None,
+                        value: item.value.clone(),
+                    })
+                    .collect();
+            }
+            let append = Append {
+                stream: Stream::Jobs,
+                part: self.shard,
+                records: records.clone(),
+                guard: Guard::Producer {
+                    name: self.producer.clone(),
+                    epoch,
+                    sequence,
+                },
+            };
+            match self.store.append(append).await {
+                Ok(_) => {
+                    answer(batch, Outcome::Stored);
+                    return Step::Next;
+                }
+                Err(Fault::Unknown(_)) => in_doubt = true,
+                Err(Fault::Refused(_)) => {}
+                Err(fault) => {
+                    log::warn!(target: "rosemaryworks", "E809 append of jobs failed: shard={} {fault}", self.shard);
+                    let outcome = if in_doubt {
+                        Outcome::Unknown
+                    } else {
+                        Outcome::Refused
+                    };
+                    answer(batch, outcome);
+                    return Step::Renew;
+                }
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+enum Step {
+    /// The append took effect.
+    Next,
+    /// Nothing was appended.
+    Same,
+    /// The producer starts over with a higher epoch.
+    Renew,
+}
+
+fn answer(batch: Vec<Item>, outcome: Outcome) {
+    for item in batch {
+        // The caller may have gone.
+        let _ = item.reply.send(outcome);
+    }
+}
+
+/// Answers the items whose deadline has passed and returns the others.
+fn expire(batch: Vec<Item>, outcome: Outcome) -> Vec<Item> {
+    let now_ms = clock::now().0;
+    let (expired, rest) = batch
+        .into_iter()
+        .partition(|item| now_ms >= item.deadline_ms);
+    answer(expired, outcome);
+    rest
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod event;
 pub mod http;
+mod log_queue;
 pub mod logging;
 pub mod metrics;
 pub mod settings;
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -13,6 +13,7 @@
 use log4rs::encode::pattern::PatternEncoder;
 use serde::{Deserialize, Serialize};
 
+use crate::log_queue::Queue;
 use crate::settings::Error;
 
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} {l} {m}{n}";
@@ -41,6 +42,9 @@
     pub file: Option<PathBuf>,
     /// Format of log lines.
     pub format: Format,
+    /// Whether to write to standard output instead of standard error, from a thread of its own: a
+    /// reader that doesn't read drops lines and never blocks the process.
+    pub stdout: bool,
 }
 
 impl Default for Settings {
@@ -49,6 +53,7 @@
             level: LevelFilter::Info,
             file: None,
             format: Format::Text,
+            stdout: false,
         }
     }
 }
@@ -69,6 +74,9 @@
 pub fn start(settings: &Settings) -> Result<(), Report<Error>> {
     let encoder = encoder(settings.format);
     let appender: Box<dyn Append> = match &settings.file {
+        None if settings.stdout => Box::new(Queue::start(encoder).change_context_lazy(|| {
+            Error::fault("log.stdout", "the writing thread can't be started")
+        })?),
         None => Box::new(
             ConsoleAppender::builder()
                 .target(Target::Stderr)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 mod frame;
 pub mod link;
 mod message;
+pub mod workflow;
 
 pub use frame::{Error, FRAME_MAX_BYTES, Frame, Kind};
 pub use message::{Beat, Hello, Inspected, Message, Role, Snapshot, Submission, Verdict, View};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -18,6 +18,8 @@
 /// Kind of process at the other end of a link.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Role {
+    /// Process of an entry VM that serves jobs of steps.
+    Entry,
     /// Gateway.
     Gateway,
     /// Scheduler.
@@ -159,6 +161,9 @@
 /// Content of a frame.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
+    /// Between processes that serve jobs of steps.
+    #[serde(rename = "w")]
+    Workflow(crate::workflow::Message),
     /// Call, gateway to owner: asks for a slot. Answered by `Verdict`.
     #[serde(rename = "a")]
     Ask {
--- /dev/null
+++ b/crates/workflow/src/lib.rs
@@ -0,0 +1,35 @@
+//! Jobs of dependent steps on pools of workers.
+//!
+//! [`Shard`] is a state machine without I/O: it takes submissions, reports of workers and advice,
+//! and returns [`Action`]s for its process to carry out. Each shard has one owner at a time.
+
+mod action;
+mod advice;
+mod end;
+mod host;
+mod job;
+mod lease;
+mod orders;
+mod pacing;
+mod place;
+mod record;
+mod recovery;
+mod report;
+mod run;
+mod shard;
+mod start;
+mod survey;
+mod suspicion;
+mod target;
+mod task;
+mod tick;
+
+pub use action::{Action, Ask, Order, Pace, Stop};
+pub use host::{Host, Sight};
+pub use job::{Id, Queue, Spec, State, Step, Terms};
+pub use record::Record;
+pub use report::{Finished, Look, LookFault, Report, Running};
+pub use shard::{Settings, Shard};
+pub use start::{Refusal, Started};
+pub use target::Worker;
+pub use task::{How, Key, StepKey};
--- /dev/null
+++ b/crates/workflow/src/place.rs
@@ -0,0 +1,396 @@
+//! Where work goes: an urgent crowd of short tasks beside large gangs and tasks that last.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rosemaryworks_core::size::Size;
+
+use crate::action::{Action, Ask, Order};
+use crate::host::{Host, Phase, Run};
+use crate::job::{Queue, Step};
+use crate::run::Place;
+use crate::shard::Shard;
+use crate::task::{Key, StepKey};
+
+/// Most workers named in one question to the advice service.
+const ASKED_MAX: usize = 30;
+
+/// Share of workers expected to be good before anything was learned of a queue.
+const GOOD_SHARE: f64 = 0.4;
+
+/// Weight of the newest answer in the learned share of good workers.
+const SHARE_WEIGHT: f64 = 0.1;
+
+/// Room asked for beyond what a step needs, since fewer workers than expected may be good.
+const ASK_MARGIN: f64 = 1.5;
+
+/// Penalty of a worker far from the data, in thousandths of a worker's size.
+const FAR_PENALTY: i64 = 1_500;
+
+/// Penalty of a worker that serves tasks with a target, for tasks that fill.
+const SERVING_PENALTY: i64 = 3_000;
+
+/// Penalty for each failure in a row of a worker.
+const FAILURE_PENALTY: i64 = 1_000;
+
+/// What became of a step that was looked at.
+enum Placed {
+    /// No task of it waits any more.
+    All,
+    /// Some tasks still wait.
+    Some,
+}
+
+impl Shard {
+    /// Places what waits, in the order of priority and age.
+    pub fn place(&mut self, now_ms: u64) {
+        let turns: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
+        for key in turns {
+            if let Placed::All = self.place_step(key, now_ms) {
+                self.ready.retain(|(_, _, other)| *other != key);
+            }
+        }
+    }
+
+    fn place_step(&mut self, key: StepKey, now_ms: u64) -> Placed {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return Placed::All;
+        };
+        let (spec, queue) = (job.spec.clone(), job.queue.clone());
+        let Some(step) = spec.steps.get(key.step as usize) else {
+            return Placed::All;
+        };
+        let settled = self.recovery.is_settled();
+        let Some(run) = self.step_run_mut(key) else {
+            return Placed::All;
+        };
+        if run.waiting == 0 {
+            return Placed::All;
+        }
+        if run.inherited && !settled {
+            return Placed::Some;
+        }
+        let Some(queue) = self.queues.get(&queue).cloned() else {
+            return Placed::Some;
+        };
+        if step.gang {
+            self.place_gang(key, step, &queue, now_ms);
+        } else {
+            self.place_tasks(key, step, &queue, now_ms);
+        }
+        match self.step_run_mut(key) {
+            Some(run) if run.waiting > 0 => Placed::Some,
+            _ => Placed::All,
+        }
+    }
+
+    fn place_tasks(&mut self, key: StepKey, step: &Step, queue: &Queue, now_ms: u64) {
+        let due: Vec<u32> = match self.step_run_mut(key) {
+            Some(run) => (0..step.count)
+                .filter(|&index| {
+                    let task = &run.tasks[index as usize];
+                    task.place == Place::Waiting && task.not_before_ms <= now_ms
+                })
+                .collect(),
+            None => return,
+        };
+        for (at, index) in due.iter().enumerate() {
+            let Some(worker) = self.best(key, step, queue, now_ms, &BTreeMap::new()) else {
+                self.ask(key, step, queue, due.len() - at, now_ms);
+                return;
+            };
+            let attempt = self.next_attempt(key, *index);
+            self.start(
+                &worker,
+                Key {
+                    step: key,
+                    index: *index,
+                },
+                attempt,
+                step,
+                now_ms,
+            );
+        }
+    }
+
+    fn next_attempt(&mut self, key: StepKey, index: u32) -> u32 {
+        self.step_run_mut(key)
+            .and_then(|run| run.tasks.get(index as usize))
+            .map_or(1, |task| task.attempt + 1)
+    }
+
+    fn place_gang(&mut self, key: StepKey, step: &Step, queue: &Queue, now_ms: u64) {
+        let Some(run) = self.step_run_mut(key) else {
+            return;
+        };
+        if run.waiting < step.count {
+            self.break_up(key, now_ms);
+            return;
+        }
+        if run.tasks.iter().any(|task| task.not_before_ms > now_ms) {
+            return;
+        }
+        let attempt = run.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
+        let mut taken: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+        let mut workers = Vec::new();
+        let mut rack = None;
+        for _ in 0..step.count {
+            let near = rack.clone().filter(|_| step.one_rack);
+            let wanted = Step {
+                near: near.or_else(|| step.near.clone()),
+                ..step.clone()
+            };
+            let Some(worker) = self.best(key, &wanted, queue, now_ms, &taken) else {
+                self.ask(key, step, queue, step.count as usize, now_ms);
+                return;
+            };
+            rack = self.hosts.get(&worker).map(|host| host.worker.rack.clone());
+            *taken.entry(worker.clone()).or_default() += 1;
+            workers.push(worker);
+        }
+        let saved = self.step_run_mut(key).and_then(|run| {
+            let saved = run.tasks.iter().filter_map(|task| task.saved.clone());
+            saved.max()
+        });
+        for (index, worker) in workers.into_iter().enumerate() {
+            let index = index as u32;
+            if let Some(run) = self.step_run_mut(key) {
+                run.tasks[index as usize].saved = saved.clone();
+            }
+            self.start(&worker, Key { step: key, index }, attempt, step, now_ms);
+        }
+    }
+
+    /// Stops the members that are left of a gang that has lost one.
+    fn break_up(&mut self, key: StepKey, now_ms: u64) {
+        let Some(run) = self.step_run_mut(key) else {
+            return;
+        };
+        let mut members = Vec::new();
+        for (index, task) in run.tasks.iter().enumerate() {
+            if let Place::On(worker) = &task.place {
+                members.push((worker.clone(), index as u32));
+            }
+        }
+        for (worker, index) in members {
+            self.stop(&worker, Key { step: key, index }, now_ms);
+        }
+    }
+
+    /// Returns the best worker for one more task of a step, beside those already `taken`.
+    fn best(
+        &mut self,
+        key: StepKey,
+        step: &Step,
+        queue: &Queue,
+        now_ms: u64,
+        taken: &BTreeMap<Arc<str>, u32>,
+    ) -> Option<Arc<str>> {
+        let on = self.tasks_on(key, step);
+        let run = self.step_run_mut(key)?.advice.clone();
+        let size = step.footprint();
+        let mut best: Option<(i64, &Arc<str>)> = None;
+        for (id, host) in &self.hosts {
+            if host.worker.pool != queue.pool || !host.takes_work(now_ms) {
+                continue;
+            }
+            if queue.advice.is_some() && run.permit(id, now_ms).is_none() {
+                continue;
+            }
+            let also = taken.get(id).copied().unwrap_or(0);
+            let crowd = on.get(id).copied().unwrap_or(0) + also;
+            if !allows(host, step, crowd) || !size.times(u64::from(also) + 1).fits(&host.free()) {
+                continue;
+            }
+            let score = score(host, step, &size);
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    /// Counts the tasks of a step on each worker, if their number is limited.
+    fn tasks_on(&mut self, key: StepKey, step: &Step) -> BTreeMap<Arc<str>, u32> {
+        let mut on = BTreeMap::new();
+        if step.spread == 0 {
+            return on;
+        }
+        for (id, host) in &self.hosts {
+            let count = host.runs.keys().filter(|run| run.step == key).count();
+            if count > 0 {
+                on.insert(id.clone(), count as u32);
+            }
+        }
+        on
+    }
+
+    fn start(&mut self, worker: &Arc<str>, key: Key, attempt: u32, step: &Step, now_ms: u64) {
+        let order_ms = self.settings.order_ms;
+        let Some(job) = self.jobs.get_mut(&key.step.job) else {
+            return;
+        };
+        let text = job.spec.text.clone();
+        job.started = true;
+        let Some(run) = self.step_run_mut(key.step) else {
+            return;
+        };
+        let permit = run.advice.permit(worker, now_ms).cloned();
+        let task = &mut run.tasks[key.index as usize];
+        task.attempt = attempt;
+        let saved = task.saved.clone();
+        run.set(key.index, Place::On(worker.clone()));
+        let Some(host) = self.hosts.get_mut(worker) else {
+            return;
+        };
+        let Some(deadline_ms) = host.lease.deadline(now_ms, order_ms) else {
+            return;
+        };
+        let order = Order {
+            worker: worker.clone(),
+            address: host.worker.address,
+            key,
+            attempt,
+            text,
+            deadline_ms,
+            token: host.token(),
+            saved,
+            permit,
+        };
+        let run = Run {
+            attempt,
+            size: step.footprint(),
+            phase: Phase::Starting,
+            since_ms: now_ms,
+            percent: 0,
+            risen_ms: now_ms,
+            figure: 0.0,
+            pace: 100,
+            token: order.token,
+        };
+        host.insert(key, run);
+        self.actions.push(Action::Start(order));
+    }
+
+    /// Asks the advice service about workers with room, if the step needs advice.
+    fn ask(&mut self, key: StepKey, step: &Step, queue: &Queue, need: usize, now_ms: u64) {
+        let Some(terms) = queue.advice else { return };
+        let Some(advice) = self.step_run_mut(key).map(|run| run.advice.clone()) else {
+            return;
+        };
+        if !advice.may_ask(now_ms) {
+            return;
+        }
+        let share = self.shares.get(&queue.name).copied().unwrap_or(GOOD_SHARE);
+        let size = step.footprint();
+        let mut candidates: Vec<(bool, u64, &Arc<str>)> = self
+            .hosts
+            .iter()
+            .filter(|(id, host)| {
+                host.worker.pool == queue.pool
+                    && host.takes_work(now_ms)
+                    && !advice.is_bad(id)
+                    && advice.permit(id, now_ms).is_none()
+                    && allows(host, step, 0)
+                    && size.fits(&host.free())
+            })
+            .map(|(id, host)| (advice.is_good(id), room(host, step, &size), id))
+            .collect();
+        candidates.sort_by(|a, b| b.cmp(a));
+        let mut expected = 0.0;
+        let mut workers = Vec::new();
+        for (good, room, id) in candidates {
+            if expected >= need as f64 * ASK_MARGIN || workers.len() >= ASKED_MAX {
+                break;
+            }
+            let chance = if good { 1.0 } else { share };
+            expected += chance * room as f64;
+            workers.push(id.clone());
+        }
+        if workers.is_empty() {
+            return;
+        }
+        if let Some(run) = self.step_run_mut(key) {
+            run.advice.ask(workers.clone());
+        }
+        self.actions.push(Action::Ask(Ask {
+            step: key,
+            cost_ms: terms.call_ms + terms.worker_ms * workers.len() as f64,
+            workers,
+            priority: queue.priority,
+            validity_ms: terms.validity_ms,
+        }));
+    }
+
+    /// Takes an answer of the advice service: workers that may run the step, with their permits.
+    pub fn advised(&mut self, step: StepKey, good: Vec<(Arc<str>, Arc<str>)>, until_ms: u64) {
+        let queue = self.jobs.get(&step.job).map(|job| job.queue.clone());
+        let Some(run) = self.step_run_mut(step) else {
+            return;
+        };
+        let (asked, good) = run.advice.answered(good, until_ms);
+        if let Some(queue) = queue
+            && asked > 0
+        {
+            let share = self.shares.entry(queue).or_insert(GOOD_SHARE);
+            *share += SHARE_WEIGHT * (good as f64 / asked as f64 - *share);
+        }
+    }
+
+    /// Notes that the advice service gave no answer.
+    pub fn unadvised(&mut self, step: StepKey, now_ms: u64) {
+        if let Some(run) = self.step_run_mut(step) {
+            run.advice.unanswered(now_ms);
+        }
+    }
+}
+
+/// Tells whether a worker may run one more task of a step beside `crowd` others of it.
+fn allows(host: &Host, step: &Step, crowd: u32) -> bool {
+    let spread = step.spread == 0 || crowd < step.spread;
+    let label = step
+        .requires
+        .as_ref()
+        .is_none_or(|label| host.worker.labels.contains(label));
+    spread && label
+}
+
+/// Returns how many tasks of a step a worker has room for.
+fn room(host: &Host, step: &Step, size: &Size) -> u64 {
+    let room = host.free().holds(size).min(u64::from(step.count));
+    match step.spread {
+        0 => room,
+        spread => room.min(u64::from(spread)),
+    }
+}
+
+/// Returns a figure that is lower the better a worker suits a task.
+fn score(host: &Host, step: &Step, size: &Size) -> i64 {
+    let far = step
+        .near
+        .as_ref()
+        .is_some_and(|rack| *rack != host.worker.rack);
+    let mut score = i64::from(host.suspicion.failures()) * FAILURE_PENALTY;
+    if far {
+        score += FAR_PENALTY;
+    }
+    if step.fills {
+        let serving = host.runs.values().any(|run| run.figure > 0.0);
+        if serving {
+            score += SERVING_PENALTY;
+        }
+        // Filling tasks work with what is free, so the emptiest worker is the fastest.
+        return score + used_share(host);
+    }
+    if step.service {
+        return score + used_share(host);
+    }
+    let waste = rosemaryworks_core::placement::waste(&host.worker.capacity, &host.free(), size);
+    score + i64::try_from(waste).unwrap_or(i64::MAX / 4)
+}
+
+/// Returns the share of a worker's processor time that is taken, in thousandths.
+fn used_share(host: &Host) -> i64 {
+    let total = host.worker.capacity.millicores.max(1);
+    i64::try_from(host.used.millicores * 1_000 / total).unwrap_or(1_000)
+}
--- /dev/null
+++ b/crates/workflow/src/record.rs
@@ -0,0 +1,60 @@
+//! What the owner of a shard writes to the shard's journal.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::job::{Id, Spec, State};
+use crate::task::{How, Key};
+
+/// A record of a shard's streams. Jobs and cancellations are written by the process that accepts
+/// them, ends by the owner of the shard. Records have short names because each one is priced.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Record {
+    /// A job was cancelled.
+    #[serde(rename = "c")]
+    Cancelled {
+        /// Job.
+        #[serde(rename = "i")]
+        id: Id,
+    },
+    /// A run ended. Written before the worker is allowed to forget the end.
+    #[serde(rename = "e")]
+    Ended {
+        /// Task.
+        #[serde(rename = "k")]
+        key: Key,
+        /// Attempt.
+        #[serde(rename = "n")]
+        attempt: u32,
+        /// How it ended.
+        #[serde(rename = "h")]
+        how: How,
+        /// Last checkpoint, if there is one.
+        #[serde(default, rename = "s", skip_serializing_if = "Option::is_none")]
+        saved: Option<Arc<str>>,
+    },
+    /// A job reached its final state.
+    #[serde(rename = "f")]
+    Final {
+        /// Job.
+        #[serde(rename = "i")]
+        id: Id,
+        /// Final state.
+        #[serde(rename = "s")]
+        state: State,
+    },
+    /// A job was accepted.
+    #[serde(rename = "j")]
+    Submitted {
+        /// Job.
+        #[serde(rename = "i")]
+        id: Id,
+        /// Name of its queue.
+        #[serde(rename = "q")]
+        queue: Arc<str>,
+        /// Description.
+        #[serde(rename = "s")]
+        spec: Arc<Spec>,
+    },
+}
--- /dev/null
+++ b/crates/workflow/src/recovery.rs
@@ -0,0 +1,98 @@
+//! From the records of older owners to a state that may act.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crate::host::Sight;
+use crate::job::State;
+use crate::record::Record;
+use crate::shard::Shard;
+
+/// Rate of the slowest clock of a worker against the owner's.
+const SLOWEST_RATE: f64 = 0.98;
+
+/// Time beyond the longest lease after which no run of an older owner is left, in milliseconds.
+const MARGIN_MS: u64 = 500;
+
+/// What an owner still has to learn about its predecessors.
+#[derive(Debug, Default)]
+pub(crate) struct Recovery {
+    stage: Stage,
+    /// Workers that may hold runs of an older owner.
+    unseen: BTreeSet<Arc<str>>,
+    /// Owner's time from which such runs have surely lapsed.
+    lapsed_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Stage {
+    #[default]
+    Replaying,
+    Surveying,
+    Settled,
+}
+
+impl Recovery {
+    pub(crate) fn is_replaying(&self) -> bool {
+        self.stage == Stage::Replaying
+    }
+
+    /// Tells whether tasks that an older owner may have started may start again.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.stage == Stage::Settled
+    }
+
+    pub(crate) fn seen(&mut self, worker: &str) {
+        self.unseen.remove(worker);
+        self.settle();
+    }
+
+    pub(crate) fn tick(&mut self, now_ms: u64) {
+        if self.stage == Stage::Surveying && now_ms >= self.lapsed_ms {
+            self.unseen.clear();
+        }
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        if self.stage == Stage::Surveying && self.unseen.is_empty() {
+            self.stage = Stage::Settled;
+        }
+    }
+}
+
+impl Shard {
+    /// Replays a record of the shard's streams.
+    pub fn replay(&mut self, record: Record, now_ms: u64) {
+        match record {
+            Record::Submitted { id, queue, spec } => self.submit(id, queue, spec),
+            Record::Cancelled { id } => self.cancel(id, now_ms),
+            Record::Ended {
+                key,
+                attempt,
+                how,
+                saved,
+            } => self.apply_end(key, attempt, how, saved, now_ms),
+            Record::Final { id, state } => {
+                let open = self.jobs.get(&id).is_some_and(|job| !job.is_ended());
+                if open && state != State::Cancelled {
+                    self.end_job(id, state, 0, now_ms);
+                }
+            }
+        }
+    }
+
+    /// Ends the replay: what comes from now on is new. Workers listed so far may hold runs of an
+    /// older owner.
+    pub fn replayed(&mut self, now_ms: u64) {
+        let unseen = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| host.sight == Sight::Unseen);
+        self.recovery.unseen = unseen.map(|(id, _)| id.clone()).collect();
+        let lease_ms = (self.settings.lease_ms as f64 / SLOWEST_RATE) as u64;
+        self.recovery.lapsed_ms = now_ms + lease_ms + MARGIN_MS;
+        self.recovery.stage = Stage::Surveying;
+        self.recovery.settle();
+    }
+}
--- /dev/null
+++ b/crates/workflow/src/run.rs
@@ -0,0 +1,142 @@
+//! Jobs in progress: occurrences, steps and tasks.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::advice::Advice;
+use crate::job::{Spec, State};
+
+/// Where a task is.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Place {
+    /// It has completed.
+    Done,
+    /// It runs, or may run, on this worker.
+    On(Arc<str>),
+    /// It waits for a worker.
+    Waiting,
+}
+
+/// A task of a step.
+#[derive(Clone, Debug)]
+pub(crate) struct Task {
+    /// Where it is.
+    pub(crate) place: Place,
+    /// Last attempt that was started.
+    pub(crate) attempt: u32,
+    /// Attempts that failed.
+    pub(crate) failed: u32,
+    /// Last attempt that failed.
+    pub(crate) failed_attempt: u32,
+    /// Last checkpoint.
+    pub(crate) saved: Option<Arc<str>>,
+    /// Owner's time before which it isn't started again.
+    pub(crate) not_before_ms: u64,
+}
+
+/// A step of one occurrence.
+#[derive(Clone, Debug)]
+pub(crate) struct StepRun {
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) done: u32,
+    pub(crate) waiting: u32,
+    pub(crate) advice: Advice,
+    /// Whether the steps before it have completed and its time has come.
+    pub(crate) ready: bool,
+    /// Whether an older owner may have started tasks of the step.
+    pub(crate) inherited: bool,
+}
+
+impl StepRun {
+    pub(crate) fn new(count: u32, inherited: bool, attempt: u32) -> Self {
+        let task = Task {
+            place: Place::Waiting,
+            attempt,
+            failed: 0,
+            failed_attempt: 0,
+            saved: None,
+            not_before_ms: 0,
+        };
+        Self {
+            tasks: vec![task; count as usize],
+            done: 0,
+            waiting: count,
+            advice: Advice::default(),
+            ready: false,
+            inherited,
+        }
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.done as usize == self.tasks.len()
+    }
+
+    /// Counts a failed attempt of a task. Returns whether it was not counted before.
+    pub(crate) fn count_failure(&mut self, index: usize, attempt: u32) -> bool {
+        let task = &mut self.tasks[index];
+        if attempt <= task.failed_attempt {
+            return false;
+        }
+        task.failed_attempt = attempt;
+        task.failed += 1;
+        true
+    }
+
+    /// Moves a task and keeps the counts.
+    pub(crate) fn set(&mut self, index: u32, place: Place) {
+        let task = &mut self.tasks[index as usize];
+        match task.place {
+            Place::Done => self.done -= 1,
+            Place::Waiting => self.waiting -= 1,
+            Place::On(_) => {}
+        }
+        match place {
+            Place::Done => self.done += 1,
+            Place::Waiting => self.waiting += 1,
+            Place::On(_) => {}
+        }
+        task.place = place;
+    }
+}
+
+/// A job of the shard.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) queue: Arc<str>,
+    pub(crate) spec: Arc<Spec>,
+    /// Place in the order of acceptance.
+    pub(crate) order: u64,
+    /// Occurrences that have begun, by number.
+    pub(crate) occurrences: BTreeMap<u32, Vec<StepRun>>,
+    /// Occurrences that have completed.
+    pub(crate) completed: u32,
+    /// Next occurrence to begin.
+    pub(crate) next: u32,
+    /// Whether a task has started.
+    pub(crate) started: bool,
+    /// Final state, and the number of the record that makes it durable.
+    pub(crate) ended: Option<(State, u64)>,
+    /// Owner's time of the end.
+    pub(crate) ended_ms: u64,
+    /// Whether an older owner may have started tasks.
+    pub(crate) inherited: bool,
+    /// Attempt after which the next one is numbered.
+    pub(crate) attempt_floor: u32,
+}
+
+impl Job {
+    /// Begins occurrence `number`.
+    pub(crate) fn begin(&mut self, number: u32) {
+        let steps = self.spec.steps.iter().map(|step| {
+            let mut run = StepRun::new(step.count, self.inherited, self.attempt_floor);
+            run.ready = step.after.is_empty();
+            run
+        });
+        self.occurrences.insert(number, steps.collect());
+        self.next = self.next.max(number + 1);
+    }
+
+    pub(crate) fn is_ended(&self) -> bool {
+        self.ended.is_some()
+    }
+}
