fix(workflow): adopt runs of older owners whatever their attempt number

Cause: tasks of replayed jobs began with a high attempt number, so the runs that workers listed with lower ones were stopped and started again beside them. Change: the floor counts only for the next attempt.

--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -99,7 +99,7 @@
                 self.ask(key, step, queue, due.len() - at, now_ms);
                 return;
             };
-            let attempt = self.next_attempt(key, *index);
+            let attempt = self.next_attempt(key, &[*index]);
             self.start(
                 &worker,
                 Key {
@@ -113,10 +113,20 @@
         }
     }
 
-    fn next_attempt(&mut self, key: StepKey, index: u32) -> u32 {
-        self.step_run_mut(key)
-            .and_then(|run| run.tasks.get(index as usize))
-            .map_or(1, |task| task.attempt + 1)
+    /// Returns an attempt that none of these tasks has used.
+    fn next_attempt(&self, key: StepKey, tasks: &[u32]) -> u32 {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return 1;
+        };
+        let step = job
+            .occurrences
+            .get(&key.occurrence)
+            .and_then(|steps| steps.get(key.step as usize));
+        let used = tasks.iter().filter_map(|index| {
+            let task = step?.tasks.get(*index as usize)?;
+            Some(task.attempt)
+        });
+        used.max().unwrap_or(0).max(job.attempt_floor) + 1
     }
 
     fn place_gang(&mut self, key: StepKey, step: &Step, queue: &Queue, now_ms: u64) {
@@ -130,7 +140,8 @@
         if run.tasks.iter().any(|task| task.not_before_ms > now_ms) {
             return;
         }
-        let attempt = run.tasks.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
+        let members: Vec<u32> = (0..step.count).collect();
+        let attempt = self.next_attempt(key, &members);
         let mut taken: BTreeMap<Arc<str>, u32> = BTreeMap::new();
         let mut workers = Vec::new();
         let mut rack = None;
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -48,10 +48,10 @@
 }
 
 impl StepRun {
-    pub(crate) fn new(count: u32, inherited: bool, attempt: u32) -> Self {
+    pub(crate) fn new(count: u32, inherited: bool) -> Self {
         let task = Task {
             place: Place::Waiting,
-            attempt,
+            attempt: 0,
             failed: 0,
             failed_attempt: 0,
             saved: None,
@@ -120,7 +120,7 @@
     pub(crate) ended_ms: u64,
     /// Whether an older owner may have started tasks.
     pub(crate) inherited: bool,
-    /// Attempt after which the next one is numbered.
+    /// Attempts up to this number may have been used by older owners without a trace.
     pub(crate) attempt_floor: u32,
 }
 
@@ -128,7 +128,7 @@
     /// Begins occurrence `number`.
     pub(crate) fn begin(&mut self, number: u32) {
         let steps = self.spec.steps.iter().map(|step| {
-            let mut run = StepRun::new(step.count, self.inherited, self.attempt_floor);
+            let mut run = StepRun::new(step.count, self.inherited);
             run.ready = step.after.is_empty();
             run
         });
