fix(workflow): count failed attempts in whatever order workers list them

Change: failed attempts are kept as a list. A start counts as begun only when a worker confirms it; silent workers get no further starts.

--- a/crates/workflow/src/end.rs
+++ b/crates/workflow/src/end.rs
@@ -90,9 +90,9 @@
                 if current {
                     run.set(key.index, Place::Waiting);
                 }
-                let failed = run.tasks[counted].failed;
+                let failed = run.tasks[counted].failed.len();
                 match limit {
-                    Some(limit) if first && failed >= limit => Next::Fail,
+                    Some(limit) if first && failed >= limit as usize => Next::Fail,
                     _ => Next::Retry,
                 }
             }
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -14,6 +14,10 @@
 /// Bits of a fencing token below the owner's epoch. The rest counts what made older orders void.
 const TOKEN_BITS: u32 = 20;
 
+/// Time without an answer to a start after which a worker gets no further ones, in milliseconds.
+/// Answers take a few milliseconds.
+const ANSWER_LATE_MS: u64 = 100;
+
 /// Whether the owner knows what a worker runs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Sight {
@@ -206,5 +210,14 @@
             && !self.worker.draining
             && self.sight == Sight::Current
             && self.suspicion.allows(now_ms)
+            && !self.answers_late(now_ms)
+    }
+
+    /// Tells whether a start has waited long for its answer. A worker that went silent without
+    /// runs is noticed first by this.
+    fn answers_late(&self, now_ms: u64) -> bool {
+        let late =
+            |run: &Run| run.phase == Phase::Starting && now_ms >= run.since_ms + ANSWER_LATE_MS;
+        self.runs.values().any(late)
     }
 }
--- a/crates/workflow/src/orders.rs
+++ b/crates/workflow/src/orders.rs
@@ -27,6 +27,9 @@
         };
         match outcome {
             Started::Accepted { .. } => {
+                if let Some(job) = self.jobs.get_mut(&order.key.step.job) {
+                    job.started = true;
+                }
                 if run.phase == Phase::Starting {
                     run.phase = Phase::Running;
                 }
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -243,11 +243,10 @@
 
     fn start(&mut self, worker: &Arc<str>, key: Key, attempt: u32, step: &Step, now_ms: u64) {
         let order_ms = self.settings.order_ms;
-        let Some(job) = self.jobs.get_mut(&key.step.job) else {
+        let Some(job) = self.jobs.get(&key.step.job) else {
             return;
         };
         let text = job.spec.text.clone();
-        job.started = true;
         let Some(run) = self.step_run_mut(key.step) else {
             return;
         };
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -24,10 +24,9 @@
     pub(crate) place: Place,
     /// Last attempt that was started.
     pub(crate) attempt: u32,
-    /// Attempts that failed.
-    pub(crate) failed: u32,
-    /// Last attempt that failed.
-    pub(crate) failed_attempt: u32,
+    /// Attempts that failed, in the order in which they became known. After a takeover that is not
+    /// their own order, because each worker lists its own ends.
+    pub(crate) failed: Vec<u32>,
     /// Last checkpoint.
     pub(crate) saved: Option<Arc<str>>,
     /// Owner's time before which it isn't started again.
@@ -52,8 +51,7 @@
         let task = Task {
             place: Place::Waiting,
             attempt: 0,
-            failed: 0,
-            failed_attempt: 0,
+            failed: Vec::new(),
             saved: None,
             not_before_ms: 0,
         };
@@ -74,11 +72,10 @@
     /// Counts a failed attempt of a task. Returns whether it was not counted before.
     pub(crate) fn count_failure(&mut self, index: usize, attempt: u32) -> bool {
         let task = &mut self.tasks[index];
-        if attempt <= task.failed_attempt {
+        if task.failed.contains(&attempt) {
             return false;
         }
-        task.failed_attempt = attempt;
-        task.failed += 1;
+        task.failed.push(attempt);
         true
     }
 
--- a/crates/workflow/src/survey.rs
+++ b/crates/workflow/src/survey.rs
@@ -22,7 +22,11 @@
         Some(Look {
             address: host.worker.address,
             acknowledged: host.durable,
-            deadline_ms: host.lease.deadline(now_ms, lease_ms),
+            // Without runs there is nothing to hold, and a later loss is over sooner.
+            deadline_ms: match host.runs.is_empty() {
+                true => None,
+                false => host.lease.deadline(now_ms, lease_ms),
+            },
             token: host.token(),
             waits: host.sight == Sight::Current && !host.runs.is_empty(),
         })
@@ -168,6 +172,9 @@
                 run.phase = Phase::Running;
                 run.since_ms = now_ms;
             }
+            if let Some(job) = self.jobs.get_mut(&row.key.step.job) {
+                job.started = true;
+            }
             if let Some(step) = self.step_run_mut(row.key.step)
                 && let Some(task) = step.tasks.get_mut(row.key.index as usize)
                 && row.saved.is_some()
--- /dev/null
+++ b/crates/workflow/tests/takeover.rs
@@ -0,0 +1,122 @@
+//! Guards against tasks that run twice or too often because the owner of their shard changed.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, key, queue, spec, step};
+use rosemaryworks_workflow::{How, Id, Record, State};
+
+fn submitted(id: u64, steps: Vec<rosemaryworks_workflow::Step>) -> Record {
+    Record::Submitted {
+        id: Id(id),
+        queue: "q".into(),
+        spec: spec(steps),
+    }
+}
+
+#[test]
+fn a_run_of_the_older_owner_goes_on() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let place = fleet.places(key(1, 0, 0));
+    fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    fleet.look_all();
+    fleet.pass(100);
+    assert_eq!(fleet.places(key(1, 0, 0)), place);
+    assert!(fleet.stops.is_empty() && fleet.orders.is_empty());
+}
+
+#[test]
+fn nothing_starts_again_before_every_worker_was_seen() {
+    let mut fleet = Fleet::new(3);
+    fleet.submit(1, spec(vec![step(1)]));
+    let place = fleet.places(key(1, 0, 0))[0].clone();
+    fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    fleet.workers.get_mut(&place).expect("a worker").silent = true;
+    fleet.look_all();
+    fleet.pass(2_000);
+    assert!(fleet.orders.is_empty(), "started beside {place}");
+    // Its lease of 6 s has surely lapsed.
+    fleet
+        .workers
+        .get_mut(&place)
+        .expect("a worker")
+        .runs
+        .clear();
+    fleet.pass(5_000);
+    assert_eq!(fleet.orders.len(), 1);
+    assert!(fleet.orders[0].attempt > 100, "reuses an attempt");
+}
+
+#[test]
+fn new_jobs_start_while_a_worker_is_unseen() {
+    let mut fleet = Fleet::new(3);
+    fleet.take_over(2, &[], vec![queue("q")]);
+    fleet.workers.get_mut("w0").expect("a worker").silent = true;
+    fleet.look_all();
+    fleet.submit(1, spec(vec![step(1)]));
+    assert_eq!(fleet.places(key(1, 0, 0)).len(), 1);
+}
+
+#[test]
+fn failures_count_in_whatever_order_the_workers_list_them() {
+    let mut fleet = Fleet::new(4);
+    fleet.submit(1, spec(vec![step(1)]));
+    // The older owner learns of every failure and can't write any of them.
+    for _ in 0..4 {
+        let id = fleet.end(key(1, 0, 0), How::Failed);
+        fleet.look(&id);
+        fleet.pass(3_000);
+    }
+    fleet.records.clear();
+    fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    let ids: Vec<_> = fleet.workers.keys().cloned().rev().collect();
+    for id in ids {
+        fleet.look(&id);
+    }
+    fleet.pass(100);
+    assert!(fleet.orders.is_empty(), "started after four failures");
+    fleet.write();
+    assert_eq!(fleet.shard.state(Id(1)), Some(State::Failed));
+}
+
+#[test]
+fn an_end_is_acknowledged_only_once_it_is_durable() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(1, spec(vec![step(1)]));
+    let id = fleet.end(key(1, 0, 0), How::Done);
+    fleet.look(&id);
+    fleet.look(&id);
+    assert_eq!(
+        fleet.workers[&id].ends.len(),
+        1,
+        "forgotten before it is durable"
+    );
+    assert_eq!(fleet.shard.state(Id(1)), Some(State::Running));
+    fleet.write();
+    fleet.look(&id);
+    assert!(fleet.workers[&id].ends.is_empty());
+    assert_eq!(fleet.shard.state(Id(1)), Some(State::Completed));
+}
+
+#[test]
+fn an_end_that_was_recorded_and_not_acknowledged_counts_once() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let id = fleet.end(key(1, 0, 0), How::Failed);
+    fleet.look(&id);
+    let failed = fleet.records.clone();
+    fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    assert_eq!(fleet.records, failed);
+    fleet.look_all();
+    fleet.pass(3_000);
+    for _ in 0..2 {
+        fleet.end_known(key(1, 0, 0), How::Failed);
+        fleet.pass(3_000);
+    }
+    assert_eq!(
+        fleet.shard.state(Id(1)),
+        Some(State::Running),
+        "failed too early"
+    );
+}
