--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -27,7 +27,11 @@
 const GRACE_MS: u64 = 1_100;
 
 /// Pause of a candidate for each shard that it owns, in milliseconds, so that shards spread.
-const LOADED_PAUSE_MS: u64 = 150;
+const LOADED_PAUSE_MS: u64 = 400;
+
+/// Pause of a candidate with one core in milliseconds. Those with less wait longer, so that an owner
+/// sits on one of the stronger VMs.
+const CORE_PAUSE_MS: u64 = 40;
 
 /// Largest pause of a candidate that follows from its name, in milliseconds. Keeps candidates from
 /// writing at the same time.
@@ -125,12 +129,15 @@
         wanted: &BTreeSet<u32>,
         node: &str,
         incarnation: u64,
-        owned: usize,
+        millicores: u64,
         now_ms: u64,
     ) -> Vec<(u32, u64)> {
         if self.looked_ms.is_none() {
             return Vec::new();
         }
+        let own = |seen: &&Seen| seen.claim.incarnation == incarnation && &*seen.claim.node == node;
+        let owned = self.seen.values().filter(own).count() as u64;
+        let weak_ms = CORE_PAUSE_MS * 1_000 / millicores.max(1);
         let mut due = Vec::new();
         for &shard in wanted {
             let (open, epoch) = self.is_open(shard, node, incarnation, now_ms);
@@ -140,7 +147,7 @@
             }
             let since = *self.candidate_since.entry(shard).or_insert(now_ms);
             let name = rosemaryworks_core::partition::hash(&[node, &key(shard)]) % NAME_PAUSE_MS;
-            if now_ms >= since + name + LOADED_PAUSE_MS * owned as u64 {
+            if now_ms >= since + name + weak_ms + LOADED_PAUSE_MS * owned {
                 due.push((shard, epoch));
             }
         }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -11,7 +11,7 @@
 const LEASE_MAX_MS: u64 = 6_000;
 
 /// Settings of an entry process.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of the process.
@@ -28,6 +28,9 @@
     pub metrics_listen: SocketAddr,
     /// Number of shards; that of the partitions of a stream.
     pub shards: u32,
+    /// Processor time of the VM in cores. Owners of shards sit on stronger VMs.
+    #[serde(default = "defaults::cores")]
+    pub cores: f64,
     /// Time from a planned stop to the end of the process in milliseconds, at most.
     #[serde(default = "defaults::stop_ms")]
     pub stop_ms: u64,
@@ -46,6 +49,10 @@
 }
 
 mod defaults {
+    pub(super) fn cores() -> f64 {
+        1.0
+    }
+
     pub(super) fn stop_ms() -> u64 {
         5_000
     }
@@ -76,6 +83,8 @@
         faults.require(shards, "shards", "must be 1 to 1024");
         let lease = (1_000..=60_000).contains(&self.lease_max_ms);
         faults.require(lease, "lease_max_ms", "must be 1000 to 60000");
+        let cores = (0.001..=1_000.0).contains(&self.cores);
+        faults.require(cores, "cores", "must be 0.001 to 1000");
         let stop = (500..=600_000).contains(&self.stop_ms);
         faults.require(stop, "stop_ms", "must be 500 to 600000");
         let listens = [
--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -43,6 +43,11 @@
         self.good.contains_key(worker)
     }
 
+    /// Tells whether any worker is known to be good.
+    pub(crate) fn knows_good(&self) -> bool {
+        !self.good.is_empty()
+    }
+
     /// Tells whether a question may be asked now.
     pub(crate) fn may_ask(&self, now_ms: u64) -> bool {
         self.asked.is_none() && now_ms >= self.not_before_ms
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -6,6 +6,7 @@
 mod action;
 mod advice;
 mod end;
+mod hold;
 mod host;
 mod job;
 mod lease;
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -49,6 +49,7 @@
 impl Shard {
     /// Places what waits, in the order of priority and age.
     pub fn place(&mut self, now_ms: u64) {
+        self.hold(now_ms);
         let turns: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
         for key in turns {
             if let Placed::All = self.place_step(key, now_ms) {
@@ -84,8 +85,15 @@
             self.place_tasks(key, step, &queue, now_ms);
         }
         match self.step_run_mut(key) {
-            Some(run) if run.waiting > 0 => Placed::Some,
-            _ => Placed::All,
+            Some(run) if run.waiting > 0 => {
+                run.blocked_ms.get_or_insert(now_ms);
+                Placed::Some
+            }
+            Some(run) => {
+                run.blocked_ms = None;
+                Placed::All
+            }
+            None => Placed::All,
         }
     }
 
@@ -215,7 +223,11 @@
             }
             let also = taken.get(id).copied().unwrap_or(0);
             let crowd = on.get(id).copied().unwrap_or(0) + also;
-            if !allows(host, step, crowd) || !size.times(u64::from(also) + 1).fits(&host.free()) {
+            if !allows(host, step, crowd)
+                || !size
+                    .times(u64::from(also) + 1)
+                    .fits(&self.holds.free(host, key))
+            {
                 continue;
             }
             let score = score(host, step, &size);
@@ -298,7 +310,7 @@
         }
         let share = self.shares.get(&queue.name).copied().unwrap_or(GOOD_SHARE);
         let size = step.footprint();
-        let mut candidates: Vec<(u64, bool, &Arc<str>)> = self
+        let mut candidates: Vec<(bool, bool, u64, &Arc<str>)> = self
             .hosts
             .iter()
             .filter(|(id, host)| {
@@ -309,19 +321,21 @@
                     && allows(host, step, 0)
                     && size.fits(&host.worker.capacity)
             })
-            .map(|(id, host)| (room(host, step, &size), advice.is_good(id), id))
+            .map(|(id, host)| {
+                let room = room(&self.holds.free(host, key), step, &size);
+                let held = self.holds.is_for(id, key);
+                (held, advice.is_good(id), room, id)
+            })
             .collect();
-        if candidates.iter().all(|(room, _, _)| *room == 0) {
+        if candidates.iter().all(|(_, _, room, _)| *room == 0) {
             return;
         }
-        candidates.sort_by(|a, b| (b.1, b.0).cmp(&(a.1, a.0)));
-        let known = candidates.iter().filter(|(_, good, _)| *good).count();
+        candidates.sort_by(|a, b| b.cmp(a));
         let mut expected = 0.0;
         let mut workers = Vec::new();
-        for (room, good, id) in candidates {
+        for (_, good, room, id) in candidates {
             let enough = expected >= need as f64 * ASK_MARGIN;
-            let few = workers.len() < ASKED_MIN && known == 0;
-            if (enough && !few) || workers.len() >= ASKED_MAX {
+            if (enough && workers.len() >= ASKED_MIN) || workers.len() >= ASKED_MAX {
                 break;
             }
             let chance = if good { 1.0 } else { share };
@@ -376,9 +390,9 @@
     spread && label
 }
 
-/// Returns how many tasks of a step a worker has room for.
-fn room(host: &Host, step: &Step, size: &Size) -> u64 {
-    let room = host.free().holds(size).min(u64::from(step.count));
+/// Returns how many tasks of a step fit into `free`.
+fn room(free: &Size, step: &Step, size: &Size) -> u64 {
+    let room = free.holds(size).min(u64::from(step.count));
     match step.spread {
         0 => room,
         spread => room.min(u64::from(spread)),
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -44,6 +44,8 @@
     pub(crate) ready: bool,
     /// Whether an older owner may have started tasks of the step.
     pub(crate) inherited: bool,
+    /// Owner's time since which tasks wait for which there was no place.
+    pub(crate) blocked_ms: Option<u64>,
 }
 
 impl StepRun {
@@ -62,6 +64,7 @@
             advice: Advice::default(),
             ready: false,
             inherited,
+            blocked_ms: None,
         }
     }
 
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::action::Action;
+use crate::hold::Holds;
 use crate::host::{Host, Phase, Sight};
 use crate::job::{Id, Queue, Spec, State, Step};
 use crate::record::Record;
@@ -45,6 +46,7 @@
     pub(crate) recovery: Recovery,
     pub(crate) actions: Vec<Action>,
     pub(crate) shares: HashMap<Arc<str>, f64>,
+    pub(crate) holds: Holds,
     /// Number of records that were issued.
     pub(crate) issued: u64,
     /// Number of records that are durable.
@@ -68,6 +70,7 @@
             recovery: Recovery::default(),
             actions: Vec::new(),
             shares: HashMap::new(),
+            holds: Holds::default(),
             issued: 0,
             written: 0,
             cancelled_early: HashSet::new(),
