feat(entry): records and shards go through peers while the log turns a VM away

Change: a record that isn't stored within 300 ms goes to a peer as well; an owner without the log gives its shards to peers that have it; owners hear of stored records over links before they read them.

--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -62,6 +62,8 @@
 struct Seen {
     claim: Claim,
     changed_ms: u64,
+    /// Whether the owner told that it gave the shard up, which it may be unable to write.
+    released: bool,
 }
 
 /// All claims.
@@ -94,8 +96,23 @@
         {
             return;
         }
-        let changed_ms = now_ms;
-        self.seen.insert(shard, Seen { claim, changed_ms });
+        let same = |seen: &Seen| seen.claim.epoch == claim.epoch && seen.released;
+        let released = self.seen.get(&shard).is_some_and(same);
+        let seen = Seen {
+            claim,
+            changed_ms: now_ms,
+            released,
+        };
+        self.seen.insert(shard, seen);
+    }
+
+    /// Notes that the owner of `epoch` told that it gave up a shard.
+    pub fn released(&mut self, shard: u32, epoch: u64) {
+        if let Some(seen) = self.seen.get_mut(&shard)
+            && seen.claim.epoch == epoch
+        {
+            seen.released = true;
+        }
     }
 
     /// Notes a look that reached the end of the stream.
@@ -159,7 +176,7 @@
             return (true, 1);
         };
         let claim = &seen.claim;
-        let given_up = claim.node.is_empty();
+        let given_up = claim.node.is_empty() || seen.released;
         // An earlier incarnation of this process is gone.
         let own = &*claim.node == node && claim.incarnation != incarnation;
         let silent = now_ms >= seen.changed_ms + LAPSE_MS && now_ms >= self.grace_until_ms;
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -190,7 +190,7 @@
                 .is_ok()
             {
                 lock(&self.claims).take(shard, claim, clock::now().0);
-                self.tell_released(shard);
+                self.tell_released(shard, epoch);
             }
         }
     }
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -16,6 +16,10 @@
 /// Pause before the owner of a shard is asked again, in milliseconds.
 const ASK_AGAIN: Duration = Duration::from_millis(80);
 
+/// Time without an outcome after which a peer is asked to store a record as well. The log answers
+/// within a quarter of a second on slow days.
+const RELAY_AFTER: Duration = Duration::from_millis(300);
+
 /// Outcome of a submission or cancellation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Accepting {
@@ -82,20 +86,35 @@
     }
 
     async fn write(&self, pool: &str, record: &Record, deadline_ms: u64) -> Accepting {
+        let shard = config::shard(pool, self.settings.shards);
         if self.store_is_down() {
             // The followers of the log notice its return, so nothing has to wait here.
-            return Accepting::Refused;
+            return self.store_through_peer(shard, record, deadline_ms).await;
         }
-        let shard = config::shard(pool, self.settings.shards);
         let written = self
             .submitter(shard)
             .write(journal::encode(record), deadline_ms);
-        let left_ms = deadline_ms.saturating_sub(clock::now().0);
-        match tokio::time::timeout(Duration::from_millis(left_ms), written).await {
-            Ok(Ok(Outcome::Stored)) => Accepting::Accepted,
-            Ok(Ok(Outcome::Refused)) => Accepting::Refused,
-            Ok(Ok(Outcome::Unknown) | Err(_)) | Err(_) => Accepting::Unknown,
+        tokio::pin!(written);
+        let first = tokio::time::timeout(RELAY_AFTER, &mut written).await;
+        let outcome = match first {
+            Ok(outcome) => accepting(outcome.ok()),
+            Err(_) => {
+                let relayed = self.store_through_peer(shard, record, deadline_ms).await;
+                if relayed == Accepting::Accepted {
+                    return relayed;
+                }
+                let left_ms = deadline_ms.saturating_sub(clock::now().0);
+                let last = tokio::time::timeout(Duration::from_millis(left_ms), written).await;
+                match (accepting(last.ok().and_then(Result::ok)), relayed) {
+                    (Accepting::Refused, relayed) => relayed,
+                    (own, _) => own,
+                }
+            }
+        };
+        if outcome == Accepting::Accepted {
+            self.tell_stored(shard, record);
         }
+        outcome
     }
 
     /// Returns the state of a job.
@@ -149,3 +168,11 @@
         }
     }
 }
+
+fn accepting(outcome: Option<Outcome>) -> Accepting {
+    match outcome {
+        Some(Outcome::Stored) => Accepting::Accepted,
+        Some(Outcome::Refused) => Accepting::Refused,
+        Some(Outcome::Unknown) | None => Accepting::Unknown,
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod events;
 mod follow;
+mod handover;
 mod intake;
 mod journal;
 mod links;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -41,8 +41,17 @@
     }
 
     fn notice(&self, _peer: &Peer, message: Message) {
-        if let Message::Workflow(Workflow::Released { .. }) = message {
-            self.0.claims_changed.notify_one();
+        match message {
+            Message::Workflow(Workflow::Released { shard, epoch }) => {
+                lock(&self.0.claims).released(shard, epoch);
+                self.0.claims_changed.notify_one();
+            }
+            Message::Workflow(Workflow::Stored { shard, record }) => {
+                if let Some(owner) = self.0.owner(shard) {
+                    owner.stored(record);
+                }
+            }
+            _ => {}
         }
     }
 
@@ -144,10 +153,45 @@
             Workflow::Length { shard, queue } => {
                 Workflow::LengthIs(self.owner(shard).and_then(|owner| owner.length(&queue)))
             }
+            Workflow::IsLogUp => Workflow::LogUp(!self.store_is_down()),
+            Workflow::Store {
+                shard,
+                record,
+                timeout_ms,
+            } => Workflow::StoreEnded(self.store_for_peer(shard, &record, timeout_ms).await),
             other => other,
         }
     }
 
+    /// Returns a link to every process that this one is linked with.
+    pub(crate) fn linked(&self) -> Vec<Peer> {
+        let mut peers: Vec<Peer> = lock(&self.peers).clone();
+        peers.extend(
+            lock(&self.dialled)
+                .values()
+                .filter_map(|link| link.client.peer()),
+        );
+        peers.retain(|peer| !peer.is_closed());
+        peers
+    }
+
+    /// Tells the owner of a shard of a record that is stored.
+    pub(crate) fn tell_stored(&self, shard: u32, record: &rosemaryworks_workflow::Record) {
+        if let Some(owner) = self.owner(shard) {
+            owner.stored(record.clone());
+            return;
+        }
+        let Some(address) = lock(&self.claims).get(shard).map(|claim| claim.address) else {
+            return;
+        };
+        if let Some(link) = lock(&self.dialled).get(&address) {
+            let record = record.clone();
+            let message = Message::Workflow(Workflow::Stored { shard, record });
+            // An owner that misses the notice reads the record from the log.
+            let _ = link.client.notify(message);
+        }
+    }
+
     /// Puts a question to the advice service from this VM, after those that came before.
     pub(crate) async fn advise_here(
         &self,
@@ -180,11 +224,10 @@
     }
 
     /// Tells every process with a link that a shard was given up.
-    pub(crate) fn tell_released(&self, shard: u32) {
-        let peers: Vec<Peer> = lock(&self.peers).clone();
-        for peer in peers {
-            // A process that misses the notice finds the claim given up at its next look.
-            let _ = peer.notify(Message::Workflow(Workflow::Released { shard }));
+    pub(crate) fn tell_released(&self, shard: u32, epoch: u64) {
+        for peer in self.linked() {
+            // A process that misses the notice finds the claim given up, or lapsed, at a look.
+            let _ = peer.notify(Message::Workflow(Workflow::Released { shard, epoch }));
         }
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -138,7 +138,7 @@
     }
 
     /// Notes whether the log answered.
-    pub(crate) fn store_answered(&self, answered: bool) {
+    pub(crate) fn store_answered(self: &Arc<Self>, answered: bool) {
         let now_ms = clock::now().0;
         if answered {
             self.store_answered_ms.store(now_ms, Ordering::Relaxed);
@@ -152,6 +152,7 @@
                     "node={} silent_ms={silent_ms}",
                     self.settings.node
                 ));
+                self.runtime.spawn(self.clone().hand_over_if_others_can());
             }
         }
         self.update_ready();
@@ -206,7 +207,9 @@
         const RETRY_PAUSE: Duration = Duration::from_millis(150);
         let mut since = None;
         loop {
-            match self.parts.store.configuration(since, WAIT_MS).await {
+            // While the log is away, only a short call tells soon that it is back.
+            let wait_ms = if self.store_is_down() { 0 } else { WAIT_MS };
+            match self.parts.store.configuration(since, wait_ms).await {
                 Ok(feed) => {
                     self.store_answered(true);
                     since = Some(feed.next);
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -148,6 +148,21 @@
         self.kick();
     }
 
+    /// Takes a record that is stored, before it is read from the log.
+    pub(crate) fn stored(&self, record: Record) {
+        self.take_job(&mut self.state(), record);
+        self.kick();
+    }
+
+    fn take_job(&self, state: &mut Shard, record: Record) {
+        match record {
+            Record::Submitted { id, queue, spec } => state.submit(id, queue, spec),
+            Record::Cancelled { id } => state.cancel(id, clock::now().0),
+            // Ends are written by owners, to another stream.
+            Record::Ended { .. } | Record::Final { .. } => {}
+        }
+    }
+
     /// Answers a question about a job.
     pub(crate) fn inquire(&self, job: Id) -> Inquired {
         if self.is_ended() {
@@ -349,12 +364,8 @@
                     let mut state = self.state();
                     let now_ms = clock::now().0;
                     for record in &page.records {
-                        match journal::decode(&record.value) {
-                            Some(Record::Submitted { id, queue, spec }) => {
-                                state.submit(id, queue, spec);
-                            }
-                            Some(Record::Cancelled { id }) => state.cancel(id, now_ms),
-                            _ => {}
+                        if let Some(record) = journal::decode(&record.value) {
+                            self.take_job(&mut state, record);
                         }
                     }
                     next = page.next;
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use rosemaryworks_workflow::{Id, State, StepKey};
+use rosemaryworks_workflow::{Id, Record, State, StepKey};
 use serde::{Deserialize, Serialize};
 
 /// A message. Names are short because callers ask for states often.
@@ -37,12 +37,47 @@
     /// Answer of the owner.
     #[serde(rename = "j")]
     Inquired(Inquired),
+    /// Asks whether the platform's log answers the process.
+    #[serde(rename = "p")]
+    IsLogUp,
+    /// Whether the log answers.
+    #[serde(rename = "u")]
+    LogUp(bool),
+    /// Asks a process to store a record of a shard that the sender can't store itself.
+    #[serde(rename = "o")]
+    Store {
+        /// Shard.
+        #[serde(rename = "s")]
+        shard: u32,
+        /// Record.
+        #[serde(rename = "v")]
+        record: Record,
+        /// Time allowed in milliseconds.
+        #[serde(rename = "t")]
+        timeout_ms: u64,
+    },
+    /// Whether the record is stored; `None` if that isn't known.
+    #[serde(rename = "q")]
+    StoreEnded(Option<bool>),
+    /// Tells the owner of a shard of a record that is stored, before it reads it from the log.
+    #[serde(rename = "d")]
+    Stored {
+        /// Shard.
+        #[serde(rename = "s")]
+        shard: u32,
+        /// Record.
+        #[serde(rename = "v")]
+        record: Record,
+    },
     /// Tells that the sender gave up a shard.
     #[serde(rename = "r")]
     Released {
         /// Shard.
         #[serde(rename = "s")]
         shard: u32,
+        /// Epoch that ended.
+        #[serde(rename = "e")]
+        epoch: u64,
     },
     /// Asks the owner of a shard how many jobs of a queue wait.
     #[serde(rename = "l")]
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -15,32 +15,32 @@
 
 /// A stand-in worker.
 #[derive(Clone, Debug, Default)]
-pub struct Standin {
-    pub born: u64,
-    pub ends: Vec<Finished>,
-    pub runs: BTreeMap<Key, u32>,
-    pub percent: BTreeMap<Key, u32>,
-    pub token: u64,
-    pub silent: bool,
+pub(crate) struct Standin {
+    pub(crate) born: u64,
+    pub(crate) ends: Vec<Finished>,
+    pub(crate) runs: BTreeMap<Key, u32>,
+    pub(crate) percent: BTreeMap<Key, u32>,
+    pub(crate) token: u64,
+    pub(crate) silent: bool,
     numbered: u64,
 }
 
 /// A shard and its workers.
-pub struct Fleet {
-    pub shard: Shard,
-    pub now_ms: u64,
-    pub workers: BTreeMap<Arc<str>, Standin>,
-    pub orders: Vec<Order>,
-    pub stops: Vec<Stop>,
-    pub asks: Vec<rosemaryworks_workflow::Ask>,
-    pub records: Vec<Record>,
-    pub paces: Vec<rosemaryworks_workflow::Pace>,
-    pub looks: Vec<Arc<str>>,
-    pub deposed: bool,
+pub(crate) struct Fleet {
+    pub(crate) shard: Shard,
+    pub(crate) now_ms: u64,
+    pub(crate) workers: BTreeMap<Arc<str>, Standin>,
+    pub(crate) orders: Vec<Order>,
+    pub(crate) stops: Vec<Stop>,
+    pub(crate) asks: Vec<rosemaryworks_workflow::Ask>,
+    pub(crate) records: Vec<Record>,
+    pub(crate) paces: Vec<rosemaryworks_workflow::Pace>,
+    pub(crate) looks: Vec<Arc<str>>,
+    pub(crate) deposed: bool,
     capacity: Size,
 }
 
-pub fn settings() -> Settings {
+pub(crate) fn settings() -> Settings {
     Settings {
         lease_ms: 6_000,
         order_ms: 2_000,
@@ -49,7 +49,7 @@
     }
 }
 
-pub fn queue(name: &str) -> Queue {
+pub(crate) fn queue(name: &str) -> Queue {
     Queue {
         attempts: 4,
         advice: None,
@@ -61,7 +61,7 @@
     }
 }
 
-pub fn step(count: u32) -> Step {
+pub(crate) fn step(count: u32) -> Step {
     Step {
         count,
         estimate_ms: 500,
@@ -70,14 +70,14 @@
     }
 }
 
-pub fn spec(steps: Vec<Step>) -> Arc<Spec> {
+pub(crate) fn spec(steps: Vec<Step>) -> Arc<Spec> {
     Arc::new(Spec {
         steps,
         ..Spec::default()
     })
 }
 
-pub fn worker(id: &str, capacity: Size, born: u64) -> Worker {
+pub(crate) fn worker(id: &str, capacity: Size, born: u64) -> Worker {
     Worker {
         address: "127.0.0.1:1".parse().expect("an address"),
         born,
@@ -93,11 +93,11 @@
 
 impl Fleet {
     /// Creates a shard of epoch 1 with `count` workers of 4 cores, seen and ready.
-    pub fn new(count: usize) -> Self {
+    pub(crate) fn new(count: usize) -> Self {
         Self::with_queues(count, vec![queue("q")])
     }
 
-    pub fn with_queues(count: usize, queues: Vec<Queue>) -> Self {
+    pub(crate) fn with_queues(count: usize, queues: Vec<Queue>) -> Self {
         let mut shard = Shard::new(settings(), 1);
         shard.set_queues(queues);
         let mut fleet = Self::around(shard, BTreeMap::new());
@@ -110,7 +110,7 @@
     }
 
     /// Puts a shard in front of workers that exist already.
-    pub fn around(shard: Shard, workers: BTreeMap<Arc<str>, Standin>) -> Self {
+    pub(crate) fn around(shard: Shard, workers: BTreeMap<Arc<str>, Standin>) -> Self {
         Self {
             shard,
             now_ms: 1_000,
@@ -126,7 +126,7 @@
         }
     }
 
-    pub fn add(&mut self, id: &str) {
+    pub(crate) fn add(&mut self, id: &str) {
         let standin = Standin {
             born: 7,
             ..Standin::default()
@@ -136,7 +136,7 @@
     }
 
     /// Hands the shard to a new owner that knows what is durable.
-    pub fn take_over(&mut self, epoch: u64, jobs: &[Record], queues: Vec<Queue>) {
+    pub(crate) fn take_over(&mut self, epoch: u64, jobs: &[Record], queues: Vec<Queue>) {
         let mut shard = Shard::new(settings(), epoch);
         shard.set_queues(queues);
         for record in jobs.iter().chain(&self.records) {
@@ -151,24 +151,24 @@
         self.stops.clear();
     }
 
-    pub fn submit(&mut self, id: u64, spec: Arc<Spec>) {
+    pub(crate) fn submit(&mut self, id: u64, spec: Arc<Spec>) {
         self.shard.submit(Id(id), "q".into(), spec);
         self.step();
     }
 
     /// Lets time pass and carries out what the shard wants.
-    pub fn pass(&mut self, ms: u64) {
+    pub(crate) fn pass(&mut self, ms: u64) {
         self.now_ms += ms;
         self.step();
     }
 
     /// Ticks and carries out orders at once; looks only when asked for.
-    pub fn step(&mut self) {
+    pub(crate) fn step(&mut self) {
         self.shard.tick(self.now_ms, self.now_ms);
         self.take_actions();
     }
 
-    pub fn take_actions(&mut self) {
+    pub(crate) fn take_actions(&mut self) {
         loop {
             let actions = self.shard.take_actions();
             if actions.is_empty() {
@@ -216,7 +216,7 @@
     }
 
     /// Renews the lease of a worker and delivers its report.
-    pub fn look(&mut self, id: &str) {
+    pub(crate) fn look(&mut self, id: &str) {
         let Some(look) = self.shard.look(id, self.now_ms) else {
             return;
         };
@@ -239,7 +239,7 @@
         self.take_actions();
     }
 
-    pub fn look_all(&mut self) {
+    pub(crate) fn look_all(&mut self) {
         let ids: Vec<Arc<str>> = self.workers.keys().cloned().collect();
         for id in ids {
             self.look(&id);
@@ -247,12 +247,12 @@
     }
 
     /// Makes everything durable that was recorded.
-    pub fn write(&mut self) {
+    pub(crate) fn write(&mut self) {
         self.shard.written(self.records.len() as u64);
     }
 
     /// Ends the run of a task wherever it is.
-    pub fn end(&mut self, key: Key, how: How) -> Arc<str> {
+    pub(crate) fn end(&mut self, key: Key, how: How) -> Arc<str> {
         let holds = |(_, standin): &(&Arc<str>, &mut Standin)| standin.runs.contains_key(&key);
         let (id, standin) = self
             .workers
@@ -264,7 +264,7 @@
     }
 
     /// Ends the run of a task, lets the shard learn it and makes that durable.
-    pub fn end_known(&mut self, key: Key, how: How) {
+    pub(crate) fn end_known(&mut self, key: Key, how: How) {
         let id = self.end(key, how);
         self.look(&id);
         self.write();
@@ -272,7 +272,7 @@
     }
 
     /// Returns where a task runs.
-    pub fn places(&self, key: Key) -> Vec<Arc<str>> {
+    pub(crate) fn places(&self, key: Key) -> Vec<Arc<str>> {
         let holds = |(_, standin): &(&Arc<str>, &Standin)| standin.runs.contains_key(&key);
         let on = self.workers.iter().filter(holds);
         on.map(|(id, _)| id.clone()).collect()
@@ -280,7 +280,7 @@
 }
 
 impl Standin {
-    pub fn end(&mut self, key: Key, how: How) {
+    pub(crate) fn end(&mut self, key: Key, how: How) {
         let attempt = self.runs.remove(&key).expect("a run");
         self.numbered += 1;
         self.ends.push(Finished {
@@ -305,7 +305,7 @@
 }
 
 /// Returns the key of a task of a job without occurrences.
-pub fn key(job: u64, step: u16, index: u32) -> Key {
+pub(crate) fn key(job: u64, step: u16, index: u32) -> Key {
     Key {
         step: rosemaryworks_workflow::StepKey {
             job: Id(job),
