perf(workflow): advice within the room of the pool; faster takeovers

Lost owners and dark workers were noticed late. Change: a step asks only for room that no earlier step waits for, and less often after fruitless answers; starved steps keep their permits valid; claims lapse after 1.4 s, or 0.9 s if the link is closed; leases of 4 s; another worker at an address means that the old one has ended.

--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -13,11 +13,15 @@
 use serde::{Deserialize, Serialize};
 
 /// Time between renewals in milliseconds.
-pub const RENEW_MS: u64 = 500;
+pub const RENEW_MS: u64 = 400;
 
 /// Time without a change after which a claim may be taken over, in milliseconds. Covers two lost
 /// renewals.
-pub const LAPSE_MS: u64 = 1_600;
+pub const LAPSE_MS: u64 = 1_400;
+
+/// The same for an owner whose link was closed and can't be dialled again. One lost renewal is not
+/// waited for.
+pub const UNLINKED_LAPSE_MS: u64 = 900;
 
 /// Time between two looks at the claims in milliseconds.
 pub const LOOK_MS: u64 = 300;
@@ -147,6 +151,7 @@
         node: &str,
         incarnation: u64,
         millicores: u64,
+        unlinked: &BTreeSet<SocketAddr>,
         now_ms: u64,
     ) -> Vec<(u32, u64)> {
         if self.looked_ms.is_none() {
@@ -157,7 +162,7 @@
         let weak_ms = CORE_PAUSE_MS * 1_000 / millicores.max(1);
         let mut due = Vec::new();
         for &shard in wanted {
-            let (open, epoch) = self.is_open(shard, node, incarnation, now_ms);
+            let (open, epoch) = self.is_open(shard, node, incarnation, unlinked, now_ms);
             if !open {
                 self.candidate_since.remove(&shard);
                 continue;
@@ -171,7 +176,14 @@
         due
     }
 
-    fn is_open(&self, shard: u32, node: &str, incarnation: u64, now_ms: u64) -> (bool, u64) {
+    fn is_open(
+        &self,
+        shard: u32,
+        node: &str,
+        incarnation: u64,
+        unlinked: &BTreeSet<SocketAddr>,
+        now_ms: u64,
+    ) -> (bool, u64) {
         let Some(seen) = self.seen.get(&shard) else {
             return (true, 1);
         };
@@ -179,7 +191,11 @@
         let given_up = claim.node.is_empty() || seen.released;
         // An earlier incarnation of this process is gone.
         let own = &*claim.node == node && claim.incarnation != incarnation;
-        let silent = now_ms >= seen.changed_ms + LAPSE_MS && now_ms >= self.grace_until_ms;
+        let lapse_ms = match unlinked.contains(&claim.address) {
+            true => UNLINKED_LAPSE_MS,
+            false => LAPSE_MS,
+        };
+        let silent = now_ms >= seen.changed_ms + lapse_ms && now_ms >= self.grace_until_ms;
         let other = claim.incarnation != incarnation;
         (given_up || own || (silent && other), claim.epoch + 1)
     }
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -92,10 +92,11 @@
         }
         let Some(config) = self.config() else { return };
         let wanted: BTreeSet<u32> = config.shards(self.settings.shards);
+        let unlinked = self.unlinked_owners();
         let millicores = (self.settings.cores * 1_000.0) as u64;
         let now_ms = clock::now().0;
         let (node, incarnation) = (&self.settings.node, self.hello.incarnation);
-        let due = lock(&self.claims).due(&wanted, node, incarnation, millicores, now_ms);
+        let due = lock(&self.claims).due(&wanted, node, incarnation, millicores, &unlinked, now_ms);
         // One at a time: the next claim needs the end of the stream after this one.
         let Some((shard, epoch)) = due.into_iter().next() else {
             return;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -25,6 +25,7 @@
 pub(crate) struct Dialled {
     client: Arc<Client>,
     silent: u32,
+    was_open: bool,
 }
 
 struct Incoming(Arc<Node>);
@@ -101,12 +102,27 @@
         }
     }
 
+    /// Returns the owners whose link was open once and is closed.
+    pub(crate) fn unlinked_owners(&self) -> std::collections::BTreeSet<SocketAddr> {
+        let mut dialled = lock(&self.dialled);
+        let mut unlinked = std::collections::BTreeSet::new();
+        for (address, link) in dialled.iter_mut() {
+            let open = link.client.peer().is_some();
+            if link.was_open && !open {
+                unlinked.insert(*address);
+            }
+            link.was_open |= open;
+        }
+        unlinked
+    }
+
     fn dial(self: &Arc<Self>, name: Arc<str>, address: SocketAddr) -> Dialled {
         let handler = Arc::new(Outgoing(self.clone()));
         let client = Client::start(name, address, self.hello.clone(), handler);
         Dialled {
             client: Arc::new(client),
             silent: 0,
+            was_open: false,
         }
     }
 
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -23,7 +23,7 @@
 
 /// Time without an answer of the log after which the process tells that it can't serve, in
 /// milliseconds. Longer than one lost answer and its repetition.
-const STORE_DOWN_MS: u64 = 700;
+const STORE_DOWN_MS: u64 = 450;
 
 /// What a process is made of.
 #[derive(Clone)]
@@ -176,6 +176,18 @@
         }
     }
 
+    /// Returns for how long the log has not answered, in milliseconds; 0 if it answers.
+    #[must_use]
+    pub fn store_away_ms(&self) -> u64 {
+        match self.store_is_down() {
+            true => {
+                let answered_ms = self.store_answered_ms.load(Ordering::Relaxed);
+                clock::now().0.saturating_sub(answered_ms)
+            }
+            false => 0,
+        }
+    }
+
     /// Begins a planned stop: the balancer is told, and shards are given up.
     pub async fn stop(self: &Arc<Self>) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -327,7 +327,7 @@
         let now_ms = clock::now().0;
         let mut state = self.state();
         match permits {
-            Some(permits) => state.advised(ask.step, permits, now_ms + ask.validity_ms),
+            Some(permits) => state.advised(ask.step, permits, now_ms + ask.validity_ms, now_ms),
             None => state.unadvised(ask.step, now_ms),
         }
         drop(state);
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -10,12 +10,14 @@
 use crate::events;
 use crate::owner::Owner;
 
-/// Longest wait of a worker for an end. With the lease it bounds the time for a takeover: a lease of
-/// 6 s has at least 5 s left when its owner is lost.
-const WAIT_MS: u64 = 1_000;
+/// Longest wait of a worker for an end. With the lease it bounds the time for a takeover.
+const WAIT_MS: u64 = 800;
 
-/// Pause before a worker that didn't answer is looked at again.
-const DARK_PAUSE: Duration = Duration::from_millis(250);
+/// Pause before a worker that didn't answer is looked at again. Doubles up to [`DARK_PAUSE_MAX`].
+const DARK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest pause before a worker that doesn't answer is looked at again.
+const DARK_PAUSE_MAX: Duration = Duration::from_millis(1_200);
 
 /// Longest wait for ends to become durable before the worker is looked at again.
 const DURABLE_MAX: Duration = Duration::from_millis(200);
@@ -63,11 +65,15 @@
 
     async fn run(self: Arc<Self>, owner: Arc<Owner>, id: Arc<str>) {
         let mut answered = true;
+        let mut dark_pause = DARK_PAUSE;
         loop {
             let next = tokio::select! {
                 next = look(&owner, &id, &mut answered) => next,
                 () = self.interrupt.notified() => Next::Look,
             };
+            if answered {
+                dark_pause = DARK_PAUSE;
+            }
             match next {
                 Next::Look => {}
                 Next::AwaitDurable => owner.wait_written(DURABLE_MAX).await,
@@ -78,11 +84,12 @@
                     }
                 }
                 Next::Pause => {
-                    let pause = tokio::time::sleep(DARK_PAUSE);
+                    let pause = tokio::time::sleep(dark_pause);
                     tokio::select! {
                         () = pause => {}
                         () = self.interrupt.notified() => {}
                     }
+                    dark_pause = (dark_pause * 2).min(DARK_PAUSE_MAX);
                 }
                 Next::End => break,
             }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,8 +7,9 @@
 use rosemaryworks_node::settings::{Check, Faults};
 use serde::{Deserialize, Serialize};
 
-/// Longest lease that a worker accepts, without a setting, in milliseconds.
-const LEASE_MAX_MS: u64 = 6_000;
+/// Longest lease in milliseconds. The takeover of a shard takes 2.2 s at most, and a lease is at least
+/// 0.8 s younger than this when its owner is lost.
+const LEASE_MAX_MS: u64 = 4_000;
 
 /// Settings of an entry process.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -10,6 +10,12 @@
 /// Pause after a call that failed, in milliseconds.
 const RETRY_MS: u64 = 100;
 
+/// Pause after the first answer that led to no place, in milliseconds. Doubles with each further one.
+const FRUITLESS_MS: u64 = 60;
+
+/// Most doublings of [`FRUITLESS_MS`]; the last pause is shorter than the validity of permits.
+const DOUBLINGS_MAX: u32 = 4;
+
 /// Answers of the advice service for one step. Which workers are good doesn't change; permits lapse.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Advice {
@@ -17,6 +23,8 @@
     bad: BTreeSet<Arc<str>>,
     asked: Option<Vec<Arc<str>>>,
     not_before_ms: u64,
+    /// Answers since a task was last placed.
+    answers: u32,
 }
 
 /// Permit to run a step on a worker.
@@ -63,7 +71,10 @@
         &mut self,
         good: Vec<(Arc<str>, Arc<str>)>,
         until_ms: u64,
+        now_ms: u64,
     ) -> (usize, usize) {
+        self.not_before_ms = now_ms + (FRUITLESS_MS << self.answers.min(DOUBLINGS_MAX));
+        self.answers += 1;
         let asked = self.asked.take().unwrap_or_default();
         let counts = (asked.len(), good.len());
         for (worker, text) in good {
@@ -78,6 +89,12 @@
         counts
     }
 
+    /// Notes that a task was placed.
+    pub(crate) fn placed(&mut self) {
+        self.answers = 0;
+        self.not_before_ms = 0;
+    }
+
     /// Notes that a question got no answer.
     pub(crate) fn unanswered(&mut self, now_ms: u64) {
         self.asked = None;
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -9,7 +9,7 @@
 use crate::host::{Host, Phase, Run};
 use crate::job::{Queue, Step};
 use crate::run::Place;
-use crate::shard::Shard;
+use crate::shard::{Shard, Turn};
 use crate::task::{Key, StepKey};
 
 /// Most workers named in one question to the advice service.
@@ -21,6 +21,9 @@
 /// Weight of the newest answer in the learned share of good workers.
 const SHARE_WEIGHT: f64 = 0.1;
 
+/// Time without a place after which a step keeps its permits valid, in milliseconds.
+const STARVED_MS: u64 = 1_000;
+
 /// Room asked for beyond what a step needs, since fewer workers than expected may be good, and
 /// others may take the room meanwhile.
 const ASK_MARGIN: f64 = 2.0;
@@ -38,6 +41,18 @@
 /// Penalty for each failure in a row of a worker.
 const FAILURE_PENALTY: i64 = 1_000;
 
+/// Room of a pool during one pass over the waiting steps.
+#[derive(Clone, Copy, Debug, Default)]
+struct Room {
+    /// Largest free amount of each resource on one worker, at most.
+    largest: Size,
+    /// Free room that no earlier step of the pass waits for, counted twice: of the workers with
+    /// room only some are good for a step.
+    unclaimed: Size,
+}
+
+type Rooms = BTreeMap<Arc<str>, Room>;
+
 /// What became of a step that was looked at.
 enum Placed {
     /// No task of it waits any more.
@@ -50,15 +65,28 @@
     /// Places what waits, in the order of priority and age.
     pub fn place(&mut self, now_ms: u64) {
         self.hold(now_ms);
-        let turns: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
-        for key in turns {
-            if let Placed::All = self.place_step(key, now_ms) {
-                self.ready.retain(|(_, _, other)| *other != key);
+        let mut rooms = self.rooms(now_ms);
+        let turns: Vec<Turn> = self.ready.iter().copied().collect();
+        for turn in turns {
+            if let Placed::All = self.place_step(turn.2, &mut rooms, now_ms) {
+                self.ready.remove(&turn);
             }
         }
     }
 
-    fn place_step(&mut self, key: StepKey, now_ms: u64) -> Placed {
+    /// Sums up the room of each pool.
+    fn rooms(&self, now_ms: u64) -> Rooms {
+        let mut rooms = Rooms::new();
+        for host in self.hosts.values().filter(|host| host.takes_work(now_ms)) {
+            let room = rooms.entry(host.worker.pool.clone()).or_default();
+            let free = host.free();
+            room.largest = room.largest.max(&free);
+            room.unclaimed += free.times(2);
+        }
+        rooms
+    }
+
+    fn place_step(&mut self, key: StepKey, rooms: &mut Rooms, now_ms: u64) -> Placed {
         let Some(job) = self.jobs.get(&key.job) else {
             return Placed::All;
         };
@@ -79,11 +107,16 @@
         let Some(queue) = self.queues.get(&queue).cloned() else {
             return Placed::Some;
         };
-        if step.gang {
-            self.place_gang(key, step, &queue, now_ms);
-        } else {
-            self.place_tasks(key, step, &queue, now_ms);
+        let size = step.footprint();
+        let room = rooms.entry(queue.pool.clone()).or_default();
+        if size.fits(&room.largest) {
+            if step.gang {
+                self.place_gang(key, step, &queue, now_ms);
+            } else {
+                self.place_tasks(key, step, &queue, now_ms);
+            }
         }
+        self.ask_within(key, step, &queue, room, now_ms);
         match self.step_run_mut(key) {
             Some(run) if run.waiting > 0 => {
                 run.blocked_ms.get_or_insert(now_ms);
@@ -107,9 +140,8 @@
                 .collect(),
             None => return,
         };
-        for (at, index) in due.iter().enumerate() {
+        for index in &due {
             let Some(worker) = self.best(key, step, queue, now_ms, &BTreeMap::new()) else {
-                self.ask(key, step, queue, due.len() - at, now_ms);
                 return;
             };
             let attempt = self.next_attempt(key, &[*index]);
@@ -165,7 +197,6 @@
                 ..step.clone()
             };
             let Some(worker) = self.best(key, &wanted, queue, now_ms, &taken) else {
-                self.ask(key, step, queue, step.count as usize, now_ms);
                 return;
             };
             rack = self.hosts.get(&worker).map(|host| host.worker.rack.clone());
@@ -203,7 +234,7 @@
 
     /// Returns the best worker for one more task of a step, beside those already `taken`.
     fn best(
-        &mut self,
+        &self,
         key: StepKey,
         step: &Step,
         queue: &Queue,
@@ -211,7 +242,7 @@
         taken: &BTreeMap<Arc<str>, u32>,
     ) -> Option<Arc<str>> {
         let on = self.tasks_on(key, step);
-        let run = self.step_run_mut(key)?.advice.clone();
+        let run = &self.step_run(key)?.advice;
         let size = step.footprint();
         let mut best: Option<(i64, &Arc<str>)> = None;
         for (id, host) in &self.hosts {
@@ -239,7 +270,7 @@
     }
 
     /// Counts the tasks of a step on each worker, if their number is limited.
-    fn tasks_on(&mut self, key: StepKey, step: &Step) -> BTreeMap<Arc<str>, u32> {
+    fn tasks_on(&self, key: StepKey, step: &Step) -> BTreeMap<Arc<str>, u32> {
         let mut on = BTreeMap::new();
         if step.spread == 0 {
             return on;
@@ -263,6 +294,7 @@
             return;
         };
         let permit = run.advice.permit(worker, now_ms).cloned();
+        run.advice.placed();
         let task = &mut run.tasks[key.index as usize];
         task.attempt = attempt;
         let saved = task.saved.clone();
@@ -299,12 +331,53 @@
         self.actions.push(Action::Start(order));
     }
 
+    /// Asks the advice service for a step, as long as the pool has room that no earlier step waits
+    /// for. Without this bound a crowd of steps asks again and again for workers that are full, and
+    /// permits lapse while questions queue.
+    fn ask_within(
+        &mut self,
+        key: StepKey,
+        step: &Step,
+        queue: &Queue,
+        room: &mut Room,
+        now_ms: u64,
+    ) {
+        let Some(run) = self.step_run(key) else {
+            return;
+        };
+        let size = step.footprint();
+        let need = run.waiting;
+        let starved = run
+            .blocked_ms
+            .is_some_and(|since| now_ms >= since + STARVED_MS);
+        if need == 0 {
+            return;
+        }
+        let claims = size.times(u64::from(need)).min(&room.unclaimed);
+        if queue.advice.is_some() && size.fits(&room.unclaimed) {
+            self.ask(key, step, queue, need as usize, starved, now_ms);
+        }
+        // What a starved step waits for doesn't become free soon, so it keeps nothing from others.
+        if !starved {
+            room.unclaimed -= claims;
+        }
+    }
+
     /// Asks the advice service about workers with room, if the step needs advice.
-    fn ask(&mut self, key: StepKey, step: &Step, queue: &Queue, need: usize, now_ms: u64) {
+    fn ask(
+        &mut self,
+        key: StepKey,
+        step: &Step,
+        queue: &Queue,
+        need: usize,
+        starved: bool,
+        now_ms: u64,
+    ) {
         let Some(terms) = queue.advice else { return };
-        let Some(advice) = self.step_run_mut(key).map(|run| run.advice.clone()) else {
+        let Some(run) = self.step_run(key) else {
             return;
         };
+        let advice = &run.advice;
         if !advice.may_ask(now_ms) {
             return;
         }
@@ -327,7 +400,11 @@
                 (held, advice.is_good(id), room, id)
             })
             .collect();
-        if candidates.iter().all(|(_, _, room, _)| *room == 0) {
+        // A step that starves keeps its permits valid, so that it can take the next room at once.
+        let worth = |(held, good, room, _): &(bool, bool, u64, &Arc<str>)| {
+            *room > 0 || (starved && (*held || *good))
+        };
+        if !candidates.iter().any(worth) {
             return;
         }
         candidates.sort_by(|a, b| b.cmp(a));
@@ -358,12 +435,18 @@
     }
 
     /// Takes an answer of the advice service: workers that may run the step, with their permits.
-    pub fn advised(&mut self, step: StepKey, good: Vec<(Arc<str>, Arc<str>)>, until_ms: u64) {
+    pub fn advised(
+        &mut self,
+        step: StepKey,
+        good: Vec<(Arc<str>, Arc<str>)>,
+        until_ms: u64,
+        now_ms: u64,
+    ) {
         let queue = self.jobs.get(&step.job).map(|job| job.queue.clone());
         let Some(run) = self.step_run_mut(step) else {
             return;
         };
-        let (asked, good) = run.advice.answered(good, until_ms);
+        let (asked, good) = run.advice.answered(good, until_ms, now_ms);
         if let Some(queue) = queue
             && asked > 0
         {
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -382,6 +382,14 @@
         self.actions.push(Action::Look(id.clone()));
     }
 
+    pub(crate) fn step_run(&self, key: StepKey) -> Option<&crate::run::StepRun> {
+        self.jobs
+            .get(&key.job)?
+            .occurrences
+            .get(&key.occurrence)?
+            .get(key.step as usize)
+    }
+
     pub(crate) fn step_run_mut(&mut self, key: StepKey) -> Option<&mut crate::run::StepRun> {
         self.jobs
             .get_mut(&key.job)?
--- a/crates/workflow/src/survey.rs
+++ b/crates/workflow/src/survey.rs
@@ -85,6 +85,10 @@
         }
         host.sight = Sight::Dark;
         host.dark_since_ms.get_or_insert(now_ms);
+        if fault == LookFault::WrongInstance {
+            // A worker keeps its address for life, so another one there means that it has ended.
+            self.lose(id, now_ms);
+        }
     }
 
     /// Processes an end, once.
--- a/crates/workflow/src/tick.rs
+++ b/crates/workflow/src/tick.rs
@@ -15,7 +15,7 @@
 const STUCK_MS: u64 = 4_000;
 
 /// Time for which a worker that is no longer listed is remembered, in milliseconds.
-const UNLISTED_MS: u64 = 20_000;
+const UNLISTED_MS: u64 = 4_000;
 
 impl Shard {
     /// Does what is due at `now_ms`. `unix_ms` is the time of day.
