fix: connection attempts end after 300 ms; new jobs wait until older owners are fenced

Change: a limit for opening connections; a new owner starts nothing until every worker has seen its token, or the older owner must have met one that has.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -18,6 +18,11 @@
 
 const KEEP_ALIVE_SECONDS: u16 = 60;
 
+/// Time for a connection to open. The library opens one connection to an address at a time, so an
+/// attempt that hangs behind a partition holds up all others until the system sends its packet again,
+/// which takes seconds. Round trips between regions take less than this.
+const CONNECT_TIMEOUT: Millis = Millis(300);
+
 /// A request.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Request {
@@ -180,7 +185,10 @@
         .disable_redirects()
         .response_payload_limit(BODY_MAX_BYTES)
         .response_payload_timeout(Millis::ZERO)
-        .build(ntex::SharedCfg::new("http-client"))
+        .build(
+            ntex::SharedCfg::new("http-client")
+                .add(ntex::io::IoConfig::new().set_connect_timeout(CONNECT_TIMEOUT)),
+        )
         .await;
     let client = match client {
         Ok(client) => client,
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -57,3 +57,49 @@
         }
     }
 }
+
+/// Guards against requests that wait for seconds behind one connection attempt that hangs, after the
+/// partition that it hangs on has healed.
+#[test]
+fn a_hanging_connection_attempt_holds_up_nobody_for_long() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        // A full queue of new connections drops opening packets, as a partition does.
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let listener = socket.listen(1).unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut queued = Vec::new();
+        while let Ok(Ok(stream)) = tokio::time::timeout(
+            Duration::from_millis(100),
+            tokio::net::TcpStream::connect(address),
+        )
+        .await
+        {
+            queued.push(stream);
+        }
+        let client = Client::start(1);
+        let url = format!("http://{address}/");
+        let first = Request::new("GET", url.clone(), Duration::from_millis(400));
+        assert!(client.send(first).await.is_err());
+        tokio::spawn(async move {
+            use tokio::io::AsyncWriteExt;
+            let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            let mut open = Vec::new();
+            while let Ok((mut stream, _)) = listener.accept().await {
+                // Those that were queued have gone.
+                let _ = stream.write_all(response).await;
+                open.push(stream);
+            }
+        });
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let second = Request::new("GET", url, Duration::from_millis(400));
+        assert_eq!(
+            client.send(second).await.map(|response| response.status),
+            Ok(200)
+        );
+    });
+}
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -64,6 +64,9 @@
 impl Shard {
     /// Places what waits, in the order of priority and age.
     pub fn place(&mut self, now_ms: u64) {
+        if !self.recovery.is_fenced(now_ms) {
+            return;
+        }
         self.hold(now_ms);
         let mut rooms = self.rooms(now_ms);
         let turns: Vec<Turn> = self.ready.iter().copied().collect();
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -14,6 +14,10 @@
 /// Time beyond the longest lease after which no run of an older owner is left, in milliseconds.
 const MARGIN_MS: u64 = 500;
 
+/// Time after which an older owner that still acts has surely met a worker that refuses its token, in
+/// milliseconds: it looks at each worker with runs every 0.8 s.
+const FENCED_MS: u64 = 1_200;
+
 /// What an owner still has to learn about its predecessors.
 #[derive(Debug, Default)]
 pub(crate) struct Recovery {
@@ -22,6 +26,8 @@
     unseen: BTreeSet<Arc<str>>,
     /// Owner's time from which such runs have surely lapsed.
     lapsed_ms: u64,
+    /// Owner's time from which no older owner acts any more.
+    fenced_ms: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -42,6 +48,16 @@
         self.stage == Stage::Settled
     }
 
+    /// Tells whether no older owner may start tasks of new jobs any more: until then it may start them
+    /// on workers that haven't seen the token of this one.
+    pub(crate) fn is_fenced(&self, now_ms: u64) -> bool {
+        match self.stage {
+            Stage::Replaying => false,
+            Stage::Surveying => now_ms >= self.fenced_ms,
+            Stage::Settled => true,
+        }
+    }
+
     pub(crate) fn seen(&mut self, worker: &str) {
         self.unseen.remove(worker);
         self.settle();
@@ -92,6 +108,7 @@
         self.recovery.unseen = unseen.map(|(id, _)| id.clone()).collect();
         let lease_ms = (self.settings.lease_ms as f64 / SLOWEST_RATE) as u64;
         self.recovery.lapsed_ms = now_ms + lease_ms + MARGIN_MS;
+        self.recovery.fenced_ms = now_ms + FENCED_MS;
         self.recovery.stage = Stage::Surveying;
         self.recovery.settle();
     }
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -48,13 +48,29 @@
     assert!(fleet.orders[0].attempt > 100, "reuses an attempt");
 }
 
+/// The older owner hears of new jobs too, and may start them where its token still counts.
 #[test]
-fn new_jobs_start_while_a_worker_is_unseen() {
+fn new_jobs_wait_until_the_older_owner_must_know() {
     let mut fleet = Fleet::new(3);
     fleet.take_over(2, &[], vec![queue("q")]);
     fleet.workers.get_mut("w0").expect("a worker").silent = true;
-    fleet.look_all();
+    fleet.look("w1");
+    fleet.look("w2");
     fleet.submit(1, spec(vec![step(1)]));
+    assert!(fleet.orders.is_empty(), "started before w0 was fenced");
+    fleet.look("w0");
+    fleet.pass(1_300);
+    assert_eq!(fleet.places(key(1, 0, 0)).len(), 1);
+}
+
+#[test]
+fn new_jobs_start_at_once_when_every_worker_was_seen() {
+    let mut fleet = Fleet::new(3);
+    fleet.take_over(2, &[], vec![queue("q")]);
+    fleet.submit(1, spec(vec![step(1)]));
+    assert!(fleet.orders.is_empty());
+    fleet.look_all();
+    fleet.step();
     assert_eq!(fleet.places(key(1, 0, 0)).len(), 1);
 }
 
