fix(workflow): successors know the workers that an owner used

Change: owners record their workers; a successor looks at those as well. After a planned stop, and for the own earlier incarnation, nothing has to be fenced before new jobs start. Result: the test of an unlisted worker fails without the records.

--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -134,6 +134,15 @@
         self.seen.get(&shard).map(|seen| &seen.claim)
     }
 
+    /// Tells whether the owner of a shard has surely ended: it gave the shard up in writing, was an
+    /// earlier incarnation of this process, or never was.
+    #[must_use]
+    pub fn has_ended(&self, shard: u32, node: &str, incarnation: u64) -> bool {
+        self.get(shard).is_none_or(|claim| {
+            claim.node.is_empty() || (&*claim.node == node && claim.incarnation != incarnation)
+        })
+    }
+
     /// Returns the owners' addresses with their names.
     #[must_use]
     pub fn owners(&self) -> BTreeMap<SocketAddr, Arc<str>> {
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -101,6 +101,7 @@
         let Some((shard, epoch)) = due.into_iter().next() else {
             return;
         };
+        let alone = lock(&self.claims).has_ended(shard, node, incarnation);
         let claim = self.own_claim(epoch, 0);
         let guard = Guard::At(position.next.unwrap_or(0));
         match self.write_claim(shard, &claim, guard).await {
@@ -108,7 +109,7 @@
                 position.next = Some(appended);
                 lock(&self.claims).take(shard, claim, clock::now().0);
                 events::CLAIMED.log(format_args!("shard={shard} epoch={epoch}"));
-                tokio::spawn(self.clone().take_over(shard, epoch));
+                tokio::spawn(self.clone().take_over(shard, epoch, alone));
                 self.claims_changed.notify_one();
             }
             // Another process was faster, or it isn't known: the next look tells.
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -159,7 +159,7 @@
             Record::Submitted { id, queue, spec } => state.submit(id, queue, spec),
             Record::Cancelled { id } => state.cancel(id, clock::now().0),
             // Ends are written by owners, to another stream.
-            Record::Ended { .. } | Record::Final { .. } => {}
+            _ => {}
         }
     }
 
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -23,10 +23,10 @@
 const TRIES_MAX: u32 = 30;
 
 impl Node {
-    /// Takes over a shard whose claim was won.
-    pub(crate) async fn take_over(self: Arc<Self>, shard: u32, epoch: u64) {
+    /// Takes over a shard whose claim was won. `alone` tells that the older owner has ended.
+    pub(crate) async fn take_over(self: Arc<Self>, shard: u32, epoch: u64, alone: bool) {
         let began = clock::now();
-        match self.prepare(shard, epoch).await {
+        match self.prepare(shard, epoch, alone).await {
             Ok(owner) => {
                 if self.stopping.load(Ordering::Relaxed) {
                     return;
@@ -51,7 +51,7 @@
         }
     }
 
-    async fn prepare(&self, shard: u32, epoch: u64) -> Result<Arc<Owner>, Fault> {
+    async fn prepare(&self, shard: u32, epoch: u64, alone: bool) -> Result<Arc<Owner>, Fault> {
         self.fence(shard, epoch).await?;
         let settings = workflow::Settings {
             lease_ms: self.settings.lease_ms(),
@@ -75,7 +75,7 @@
                 state.list(worker, now_ms);
             }
         }
-        state.replayed(now_ms);
+        state.replayed(alone, now_ms);
         Ok(Owner::new(self, shard, state, jobs_next, feed.next))
     }
 
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::job::{Id, Spec, State};
+use crate::target::Worker;
 use crate::task::{How, Key};
 
 /// A record of a shard's streams. Jobs and cancellations are written by the process that accepts
@@ -44,6 +45,21 @@
         #[serde(rename = "s")]
         state: State,
     },
+    /// A worker that the owner may use. Its successor looks at it even if the platform's list has
+    /// lost the worker's entry meanwhile.
+    #[serde(rename = "w")]
+    Hosted {
+        /// Worker.
+        #[serde(rename = "w")]
+        worker: Worker,
+    },
+    /// A worker has ended or is no longer used.
+    #[serde(rename = "g")]
+    Unhosted {
+        /// Identifier.
+        #[serde(rename = "w")]
+        worker: Arc<str>,
+    },
     /// A job was accepted.
     #[serde(rename = "j")]
     Submitted {
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -1,12 +1,13 @@
 //! From the records of older owners to a state that may act.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use crate::host::Sight;
 use crate::job::State;
 use crate::record::Record;
 use crate::shard::Shard;
+use crate::target::Worker;
 
 /// Rate of the slowest clock of a worker against the owner's.
 const SLOWEST_RATE: f64 = 0.98;
@@ -22,6 +23,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Recovery {
     stage: Stage,
+    /// Workers that older owners used.
+    hosted: BTreeMap<Arc<str>, Worker>,
     /// Workers that may hold runs of an older owner.
     unseen: BTreeSet<Arc<str>>,
     /// Owner's time from which such runs have surely lapsed.
@@ -89,6 +92,12 @@
                 how,
                 saved,
             } => self.apply_end(key, attempt, how, saved, now_ms),
+            Record::Hosted { worker } => {
+                self.recovery.hosted.insert(worker.id.clone(), worker);
+            }
+            Record::Unhosted { worker } => {
+                self.recovery.hosted.remove(&worker);
+            }
             Record::Final { id, state } => {
                 let open = self.jobs.get(&id).is_some_and(|job| !job.is_ended());
                 if open && state != State::Cancelled {
@@ -98,9 +107,16 @@
         }
     }
 
-    /// Ends the replay: what comes from now on is new. Workers listed so far may hold runs of an
-    /// older owner.
-    pub fn replayed(&mut self, now_ms: u64) {
+    /// Ends the replay: what comes from now on is new. Workers listed so far, and those that older
+    /// owners used, may hold runs of an older owner. `alone` tells that no older owner acts any more.
+    pub fn replayed(&mut self, alone: bool, now_ms: u64) {
+        for (id, worker) in std::mem::take(&mut self.recovery.hosted) {
+            if !self.hosts.contains_key(&id) {
+                self.list(worker, now_ms);
+                self.unlist(&id, now_ms);
+            }
+        }
+        self.record_hosts();
         let unseen = self
             .hosts
             .iter()
@@ -108,8 +124,19 @@
         self.recovery.unseen = unseen.map(|(id, _)| id.clone()).collect();
         let lease_ms = (self.settings.lease_ms as f64 / SLOWEST_RATE) as u64;
         self.recovery.lapsed_ms = now_ms + lease_ms + MARGIN_MS;
-        self.recovery.fenced_ms = now_ms + FENCED_MS;
+        self.recovery.fenced_ms = if alone { now_ms } else { now_ms + FENCED_MS };
         self.recovery.stage = Stage::Surveying;
         self.recovery.settle();
     }
+    /// Records every worker anew: the records of older owners expire.
+    fn record_hosts(&mut self) {
+        let workers: Vec<Worker> = self
+            .hosts
+            .values()
+            .map(|host| host.worker.clone())
+            .collect();
+        for worker in workers {
+            self.record(Record::Hosted { worker });
+        }
+    }
 }
--- a/crates/workflow/src/target.rs
+++ b/crates/workflow/src/target.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use rosemaryworks_core::size::Size;
+use serde::{Deserialize, Serialize};
 
 /// A worker VM in one life.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Worker {
     /// Address for orders.
     pub address: SocketAddr,
--- a/crates/workflow/src/tick.rs
+++ b/crates/workflow/src/tick.rs
@@ -5,6 +5,7 @@
 use crate::action::Action;
 use crate::host::{Phase, Sight};
 use crate::job::Id;
+use crate::record::Record;
 use crate::shard::Shard;
 use crate::task::Key;
 
@@ -147,7 +148,16 @@
                     .dark_since_ms
                     .is_some_and(|since| now_ms >= since + UNLISTED_MS)
         };
-        self.hosts.retain(|_, host| !gone(host));
+        let ended: Vec<Arc<str>> = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| gone(host))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for worker in ended {
+            self.hosts.remove(&worker);
+            self.record(Record::Unhosted { worker });
+        }
     }
 
     /// Asks for a look at every worker that has not answered under the current token.
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -22,6 +22,7 @@
     pub(crate) percent: BTreeMap<Key, u32>,
     pub(crate) token: u64,
     pub(crate) silent: bool,
+    pub(crate) unlisted: bool,
     numbered: u64,
 }
 
@@ -104,7 +105,7 @@
         for index in 0..count {
             fleet.add(&format!("w{index}"));
         }
-        fleet.shard.replayed(0);
+        fleet.shard.replayed(true, 0);
         fleet.look_all();
         fleet
     }
@@ -142,10 +143,10 @@
         for record in jobs.iter().chain(&self.records) {
             shard.replay(record.clone(), self.now_ms);
         }
-        for (id, standin) in &self.workers {
+        for (id, standin) in self.workers.iter().filter(|(_, s)| !s.unlisted) {
             shard.list(worker(id, self.capacity, standin.born), self.now_ms);
         }
-        shard.replayed(self.now_ms);
+        shard.replayed(false, self.now_ms);
         self.shard = shard;
         self.orders.clear();
         self.stops.clear();
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -136,3 +136,22 @@
         "failed too early"
     );
 }
+
+/// Entries of workers lapse while the platform's log is away, and come back seconds after it.
+#[test]
+fn a_worker_that_the_list_has_lost_is_looked_at_all_the_same() {
+    let mut fleet = Fleet::new(3);
+    fleet.submit(1, spec(vec![step(1)]));
+    let place = fleet.places(key(1, 0, 0))[0].clone();
+    fleet.workers.get_mut(&place).expect("a worker").unlisted = true;
+    fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    for id in ["w0", "w1", "w2"].iter().filter(|id| **id != &*place) {
+        fleet.look(id);
+    }
+    fleet.step();
+    assert!(fleet.orders.is_empty(), "started again beside {place}");
+    fleet.look(&place);
+    fleet.pass(2_000);
+    assert_eq!(fleet.places(key(1, 0, 0)), vec![place]);
+    assert!(fleet.orders.is_empty() && fleet.stops.is_empty());
+}
