--- a/crates/workflow/src/survey.rs
+++ b/crates/workflow/src/survey.rs
@@ -22,8 +22,9 @@
         Some(Look {
             address: host.worker.address,
             acknowledged: host.durable,
-            // Without runs there is nothing to hold, and a later loss is over sooner.
-            deadline_ms: match host.runs.is_empty() {
+            // Without runs there is nothing to hold, and a later loss is over sooner. A worker that
+            // doesn't answer may still take the order, so its lease would never end.
+            deadline_ms: match host.runs.is_empty() || host.sight == Sight::Dark {
                 true => None,
                 false => host.lease.deadline(now_ms, lease_ms),
             },
--- /dev/null
+++ b/crates/workflow/tests/dark_workers.rs
@@ -0,0 +1,75 @@
+//! Guards against work that waits for ever, or runs twice, because its worker doesn't answer.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, key, spec, step};
+use rosemaryworks_workflow::How;
+
+/// Longest time from the last answer of a worker to the next start of its tasks: the lease of 6 s on
+/// the slowest clock, the time to end the runs (0.2 s), and the look that went unanswered and the tick
+/// after it (0.25 s each).
+const RESTART_MAX_MS: u64 = 7_000;
+
+#[test]
+fn work_of_a_dark_worker_starts_again_while_it_is_looked_at() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let place = fleet.places(key(1, 0, 0))[0].clone();
+    fleet.look(&place);
+    fleet.workers.get_mut(&place).expect("a worker").silent = true;
+    for _ in 0..RESTART_MAX_MS / 250 {
+        fleet.pass(250);
+        fleet.look(&place);
+    }
+    assert_eq!(fleet.orders.len(), 2, "not started again");
+    assert_ne!(fleet.orders[1].worker, place);
+}
+
+#[test]
+fn work_of_a_dark_worker_does_not_start_again_before_its_lease_has_lapsed() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let place = fleet.places(key(1, 0, 0))[0].clone();
+    fleet.look(&place);
+    fleet.workers.get_mut(&place).expect("a worker").silent = true;
+    for _ in 0..22 {
+        fleet.pass(250);
+        fleet.look(&place);
+    }
+    assert_eq!(fleet.orders.len(), 1, "started beside a run that may go on");
+}
+
+#[test]
+fn a_start_without_an_answer_is_decided_by_the_next_look() {
+    let mut fleet = Fleet::new(1);
+    fleet.workers.get_mut("w0").expect("a worker").silent = true;
+    fleet.submit(1, spec(vec![step(1)]));
+    assert_eq!(fleet.orders.len(), 1);
+    fleet.workers.get_mut("w0").expect("a worker").silent = false;
+    // The look carries a higher token, so the order that may be late is void.
+    fleet.look("w0");
+    assert!(fleet.workers["w0"].token > fleet.orders[0].token);
+    fleet.pass(600);
+    assert_eq!(fleet.orders.len(), 2);
+    assert_eq!(fleet.orders[1].attempt, 2);
+}
+
+#[test]
+fn a_worker_that_fails_everything_is_left_alone() {
+    let mut fleet = Fleet::new(2);
+    for id in 1..=6 {
+        fleet.submit(id, spec(vec![step(1)]));
+        let key = key(id, 0, 0);
+        while let Some(place) = fleet.places(key).first().cloned() {
+            let how = if &*place == "w0" {
+                How::Failed
+            } else {
+                How::Done
+            };
+            fleet.end_known(key, how);
+        }
+    }
+    let on_bad = fleet.orders.iter().filter(|order| &*order.worker == "w0");
+    assert!(on_bad.count() <= 2, "keeps drawing work");
+}
