--- a/crates/workflow/src/hold.rs
+++ b/crates/workflow/src/hold.rs
@@ -19,7 +19,7 @@
 const WORKERS_PER_HOLD: usize = 8;
 
 /// Workers held for a step, at most.
-const HOLDS_PER_STEP: usize = 4;
+const HOLDS_PER_STEP: usize = 8;
 
 /// Room held on workers, by worker.
 #[derive(Debug, Default)]
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -53,6 +53,30 @@
 
 type Rooms = BTreeMap<Arc<str>, Room>;
 
+/// A worker that the advice service may be asked about.
+struct Candidate<'a> {
+    id: &'a Arc<str>,
+    /// Whether it is held for the step.
+    held: bool,
+    /// Whether it is known to be good for the step.
+    good: bool,
+    /// Tasks of the step that it has room for.
+    room: u64,
+}
+
+impl Candidate<'_> {
+    /// Returns a key that is lower the sooner the worker is named. Small tasks are to fill workers
+    /// that are partly used, so that whole workers stay free for gangs.
+    fn rank(&self, large: bool) -> (bool, bool, bool, u64) {
+        let room = if large {
+            u64::MAX - self.room
+        } else {
+            self.room
+        };
+        (!self.held, !self.good, self.room == 0, room)
+    }
+}
+
 /// What became of a step that was looked at.
 enum Placed {
     /// No task of it waits any more.
@@ -386,7 +410,7 @@
         }
         let share = self.shares.get(&queue.name).copied().unwrap_or(GOOD_SHARE);
         let size = step.footprint();
-        let mut candidates: Vec<(bool, bool, u64, &Arc<str>)> = self
+        let mut candidates: Vec<Candidate<'_>> = self
             .hosts
             .iter()
             .filter(|(id, host)| {
@@ -397,23 +421,24 @@
                     && allows(host, step, 0)
                     && size.fits(&host.worker.capacity)
             })
-            .map(|(id, host)| {
-                let room = room(&self.holds.free(host, key), step, &size);
-                let held = self.holds.is_for(id, key);
-                (held, advice.is_good(id), room, id)
+            .map(|(id, host)| Candidate {
+                id,
+                held: self.holds.is_for(id, key),
+                good: advice.is_good(id),
+                room: room(&self.holds.free(host, key), step, &size),
             })
             .collect();
         // A step that starves keeps its permits valid, so that it can take the next room at once.
-        let worth = |(held, good, room, _): &(bool, bool, u64, &Arc<str>)| {
-            *room > 0 || (starved && (*held || *good))
+        let worth = |candidate: &Candidate<'_>| {
+            candidate.room > 0 || (starved && (candidate.held || candidate.good))
         };
         if !candidates.iter().any(worth) {
             return;
         }
-        candidates.sort_by(|a, b| b.cmp(a));
+        candidates.sort_by_key(|candidate| candidate.rank(step.gang || step.service));
         let mut expected = 0.0;
         let mut workers = Vec::new();
-        for (_, good, room, id) in candidates {
+        for Candidate { id, good, room, .. } in candidates {
             let enough = expected >= need as f64 * ASK_MARGIN;
             if (enough && workers.len() >= ASKED_MIN) || workers.len() >= ASKED_MAX {
                 break;
