feat(workflow): open jobs are written again before the log drops them

Cause: the log keeps records for five minutes; a successor would not have known a job that was accepted earlier. Change: an owner restates open jobs, the ends that count and its workers three times within the retention.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -43,3 +43,7 @@
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// A process takes or returns the signal to reload.
 pub const RELOADED: Event = Event::new(833, Level::Info, "reload requested");
+/// An append of jobs was rejected for good.
+pub const SUBMIT_FAILED: Event = Event::new(809, Level::Warn, "append of jobs failed");
+/// A record can't be encoded.
+pub const RECORD_FAULTY: Event = Event::new(834, Level::Error, "record can't be encoded");
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -39,7 +39,7 @@
     let mut bytes = Vec::with_capacity(64);
     if let Err(error) = ciborium::into_writer(entry, &mut bytes) {
         // Writing to memory fails only for types that have no encoding.
-        log::error!(target: "rosemaryworks", "E834 record can't be encoded: {error}");
+        events::RECORD_FAULTY.log(format_args!("{error}"));
     }
     bytes
 }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -38,6 +38,10 @@
 /// exist, in milliseconds.
 const FRESH_MS: u64 = JOBS_WAIT_MS + 500;
 
+/// Restatements of open jobs within the time for which the log keeps records. A restatement that is
+/// held up by an outage leaves time for the next one.
+const RESTATEMENTS: u64 = 3;
+
 /// Longest wait for the journal at a planned stop.
 const FLUSH_MAX: Duration = Duration::from_millis(400);
 
@@ -211,9 +215,15 @@
 
     /// Runs the kernel until the shard is given up.
     async fn drive(self: Arc<Self>, node: Arc<Node>) {
+        let restate_ms = node.settings.retention_ms / RESTATEMENTS;
+        let mut restated_ms = clock::now().0;
         while !self.is_ended() {
             let actions = {
                 let mut state = self.state();
+                if clock::now().0 >= restated_ms + restate_ms {
+                    restated_ms = clock::now().0;
+                    state.restate();
+                }
                 state.tick(clock::now().0, clock::unix_ms());
                 let open = state.open_jobs();
                 self.parts.metrics.open_jobs.set(open as i64);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -41,6 +41,9 @@
     /// Time for which the state of a job is kept after its end in milliseconds.
     #[serde(default = "defaults::keep_ms")]
     pub keep_ms: u64,
+    /// Time for which the log keeps records in milliseconds. Open jobs are written again within it.
+    #[serde(default = "defaults::retention_ms")]
+    pub retention_ms: u64,
     /// Time before its due time at which an occurrence may begin in milliseconds.
     #[serde(default)]
     pub early_ms: u64,
@@ -62,6 +65,10 @@
         super::LEASE_MAX_MS
     }
 
+    pub(super) fn retention_ms() -> u64 {
+        300_000
+    }
+
     pub(super) fn keep_ms() -> u64 {
         120_000
     }
@@ -86,6 +93,8 @@
         faults.require(lease, "lease_max_ms", "must be 1000 to 60000");
         let cores = (0.001..=1_000.0).contains(&self.cores);
         faults.require(cores, "cores", "must be 0.001 to 1000");
+        let retention = self.retention_ms >= 10_000;
+        faults.require(retention, "retention_ms", "must be 10000 at least");
         let stop = (500..=600_000).contains(&self.stop_ms);
         faults.require(stop, "stop_ms", "must be 500 to 600000");
         let listens = [
--- a/crates/entry/src/submitter.rs
+++ b/crates/entry/src/submitter.rs
@@ -11,6 +11,7 @@
 use rosemaryworks_node::clock;
 use tokio::sync::{Notify, oneshot};
 
+use crate::events;
 use crate::port::{Append, Fault, Guard, Record, Store, Stream};
 
 /// Pause before an append that was refused or got no answer is repeated.
@@ -157,7 +158,7 @@
                 Err(Fault::Unknown(_)) => in_doubt = true,
                 Err(Fault::Refused(_)) => {}
                 Err(fault) => {
-                    log::warn!(target: "rosemaryworks", "E809 append of jobs failed: shard={} {fault}", self.shard);
+                    events::SUBMIT_FAILED.log(format_args!("shard={} {fault}", self.shard));
                     let outcome = if in_doubt {
                         Outcome::Unknown
                     } else {
--- /dev/null
+++ b/crates/entry/tests/claims.rs
@@ -0,0 +1,148 @@
+//! Guards against shards without an owner, and against owners that change for nothing.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use rosemaryworks_entry::claim::{Claim, Claims, LAPSE_MS, UNLINKED_LAPSE_MS, key, shard_of};
+
+const SHARD: u32 = 7;
+
+fn address() -> SocketAddr {
+    "127.0.0.1:9".parse().expect("an address")
+}
+
+fn claim(node: &str, incarnation: u64, epoch: u64, beat: u64) -> Claim {
+    Claim {
+        epoch,
+        node: node.into(),
+        incarnation,
+        address: address(),
+        beat,
+    }
+}
+
+/// Returns what a candidate with one core would claim at a time.
+fn due(claims: &mut Claims, node: &str, unlinked: bool, now_ms: u64) -> Vec<(u32, u64)> {
+    let wanted = BTreeSet::from([SHARD]);
+    let unlinked: BTreeSet<SocketAddr> = unlinked.then(address).into_iter().collect();
+    claims.due(&wanted, node, 2, 1_000, &unlinked, now_ms)
+}
+
+/// Looks every 300 ms until the shard is due. Returns the time.
+fn due_at(claims: &mut Claims, node: &str, unlinked: bool, from_ms: u64) -> u64 {
+    let mut now_ms = from_ms;
+    loop {
+        claims.looked(now_ms);
+        if !due(claims, node, unlinked, now_ms).is_empty() {
+            return now_ms;
+        }
+        now_ms += 300;
+        assert!(now_ms < from_ms + 60_000, "never due");
+    }
+}
+
+#[test]
+fn keys_name_shards() {
+    assert_eq!(shard_of(&key(SHARD)), Some(SHARD));
+    assert_eq!(shard_of("shard-x"), None);
+}
+
+#[test]
+fn a_renewed_claim_is_left_alone() {
+    let mut claims = Claims::default();
+    for beat in 0..40 {
+        let now_ms = 10_000 + beat * 400;
+        claims.take(SHARD, claim("a", 1, 1, beat), now_ms);
+        claims.looked(now_ms);
+        assert!(due(&mut claims, "b", false, now_ms).is_empty());
+    }
+}
+
+#[test]
+fn a_silent_claim_is_taken_over_with_the_next_epoch() {
+    let mut claims = Claims::default();
+    claims.looked(9_900);
+    claims.take(SHARD, claim("a", 1, 4, 9), 10_000);
+    let at = due_at(&mut claims, "b", false, 10_000);
+    assert!((LAPSE_MS..=LAPSE_MS + 900).contains(&(at - 10_000)), "{at}");
+    assert_eq!(due(&mut claims, "b", false, at), vec![(SHARD, 5)]);
+}
+
+#[test]
+fn a_claim_whose_owner_lost_its_links_lapses_sooner() {
+    let mut claims = Claims::default();
+    claims.looked(9_900);
+    claims.take(SHARD, claim("a", 1, 4, 9), 10_000);
+    let at = due_at(&mut claims, "b", true, 10_000);
+    assert!(
+        (UNLINKED_LAPSE_MS..LAPSE_MS).contains(&(at - 10_000)),
+        "{at}"
+    );
+}
+
+#[test]
+fn nothing_lapses_while_the_log_could_not_be_read() {
+    let mut claims = Claims::default();
+    claims.looked(9_900);
+    claims.take(SHARD, claim("a", 1, 4, 9), 10_000);
+    // The log is away for ten seconds, for the owner as well.
+    claims.looked(20_000);
+    assert!(due(&mut claims, "b", false, 20_000).is_empty());
+    claims.take(SHARD, claim("a", 1, 4, 10), 20_400);
+    claims.looked(20_400);
+    assert!(due(&mut claims, "b", false, 20_700).is_empty());
+}
+
+#[test]
+fn a_shard_that_was_given_up_is_claimed_at_once() {
+    for told in [false, true] {
+        let mut claims = Claims::default();
+        claims.looked(9_900);
+        claims.take(SHARD, claim("a", 1, 4, 9), 10_000);
+        if told {
+            claims.released(SHARD, 4);
+        } else {
+            claims.take(SHARD, claim("", 1, 4, 10), 10_000);
+        }
+        assert_eq!(claims.has_ended(SHARD, "b", 2), !told);
+        let at = due_at(&mut claims, "b", false, 10_000);
+        assert!(at <= 10_300, "told={told} at={at}");
+    }
+}
+
+#[test]
+fn a_restarted_process_claims_its_own_shard_at_once() {
+    let mut claims = Claims::default();
+    claims.looked(9_900);
+    claims.take(SHARD, claim("a", 1, 4, 9), 10_000);
+    assert!(claims.has_ended(SHARD, "a", 2));
+    assert!(due_at(&mut claims, "a", false, 10_000) <= 10_300);
+}
+
+#[test]
+fn renewals_of_an_older_owner_are_ignored() {
+    let mut claims = Claims::default();
+    claims.take(SHARD, claim("b", 2, 5, 0), 10_000);
+    claims.take(SHARD, claim("a", 1, 4, 99), 10_100);
+    assert_eq!(claims.get(SHARD).map(|claim| &*claim.node), Some("b"));
+}
+
+#[test]
+fn a_stronger_vm_is_first() {
+    let mut times = Vec::new();
+    for millicores in [500, 120] {
+        let mut claims = Claims::default();
+        claims.looked(9_900);
+        let wanted = BTreeSet::from([SHARD]);
+        let mut now_ms = 10_000;
+        while claims
+            .due(&wanted, "a", 1, millicores, &BTreeSet::new(), now_ms)
+            .is_empty()
+        {
+            now_ms += 10;
+            claims.looked(now_ms);
+        }
+        times.push(now_ms);
+    }
+    assert!(times[0] + 100 < times[1], "{times:?}");
+}
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -16,6 +16,7 @@
 mod record;
 mod recovery;
 mod report;
+mod retention;
 mod run;
 mod shard;
 mod start;
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -129,7 +129,7 @@
         self.recovery.settle();
     }
     /// Records every worker anew: the records of older owners expire.
-    fn record_hosts(&mut self) {
+    pub(crate) fn record_hosts(&mut self) {
         let workers: Vec<Worker> = self
             .hosts
             .values()
--- /dev/null
+++ b/crates/workflow/src/retention.rs
@@ -0,0 +1,69 @@
+//! Records of open jobs, written again before the log drops them.
+
+use crate::record::Record;
+use crate::run::Place;
+use crate::shard::Shard;
+use crate::task::{How, Key, StepKey};
+
+impl Shard {
+    /// Records every open job anew, with the ends of its tasks that still count. A successor that
+    /// reads only these records knows as much as this owner.
+    pub fn restate(&mut self) {
+        let mut records = Vec::new();
+        let mut jobs: Vec<_> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.is_ended())
+            .collect();
+        jobs.sort_by_key(|(_, job)| job.order);
+        for (id, job) in jobs {
+            records.push(Record::Submitted {
+                id: *id,
+                queue: job.queue.clone(),
+                spec: job.spec.clone(),
+            });
+            // Occurrences that have completed are told by the ends of all their tasks.
+            let completed = (0..job.next).filter(|number| !job.occurrences.contains_key(number));
+            for occurrence in completed {
+                for (step, spec) in job.spec.steps.iter().enumerate() {
+                    let step = step_key(*id, occurrence, step);
+                    records.extend((0..spec.count).map(|index| ended(step, index, 1, How::Done)));
+                }
+            }
+            for (occurrence, steps) in &job.occurrences {
+                for (step, run) in steps.iter().enumerate() {
+                    let step = step_key(*id, *occurrence, step);
+                    for (index, task) in run.tasks.iter().enumerate() {
+                        let index = index as u32;
+                        let failed = task.failed.iter();
+                        records.extend(failed.map(|n| ended(step, index, *n, How::Failed)));
+                        if task.place == Place::Done {
+                            records.push(ended(step, index, task.attempt, How::Done));
+                        }
+                    }
+                }
+            }
+        }
+        for record in records {
+            self.record(record);
+        }
+        self.record_hosts();
+    }
+}
+
+fn step_key(job: crate::job::Id, occurrence: u32, step: usize) -> StepKey {
+    StepKey {
+        job,
+        occurrence,
+        step: step as u16,
+    }
+}
+
+fn ended(step: StepKey, index: u32, attempt: u32, how: How) -> Record {
+    Record::Ended {
+        key: Key { step, index },
+        attempt,
+        how,
+        saved: None,
+    }
+}
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -21,6 +21,7 @@
     pub(crate) runs: BTreeMap<Key, u32>,
     pub(crate) percent: BTreeMap<Key, u32>,
     pub(crate) token: u64,
+    pub(crate) figure: f64,
     pub(crate) silent: bool,
     pub(crate) unlisted: bool,
     numbered: u64,
@@ -299,7 +300,7 @@
             attempt: *attempt,
             saved: None,
             percent: self.percent.get(key).copied().unwrap_or(0),
-            figure: 0.0,
+            figure: self.figure,
         };
         self.runs.iter().map(row).collect()
     }
