--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod action;
 mod advice;
+mod ask;
 mod end;
 mod hold;
 mod host;
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -5,33 +5,13 @@
 
 use rosemaryworks_core::size::Size;
 
-use crate::action::{Action, Ask, Order};
+use crate::action::{Action, Order};
 use crate::host::{Host, Phase, Run};
 use crate::job::{Queue, Step};
 use crate::run::Place;
 use crate::shard::{Shard, Turn};
 use crate::task::{Key, StepKey};
 
-/// Most workers named in one question to the advice service.
-const ASKED_MAX: usize = 30;
-
-/// Share of workers expected to be good before anything was learned of a queue.
-const GOOD_SHARE: f64 = 0.4;
-
-/// Weight of the newest answer in the learned share of good workers.
-const SHARE_WEIGHT: f64 = 0.1;
-
-/// Time without a place after which a step keeps its permits valid, in milliseconds.
-const STARVED_MS: u64 = 1_000;
-
-/// Room asked for beyond what a step needs, since fewer workers than expected may be good, and
-/// others may take the room meanwhile.
-const ASK_MARGIN: f64 = 2.0;
-
-/// Workers named in a question at least, if there are as many. A worker adds a seventieth of the
-/// time of a call, and too few good ones cost another call.
-const ASKED_MIN: usize = 12;
-
 /// Penalty of a worker far from the data, in thousandths of a worker's size.
 const FAR_PENALTY: i64 = 1_500;
 
@@ -43,40 +23,16 @@
 
 /// Room of a pool during one pass over the waiting steps.
 #[derive(Clone, Copy, Debug, Default)]
-struct Room {
+pub(crate) struct Room {
     /// Largest free amount of each resource on one worker, at most.
     largest: Size,
     /// Free room that no earlier step of the pass waits for, counted twice: of the workers with
     /// room only some are good for a step.
-    unclaimed: Size,
+    pub(crate) unclaimed: Size,
 }
 
 type Rooms = BTreeMap<Arc<str>, Room>;
 
-/// A worker that the advice service may be asked about.
-struct Candidate<'a> {
-    id: &'a Arc<str>,
-    /// Whether it is held for the step.
-    held: bool,
-    /// Whether it is known to be good for the step.
-    good: bool,
-    /// Tasks of the step that it has room for.
-    room: u64,
-}
-
-impl Candidate<'_> {
-    /// Returns a key that is lower the sooner the worker is named. Small tasks are to fill workers
-    /// that are partly used, so that whole workers stay free for gangs.
-    fn rank(&self, large: bool) -> (bool, bool, bool, u64) {
-        let room = if large {
-            u64::MAX - self.room
-        } else {
-            self.room
-        };
-        (!self.held, !self.good, self.room == 0, room)
-    }
-}
-
 /// What became of a step that was looked at.
 enum Placed {
     /// No task of it waits any more.
@@ -357,142 +313,10 @@
         host.insert(key, run);
         self.actions.push(Action::Start(order));
     }
-
-    /// Asks the advice service for a step, as long as the pool has room that no earlier step waits
-    /// for. Without this bound a crowd of steps asks again and again for workers that are full, and
-    /// permits lapse while questions queue.
-    fn ask_within(
-        &mut self,
-        key: StepKey,
-        step: &Step,
-        queue: &Queue,
-        room: &mut Room,
-        now_ms: u64,
-    ) {
-        let Some(run) = self.step_run(key) else {
-            return;
-        };
-        let size = step.footprint();
-        let need = run.waiting;
-        let starved = run
-            .blocked_ms
-            .is_some_and(|since| now_ms >= since + STARVED_MS);
-        if need == 0 {
-            return;
-        }
-        let claims = size.times(u64::from(need)).min(&room.unclaimed);
-        if queue.advice.is_some() && size.fits(&room.unclaimed) {
-            self.ask(key, step, queue, need as usize, starved, now_ms);
-        }
-        // What a starved step waits for doesn't become free soon, so it keeps nothing from others.
-        if !starved {
-            room.unclaimed -= claims;
-        }
-    }
-
-    /// Asks the advice service about workers with room, if the step needs advice.
-    fn ask(
-        &mut self,
-        key: StepKey,
-        step: &Step,
-        queue: &Queue,
-        need: usize,
-        starved: bool,
-        now_ms: u64,
-    ) {
-        let Some(terms) = queue.advice else { return };
-        let Some(run) = self.step_run(key) else {
-            return;
-        };
-        let advice = &run.advice;
-        if !advice.may_ask(now_ms) {
-            return;
-        }
-        let share = self.shares.get(&queue.name).copied().unwrap_or(GOOD_SHARE);
-        let size = step.footprint();
-        let mut candidates: Vec<Candidate<'_>> = self
-            .hosts
-            .iter()
-            .filter(|(id, host)| {
-                host.worker.pool == queue.pool
-                    && host.takes_work(now_ms)
-                    && !advice.is_bad(id)
-                    && advice.permit(id, now_ms).is_none()
-                    && allows(host, step, 0)
-                    && size.fits(&host.worker.capacity)
-            })
-            .map(|(id, host)| Candidate {
-                id,
-                held: self.holds.is_for(id, key),
-                good: advice.is_good(id),
-                room: room(&self.holds.free(host, key), step, &size),
-            })
-            .collect();
-        // A step that starves keeps its permits valid, so that it can take the next room at once.
-        let worth = |candidate: &Candidate<'_>| {
-            candidate.room > 0 || (starved && (candidate.held || candidate.good))
-        };
-        if !candidates.iter().any(worth) {
-            return;
-        }
-        candidates.sort_by_key(|candidate| candidate.rank(step.gang || step.service));
-        let mut expected = 0.0;
-        let mut workers = Vec::new();
-        for Candidate { id, good, room, .. } in candidates {
-            let enough = expected >= need as f64 * ASK_MARGIN;
-            if (enough && workers.len() >= ASKED_MIN) || workers.len() >= ASKED_MAX {
-                break;
-            }
-            let chance = if good { 1.0 } else { share };
-            expected += chance * room as f64;
-            workers.push(id.clone());
-        }
-        if workers.is_empty() {
-            return;
-        }
-        if let Some(run) = self.step_run_mut(key) {
-            run.advice.ask(workers.clone());
-        }
-        self.actions.push(Action::Ask(Ask {
-            step: key,
-            cost_ms: terms.call_ms + terms.worker_ms * workers.len() as f64,
-            workers,
-            priority: queue.priority,
-            validity_ms: terms.validity_ms,
-        }));
-    }
-
-    /// Takes an answer of the advice service: workers that may run the step, with their permits.
-    pub fn advised(
-        &mut self,
-        step: StepKey,
-        good: Vec<(Arc<str>, Arc<str>)>,
-        until_ms: u64,
-        now_ms: u64,
-    ) {
-        let queue = self.jobs.get(&step.job).map(|job| job.queue.clone());
-        let Some(run) = self.step_run_mut(step) else {
-            return;
-        };
-        let (asked, good) = run.advice.answered(good, until_ms, now_ms);
-        if let Some(queue) = queue
-            && asked > 0
-        {
-            let share = self.shares.entry(queue).or_insert(GOOD_SHARE);
-            *share += SHARE_WEIGHT * (good as f64 / asked as f64 - *share);
-        }
-    }
-
-    /// Notes that the advice service gave no answer.
-    pub fn unadvised(&mut self, step: StepKey, now_ms: u64) {
-        if let Some(run) = self.step_run_mut(step) {
-            run.advice.unanswered(now_ms);
-        }
-    }
 }
 
 /// Tells whether a worker may run one more task of a step beside `crowd` others of it.
-fn allows(host: &Host, step: &Step, crowd: u32) -> bool {
+pub(crate) fn allows(host: &Host, step: &Step, crowd: u32) -> bool {
     let spread = step.spread == 0 || crowd < step.spread;
     let label = step
         .requires
@@ -502,7 +326,7 @@
 }
 
 /// Returns how many tasks of a step fit into `free`.
-fn room(free: &Size, step: &Step, size: &Size) -> u64 {
+pub(crate) fn room(free: &Size, step: &Step, size: &Size) -> u64 {
     let room = free.holds(size).min(u64::from(step.count));
     match step.spread {
         0 => room,
