fix(entry): takeovers read in parallel and are given up in writing

A job accepted after a successor had read the shard could have been stopped and started again. Change: a takeover reads in two rounds of calls in place of four and writes that it was given up; runs of jobs that are not read yet are kept for 1.5 s.

--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -56,9 +56,13 @@
     /// Address of the owner for links.
     #[serde(rename = "a")]
     pub address: SocketAddr,
-    /// Number of the renewal.
+    /// Number of the renewal; 0 until the owner has begun to act.
     #[serde(rename = "b")]
     pub beat: u64,
+    /// Whether the shard was given up before its owner began to act, so that an older one may still
+    /// act.
+    #[serde(default, rename = "u", skip_serializing_if = "std::ops::Not::not")]
+    pub unfinished: bool,
 }
 
 /// A claim as seen by this process.
@@ -139,7 +143,9 @@
     #[must_use]
     pub fn has_ended(&self, shard: u32, node: &str, incarnation: u64) -> bool {
         self.get(shard).is_none_or(|claim| {
-            claim.node.is_empty() || (&*claim.node == node && claim.incarnation != incarnation)
+            let given_up = claim.node.is_empty() && !claim.unfinished;
+            let own = &*claim.node == node && claim.incarnation != incarnation;
+            given_up || (own && claim.beat > 0)
         })
     }
 
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -124,6 +124,7 @@
             incarnation: self.hello.incarnation,
             address: self.settings.peer_listen,
             beat,
+            unfinished: false,
         }
     }
 
@@ -183,17 +184,24 @@
             let (shard, epoch) = (owner.shard(), owner.epoch());
             owner.flush().await;
             self.depose(shard, epoch, "planned stop");
-            let mut claim = self.own_claim(epoch, owner.next_beat());
-            claim.node = "".into();
-            // If the claim can't be written, it lapses.
-            if self
-                .write_claim(shard, &claim, Guard::Nothing)
-                .await
-                .is_ok()
-            {
-                lock(&self.claims).take(shard, claim, clock::now().0);
-                self.tell_released(shard, epoch);
-            }
+            self.give_up(shard, epoch, false).await;
+        }
+    }
+
+    /// Writes that a shard is without an owner, and tells the others. `unfinished` tells that this
+    /// process has not begun to act for it.
+    pub(crate) async fn give_up(&self, shard: u32, epoch: u64, unfinished: bool) {
+        let mut claim = self.own_claim(epoch, u64::MAX);
+        claim.unfinished = unfinished;
+        claim.node = "".into();
+        // If the claim can't be written, it lapses.
+        if self
+            .write_claim(shard, &claim, Guard::Nothing)
+            .await
+            .is_ok()
+        {
+            lock(&self.claims).take(shard, claim, clock::now().0);
+            self.tell_released(shard, epoch);
         }
     }
 }
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use rosemaryworks_node::clock;
-use rosemaryworks_workflow::{self as workflow, Shard};
+use rosemaryworks_workflow::{self as workflow, Record, Shard};
 
 use crate::events;
 use crate::journal;
@@ -29,6 +29,7 @@
         match self.prepare(shard, epoch, alone).await {
             Ok(owner) => {
                 if self.stopping.load(Ordering::Relaxed) {
+                    self.give_up(shard, epoch, true).await;
                     return;
                 }
                 let (jobs, workers) = owner.counts();
@@ -47,12 +48,12 @@
             }
             Err(fault) => {
                 events::TAKEOVER_FAILED.log(format_args!("shard={shard} epoch={epoch} {fault}"));
+                self.give_up(shard, epoch, true).await;
             }
         }
     }
 
     async fn prepare(&self, shard: u32, epoch: u64, alone: bool) -> Result<Arc<Owner>, Fault> {
-        self.fence(shard, epoch).await?;
         let settings = workflow::Settings {
             lease_ms: self.settings.lease_ms(),
             order_ms: ORDER_MS,
@@ -64,10 +65,21 @@
             let queues = config.routes.iter().map(|route| (*route.queue).clone());
             state.set_queues(queues);
         }
-        let jobs_next = self.replay(&mut state, Stream::Jobs, shard).await?;
-        self.replay(&mut state, Stream::Progress, shard).await?;
+        // On slow days an answer of the log takes a quarter of a second.
+        let (fenced, jobs, feed) = tokio::join!(
+            self.fence(shard, epoch),
+            self.read_all(Stream::Jobs, shard),
+            self.whole_list()
+        );
+        fenced?;
+        let (jobs, jobs_next) = jobs?;
+        let feed = feed?;
+        // Complete only after the fence: until then an older owner may write.
+        let (progress, _) = self.read_all(Stream::Progress, shard).await?;
         let now_ms = clock::now().0;
-        let feed = self.whole_list().await?;
+        for record in jobs.into_iter().chain(progress) {
+            state.replay(record, now_ms);
+        }
         for listing in feed.items {
             if let Listing::Listed(worker) = listing
                 && crate::config::shard(&worker.pool, self.settings.shards) == shard
@@ -102,21 +114,19 @@
         }
     }
 
-    /// Replays a partition to its end. Returns the next offset.
-    async fn replay(&self, state: &mut Shard, stream: Stream, shard: u32) -> Result<u64, Fault> {
+    /// Reads a partition to its end. Returns its records and the next offset.
+    async fn read_all(&self, stream: Stream, shard: u32) -> Result<(Vec<Record>, u64), Fault> {
+        let mut records = Vec::new();
         let mut next = 0;
         let mut tries = 0;
         loop {
             match self.parts.store.read(stream, shard, next, 0).await {
                 Ok(page) => {
-                    for record in &page.records {
-                        if let Some(entry) = journal::decode(&record.value) {
-                            state.replay(entry, clock::now().0);
-                        }
-                    }
+                    let decoded = page.records.iter().map(|record| &record.value);
+                    records.extend(decoded.filter_map(|value| journal::decode(value)));
                     next = page.next;
                     if page.next >= page.end {
-                        return Ok(next);
+                        return Ok((records, next));
                     }
                 }
                 Err(Fault::Expired { first }) => next = first,
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -18,6 +18,7 @@
         incarnation,
         address: address(),
         beat,
+        unfinished: false,
     }
 }
 
@@ -146,3 +147,21 @@
     }
     assert!(times[0] + 100 < times[1], "{times:?}");
 }
+
+/// Guards against a successor that takes an older owner for ended because a takeover between them was
+/// given up.
+#[test]
+fn a_takeover_that_was_given_up_does_not_end_the_older_owner() {
+    let mut claims = Claims::default();
+    let given_up = Claim {
+        unfinished: true,
+        ..claim("", 1, 5, u64::MAX)
+    };
+    claims.take(SHARD, given_up, 10_000);
+    assert!(!claims.has_ended(SHARD, "c", 3));
+    claims.take(SHARD, claim("c", 1, 6, 0), 10_000);
+    assert!(
+        !claims.has_ended(SHARD, "c", 3),
+        "its own takeover was not finished"
+    );
+}
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -12,6 +12,7 @@
 mod job;
 mod lease;
 mod orders;
+mod orphan;
 mod pacing;
 mod place;
 mod record;
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -7,6 +7,7 @@
 use crate::hold::Holds;
 use crate::host::{Host, Phase, Sight};
 use crate::job::{Id, Queue, Spec, State, Step};
+use crate::orphan::Orphans;
 use crate::record::Record;
 use crate::recovery::Recovery;
 use crate::run::{Job, Place};
@@ -47,6 +48,7 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) shares: HashMap<Arc<str>, f64>,
     pub(crate) holds: Holds,
+    pub(crate) orphans: Orphans,
     /// Number of records that were issued.
     pub(crate) issued: u64,
     /// Number of records that are durable.
@@ -71,6 +73,7 @@
             actions: Vec::new(),
             shares: HashMap::new(),
             holds: Holds::default(),
+            orphans: Orphans::default(),
             issued: 0,
             written: 0,
             cancelled_early: HashSet::new(),
@@ -137,6 +140,7 @@
             self.timed.insert(id);
         }
         self.jobs.insert(id, job);
+        self.claim_orphans(id);
         if self.cancelled_early.remove(&id) {
             self.cancel(id, 0);
             return;
@@ -315,12 +319,7 @@
     }
 
     fn stop_job(&mut self, id: Id, now_ms: u64) {
-        let mut stops = Vec::new();
-        for (worker, host) in &self.hosts {
-            let of_job = host.runs.keys().filter(|key| key.step.job == id);
-            stops.extend(of_job.map(|key| (worker.clone(), *key)));
-        }
-        for (worker, key) in stops {
+        for (worker, key) in self.runs_of(id) {
             self.stop(&worker, key, now_ms);
         }
     }
--- a/crates/workflow/src/survey.rs
+++ b/crates/workflow/src/survey.rs
@@ -218,6 +218,10 @@
             token,
         };
         host.insert(row.key, run);
+        if !self.jobs.contains_key(&row.key.step.job) {
+            self.orphans.note(row.key.step.job, now_ms);
+            return;
+        }
         let open = self
             .jobs
             .get_mut(&row.key.step.job)
--- a/crates/workflow/src/tick.rs
+++ b/crates/workflow/src/tick.rs
@@ -30,6 +30,7 @@
             self.repeat_stops(&id, now_ms);
             self.stop_stuck(&id, now_ms);
         }
+        self.stop_orphans(now_ms);
         self.forget(now_ms);
         self.place(now_ms);
     }
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -155,3 +155,27 @@
     assert_eq!(fleet.places(key(1, 0, 0)), vec![place]);
     assert!(fleet.orders.is_empty() && fleet.stops.is_empty());
 }
+
+/// The older owner starts what was accepted after its successor read the jobs.
+#[test]
+fn a_run_that_is_listed_before_its_job_is_read_goes_on() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let place = fleet.places(key(1, 0, 0));
+    fleet.take_over(2, &[], vec![queue("q")]);
+    fleet.look_all();
+    fleet.submit(1, spec(vec![step(1)]));
+    fleet.pass(2_000);
+    assert_eq!(fleet.places(key(1, 0, 0)), place);
+    assert!(fleet.stops.is_empty() && fleet.orders.is_empty());
+}
+
+#[test]
+fn a_run_whose_job_stays_unknown_is_stopped() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    fleet.take_over(2, &[], vec![queue("q")]);
+    fleet.look_all();
+    fleet.pass(1_600);
+    assert_eq!(fleet.stops.len(), 1);
+}
