--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -423,14 +423,14 @@
                     if config::shard(&worker.pool, self.shards) == self.shard {
                         state.list(worker, now_ms);
                     } else {
-                        state.unlist(&worker.id, now_ms);
+                        state.unlist(&worker.id);
                     }
                 }
-                Listing::Unlisted(id) => state.unlist(&id, now_ms),
+                Listing::Unlisted(id) => state.unlist(&id),
             }
         }
         for id in missing {
-            state.unlist(&id, now_ms);
+            state.unlist(&id);
         }
         drop(state);
         self.kick();
--- a/crates/workflow/src/ask.rs
+++ b/crates/workflow/src/ask.rs
@@ -20,6 +20,9 @@
 /// Time without a place after which a step keeps its permits valid, in milliseconds.
 const STARVED_MS: u64 = 1_000;
 
+/// Starved steps of a pool that keep their permits valid at a time.
+const STARVING_MAX: u32 = 3;
+
 /// Room asked for beyond what a step needs, since fewer workers than expected may be good, and
 /// others may take the room meanwhile.
 const ASK_MARGIN: f64 = 2.0;
@@ -75,9 +78,12 @@
         if need == 0 {
             return;
         }
+        // Each of them takes a good part of a VM's questions.
+        let renews = starved && room.starving < STARVING_MAX;
+        room.starving += u32::from(starved);
         let claims = size.times(u64::from(need)).min(&room.unclaimed);
         if queue.advice.is_some() && size.fits(&room.unclaimed) {
-            self.ask(key, step, queue, need as usize, starved, now_ms);
+            self.ask(key, step, queue, need as usize, renews, now_ms);
         }
         // What a starved step waits for doesn't become free soon, so it keeps nothing from others.
         if !starved {
@@ -92,7 +98,7 @@
         step: &Step,
         queue: &Queue,
         need: usize,
-        starved: bool,
+        renews: bool,
         now_ms: u64,
     ) {
         let Some(terms) = queue.advice else { return };
@@ -125,7 +131,7 @@
             .collect();
         // A step that starves keeps its permits valid, so that it can take the next room at once.
         let worth = |candidate: &Candidate<'_>| {
-            candidate.room > 0 || (starved && (candidate.held || candidate.good))
+            candidate.room > 0 || (renews && (candidate.held || candidate.good))
         };
         if !candidates.iter().any(worth) {
             return;
--- a/crates/workflow/src/hold.rs
+++ b/crates/workflow/src/hold.rs
@@ -16,7 +16,7 @@
 const HOLD_AFTER_MS: u64 = 1_500;
 
 /// One worker of this many may be held in a pool.
-const WORKERS_PER_HOLD: usize = 8;
+const WORKERS_PER_HOLD: usize = 4;
 
 /// Workers held for a step, at most.
 const HOLDS_PER_STEP: usize = 8;
--- a/crates/workflow/src/orders.rs
+++ b/crates/workflow/src/orders.rs
@@ -94,7 +94,7 @@
                 task.not_before_ms = now_ms + REFUSED_PAUSE_MS;
             }
         }
-        self.lose_run(&order.worker, key, now_ms);
+        self.lose_run(&order.worker, key);
     }
 
     /// Notes that a stop got no answer, so that it is ordered again.
--- a/crates/workflow/src/pacing.rs
+++ b/crates/workflow/src/pacing.rs
@@ -23,7 +23,7 @@
 
 impl Shard {
     /// Adjusts the filling tasks of a worker to the response times of its service tasks.
-    pub(crate) fn pace(&mut self, id: &str, now_ms: u64) {
+    pub(crate) fn pace(&mut self, id: &str) {
         let Some(host) = self.hosts.get(id) else {
             return;
         };
@@ -42,11 +42,11 @@
             }
         }
         for key in filling {
-            self.pace_run(id, key, worst, now_ms);
+            self.pace_run(id, key, worst);
         }
     }
 
-    fn pace_run(&mut self, id: &str, key: Key, worst: f64, _now_ms: u64) {
+    fn pace_run(&mut self, id: &str, key: Key, worst: f64) {
         let Some(host) = self.hosts.get_mut(id) else {
             return;
         };
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -29,6 +29,8 @@
     /// Free room that no earlier step of the pass waits for, counted twice: of the workers with
     /// room only some are good for a step.
     pub(crate) unclaimed: Size,
+    /// Steps of the pass that keep their permits valid without room.
+    pub(crate) starving: u32,
 }
 
 type Rooms = BTreeMap<Arc<str>, Room>;
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -113,7 +113,7 @@
         for (id, worker) in std::mem::take(&mut self.recovery.hosted) {
             if !self.hosts.contains_key(&id) {
                 self.list(worker, now_ms);
-                self.unlist(&id, now_ms);
+                self.unlist(&id);
             }
         }
         self.record_hosts();
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -224,14 +224,14 @@
     }
 
     /// Notes that the platform no longer lists a worker.
-    pub fn unlist(&mut self, id: &str, now_ms: u64) {
+    pub fn unlist(&mut self, id: &str) {
         let Some(host) = self.hosts.get_mut(id) else {
             return;
         };
         host.listed = false;
         if host.worker.draining {
             // A worker that was about to leave and is no longer listed has left.
-            self.lose(id, now_ms);
+            self.lose(id);
         }
     }
 
@@ -342,19 +342,19 @@
     }
 
     /// Takes the runs of a worker as lost.
-    pub(crate) fn lose(&mut self, id: &str, now_ms: u64) {
+    pub(crate) fn lose(&mut self, id: &str) {
         let Some(host) = self.hosts.get_mut(id) else {
             return;
         };
         let runs = std::mem::take(&mut host.runs);
         host.used = rosemaryworks_core::size::Size::ZERO;
         for key in runs.into_keys() {
-            self.lose_run(id, key, now_ms);
+            self.lose_run(id, key);
         }
     }
 
     /// Takes one run as lost that its worker no longer holds.
-    pub(crate) fn lose_run(&mut self, worker: &str, key: Key, _now_ms: u64) {
+    pub(crate) fn lose_run(&mut self, worker: &str, key: Key) {
         let Some(run) = self.step_run_mut(key.step) else {
             return;
         };
@@ -373,7 +373,7 @@
         };
         let lost = host.reborn(born, now_ms);
         for (key, _) in lost {
-            self.lose_run(id, key, now_ms);
+            self.lose_run(id, key);
         }
         let steps: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
         for key in steps {
--- a/crates/workflow/src/survey.rs
+++ b/crates/workflow/src/survey.rs
@@ -66,11 +66,11 @@
         for row in report.running {
             self.running(id, row, now_ms);
         }
-        self.drop_absent(id, &listed, token, sent_ms, now_ms);
+        self.drop_absent(id, &listed, token, sent_ms);
         if current {
             self.recovery.seen(id);
         }
-        self.pace(id, now_ms);
+        self.pace(id);
     }
 
     /// Notes that a worker gave no report.
@@ -88,7 +88,7 @@
         host.dark_since_ms.get_or_insert(now_ms);
         if fault == LookFault::WrongInstance {
             // A worker keeps its address for life, so another one there means that it has ended.
-            self.lose(id, now_ms);
+            self.lose(id);
         }
     }
 
@@ -253,14 +253,7 @@
     }
 
     /// Drops runs that the worker would have listed if it held them.
-    fn drop_absent(
-        &mut self,
-        id: &str,
-        listed: &BTreeSet<Key>,
-        token: u64,
-        sent_ms: u64,
-        now_ms: u64,
-    ) {
+    fn drop_absent(&mut self, id: &str, listed: &BTreeSet<Key>, token: u64, sent_ms: u64) {
         let Some(host) = self.hosts.get_mut(id) else {
             return;
         };
@@ -283,7 +276,7 @@
             if let Some(host) = self.hosts.get_mut(id) {
                 host.remove(&key);
             }
-            self.lose_run(id, key, now_ms);
+            self.lose_run(id, key);
         }
     }
 
--- a/crates/workflow/src/tick.rs
+++ b/crates/workflow/src/tick.rs
@@ -69,7 +69,7 @@
         let dark = host.sight == Sight::Dark;
         let lapsed = host.lease.lapses_at().is_none_or(|at| now_ms >= at);
         if dark && lapsed && !host.runs.is_empty() {
-            self.lose(id, now_ms);
+            self.lose(id);
         }
     }
 
