feat(entry): records go through the owner; claims at their due time

Cause: a partition of the log takes one append at a time. Looks at claims every 300 ms added up to 0.6 s to each takeover. An owner handed its shard over at each outage, because peers answered from memory that the log is up.

Change: records go through the owner's link first, which joins them in one append, and from the own VM if the owner doesn't answer. The next look at claims comes when one is due. A peer reads the log before it says that it is up. A stop keeps its shards while the log is away. Ends of jobs are logged (E825).

--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -26,6 +26,9 @@
 /// Time between two looks at the claims in milliseconds.
 pub const LOOK_MS: u64 = 300;
 
+/// Shortest time between two looks in milliseconds, so that a shard that can't be claimed costs few calls.
+const PAUSE_MIN_MS: u64 = 10;
+
 /// Time after a failed look for which claims are not taken over, in milliseconds: their owners could
 /// not renew them either.
 const GRACE_MS: u64 = 1_100;
@@ -81,6 +84,7 @@
     looked_ms: Option<u64>,
     grace_until_ms: u64,
     candidate_since: BTreeMap<u32, u64>,
+    next_due_ms: Option<u64>,
 }
 
 /// Returns the key of a shard's claim.
@@ -169,6 +173,7 @@
         unlinked: &BTreeSet<SocketAddr>,
         now_ms: u64,
     ) -> Vec<(u32, u64)> {
+        self.next_due_ms = None;
         if self.looked_ms.is_none() {
             return Vec::new();
         }
@@ -177,41 +182,78 @@
         let weak_ms = CORE_PAUSE_MS * 1_000 / millicores.max(1);
         let mut due = Vec::new();
         for &shard in wanted {
-            let (open, epoch) = self.is_open(shard, node, incarnation, unlinked, now_ms);
-            if !open {
-                self.candidate_since.remove(&shard);
-                continue;
-            }
-            let since = *self.candidate_since.entry(shard).or_insert(now_ms);
+            let (opening, epoch) = self.opening(shard, node, incarnation, unlinked);
+            let since = match opening {
+                Opening::Never => {
+                    self.candidate_since.remove(&shard);
+                    continue;
+                }
+                Opening::Now => *self.candidate_since.entry(shard).or_insert(now_ms),
+                Opening::At(at_ms) => {
+                    self.candidate_since.remove(&shard);
+                    at_ms
+                }
+            };
             let name = rosemaryworks_core::partition::hash(&[node, &key(shard)]) % NAME_PAUSE_MS;
-            if now_ms >= since + name + weak_ms + LOADED_PAUSE_MS * owned {
+            let due_ms = since + name + weak_ms + LOADED_PAUSE_MS * owned;
+            if now_ms >= due_ms {
                 due.push((shard, epoch));
+            } else {
+                let earliest = self.next_due_ms.unwrap_or(due_ms);
+                self.next_due_ms = Some(earliest.min(due_ms));
             }
         }
         due
     }
 
-    fn is_open(
+    /// Returns the time until the next look in milliseconds: sooner than usual if a shard is to be
+    /// claimed before.
+    #[must_use]
+    pub fn pause_ms(&self, now_ms: u64) -> u64 {
+        let due = self.next_due_ms.map(|at| at.saturating_sub(now_ms));
+        match due {
+            Some(0) | None => LOOK_MS,
+            Some(ms) => ms.clamp(PAUSE_MIN_MS, LOOK_MS),
+        }
+    }
+
+    /// Tells when a shard may be claimed, and with which epoch.
+    fn opening(
         &self,
         shard: u32,
         node: &str,
         incarnation: u64,
         unlinked: &BTreeSet<SocketAddr>,
-        now_ms: u64,
-    ) -> (bool, u64) {
+    ) -> (Opening, u64) {
         let Some(seen) = self.seen.get(&shard) else {
-            return (true, 1);
+            return (Opening::Now, 1);
         };
         let claim = &seen.claim;
+        let epoch = claim.epoch + 1;
         let given_up = claim.node.is_empty() || seen.released;
         // An earlier incarnation of this process is gone.
         let own = &*claim.node == node && claim.incarnation != incarnation;
+        if given_up || own {
+            return (Opening::Now, epoch);
+        }
+        if claim.incarnation == incarnation {
+            return (Opening::Never, epoch);
+        }
         let lapse_ms = match unlinked.contains(&claim.address) {
             true => UNLINKED_LAPSE_MS,
             false => LAPSE_MS,
         };
-        let silent = now_ms >= seen.changed_ms + lapse_ms && now_ms >= self.grace_until_ms;
-        let other = claim.incarnation != incarnation;
-        (given_up || own || (silent && other), claim.epoch + 1)
+        let silent_ms = (seen.changed_ms + lapse_ms).max(self.grace_until_ms);
+        (Opening::At(silent_ms), epoch)
     }
 }
+
+/// When a shard may be claimed.
+enum Opening {
+    /// From this time on, unless its claim is renewed.
+    At(u64),
+    /// This process owns it.
+    Never,
+    /// Since it was given up.
+    Now,
+}
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -33,6 +33,8 @@
 pub const PACED: Event = Event::new(822, Level::Info, "run paced");
 /// Ends and final states became durable.
 pub const RECORDED: Event = Event::new(823, Level::Info, "progress recorded");
+/// A job reached its final state.
+pub const ENDED: Event = Event::new(825, Level::Info, "job ended");
 /// The advice service was asked.
 pub const ADVISED: Event = Event::new(824, Level::Info, "advice received");
 /// A worker doesn't answer.
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -14,7 +14,7 @@
 use crate::port::{Append, Fault, Guard, Record, Stream};
 
 /// Partition of the claims.
-const PART: u32 = 0;
+pub(crate) const PART: u32 = 0;
 
 /// Where this process is in the stream of claims.
 struct Position {
@@ -36,11 +36,13 @@
                 position.renewed_ms = now_ms;
                 self.renew();
             }
+            let mut pause_ms = claim::LOOK_MS;
             if self.read_claims(&mut position).await {
                 self.dial_owners();
                 self.claim_due(&mut position).await;
+                pause_ms = lock(&self.claims).pause_ms(clock::now().0);
             }
-            let pause = tokio::time::sleep(Duration::from_millis(claim::LOOK_MS));
+            let pause = tokio::time::sleep(Duration::from_millis(pause_ms));
             tokio::select! {
                 () = pause => {}
                 () = self.claims_changed.notified() => {}
@@ -112,8 +114,12 @@
                 tokio::spawn(self.clone().take_over(shard, epoch, alone));
                 self.claims_changed.notify_one();
             }
-            // Another process was faster, or it isn't known: the next look tells.
-            Err(_) => self.claims_changed.notify_one(),
+            // Another process was faster: the next look tells which.
+            Err(Fault::Moved { .. }) => self.claims_changed.notify_one(),
+            // Whether the claim is written is found at the next look, after a pause.
+            Err(fault) => {
+                events::TAKEOVER_FAILED.log(format_args!("shard={shard} epoch={epoch} {fault}"));
+            }
         }
     }
 
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -9,14 +9,22 @@
 use rosemaryworks_wire::workflow::Message as Workflow;
 use rosemaryworks_workflow::Record;
 
+use crate::follow;
 use crate::intake::Accepting;
 use crate::journal;
 use crate::node::{Node, lock};
 use crate::owner::Owner;
+use crate::port::Stream;
 use crate::submitter::Outcome;
 
-/// Time for a peer to tell whether the log answers it.
-const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for a peer to find out whether the log answers it. A slow log takes a quarter of a second.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Peers that are asked at a time whether the log answers them. It may turn a third of the VMs away.
+const ASKED_MAX: usize = 4;
+
+/// Time between two rounds of questions.
+const ASK_PERIOD: Duration = Duration::from_millis(700);
 
 /// Peers that are asked to store a record, one after the other.
 const RELAYS_MAX: usize = 2;
@@ -24,6 +32,14 @@
 /// Time that a peer has to store a record, at most, in milliseconds.
 const RELAY_MS: u64 = 600;
 
+/// Time for which a peer repeats an append that the log refuses, in milliseconds. The sender has
+/// other ways to store the record.
+const RELAY_PATIENCE_MS: u64 = 150;
+
+/// Time that the owner of a shard has to store a record, in milliseconds. A slow log takes a quarter
+/// of a second for an append, and the append before it as long.
+const OWNER_MS: u64 = 1_000;
+
 /// Time for the way to a peer and back in milliseconds.
 const WAY_MS: u64 = 100;
 
@@ -31,24 +47,80 @@
     /// Gives the owned shards to processes that the log still answers. If it answers nobody, the
     /// shards stay here: their work goes on, only nothing can be recorded.
     pub(crate) async fn hand_over_if_others_can(self: Arc<Self>) {
-        let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
-        if owners.is_empty() {
-            return;
+        while self.store_is_down() {
+            let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
+            if owners.is_empty() {
+                return;
+            }
+            if self.log_answers_others().await && self.store_is_down() {
+                for owner in owners {
+                    self.tell_released(owner.shard(), owner.epoch());
+                }
+                return;
+            }
+            tokio::time::sleep(ASK_PERIOD).await;
         }
-        let asked = self.linked().into_iter().map(|peer| async move {
-            let call = peer.call(Message::Workflow(Workflow::IsLogUp), ASK_TIMEOUT);
-            matches!(call.await, Ok(Message::Workflow(Workflow::LogUp(true))))
-        });
+    }
+
+    /// Tells whether the log answers one of a few other processes.
+    async fn log_answers_others(&self) -> bool {
+        let asked = self
+            .some_linked(ASKED_MAX)
+            .into_iter()
+            .map(|peer| async move {
+                let call = peer.call(Message::Workflow(Workflow::IsLogUp), ASK_TIMEOUT);
+                matches!(call.await, Ok(Message::Workflow(Workflow::LogUp(true))))
+            });
         let tasks: Vec<_> = asked.map(tokio::spawn).collect();
         let mut served = false;
         for task in tasks {
             served |= task.await.unwrap_or(false);
         }
-        if !served || !self.store_is_down() {
-            return;
+        served
+    }
+
+    /// Tells whether the log answers now. What is remembered of its last answer may be older than an
+    /// outage, and a shard that is given up then changes its owner for nothing.
+    pub(crate) async fn log_answers(&self) -> bool {
+        let read = self.parts.store.newest(Stream::Claims, follow::PART);
+        matches!(tokio::time::timeout(ASK_TIMEOUT, read).await, Ok(Ok(_)))
+    }
+
+    /// Returns links to some processes, others at each call.
+    fn some_linked(&self, count: usize) -> Vec<Peer> {
+        let mut peers = self.linked();
+        if !peers.is_empty() {
+            let first = clock::now().0 as usize % peers.len();
+            peers.rotate_left(first);
         }
-        for owner in owners {
-            self.tell_released(owner.shard(), owner.epoch());
+        peers.truncate(count);
+        peers
+    }
+
+    /// Stores a record through the owner of its shard, which joins the records of all VMs in one
+    /// append at a time. A partition takes one append after the other, so appends of every VM would
+    /// queue there as soon as the log is slow. Returns [`Accepting::Refused`] if the owner can't.
+    pub(crate) async fn store_through_owner(
+        self: &Arc<Self>,
+        shard: u32,
+        record: &Record,
+        deadline_ms: u64,
+    ) -> Accepting {
+        let left_ms = deadline_ms.saturating_sub(clock::now().0);
+        if left_ms <= WAY_MS || !self.owner_answers(shard) {
+            return Accepting::Refused;
+        }
+        let timeout_ms = (left_ms - WAY_MS).min(OWNER_MS);
+        let message = Workflow::Store {
+            shard,
+            record: record.clone(),
+            timeout_ms,
+        };
+        let timeout = Duration::from_millis(timeout_ms + WAY_MS);
+        match self.call_owner(shard, message, timeout).await {
+            Some(Workflow::StoreEnded(Some(true))) => Accepting::Accepted,
+            Some(Workflow::StoreEnded(Some(false))) => Accepting::Refused,
+            _ => Accepting::Unknown,
         }
     }
 
@@ -60,12 +132,7 @@
         deadline_ms: u64,
     ) -> Accepting {
         let mut outcome = Accepting::Refused;
-        let mut peers: Vec<Peer> = self.linked();
-        if !peers.is_empty() {
-            let first = clock::now().0 as usize % peers.len();
-            peers.rotate_left(first);
-        }
-        for peer in peers.into_iter().take(RELAYS_MAX) {
+        for peer in self.some_linked(RELAYS_MAX) {
             let left_ms = deadline_ms.saturating_sub(clock::now().0);
             if left_ms <= WAY_MS {
                 break;
@@ -98,10 +165,12 @@
         if self.store_is_down() {
             return Some(false);
         }
-        let deadline_ms = clock::now().0 + timeout_ms;
-        let written = self
-            .submitter(shard)
-            .write(journal::encode(record), deadline_ms);
+        let now_ms = clock::now().0;
+        let written = self.submitter(shard).write(
+            journal::encode(record),
+            now_ms + timeout_ms,
+            now_ms + RELAY_PATIENCE_MS,
+        );
         match tokio::time::timeout(Duration::from_millis(timeout_ms), written).await {
             Ok(Ok(Outcome::Stored)) => {
                 self.tell_stored(shard, record);
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -10,6 +10,7 @@
 use crate::config;
 use crate::events;
 use crate::journal;
+use crate::links::CALL_TIMEOUT;
 use crate::node::Node;
 use crate::submitter::Outcome;
 
@@ -85,15 +86,38 @@
         outcome
     }
 
-    async fn write(&self, pool: &str, record: &Record, deadline_ms: u64) -> Accepting {
+    async fn write(self: &Arc<Self>, pool: &str, record: &Record, deadline_ms: u64) -> Accepting {
         let shard = config::shard(pool, self.settings.shards);
         if self.store_is_down() {
             // The followers of the log notice its return, so nothing has to wait here.
             return self.store_through_peer(shard, record, deadline_ms).await;
         }
-        let written = self
-            .submitter(shard)
-            .write(journal::encode(record), deadline_ms);
+        let through_owner = match self.owner(shard) {
+            Some(_) => Accepting::Refused,
+            None => self.store_through_owner(shard, record, deadline_ms).await,
+        };
+        if through_owner == Accepting::Accepted {
+            return through_owner;
+        }
+        match (
+            self.write_here(shard, record, deadline_ms).await,
+            through_owner,
+        ) {
+            (Accepting::Refused, Accepting::Unknown) => Accepting::Unknown,
+            (outcome, _) => outcome,
+        }
+    }
+
+    /// Stores a record from this VM, and through a peer if the log doesn't answer soon.
+    async fn write_here(
+        self: &Arc<Self>,
+        shard: u32,
+        record: &Record,
+        deadline_ms: u64,
+    ) -> Accepting {
+        let written =
+            self.submitter(shard)
+                .write(journal::encode(record), deadline_ms, deadline_ms);
         tokio::pin!(written);
         let first = tokio::time::timeout(RELAY_AFTER, &mut written).await;
         let outcome = match first {
@@ -124,7 +148,7 @@
             let answer = match self.owner(shard) {
                 Some(owner) => owner.inquire(id),
                 None => match self
-                    .call_owner(shard, Message::Inquire { shard, job: id })
+                    .call_owner(shard, Message::Inquire { shard, job: id }, CALL_TIMEOUT)
                     .await
                 {
                     Some(Message::Inquired(answer)) => answer,
@@ -153,7 +177,7 @@
                 None => {
                     let queue = queue.name.clone();
                     match self
-                        .call_owner(shard, Message::Length { shard, queue })
+                        .call_owner(shard, Message::Length { shard, queue }, CALL_TIMEOUT)
                         .await
                     {
                         Some(Message::LengthIs(length)) => length,
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rosemaryworks_node::clock;
 use rosemaryworks_wire::Message;
 use rosemaryworks_wire::link::{Client, Handler, Peer, Reply, serve};
 use rosemaryworks_wire::workflow::{Inquired, Message as Workflow};
@@ -13,7 +14,11 @@
 use crate::port::Permits;
 
 /// Time for an answer of another process.
-const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after an unanswered call for which no records go through an owner, in milliseconds. Covers
+/// the takeover of its shards.
+const OWNER_PAUSE_MS: u64 = 1_500;
 
 /// Time for an answer to a relayed question beyond its expected time.
 const ADVICE_SLACK_MS: u64 = 1_500;
@@ -25,6 +30,8 @@
 pub(crate) struct Dialled {
     client: Arc<Client>,
     silent: u32,
+    /// Time of the last call without an answer.
+    silent_ms: Option<u64>,
     was_open: bool,
 }
 
@@ -122,29 +129,45 @@
         Dialled {
             client: Arc::new(client),
             silent: 0,
+            silent_ms: None,
             was_open: false,
         }
     }
 
+    /// Tells whether the owner of a shard is another process with an open link that answered its
+    /// last call.
+    pub(crate) fn owner_answers(&self, shard: u32) -> bool {
+        let address = lock(&self.claims).get(shard).map(|claim| claim.address);
+        let dialled = lock(&self.dialled);
+        let link = address.and_then(|address| dialled.get(&address));
+        link.is_some_and(|link| {
+            let paused = |at| clock::now().0 < at + OWNER_PAUSE_MS;
+            link.client.peer().is_some() && !link.silent_ms.is_some_and(paused)
+        })
+    }
+
     /// Calls the owner of a shard; `None` if it can't be reached.
     pub(crate) async fn call_owner(
         self: &Arc<Self>,
         shard: u32,
         message: Workflow,
+        timeout: Duration,
     ) -> Option<Workflow> {
         let address = lock(&self.claims).get(shard)?.address;
         let client = lock(&self.dialled).get(&address)?.client.clone();
-        let reply = client.call(Message::Workflow(message), CALL_TIMEOUT).await;
+        let reply = client.call(Message::Workflow(message), timeout).await;
         let mut dialled = lock(&self.dialled);
         let link = dialled.get_mut(&address)?;
         match reply {
             Ok(Message::Workflow(reply)) => {
                 link.silent = 0;
+                link.silent_ms = None;
                 Some(reply)
             }
             Ok(_) => None,
             Err(_) => {
                 link.silent += 1;
+                link.silent_ms = Some(clock::now().0);
                 if link.silent >= SILENT_CALLS_MAX {
                     // A connection that went silent without a reset is only noticed so.
                     let name = link.client.name().clone();
@@ -169,7 +192,7 @@
             Workflow::Length { shard, queue } => {
                 Workflow::LengthIs(self.owner(shard).and_then(|owner| owner.length(&queue)))
             }
-            Workflow::IsLogUp => Workflow::LogUp(!self.store_is_down()),
+            Workflow::IsLogUp => Workflow::LogUp(self.log_answers().await),
             Workflow::Store {
                 shard,
                 record,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -25,6 +25,9 @@
 /// milliseconds. Longer than one lost answer and its repetition.
 const STORE_DOWN_MS: u64 = 450;
 
+/// Time between two looks at whether the log is back during a planned stop.
+const STORE_LOOK: Duration = Duration::from_millis(20);
+
 /// What a process is made of.
 #[derive(Clone)]
 pub struct Parts {
@@ -134,6 +137,8 @@
         for owner in owners {
             owner.configure(&config);
         }
+        // The first configuration tells which shards there are.
+        self.claims_changed.notify_one();
         self.update_ready();
     }
 
@@ -188,10 +193,16 @@
         }
     }
 
-    /// Begins a planned stop: the balancer is told, and shards are given up.
-    pub async fn stop(self: &Arc<Self>) {
+    /// Begins a planned stop: the balancer is told, and shards are given up. While the log is away
+    /// no other process can take a shard over, so the shards stay here until it is back, for
+    /// `limit` at most.
+    pub async fn stop(self: &Arc<Self>, limit: Duration) {
         self.stopping.store(true, Ordering::Relaxed);
         self.update_ready();
+        let until = tokio::time::Instant::now() + limit;
+        while self.store_is_down() && tokio::time::Instant::now() < until {
+            tokio::time::sleep(STORE_LOOK).await;
+        }
         self.release_all().await;
     }
 
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -248,7 +248,15 @@
             Action::Pace(pace) => {
                 tokio::spawn(self.clone().pace(pace));
             }
-            Action::Record(record) => self.journal.push(record),
+            Action::Record(record) => {
+                if let Record::Final { id, state } = &record {
+                    events::ENDED.log(format_args!(
+                        "job={id} state={state:?} shard={} epoch={}",
+                        self.shard, self.epoch
+                    ));
+                }
+                self.journal.push(record);
+            }
             Action::Start(order) => {
                 tokio::spawn(self.clone().order(order));
             }
--- a/crates/entry/src/submitter.rs
+++ b/crates/entry/src/submitter.rs
@@ -36,7 +36,10 @@
 
 struct Item {
     value: Vec<u8>,
+    /// Time at which the caller no longer waits.
     deadline_ms: u64,
+    /// Time until which refused appends are repeated.
+    patience_ms: u64,
     reply: oneshot::Sender<Outcome>,
 }
 
@@ -63,12 +66,19 @@
         submitter
     }
 
-    /// Writes a record. The outcome arrives by `deadline_ms` or shortly after it.
-    pub(crate) fn write(&self, value: Vec<u8>, deadline_ms: u64) -> oneshot::Receiver<Outcome> {
+    /// Writes a record. The outcome arrives by `deadline_ms` or shortly after it; by `patience_ms`
+    /// if the log only refuses.
+    pub(crate) fn write(
+        &self,
+        value: Vec<u8>,
+        deadline_ms: u64,
+        patience_ms: u64,
+    ) -> oneshot::Receiver<Outcome> {
         let (reply, outcome) = oneshot::channel();
         let item = Item {
             value,
             deadline_ms,
+            patience_ms: patience_ms.min(deadline_ms),
             reply,
         };
         let mut waiting = self.waiting();
@@ -124,11 +134,17 @@
     async fn carry(&self, mut batch: Vec<Item>, epoch: u64, sequence: u64) -> Step {
         let mut records: Vec<Record> = Vec::new();
         let mut in_doubt = false;
+        let mut refused = false;
         loop {
             if in_doubt {
-                batch = expire(batch, Outcome::Unknown);
+                batch = expire(batch, Outcome::Unknown, |item| item.deadline_ms);
             } else {
-                batch = expire(batch, Outcome::Refused);
+                // An append that waited for the one before it has not been refused yet.
+                let until_ms = match refused {
+                    true => |item: &Item| item.patience_ms,
+                    false => |item: &Item| item.deadline_ms,
+                };
+                batch = expire(batch, Outcome::Refused, until_ms);
                 if batch.is_empty() {
                     return Step::Same;
                 }
@@ -156,7 +172,7 @@
                     return Step::Next;
                 }
                 Err(Fault::Unknown(_)) => in_doubt = true,
-                Err(Fault::Refused(_)) => {}
+                Err(Fault::Refused(_)) => refused = true,
                 Err(fault) => {
                     events::SUBMIT_FAILED.log(format_args!("shard={} {fault}", self.shard));
                     let outcome = if in_doubt {
@@ -189,12 +205,10 @@
     }
 }
 
-/// Answers the items whose deadline has passed and returns the others.
-fn expire(batch: Vec<Item>, outcome: Outcome) -> Vec<Item> {
+/// Answers the items whose time has passed and returns the others.
+fn expire(batch: Vec<Item>, outcome: Outcome, until_ms: fn(&Item) -> u64) -> Vec<Item> {
     let now_ms = clock::now().0;
-    let (expired, rest) = batch
-        .into_iter()
-        .partition(|item| now_ms >= item.deadline_ms);
+    let (expired, rest) = batch.into_iter().partition(|item| now_ms >= until_ms(item));
     answer(expired, outcome);
     rest
 }
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -165,3 +165,27 @@
         "its own takeover was not finished"
     );
 }
+
+/// Looks at fixed times would add up to two pauses to each takeover.
+#[test]
+fn the_next_look_comes_when_a_shard_is_due() {
+    let mut claims = Claims::default();
+    claims.looked(9_900);
+    claims.take(SHARD, claim("", 1, 4, 10), 10_000);
+    assert!(due(&mut claims, "b", false, 10_000).is_empty());
+    let pause_ms = claims.pause_ms(10_000);
+    assert!(pause_ms < 150, "{pause_ms}");
+    claims.looked(10_000 + pause_ms);
+    assert_eq!(due(&mut claims, "b", false, 10_000 + pause_ms).len(), 1);
+}
+
+#[test]
+fn looks_are_not_repeated_while_nothing_is_due() {
+    let mut claims = Claims::default();
+    claims.looked(9_900);
+    claims.take(SHARD, claim("a", 1, 4, 9), 10_000);
+    assert!(due(&mut claims, "b", false, 10_000).is_empty());
+    assert!(claims.pause_ms(10_000) >= 300);
+    // A time that has passed without a claim is no reason to hurry.
+    assert!(claims.pause_ms(60_000) >= 300);
+}
