perf(workflow): gangs are planned, stop saved small tasks and renew permits together

Cause: a gang of proofs waited 8 s (median) to 23 s for room on the third of the workers that is good for it. Small tasks of lower priority took each bit of room first; starved gangs held up to a quarter of the pool while their permits, asked for in turns, were never valid at one time. At the worst moment 40 gangs waited beside 455 of 784 free accelerators, and questions queued for 2.5 s.

Change: a gang asks about all workers that it doesn't know in one call. One that has the next turn gets a plan of workers; tasks of lower priority that save their progress are stopped for it, once each at most. Only planned gangs renew permits, all of the plan together, and a plan keeps its workers. A gang that the good workers could never hold asks once and holds nothing. The use of the pools is logged each second (E826).

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -35,6 +35,8 @@
 pub const RECORDED: Event = Event::new(823, Level::Info, "progress recorded");
 /// A job reached its final state.
 pub const ENDED: Event = Event::new(825, Level::Info, "job ended");
+/// How full a pool is.
+pub const USAGE: Event = Event::new(826, Level::Info, "use of a pool");
 /// The advice service was asked.
 pub const ADVISED: Event = Event::new(824, Level::Info, "advice received");
 /// A worker doesn't answer.
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -42,6 +42,9 @@
 /// held up by an outage leaves time for the next one.
 const RESTATEMENTS: u64 = 3;
 
+/// Time between two log lines of the use of the pools in milliseconds.
+const USAGE_PERIOD_MS: u64 = 1_000;
+
 /// Longest wait for the journal at a planned stop.
 const FLUSH_MAX: Duration = Duration::from_millis(400);
 
@@ -217,6 +220,7 @@
     async fn drive(self: Arc<Self>, node: Arc<Node>) {
         let restate_ms = node.settings.retention_ms / RESTATEMENTS;
         let mut restated_ms = clock::now().0;
+        let mut logged_ms = restated_ms;
         while !self.is_ended() {
             let actions = {
                 let mut state = self.state();
@@ -232,12 +236,38 @@
             for action in actions {
                 self.carry_out(&node, action);
             }
+            if clock::now().0 >= logged_ms + USAGE_PERIOD_MS {
+                logged_ms = clock::now().0;
+                self.log_usage();
+            }
             tokio::time::sleep(TICK_SPACING).await;
             // Without a change, what is due by time is looked for.
             let _ = tokio::time::timeout(TICK, self.changed.notified()).await;
         }
     }
 
+    fn log_usage(&self) {
+        let usage = self.state().usage(clock::now().0);
+        for (pool, usage) in usage {
+            events::USAGE.log(format_args!(
+                "pool={pool} epoch={} workers={} empty={} free_millicores={}/{} free_mebibytes={}/{} \
+                 free_accelerators={}/{} steps={} gangs={} tasks={}",
+                self.epoch,
+                usage.workers,
+                usage.empty,
+                usage.free.millicores,
+                usage.capacity.millicores,
+                usage.free.memory_mb,
+                usage.capacity.memory_mb,
+                usage.free.accelerators,
+                usage.capacity.accelerators,
+                usage.steps,
+                usage.gangs,
+                usage.tasks
+            ));
+        }
+    }
+
     fn carry_out(self: &Arc<Self>, node: &Arc<Node>, action: Action) {
         match action {
             Action::Ask(ask) => {
--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -61,6 +61,11 @@
         self.asked.is_none() && now_ms >= self.not_before_ms
     }
 
+    /// Tells whether a question is on its way.
+    pub(crate) fn is_asking(&self) -> bool {
+        self.asked.is_some()
+    }
+
     /// Notes the workers of a question.
     pub(crate) fn ask(&mut self, workers: Vec<Arc<str>>) {
         self.asked = Some(workers);
--- a/crates/workflow/src/ask.rs
+++ b/crates/workflow/src/ask.rs
@@ -5,6 +5,7 @@
 use crate::action::{Action, Ask};
 use crate::job::{Queue, Step};
 use crate::place::{Room, allows, room};
+use crate::run::StepRun;
 use crate::shard::Shard;
 use crate::task::StepKey;
 
@@ -27,6 +28,14 @@
 /// others may take the room meanwhile.
 const ASK_MARGIN: f64 = 2.0;
 
+/// Most workers named in a question for a gang. Which workers are good doesn't change, so one long
+/// call replaces several.
+const GANG_ASKED_MAX: usize = 100;
+
+/// Time before its end at which a permit of a planned gang is renewed, in milliseconds: a call takes
+/// longer.
+const RENEW_BEFORE_MS: u64 = 300;
+
 /// Workers named in a question at least, if there are as many. A worker adds a seventieth of the
 /// time of a call, and too few good ones cost another call.
 const ASKED_MIN: usize = 12;
@@ -78,11 +87,14 @@
         if need == 0 {
             return;
         }
+        if step.gang {
+            self.ask_for_gang(key, step, queue, now_ms);
+        }
         // Each of them takes a good part of a VM's questions.
         let renews = starved && room.starving < STARVING_MAX;
         room.starving += u32::from(starved);
         let claims = size.times(u64::from(need)).min(&room.unclaimed);
-        if queue.advice.is_some() && size.fits(&room.unclaimed) {
+        if queue.advice.is_some() && !step.gang && size.fits(&room.unclaimed) {
             self.ask(key, step, queue, need as usize, renews, now_ms);
         }
         // What a starved step waits for doesn't become free soon, so it keeps nothing from others.
@@ -91,6 +103,93 @@
         }
     }
 
+    /// Asks the advice service for a gang: about workers that it doesn't know, and once it has a plan
+    /// about the workers of the plan. Permits of a gang without a plan would lapse unused.
+    fn ask_for_gang(&mut self, key: StepKey, step: &Step, queue: &Queue, now_ms: u64) {
+        let Some(run) = self.step_run(key).filter(|_| queue.advice.is_some()) else {
+            return;
+        };
+        let workers = if self.holds.is_planned(key) {
+            self.without_permit(key, run, now_ms)
+        } else if self.holds.is_hopeless(key) || !run.advice.may_ask(now_ms) {
+            Vec::new()
+        } else {
+            self.unknown_to(key, step, queue, run, now_ms)
+        };
+        if !workers.is_empty() && !run.advice.is_asking() {
+            self.put_question(key, queue, workers);
+        }
+    }
+
+    /// Returns the workers held for a planned gang if a permit lapses soon. All are renewed together:
+    /// the gang starts only while all are valid.
+    fn without_permit(&self, key: StepKey, run: &StepRun, now_ms: u64) -> Vec<Arc<str>> {
+        let held = self.hosts.keys().filter(|id| self.holds.is_for(id, key));
+        let held: Vec<Arc<str>> = held.take(GANG_ASKED_MAX).cloned().collect();
+        let lapses = |id: &Arc<str>| run.advice.permit(id, now_ms + RENEW_BEFORE_MS).is_none();
+        match held.iter().any(lapses) {
+            true => held,
+            false => Vec::new(),
+        }
+    }
+
+    /// Returns workers that a gang doesn't know, those with most room first: as many as it needs with
+    /// the learned share of good ones, or all if too few have room.
+    fn unknown_to(
+        &self,
+        key: StepKey,
+        step: &Step,
+        queue: &Queue,
+        run: &StepRun,
+        now_ms: u64,
+    ) -> Vec<Arc<str>> {
+        let size = step.footprint();
+        let share = self.shares.get(&queue.name).copied().unwrap_or(GOOD_SHARE);
+        let mut unknown: Vec<(u64, &Arc<str>)> = self
+            .hosts
+            .iter()
+            .filter(|(id, host)| {
+                host.worker.pool == queue.pool
+                    && host.takes_work(now_ms)
+                    && !run.advice.is_good(id)
+                    && !run.advice.is_bad(id)
+                    && allows(host, step, 0)
+                    && size.fits(&host.worker.capacity)
+            })
+            .map(|(id, host)| {
+                let free = self.holds.free(host, key, queue.priority);
+                (room(&free, step, &size), id)
+            })
+            .collect();
+        unknown.sort_by(|a, b| b.cmp(a));
+        let wanted = f64::from(step.count) * ASK_MARGIN;
+        let mut expected = 0.0;
+        let mut workers = Vec::new();
+        for (room, id) in unknown {
+            let enough = expected >= wanted && workers.len() >= ASKED_MIN;
+            if enough || workers.len() >= GANG_ASKED_MAX {
+                break;
+            }
+            expected += share * room as f64;
+            workers.push(id.clone());
+        }
+        workers
+    }
+
+    fn put_question(&mut self, key: StepKey, queue: &Queue, workers: Vec<Arc<str>>) {
+        let Some(terms) = queue.advice else { return };
+        if let Some(run) = self.step_run_mut(key) {
+            run.advice.ask(workers.clone());
+        }
+        self.actions.push(Action::Ask(Ask {
+            step: key,
+            cost_ms: terms.call_ms + terms.worker_ms * workers.len() as f64,
+            workers,
+            priority: queue.priority,
+            validity_ms: terms.validity_ms,
+        }));
+    }
+
     /// Asks the advice service about workers with room, if the step needs advice.
     fn ask(
         &mut self,
@@ -101,7 +200,6 @@
         renews: bool,
         now_ms: u64,
     ) {
-        let Some(terms) = queue.advice else { return };
         let Some(run) = self.step_run(key) else {
             return;
         };
@@ -126,7 +224,7 @@
                 id,
                 held: self.holds.is_for(id, key),
                 good: advice.is_good(id),
-                room: room(&self.holds.free(host, key), step, &size),
+                room: room(&self.holds.free(host, key, queue.priority), step, &size),
             })
             .collect();
         // A step that starves keeps its permits valid, so that it can take the next room at once.
@@ -136,7 +234,7 @@
         if !candidates.iter().any(worth) {
             return;
         }
-        candidates.sort_by_key(|candidate| candidate.rank(step.gang || step.service));
+        candidates.sort_by_key(|candidate| candidate.rank(step.service));
         let mut expected = 0.0;
         let mut workers = Vec::new();
         for Candidate { id, good, room, .. } in candidates {
@@ -151,16 +249,7 @@
         if workers.is_empty() {
             return;
         }
-        if let Some(run) = self.step_run_mut(key) {
-            run.advice.ask(workers.clone());
-        }
-        self.actions.push(Action::Ask(Ask {
-            step: key,
-            cost_ms: terms.call_ms + terms.worker_ms * workers.len() as f64,
-            workers,
-            priority: queue.priority,
-            validity_ms: terms.validity_ms,
-        }));
+        self.put_question(key, queue, workers);
     }
 
     /// Takes an answer of the advice service: workers that may run the step, with their permits.
--- a/crates/workflow/src/hold.rs
+++ b/crates/workflow/src/hold.rs
@@ -3,12 +3,14 @@
 //! Small tasks take each bit of room as it becomes free. A step that has waited for a while holds
 //! the workers that it may use, so that their room gathers for it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use rosemaryworks_core::size::Size;
 
+use crate::gangs::Prospect;
 use crate::host::Host;
+use crate::job::Step;
 use crate::shard::Shard;
 use crate::task::StepKey;
 
@@ -21,22 +23,79 @@
 /// Workers held for a step, at most.
 const HOLDS_PER_STEP: usize = 8;
 
+/// Time from one decision on holds to the next at least, in milliseconds. Deciding looks at every worker
+/// for each gang that waits.
+const PERIOD_MS: u64 = 20;
+
+/// Room held on a worker for a step.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    step: StepKey,
+    size: Size,
+    /// Priority of work that may use the room all the same: all that comes before this one; none if
+    /// no other work may.
+    yields_before: Option<u32>,
+}
+
 /// Room held on workers, by worker.
 #[derive(Debug, Default)]
-pub(crate) struct Holds(BTreeMap<Arc<str>, (StepKey, Size)>);
+pub(crate) struct Holds {
+    by_worker: BTreeMap<Arc<str>, Vec<Held>>,
+    /// Gangs whose members all have their room, or get it by stops that were ordered.
+    planned: BTreeSet<StepKey>,
+    /// Gangs that the workers which are good for them can't hold.
+    hopeless: BTreeSet<StepKey>,
+    /// Workers held for steps that starve.
+    starving: BTreeSet<Arc<str>>,
+    decided_ms: Option<u64>,
+}
 
 impl Holds {
-    /// Returns the room of a worker for a step: what is free, less what is held for another step.
-    pub(crate) fn free(&self, host: &Host, step: StepKey) -> Size {
-        match self.0.get(&host.worker.id) {
-            Some((owner, size)) if *owner != step => host.free() - *size,
-            _ => host.free(),
-        }
+    /// Returns the room of a worker for a step: what is free, less what is held for other steps.
+    pub(crate) fn free(&self, host: &Host, step: StepKey, priority: u32) -> Size {
+        host.free() - self.of_others(&host.worker.id, step, priority)
+    }
+
+    /// Returns what is held on a worker for other steps.
+    pub(crate) fn of_others(&self, worker: &str, step: StepKey, priority: u32) -> Size {
+        let held = self.by_worker.get(worker).into_iter().flatten();
+        let yields = |held: &Held| held.yields_before.is_some_and(|before| priority < before);
+        held.filter(|held| held.step != step && !yields(held))
+            .fold(Size::ZERO, |sum, held| sum + held.size)
     }
 
     /// Tells whether a worker is held for a step.
     pub(crate) fn is_for(&self, worker: &str, step: StepKey) -> bool {
-        self.0.get(worker).is_some_and(|(owner, _)| *owner == step)
+        let held = self.by_worker.get(worker);
+        held.is_some_and(|held| held.iter().any(|held| held.step == step))
+    }
+
+    /// Tells whether all members of a gang have their room, or get it by stops that were ordered.
+    pub(crate) fn is_planned(&self, step: StepKey) -> bool {
+        self.planned.contains(&step)
+    }
+
+    /// Tells whether the workers that are good for a gang can't hold it.
+    pub(crate) fn is_hopeless(&self, step: StepKey) -> bool {
+        self.hopeless.contains(&step)
+    }
+
+    /// Ends the holds for a step that was placed.
+    pub(crate) fn release(&mut self, step: StepKey) {
+        if self.planned.remove(&step) {
+            for held in self.by_worker.values_mut() {
+                held.retain(|held| held.step != step);
+            }
+        }
+    }
+
+    fn add(&mut self, worker: Arc<str>, step: StepKey, size: Size, yields_before: Option<u32>) {
+        let held = self.by_worker.entry(worker).or_default();
+        held.push(Held {
+            step,
+            size,
+            yields_before,
+        });
     }
 
     fn count(&self, shard: &Shard, pool: &str) -> usize {
@@ -44,19 +103,53 @@
             let host = shard.hosts.get(*id);
             host.is_some_and(|host| &*host.worker.pool == pool)
         };
-        self.0.keys().filter(of_pool).count()
+        self.starving.iter().filter(of_pool).count()
     }
 }
 
 impl Shard {
-    /// Decides which workers are held, for the steps that have waited longest in their order.
+    /// Decides what is held, for the steps that wait in their order.
     pub(crate) fn hold(&mut self, now_ms: u64) {
-        let mut holds = Holds::default();
-        let waiting = self.ready.iter().map(|(_, _, key)| *key);
-        for key in waiting {
-            self.hold_for(key, &mut holds, now_ms);
+        if (self.holds.decided_ms).is_some_and(|at| now_ms < at + PERIOD_MS) {
+            return;
+        }
+        let mut holds = Holds {
+            decided_ms: Some(now_ms),
+            ..Holds::default()
+        };
+        let mut stops = Vec::new();
+        let waiting = self
+            .ready
+            .iter()
+            .map(|(priority, _, key)| (*priority, *key));
+        for (priority, key) in waiting {
+            match self.plan_for(key, &holds, now_ms) {
+                Some(Prospect::Complete(plan)) => {
+                    let size = self.step_spec(key).map(Step::footprint).unwrap_or_default();
+                    for (worker, members) in plan.members {
+                        let size = size.times(u64::from(members));
+                        holds.add(worker, key, size, Some(priority));
+                    }
+                    holds.planned.insert(key);
+                    stops.extend(plan.stops);
+                }
+                Some(Prospect::Never) => {
+                    holds.hopeless.insert(key);
+                }
+                Some(Prospect::Incomplete) | None => self.hold_for(key, &mut holds, now_ms),
+            }
         }
         self.holds = holds;
+        self.preempt(stops, now_ms);
+    }
+
+    /// Plans a gang that waits as a whole; none for other steps.
+    fn plan_for(&self, key: StepKey, holds: &Holds, now_ms: u64) -> Option<Prospect> {
+        let step = self.step_spec(key).filter(|step| step.gang)?;
+        let run = self.step_run(key)?;
+        let queue = self.queues.get(&self.jobs.get(&key.job)?.queue)?;
+        let waits = run.waiting == step.count && !(run.inherited && !self.recovery.is_settled());
+        waits.then(|| self.plan(key, step, queue, run, holds, now_ms))
     }
 
     fn hold_for(&self, key: StepKey, holds: &mut Holds, now_ms: u64) {
@@ -91,7 +184,7 @@
             .filter(|(id, host)| {
                 host.worker.pool == queue.pool
                     && host.takes_work(now_ms)
-                    && !holds.0.contains_key(*id)
+                    && !holds.by_worker.contains_key(*id)
                     && size.fits(&host.worker.capacity)
                     && !run.advice.is_bad(id)
                     && (!known || run.advice.is_good(id))
@@ -116,7 +209,8 @@
             if step.spread > 0 {
                 tasks = tasks.min(u64::from(step.spread));
             }
-            holds.0.insert(id.clone(), (key, size.times(tasks)));
+            holds.add(id.clone(), key, size.times(tasks), None);
+            holds.starving.insert(id.clone());
             left -= u32::try_from(tasks).unwrap_or(left).min(left);
         }
     }
--- a/crates/workflow/src/place.rs
+++ b/crates/workflow/src/place.rs
@@ -199,6 +199,7 @@
             }
             self.start(&worker, Key { step: key, index }, attempt, step, now_ms);
         }
+        self.holds.release(key);
     }
 
     /// Stops the members that are left of a gang that has lost one.
@@ -240,9 +241,11 @@
             let also = taken.get(id).copied().unwrap_or(0);
             let crowd = on.get(id).copied().unwrap_or(0) + also;
             if !allows(host, step, crowd)
-                || !size
-                    .times(u64::from(also) + 1)
-                    .fits(&self.holds.free(host, key))
+                || !size.times(u64::from(also) + 1).fits(&self.holds.free(
+                    host,
+                    key,
+                    queue.priority,
+                ))
             {
                 continue;
             }
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -31,6 +31,8 @@
     pub(crate) saved: Option<Arc<str>>,
     /// Owner's time before which it isn't started again.
     pub(crate) not_before_ms: u64,
+    /// Whether a run of it was stopped for work of higher priority.
+    pub(crate) preempted: bool,
 }
 
 /// A step of one occurrence.
@@ -56,6 +58,7 @@
             failed: Vec::new(),
             saved: None,
             not_before_ms: 0,
+            preempted: false,
         };
         Self {
             tasks: vec![task; count as usize],
--- /dev/null
+++ b/crates/workflow/src/usage.rs
@@ -0,0 +1,59 @@
+//! How full the pools of a shard are, for logs.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use rosemaryworks_core::size::Size;
+
+use crate::shard::Shard;
+
+/// Room and waiting work of a pool.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Usage {
+    /// Workers that take work.
+    pub workers: u32,
+    /// Workers among them that hold no run.
+    pub empty: u32,
+    /// What they hold in all.
+    pub capacity: Size,
+    /// What is free on them.
+    pub free: Size,
+    /// Steps with tasks that wait for a place.
+    pub steps: u32,
+    /// Gangs among them.
+    pub gangs: u32,
+    /// Tasks that wait for a place.
+    pub tasks: u32,
+}
+
+impl Shard {
+    /// Returns the use of each pool.
+    #[must_use]
+    pub fn usage(&self, now_ms: u64) -> BTreeMap<Arc<str>, Usage> {
+        let mut pools: BTreeMap<Arc<str>, Usage> = BTreeMap::new();
+        for host in self.hosts.values().filter(|host| host.takes_work(now_ms)) {
+            let usage = pools.entry(host.worker.pool.clone()).or_default();
+            usage.workers += 1;
+            usage.empty += u32::from(host.runs.is_empty());
+            usage.capacity += host.worker.capacity;
+            usage.free += host.free();
+        }
+        for (_, _, key) in &self.ready {
+            let Some(job) = self.jobs.get(&key.job) else {
+                continue;
+            };
+            let (Some(queue), Some(step), Some(run)) = (
+                self.queues.get(&job.queue),
+                job.spec.steps.get(key.step as usize),
+                self.step_run(*key),
+            ) else {
+                continue;
+            };
+            let usage = pools.entry(queue.pool.clone()).or_default();
+            usage.steps += 1;
+            usage.gangs += u32::from(step.gang);
+            usage.tasks += run.waiting;
+        }
+        pools
+    }
+}
