style(workflow): simpler condition

Cause: clippy refuses the condition for planning a gang (nonminimal_bool).

Change: the condition is split into two named parts with the same meaning.

Result: clippy passes; no behaviour changed.

--- a/crates/workflow/src/hold.rs
+++ b/crates/workflow/src/hold.rs
@@ -148,7 +148,8 @@
         let step = self.step_spec(key).filter(|step| step.gang)?;
         let run = self.step_run(key)?;
         let queue = self.queues.get(&self.jobs.get(&key.job)?.queue)?;
-        let waits = run.waiting == step.count && !(run.inherited && !self.recovery.is_settled());
+        let known = self.recovery.is_settled() || !run.inherited;
+        let waits = known && run.waiting == step.count;
         waits.then(|| self.plan(key, step, queue, run, holds, now_ms))
     }
 
