fix: workers that no longer listen have ended; late answers are waited for

A new owner on half a core took up to 62 of 252 workers for silent, because it read their first answers after the fixed time-outs of 80 and 150 ms. Its questions of advice queued behind those of its predecessor.

Change: a refused connection is told apart from a failed one, and the kernel takes the worker's runs as ended. Times for answers follow from the mean of those that arrive. Questions of an owner whose link is closed are dropped, and a VM that gave no answer isn't asked for 2 s. Claims are renewed every 250 ms and lapse after 1 s (400 ms, 1.4 s).

--- a/crates/entry/src/advice_lanes.rs
+++ b/crates/entry/src/advice_lanes.rs
@@ -12,10 +12,15 @@
 /// One VM of this many is kept for short questions.
 const VMS_PER_SHORT_LANE: usize = 4;
 
+/// Time for which a VM that gave no answer isn't asked, in milliseconds. It may be gone, or the service
+/// may still serve an earlier question of it.
+const SILENT_PAUSE_MS: u64 = 2_000;
+
 /// Questions on their way through each VM.
 #[derive(Debug, Default)]
 pub struct Lanes {
     waiting_ms: HashMap<Arc<str>, f64>,
+    silent_until_ms: HashMap<Arc<str>, u64>,
 }
 
 /// A question on its way.
@@ -32,8 +37,14 @@
 impl Lanes {
     /// Chooses the VM for a question among `vms`, of which there is at least one, and counts the
     /// question. Owners that don't know of each other keep the same VMs for short questions.
-    pub fn choose(&mut self, vms: &[Arc<str>], cost_ms: f64) -> Option<Turn> {
-        let mut order: Vec<&Arc<str>> = vms.iter().collect();
+    pub fn choose(&mut self, vms: &[Arc<str>], cost_ms: f64, now_ms: u64) -> Option<Turn> {
+        self.silent_until_ms
+            .retain(|_, until_ms| now_ms < *until_ms);
+        let answers = |vm: &&Arc<str>| !self.silent_until_ms.contains_key(*vm);
+        let mut order: Vec<&Arc<str>> = vms.iter().filter(answers).collect();
+        if order.is_empty() {
+            order = vms.iter().collect();
+        }
         order.sort();
         order.dedup();
         let kept = match order.len() {
@@ -58,7 +69,14 @@
         })
     }
 
-    /// Counts a question as answered, or given up.
+    /// Counts a question as given up: the VM gave no answer.
+    pub fn failed(&mut self, turn: &Turn, now_ms: u64) {
+        self.silent_until_ms
+            .insert(turn.vm.clone(), now_ms + SILENT_PAUSE_MS);
+        self.ended(turn);
+    }
+
+    /// Counts a question as answered.
     pub fn ended(&mut self, turn: &Turn) {
         if let Some(waiting) = self.waiting_ms.get_mut(&turn.vm) {
             *waiting = (*waiting - turn.cost_ms).max(0.0);
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -13,15 +13,15 @@
 use serde::{Deserialize, Serialize};
 
 /// Time between renewals in milliseconds.
-pub const RENEW_MS: u64 = 400;
+pub const RENEW_MS: u64 = 250;
 
 /// Time without a change after which a claim may be taken over, in milliseconds. Covers two lost
-/// renewals.
-pub const LAPSE_MS: u64 = 1_400;
+/// renewals and a slow one.
+pub const LAPSE_MS: u64 = 1_000;
 
 /// The same for an owner whose link was closed and can't be dialled again. One lost renewal is not
 /// waited for.
-pub const UNLINKED_LAPSE_MS: u64 = 900;
+pub const UNLINKED_LAPSE_MS: u64 = 650;
 
 /// Time between two looks at the claims in milliseconds.
 pub const LOOK_MS: u64 = 300;
@@ -35,7 +35,7 @@
 
 /// Time after a failed look for which claims are not taken over, in milliseconds: their owners could
 /// not renew them either.
-const GRACE_MS: u64 = 1_100;
+const GRACE_MS: u64 = 700;
 
 /// Pause of a candidate for each shard that it owns, in milliseconds, so that shards spread.
 const LOADED_PAUSE_MS: u64 = 400;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod node;
 mod owner;
+pub mod patience;
 pub mod port;
 mod session;
 pub mod settings;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -20,8 +20,8 @@
 /// the takeover of its shards.
 const OWNER_PAUSE_MS: u64 = 1_500;
 
-/// Time for an answer to a relayed question beyond its expected time.
-const ADVICE_SLACK_MS: u64 = 1_500;
+/// Time for an answer to a relayed question beyond its expected time. Another VM may answer sooner.
+const ADVICE_SLACK_MS: u64 = 400;
 
 /// Unanswered calls in a row after which a link is dialled anew.
 const SILENT_CALLS_MAX: u32 = 2;
@@ -38,10 +38,15 @@
 struct Incoming(Arc<Node>);
 
 impl Handler for Incoming {
-    fn call(&self, _peer: &Peer, message: Message) -> Reply {
-        let node = self.0.clone();
+    fn call(&self, peer: &Peer, message: Message) -> Reply {
+        let (node, peer) = (self.0.clone(), peer.clone());
         Box::pin(async move {
             match message {
+                Message::Workflow(message @ Workflow::Advise { .. }) => tokio::select! {
+                    reply = node.reply(message) => Message::Workflow(reply),
+                    // Questions of an owner that is gone would keep its successor's waiting.
+                    () = peer.closed() => Message::Workflow(Workflow::Advised(None)),
+                },
                 Message::Workflow(message) => Message::Workflow(node.reply(message).await),
                 other => other,
             }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -16,6 +16,7 @@
 use crate::events;
 use crate::journal::{self, Journal};
 use crate::node::{Node, Parts, lock};
+use crate::patience::Patience;
 use crate::port::{Fault, Listing, Page, Stream};
 use crate::session::Session;
 
@@ -69,6 +70,7 @@
     workers_next: u64,
     sessions: Mutex<HashMap<Arc<str>, Arc<Session>>>,
     lanes: Mutex<Lanes>,
+    patience: Mutex<Patience>,
 }
 
 impl Owner {
@@ -98,6 +100,7 @@
             workers_next,
             sessions: Mutex::default(),
             lanes: Mutex::default(),
+            patience: Mutex::default(),
         })
     }
 
@@ -117,6 +120,10 @@
         lock(&self.state)
     }
 
+    pub(crate) fn patience(&self) -> MutexGuard<'_, Patience> {
+        lock(&self.patience)
+    }
+
     pub(crate) fn parts(&self) -> &Parts {
         &self.parts
     }
@@ -315,7 +322,11 @@
             return;
         }
         let began = clock::now();
-        let outcome = self.parts.workers.start(&order).await;
+        let timeout = self.patience().order();
+        let outcome = self.parts.workers.start(&order, timeout).await;
+        if matches!(outcome, Started::Accepted { .. }) {
+            self.patience().answered(clock::now().since(began));
+        }
         events::STARTED.log(format_args!(
             "task={} attempt={} worker={} token={} outcome={outcome:?} took_ms={}",
             order.key,
@@ -367,7 +378,10 @@
             Some(peer) => Node::advise_through(peer, &ask, turn.before_ms).await,
             None => node.advise_here(ask.step, &ask.workers, ask.cost_ms).await,
         };
-        lock(&self.lanes).ended(&turn);
+        match &permits {
+            Some(_) => lock(&self.lanes).ended(&turn),
+            None => lock(&self.lanes).failed(&turn, clock::now().0),
+        }
         events::ADVISED.log(format_args!(
             "step={} asked={} good={} through={} took_ms={}",
             ask.step,
@@ -393,11 +407,13 @@
         let own = node.settings.node.clone();
         let mut vms: Vec<Arc<str>> = peers.iter().map(|p| p.hello().node.clone()).collect();
         vms.push(own.clone());
-        let turn = lock(&self.lanes).choose(&vms, cost_ms).unwrap_or(Turn {
-            vm: own,
-            cost_ms,
-            before_ms: 0.0,
-        });
+        let turn = lock(&self.lanes)
+            .choose(&vms, cost_ms, clock::now().0)
+            .unwrap_or(Turn {
+                vm: own,
+                cost_ms,
+                before_ms: 0.0,
+            });
         let peer = peers.into_iter().rfind(|peer| peer.hello().node == turn.vm);
         (turn, peer)
     }
--- a/crates/entry/src/port.rs
+++ b/crates/entry/src/port.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rosemaryworks_workflow::{
     Look, LookFault, Order, Pace, Report, Started, StepKey, Stop, Worker,
@@ -164,8 +165,12 @@
 
 /// Orders to workers.
 pub trait Workers: Send + Sync {
-    /// Starts a run.
-    fn start(&self, order: &Order) -> Pin<Box<dyn Future<Output = Started> + Send>>;
+    /// Starts a run. The answer is waited for until `timeout`.
+    fn start(
+        &self,
+        order: &Order,
+        timeout: Duration,
+    ) -> Pin<Box<dyn Future<Output = Started> + Send>>;
 
     /// Stops a run. Returns whether the worker took the order.
     fn stop(&self, stop: &Stop) -> Pin<Box<dyn Future<Output = bool> + Send>>;
@@ -173,8 +178,15 @@
     /// Changes the speed of a run. Returns whether the worker took the order.
     fn pace(&self, pace: &Pace) -> Pin<Box<dyn Future<Output = bool> + Send>>;
 
-    /// Renews the lease of a worker and takes its report. Waits up to `wait_ms` for an end.
-    fn look(&self, id: &Arc<str>, look: &Look, wait_ms: u64) -> Answer<Report, LookFault>;
+    /// Renews the lease of a worker and takes its report. The worker waits up to `wait_ms` for an end,
+    /// and its answer is waited for until `timeout` after that.
+    fn look(
+        &self,
+        id: &Arc<str>,
+        look: &Look,
+        wait_ms: u64,
+        timeout: Duration,
+    ) -> Answer<Report, LookFault>;
 }
 
 /// Workers that may run a step, each with its permit.
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -105,8 +105,16 @@
         return Next::End;
     };
     let wait_ms = if *answered { look.wait_ms } else { 0 };
-    let result = owner.parts().workers.look(id, &look, wait_ms).await;
+    let timeout = owner.patience().look();
+    let result = owner
+        .parts()
+        .workers
+        .look(id, &look, wait_ms, timeout)
+        .await;
     let now_ms = clock::now().0;
+    if wait_ms == 0 && result.is_ok() {
+        owner.patience().answered(now_ms.saturating_sub(sent_ms));
+    }
     let acknowledged = look.acknowledged;
     let mut state = owner.state();
     match result {
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -93,6 +93,8 @@
 pub enum Error {
     /// The connection couldn't be opened: no byte was sent.
     Connect(String),
+    /// The VM answered that no process listens at the address.
+    NotListening,
     /// The request was sent, at least in part, and no whole response arrived.
     Lost(String),
     /// The request is not valid and was not sent.
@@ -105,6 +107,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Connect(reason) => write!(f, "connection failed: {reason}"),
+            Self::NotListening => f.write_str("connection refused: no process listens there"),
             Self::Lost(reason) => write!(f, "no whole response: {reason}"),
             Self::Invalid(reason) => write!(f, "invalid request: {reason}"),
             Self::Timeout => f.write_str("no response in time"),
@@ -243,6 +246,11 @@
         ClientError::Connect(ConnectError::Disconnected(None)) => {
             Error::Lost("the peer closed the connection".to_owned())
         }
+        ClientError::Connect(ConnectError::Disconnected(Some(error)))
+            if error.kind() == std::io::ErrorKind::ConnectionRefused =>
+        {
+            Error::NotListening
+        }
         ClientError::Connect(error) => Error::Connect(error.to_string()),
         other => Error::Lost(other.to_string()),
     }
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use ntex::web::{self, App, HttpResponse};
-use rosemaryworks_node::http::{Client, Request};
+use rosemaryworks_node::http::{Client, Error, Request};
 
 const ROUNDS: usize = 20;
 const CONCURRENT: usize = 8;
@@ -103,3 +103,25 @@
         );
     });
 }
+
+/// Guards against a process that has ended and is taken for one that is slow.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_address_without_a_listener_is_told_apart() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}/", listener.local_addr().unwrap());
+    drop(listener);
+    let request = Request::new("GET", url, Duration::from_secs(2));
+    let result = Client::start(1).send(request).await;
+    assert_eq!(result.map(|r| r.status), Err(Error::NotListening));
+}
+
+/// A connection that is accepted and reset is no sign of an end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_connection_that_is_closed_after_it_was_accepted_is_lost() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}/", listener.local_addr().unwrap());
+    std::thread::spawn(move || while listener.accept().is_ok() {});
+    let request = Request::new("GET", url, Duration::from_secs(2));
+    let result = Client::start(1).send(request).await;
+    assert!(matches!(result, Err(Error::Lost(_))), "{result:?}");
+}
--- a/crates/platform/src/http/call.rs
+++ b/crates/platform/src/http/call.rs
@@ -46,7 +46,9 @@
 /// Classifies a request without a whole response.
 pub(super) fn fault(error: Error) -> Fault {
     match error {
-        Error::Connect(_) | Error::Invalid(_) => Fault::Unreached(error.to_string()),
+        Error::Connect(_) | Error::Invalid(_) | Error::NotListening => {
+            Fault::Unreached(error.to_string())
+        }
         Error::Lost(_) | Error::Timeout => Fault::Uncertain(error.to_string()),
     }
 }
--- a/crates/wire/src/link/connection.rs
+++ b/crates/wire/src/link/connection.rs
@@ -93,6 +93,11 @@
         self.inner.waiting().closed
     }
 
+    /// Waits until the connection is closed.
+    pub async fn closed(&self) {
+        self.inner.outgoing.closed().await;
+    }
+
     /// Calls the peer and waits for its reply.
     ///
     /// # Errors
--- a/crates/workflow/src/report.rs
+++ b/crates/workflow/src/report.rs
@@ -68,6 +68,8 @@
 pub enum LookFault {
     /// The worker has seen a higher token.
     Fenced,
+    /// No process listens at the worker's address.
+    NotListening,
     /// The worker didn't answer, or not with a report.
     Silent,
     /// Another worker, or another life of this one, answered.
--- a/crates/workflow/src/survey.rs
+++ b/crates/workflow/src/survey.rs
@@ -102,8 +102,9 @@
         }
         host.sight = Sight::Dark;
         host.dark_since_ms.get_or_insert(now_ms);
-        if fault == LookFault::WrongInstance {
-            // A worker keeps its address for life, so another one there means that it has ended.
+        if matches!(fault, LookFault::NotListening | LookFault::WrongInstance) {
+            // A worker keeps its address for life and its runs end with it, so another worker there,
+            // or none, means that they have ended.
             self.lose(id);
             self.recovery.seen(id);
         }
--- a/crates/workflow/tests/dark_workers.rs
+++ b/crates/workflow/tests/dark_workers.rs
@@ -158,3 +158,19 @@
     fleet.pass(100);
     assert_eq!(fleet.orders.len(), 1, "started beside a run that goes on");
 }
+
+/// The work of a worker that crashed would wait for its lease of several seconds.
+#[test]
+fn work_of_a_worker_that_no_longer_listens_moves_at_once() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let place = fleet.places(key(1, 0, 0))[0].clone();
+    let look = fleet.shard.look(&place, fleet.now_ms).expect("a look");
+    let fault = rosemaryworks_workflow::LookFault::NotListening;
+    fleet
+        .shard
+        .look_failed(&place, look.token, fault, fleet.now_ms);
+    fleet.step();
+    assert_eq!(fleet.orders.len(), 2, "not started again");
+    assert_ne!(fleet.orders[1].worker, place);
+}
--- a/xtask/src/faults/requests.rs
+++ b/xtask/src/faults/requests.rs
@@ -147,7 +147,7 @@
 
 fn failed(call: u64, error: &Error) -> (Outcome, Event) {
     let outcome = match error {
-        Error::Connect(_) | Error::Invalid(_) => Outcome::Unreached,
+        Error::Connect(_) | Error::Invalid(_) | Error::NotListening => Outcome::Unreached,
         Error::Lost(_) => Outcome::Lost,
         Error::Timeout => Outcome::TimedOut,
     };
