fix(node): the last log lines are written at the end of a process

Cause: the writing thread gathers lines for 50 ms, and the process ended before that: E103 of a planned stop was missing. Faults of entry's settings named fields without the prefix entry.

Settings are checked with their prefix.

--- a/crates/node/src/log_queue.rs
+++ b/crates/node/src/log_queue.rs
@@ -35,16 +35,26 @@
         self.buffer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits for lines and takes them, with the number of those that were dropped.
-    fn take(&self) -> Buffer {
+    /// Waits for lines.
+    fn wait(&self) {
         let mut buffer = self.buffer();
         while buffer.lines.is_empty() {
             let waited = self.arrived.wait(buffer);
             buffer = waited.unwrap_or_else(PoisonError::into_inner);
         }
-        drop(buffer);
-        std::thread::sleep(GATHER);
-        std::mem::take(&mut self.buffer())
+    }
+
+    /// Writes what waits. Lines are taken under the lock of standard output, so that none is on its
+    /// way to be written when this returns.
+    fn write(&self) {
+        let mut out = io::stdout().lock();
+        let buffer = std::mem::take(&mut *self.buffer());
+        // Without a reader there is nobody to tell.
+        let _ = out.write_all(&buffer.lines);
+        if buffer.dropped > 0 {
+            let _ = writeln!(out, "E105 log lines dropped: count={}", buffer.dropped);
+        }
+        let _ = out.flush();
     }
 }
 
@@ -67,23 +77,15 @@
         let thread = std::thread::Builder::new().name("log".to_owned());
         thread.spawn(move || {
             loop {
-                write(&writer.take());
+                writer.wait();
+                std::thread::sleep(GATHER);
+                writer.write();
             }
         })?;
         Ok(Self { encoder, shared })
     }
 }
 
-/// Writes lines. Without a reader there is nobody to tell.
-fn write(buffer: &Buffer) {
-    let mut out = io::stdout().lock();
-    let _ = out.write_all(&buffer.lines);
-    if buffer.dropped > 0 {
-        let _ = writeln!(out, "E105 log lines dropped: count={}", buffer.dropped);
-    }
-    let _ = out.flush();
-}
-
 impl Append for Queue {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         let mut line = SimpleWriter(Vec::with_capacity(200));
@@ -103,6 +105,6 @@
     }
 
     fn flush(&self) {
-        write(&std::mem::take(&mut *self.shared.buffer()));
+        self.shared.write();
     }
 }
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -58,6 +58,21 @@
     }
 }
 
+/// Writes the lines that wait, for `limit` at most. A reader that doesn't read keeps no process from
+/// ending.
+pub fn flush(limit: std::time::Duration) {
+    let (done, flushed) = std::sync::mpsc::channel();
+    let thread = std::thread::Builder::new().name("log-flush".to_owned());
+    let started = thread.spawn(move || {
+        log::logger().flush();
+        // The process may have ended its wait.
+        let _ = done.send(());
+    });
+    if started.is_ok() {
+        let _ = flushed.recv_timeout(limit);
+    }
+}
+
 fn encoder(format: Format) -> Box<dyn Encode> {
     match format {
         Format::Json => Box::new(JsonEncoder::new()),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -59,6 +59,17 @@
         }
     }
 
+    /// Checks settings that stand under `field`.
+    pub fn require_within(&mut self, field: &str, settings: &impl Check) {
+        let mut faults = Self::default();
+        settings.check(&mut faults);
+        let prefixed = faults.0.into_iter().map(|fault| Fault {
+            path: format!("{field}.{}", fault.path),
+            ..fault
+        });
+        self.0.extend(prefixed);
+    }
+
     /// Notes a fault at `path` unless `name` is a valid name.
     pub fn require_name(&mut self, name: &str, path: impl Into<String>) {
         let message = format!("{name:?} is not 1 to 64 characters of a-z, 0-9 and '-'");
