--- a/crates/workflow/tests/steps.rs
+++ b/crates/workflow/tests/steps.rs
@@ -223,7 +223,9 @@
         size: Size::new(4_000, 1_024),
         ..step(1)
     };
-    fleet.shard.submit(Id(1), "q".into(), spec(vec![whole.clone()]));
+    fleet
+        .shard
+        .submit(Id(1), "q".into(), spec(vec![whole.clone()]));
     fleet.shard.tick(fleet.now_ms, fleet.now_ms);
     let started = fleet.shard.take_actions();
     assert!(matches!(started[..], [Action::Start(_)]), "{started:?}");
