fix(entry): a successor reads the jobs again behind the fence

While answers of the log get lost the fence takes a second, in which the older owner goes on: the ends of jobs that were stored after the first read were replayed without their jobs and forgotten, and the tasks ran again.

Change: behind the fence the rest of the jobs is read beside the progress. The test a_job_that_completed_during_the_takeover_is_known_as_completed failed before.

Ruled out: late appends of the older owner (its epoch is lower) and repeated sequence numbers.

--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -68,16 +68,22 @@
         // On slow days an answer of the log takes a quarter of a second.
         let (fenced, jobs, feed) = tokio::join!(
             self.fence(shard, epoch),
-            self.read_all(Stream::Jobs, shard),
+            self.read_all(Stream::Jobs, shard, 0),
             self.whole_list()
         );
         fenced?;
         let (jobs, jobs_next) = jobs?;
         let feed = feed?;
-        // Complete only after the fence: until then an older owner may write.
-        let (progress, _) = self.read_all(Stream::Progress, shard).await?;
+        // Complete only after the fence: until then an older owner may write. The ends that it wrote
+        // may be of jobs that were stored after the first read.
+        let (later, progress) = tokio::join!(
+            self.read_all(Stream::Jobs, shard, jobs_next),
+            self.read_all(Stream::Progress, shard, 0)
+        );
+        let (later, jobs_next) = later?;
+        let (progress, _) = progress?;
         let now_ms = clock::now().0;
-        for record in jobs.into_iter().chain(progress) {
+        for record in jobs.into_iter().chain(later).chain(progress) {
             state.replay(record, now_ms);
         }
         for listing in feed.items {
@@ -114,10 +120,15 @@
         }
     }
 
-    /// Reads a partition to its end. Returns its records and the next offset.
-    async fn read_all(&self, stream: Stream, shard: u32) -> Result<(Vec<Record>, u64), Fault> {
+    /// Reads a partition from an offset to its end. Returns its records and the next offset.
+    async fn read_all(
+        &self,
+        stream: Stream,
+        shard: u32,
+        from: u64,
+    ) -> Result<(Vec<Record>, u64), Fault> {
         let mut records = Vec::new();
-        let mut next = 0;
+        let mut next = from;
         let mut tries = 0;
         loop {
             match self.parts.store.read(stream, shard, next, 0).await {
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -16,10 +16,17 @@
 use rosemaryworks_node::status::Status;
 use rosemaryworks_workflow::{Look, LookFault, Order, Pace, Queue, Report, Started, StepKey, Stop};
 
+type Streams = BTreeMap<(u8, u32), Vec<Record>>;
+
+/// Time that a fence takes in milliseconds, so that reads beside it come first.
+const FENCE_MS: u64 = 50;
+
 /// A log in memory.
 #[derive(Default)]
 pub(crate) struct Log {
-    records: Mutex<BTreeMap<(u8, u32), Vec<Record>>>,
+    records: Arc<Mutex<Streams>>,
+    /// What an older owner and its callers write just before the journal is fenced.
+    pub(crate) before_fence: Mutex<Vec<(Stream, rosemaryworks_workflow::Record)>>,
     pub(crate) down: Arc<AtomicBool>,
 }
 
@@ -31,14 +38,23 @@
     }
 }
 
+fn put(
+    records: &Mutex<Streams>,
+    stream: Stream,
+    part: u32,
+    record: &rosemaryworks_workflow::Record,
+) {
+    let mut value = Vec::new();
+    ciborium::into_writer(record, &mut value).expect("a record");
+    let mut records = records.lock().expect("the lock");
+    let stream = records.entry((index(stream), part)).or_default();
+    stream.push(Record { key: None, value });
+}
+
 impl Log {
     /// Appends a record as another process does.
     pub(crate) fn put(&self, stream: Stream, part: u32, record: &rosemaryworks_workflow::Record) {
-        let mut value = Vec::new();
-        ciborium::into_writer(record, &mut value).expect("a record");
-        let mut records = self.records.lock().expect("the lock");
-        let stream = records.entry((index(stream), part)).or_default();
-        stream.push(Record { key: None, value });
+        put(&self.records, stream, part, record);
     }
 
     /// Answers after a wait, unless the log is down by then.
@@ -71,6 +87,17 @@
 
 impl Store for Log {
     fn append(&self, append: Append) -> Answer<Appended> {
+        if append.stream == Stream::Progress && append.records.is_empty() {
+            let late = std::mem::take(&mut *self.before_fence.lock().expect("the lock"));
+            let records = self.records.clone();
+            return Box::pin(async move {
+                tokio::time::sleep(Duration::from_millis(FENCE_MS)).await;
+                for (stream, record) in late {
+                    put(&records, stream, 0, &record);
+                }
+                Ok(Appended { end: 0 })
+            });
+        }
         let mut records = self.records.lock().expect("the lock");
         let part = (index(append.stream), append.part);
         let stream = records.entry(part).or_default();
@@ -168,6 +195,11 @@
 impl Process {
     /// Starts a process and waits until it owns its shard. Must be called within a tokio runtime.
     pub(crate) async fn start() -> Self {
+        Self::start_on(Arc::default()).await
+    }
+
+    /// The same on a log that has a past.
+    pub(crate) async fn start_on(log: Arc<Log>) -> Self {
         let links = tokio::net::TcpListener::bind("127.0.0.1:0")
             .await
             .expect("a free port");
@@ -188,7 +220,6 @@
             early_ms: 0,
             log: rosemaryworks_node::logging::Settings::default(),
         };
-        let log = Arc::new(Log::default());
         let status = Status::default();
         let metrics = Metrics::register(&status.metrics);
         let parts = Parts {
--- /dev/null
+++ b/crates/entry/tests/takeover.rs
@@ -0,0 +1,55 @@
+//! Guards against successors that don't know what an older owner did.
+
+#[path = "support/memory.rs"]
+mod memory;
+
+use std::sync::Arc;
+
+use memory::{Log, Process, queue};
+use rosemaryworks_entry::Inquiry;
+use rosemaryworks_entry::port::Stream;
+use rosemaryworks_node::clock;
+use rosemaryworks_workflow::{How, Id, Key, Record, Spec, State, Step, StepKey};
+
+/// A job that is accepted and completed while its shard is taken over: the older owner goes on until
+/// its journal is fenced, which takes a second if answers of the log get lost. A successor that had
+/// read the jobs before that started its tasks again (22 tasks in a run of
+/// deploy/days/frozen-owner-slow-log.toml).
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_completed_during_the_takeover_is_known_as_completed() {
+    let log = Arc::new(Log::default());
+    let step = StepKey {
+        job: Id(7),
+        occurrence: 0,
+        step: 0,
+    };
+    *log.before_fence.lock().expect("the lock") = vec![
+        (
+            Stream::Jobs,
+            Record::Submitted {
+                id: Id(7),
+                queue: "queue".into(),
+                spec: Arc::new(Spec {
+                    steps: vec![Step {
+                        count: 1,
+                        ..Step::default()
+                    }],
+                    ..Spec::default()
+                }),
+            },
+        ),
+        (
+            Stream::Progress,
+            Record::Ended {
+                key: Key { step, index: 0 },
+                attempt: 1,
+                how: How::Done,
+                saved: None,
+            },
+        ),
+    ];
+    let process = Process::start_on(log).await;
+    let deadline_ms = clock::now().0 + 2_000;
+    let answer = process.node.inquire(&queue(), Id(7), deadline_ms).await;
+    assert_eq!(answer, Inquiry::State(State::Completed));
+}
