--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod owner;
 pub mod patience;
 pub mod port;
+mod questions;
 mod session;
 pub mod settings;
 mod submitter;
--- a/crates/workflow/src/gangs.rs
+++ b/crates/workflow/src/gangs.rs
@@ -178,10 +178,12 @@
             0 => u32::MAX,
             spread => spread,
         };
+        // Tasks without a size fit without limit, and sums of such numbers would overflow.
+        let most = spread.min(step.count);
         let members = |room: &Size| {
             u32::try_from(room.holds(size))
                 .unwrap_or(u32::MAX)
-                .min(spread)
+                .min(most)
         };
         let mut stopping = Size::ZERO;
         let mut victims = Vec::new();
--- a/crates/workflow/tests/gangs.rs
+++ b/crates/workflow/tests/gangs.rs
@@ -183,3 +183,15 @@
     submit(&mut fleet, 2, "crowd", step(12));
     assert_eq!(fleet.orders.len(), 12, "room is held for nothing");
 }
+
+/// Without a bound the number of members that fit on all workers overflowed.
+#[test]
+fn a_gang_of_tasks_without_a_size_starts() {
+    let mut fleet = Fleet::with_queues(3, queues(None));
+    let empty = Step {
+        size: Size::ZERO,
+        ..gang(2)
+    };
+    submit(&mut fleet, 1, "gangs", empty);
+    assert_eq!(fleet.orders.len(), 2);
+}
