refactor: stops, deadlines and times to return are decided in the product

Change: Node::stop_serving behind the trait Door, Node::retry_after_s and deadline_ms in crates/entry; Program in crates/node reads the arguments, loads the settings and starts the logs for both programs.

--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -24,6 +24,24 @@
 /// Age of the log's last answer up to which an append is sent without asking first, in milliseconds.
 const STORE_RECENT_MS: u64 = 1_500;
 
+/// Time for which a caller waits for a response if it doesn't tell, in milliseconds.
+const DEADLINE_MS: u64 = 3_000;
+
+/// Longest time for which a caller may ask to wait, in milliseconds.
+const DEADLINE_MAX_MS: u64 = 30_000;
+
+/// Time before the caller's deadline at which a response is sent, in milliseconds. Covers the way
+/// to the caller.
+const MARGIN_MS: u64 = 150;
+
+/// Returns the time on the process's clock by which a caller must have its response, if it waits for
+/// `wait_ms` from now.
+#[must_use]
+pub fn deadline_ms(wait_ms: Option<u64>) -> u64 {
+    let wait_ms = wait_ms.unwrap_or(DEADLINE_MS).min(DEADLINE_MAX_MS);
+    clock::now().0 + wait_ms.saturating_sub(MARGIN_MS)
+}
+
 /// Outcome of a submission or cancellation.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Accepting {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,11 +20,13 @@
 mod questions;
 mod session;
 pub mod settings;
+mod stop;
 mod submitter;
 mod takeover;
 
 pub use config::{Config, Route};
-pub use intake::{Accepting, Inquiry};
+pub use intake::{Accepting, Inquiry, deadline_ms};
 pub use metrics::Metrics;
 pub use node::{Node, Parts};
 pub use settings::Settings;
+pub use stop::Door;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -25,8 +25,15 @@
 /// milliseconds. Longer than one lost answer and its repetition.
 const STORE_DOWN_MS: u64 = 450;
 
-/// Time between two looks at whether the log is back during a planned stop.
-const STORE_LOOK: Duration = Duration::from_millis(20);
+/// Time after which a refused caller may try again, in seconds.
+const RETRY_AFTER_S: u64 = 1;
+
+/// The same while the log has been away for a short time only. Outages last some seconds, and a
+/// caller tries few times.
+const RETRY_AFTER_EARLY_S: u64 = 2;
+
+/// Age of an outage of the log up to which [`RETRY_AFTER_EARLY_S`] holds, in milliseconds.
+const OUTAGE_EARLY_MS: u64 = 1_500;
 
 /// What a process is made of.
 #[derive(Clone)]
@@ -174,7 +181,7 @@
         self.store_down.load(Ordering::Relaxed)
     }
 
-    fn update_ready(&self) {
+    pub(crate) fn update_ready(&self) {
         let ready = &self.parts.ready;
         if self.stopping.load(Ordering::Relaxed) {
             ready.clear("stopping");
@@ -187,29 +194,14 @@
         }
     }
 
-    /// Returns for how long the log has not answered, in milliseconds; 0 if it answers.
+    /// Returns when a caller whose call was refused may try again, in seconds.
     #[must_use]
-    pub fn store_away_ms(&self) -> u64 {
-        match self.store_is_down() {
-            true => {
-                let answered_ms = self.store_answered_ms.load(Ordering::Relaxed);
-                clock::now().0.saturating_sub(answered_ms)
-            }
-            false => 0,
-        }
-    }
-
-    /// Begins a planned stop: the balancer is told, and shards are given up. While the log is away
-    /// no other process can take a shard over, so the shards stay here until it is back, for
-    /// `limit` at most.
-    pub async fn stop(self: &Arc<Self>, limit: Duration) {
-        self.stopping.store(true, Ordering::Relaxed);
-        self.update_ready();
-        let until = tokio::time::Instant::now() + limit;
-        while self.store_is_down() && tokio::time::Instant::now() < until {
-            tokio::time::sleep(STORE_LOOK).await;
+    pub fn retry_after_s(&self) -> u64 {
+        let early = self.store_is_down() && self.store_silent_ms() < OUTAGE_EARLY_MS;
+        match early {
+            true => RETRY_AFTER_EARLY_S,
+            false => RETRY_AFTER_S,
         }
-        self.release_all().await;
     }
 
     /// Returns the writer of jobs of a shard.
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -2,20 +2,19 @@
 
 use std::io;
 use std::net::TcpListener;
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
-use argh::FromArgs;
 use rosemaryworks_admin::{Api, Contracts, Refusals};
 use rosemaryworks_core::timing::DEADLINE_MAX_MS;
 use rosemaryworks_gateway::server::{Servers, bind};
 use rosemaryworks_gateway::stop::finish;
 use rosemaryworks_gateway::{Gateway, Links, Parts, Settings, events, readiness};
+use rosemaryworks_node::program::Program;
 use rosemaryworks_node::shutdown::{self, Signals};
 use rosemaryworks_node::status::Status;
-use rosemaryworks_node::{clock, event, http, logging, settings};
+use rosemaryworks_node::{clock, event, http};
 use rosemaryworks_platform::appender::Appender;
 use rosemaryworks_platform::health::Health;
 use rosemaryworks_platform::log::{AUDIT, CONTRACTS};
@@ -31,46 +30,17 @@
 /// reports, and the answers of both servers.
 const STOP_MAX: Duration = Duration::from_millis(DEADLINE_MAX_MS + 25_000);
 
-/// Takes requests and jobs of callers and dispatches them.
-#[derive(FromArgs)]
-struct Arguments {
-    /// settings file in JSON
-    #[argh(option, arg_name = "FILE")]
-    settings: Option<PathBuf>,
-    /// only check the settings
-    #[argh(switch)]
-    check: bool,
-    /// print the version
-    #[argh(switch)]
-    version: bool,
-}
-
 fn main() -> ExitCode {
-    let arguments: Arguments = argh::from_env();
-    if arguments.version {
-        println!("rosemary-gateway {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    let faulty = ExitCode::from(settings::EXIT_CODE as u8);
-    let Some(path) = arguments.settings else {
-        eprintln!("--settings FILE is missing");
-        return faulty;
+    let program = Program::<Settings> {
+        name: "rosemary-gateway",
+        version: env!("CARGO_PKG_VERSION"),
+        variable: None,
+        log: |settings| &settings.log,
     };
-    let settings: Settings = match settings::load(&path) {
+    let settings = match program.prepare() {
         Ok(settings) => settings,
-        Err(report) => {
-            eprintln!("{}", report.current_context());
-            return faulty;
-        }
+        Err(code) => return code,
     };
-    if arguments.check {
-        println!("the settings are valid");
-        return ExitCode::SUCCESS;
-    }
-    if let Err(report) = logging::start(&settings.log) {
-        eprintln!("{}", report.current_context());
-        return faulty;
-    }
     match start(&settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(line) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 mod log_queue;
 pub mod logging;
 pub mod metrics;
+pub mod program;
 pub mod settings;
 pub mod shutdown;
 pub mod status;
