refactor(soak): the soak is a crate of the product; platform/ holds its formats

Change: crates/soak decides in the product's terms (records, orders, reports); the trait Dialect tells what is said on the wire, implemented in platform/tests/soak. The tests of the entry process share the record of a job.

--- a/crates/entry/tests/known_jobs.rs
+++ b/crates/entry/tests/known_jobs.rs
@@ -3,31 +3,18 @@
 #[path = "support/memory.rs"]
 mod memory;
 
-use std::sync::Arc;
-
-use memory::{Process, queue};
+use memory::{Process, queue, submitted};
 use rosemaryworks_entry::Inquiry;
 use rosemaryworks_entry::port::Stream;
 use rosemaryworks_node::clock;
-use rosemaryworks_workflow::{Id, Record, Spec, State, Step};
+use rosemaryworks_workflow::{Id, State};
 
 /// Another process may have stored a job that the owner reads up to 0.25 s later. Seed 101 of the soak
 /// found it: a caller was told that its accepted job doesn't exist.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_job_that_was_stored_a_moment_ago_is_known() {
     let process = Process::start().await;
-    let record = Record::Submitted {
-        id: Id(7),
-        queue: "queue".into(),
-        spec: Arc::new(Spec {
-            steps: vec![Step {
-                count: 1,
-                ..Step::default()
-            }],
-            ..Spec::default()
-        }),
-    };
-    process.log.put(Stream::Jobs, 0, &record);
+    process.log.put(Stream::Jobs, 0, &submitted(Id(7)));
     let deadline_ms = clock::now().0 + 2_000;
     let answer = process.node.inquire(&queue(), Id(7), deadline_ms).await;
     assert_eq!(answer, Inquiry::State(State::Pending));
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -14,7 +14,9 @@
 };
 use rosemaryworks_entry::{Config, Metrics, Node, Parts, Route, Settings};
 use rosemaryworks_node::status::Status;
-use rosemaryworks_workflow::{Look, LookFault, Order, Pace, Queue, Report, Started, StepKey, Stop};
+use rosemaryworks_workflow::{
+    Id, Look, LookFault, Order, Pace, Queue, Report, Spec, Started, Step, StepKey, Stop,
+};
 
 type Streams = BTreeMap<(u8, u32), Vec<Record>>;
 
@@ -145,6 +147,22 @@
     }
 }
 
+/// Returns the record of a job with one task.
+pub(crate) fn submitted(id: Id) -> rosemaryworks_workflow::Record {
+    let step = Step {
+        count: 1,
+        ..Step::default()
+    };
+    rosemaryworks_workflow::Record::Submitted {
+        id,
+        queue: queue().name,
+        spec: Arc::new(Spec {
+            steps: vec![step],
+            ..Spec::default()
+        }),
+    }
+}
+
 pub(crate) fn queue() -> Queue {
     Queue {
         attempts: 4,
--- a/crates/entry/tests/takeover.rs
+++ b/crates/entry/tests/takeover.rs
@@ -5,11 +5,11 @@
 
 use std::sync::Arc;
 
-use memory::{Log, Process, queue};
+use memory::{Log, Process, queue, submitted};
 use rosemaryworks_entry::Inquiry;
 use rosemaryworks_entry::port::Stream;
 use rosemaryworks_node::clock;
-use rosemaryworks_workflow::{How, Id, Key, Record, Spec, State, Step, StepKey};
+use rosemaryworks_workflow::{How, Id, Key, Record, State, StepKey};
 
 /// A job that is accepted and completed while its shard is taken over: the older owner goes on until
 /// its journal is fenced, which takes a second if answers of the log get lost. A successor that had
@@ -24,20 +24,7 @@
         step: 0,
     };
     *log.before_fence.lock().expect("the lock") = vec![
-        (
-            Stream::Jobs,
-            Record::Submitted {
-                id: Id(7),
-                queue: "queue".into(),
-                spec: Arc::new(Spec {
-                    steps: vec![Step {
-                        count: 1,
-                        ..Step::default()
-                    }],
-                    ..Spec::default()
-                }),
-            },
-        ),
+        (Stream::Jobs, submitted(Id(7))),
         (
             Stream::Progress,
             Record::Ended {
--- a/platform/tests/soak/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,9 +1,11 @@
 //! What the workers saw, and what must hold of it.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Mutex;
+use std::sync::{Mutex, PoisonError};
 use std::time::Instant;
 
+use rosemaryworks_workflow::{How, Id, Key, State, StepKey};
+
 /// A run of a task on a worker.
 #[derive(Clone, Debug)]
 struct Run {
@@ -28,13 +30,13 @@
     /// Time of an acknowledged cancellation in milliseconds.
     pub(crate) cancelled_ms: Option<u64>,
     /// Last state that was shown.
-    pub(crate) state: String,
+    pub(crate) state: Option<State>,
 }
 
 #[derive(Default)]
 struct Book {
-    runs: BTreeMap<String, Vec<Run>>,
-    jobs: BTreeMap<String, Job>,
+    runs: BTreeMap<Key, Vec<Run>>,
+    jobs: BTreeMap<Id, Job>,
     violations: Vec<String>,
 }
 
@@ -48,7 +50,17 @@
 const CANCEL_MS: u64 = 3_000;
 
 /// Failed runs of a task after which its job fails.
-pub(crate) const ATTEMPTS: usize = 4;
+pub(crate) const ATTEMPTS: u32 = 4;
+
+/// Names a task of a job without occurrences.
+fn key(job: Id, step: usize, index: u32) -> Key {
+    let step = StepKey {
+        job,
+        occurrence: 0,
+        step: u16::try_from(step).unwrap_or(u16::MAX),
+    };
+    Key { step, index }
+}
 
 impl History {
     pub(crate) fn new() -> Self {
@@ -63,7 +75,7 @@
     }
 
     fn book(&self) -> std::sync::MutexGuard<'_, Book> {
-        self.book.lock().expect("the lock")
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn violate(&self, what: String) {
@@ -71,28 +83,27 @@
         self.book().violations.push(format!("{now_ms} ms: {what}"));
     }
 
-    pub(crate) fn submitted(&self, id: &str, steps: Vec<u32>) {
+    pub(crate) fn submitted(&self, id: Id, steps: Vec<u32>) {
         let job = Job {
             steps,
             ..Job::default()
         };
-        self.book().jobs.insert(id.to_owned(), job);
+        self.book().jobs.insert(id, job);
     }
 
-    pub(crate) fn update(&self, id: &str, change: impl FnOnce(&mut Job)) {
-        if let Some(job) = self.book().jobs.get_mut(id) {
+    pub(crate) fn update(&self, id: Id, change: impl FnOnce(&mut Job)) {
+        if let Some(job) = self.book().jobs.get_mut(&id) {
             change(job);
         }
     }
 
     /// Notes a start and checks it against everything before it.
-    pub(crate) fn started(&self, task: &str, worker: &str) {
+    pub(crate) fn started(&self, task: Key, worker: &str) {
         let now_ms = self.now_ms();
         let mut book = self.book();
         let mut found = Vec::new();
-        let parts: Vec<&str> = task.split('.').collect();
-        let (id, step): (&str, usize) = (parts[0], parts[2].parse().unwrap_or(0));
-        match book.jobs.get(id) {
+        let (id, step) = (task.step.job, usize::from(task.step.step));
+        match book.jobs.get(&id) {
             None => found.push(format!("{task} was never submitted")),
             Some(job) => {
                 if job.refused {
@@ -102,7 +113,7 @@
                     found.push(format!("{task} starts after its cancellation"));
                 }
                 for index in 0..step.checked_sub(1).map_or(0, |before| job.steps[before]) {
-                    let before = format!("{id}.0.{}.{index}", step - 1);
+                    let before = key(id, step - 1, index);
                     let runs = book.runs.get(&before);
                     if !runs.is_some_and(|runs| runs.iter().any(|run| run.done)) {
                         found.push(format!("{task} starts before {before} is done"));
@@ -110,7 +121,7 @@
                 }
             }
         }
-        let runs = book.runs.entry(task.to_owned()).or_default();
+        let runs = book.runs.entry(task).or_default();
         for run in runs.iter() {
             if run.ended_ms.is_none() {
                 found.push(format!("{task} runs on {} and on {worker}", run.worker));
@@ -131,23 +142,23 @@
         book.violations.extend(found);
     }
 
-    pub(crate) fn ended(&self, task: &str, worker: &str, how: &str) {
+    pub(crate) fn ended(&self, task: Key, worker: &str, how: How) {
         let now_ms = self.now_ms();
         let mut book = self.book();
-        let runs = book.runs.entry(task.to_owned()).or_default();
+        let runs = book.runs.entry(task).or_default();
         let open = |run: &&mut Run| run.ended_ms.is_none() && run.worker == worker;
         if let Some(run) = runs.iter_mut().rev().find(open) {
             run.ended_ms = Some(now_ms);
-            run.done = how == "done";
-            run.failed = how == "failed";
+            run.done = how == How::Done;
+            run.failed = how == How::Failed;
         }
     }
 
     /// Notes that a worker was told to forget an end.
-    pub(crate) fn noted(&self, task: &str, worker: &str) {
+    pub(crate) fn noted(&self, task: Key, worker: &str) {
         let mut book = self.book();
         let mut twice = false;
-        if let Some(runs) = book.runs.get_mut(task) {
+        if let Some(runs) = book.runs.get_mut(&task) {
             let position = runs
                 .iter()
                 .rposition(|run| run.worker == worker && run.ended_ms.is_some());
@@ -166,15 +177,15 @@
     }
 
     /// Checks a state that was shown to a caller.
-    pub(crate) fn shown(&self, id: &str, state: &str) {
+    pub(crate) fn shown(&self, id: Id, state: State) {
         let mut book = self.book();
-        let Some(job) = book.jobs.get(id).cloned() else {
+        let Some(job) = book.jobs.get(&id).cloned() else {
             return;
         };
-        if state == "completed" {
+        if state == State::Completed {
             for (step, count) in job.steps.iter().enumerate() {
                 for index in 0..*count {
-                    let task = format!("{id}.0.{step}.{index}");
+                    let task = key(id, step, index);
                     let runs = book.runs.get(&task);
                     if !runs.is_some_and(|runs| runs.iter().any(|run| run.done)) {
                         let what = format!("{id} is shown as completed without {task}");
@@ -183,27 +194,29 @@
                 }
             }
         }
-        if state == "failed" {
-            let of_job = book.runs.range(format!("{id}.")..format!("{id}/"));
+        if state == State::Failed {
+            let of_job = book
+                .runs
+                .range(key(id, 0, 0)..=key(id, usize::MAX, u32::MAX));
             let failures = of_job.map(|(_, runs)| runs.iter().filter(|run| run.failed).count());
-            if failures.max().unwrap_or(0) < ATTEMPTS {
+            if failures.max().unwrap_or(0) < ATTEMPTS as usize {
                 let what = format!("{id} is shown as failed without {ATTEMPTS} failed runs");
                 book.violations.push(what);
             }
         }
-        if let Some(job) = book.jobs.get_mut(id) {
-            job.state = state.to_owned();
+        if let Some(job) = book.jobs.get_mut(&id) {
+            job.state = Some(state);
         }
     }
 
     /// Lists the jobs that were accepted, are not cancelled and have not reached their end.
-    pub(crate) fn open(&self) -> BTreeSet<String> {
+    pub(crate) fn open(&self) -> BTreeSet<Id> {
         let book = self.book();
         let open = book.jobs.iter().filter(|(_, job)| {
-            let ended = matches!(job.state.as_str(), "completed" | "failed");
+            let ended = matches!(job.state, Some(State::Completed | State::Failed));
             job.accepted && job.cancelled_ms.is_none() && !ended
         });
-        open.map(|(id, _)| id.clone()).collect()
+        open.map(|(id, _)| *id).collect()
     }
 
     /// Returns what was violated, and the numbers of accepted jobs and of runs.
@@ -215,12 +228,14 @@
     }
 
     /// Returns the state and the runs of a job, for a report.
-    pub(crate) fn story(&self, id: &str) -> String {
+    pub(crate) fn story(&self, id: Id) -> String {
         let book = self.book();
-        let of_job = book.runs.range(format!("{id}.")..format!("{id}/"));
+        let of_job = book
+            .runs
+            .range(key(id, 0, 0)..=key(id, usize::MAX, u32::MAX));
         let runs: Vec<String> = of_job
             .map(|(task, runs)| format!("{task}: {runs:?}"))
             .collect();
-        format!("{:?} {}", book.jobs.get(id), runs.join("; "))
+        format!("{:?} {}", book.jobs.get(&id), runs.join("; "))
     }
 }
--- a/platform/tests/soak/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,15 +7,16 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::caller::Scene;
-use super::proxy::Mode;
-use super::store::Store;
-use super::worker::Worker;
+use crate::callers::Scene;
+use crate::log::Log;
+use crate::play::publish;
+use crate::proxy::Mode;
+use crate::worker::Worker;
 
 /// Everything that faults act on.
 pub(crate) struct Stage {
     pub(crate) scene: Arc<Scene>,
-    pub(crate) store: Arc<Store>,
+    pub(crate) log: Arc<Log>,
     pub(crate) workers: Vec<Arc<Worker>>,
     pub(crate) versions: std::sync::atomic::AtomicU64,
 }
@@ -27,10 +28,10 @@
     Stop,
     Pause,
     Reload,
-    StoreRefuses,
-    StoreSlow,
-    StoreLosesAnswers,
-    StoreCut(Mode),
+    LogRefuses,
+    LogSlow,
+    LogLosesAnswers,
+    LogCut(Mode),
     WorkerCrash,
     WorkerLink(Mode),
     WorkersLoseAnswers,
@@ -46,13 +47,13 @@
     Fault::Pause,
     Fault::Pause,
     Fault::Reload,
-    Fault::StoreRefuses,
-    Fault::StoreSlow,
-    Fault::StoreLosesAnswers,
-    Fault::StoreCut(Mode::Silent),
-    Fault::StoreCut(Mode::Reset),
-    Fault::StoreCut(Mode::OneWay),
-    Fault::StoreCut(Mode::Delay(60)),
+    Fault::LogRefuses,
+    Fault::LogSlow,
+    Fault::LogLosesAnswers,
+    Fault::LogCut(Mode::Silent),
+    Fault::LogCut(Mode::Reset),
+    Fault::LogCut(Mode::OneWay),
+    Fault::LogCut(Mode::Delay(60)),
     Fault::WorkerCrash,
     Fault::WorkerLink(Mode::Silent),
     Fault::WorkerLink(Mode::OneWay),
@@ -82,71 +83,76 @@
 
     async fn carry_out(self: Arc<Self>, fault: Fault, target: usize, ms: u64) {
         let pause = Duration::from_millis(ms);
-        let node = self.scene.nodes[target % self.scene.nodes.len()].clone();
+        let process = self.scene.processes[target % self.scene.processes.len()].clone();
         let worker = self.workers[target % self.workers.len()].clone();
         if matches!(
             fault,
             Fault::Kill | Fault::Stop | Fault::Pause | Fault::Reload
-        ) && !node.take()
+        ) && !process.take()
         {
             return;
         }
         match fault {
             Fault::Kill => {
-                node.kill();
+                process.kill();
                 tokio::time::sleep(pause).await;
-                node.spawn();
+                process.spawn();
             }
             Fault::KillAll => {
-                let taken: Vec<_> = self.scene.nodes.iter().filter(|node| node.take()).collect();
-                taken.iter().for_each(|node| node.kill());
+                let taken: Vec<_> = self
+                    .scene
+                    .processes
+                    .iter()
+                    .filter(|process| process.take())
+                    .collect();
+                taken.iter().for_each(|process| process.kill());
                 tokio::time::sleep(pause / 2).await;
-                taken.iter().for_each(|node| {
-                    node.spawn();
-                    node.give_back();
+                taken.iter().for_each(|process| {
+                    process.spawn();
+                    process.give_back();
                 });
                 return;
             }
             Fault::Stop => {
-                if let Some(what) = node.stop().await {
+                if let Some(what) = process.stop().await {
                     self.scene.history.violate(what);
                 }
-                node.spawn();
+                process.spawn();
             }
             Fault::Pause => {
-                node.signal("-STOP");
+                process.signal("-STOP");
                 tokio::time::sleep(pause).await;
-                node.signal("-CONT");
+                process.signal("-CONT");
             }
-            Fault::Reload => node.signal("-HUP"),
-            Fault::StoreRefuses => {
-                self.store.refuses.fetch_add(1, Ordering::Relaxed);
+            Fault::Reload => process.signal("-HUP"),
+            Fault::LogRefuses => {
+                self.log.refuses.fetch_add(1, Ordering::Relaxed);
                 tokio::time::sleep(pause).await;
-                self.store.refuses.fetch_sub(1, Ordering::Relaxed);
+                self.log.refuses.fetch_sub(1, Ordering::Relaxed);
                 return;
             }
-            Fault::StoreSlow => {
-                self.store.slow_ms.store(200, Ordering::Relaxed);
+            Fault::LogSlow => {
+                self.log.slow_ms.store(200, Ordering::Relaxed);
                 tokio::time::sleep(pause).await;
-                self.store.slow_ms.store(0, Ordering::Relaxed);
+                self.log.slow_ms.store(0, Ordering::Relaxed);
                 return;
             }
-            Fault::StoreLosesAnswers => {
-                self.store.loses_percent.store(30, Ordering::Relaxed);
+            Fault::LogLosesAnswers => {
+                self.log.loses_percent.store(30, Ordering::Relaxed);
                 tokio::time::sleep(pause).await;
-                self.store.loses_percent.store(0, Ordering::Relaxed);
+                self.log.loses_percent.store(0, Ordering::Relaxed);
                 return;
             }
-            Fault::StoreCut(mode) => {
-                node.store.set(mode);
+            Fault::LogCut(mode) => {
+                process.log.set(mode);
                 tokio::time::sleep(pause).await;
-                node.store.set(Mode::Pass);
+                process.log.set(Mode::Pass);
                 return;
             }
             Fault::WorkerCrash => {
                 worker.crash();
                 tokio::time::sleep(pause).await;
-                worker.revive(&self.store).await;
+                worker.revive(&self.log).await;
                 return;
             }
             Fault::WorkerLink(mode) => {
@@ -168,10 +174,10 @@
             }
             Fault::Revision => {
                 let version = self.versions.fetch_add(3, Ordering::Relaxed);
-                super::publish(&self.store, version);
+                publish(self.scene.dialect.as_ref(), &self.log, version);
                 return;
             }
         }
-        node.give_back();
+        process.give_back();
     }
 }
--- a/platform/tests/soak/node.rs
+++ b/crates/soak/src/process.rs
@@ -8,18 +8,43 @@
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
-use super::proxy::Proxy;
+use crate::dialect::Dialect;
+use crate::proxy::Proxy;
 
 /// Time from SIGTERM to the end of a process, at most.
 pub(crate) const GRACE: Duration = Duration::from_secs(6);
 
+/// Addresses of a process and of what it talks to.
+#[derive(Clone, Debug)]
+pub struct Addresses {
+    /// Name of the process.
+    pub name: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for the balancer's probes.
+    pub probes: SocketAddr,
+    /// Address for links.
+    pub peers: SocketAddr,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    /// Address of the log, behind a proxy.
+    pub log: SocketAddr,
+    /// Address of the advice service.
+    pub advisor: SocketAddr,
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
 /// One entry process with its proxy to the log.
-pub(crate) struct Node {
+pub(crate) struct Process {
     pub(crate) name: String,
     pub(crate) callers: SocketAddr,
-    pub(crate) store: Proxy,
+    pub(crate) log: Proxy,
     /// Whether a fault holds the process, so that others leave it alone.
     pub(crate) busy: AtomicBool,
+    program: PathBuf,
     settings: PathBuf,
     output: PathBuf,
     child: Mutex<Option<Child>>,
@@ -48,37 +73,35 @@
     ports
 }
 
-impl Node {
+impl Process {
     pub(crate) async fn prepare(
         index: usize,
         folder: &Path,
-        store: SocketAddr,
+        log: SocketAddr,
         advisor: SocketAddr,
+        dialect: &dyn Dialect,
     ) -> Self {
         let name = format!("n{index}");
-        let [callers, probes, peers, metrics] = free_ports();
-        let proxy = Proxy::start(store).await;
-        let text = serde_json::json!({
-            "entry": {
-                "node": name, "zone": "z1",
-                "listen": format!("127.0.0.1:{callers}"),
-                "readiness_listen": format!("127.0.0.1:{probes}"),
-                "peer_listen": format!("127.0.0.1:{peers}"),
-                "metrics_listen": format!("127.0.0.1:{metrics}"),
-                "shards": 4, "stop_ms": 4_500, "lease_max_ms": 6_000,
-                "log": { "level": "info", "stdout": true },
-            },
-            "log": proxy.address.to_string(),
-            "advice": advisor.to_string(),
-        });
+        let [callers, probes, peers, metrics] = free_ports().map(loopback);
+        let log = Proxy::start(log).await;
+        let addresses = Addresses {
+            name: name.clone(),
+            callers,
+            probes,
+            peers,
+            metrics,
+            log: log.address,
+            advisor,
+        };
         let settings = folder.join(format!("{name}.json"));
-        std::fs::write(&settings, text.to_string()).expect("a writable folder");
+        std::fs::write(&settings, dialect.settings(&addresses)).expect("a writable folder");
         Self {
             output: folder.join(format!("{name}.log")),
             name,
-            callers: SocketAddr::from(([127, 0, 0, 1], callers)),
-            store: proxy,
+            callers,
+            log,
             busy: AtomicBool::new(false),
+            program: dialect.program(),
             settings,
             child: Mutex::default(),
         }
@@ -90,7 +113,7 @@
             .append(true)
             .open(&self.output)
             .expect("a writable folder");
-        let child = Command::new(env!("CARGO_BIN_EXE_rosemary-entry"))
+        let child = Command::new(&self.program)
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -156,7 +179,7 @@
     }
 }
 
-impl Drop for Node {
+impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
     }
--- a/platform/tests/soak/server.rs
+++ b/crates/soak/src/server.rs
@@ -1,4 +1,4 @@
-//! A small HTTP server whose connections a test can cut.
+//! A small HTTP server whose connections the soak can cut.
 
 use std::future::Future;
 use std::net::SocketAddr;
@@ -14,38 +14,50 @@
 use tokio::task::JoinSet;
 
 /// A request with its whole body.
-pub(crate) struct Request {
-    pub(crate) path: String,
-    pub(crate) query: Vec<(String, String)>,
-    pub(crate) instance: String,
-    pub(crate) body: Bytes,
+pub struct Request {
+    /// Path.
+    pub path: String,
+    /// Query, not unescaped.
+    pub query: Vec<(String, String)>,
+    /// Headers, with names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
 }
 
 impl Request {
-    pub(crate) fn text(&self, name: &str) -> Option<&str> {
+    /// Returns a value of the query.
+    #[must_use]
+    pub fn text(&self, name: &str) -> Option<&str> {
         let found = self.query.iter().find(|(key, _)| key == name);
         found.map(|(_, value)| value.as_str())
     }
 
-    pub(crate) fn number(&self, name: &str) -> Option<u64> {
+    /// Returns a number of the query.
+    #[must_use]
+    pub fn number(&self, name: &str) -> Option<u64> {
         self.text(name)?.parse().ok()
     }
+
+    /// Returns a header.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(key, _)| key == name);
+        found.map(|(_, value)| value.as_str())
+    }
 }
 
 /// What becomes of a request.
-pub(crate) enum Reply {
+pub enum Reply {
     /// The connection is closed without an answer.
     Lost,
     /// An answer with a status and a body.
     Sent(u16, Vec<u8>),
 }
 
-pub(crate) fn json(status: u16, value: &serde_json::Value) -> Reply {
-    Reply::Sent(status, value.to_string().into_bytes())
-}
-
 /// Answers requests.
-pub(crate) trait Handler: Send + Sync + 'static {
+pub trait Handler: Send + Sync + 'static {
+    /// Answers a request.
     fn handle(self: Arc<Self>, request: Request) -> Pin<Box<dyn Future<Output = Reply> + Send>>;
 }
 
@@ -97,14 +109,16 @@
         let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
         (key.to_owned(), value.to_owned())
     };
-    let header = head.headers.get("x-expected-instance");
+    let header = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
+        (
+            name.as_str().to_owned(),
+            String::from_utf8_lossy(value.as_bytes()).into_owned(),
+        )
+    };
     let request = Request {
         path: head.uri.path().to_owned(),
         query: query.split('&').map(pair).collect(),
-        instance: header
-            .and_then(|v| v.to_str().ok())
-            .unwrap_or("")
-            .to_owned(),
+        headers: head.headers.iter().map(header).collect(),
         body,
     };
     match handler.handle(request).await {
