--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -43,6 +43,8 @@
 pub const WORKER_UNREACHABLE: Event = Event::new(830, Level::Warn, "worker unreachable");
 /// A worker answers again.
 pub const WORKER_REACHABLE: Event = Event::new(831, Level::Info, "worker reachable");
+/// An attempt counts as ended without a report of its end, so its task may start again.
+pub const ATTEMPT_LOST: Event = Event::new(835, Level::Warn, "attempt lost");
 /// A record of a stream is malformed.
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// The process received the signal to reload.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -18,6 +18,8 @@
     pub starts: Counter,
     /// Starts that were refused or not answered.
     pub start_faults: Counter,
+    /// Attempts that count as ended without a report of their end.
+    pub attempts_lost: Counter,
     /// Requests to the advice service.
     pub advice_requests: Counter,
     /// Owned shards.
@@ -46,6 +48,7 @@
             unknown: counter("entry_jobs_unknown", "Jobs with unknown outcome"),
             starts: counter("entry_starts", "Runs ordered"),
             start_faults: counter("entry_start_faults", "Starts refused or unanswered"),
+            attempts_lost: counter("entry_attempts_lost", "Attempts ended without a report"),
             advice_requests: counter("entry_questions", "Questions to the advice service"),
             shards: registry.register("entry_shards", "Shards owned", Gauge::default()),
             open_jobs: registry.register("entry_open_jobs", "Jobs not ended", Gauge::default()),
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -7,7 +7,9 @@
 
 use rosemaryworks_node::clock;
 use rosemaryworks_wire::workflow::JobState;
-use rosemaryworks_workflow::{Action, Id, Order, Pace, Record, Shard, StartOutcome, State, Stop};
+use rosemaryworks_workflow::{
+    Action, Id, LostAttempt, Order, Pace, Record, Shard, StartOutcome, State, Stop,
+};
 use tokio::sync::Notify;
 
 use crate::advice_balancer::Balancer;
@@ -327,6 +329,7 @@
                 node.step_down(self.shard, self.epoch, "a worker reported a later owner")
             }
             Action::Renew(id) => self.session(&id).interrupt(),
+            Action::LogLost(lost) => self.log_lost(&lost),
             Action::Pace(pace) => {
                 tokio::spawn(self.clone().send_pace(pace));
             }
@@ -348,6 +351,19 @@
         }
     }
 
+    fn log_lost(&self, lost: &LostAttempt) {
+        let now_ms = clock::now().0;
+        let lease_left_ms = lost.lease_expires_ms.map(|at| at.saturating_sub(now_ms));
+        let silent_ms = lost
+            .unresponsive_since_ms
+            .map(|at| now_ms.saturating_sub(at));
+        events::ATTEMPT_LOST.log(format_args!(
+            "task={} attempt={} worker={} evidence={:?} lease_left_ms={lease_left_ms:?} silent_ms={silent_ms:?}",
+            lost.key, lost.attempt, lost.worker, lost.evidence
+        ));
+        self.context.metrics.attempts_lost.inc();
+    }
+
     fn session(self: &Arc<Self>, id: &Arc<str>) -> Arc<Session> {
         let mut sessions = lock(&self.sessions);
         let start = || Session::start(self.clone(), id.clone());
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -62,14 +62,14 @@
     }
 
     async fn run(self: Arc<Self>, owner: Arc<Owner>, id: Arc<str>) {
-        let mut answered = true;
+        let mut last_fault = None;
         let mut retry_pause = RETRY_PAUSE;
         loop {
             let next = tokio::select! {
-                next = renew(&owner, &id, &mut answered) => next,
+                next = renew(&owner, &id, &mut last_fault) => next,
                 () = self.interrupt.notified() => Next::Renew,
             };
-            if answered {
+            if last_fault.is_none() {
                 retry_pause = RETRY_PAUSE;
             }
             match next {
@@ -96,7 +96,9 @@
     }
 }
 
-async fn renew(owner: &Arc<Owner>, id: &Arc<str>, answered: &mut bool) -> Next {
+/// Renews the lease of a worker once. `last_fault` is the fault of the previous renewal and is
+/// updated.
+async fn renew(owner: &Arc<Owner>, id: &Arc<str>, last_fault: &mut Option<RenewalFault>) -> Next {
     if owner.is_ended() {
         return Next::End;
     }
@@ -104,7 +106,10 @@
     let Some(renewal) = owner.state().renewal(id, sent_ms) else {
         return Next::End;
     };
-    let wait_ms = if *answered { renewal.wait_ms } else { 0 };
+    let wait_ms = match last_fault {
+        None => renewal.wait_ms,
+        Some(_) => 0,
+    };
     let timeout = owner.timeouts().renewal();
     let result = owner
         .context()
@@ -119,23 +124,24 @@
     let mut state = owner.state();
     match result {
         Ok(report) => {
-            if !*answered {
+            if last_fault.take().is_some() {
                 events::WORKER_REACHABLE.log(format_args!("worker={id}"));
             }
-            *answered = true;
             state.report(id, report, renewal.token, sent_ms, now_ms);
         }
         Err(fault) => {
-            if *answered && fault != RenewalFault::Fenced {
+            // A worker that reports a later owner answers.
+            let is_unreachable = fault != RenewalFault::Fenced;
+            if is_unreachable && *last_fault != Some(fault) {
                 events::WORKER_UNREACHABLE.log(format_args!("worker={id} fault={fault:?}"));
             }
-            *answered = fault == RenewalFault::Fenced;
+            *last_fault = is_unreachable.then_some(fault);
             state.renewal_failed(id, renewal.token, fault, now_ms);
         }
     }
     let next = match state.host(id) {
         None => Next::End,
-        Some(_) if !*answered => Next::BackOff,
+        Some(_) if last_fault.is_some() => Next::BackOff,
         Some(host) if host.has_pending_ends() => Next::AwaitDurable,
         Some(host) if host.is_idle() && host.acknowledged() == acknowledged => Next::AwaitWork,
         Some(_) => Next::Renew,
--- a/crates/workflow/src/action.rs
+++ b/crates/workflow/src/action.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::lost_attempt::LostAttempt;
 use crate::record::Record;
 use crate::task::{Key, StepKey};
 
@@ -75,6 +76,8 @@
     RequestAdvice(AdviceRequest),
     /// A worker has seen a higher fencing token: stop acting as owner of the shard.
     StepDown,
+    /// Log that an attempt counts as ended without a report of its end.
+    LogLost(LostAttempt),
     /// Renew the lease of a worker now and fetch its report.
     Renew(Arc<str>),
     /// Limit the speed of an attempt.
--- a/crates/workflow/src/answers.rs
+++ b/crates/workflow/src/answers.rs
@@ -2,6 +2,7 @@
 
 use crate::action::{Action, Order};
 use crate::host::{Liveness, Phase, StartState};
+use crate::lost_attempt::Evidence;
 use crate::shard::Shard;
 use crate::start::{Refusal, StartOutcome};
 
@@ -98,7 +99,7 @@
                 task.not_before_ms = now_ms + REFUSED_PAUSE_MS;
             }
         }
-        self.mark_run_lost(&order.worker, key);
+        self.mark_run_lost(&order.worker, key, Evidence::StartRefused(refusal));
     }
 
     /// Makes a stop request that got no answer due for a retry at the next tick.
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -4,6 +4,7 @@
 
 use crate::action::Action;
 use crate::host::{Liveness, Phase, Run, StartState};
+use crate::lost_attempt::Evidence;
 use crate::record::Record;
 use crate::report::{Finished, Renewal, RenewalFault, Report, Running};
 use crate::run::Placement;
@@ -104,13 +105,15 @@
         }
         host.liveness = Liveness::Unresponsive;
         host.unresponsive_since_ms.get_or_insert(now_ms);
-        if matches!(
-            fault,
-            RenewalFault::NotListening | RenewalFault::WrongInstance
-        ) {
+        let evidence = match fault {
+            RenewalFault::NotListening => Some(Evidence::NotListening),
+            RenewalFault::WrongInstance => Some(Evidence::WrongInstance),
+            RenewalFault::Fenced | RenewalFault::Silent => None,
+        };
+        if let Some(evidence) = evidence {
             // A worker keeps its address during its incarnation and its attempts end with it, so
             // another worker at the address, or none, means that they have ended.
-            self.mark_runs_lost(id);
+            self.mark_runs_lost(id, evidence);
             self.recovery.worker_confirmed(id);
         }
         self.remove_if_departed(id);
@@ -318,7 +321,7 @@
             if let Some(host) = self.hosts.get_mut(id) {
                 host.remove(&key);
             }
-            self.mark_run_lost(id, key);
+            self.mark_run_lost(id, key, Evidence::Absent);
         }
     }
 
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -7,6 +7,7 @@
 use crate::host::{Host, Liveness, Phase};
 use crate::job::{Id, Queue, Spec, State, Step};
 use crate::lost_answers::LostAnswers;
+use crate::lost_attempt::{Evidence, LostAttempt};
 use crate::orphan::Orphans;
 use crate::record::Record;
 use crate::recovery::Recovery;
@@ -253,7 +254,7 @@
         if !self.hosts.get(id).is_some_and(has_departed) {
             return;
         }
-        self.mark_runs_lost(id);
+        self.mark_runs_lost(id, Evidence::Departed);
         self.recovery.worker_confirmed(id);
         if let Some(host) = self.hosts.remove(id) {
             self.record(Record::WorkerRemoved { worker: host.id() });
@@ -367,29 +368,40 @@
     }
 
     /// Removes all attempts on a worker and makes their tasks wait again.
-    pub(crate) fn mark_runs_lost(&mut self, id: &str) {
+    pub(crate) fn mark_runs_lost(&mut self, id: &str, evidence: Evidence) {
         let Some(host) = self.hosts.get_mut(id) else {
             return;
         };
         let runs = std::mem::take(&mut host.runs);
         host.used = rosemaryworks_core::size::Size::ZERO;
         for key in runs.into_keys() {
-            self.mark_run_lost(id, key);
+            self.mark_run_lost(id, key, evidence);
         }
     }
 
     /// Makes the task of an attempt that its worker no longer runs wait again.
-    pub(crate) fn mark_run_lost(&mut self, worker: &str, key: Key) {
+    pub(crate) fn mark_run_lost(&mut self, worker: &str, key: Key, evidence: Evidence) {
         let Some(step) = self.step_run_mut(key.step) else {
             return;
         };
         let Some(task) = step.tasks.get(key.index as usize) else {
             return;
         };
-        if matches!(&task.placement, Placement::Assigned(on) if &**on == worker) {
-            step.set_placement(key.index, Placement::Waiting);
-            self.enqueue(key.step);
+        if !matches!(&task.placement, Placement::Assigned(on) if &**on == worker) {
+            return;
         }
+        let attempt = task.attempt;
+        step.set_placement(key.index, Placement::Waiting);
+        self.enqueue(key.step);
+        let host = self.hosts.get(worker);
+        self.actions.push(Action::LogLost(LostAttempt {
+            worker: worker.into(),
+            key,
+            attempt,
+            evidence,
+            lease_expires_ms: host.and_then(|host| host.lease.expires_at()),
+            unresponsive_since_ms: host.and_then(|host| host.unresponsive_since_ms),
+        }));
     }
 
     /// Resets the state for a new incarnation of a worker: the tasks of the previous one wait
@@ -400,7 +412,7 @@
         };
         let lost = host.begin_incarnation(incarnation, now_ms);
         for (key, _) in lost {
-            self.mark_run_lost(id, key);
+            self.mark_run_lost(id, key, Evidence::NewIncarnation);
         }
         let steps: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
         for key in steps {
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -5,6 +5,7 @@
 use crate::action::Action;
 use crate::host::{Liveness, Phase};
 use crate::job::Id;
+use crate::lost_attempt::Evidence;
 use crate::record::Record;
 use crate::shard::Shard;
 use crate::task::Key;
@@ -70,7 +71,7 @@
         let is_unresponsive = host.liveness == Liveness::Unresponsive;
         let is_expired = host.lease.expires_at().is_none_or(|at| now_ms >= at);
         if is_unresponsive && is_expired && !host.runs.is_empty() {
-            self.mark_runs_lost(id);
+            self.mark_runs_lost(id, Evidence::LeaseExpired);
         }
     }
 
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -40,6 +40,7 @@
     pub(crate) records: Vec<Record>,
     pub(crate) paces: Vec<rosemaryworks_workflow::Pace>,
     pub(crate) renewals: Vec<Arc<str>>,
+    pub(crate) lost: Vec<rosemaryworks_workflow::LostAttempt>,
     pub(crate) stepped_down: bool,
     capacity: Size,
 }
@@ -126,6 +127,7 @@
             records: Vec::new(),
             paces: Vec::new(),
             renewals: Vec::new(),
+            lost: Vec::new(),
             stepped_down: false,
             capacity: Size::new(4_000, 16_384),
         }
@@ -193,6 +195,7 @@
         match action {
             Action::RequestAdvice(request) => self.advice_requests.push(request),
             Action::StepDown => self.stepped_down = true,
+            Action::LogLost(lost) => self.lost.push(lost),
             Action::Renew(id) => self.renewals.push(id),
             Action::Pace(pace) => self.paces.push(pace),
             Action::Record(record) => self.records.push(record),
