fix(workflow): a refused connection no longer counts as the end of a worker

Cause: Shard::renewal_failed took a refused connection as proof that the worker's process had ended, made its tasks wait again at once and counted the worker as reported in a takeover. A cut that refuses connections looks the same, and the worker runs on under its lease.

Change: only an answer of another worker at the address counts; a refused connection is handled as silence, and the lease decides. The variant is called Refused, since it says nothing about the process.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -93,8 +93,9 @@
 pub enum Error {
     /// The connection can't be opened; no byte was sent.
     Connect(String),
-    /// The VM refused the connection because no process listens on the address.
-    NotListening,
+    /// The connection was refused; no byte was sent. A network cut may refuse connections to a
+    /// process that runs, so this doesn't show that the process has ended.
+    Refused,
     /// The request was sent at least in part, but no complete response arrived.
     Lost(String),
     /// The request is invalid and was not sent.
@@ -107,7 +108,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Connect(reason) => write!(f, "connection failed: {reason}"),
-            Self::NotListening => f.write_str("connection refused: no process listens there"),
+            Self::Refused => f.write_str("connection refused"),
             Self::Lost(reason) => write!(f, "no whole response: {reason}"),
             Self::Invalid(reason) => write!(f, "invalid request: {reason}"),
             Self::Timeout => f.write_str("no response in time"),
@@ -160,7 +161,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Connect`], [`Error::Invalid`] or [`Error::NotListening`] only if no byte
+    /// Returns [`Error::Connect`], [`Error::Invalid`] or [`Error::Refused`] only if no byte
     /// was sent.
     pub async fn send(&self, request: Request) -> Result<Response, Error> {
         let address = request.url.split('/').nth(2).unwrap_or_default();
@@ -250,7 +251,7 @@
         ClientError::Connect(ConnectError::Disconnected(Some(error)))
             if error.kind() == std::io::ErrorKind::ConnectionRefused =>
         {
-            Error::NotListening
+            Error::Refused
         }
         ClientError::Connect(error) => Error::Connect(error.to_string()),
         other => Error::Lost(other.to_string()),
--- a/crates/platform/src/http/call.rs
+++ b/crates/platform/src/http/call.rs
@@ -49,7 +49,7 @@
 /// Classifies an error of the HTTP client by whether the call may have taken effect.
 pub(super) fn classify(error: Error) -> Fault {
     match error {
-        Error::Connect(_) | Error::Invalid(_) | Error::NotListening => {
+        Error::Connect(_) | Error::Invalid(_) | Error::Refused => {
             Fault::Unreached(error.to_string())
         }
         Error::Lost(_) | Error::Timeout => Fault::Uncertain(error.to_string()),
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -80,9 +80,7 @@
                 acknowledgement
             }
             // Nothing was sent. A load balancer before the processes would detect this as well.
-            Err(Error::Connect(_) | Error::NotListening | Error::Invalid(_)) => {
-                Acknowledgement::Refused
-            }
+            Err(Error::Connect(_) | Error::Refused | Error::Invalid(_)) => Acknowledgement::Refused,
             Err(Error::Lost(_) | Error::Timeout) => Acknowledgement::Unknown,
         }
     }
--- a/crates/workflow/src/lost_attempt.rs
+++ b/crates/workflow/src/lost_attempt.rs
@@ -16,8 +16,6 @@
     LeaseExpired,
     /// The worker has started again.
     NewIncarnation,
-    /// The worker's address refuses connections.
-    NotListening,
     /// The worker refused the start.
     StartRefused(Refusal),
     /// Another worker answers at the worker's address.
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -105,15 +105,11 @@
         }
         host.liveness = Liveness::Unresponsive;
         host.unresponsive_since_ms.get_or_insert(now_ms);
-        let evidence = match fault {
-            RenewalFault::NotListening => Some(Evidence::NotListening),
-            RenewalFault::WrongInstance => Some(Evidence::WrongInstance),
-            RenewalFault::Fenced | RenewalFault::Silent => None,
-        };
-        if let Some(evidence) = evidence {
-            // A worker keeps its address during its incarnation and its attempts end with it, so
-            // another worker at the address, or none, means that they have ended.
-            self.mark_runs_lost(id, evidence);
+        // A worker keeps its address during its incarnation and its attempts end with it, so an
+        // answer of another worker at the address means that they have ended. A call without an
+        // answer means nothing: a network cut may refuse or reset connections.
+        if fault == RenewalFault::WrongInstance {
+            self.mark_runs_lost(id, Evidence::WrongInstance);
             self.recovery.worker_confirmed(id);
         }
         self.remove_if_departed(id);
--- a/crates/workflow/src/report.rs
+++ b/crates/workflow/src/report.rs
@@ -70,8 +70,8 @@
 pub enum RenewalFault {
     /// The worker has seen a higher fencing token.
     Fenced,
-    /// No process listens at the worker's address.
-    NotListening,
+    /// The worker's address refused the connection. The worker may be alive behind a network cut.
+    Refused,
     /// The worker did not answer, or the answer was not a report.
     Silent,
     /// Another worker, or another incarnation of this worker, answered.
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -229,3 +229,25 @@
     };
     assert!(fleet.records.contains(&removal));
 }
+
+/// Guards against tasks that run twice because a cut refuses the connections of a new owner to a
+/// worker that still runs an attempt of the previous owner.
+#[test]
+fn a_worker_that_refuses_connections_delays_inherited_tasks_until_leases_expire() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
+    fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    let renewal = fleet.shard.renewal(&worker, fleet.now_ms);
+    let token = renewal.expect("a renewal").token;
+    let fault = rosemaryworks_workflow::RenewalFault::Refused;
+    fleet
+        .shard
+        .renewal_failed(&worker, token, fault, fleet.now_ms);
+    let other = if &*worker == "w0" { "w1" } else { "w0" };
+    fleet.renew(other);
+    fleet.advance(6_000);
+    assert!(fleet.orders.is_empty(), "started while {worker} may run it");
+    fleet.advance(2_000);
+    assert_eq!(fleet.orders.len(), 1, "not restarted");
+}
--- a/xtask/src/faults/requests.rs
+++ b/xtask/src/faults/requests.rs
@@ -148,7 +148,7 @@
 
 fn classify_error(call: u64, error: &Error) -> (Outcome, Event) {
     let outcome = match error {
-        Error::Connect(_) | Error::Invalid(_) | Error::NotListening => Outcome::Unreached,
+        Error::Connect(_) | Error::Invalid(_) | Error::Refused => Outcome::Unreached,
         Error::Lost(_) => Outcome::Lost,
         Error::Timeout => Outcome::TimedOut,
     };
