fix(workflow): a departed worker keeps its attempts until its lease expires

What callers could see: one task runs twice at the same time.

Cause: Shard::remove_if_departed took a draining worker that is unlisted and silent as gone, made its tasks wait again at once and counted it as reported in a takeover. A draining worker that is cut off from the log loses its directory entry after three heartbeats, and one that is cut off from its owner is silent; it runs on under its lease.

Change: the worker is removed only when it can't run an attempt any more: it ran nothing, or its lease has expired; in a takeover, when it has reported or every lease has expired. A worker that leaves idle is still removed at once.

Evidence: tasks_of_a_departed_worker_wait_for_its_lease and a_departed_worker_delays_inherited_tasks_until_leases_expire fail before the change. The test that demanded a restart at once when a worker with an attempt departs is replaced by two: an idle one is removed at once, and one with an attempt when its lease has expired, its task then restarts and the removal is recorded.

--- a/crates/workflow/src/lost_attempt.rs
+++ b/crates/workflow/src/lost_attempt.rs
@@ -10,8 +10,6 @@
 pub enum Evidence {
     /// The worker's report lists the attempt neither as running nor as ended.
     Absent,
-    /// The worker was draining, is no longer listed and doesn't answer.
-    Departed,
     /// The lease of the worker has expired.
     LeaseExpired,
     /// The worker has started again.
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Returns whether a worker may run attempts of a previous owner that it has not reported.
+    pub(crate) fn may_run_attempts(&self, worker: &str) -> bool {
+        self.unconfirmed.contains(worker)
+    }
+
     pub(crate) fn worker_confirmed(&mut self, worker: &str) {
         self.unconfirmed.remove(worker);
         self.complete_if_confirmed();
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -244,18 +244,19 @@
         self.remove_if_departed(id);
     }
 
-    /// Removes a worker that has left: it was draining, is no longer listed and doesn't answer. A
-    /// missing directory entry alone is no proof, because entries expire while the log is
-    /// unreachable.
+    /// Removes a worker that has left: it was draining, is no longer listed, doesn't answer and can't
+    /// run an attempt any more. A draining worker that is cut off from the log and from this owner
+    /// looks as if it had left, so its attempts keep it until its lease has expired.
     pub(crate) fn remove_if_departed(&mut self, id: &str) {
         let has_departed = |host: &Host| {
-            host.worker.draining && !host.listed && host.liveness == Liveness::Unresponsive
+            host.worker.draining
+                && !host.listed
+                && host.liveness == Liveness::Unresponsive
+                && host.runs.is_empty()
         };
-        if !self.hosts.get(id).is_some_and(has_departed) {
+        if !self.hosts.get(id).is_some_and(has_departed) || self.recovery.may_run_attempts(id) {
             return;
         }
-        self.mark_runs_lost(id, Evidence::Departed);
-        self.recovery.worker_confirmed(id);
         if let Some(host) = self.hosts.remove(id) {
             self.record(Record::WorkerRemoved { worker: host.id() });
         }
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -251,3 +251,23 @@
     fleet.advance(2_000);
     assert_eq!(fleet.orders.len(), 1, "not restarted");
 }
+
+/// Guards against tasks that run twice because a new owner can't reach a worker that drains: its
+/// entry expires, and it may still run an attempt of the previous owner.
+#[test]
+fn a_departed_worker_delays_inherited_tasks_until_leases_expire() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let id = fleet.workers_running(key(1, 0, 0))[0].clone();
+    fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    let mut draining = fleet::worker(&id, rosemaryworks_core::size::Size::new(4_000, 16_384), 7);
+    draining.draining = true;
+    fleet.shard.list_worker(draining, fleet.now_ms);
+    fleet.workers.get_mut(&id).expect("a worker").unresponsive = true;
+    fleet.renew_all();
+    fleet.shard.unlist_worker(&id);
+    fleet.advance(6_000);
+    assert!(fleet.orders.is_empty(), "started while {id} may run it");
+    fleet.advance(2_000);
+    assert_eq!(fleet.orders.len(), 1, "not restarted");
+}
--- a/crates/workflow/tests/unresponsive_workers.rs
+++ b/crates/workflow/tests/unresponsive_workers.rs
@@ -154,10 +154,28 @@
 /// If a departed worker were kept, a successor would wait for the lease of a worker that left
 /// seconds before.
 #[test]
-fn a_departed_worker_is_removed_at_once_and_its_tasks_restart() {
+fn a_departed_worker_without_attempts_is_removed_at_once() {
+    let mut fleet = Fleet::new(2);
+    drain(&mut fleet, "w0");
+    fleet.workers.get_mut("w0").expect("a worker").unresponsive = true;
+    fleet.renew("w0");
+    fleet.shard.unlist_worker("w0");
+    fleet.tick();
+    assert!(fleet.shard.host("w0").is_none());
+    let removal = rosemaryworks_workflow::Record::WorkerRemoved {
+        worker: "w0".into(),
+    };
+    assert!(fleet.records.contains(&removal));
+}
+
+/// Guards against tasks that run twice because a draining worker is cut off from the log and from
+/// its owner: its entry expires and it doesn't answer, but it runs on under its lease.
+#[test]
+fn tasks_of_a_departed_worker_wait_for_its_lease() {
     let mut fleet = Fleet::new(2);
     fleet.submit(1, spec(vec![step(1)]));
     let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
+    fleet.renew(&worker);
     drain(&mut fleet, &worker);
     fleet
         .workers
@@ -166,11 +184,20 @@
         .unresponsive = true;
     fleet.renew(&worker);
     fleet.shard.unlist_worker(&worker);
-    fleet.tick();
-    assert!(fleet.shard.host(&worker).is_none());
+    for _ in 0..22 {
+        fleet.advance(250);
+        fleet.renew(&worker);
+        assert_eq!(
+            fleet.orders.len(),
+            1,
+            "restarted while the first attempt may run"
+        );
+    }
+    fleet.advance(RESTART_MAX_MS - 22 * 250);
+    assert_eq!(fleet.orders.len(), 2, "its task was not restarted");
+    assert!(fleet.shard.host(&worker).is_none(), "not removed");
     let removal = rosemaryworks_workflow::Record::WorkerRemoved { worker };
     assert!(fleet.records.contains(&removal));
-    assert_eq!(fleet.orders.len(), 2, "its task was not restarted");
 }
 
 /// Directory entries expire while the log is unreachable, including those of workers that drain
