fix(workflow): a new owner counts the leases that its predecessor granted

What callers could see: one task runs twice at the same time after a change of owner.

Cause: two places counted only the deadlines that the new owner had sent itself. An adopted attempt had a lease of zero until the first renewal with a deadline, so a worker that stopped answering in between lost its attempts after 0.2 s. And the wait for workers that can't be reached began when the replay ended, although a predecessor that still acts (frozen, or cut off from the log) renews leases until some worker has rejected its token, for which 1.2 s are allowed elsewhere.

Change: the first reading of a worker's clock assumes a whole lease from then on; the wait counts from the time at which the predecessor is fenced. It stays as it was after a predecessor that has certainly ended.

Evidence: both new tests fail before the change. The older test that waits for the lease of an unreachable worker waits 1 s longer, for the same reason; it still demands the restart.

--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -108,12 +108,12 @@
 }
 
 impl Host {
-    pub(crate) fn new(worker: Worker, epoch: u64, now_ms: u64) -> Self {
+    pub(crate) fn new(worker: Worker, epoch: u64, lease_ms: u64, now_ms: u64) -> Self {
         Self {
             worker,
             runs: BTreeMap::new(),
             used: Size::ZERO,
-            lease: Lease::default(),
+            lease: Lease::new(lease_ms),
             liveness: Liveness::Unconfirmed,
             backoff: Backoff::default(),
             last_processed_end: 0,
@@ -197,7 +197,7 @@
     pub(crate) fn begin_incarnation(&mut self, incarnation: u64, now_ms: u64) -> Vec<(Key, Run)> {
         self.worker.incarnation = incarnation;
         self.worker.draining = false;
-        self.lease = Lease::default();
+        self.lease.reset();
         self.last_processed_end = 0;
         self.last_durable_end = 0;
         self.pending_ends.clear();
--- a/crates/workflow/src/lease.rs
+++ b/crates/workflow/src/lease.rs
@@ -6,24 +6,53 @@
 /// Time that a worker may need to kill an attempt after its lease has expired, in milliseconds.
 const KILL_MARGIN_MS: u64 = 200;
 
+/// Returns the longest time on the owner's clock, in milliseconds, until every attempt under a lease
+/// of `lease_ms` has ended.
+pub(crate) fn longest_ms(lease_ms: u64) -> u64 {
+    (lease_ms as f64 / SLOWEST_CLOCK_RATE) as u64 + KILL_MARGIN_MS
+}
+
 /// Lease of a worker and the last reading of its clock.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Lease {
+    /// Length of the leases that owners grant, in milliseconds.
+    length_ms: u64,
     /// Last reading of the worker's clock and the time on the owner's clock at which it arrived, in
     /// milliseconds.
     clock: Option<(u64, u64)>,
-    /// Latest deadline sent to this incarnation, in milliseconds on the worker's clock.
+    /// Latest deadline that this incarnation may have received, in milliseconds on the worker's
+    /// clock.
     latest_deadline_ms: u64,
 }
 
 impl Lease {
+    /// Creates the lease of a worker that was not heard of before. Owners grant leases of
+    /// `length_ms`.
+    pub(crate) fn new(length_ms: u64) -> Self {
+        Self {
+            length_ms,
+            clock: None,
+            latest_deadline_ms: 0,
+        }
+    }
+
+    /// Resets the lease for a new incarnation of the worker.
+    pub(crate) fn reset(&mut self) {
+        *self = Self::new(self.length_ms);
+    }
+
     /// Records a reading of the worker's clock that arrived at `now_ms`.
     pub(crate) fn observe_clock(&mut self, clock_ms: u64, now_ms: u64) {
         // Answers may arrive out of order, so an older reading is ignored. 0 stands for no reading.
         let newer = self.clock.is_none_or(|(clock, _)| clock_ms >= clock);
-        if newer && clock_ms > 0 {
-            self.clock = Some((clock_ms, now_ms));
+        if !newer || clock_ms == 0 {
+            return;
+        }
+        if self.clock.is_none() {
+            // A previous owner may have granted a lease until the worker saw the token of this one.
+            self.latest_deadline_ms = clock_ms + self.length_ms;
         }
+        self.clock = Some((clock_ms, now_ms));
     }
 
     /// Returns the estimated time on the worker's clock, if a reading is known.
@@ -32,20 +61,18 @@
         Some(clock + now_ms.saturating_sub(read_ms))
     }
 
-    /// Returns a deadline on the worker's clock, `length_ms` from now, if a reading of the clock is
+    /// Returns a deadline on the worker's clock, `ttl_ms` from now, if a reading of the clock is
     /// known. The latest deadline determines when the lease expires.
-    pub(crate) fn deadline(&mut self, now_ms: u64, length_ms: u64) -> Option<u64> {
-        let deadline_ms = self.clock(now_ms)? + length_ms;
+    pub(crate) fn deadline(&mut self, now_ms: u64, ttl_ms: u64) -> Option<u64> {
+        let deadline_ms = self.clock(now_ms)? + ttl_ms;
         self.latest_deadline_ms = self.latest_deadline_ms.max(deadline_ms);
         Some(deadline_ms)
     }
 
     /// Returns the time on the owner's clock from which every attempt of this incarnation has
-    /// certainly ended.
+    /// certainly ended; `None` if no reading of the clock is known.
     pub(crate) fn expires_at(&self) -> Option<u64> {
         let (clock, read_ms) = self.clock?;
-        let remaining_ms =
-            self.latest_deadline_ms.saturating_sub(clock) as f64 / SLOWEST_CLOCK_RATE;
-        Some(read_ms + remaining_ms as u64 + KILL_MARGIN_MS)
+        Some(read_ms + longest_ms(self.latest_deadline_ms.saturating_sub(clock)))
     }
 }
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -6,16 +6,14 @@
 
 use crate::host::Liveness;
 use crate::job::State;
+use crate::lease;
 use crate::record::Record;
 use crate::shard::Shard;
 use crate::worker::Worker;
 
-/// Lowest rate of a worker's clock relative to the owner's clock.
-const SLOWEST_CLOCK_RATE: f64 = 0.98;
-
 /// Margin on top of the longest lease, after which no attempt of a previous owner is left, in
-/// milliseconds.
-const LEASE_MARGIN_MS: u64 = 500;
+/// milliseconds. Covers a renewal that was under way when the previous owner was fenced.
+const LEASE_MARGIN_MS: u64 = 300;
 
 /// Time within which a previous owner that still acts has been rejected by some worker and has
 /// stepped down, in milliseconds: it renews the lease of each worker with attempts every 0.8 s.
@@ -135,13 +133,14 @@
             .iter()
             .filter(|(_, host)| host.liveness == Liveness::Unconfirmed);
         self.recovery.unconfirmed = unconfirmed.map(|(id, _)| id.clone()).collect();
-        let lease_ms = (self.settings.lease_ms as f64 / SLOWEST_CLOCK_RATE) as u64;
-        self.recovery.leases_expired_ms = now_ms + lease_ms + LEASE_MARGIN_MS;
         self.recovery.fenced_ms = if is_sole_owner {
             now_ms
         } else {
             now_ms + PREDECESSOR_FENCED_MS
         };
+        // Until then the previous owner may renew the lease of a worker that this owner can't reach.
+        self.recovery.leases_expired_ms =
+            self.recovery.fenced_ms + lease::longest_ms(self.settings.lease_ms) + LEASE_MARGIN_MS;
         self.recovery.stage = Stage::Confirming;
         self.recovery.complete_if_confirmed();
     }
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -207,7 +207,7 @@
         let epoch = self.epoch;
         let id = worker.id.clone();
         let Some(host) = self.hosts.get_mut(&id) else {
-            let host = Host::new(worker.clone(), epoch, now_ms);
+            let host = Host::new(worker.clone(), epoch, self.settings.lease_ms, now_ms);
             self.hosts.insert(id.clone(), host);
             if !self.recovery.is_replaying() {
                 self.record(Record::WorkerAdded { worker });
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -40,14 +40,15 @@
     fleet.renew_all();
     fleet.advance(2_000);
     assert!(fleet.orders.is_empty(), "started while {worker} may run it");
-    // The lease of 6 s has certainly expired, so the worker has ended its attempts.
+    // The lease of 6 s, renewed until the previous owner was fenced, has certainly expired, so the
+    // worker has ended its attempts.
     fleet
         .workers
         .get_mut(&worker)
         .expect("a worker")
         .runs
         .clear();
-    fleet.advance(5_000);
+    fleet.advance(6_000);
     assert_eq!(fleet.orders.len(), 1);
     assert!(fleet.orders[0].attempt > 100, "reuses an attempt number");
 }
@@ -271,3 +272,44 @@
     fleet.advance(2_000);
     assert_eq!(fleet.orders.len(), 1, "not restarted");
 }
+
+/// Guards against tasks that run twice because a new owner doesn't count the lease that the
+/// previous owner granted: the worker stops answering before the new owner renews the lease.
+#[test]
+fn the_lease_of_the_previous_owner_counts_for_adopted_attempts() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
+    fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    fleet.renew_all();
+    let token = fleet.shard.host(&worker).expect("a host").token();
+    let fault = rosemaryworks_workflow::RenewalFault::Silent;
+    fleet
+        .shard
+        .renewal_failed(&worker, token, fault, fleet.now_ms);
+    fleet.advance(5_900);
+    assert!(fleet.orders.is_empty(), "started while {worker} may run it");
+    fleet.advance(1_000);
+    assert_eq!(fleet.orders.len(), 1, "not restarted");
+}
+
+/// Guards against tasks that run twice because the previous owner renews the lease of a worker that
+/// the new owner can't reach, until another worker rejects its token.
+#[test]
+fn leases_count_from_the_time_at_which_the_previous_owner_is_fenced() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
+    fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    fleet
+        .workers
+        .get_mut(&worker)
+        .expect("a worker")
+        .unresponsive = true;
+    fleet.renew_all();
+    // 1.2 s until the previous owner is fenced, and a lease of 6 s on the slowest clock.
+    fleet.advance(7_300);
+    assert!(fleet.orders.is_empty(), "started while {worker} may run it");
+    fleet.advance(1_000);
+    assert_eq!(fleet.orders.len(), 1, "not restarted");
+}
