fix(workflow): a start under way survives the restart of its worker

What callers could see: one task runs twice at the same time when a worker starts again under its id.

Cause: Host::begin_incarnation gave up every attempt of the earlier incarnation, also those whose start request was still under way. A connection that was being opened then reaches the new incarnation, which has seen no fencing token and carries the start out, while the task has been started on another worker. Its deadline is on the clock of the earlier incarnation, so the worker may keep the attempt for the longest lease that it grants, and the clock reading of a late answer would have spoilt the owner's estimate.

Change: such an attempt stays until its start has an outcome; an answer to a request for an earlier incarnation leaves the clock alone and assumes the longest lease.

Evidence: the three new tests fail when begin_incarnation gives up pending starts.

--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -68,6 +68,7 @@
     ) -> Result<Arc<Owner>, Fault> {
         let settings = workflow::Settings {
             lease_ms: self.settings.lease_ms(),
+            lease_max_ms: self.settings.lease_max_ms,
             order_ttl_ms: START_TTL_MS,
             keep_ms: self.settings.keep_ms,
             early_ms: self.settings.early_ms / 2,
--- a/crates/workflow/src/answers.rs
+++ b/crates/workflow/src/answers.rs
@@ -12,10 +12,17 @@
 impl Shard {
     /// Applies the outcome of a start request.
     pub fn start_answered(&mut self, order: &Order, outcome: StartOutcome, now_ms: u64) {
+        let lease_max_ms = self.settings.lease_max_ms;
         let Some(host) = self.hosts.get_mut(&order.worker) else {
             return;
         };
-        if let StartOutcome::Accepted { clock_ms } = outcome {
+        if host.is_for_earlier_incarnation(order.token) {
+            // The deadline of the request is on the clock of the earlier incarnation, and the
+            // reading in the answer may be, too.
+            if !matches!(outcome, StartOutcome::Refused(_)) {
+                host.lease.assume_longest(lease_max_ms, now_ms);
+            }
+        } else if let StartOutcome::Accepted { clock_ms } = outcome {
             host.lease.observe_clock(clock_ms, now_ms);
         }
         let pending_run = host.runs.get_mut(&order.key).filter(|run| {
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -105,6 +105,8 @@
     token_base: u64,
     /// How often earlier requests were invalidated.
     token_increments: u64,
+    /// Lowest fencing token of requests to the current incarnation.
+    incarnation_token: u64,
 }
 
 impl Host {
@@ -124,6 +126,7 @@
             first_seen_ms: now_ms,
             token_base: epoch << TOKEN_COUNTER_BITS,
             token_increments: 0,
+            incarnation_token: 0,
         }
     }
 
@@ -185,15 +188,13 @@
 
     pub(crate) fn remove(&mut self, key: &Key) -> Option<Run> {
         let run = self.runs.remove(key)?;
-        self.used = self
-            .runs
-            .values()
-            .fold(Size::ZERO, |used, run| used + run.size);
+        self.used = self.occupied();
         Some(run)
     }
 
-    /// Resets the state for a new incarnation of the worker. Returns the attempts of the previous
-    /// one.
+    /// Resets the state for a new incarnation of the worker. Returns the attempts that ended with the
+    /// previous one. A start request that is still under way may reach the new one, which has not
+    /// seen the fencing token yet, so its attempt stays.
     pub(crate) fn begin_incarnation(&mut self, incarnation: u64, now_ms: u64) -> Vec<(Key, Run)> {
         self.worker.incarnation = incarnation;
         self.worker.draining = false;
@@ -201,11 +202,30 @@
         self.last_processed_end = 0;
         self.last_durable_end = 0;
         self.pending_ends.clear();
-        self.used = Size::ZERO;
         self.first_seen_ms = now_ms;
         self.invalidate_requests();
+        self.incarnation_token = self.token();
         self.liveness = Liveness::Unconfirmed;
-        std::mem::take(&mut self.runs).into_iter().collect()
+        let runs = std::mem::take(&mut self.runs).into_iter();
+        let (pending, ended) = runs.partition(|(_, run)| run.start == StartState::Sent);
+        self.runs = pending;
+        self.used = self.occupied();
+        ended.into_iter().collect()
+    }
+
+    /// Returns whether a request was meant for an earlier incarnation of the worker.
+    pub(crate) fn is_for_earlier_incarnation(&self, token: u64) -> bool {
+        token < self.incarnation_token
+    }
+
+    /// Returns whether a start request is under way.
+    pub(crate) fn has_pending_start(&self) -> bool {
+        self.runs.values().any(|run| run.start == StartState::Sent)
+    }
+
+    fn occupied(&self) -> Size {
+        let sizes = self.runs.values().map(|run| run.size);
+        sizes.fold(Size::ZERO, |used, size| used + size)
     }
 
     /// Returns the request that stops an attempt.
--- a/crates/workflow/src/lease.rs
+++ b/crates/workflow/src/lease.rs
@@ -23,6 +23,9 @@
     /// Latest deadline that this incarnation may have received, in milliseconds on the worker's
     /// clock.
     latest_deadline_ms: u64,
+    /// Time on the owner's clock before which the lease may not have expired, whatever the
+    /// deadlines say, in milliseconds.
+    earliest_expiry_ms: u64,
 }
 
 impl Lease {
@@ -33,6 +36,7 @@
             length_ms,
             clock: None,
             latest_deadline_ms: 0,
+            earliest_expiry_ms: 0,
         }
     }
 
@@ -55,6 +59,13 @@
         self.clock = Some((clock_ms, now_ms));
     }
 
+    /// Records that the worker may have received a deadline on an unknown clock at `now_ms`, which it
+    /// shortens to `lease_max_ms`.
+    pub(crate) fn assume_longest(&mut self, lease_max_ms: u64, now_ms: u64) {
+        let expires_ms = now_ms + longest_ms(lease_max_ms);
+        self.earliest_expiry_ms = self.earliest_expiry_ms.max(expires_ms);
+    }
+
     /// Returns the estimated time on the worker's clock, if a reading is known.
     pub(crate) fn clock(&self, now_ms: u64) -> Option<u64> {
         let (clock, read_ms) = self.clock?;
@@ -70,9 +81,12 @@
     }
 
     /// Returns the time on the owner's clock from which every attempt of this incarnation has
-    /// certainly ended; `None` if no reading of the clock is known.
+    /// certainly ended; `None` if it can't have received a deadline.
     pub(crate) fn expires_at(&self) -> Option<u64> {
-        let (clock, read_ms) = self.clock?;
-        Some(read_ms + longest_ms(self.latest_deadline_ms.saturating_sub(clock)))
+        let earliest = Some(self.earliest_expiry_ms).filter(|at| *at > 0);
+        let by_deadline = self.clock.map(|(clock, read_ms)| {
+            read_ms + longest_ms(self.latest_deadline_ms.saturating_sub(clock))
+        });
+        by_deadline.max(earliest)
     }
 }
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -25,6 +25,8 @@
 pub struct Settings {
     /// Duration of a worker's lease in milliseconds.
     pub lease_ms: u64,
+    /// Longest lease that a worker grants, in milliseconds.
+    pub lease_max_ms: u64,
     /// Time to live of a start request in milliseconds. A worker that receives it later rejects it.
     pub order_ttl_ms: u64,
     /// Time for which the state of an ended job is kept, in milliseconds.
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -71,7 +71,9 @@
         };
         let is_unresponsive = host.liveness == Liveness::Unresponsive;
         let is_expired = host.lease.expires_at().is_none_or(|at| now_ms >= at);
-        if is_unresponsive && is_expired && !host.runs.is_empty() {
+        // The outcome of a start that is under way decides about its attempt.
+        let is_settled = !host.runs.is_empty() && !host.has_pending_start();
+        if is_unresponsive && is_expired && is_settled {
             self.mark_runs_lost(id, Evidence::LeaseExpired);
         }
     }
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -48,6 +48,7 @@
 pub(crate) fn settings() -> Settings {
     Settings {
         lease_ms: 6_000,
+        lease_max_ms: 10_000,
         order_ttl_ms: 2_000,
         keep_ms: 120_000,
         early_ms: 0,
--- a/crates/workflow/tests/unresponsive_workers.rs
+++ b/crates/workflow/tests/unresponsive_workers.rs
@@ -244,3 +244,100 @@
     assert_eq!(refuse(RESTART_MAX_MS - 22 * 250), 2, "not restarted");
     assert_ne!(fleet.orders[1].worker, worker);
 }
+
+/// Lists the next incarnation of a worker while a start request to the previous one is under way.
+fn restart_worker_during_a_start(fleet: &mut Fleet) -> rosemaryworks_workflow::Order {
+    fleet.shard.submit(
+        rosemaryworks_workflow::Id(1),
+        "q".into(),
+        spec(vec![step(1)]),
+    );
+    fleet.shard.tick(fleet.now_ms, fleet.now_ms);
+    let actions = fleet.shard.take_actions();
+    let order = actions.into_iter().find_map(|action| match action {
+        rosemaryworks_workflow::Action::Start(order) => Some(order),
+        _ => None,
+    });
+    let order = order.expect("a start");
+    let size = rosemaryworks_core::size::Size::new(4_000, 16_384);
+    let next = fleet::worker(&order.worker, size, 8);
+    fleet.shard.list_worker(next, fleet.now_ms);
+    fleet.advance(10);
+    assert!(
+        fleet.orders.is_empty(),
+        "restarted while the first start is under way"
+    );
+    order
+}
+
+/// Guards against tasks that run twice because a start request that was under way when the worker
+/// ended reaches the worker's next incarnation, which has seen no fencing token.
+#[test]
+fn a_start_that_reaches_the_next_incarnation_of_a_worker_counts() {
+    let mut fleet = Fleet::new(2);
+    let order = restart_worker_during_a_start(&mut fleet);
+    let restarted = fleet.workers.get_mut(&order.worker).expect("a worker");
+    restarted.incarnation = 8;
+    restarted.runs.insert(order.key, order.attempt);
+    let accepted = rosemaryworks_workflow::StartOutcome::Accepted { clock_ms: 5 };
+    fleet.shard.start_answered(&order, accepted, fleet.now_ms);
+    for _ in 0..4 {
+        fleet.advance(250);
+        fleet.renew_all();
+    }
+    assert!(fleet.orders.is_empty(), "started a second time");
+}
+
+/// Guards against a task that waits for ever for a start that its worker's end has undone.
+#[test]
+fn a_start_that_the_next_incarnation_of_a_worker_did_not_receive_is_repeated() {
+    for outcome in [
+        rosemaryworks_workflow::StartOutcome::Unknown,
+        rosemaryworks_workflow::StartOutcome::Accepted { clock_ms: 5 },
+        rosemaryworks_workflow::StartOutcome::Refused(rosemaryworks_workflow::Refusal::NotSent),
+    ] {
+        let mut fleet = Fleet::new(2);
+        let order = restart_worker_during_a_start(&mut fleet);
+        fleet
+            .workers
+            .get_mut(&order.worker)
+            .expect("a worker")
+            .incarnation = 8;
+        fleet.shard.start_answered(&order, outcome, fleet.now_ms);
+        for _ in 0..4 {
+            fleet.advance(250);
+            fleet.renew_all();
+        }
+        assert_eq!(fleet.orders.len(), 1, "after {outcome:?}");
+    }
+}
+
+/// Guards against tasks that run twice because a start request to an earlier incarnation gave the
+/// next one a lease that the owner doesn't know: its deadline is on another clock, so the worker
+/// may keep the attempt for the longest lease that it grants.
+#[test]
+fn an_attempt_that_reached_the_next_incarnation_is_kept_for_the_longest_lease() {
+    let mut fleet = Fleet::new(2);
+    let order = restart_worker_during_a_start(&mut fleet);
+    let unknown = rosemaryworks_workflow::StartOutcome::Unknown;
+    fleet.shard.start_answered(&order, unknown, fleet.now_ms);
+    fleet
+        .workers
+        .get_mut(&order.worker)
+        .expect("a worker")
+        .unresponsive = true;
+    let longest_ms = fleet::settings().lease_max_ms;
+    for _ in 0..longest_ms / 250 {
+        fleet.advance(250);
+        fleet.renew(&order.worker);
+    }
+    assert!(
+        fleet.orders.is_empty(),
+        "started while the worker may run it"
+    );
+    for _ in 0..8 {
+        fleet.advance(250);
+        fleet.renew(&order.worker);
+    }
+    assert_eq!(fleet.orders.len(), 1, "not restarted");
+}
