fix(workflow): a worker that is listed again gets no lower fencing token

What callers could see: work of a whole shard waits for a change of owner that nothing asked for.

Cause: the count of invalidated requests, the low part of a worker's fencing token, was kept with the worker's state and started at zero when a removed worker was listed again. A worker that was cut off for longer than its retention has seen the higher token, rejects the lower one, and the owner takes the rejection as proof of a later owner and steps down.

Change: the shard keeps the highest count of a removed worker, and a worker that is listed starts there.

Evidence: a_worker_that_is_listed_again_gets_no_lower_token fails before the change (1048576 after 1048578).

--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -104,13 +104,21 @@
     /// Fencing token before any request was invalidated.
     token_base: u64,
     /// How often earlier requests were invalidated.
-    token_increments: u64,
+    pub(crate) token_increments: u64,
     /// Lowest fencing token of requests to the current incarnation.
     incarnation_token: u64,
 }
 
 impl Host {
-    pub(crate) fn new(worker: Worker, epoch: u64, lease_ms: u64, now_ms: u64) -> Self {
+    /// Creates the state of a worker that was not known before. `token_increments` is at least the
+    /// value with which a host of the same worker was removed.
+    pub(crate) fn new(
+        worker: Worker,
+        epoch: u64,
+        token_increments: u64,
+        lease_ms: u64,
+        now_ms: u64,
+    ) -> Self {
         Self {
             worker,
             runs: BTreeMap::new(),
@@ -125,7 +133,7 @@
             unresponsive_since_ms: None,
             first_seen_ms: now_ms,
             token_base: epoch << TOKEN_COUNTER_BITS,
-            token_increments: 0,
+            token_increments,
             incarnation_token: 0,
         }
     }
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -63,6 +63,9 @@
     pub(crate) durable_records: u64,
     /// Jobs that were cancelled before they arrived.
     early_cancellations: HashSet<Id>,
+    /// Highest token increments of a removed worker. A worker that is listed again has seen its
+    /// earlier tokens and rejects lower ones.
+    removed_increments: u64,
     next_acceptance: u64,
 }
 
@@ -88,6 +91,7 @@
             issued_records: 0,
             durable_records: 0,
             early_cancellations: HashSet::new(),
+            removed_increments: 0,
             next_acceptance: 0,
         }
     }
@@ -209,7 +213,8 @@
         let epoch = self.epoch;
         let id = worker.id.clone();
         let Some(host) = self.hosts.get_mut(&id) else {
-            let host = Host::new(worker.clone(), epoch, self.settings.lease_ms, now_ms);
+            let (increments, lease_ms) = (self.removed_increments, self.settings.lease_ms);
+            let host = Host::new(worker.clone(), epoch, increments, lease_ms, now_ms);
             self.hosts.insert(id.clone(), host);
             if !self.recovery.is_replaying() {
                 self.record(Record::WorkerAdded { worker });
@@ -259,7 +264,13 @@
         if !self.hosts.get(id).is_some_and(has_departed) || self.recovery.may_run_attempts(id) {
             return;
         }
+        self.remove_worker(id);
+    }
+
+    /// Removes a worker that can't run an attempt of this owner.
+    pub(crate) fn remove_worker(&mut self, id: &str) {
         if let Some(host) = self.hosts.remove(id) {
+            self.removed_increments = self.removed_increments.max(host.token_increments);
             self.record(Record::WorkerRemoved { worker: host.id() });
         }
     }
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -6,7 +6,6 @@
 use crate::host::{Liveness, Phase};
 use crate::job::Id;
 use crate::lost_attempt::Evidence;
-use crate::record::Record;
 use crate::shard::Shard;
 use crate::task::Key;
 
@@ -162,8 +161,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for worker in removed {
-            self.hosts.remove(&worker);
-            self.record(Record::WorkerRemoved { worker });
+            self.remove_worker(&worker);
         }
     }
 
--- a/crates/workflow/tests/unresponsive_workers.rs
+++ b/crates/workflow/tests/unresponsive_workers.rs
@@ -341,3 +341,27 @@
     }
     assert_eq!(fleet.orders.len(), 1, "not restarted");
 }
+
+/// Guards against an owner that steps down, and against late start requests that a worker accepts
+/// again, because a worker that was removed and listed again is sent lower fencing tokens.
+#[test]
+fn a_worker_that_is_listed_again_gets_no_lower_token() {
+    let mut fleet = Fleet::new(2);
+    // An unanswered start raises the token.
+    fleet.workers.get_mut("w0").expect("a worker").unresponsive = true;
+    fleet.workers.get_mut("w1").expect("a worker").unresponsive = true;
+    fleet.submit(1, spec(vec![step(2)]));
+    let highest = fleet.shard.host("w0").expect("a host").token();
+    for _ in 0..40 {
+        fleet.advance(250);
+        fleet.renew("w0");
+        fleet.shard.unlist_worker("w0");
+    }
+    assert!(fleet.shard.host("w0").is_none(), "not removed");
+    fleet.shard.list_worker(
+        fleet::worker("w0", rosemaryworks_core::size::Size::new(4_000, 16_384), 7),
+        fleet.now_ms,
+    );
+    let token = fleet.shard.host("w0").expect("a host").token();
+    assert!(token >= highest, "{token} after {highest}");
+}
