--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod advice_balancer;
 mod advice_requests;
 pub mod claim;
+mod commands;
+
 pub mod config;
 pub mod events;
 mod handover;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -7,9 +7,7 @@
 
 use rosemaryworks_node::clock;
 use rosemaryworks_wire::workflow::JobState;
-use rosemaryworks_workflow::{
-    Action, Id, LostAttempt, Order, Pace, Record, Shard, StartOutcome, State, Stop,
-};
+use rosemaryworks_workflow::{Action, Id, Record, Shard, State};
 use tokio::sync::Notify;
 
 use crate::advice_balancer::Balancer;
@@ -351,20 +349,7 @@
         }
     }
 
-    fn log_lost(&self, lost: &LostAttempt) {
-        let now_ms = clock::now().0;
-        let lease_left_ms = lost.lease_expires_ms.map(|at| at.saturating_sub(now_ms));
-        let silent_ms = lost
-            .unresponsive_since_ms
-            .map(|at| now_ms.saturating_sub(at));
-        events::ATTEMPT_LOST.log(format_args!(
-            "task={} attempt={} worker={} evidence={:?} lease_left_ms={lease_left_ms:?} silent_ms={silent_ms:?}",
-            lost.key, lost.attempt, lost.worker, lost.evidence
-        ));
-        self.context.metrics.attempts_lost.inc();
-    }
-
-    fn session(self: &Arc<Self>, id: &Arc<str>) -> Arc<Session> {
+    pub(crate) fn session(self: &Arc<Self>, id: &Arc<str>) -> Arc<Session> {
         let mut sessions = lock(&self.sessions);
         let start = || Session::start(self.clone(), id.clone());
         sessions.entry(id.clone()).or_insert_with(start).clone()
@@ -374,60 +359,6 @@
         lock(&self.sessions).remove(id);
     }
 
-    async fn send_start(self: Arc<Self>, order: Order) {
-        if self.is_ended() {
-            return;
-        }
-        let began = clock::now();
-        let timeout = self.timeouts().command();
-        let outcome = self.context.workers.start(&order, timeout).await;
-        if matches!(outcome, StartOutcome::Accepted { .. }) {
-            self.timeouts().observe(clock::now().since(began));
-        }
-        events::STARTED.log(format_args!(
-            "task={} attempt={} worker={} token={} outcome={outcome:?} took_ms={}",
-            order.key,
-            order.attempt,
-            order.worker,
-            order.token,
-            clock::now().since(began)
-        ));
-        self.context.metrics.starts.inc();
-        if !matches!(outcome, StartOutcome::Accepted { .. }) {
-            self.context.metrics.start_faults.inc();
-        }
-        self.state().start_answered(&order, outcome, clock::now().0);
-        self.session(&order.worker).wake();
-        self.wake();
-    }
-
-    async fn send_stop(self: Arc<Self>, stop: Stop) {
-        if self.is_ended() {
-            return;
-        }
-        let accepted = self.context.workers.stop(&stop).await;
-        events::STOPPED.log(format_args!(
-            "task={} attempt={} worker={} taken={accepted}",
-            stop.key, stop.attempt, stop.worker
-        ));
-        if !accepted {
-            self.state()
-                .stop_failed(&stop.worker, stop.key, stop.attempt);
-        }
-        self.session(&stop.worker).wake();
-    }
-
-    async fn send_pace(self: Arc<Self>, pace: Pace) {
-        if self.is_ended() {
-            return;
-        }
-        let accepted = self.context.workers.pace(&pace).await;
-        events::PACED.log(format_args!(
-            "task={} worker={} percent={} taken={accepted}",
-            pace.run.key, pace.run.worker, pace.percent
-        ));
-    }
-
     /// Reads the jobs and cancellations of the shard as they are appended.
     async fn follow_jobs(self: Arc<Self>, node: Arc<Node>) {
         while !self.is_ended() {
