test(soak): connections to workers are refused and reset

Cause: the soak cut, delayed and silenced the connections to workers, but never reset or refused them, so it could not find that a refused connection counted as the end of a worker.

Change: the proxy in front of a worker can close its listener (refused, as if no process listened) or reset connections.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -53,7 +53,7 @@
 }
 
 /// Faults to select from with equal probability; an entry that is listed twice is twice as likely.
-const FAULTS: [Fault; 21] = [
+const FAULTS: [Fault; 23] = [
     Fault::Kill,
     Fault::Kill,
     Fault::KillAll,
@@ -73,6 +73,8 @@
     Fault::WorkerLink(Mode::Silent),
     Fault::WorkerLink(Mode::OneWay),
     Fault::WorkerLink(Mode::Delay(120)),
+    Fault::WorkerLink(Mode::Refuse),
+    Fault::WorkerLink(Mode::Reset),
     Fault::WorkersLoseAnswers,
     Fault::Revision,
 ];
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -13,6 +13,9 @@
 
 const BUFFER_BYTES: usize = 16 * 1024;
 
+/// Pause before an address that can't be bound is tried again.
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+
 /// Handling of the bytes of one direction.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Flow {
@@ -22,6 +25,8 @@
     Delay(u64),
     /// Withholds them; they are delivered afterwards, as TCP does after a network partition.
     Hold,
+    /// Refuses new connections and resets open ones.
+    Refuse,
     /// Resets open and new connections.
     Reset,
 }
@@ -37,6 +42,8 @@
     Silent,
     /// Bytes from the server don't arrive.
     OneWay,
+    /// Open connections are reset and new ones are refused, as if no process listened.
+    Refuse,
     /// Connections are reset.
     Reset,
 }
@@ -49,6 +56,7 @@
             Self::Delay(ms) => (Flow::Delay(ms), Flow::Delay(ms)),
             Self::Silent => (Flow::Hold, Flow::Hold),
             Self::OneWay => (Flow::Pass, Flow::Hold),
+            Self::Refuse => (Flow::Refuse, Flow::Refuse),
             Self::Reset => (Flow::Reset, Flow::Reset),
         }
     }
@@ -85,16 +93,46 @@
 /// Relays each accepted connection to `target`. `forward` controls the bytes that the client sends,
 /// `backward` those of the server. Connections end once the senders are dropped.
 pub async fn serve(
-    listener: TcpListener,
+    mut listener: TcpListener,
     target: SocketAddr,
-    forward: Receiver<Flow>,
+    mut forward: Receiver<Flow>,
     backward: Receiver<Flow>,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
-        tokio::spawn(relay(stream, target, forward.clone(), backward.clone()));
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    tokio::spawn(relay(stream, target, forward.clone(), backward.clone()));
+                }
+                continue;
+            }
+            () = until_refusing(&mut forward) => {}
+        }
+        match pause_listening(listener, &mut forward).await {
+            Some(reopened) => listener = reopened,
+            None => return,
+        }
+    }
+}
+
+/// Waits until connections are to be refused, or the proxy has ended.
+async fn until_refusing(flow: &mut Receiver<Flow>) {
+    // An error means that the proxy has ended.
+    let _ = flow.wait_for(|flow| *flow == Flow::Refuse).await;
+}
+
+/// Closes the listener while connections are refused, and opens it again on the same address.
+/// Returns `None` if the proxy has ended.
+async fn pause_listening(listener: TcpListener, flow: &mut Receiver<Flow>) -> Option<TcpListener> {
+    let address = listener.local_addr().ok()?;
+    drop(listener);
+    flow.wait_for(|flow| *flow != Flow::Refuse).await.ok()?;
+    loop {
+        // Sets SO_REUSEADDR, so connections that are still closing don't block the address.
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Some(listener),
+            Err(_) => tokio::time::sleep(REBIND_PAUSE).await,
+        }
     }
 }
 
@@ -134,7 +172,7 @@
             true
         }
         Ok(Flow::Pass | Flow::Hold) => true,
-        Ok(Flow::Reset) | Err(_) => false,
+        Ok(Flow::Refuse | Flow::Reset) | Err(_) => false,
     }
 }
 
@@ -144,7 +182,7 @@
         let mut reset = flow.clone();
         let read = tokio::select! {
             read = from.read(&mut buffer) => read,
-            _ = reset.wait_for(|flow| *flow == Flow::Reset) => return,
+            _ = reset.wait_for(|flow| matches!(flow, Flow::Refuse | Flow::Reset)) => return,
         };
         let count = match read {
             Ok(0) | Err(_) => break,
