fix(workflow): an attempt that a report may leave out is not lost

What callers could see: a task runs again after it has completed, or twice at the same time.

Cause: an attempt that a worker's report lists neither as running nor as ended counts as ended. Same class as the refused connections: what is not seen is taken as an end.

--- a/crates/soak/src/worker.rs
+++ b/crates/soak/src/worker.rs
@@ -360,6 +360,7 @@
             metric: 0.0,
         });
         Some(Report {
+            may_have_more_ends: false,
             incarnation: self.started_unix_ms,
             clock_ms,
             finished: state.finished.clone(),
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -85,7 +85,10 @@
         for reported in report.running {
             self.update_run(id, reported, now_ms);
         }
-        self.remove_absent_runs(id, &reported_keys, token, sent_ms);
+        // An attempt may be among the ends that the worker has not returned yet.
+        if !report.may_have_more_ends {
+            self.remove_absent_runs(id, &reported_keys, token, sent_ms);
+        }
         if is_current_token {
             self.recovery.worker_confirmed(id);
         }
--- a/crates/workflow/src/report.rs
+++ b/crates/workflow/src/report.rs
@@ -45,6 +45,8 @@
     pub clock_ms: u64,
     /// Ended attempts that are not acknowledged, in the order of their numbers.
     pub finished: Vec<Finished>,
+    /// Whether the worker may have more ended attempts than `finished` holds.
+    pub may_have_more_ends: bool,
     /// Running attempts.
     pub running: Vec<Running>,
 }
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -248,6 +248,7 @@
             incarnation: simulated.incarnation,
             clock_ms: self.now_ms + CLOCK_OFFSET_MS,
             finished: simulated.ends.clone(),
+            may_have_more_ends: false,
             running: simulated.running(),
         };
         self.shard
--- a/crates/workflow/tests/unresponsive_workers.rs
+++ b/crates/workflow/tests/unresponsive_workers.rs
@@ -365,3 +365,29 @@
     let token = fleet.shard.host("w0").expect("a host").token();
     assert!(token >= highest, "{token} after {highest}");
 }
+
+/// Guards against a task that runs again after it has completed: during a long outage of the log no
+/// end is acknowledged, a worker returns only its first ends, and an attempt that is neither among
+/// these nor running has ended, with an outcome that is not known yet.
+#[test]
+fn an_attempt_beyond_the_reported_ends_is_not_lost() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(1, spec(vec![step(1)]));
+    let mut report = |may_have_more_ends| {
+        fleet.advance(1_000);
+        let token = fleet.shard.host("w0").expect("a host").token();
+        let report = rosemaryworks_workflow::Report {
+            incarnation: 7,
+            clock_ms: 2_000_000,
+            may_have_more_ends,
+            ..rosemaryworks_workflow::Report::default()
+        };
+        fleet
+            .shard
+            .report("w0", report, token, fleet.now_ms, fleet.now_ms);
+        fleet.tick();
+        fleet.orders.len()
+    };
+    assert_eq!(report(true), 1, "started again although it may be done");
+    assert_eq!(report(false), 2, "not started again");
+}
