fix(workflow): shares of extreme sizes no longer overflow

What callers could see: a worker with a capacity, or a task with a demand, of more than 1.8e16 ended the task that runs the shard's state machine in a build with overflow checks, and the shard placed nothing any more. Without these checks, as in a release build, the cost of a task that fills a worker equalled that of a task of size zero (3000 and 3000), so the choice of a worker was wrong.

Cause: shares in thousandths multiplied a size by 1,000 in 64 bits (best-fit cost, used share, free share of a starving step, share left by a gang), and the cost of preemption multiplied accelerators by 8,000.

Why it works: a share is computed in 128 bits in one place and is exact for all values; the cost of preemption saturates.

--- a/crates/core/src/placement/fit.rs
+++ b/crates/core/src/placement/fit.rs
@@ -1,8 +1,8 @@
 //! Best-fit cost of a task on a worker.
 
-use crate::size::Size;
+use crate::size::{Size, thousandths};
 
-/// Scale of shares of a worker's size.
+/// Scale of shares of a worker's size, as returned by [`thousandths`].
 const SCALE: u64 = 1_000;
 /// Weight of the imbalance relative to the smallest free share. A lower weight packs tasks of mixed
 /// shapes less tightly; a higher one changes little.
@@ -30,7 +30,7 @@
 }
 
 fn remainder(total: &Size, free: &Size) -> Remainder {
-    let share = |free: u64, total: u64| (total > 0).then(|| (free * SCALE / total).min(SCALE));
+    let share = |free, total| thousandths(free, total).map(|share| share.min(SCALE));
     let shares = [
         share(free.millicores, total.millicores),
         share(free.memory_mb, total.memory_mb),
--- a/crates/core/src/size.rs
+++ b/crates/core/src/size.rs
@@ -94,6 +94,14 @@
     }
 }
 
+/// Returns the share of `part` in `total` in thousandths, or `None` if `total` is 0. Exact for all
+/// values, whose product with 1,000 may exceed 64 bits.
+#[must_use]
+pub fn thousandths(part: u64, total: u64) -> Option<u64> {
+    let share = (u128::from(part) * 1_000).checked_div(u128::from(total))?;
+    Some(u64::try_from(share).unwrap_or(u64::MAX))
+}
+
 impl Add for Size {
     type Output = Self;
 
--- a/crates/workflow/src/gangs.rs
+++ b/crates/workflow/src/gangs.rs
@@ -7,7 +7,7 @@
 
 use std::sync::Arc;
 
-use rosemaryworks_core::size::Size;
+use rosemaryworks_core::size::{Size, thousandths};
 
 use crate::host::{Host, Phase};
 use crate::job::{Queue, Step};
@@ -64,14 +64,17 @@
     fn runs_to_stop(&self, size: &Size, members: u32) -> Option<(u64, Vec<Key>)> {
         let wanted = size.times(u64::from(members));
         let mut free = self.free;
-        let mut cost = 0;
+        let mut cost: u64 = 0;
         let mut stops = Vec::new();
         for (key, victim) in &self.victims {
             if wanted.fits(&free) {
                 break;
             }
             free += *victim;
-            cost += victim.millicores + victim.accelerators * ACCELERATOR_MILLICORES;
+            let accelerators = victim.accelerators.saturating_mul(ACCELERATOR_MILLICORES);
+            cost = accelerators
+                .saturating_add(victim.millicores)
+                .saturating_add(cost);
             stops.push(*key);
         }
         wanted.fits(&free).then_some((cost, stops))
@@ -312,7 +315,7 @@
 fn leftover_share(candidate: &Candidate<'_>, size: &Size) -> u64 {
     let total = candidate.host.worker.capacity;
     let remaining = candidate.free - size.times(u64::from(candidate.fitting_members));
-    let share = |remaining: u64, total: u64| (remaining * 1_000).checked_div(total).unwrap_or(0);
+    let share = |remaining, total| thousandths(remaining, total).unwrap_or(0);
     share(remaining.millicores, total.millicores)
         .max(share(remaining.memory_mb, total.memory_mb))
         .max(share(remaining.accelerators, total.accelerators))
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use rosemaryworks_core::size::Size;
+use rosemaryworks_core::size::{Size, thousandths};
 
 use crate::action::{Action, Order};
 use crate::host::{Host, Phase, Run, StartState};
@@ -375,5 +375,6 @@
 /// Returns the used share of a worker's processor time, in thousandths.
 fn used_share(host: &Host) -> i64 {
     let total = host.worker.capacity.millicores.max(1);
-    i64::try_from(host.used.millicores * 1_000 / total).unwrap_or(1_000)
+    let share = thousandths(host.used.millicores, total).unwrap_or(0);
+    i64::try_from(share).unwrap_or(1_000)
 }
--- a/crates/workflow/src/reservation.rs
+++ b/crates/workflow/src/reservation.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use rosemaryworks_core::size::Size;
+use rosemaryworks_core::size::{Size, thousandths};
 
 use crate::gangs::Feasibility;
 use crate::host::Host;
@@ -248,7 +248,7 @@
 /// Returns the free share of a worker's scarcest resource in thousandths.
 fn free_share(host: &Host) -> u64 {
     let (free, total) = (host.free(), host.worker.capacity);
-    let share = |free: u64, total: u64| (free * 1_000).checked_div(total).unwrap_or(1_000);
+    let share = |free, total| thousandths(free, total).unwrap_or(1_000);
     share(free.millicores, total.millicores)
         .min(share(free.memory_mb, total.memory_mb))
         .min(share(free.accelerators, total.accelerators))
