--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,10 +21,12 @@
 mod requests;
 mod session;
 pub mod settings;
+mod skipped;
 mod stop;
 mod submitter;
 mod takeover;
 pub mod timeouts;
+mod worker_list;
 
 pub use config::{Config, Route};
 pub use metrics::Metrics;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -19,6 +19,7 @@
 use crate::owner::Owner;
 use crate::port::{Advisor, Store, Workers};
 use crate::settings::Settings;
+use crate::skipped::Skipped;
 use crate::submitter::Submitter;
 
 /// Time without an answer after which the log counts as unreachable and the process as not ready,
@@ -65,6 +66,8 @@
     /// The advice service serves one call at a time for each VM.
     pub(crate) advice_slot: Semaphore,
     pub(crate) stopping: AtomicBool,
+    pub(crate) skipped_workers: Skipped,
+    skipped_configurations: Skipped,
     config: RwLock<Option<Arc<Config>>>,
     submitters: Mutex<HashMap<u32, Arc<Submitter>>>,
     log_answered_ms: AtomicU64,
@@ -99,6 +102,8 @@
             peers: Mutex::default(),
             advice_slot: Semaphore::new(1),
             stopping: AtomicBool::new(false),
+            skipped_workers: Skipped::new("workers"),
+            skipped_configurations: Skipped::new("configurations"),
             config: RwLock::new(None),
             submitters: Mutex::default(),
             log_answered_ms: AtomicU64::new(clock::now().0),
@@ -239,6 +244,8 @@
                 Ok(changes) => {
                     self.observe_log_response(true);
                     since = Some(changes.next);
+                    self.skipped_configurations
+                        .log(&changes.skipped, clock::now().0);
                     for config in changes.items {
                         self.configure(config);
                     }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -11,11 +11,11 @@
 use tokio::sync::Notify;
 
 use crate::advice_balancer::Balancer;
-use crate::config::{self, Config};
+use crate::config::Config;
 use crate::events;
 use crate::journal::{self, Journal};
 use crate::node::{Context, Node, lock};
-use crate::port::{Fault, Page, Stream, WorkerChange};
+use crate::port::{Fault, Page, Stream};
 use crate::session::Session;
 use crate::timeouts::Timeouts;
 
@@ -25,10 +25,6 @@
 /// Shortest time between two ticks, so that events that arrive together share a tick.
 const TICK_SPACING: Duration = Duration::from_millis(2);
 
-/// Time between two reads of the list of workers. Attempts may start on a draining worker for 2 s
-/// at most.
-const WORKERS_POLL_PERIOD: Duration = Duration::from_millis(350);
-
 /// Longest time for which a read waits at the log for a new job, in milliseconds.
 const JOBS_WAIT_MS: u64 = 1_000;
 
@@ -70,7 +66,7 @@
     jobs_read_ms: AtomicU64,
     /// Start of the last read to the end of the stream that was made for a job query.
     full_read_ms: tokio::sync::Mutex<Option<u64>>,
-    workers_next: u64,
+    pub(crate) workers_next: u64,
     sessions: Mutex<HashMap<Arc<str>, Arc<Session>>>,
     balancer: Mutex<Balancer>,
     timeouts: Mutex<Timeouts>,
@@ -112,6 +108,11 @@
         self.shard
     }
 
+    /// Returns the number of shards.
+    pub(crate) fn shards(&self) -> u32 {
+        self.shards
+    }
+
     pub(crate) fn epoch(&self) -> u64 {
         self.epoch
     }
@@ -397,48 +398,4 @@
             self.jobs_read_ms.store(clock::now().0, Ordering::Relaxed);
         }
     }
-
-    /// Reads changes of the list of workers as they are appended.
-    async fn follow_workers(self: Arc<Self>, node: Arc<Node>) {
-        let mut since = Some(self.workers_next);
-        while !self.is_ended() {
-            tokio::time::sleep(WORKERS_POLL_PERIOD).await;
-            match self.context.store.workers(since).await {
-                Ok(changes) => {
-                    since = Some(changes.next);
-                    self.apply_worker_changes(changes.items, changes.complete);
-                }
-                Err(Fault::Expired { .. }) => since = None,
-                Err(_) => node.observe_log_response(false),
-            }
-        }
-    }
-
-    fn apply_worker_changes(&self, items: Vec<WorkerChange>, complete: bool) {
-        let now_ms = clock::now().0;
-        let mut state = self.state();
-        let mut missing = if complete {
-            state.host_ids()
-        } else {
-            Vec::new()
-        };
-        for item in items {
-            match item {
-                WorkerChange::Updated(worker) => {
-                    missing.retain(|id| *id != worker.id);
-                    if config::shard(&worker.pool, self.shards) == self.shard {
-                        state.list_worker(worker, now_ms);
-                    } else {
-                        state.unlist_worker(&worker.id);
-                    }
-                }
-                WorkerChange::Removed(id) => state.unlist_worker(&id),
-            }
-        }
-        for id in missing {
-            state.unlist_worker(&id);
-        }
-        drop(state);
-        self.wake();
-    }
 }
--- a/crates/entry/src/port.rs
+++ b/crates/entry/src/port.rs
@@ -130,6 +130,8 @@
 pub struct Changes<T> {
     /// Changes in their order.
     pub items: Vec<T>,
+    /// Keys of entries that can't be used. What was known under these keys stays in force.
+    pub skipped: Vec<Arc<str>>,
     /// Offset for the next read.
     pub next: u64,
     /// Whether the items are the complete state instead of changes since an offset.
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -99,6 +99,7 @@
         for record in jobs.into_iter().chain(later).chain(progress) {
             state.replay(record, now_ms);
         }
+        self.skipped_workers.log(&changes.skipped, now_ms);
         for change in changes.items {
             if let WorkerChange::Updated(worker) = change
                 && crate::config::shard(&worker.pool, self.settings.shards) == shard
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -1,4 +1,4 @@
-//! An entry process on an in-memory log, without workers.
+//! An entry process on an in-memory log, with workers that run nothing to its end.
 #![allow(dead_code)] // Each test file uses a part.
 
 use std::collections::BTreeMap;
@@ -30,6 +30,13 @@
     /// Records that the previous owner and its callers write just before the journal is fenced.
     pub(crate) before_fence: Mutex<Vec<(Stream, rosemaryworks_workflow::Record)>>,
     pub(crate) down: Arc<AtomicBool>,
+    /// Complete list of workers and the keys of skipped entries.
+    pub(crate) list: Mutex<(Vec<WorkerChange>, Vec<Arc<str>>)>,
+    /// Whether the changes of the list have expired, so that the complete list is read again.
+    pub(crate) list_expired: AtomicBool,
+    /// Configuration, if it isn't the default one.
+    pub(crate) config: Mutex<Option<Config>>,
+    pub(crate) workers: Arc<StandInWorkers>,
 }
 
 fn index(stream: Stream) -> u8 {
@@ -125,26 +132,29 @@
     }
 
     fn configuration(&self, since: Option<u64>, wait_ms: u64) -> Answer<Changes<Arc<Config>>> {
-        let config = Config {
-            version: 1,
-            routes: vec![Route {
-                host: "host".into(),
-                prefix: "/".into(),
-                queue: Arc::new(queue()),
-            }],
-            pools: ["pool".into()].into(),
-        };
+        let config = self.config.lock().expect("the lock").clone();
+        let config = config.unwrap_or_else(|| configuration(1, &["pool"]));
+        let version = config.version;
         let changes = Changes {
             items: vec![Arc::new(config)],
-            next: 1,
+            skipped: Vec::new(),
+            next: version,
             complete: since.is_none(),
         };
         self.answer(changes, if since.is_some() { wait_ms } else { 0 })
     }
 
     fn workers(&self, since: Option<u64>) -> Answer<Changes<WorkerChange>> {
+        if since.is_some() && self.list_expired.swap(false, Ordering::Relaxed) {
+            return Box::pin(async { Err(Fault::Expired { first: 1 }) });
+        }
+        let (items, skipped) = match since {
+            None => self.list.lock().expect("the lock").clone(),
+            Some(_) => Default::default(),
+        };
         let changes = Changes {
-            items: Vec::new(),
+            items,
+            skipped,
             next: 0,
             complete: since.is_none(),
         };
@@ -152,6 +162,19 @@
     }
 }
 
+/// Returns a configuration with one queue and the given pools.
+pub(crate) fn configuration(version: u64, pools: &[&str]) -> Config {
+    Config {
+        version,
+        routes: vec![Route {
+            host: "host".into(),
+            prefix: "/".into(),
+            queue: Arc::new(queue()),
+        }],
+        pools: pools.iter().map(|pool| (*pool).into()).collect(),
+    }
+}
+
 /// Returns the record of a job with one task.
 pub(crate) fn submitted(id: Id) -> rosemaryworks_workflow::Record {
     let step = Step {
@@ -180,11 +203,35 @@
     }
 }
 
-struct NoWorkers;
+/// Workers that don't answer, or answer and never end an attempt.
+#[derive(Default)]
+pub(crate) struct StandInWorkers {
+    pub(crate) answering: AtomicBool,
+    /// Workers whose lease was renewed.
+    pub(crate) renewed: Mutex<Vec<Arc<str>>>,
+    /// Workers that were told to start an attempt.
+    pub(crate) started: Mutex<Vec<Arc<str>>>,
+}
+
+impl StandInWorkers {
+    fn answers(&self) -> bool {
+        self.answering.load(Ordering::Relaxed)
+    }
+}
 
-impl Workers for NoWorkers {
-    fn start(&self, _: &Order, _: Duration) -> Pin<Box<dyn Future<Output = StartOutcome> + Send>> {
-        Box::pin(async { StartOutcome::Unknown })
+impl Workers for StandInWorkers {
+    fn start(
+        &self,
+        order: &Order,
+        _: Duration,
+    ) -> Pin<Box<dyn Future<Output = StartOutcome> + Send>> {
+        let mut started = self.started.lock().expect("the lock");
+        started.push(order.worker.clone());
+        let outcome = match self.answers() {
+            true => StartOutcome::Accepted { clock_ms: 1 },
+            false => StartOutcome::Unknown,
+        };
+        Box::pin(async move { outcome })
     }
 
     fn stop(&self, _: &Stop) -> Pin<Box<dyn Future<Output = bool> + Send>> {
@@ -197,12 +244,26 @@
 
     fn renew(
         &self,
-        _: &Arc<str>,
+        id: &Arc<str>,
         _: &Renewal,
         _: u64,
         _: Duration,
     ) -> Answer<Report, RenewalFault> {
-        Box::pin(async { Err(RenewalFault::Silent) })
+        self.renewed.lock().expect("the lock").push(id.clone());
+        let report = Report {
+            incarnation: 7,
+            clock_ms: 1,
+            finished: Vec::new(),
+            running: Vec::new(),
+        };
+        let answer = match self.answers() {
+            true => Ok(report),
+            false => Err(RenewalFault::Silent),
+        };
+        Box::pin(async move {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            answer
+        })
     }
 }
 
@@ -253,7 +314,7 @@
         let metrics = Metrics::register(&status.metrics);
         let context = Context {
             store: log.clone(),
-            workers: Arc::new(NoWorkers),
+            workers: log.workers.clone(),
             advisor: Arc::new(NoAdvisor),
             metrics: metrics.clone(),
             ready: status.ready.clone(),
--- /dev/null
+++ b/crates/entry/tests/worker_list.rs
@@ -0,0 +1,72 @@
+//! Guards against entries of another writer that take workers from the list.
+
+#[path = "support/memory.rs"]
+mod memory;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use memory::{Log, Process, submitted};
+use rosemaryworks_core::size::Size;
+use rosemaryworks_entry::port::{Stream, WorkerChange};
+use rosemaryworks_workflow::{Id, Worker};
+
+/// Time within which a change of the list has certainly been read, which happens every 0.35 s.
+const LIST_READ: Duration = Duration::from_millis(1_500);
+
+fn worker(id: &str, pool: &str) -> WorkerChange {
+    WorkerChange::Updated(Worker {
+        address: "127.0.0.1:1".parse().expect("an address"),
+        incarnation: 7,
+        capacity: Size::new(4_000, 16_384),
+        draining: false,
+        id: id.into(),
+        labels: Vec::new(),
+        pool: pool.into(),
+        rack: "".into(),
+        remaining_ms: None,
+    })
+}
+
+/// Starts a process on a list of workers that answer.
+async fn start_on(list: Vec<WorkerChange>) -> Process {
+    let log = Arc::new(Log::default());
+    log.workers.answering.store(true, Ordering::Relaxed);
+    log.list.lock().expect("the lock").0 = list;
+    Process::start_on(log).await
+}
+
+/// Lets the process read a complete list.
+async fn reread(log: &Log, list: Vec<WorkerChange>, skipped: &[&str]) {
+    let skipped = skipped.iter().map(|key| (*key).into()).collect();
+    *log.list.lock().expect("the lock") = (list, skipped);
+    log.list_expired.store(true, Ordering::Relaxed);
+    tokio::time::sleep(LIST_READ).await;
+    assert!(!log.list_expired.load(Ordering::Relaxed));
+}
+
+/// Submits a job and returns the workers that were told to start its task.
+async fn started(process: &Process) -> Vec<Arc<str>> {
+    process.log.put(Stream::Jobs, 0, &submitted(Id(7)));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let started = process.log.workers.started.lock().expect("the lock");
+    started.clone()
+}
+
+/// An entry that couldn't be read was left out of the complete list, so its worker counted as
+/// removed and got no more tasks.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_skipped_entry_does_not_remove_its_worker() {
+    let process = start_on(vec![worker("w", "pool")]).await;
+    reread(&process.log, Vec::new(), &["w"]).await;
+    assert!(started(&process).await.contains(&"w".into()));
+}
+
+/// A worker that is no longer listed must get no tasks, whatever else is skipped.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_missing_entry_removes_its_worker() {
+    let process = start_on(vec![worker("w", "pool")]).await;
+    reread(&process.log, Vec::new(), &["other"]).await;
+    assert!(started(&process).await.is_empty());
+}
