fix(entry): a worker of a pool that isn't configured is not listed

Under the key of a true worker such an entry moved the worker to the unknown pool or removed it, so it got no more tasks until its next entry.

Cause: the owner took an entry for any pool whose name falls to its shard.

Evidence: a_worker_of_an_unknown_pool_is_not_called and an_entry_of_an_unknown_pool_does_not_move_a_worker failed with the previous owner. The wait of a takeover is from reading the code, not from a run.

Why it works: an entry of an unknown pool is skipped, unless it is that of a worker that is listed with this pool, which may still run tasks of a pool that was removed. When the configured pools change, the complete list is read again (a_worker_is_listed_when_its_pool_is_named). Without a configuration every pool counts, as before.

--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -41,14 +41,31 @@
     /// Returns the shards of all pools in the configuration, out of `count` shards.
     #[must_use]
     pub fn shards(&self, count: u32) -> BTreeSet<u32> {
+        self.named_pools().map(|pool| shard(pool, count)).collect()
+    }
+
+    /// Returns whether the configuration names a pool.
+    pub(crate) fn has_pool(&self, pool: &str) -> bool {
+        self.named_pools().any(|named| **named == *pool)
+    }
+
+    fn named_pools(&self) -> impl Iterator<Item = &Arc<str>> {
         let pools = self.routes.iter().map(|route| &route.queue.pool);
-        pools
-            .chain(&self.pools)
-            .map(|pool| shard(pool, count))
-            .collect()
+        pools.chain(&self.pools)
     }
 }
 
+/// Returns whether two configurations name the same pools.
+pub(crate) fn have_same_pools(a: Option<&Config>, b: Option<&Config>) -> bool {
+    let pools = |config: &Config| {
+        config
+            .named_pools()
+            .cloned()
+            .collect::<BTreeSet<Arc<str>>>()
+    };
+    a.map(pools) == b.map(pools)
+}
+
 /// Returns the shard of a pool out of `count` shards.
 #[must_use]
 pub fn shard(pool: &str, count: u32) -> u32 {
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -18,6 +18,7 @@
 use crate::port::{Fault, Page, Stream};
 use crate::session::Session;
 use crate::timeouts::Timeouts;
+use crate::worker_list::Position;
 
 /// Longest time between two ticks of the state machine.
 const TICK: Duration = Duration::from_millis(100);
@@ -66,7 +67,7 @@
     jobs_read_ms: AtomicU64,
     /// Start of the last read to the end of the stream that was made for a job query.
     full_read_ms: tokio::sync::Mutex<Option<u64>>,
-    pub(crate) workers_next: u64,
+    pub(crate) workers_read: Position,
     sessions: Mutex<HashMap<Arc<str>, Arc<Session>>>,
     balancer: Mutex<Balancer>,
     timeouts: Mutex<Timeouts>,
@@ -78,7 +79,7 @@
         shard: u32,
         state: Shard,
         jobs_next: u64,
-        workers_next: u64,
+        workers_read: Position,
     ) -> Arc<Self> {
         let epoch = state.epoch();
         let context = node.context.clone();
@@ -97,7 +98,7 @@
             jobs_read: AtomicU64::new(jobs_next),
             jobs_read_ms: AtomicU64::new(clock::now().0),
             full_read_ms: tokio::sync::Mutex::default(),
-            workers_next,
+            workers_read,
             sessions: Mutex::default(),
             balancer: Mutex::default(),
             timeouts: Mutex::default(),
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -13,6 +13,7 @@
 use crate::node::{Node, lock};
 use crate::owner::Owner;
 use crate::port::{Append, Fault, Guard, Stream, WorkerChange};
+use crate::worker_list::{self, Position};
 
 /// Time after which a start command to a worker is void, in milliseconds.
 const START_TTL_MS: u64 = 2_000;
@@ -74,7 +75,8 @@
             early_ms: self.settings.early_ms / 2,
         };
         let mut state = Shard::new(settings, epoch);
-        if let Some(config) = self.config() {
+        let config = self.config();
+        if let Some(config) = &config {
             let queues = config.routes.iter().map(|route| (*route.queue).clone());
             state.set_queues(queues);
         }
@@ -99,16 +101,24 @@
         for record in jobs.into_iter().chain(later).chain(progress) {
             state.replay(record, now_ms);
         }
-        self.skipped_workers.log(&changes.skipped, now_ms);
+        let mut skipped = changes.skipped;
         for change in changes.items {
-            if let WorkerChange::Updated(worker) = change
-                && crate::config::shard(&worker.pool, self.settings.shards) == shard
-            {
+            let WorkerChange::Updated(worker) = change else {
+                continue;
+            };
+            if !worker_list::is_usable(&worker, &state, config.as_deref()) {
+                skipped.push(worker.id);
+            } else if crate::config::shard(&worker.pool, self.settings.shards) == shard {
                 state.list_worker(worker, now_ms);
             }
         }
+        self.skipped_workers.log(&skipped, now_ms);
         state.finish_replay(predecessor_ended, now_ms);
-        Ok(Owner::new(self, shard, state, jobs_next, changes.next))
+        let workers_read = Position {
+            next: changes.next,
+            config,
+        };
+        Ok(Owner::new(self, shard, state, jobs_next, workers_read))
     }
 
     /// Sets the epoch of the journal; appends of earlier owners are rejected from then on.
--- a/crates/entry/tests/worker_list.rs
+++ b/crates/entry/tests/worker_list.rs
@@ -1,4 +1,4 @@
-//! Guards against entries of another writer that take workers from the list.
+//! Guards against entries of another writer that take workers from the list or add unusable ones.
 
 #[path = "support/memory.rs"]
 mod memory;
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use memory::{Log, Process, submitted};
+use memory::{Log, Process, configuration, submitted};
 use rosemaryworks_core::size::Size;
 use rosemaryworks_entry::port::{Stream, WorkerChange};
 use rosemaryworks_workflow::{Id, Worker};
@@ -54,6 +54,11 @@
     started.clone()
 }
 
+fn is_renewed(log: &Log, id: &str) -> bool {
+    let renewed = log.workers.renewed.lock().expect("the lock");
+    renewed.iter().any(|renewed| **renewed == *id)
+}
+
 /// An entry that couldn't be read was left out of the complete list, so its worker counted as
 /// removed and got no more tasks.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -70,3 +75,46 @@
     reread(&process.log, Vec::new(), &["other"]).await;
     assert!(started(&process).await.is_empty());
 }
+
+/// A worker of a pool that the configuration doesn't name was called and recorded, and a takeover
+/// waited for its answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_of_an_unknown_pool_is_not_called() {
+    let process = start_on(vec![worker("odd", "unknown"), worker("w", "pool")]).await;
+    let log = &process.log;
+    reread(
+        log,
+        vec![worker("late", "unknown"), worker("w", "pool")],
+        &[],
+    )
+    .await;
+    assert!(is_renewed(log, "w"));
+    assert!(!is_renewed(log, "odd") && !is_renewed(log, "late"));
+    assert!(started(&process).await.contains(&"w".into()));
+}
+
+/// An entry under the key of a worker that names another, unknown pool moved the worker there, so it
+/// got no more tasks.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_of_an_unknown_pool_does_not_move_a_worker() {
+    let process = start_on(vec![worker("w", "pool")]).await;
+    reread(&process.log, vec![worker("w", "unknown")], &[]).await;
+    assert!(started(&process).await.contains(&"w".into()));
+}
+
+/// The entry of a worker may be written before the configuration that names its pool, and doesn't
+/// change afterwards.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_is_listed_when_its_pool_is_named() {
+    let process = start_on(vec![worker("early", "new")]).await;
+    let log = &process.log;
+    assert!(!is_renewed(log, "early"));
+    *log.config.lock().expect("the lock") = Some(configuration(2, &["new", "pool"]));
+    for _ in 0..100 {
+        if is_renewed(log, "early") {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("the worker isn't listed");
+}
