--- a/crates/entry/src/advice_requests.rs
+++ b/crates/entry/src/advice_requests.rs
@@ -38,7 +38,8 @@
         let mut state = self.state();
         match permits {
             Some(permits) => {
-                state.advice_received(request.step, permits, now_ms + request.validity_ms, now_ms)
+                let until_ms = now_ms.saturating_add(request.validity_ms);
+                state.advice_received(request.step, permits, until_ms, now_ms);
             }
             None => state.advice_failed(request.step, now_ms),
         }
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -271,7 +271,7 @@
         queued_ms: f64,
     ) -> Option<Permits> {
         let expected_ms = (request.cost_ms + queued_ms) as u64;
-        let timeout = Duration::from_millis(expected_ms + ADVICE_SLACK_MS);
+        let timeout = Duration::from_millis(expected_ms.saturating_add(ADVICE_SLACK_MS));
         let message = Workflow::Advise {
             step: request.step,
             workers: request.workers.clone(),
