--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -251,6 +251,7 @@
     ) -> Answer<Report, RenewalFault> {
         self.renewed.lock().expect("the lock").push(id.clone());
         let report = Report {
+            may_have_more_ends: false,
             incarnation: 7,
             clock_ms: 1,
             finished: Vec::new(),
