fix(workflow): a start that a new incarnation accepted unnoticed counts

What callers could see: one task runs twice at the same time after its worker has started again under its id.

Cause: an idle worker has no renewal open, so its restart is noticed only by the next read of the list. A start that the new incarnation accepts before that counted as an attempt of the old one, and the report that revealed the restart gave it up. The same held for a start without an answer.

Change: a new incarnation ends only the attempts that a report of the old one has listed; the others stay until the new one reports, under the longest lease that it may have granted. A start refused as old or for lack of room sets the lease of the worker, too.

Evidence: a_start_that_the_next_incarnation_accepted_unnoticed_counts and an_attempt_that_was_accepted_unnoticed_is_kept_for_the_longest_lease fail before the change; an_attempt_that_ended_with_its_incarnation_restarts_at_once passes before and after.

--- a/crates/workflow/src/answers.rs
+++ b/crates/workflow/src/answers.rs
@@ -9,6 +9,14 @@
 /// Minimum time from a refused start of a task to its next start, in milliseconds.
 const REFUSED_PAUSE_MS: u64 = 50;
 
+/// Returns whether a worker may have taken the deadline of a start request as that of its lease.
+fn may_set_lease(outcome: StartOutcome) -> bool {
+    match outcome {
+        StartOutcome::Accepted { .. } | StartOutcome::Unknown => true,
+        StartOutcome::Refused(refusal) => matches!(refusal, Refusal::Old | Refusal::Room),
+    }
+}
+
 impl Shard {
     /// Applies the outcome of a start request.
     pub fn start_answered(&mut self, order: &Order, outcome: StartOutcome, now_ms: u64) {
@@ -19,7 +27,7 @@
         if host.is_for_earlier_incarnation(order.token) {
             // The deadline of the request is on the clock of the earlier incarnation, and the
             // reading in the answer may be, too.
-            if !matches!(outcome, StartOutcome::Refused(_)) {
+            if may_set_lease(outcome) {
                 host.lease.assume_longest(lease_max_ms, now_ms);
             }
         } else if let StartOutcome::Accepted { clock_ms } = outcome {
@@ -38,7 +46,7 @@
                 if let Some(job) = self.jobs.get_mut(&order.key.step.job) {
                     job.started = true;
                 }
-                run.start = StartState::Confirmed;
+                run.start = StartState::Accepted;
                 if run.phase == Phase::Starting {
                     run.phase = Phase::Running;
                 }
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -46,7 +46,10 @@
 /// What the owner knows about the start of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum StartState {
-    /// The worker has reported the attempt.
+    /// The worker has accepted the start request and not reported the attempt yet. If the worker
+    /// has started again unnoticed, its new incarnation may run the attempt.
+    Accepted,
+    /// The current incarnation of the worker has reported the attempt.
     Confirmed,
     /// The start request was sent and may still be answered.
     Sent,
@@ -201,9 +204,15 @@
     }
 
     /// Resets the state for a new incarnation of the worker. Returns the attempts that ended with the
-    /// previous one. A start request that is still under way may reach the new one, which has not
-    /// seen the fencing token yet, so its attempt stays.
-    pub(crate) fn begin_incarnation(&mut self, incarnation: u64, now_ms: u64) -> Vec<(Key, Run)> {
+    /// previous one: those that it had reported. The new one, which had seen no fencing token, may
+    /// have received the start requests of the others, so these stay until it reports. It may keep
+    /// them for `lease_max_ms`, because their deadlines are on the clock of the previous one.
+    pub(crate) fn begin_incarnation(
+        &mut self,
+        incarnation: u64,
+        lease_max_ms: u64,
+        now_ms: u64,
+    ) -> Vec<(Key, Run)> {
         self.worker.incarnation = incarnation;
         self.worker.draining = false;
         self.lease.reset();
@@ -215,7 +224,11 @@
         self.incarnation_token = self.token();
         self.liveness = Liveness::Unconfirmed;
         let runs = std::mem::take(&mut self.runs).into_iter();
-        let (pending, ended) = runs.partition(|(_, run)| run.start == StartState::Sent);
+        let (ended, pending): (BTreeMap<Key, Run>, _) =
+            runs.partition(|(_, run)| run.start == StartState::Confirmed);
+        if !pending.is_empty() {
+            self.lease.assume_longest(lease_max_ms, now_ms);
+        }
         self.runs = pending;
         self.used = self.occupied();
         ended.into_iter().collect()
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -307,7 +307,7 @@
                     // The token of the renewal invalidates a start request that was not carried out
                     // yet.
                     StartState::Unanswered => run.token < token,
-                    StartState::Confirmed => run.phase_since_ms < sent_ms,
+                    StartState::Accepted | StartState::Confirmed => run.phase_since_ms < sent_ms,
                 }
         };
         let absent_keys: Vec<Key> = host
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -424,7 +424,7 @@
         let Some(host) = self.hosts.get_mut(id) else {
             return;
         };
-        let lost = host.begin_incarnation(incarnation, now_ms);
+        let lost = host.begin_incarnation(incarnation, self.settings.lease_max_ms, now_ms);
         for (key, _) in lost {
             self.mark_run_lost(id, key, Evidence::NewIncarnation);
         }
--- /dev/null
+++ b/crates/workflow/tests/incarnations.rs
@@ -0,0 +1,65 @@
+//! Guards against tasks that run twice because their worker starts again under its id.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, key, spec, step};
+use rosemaryworks_workflow::RenewalFault;
+
+/// Restarts a worker without the owner's knowledge.
+fn restart(fleet: &mut Fleet, id: &str) {
+    let simulated = fleet.workers.get_mut(id).expect("a worker");
+    simulated.incarnation = 8;
+    simulated.token = 0;
+    simulated.runs.clear();
+    simulated.ends.clear();
+}
+
+/// Guards against a task that runs twice because an idle worker starts again unnoticed, and the new
+/// incarnation accepts the next start: the owner took that attempt for one of the old incarnation.
+#[test]
+fn a_start_that_the_next_incarnation_accepted_unnoticed_counts() {
+    let mut fleet = Fleet::new(2);
+    restart(&mut fleet, "w0");
+    fleet.submit(1, spec(vec![step(1)]));
+    assert_eq!(fleet.workers_running(key(1, 0, 0)), ["w0".into()]);
+    for _ in 0..4 {
+        fleet.renew_all();
+        fleet.advance(250);
+    }
+    assert_eq!(fleet.orders.len(), 1, "started a second time");
+    assert_eq!(fleet.workers_running(key(1, 0, 0)).len(), 1);
+    assert!(fleet.stops.is_empty());
+}
+
+/// The same, if the new incarnation is silent after it accepted the start: its lease may last for
+/// the longest time, because the deadline of the start is on the clock of the old incarnation.
+#[test]
+fn an_attempt_that_was_accepted_unnoticed_is_kept_for_the_longest_lease() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let id = fleet.workers_running(key(1, 0, 0))[0].clone();
+    let size = rosemaryworks_core::size::Size::new(4_000, 16_384);
+    let next = fleet::worker(&id, size, 8);
+    fleet.shard.list_worker(next, fleet.now_ms);
+    let token = fleet.shard.host(&id).expect("a host").token();
+    let fault = RenewalFault::Silent;
+    fleet.shard.renewal_failed(&id, token, fault, fleet.now_ms);
+    fleet.advance(fleet::settings().lease_max_ms);
+    assert_eq!(fleet.orders.len(), 1, "started while the worker may run it");
+    fleet.advance(1_000);
+    assert_eq!(fleet.orders.len(), 2, "not restarted");
+}
+
+/// Guards against a task that waits for the lease of an incarnation that has ended.
+#[test]
+fn an_attempt_that_ended_with_its_incarnation_restarts_at_once() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let id = fleet.workers_running(key(1, 0, 0))[0].clone();
+    fleet.renew(&id);
+    restart(&mut fleet, &id);
+    fleet.renew(&id);
+    fleet.tick();
+    assert_eq!(fleet.orders.len(), 2, "not restarted");
+}
