fix(workflow): a stopped attempt of an unknown job is not forgotten

What callers could see: one task runs twice after a change of owner while the log is slow.

Cause: the attempts of a job that stays unread for 1.5 s are stopped, and the job was then forgotten as one with reported attempts. If it was read before the worker had ended them, its tasks started at once on other workers.

Change: the job is remembered until its attempts have ended, and an attempt that is being stopped counts as assigned when the job is read.

Evidence: an_attempt_that_is_stopped_before_its_job_is_read_ends_first fails before the change.

--- a/crates/workflow/src/orphan.rs
+++ b/crates/workflow/src/orphan.rs
@@ -6,7 +6,6 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::host::Phase;
 use crate::job::{Id, Step};
 use crate::run::Placement;
 use crate::shard::Shard;
@@ -32,6 +31,7 @@
         if self.orphans.0.remove(&job).is_none() {
             return;
         }
+        // An attempt that is being stopped runs until the worker has reported its end.
         for (worker, key) in self.runs_of(job) {
             let size = self.step_spec(key.step).map(Step::demand);
             let Some(host) = self.hosts.get_mut(&worker) else {
@@ -40,13 +40,13 @@
             let Some(mut run) = host.remove(&key) else {
                 continue;
             };
-            let (attempt, running) = (run.attempt, run.phase == Phase::Running);
+            let attempt = run.attempt;
             run.size = size.unwrap_or(run.size);
             host.insert(key, run);
             if let Some(job_state) = self.jobs.get_mut(&job) {
                 job_state.started = true;
             }
-            if let Some(step) = self.step_run_mut(key.step).filter(|_| running)
+            if let Some(step) = self.step_run_mut(key.step)
                 && let Some(task) = step.tasks.get_mut(key.index as usize)
                 && task.placement == Placement::Waiting
             {
@@ -66,8 +66,11 @@
             .map(|(job, _)| *job)
             .collect();
         for job in unknown {
-            self.orphans.0.remove(&job);
-            for (worker, key) in self.runs_of(job) {
+            let runs = self.runs_of(job);
+            if runs.is_empty() {
+                self.orphans.0.remove(&job);
+            }
+            for (worker, key) in runs {
                 self.stop_run(&worker, key, now_ms);
             }
         }
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -313,3 +313,31 @@
     fleet.advance(1_000);
     assert_eq!(fleet.orders.len(), 1, "not restarted");
 }
+
+/// Guards against a task that runs twice because its job is read while its attempt, which was
+/// unknown until then, is being stopped.
+#[test]
+fn an_attempt_that_is_stopped_before_its_job_is_read_ends_first() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
+    fleet.take_over(2, &[], vec![queue("q")]);
+    fleet.renew_all();
+    // The stop gets no answer, and the worker takes its time to carry it out.
+    fleet
+        .workers
+        .get_mut(&worker)
+        .expect("a worker")
+        .unresponsive = true;
+    fleet.advance(1_600);
+    assert_eq!(fleet.stops.len(), 1);
+    fleet.submit(1, spec(vec![step(1)]));
+    fleet.advance(100);
+    assert!(fleet.orders.is_empty(), "started while {worker} may run it");
+    let simulated = fleet.workers.get_mut(&worker).expect("a worker");
+    simulated.unresponsive = false;
+    simulated.end(key(1, 0, 0), Outcome::Stopped);
+    fleet.renew(&worker);
+    fleet.advance(100);
+    assert_eq!(fleet.orders.len(), 1, "not started");
+}
