fix(workflow): a worker that may run inherited attempts is not removed

What callers could see: one task runs twice after two changes of owner within some seconds.

Cause: an unlisted worker without known attempts was recorded as removed 4 s after it stopped answering, although a takeover counts the leases of the previous owner for longer. The next owner didn't know the worker and restarted the inherited tasks without waiting for it.

Change: it is removed only when it has reported or every lease has expired.

Evidence: a_worker_that_may_run_attempts_of_a_previous_owner_is_not_removed fails before the change.

--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -157,7 +157,7 @@
         let removed: Vec<Arc<str>> = self
             .hosts
             .iter()
-            .filter(|(_, host)| is_gone(host))
+            .filter(|(id, host)| is_gone(host) && !self.recovery.may_run_attempts(id))
             .map(|(id, _)| id.clone())
             .collect();
         for worker in removed {
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -341,3 +341,27 @@
     fleet.advance(100);
     assert_eq!(fleet.orders.len(), 1, "not started");
 }
+
+/// Guards against tasks that run twice after two changes of owner: the second owner recorded a
+/// worker as removed while the worker might run an attempt of the first one.
+#[test]
+fn a_worker_that_may_run_attempts_of_a_previous_owner_is_not_removed() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
+    fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    fleet
+        .workers
+        .get_mut(&worker)
+        .expect("a worker")
+        .unresponsive = true;
+    fleet.renew_all();
+    fleet.shard.unlist_worker(&worker);
+    let removal = Record::WorkerRemoved {
+        worker: worker.clone(),
+    };
+    fleet.advance(5_000);
+    assert!(!fleet.records.contains(&removal), "removed too early");
+    fleet.advance(4_000);
+    assert!(fleet.records.contains(&removal), "not removed");
+}
