fix(workflow): a part of a worker's ends doesn't confirm it to a new owner

What callers could see: a task runs again after it has completed, after a long outage of the log and a change of owner.

Change: such a report doesn't confirm the worker; the next one, or the expiry of every lease, does.

Evidence: a_worker_with_more_ends_has_not_reported_yet fails before the change.

--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -89,7 +89,7 @@
         if !report.may_have_more_ends {
             self.remove_absent_runs(id, &reported_keys, token, sent_ms);
         }
-        if is_current_token {
+        if is_current_token && !report.may_have_more_ends {
             self.recovery.worker_confirmed(id);
         }
         self.adjust_pace(id);
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -365,3 +365,32 @@
     fleet.advance(4_000);
     assert!(fleet.records.contains(&removal), "not removed");
 }
+
+/// Guards against a task that runs again after it has completed: the first report to a new owner
+/// holds a part of the worker's ends only.
+#[test]
+fn a_worker_with_more_ends_has_not_reported_yet() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
+    fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    let mut report = |may_have_more_ends| {
+        let token = fleet.shard.host(&worker).expect("a host").token();
+        let report = rosemaryworks_workflow::Report {
+            incarnation: 7,
+            clock_ms: 2_000_000,
+            may_have_more_ends,
+            ..rosemaryworks_workflow::Report::default()
+        };
+        fleet
+            .shard
+            .report(&worker, report, token, fleet.now_ms, fleet.now_ms);
+        for id in ["w0", "w1"].iter().filter(|id| **id != &*worker) {
+            fleet.renew(id);
+        }
+        fleet.advance(100);
+        fleet.orders.len()
+    };
+    assert_eq!(report(true), 0, "started again although it may be done");
+    assert_eq!(report(false), 1, "not started");
+}
