fix(workflow): an end on one worker doesn't restart a task that runs on another

What callers could see: a third run of a task beside the second one.

Cause: an end was matched by the number of the attempt alone. After a change of owner a number may be used twice, so the end of a lapsed attempt made the task wait, and start again, while another worker ran it.

Change: the worker that reports an end is passed on. An end other than a completion makes the task wait only if the task isn't assigned elsewhere.

Evidence: an_end_on_another_worker_does_not_restart_a_task fails before the change.

--- a/crates/workflow/src/completion.rs
+++ b/crates/workflow/src/completion.rs
@@ -20,16 +20,18 @@
 }
 
 impl Shard {
-    /// Applies the end of an attempt. Idempotent, because ends may be reported more than once.
+    /// Applies the end of an attempt on `worker`, or on an unknown worker in a replay. Idempotent,
+    /// because ends may be reported more than once.
     pub(crate) fn apply_end(
         &mut self,
+        worker: Option<&str>,
         key: Key,
         attempt: u32,
         how: Outcome,
         checkpoint: Option<Arc<str>>,
         now_ms: u64,
     ) {
-        match self.update_task(key, attempt, how, checkpoint) {
+        match self.update_task(worker, key, attempt, how, checkpoint) {
             Transition::Advance => self.advance(key.step, now_ms),
             Transition::Fail => self.finish_job(key.step.job, State::Failed, now_ms),
             Transition::Retry => self.enqueue(key.step),
@@ -39,6 +41,7 @@
 
     fn update_task(
         &mut self,
+        worker: Option<&str>,
         key: Key,
         attempt: u32,
         how: Outcome,
@@ -67,7 +70,10 @@
         let Some(task) = run.tasks.get_mut(key.index as usize) else {
             return Transition::Stay;
         };
-        let is_latest = attempt >= task.attempt;
+        // Another worker may run a later attempt, under the same number after a change of owner.
+        let runs_elsewhere = matches!(&task.placement,
+            Placement::Assigned(on) if worker.is_some_and(|worker| **on != *worker));
+        let is_latest = attempt >= task.attempt && !runs_elsewhere;
         task.attempt = task.attempt.max(attempt);
         if checkpoint.is_some() && how != Outcome::Done {
             task.checkpoint = checkpoint;
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -100,7 +100,7 @@
                 attempt,
                 how,
                 checkpoint,
-            } => self.apply_end(key, attempt, how, checkpoint, now_ms),
+            } => self.apply_end(None, key, attempt, how, checkpoint, now_ms),
             Record::WorkerAdded { worker } => {
                 self.recovery
                     .known_workers
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -158,6 +158,7 @@
         }
         self.stop_duplicate(id, end, now_ms);
         self.apply_end(
+            Some(id),
             end.key,
             end.attempt,
             end.how,
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -394,3 +394,20 @@
     assert_eq!(report(true), 0, "started again although it may be done");
     assert_eq!(report(false), 1, "not started");
 }
+
+/// Guards against a third run of a task: the end of an attempt on one worker made the task wait
+/// although another worker runs it.
+#[test]
+fn an_end_on_another_worker_does_not_restart_a_task() {
+    let mut fleet = Fleet::new(3);
+    fleet.submit(1, spec(vec![step(1)]));
+    let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
+    let other = if &*worker == "w0" { "w1" } else { "w0" };
+    let simulated = fleet.workers.get_mut(other).expect("a worker");
+    simulated.runs.insert(key(1, 0, 0), 1);
+    simulated.end(key(1, 0, 0), Outcome::Lapsed);
+    fleet.renew(other);
+    fleet.advance(100);
+    assert_eq!(fleet.orders.len(), 1, "started while {worker} runs it");
+    assert_eq!(fleet.workers_running(key(1, 0, 0)), [worker]);
+}
