fix(workflow): a failed stop doesn't make an old report count

What callers could see: one task runs twice after a stop that got no answer.

Cause: the time of the last change of an attempt's phase served two purposes: when to repeat a stop, and whether a report is newer than the start. A failed stop set it to zero to be repeated at once, so the late answer to a renewal that was sent before the start counted as proof that the attempt had ended.

Change: the time at which the start was confirmed is kept by itself.

Evidence: a_report_from_before_a_start_does_not_end_an_attempt_whose_stop_failed fails before the change.

--- a/crates/workflow/src/answers.rs
+++ b/crates/workflow/src/answers.rs
@@ -47,6 +47,7 @@
                     job.started = true;
                 }
                 run.start = StartState::Accepted;
+                run.started_ms = now_ms;
                 if run.phase == Phase::Starting {
                     run.phase = Phase::Running;
                 }
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -70,6 +70,9 @@
     pub(crate) start: StartState,
     /// Time on the owner's clock of the last change of `phase`.
     pub(crate) phase_since_ms: u64,
+    /// Time on the owner's clock at which the worker confirmed the start; that of the start request
+    /// until then.
+    pub(crate) started_ms: u64,
     /// Progress in percent.
     pub(crate) percent: u32,
     /// Time on the owner's clock at which `percent` last increased.
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -316,6 +316,7 @@
             phase: Phase::Starting,
             start: StartState::Sent,
             phase_since_ms: now_ms,
+            started_ms: now_ms,
             percent: 0,
             progressed_ms: now_ms,
             metric: 0.0,
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -206,6 +206,9 @@
             }
             run.percent = reported.percent;
             run.metric = reported.metric;
+            if matches!(run.start, StartState::Sent | StartState::Unanswered) {
+                run.started_ms = now_ms;
+            }
             run.start = StartState::Confirmed;
             if matches!(run.phase, Phase::Unresolved | Phase::Starting) {
                 run.phase = Phase::Running;
@@ -247,6 +250,7 @@
             phase: Phase::Running,
             start: StartState::Confirmed,
             phase_since_ms: now_ms,
+            started_ms: now_ms,
             percent: reported.percent,
             progressed_ms: now_ms,
             metric: reported.metric,
@@ -308,7 +312,7 @@
                     // The token of the renewal invalidates a start request that was not carried out
                     // yet.
                     StartState::Unanswered => run.token < token,
-                    StartState::Accepted | StartState::Confirmed => run.phase_since_ms < sent_ms,
+                    StartState::Accepted | StartState::Confirmed => run.started_ms < sent_ms,
                 }
         };
         let absent_keys: Vec<Key> = host
--- a/crates/workflow/tests/unresponsive_workers.rs
+++ b/crates/workflow/tests/unresponsive_workers.rs
@@ -391,3 +391,34 @@
     assert_eq!(report(true), 1, "started again although it may be done");
     assert_eq!(report(false), 2, "not started again");
 }
+
+/// Guards against a task that runs twice because a failed stop makes an old report count: the
+/// renewal was sent before the attempt was started, so its answer can't list the attempt.
+#[test]
+fn a_report_from_before_a_start_does_not_end_an_attempt_whose_stop_failed() {
+    let mut fleet = Fleet::new(2);
+    let sent_ms = fleet.now_ms;
+    let token = fleet.shard.host("w0").expect("a host").token();
+    fleet.advance(100);
+    let service = rosemaryworks_workflow::Step {
+        service: true,
+        ..step(1)
+    };
+    fleet.submit(1, spec(vec![service]));
+    assert_eq!(fleet.workers_running(key(1, 0, 0)), ["w0".into()]);
+    fleet.workers.get_mut("w0").expect("a worker").unresponsive = true;
+    drain(&mut fleet, "w0");
+    fleet.advance(10);
+    assert_eq!(fleet.stops.len(), 1);
+    fleet.shard.stop_failed("w0", key(1, 0, 0), 1);
+    let report = rosemaryworks_workflow::Report {
+        incarnation: 7,
+        clock_ms: 2_000_000,
+        ..rosemaryworks_workflow::Report::default()
+    };
+    fleet
+        .shard
+        .report("w0", report, token, sent_ms, fleet.now_ms);
+    fleet.tick();
+    assert!(fleet.lost.is_empty(), "{:?}", fleet.lost);
+}
