fix(entry): an owner that stood still checks its claim before it acts

What callers could see: one task runs twice when an owner is frozen while some workers can't be reached by its successor.

Cause: a takeover relies on the previous owner meeting a worker that has seen the new token. After a freeze the old owner renews leases and starts tasks at once; a worker that the successor can't reach still accepts its token, and the successor counts the lease of that worker from the takeover.

If the log doesn't answer within 1.5 s it goes on as before, because then the log may be unreachable for all; that case is left open.

--- a/crates/entry/src/commands.rs
+++ b/crates/entry/src/commands.rs
@@ -10,6 +10,7 @@
 
 impl Owner {
     pub(crate) async fn send_start(self: Arc<Self>, order: Order) {
+        self.wait_until_checked().await;
         if self.is_ended() {
             return;
         }
@@ -37,6 +38,7 @@
     }
 
     pub(crate) async fn send_stop(self: Arc<Self>, stop: Stop) {
+        self.wait_until_checked().await;
         if self.is_ended() {
             return;
         }
@@ -53,6 +55,7 @@
     }
 
     pub(crate) async fn send_pace(self: Arc<Self>, pace: Pace) {
+        self.wait_until_checked().await;
         if self.is_ended() {
             return;
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod session;
 pub mod settings;
 mod skipped;
+pub mod stall;
 mod stop;
 mod submitter;
 mod takeover;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -17,6 +17,7 @@
 use crate::node::{Context, Node, lock};
 use crate::port::{Fault, Page, Stream};
 use crate::session::Session;
+use crate::stall::{self, Stall};
 use crate::timeouts::Timeouts;
 use crate::worker_list::Position;
 
@@ -71,6 +72,7 @@
     sessions: Mutex<HashMap<Arc<str>, Arc<Session>>>,
     balancer: Mutex<Balancer>,
     timeouts: Mutex<Timeouts>,
+    stall: Stall,
 }
 
 impl Owner {
@@ -102,6 +104,7 @@
             sessions: Mutex::default(),
             balancer: Mutex::default(),
             timeouts: Mutex::default(),
+            stall: Stall::new(clock::uptime_ms()),
         })
     }
 
@@ -273,7 +276,11 @@
         let republish_ms = node.settings.retention_ms / REPUBLICATIONS_PER_RETENTION;
         let mut republished_ms = clock::now().0;
         let mut logged_ms = republished_ms;
-        while !self.is_ended() {
+        loop {
+            self.check_claim_after_stall(&node).await;
+            if self.is_ended() {
+                return;
+            }
             let actions = {
                 let mut state = self.state();
                 if clock::now().0 >= republished_ms + republish_ms {
@@ -320,6 +327,41 @@
         }
     }
 
+    /// Checks the claim if this process has stood still, and ends ownership if another process has
+    /// claimed the shard since.
+    async fn check_claim_after_stall(&self, node: &Node) {
+        if let Some(stalled_ms) = self.stall.stalled_ms(clock::uptime_ms()) {
+            let until_ms = clock::now().0 + stall::CHECK_MAX_MS;
+            let mut is_own = None;
+            while is_own.is_none() && clock::now().0 < until_ms && !self.is_ended() {
+                is_own = node.has_latest_claim(self.shard, self.epoch).await;
+                if is_own.is_none() {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+            let claim = match is_own {
+                Some(true) => "own",
+                Some(false) => "lost",
+                None => "unknown",
+            };
+            events::STALLED.log(format_args!(
+                "shard={} epoch={} stalled_ms={stalled_ms} claim={claim}",
+                self.shard, self.epoch
+            ));
+            if is_own == Some(false) {
+                node.step_down(self.shard, self.epoch, "another process claimed the shard");
+            }
+        }
+        self.stall.beat(clock::uptime_ms());
+    }
+
+    /// Waits until this owner may command workers: at once, unless the process has stood still.
+    pub(crate) async fn wait_until_checked(&self) {
+        while !self.is_ended() && self.stall.stalled_ms(clock::uptime_ms()).is_some() {
+            tokio::time::sleep(TICK_SPACING).await;
+        }
+    }
+
     fn execute(self: &Arc<Self>, node: &Arc<Node>, action: Action) {
         match action {
             Action::RequestAdvice(request) => {
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -90,6 +90,20 @@
         at_end
     }
 
+    /// Returns whether the latest claim of a shard in the log is that of `epoch`; `None` if the log
+    /// doesn't answer.
+    pub(crate) async fn has_latest_claim(&self, shard: u32, epoch: u64) -> Option<bool> {
+        let page = self.context.store.newest(Stream::Claims, PARTITION).await;
+        let key = claim::key(shard);
+        let records = page.ok()?.records.into_iter();
+        let latest = records.filter(|record| record.key.as_ref() == Some(&key));
+        let claims = latest.filter_map(|record| {
+            let claim: Option<Claim> = ciborium::from_reader(record.value.as_slice()).ok();
+            claim
+        });
+        Some(claims.map(|claim| claim.epoch).max() == Some(epoch))
+    }
+
     /// Claims a shard that has no owner, if one is due.
     async fn claim_due(self: &Arc<Self>, position: &mut Position) {
         if self.stopping.load(Ordering::Relaxed) {
--- /dev/null
+++ b/crates/entry/src/stall.rs
@@ -0,0 +1,45 @@
+//! Detects that this process stood still, for owners that were frozen or suspended.
+//!
+//! While an owner stands still, another process may take its shard over. Workers that the new owner
+//! has reached reject the commands of the old one, but others accept them. An owner that has stood
+//! still therefore checks its claim before it commands a worker again.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use crate::claim;
+
+/// Time without a beat from which the process counts as having stood still, in milliseconds. Until
+/// then its claim has not expired.
+pub const STALL_MS: u64 = claim::EXPIRY_MS;
+
+/// Time for which an owner that stood still waits for the log before it acts without an answer, in
+/// milliseconds. The log may be unreachable for all processes, and then none can take a shard over.
+pub const CHECK_MAX_MS: u64 = 1_500;
+
+/// Beats of an owner. Times are in milliseconds on a clock that goes on while the VM is suspended.
+#[derive(Debug)]
+pub struct Stall {
+    beat_ms: AtomicU64,
+}
+
+impl Stall {
+    /// Starts with a beat at `now_ms`.
+    #[must_use]
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            beat_ms: AtomicU64::new(now_ms),
+        }
+    }
+
+    /// Records that the owner runs, and that its claim was checked if it had stood still.
+    pub fn beat(&self, now_ms: u64) {
+        self.beat_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Returns the time since the last beat if the process has stood still since then.
+    #[must_use]
+    pub fn stalled_ms(&self, now_ms: u64) -> Option<u64> {
+        let silent_ms = now_ms.saturating_sub(self.beat_ms.load(Ordering::Relaxed));
+        Some(silent_ms).filter(|ms| *ms >= STALL_MS)
+    }
+}
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -4,6 +4,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use rosemaryworks_core::time::Instant;
+use rustix::time::{ClockId, clock_gettime};
 
 static START: OnceLock<std::time::Instant> = OnceLock::new();
 
@@ -31,3 +32,12 @@
         .unwrap_or_default();
     u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
 }
+
+/// Returns the time since the VM started in milliseconds, including the time for which it was
+/// suspended.
+#[must_use]
+pub fn uptime_ms() -> u64 {
+    let uptime = clock_gettime(ClockId::Boottime);
+    let (seconds, nanos) = (uptime.tv_sec.max(0), uptime.tv_nsec.max(0));
+    seconds.unsigned_abs() * 1_000 + nanos.unsigned_abs() / 1_000_000
+}
