fix(entry): a claim says whether an earlier owner may still act

What callers could see: one task runs twice after two changes of owner within a second or two.

Cause: a claim counted as that of the only owner from its first renewal, and a planned release as that of a finished takeover, although the earlier owner is fenced only when every worker has reported or 1.2 s have passed. A process that restarted or was stopped in between let its successor start tasks as the sole owner while the first one might still act.

Change: renewals and releases carry 'unfinished' until no earlier owner acts.

Evidence: an_owner_that_has_not_fenced_its_predecessor_does_not_end_it fails before the change; a_takeover_is_finished_once_no_previous_owner_acts fixes what 'finished' means.

--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -68,8 +68,8 @@
     /// Number of the renewal; 0 until the takeover is complete, `u64::MAX` in a release.
     #[serde(rename = "b")]
     pub renewal: u64,
-    /// Whether the shard was released before the takeover was complete, so that an earlier owner
-    /// may still be active.
+    /// Whether an earlier owner may still be active: the takeover isn't complete, or the shard was
+    /// released before it was.
     #[serde(default, rename = "u", skip_serializing_if = "std::ops::Not::not")]
     pub unfinished: bool,
     /// CPU of the owner's VM in thousandths of a core.
@@ -164,7 +164,7 @@
         self.get(shard).is_none_or(|claim| {
             let released = claim.node.is_empty() && !claim.unfinished;
             let own = &*claim.node == node && claim.incarnation != incarnation;
-            released || (own && claim.renewal > 0)
+            released || (own && claim.renewal > 0 && !claim.unfinished)
         })
     }
 
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -167,6 +167,11 @@
         }
     }
 
+    /// Returns whether no previous owner of the shard acts any more.
+    pub(crate) fn has_fenced_predecessors(&self) -> bool {
+        self.state().has_fenced_predecessors(clock::now().0)
+    }
+
     /// Wakes the task that runs the state machine.
     pub(crate) fn wake(&self) {
         self.changed.notify_one();
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -178,7 +178,8 @@
     fn renew_claims(self: &Arc<Self>) {
         let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
         for owner in owners {
-            let claim = self.own_claim(owner.epoch(), owner.next_renewal());
+            let mut claim = self.own_claim(owner.epoch(), owner.next_renewal());
+            claim.unfinished = !owner.has_fenced_predecessors();
             let node = self.clone();
             tokio::spawn(async move {
                 // A lost renewal is made up for by the next one.
@@ -211,8 +212,9 @@
         for owner in owners {
             let (shard, epoch) = (owner.shard(), owner.epoch());
             owner.flush().await;
+            let unfinished = !owner.has_fenced_predecessors();
             self.step_down(shard, epoch, "planned stop");
-            self.release_claim(shard, epoch, false).await;
+            self.release_claim(shard, epoch, unfinished).await;
         }
     }
 
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -170,6 +170,21 @@
     );
 }
 
+/// Guards against tasks that run twice after two changes of owner: a process that restarts while the
+/// owner before it may still act took the shard as its own since its first renewal.
+#[test]
+fn an_owner_that_has_not_fenced_its_predecessor_does_not_end_it() {
+    let mut claims = Claims::default();
+    let renewed = |renewal, unfinished| Claim {
+        unfinished,
+        ..claim("c", 1, 6, renewal)
+    };
+    claims.apply(SHARD, renewed(1, true), 10_000);
+    assert!(!claims.owner_has_ended(SHARD, "c", 3));
+    claims.apply(SHARD, renewed(2, false), 10_250);
+    assert!(claims.owner_has_ended(SHARD, "c", 3));
+}
+
 /// Guards against reads at fixed times, which would add up to two pauses to each takeover.
 #[test]
 fn the_next_read_comes_when_a_shard_is_due() {
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -90,6 +90,12 @@
 }
 
 impl Shard {
+    /// Returns whether no previous owner acts any more.
+    #[must_use]
+    pub fn has_fenced_predecessors(&self, now_ms: u64) -> bool {
+        self.recovery.is_fenced(now_ms)
+    }
+
     /// Applies a record of the shard's streams.
     pub fn replay(&mut self, record: Record, now_ms: u64) {
         match record {
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -411,3 +411,17 @@
     assert_eq!(fleet.orders.len(), 1, "started while {worker} runs it");
     assert_eq!(fleet.workers_running(key(1, 0, 0)), [worker]);
 }
+
+/// Guards against a successor that regards an earlier owner as ended because the owner between them
+/// renewed its claim before it had fenced that one.
+#[test]
+fn a_takeover_is_finished_once_no_previous_owner_acts() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    assert!(!fleet.shard.has_fenced_predecessors(fleet.now_ms));
+    fleet.advance(1_100);
+    assert!(!fleet.shard.has_fenced_predecessors(fleet.now_ms));
+    fleet.renew_all();
+    assert!(fleet.shard.has_fenced_predecessors(fleet.now_ms));
+}
