--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -144,6 +144,11 @@
             .list_worker(worker(id, self.capacity, 7), self.now_ms);
     }
 
+    /// Sets whether a worker leaves requests without an answer.
+    pub(crate) fn set_unresponsive(&mut self, id: &str, unresponsive: bool) {
+        self.workers.get_mut(id).expect("a worker").unresponsive = unresponsive;
+    }
+
     /// Replaces the shard by that of a new owner, which replays the given jobs and all records.
     pub(crate) fn take_over(&mut self, epoch: u64, jobs: &[Record], queues: Vec<Queue>) {
         let mut shard = Shard::new(settings(), epoch);
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -32,11 +32,7 @@
     fleet.submit(1, spec(vec![step(1)]));
     let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
     fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
-    fleet
-        .workers
-        .get_mut(&worker)
-        .expect("a worker")
-        .unresponsive = true;
+    fleet.set_unresponsive(&worker, true);
     fleet.renew_all();
     fleet.advance(2_000);
     assert!(fleet.orders.is_empty(), "started while {worker} may run it");
@@ -59,7 +55,7 @@
 fn new_jobs_wait_until_the_previous_owner_is_fenced() {
     let mut fleet = Fleet::new(3);
     fleet.take_over(2, &[], vec![queue("q")]);
-    fleet.workers.get_mut("w0").expect("a worker").unresponsive = true;
+    fleet.set_unresponsive("w0", true);
     fleet.renew("w1");
     fleet.renew("w2");
     fleet.submit(1, spec(vec![step(1)]));
@@ -219,7 +215,7 @@
 fn an_unlisted_idle_worker_is_removed() {
     let mut fleet = Fleet::new(2);
     fleet.renewals.clear();
-    fleet.workers.get_mut("w0").expect("a worker").unresponsive = true;
+    fleet.set_unresponsive("w0", true);
     fleet.shard.unlist_worker("w0");
     fleet.take_actions();
     assert_eq!(fleet.renewals, vec!["w0".into()]);
@@ -264,7 +260,7 @@
     let mut draining = fleet::worker(&id, rosemaryworks_core::size::Size::new(4_000, 16_384), 7);
     draining.draining = true;
     fleet.shard.list_worker(draining, fleet.now_ms);
-    fleet.workers.get_mut(&id).expect("a worker").unresponsive = true;
+    fleet.set_unresponsive(&id, true);
     fleet.renew_all();
     fleet.shard.unlist_worker(&id);
     fleet.advance(6_000);
@@ -301,11 +297,7 @@
     fleet.submit(1, spec(vec![step(1)]));
     let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
     fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
-    fleet
-        .workers
-        .get_mut(&worker)
-        .expect("a worker")
-        .unresponsive = true;
+    fleet.set_unresponsive(&worker, true);
     fleet.renew_all();
     // 1.2 s until the previous owner is fenced, and a lease of 6 s on the slowest clock.
     fleet.advance(7_300);
@@ -324,11 +316,7 @@
     fleet.take_over(2, &[], vec![queue("q")]);
     fleet.renew_all();
     // The stop gets no answer, and the worker takes its time to carry it out.
-    fleet
-        .workers
-        .get_mut(&worker)
-        .expect("a worker")
-        .unresponsive = true;
+    fleet.set_unresponsive(&worker, true);
     fleet.advance(1_600);
     assert_eq!(fleet.stops.len(), 1);
     fleet.submit(1, spec(vec![step(1)]));
@@ -350,11 +338,7 @@
     fleet.submit(1, spec(vec![step(1)]));
     let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
     fleet.take_over(2, &[submitted(1, vec![step(1)])], vec![queue("q")]);
-    fleet
-        .workers
-        .get_mut(&worker)
-        .expect("a worker")
-        .unresponsive = true;
+    fleet.set_unresponsive(&worker, true);
     fleet.renew_all();
     fleet.shard.unlist_worker(&worker);
     let removal = Record::WorkerRemoved {
--- a/crates/workflow/tests/unresponsive_workers.rs
+++ b/crates/workflow/tests/unresponsive_workers.rs
@@ -17,11 +17,7 @@
     fleet.submit(1, spec(vec![step(1)]));
     let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
     fleet.renew(&worker);
-    fleet
-        .workers
-        .get_mut(&worker)
-        .expect("a worker")
-        .unresponsive = true;
+    fleet.set_unresponsive(&worker, true);
     for _ in 0..RESTART_MAX_MS / 250 {
         fleet.advance(250);
         fleet.renew(&worker);
@@ -36,11 +32,7 @@
     fleet.submit(1, spec(vec![step(1)]));
     let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
     fleet.renew(&worker);
-    fleet
-        .workers
-        .get_mut(&worker)
-        .expect("a worker")
-        .unresponsive = true;
+    fleet.set_unresponsive(&worker, true);
     for _ in 0..22 {
         fleet.advance(250);
         fleet.renew(&worker);
@@ -55,10 +47,10 @@
 #[test]
 fn an_unanswered_start_is_resolved_by_the_next_renewal() {
     let mut fleet = Fleet::new(1);
-    fleet.workers.get_mut("w0").expect("a worker").unresponsive = true;
+    fleet.set_unresponsive("w0", true);
     fleet.submit(1, spec(vec![step(1)]));
     assert_eq!(fleet.orders.len(), 1);
-    fleet.workers.get_mut("w0").expect("a worker").unresponsive = false;
+    fleet.set_unresponsive("w0", false);
     // The renewal carries a higher fencing token, so the worker rejects the start request if it
     // arrives late.
     fleet.renew("w0");
@@ -108,9 +100,9 @@
     assert_eq!(wait_ms(&mut fleet), 800);
     for round in 0..20 {
         let id = &ids[round % ids.len()];
-        fleet.workers.get_mut(id).expect("a worker").unresponsive = true;
+        fleet.set_unresponsive(id, true);
         fleet.renew(id);
-        fleet.workers.get_mut(id).expect("a worker").unresponsive = false;
+        fleet.set_unresponsive(id, false);
         fleet.advance(30);
         fleet.renew_all();
     }
@@ -128,11 +120,7 @@
     fleet.submit(1, spec(vec![step(20)]));
     let ids: Vec<_> = fleet.workers.keys().cloned().collect();
     fleet.renew_all();
-    fleet
-        .workers
-        .get_mut(&ids[1])
-        .expect("a worker")
-        .unresponsive = true;
+    fleet.set_unresponsive(&ids[1], true);
     // Shorter than the time after which stalled attempts are stopped.
     for _ in 0..30 {
         fleet.advance(100);
@@ -157,7 +145,7 @@
 fn a_departed_worker_without_attempts_is_removed_at_once() {
     let mut fleet = Fleet::new(2);
     drain(&mut fleet, "w0");
-    fleet.workers.get_mut("w0").expect("a worker").unresponsive = true;
+    fleet.set_unresponsive("w0", true);
     fleet.renew("w0");
     fleet.shard.unlist_worker("w0");
     fleet.tick();
@@ -177,11 +165,7 @@
     let worker = fleet.workers_running(key(1, 0, 0))[0].clone();
     fleet.renew(&worker);
     drain(&mut fleet, &worker);
-    fleet
-        .workers
-        .get_mut(&worker)
-        .expect("a worker")
-        .unresponsive = true;
+    fleet.set_unresponsive(&worker, true);
     fleet.renew(&worker);
     fleet.shard.unlist_worker(&worker);
     for _ in 0..22 {
@@ -321,11 +305,7 @@
     let order = restart_worker_during_a_start(&mut fleet);
     let unknown = rosemaryworks_workflow::StartOutcome::Unknown;
     fleet.shard.start_answered(&order, unknown, fleet.now_ms);
-    fleet
-        .workers
-        .get_mut(&order.worker)
-        .expect("a worker")
-        .unresponsive = true;
+    fleet.set_unresponsive(&order.worker, true);
     let longest_ms = fleet::settings().lease_max_ms;
     for _ in 0..longest_ms / 250 {
         fleet.advance(250);
@@ -348,8 +328,8 @@
 fn a_worker_that_is_listed_again_gets_no_lower_token() {
     let mut fleet = Fleet::new(2);
     // An unanswered start raises the token.
-    fleet.workers.get_mut("w0").expect("a worker").unresponsive = true;
-    fleet.workers.get_mut("w1").expect("a worker").unresponsive = true;
+    fleet.set_unresponsive("w0", true);
+    fleet.set_unresponsive("w1", true);
     fleet.submit(1, spec(vec![step(2)]));
     let highest = fleet.shard.host("w0").expect("a host").token();
     for _ in 0..40 {
@@ -406,7 +386,7 @@
     };
     fleet.submit(1, spec(vec![service]));
     assert_eq!(fleet.workers_running(key(1, 0, 0)), ["w0".into()]);
-    fleet.workers.get_mut("w0").expect("a worker").unresponsive = true;
+    fleet.set_unresponsive("w0", true);
     drain(&mut fleet, "w0");
     fleet.advance(10);
     assert_eq!(fleet.stops.len(), 1);
