fix(entry): a superseded owner doesn't release the shard over the newer claim

What callers could see: tasks run twice, or again after their completion was acknowledged, when processes are stopped, killed and started in a row.

Cause: a planned stop wrote the release of each owned shard unconditionally, also if another process had claimed the shard meanwhile. The log keeps the newest record of each key, so the release of epoch 1 hid the claim of epoch 2. An owner that knew of a newer claim also went on renewing its own over it.

Change: a release is appended only on the condition that the log holds no newer claim at that moment; an owner that knows of a newer claim doesn't renew its own. The check after a stall takes an older record for no proof.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -339,7 +339,8 @@
             let until_ms = clock::now().0 + stall::CHECK_MAX_MS;
             let mut is_own = None;
             while is_own.is_none() && clock::now().0 < until_ms && !self.is_ended() {
-                is_own = node.has_latest_claim(self.shard, self.epoch).await;
+                let read = node.read_newest_claim(self.shard, self.epoch).await;
+                is_own = read.map(|(is_own, _)| is_own);
                 if is_own.is_none() {
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -17,6 +17,9 @@
 /// Partition of the claims stream.
 pub(crate) const PARTITION: u32 = 0;
 
+/// Upper bound of the tries of a release, which competes with the renewals of other owners.
+const RELEASE_TRIES_MAX: u32 = 4;
+
 /// Read position in the claims stream, and the time of the last renewal.
 struct Position {
     next: Option<u64>,
@@ -90,18 +93,18 @@
         at_end
     }
 
-    /// Returns whether the latest claim of a shard in the log is that of `epoch`; `None` if the log
-    /// doesn't answer.
-    pub(crate) async fn has_latest_claim(&self, shard: u32, epoch: u64) -> Option<bool> {
+    /// Returns whether the log holds no claim of a shard that is newer than `epoch`, and the end of
+    /// the claims stream; `None` if the log doesn't answer.
+    pub(crate) async fn read_newest_claim(&self, shard: u32, epoch: u64) -> Option<(bool, u64)> {
         let page = self.context.store.newest(Stream::Claims, PARTITION).await;
+        let page = page.ok()?;
         let key = claim::key(shard);
-        let records = page.ok()?.records.into_iter();
-        let latest = records.filter(|record| record.key.as_ref() == Some(&key));
-        let claims = latest.filter_map(|record| {
-            let claim: Option<Claim> = ciborium::from_reader(record.value.as_slice()).ok();
-            claim
-        });
-        Some(claims.map(|claim| claim.epoch).max() == Some(epoch))
+        let records = page.records.into_iter();
+        let claims = records
+            .filter(|record| record.key.as_ref() == Some(&key))
+            .filter_map(|record| ciborium::from_reader(record.value.as_slice()).ok());
+        let newest = claims.map(|claim: Claim| claim.epoch).max();
+        Some((newest.is_none_or(|newest| newest <= epoch), page.end))
     }
 
     /// Claims a shard that has no owner, if one is due.
@@ -178,6 +181,12 @@
     fn renew_claims(self: &Arc<Self>) {
         let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
         for owner in owners {
+            let superseded = lock(&self.claims)
+                .get(owner.shard())
+                .is_some_and(|claim| claim.epoch > owner.epoch());
+            if superseded {
+                continue;
+            }
             let mut claim = self.own_claim(owner.epoch(), owner.next_renewal());
             claim.unfinished = !owner.has_fenced_predecessors();
             let node = self.clone();
@@ -225,13 +234,25 @@
         claim.unfinished = unfinished;
         claim.node = "".into();
         // A claim that can't be released expires.
-        if self
-            .write_claim(shard, &claim, Guard::Unconditional)
-            .await
-            .is_ok()
-        {
-            lock(&self.claims).apply(shard, claim, clock::now().0);
-            self.notify_released(shard, epoch);
+        for _ in 0..RELEASE_TRIES_MAX {
+            let Some((is_newest, end)) = self.read_newest_claim(shard, epoch).await else {
+                return;
+            };
+            // The log keeps the newest record of each key only, so a release over a newer claim
+            // would hide that claim from a process that starts.
+            if !is_newest {
+                return;
+            }
+            match self.write_claim(shard, &claim, Guard::EndOffset(end)).await {
+                Ok(_) => {
+                    lock(&self.claims).apply(shard, claim, clock::now().0);
+                    self.notify_released(shard, epoch);
+                    return;
+                }
+                // Another process renewed a claim in between.
+                Err(Fault::OffsetMismatch { .. }) => {}
+                Err(_) => return,
+            }
         }
     }
 }
--- a/crates/entry/tests/planned_stop.rs
+++ b/crates/entry/tests/planned_stop.rs
@@ -36,3 +36,14 @@
     process.wait_for_shards(0).await;
     assert!(began.elapsed() < Duration::from_secs(1));
 }
+
+/// Guards against two owners with the same epoch: an owner that another process had superseded
+/// released its shard over the newer claim, and a process that started then claimed the epoch again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_superseded_owner_does_not_release_the_shard() {
+    let process = Process::start().await;
+    process.log.put_claim(2);
+    process.node.stop(Duration::from_secs(4)).await;
+    process.wait_for_shards(0).await;
+    assert_eq!(process.log.newest_claim_epoch(), 2);
+}
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -162,6 +162,38 @@
     }
 }
 
+impl Log {
+    /// Appends a claim of the only shard by another process.
+    pub(crate) fn put_claim(&self, epoch: u64) {
+        let claim = rosemaryworks_entry::claim::Claim {
+            epoch,
+            node: "other".into(),
+            incarnation: 5,
+            address: "127.0.0.1:9".parse().expect("an address"),
+            renewal: 0,
+            unfinished: false,
+            millicores: 500,
+        };
+        let mut value = Vec::new();
+        ciborium::into_writer(&claim, &mut value).expect("a claim");
+        let mut records = self.records.lock().expect("the lock");
+        let key = Some(rosemaryworks_entry::claim::key(0));
+        let stream = records.entry((index(Stream::Claims), 0)).or_default();
+        stream.push(Record { key, value });
+    }
+
+    /// Returns the epoch of the newest claim, which is all that a process that starts can read.
+    pub(crate) fn newest_claim_epoch(&self) -> u64 {
+        let records = self.records.lock().expect("the lock");
+        let newest = records[&(index(Stream::Claims), 0)]
+            .last()
+            .expect("a claim");
+        let claim: rosemaryworks_entry::claim::Claim =
+            ciborium::from_reader(newest.value.as_slice()).expect("a claim");
+        claim.epoch
+    }
+}
+
 /// Returns a configuration with one queue and the given pools.
 pub(crate) fn configuration(version: u64, pools: &[&str]) -> Config {
     Config {
