fix(entry): claims are renewed apart from their reads

Cause: renewals ran in the loop that reads the claims and waited for each read. An owner short of CPU waits 0.6 s and more for an answer, its claim expires after 1 s, and each new owner meets a larger backlog, because inherited tasks wait for the leases of workers that can't be reached.

Change: a task of its own renews every 250 ms.

Evidence: a_slow_read_of_the_claims_does_not_delay_renewals fails before the change (0 renewals in two lifetimes of a claim).

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -117,7 +117,8 @@
     pub fn start(self: &Arc<Self>, link_listener: tokio::net::TcpListener) {
         self.serve_links(link_listener);
         tokio::spawn(self.clone().watch_configuration());
-        tokio::spawn(self.clone().maintain_claims());
+        tokio::spawn(self.clone().keep_claims());
+        tokio::spawn(self.clone().follow_claims());
     }
 
     /// Returns the configuration in force.
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rosemaryworks_node::clock;
+use tokio::time::MissedTickBehavior;
 
 use crate::claim::{self, Claim};
 use crate::events;
@@ -20,26 +21,27 @@
 /// Upper bound of the tries of a release, which competes with the renewals of other owners.
 const RELEASE_TRIES_MAX: u32 = 4;
 
-/// Read position in the claims stream, and the time of the last renewal.
+/// Read position in the claims stream.
 struct Position {
     next: Option<u64>,
-    renewed_ms: u64,
 }
 
 impl Node {
-    /// Reads the claims, renews those of this process and claims shards without an owner, until the
-    /// process ends.
-    pub(crate) async fn maintain_claims(self: Arc<Self>) {
-        let mut position = Position {
-            next: None,
-            renewed_ms: 0,
-        };
+    /// Renews the claims of this process until it ends. Reads of the claims don't delay renewals: an
+    /// owner that is short of CPU waits longer for an answer than claims last.
+    pub(crate) async fn keep_claims(self: Arc<Self>) {
+        let mut renewal = tokio::time::interval(Duration::from_millis(claim::RENEW_MS));
+        renewal.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            renewal.tick().await;
+            self.renew_claims();
+        }
+    }
+
+    /// Reads the claims and claims shards without an owner, until the process ends.
+    pub(crate) async fn follow_claims(self: Arc<Self>) {
+        let mut position = Position { next: None };
         loop {
-            let now_ms = clock::now().0;
-            if now_ms >= position.renewed_ms + claim::RENEW_MS {
-                position.renewed_ms = now_ms;
-                self.renew_claims();
-            }
             let mut pause_ms = claim::POLL_MS;
             if self.read_claims(&mut position).await {
                 self.dial_owners();
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -30,6 +30,8 @@
     /// Records that the previous owner and its callers write just before the journal is fenced.
     pub(crate) before_fence: Mutex<Vec<(Stream, rosemaryworks_workflow::Record)>>,
     pub(crate) down: Arc<AtomicBool>,
+    /// Time that a read of the claims takes in milliseconds.
+    pub(crate) claims_read_ms: AtomicU64,
     /// Complete list of workers and the keys of skipped entries.
     pub(crate) list: Mutex<(Vec<WorkerChange>, Vec<Arc<str>>)>,
     /// Whether the changes of the list have expired, so that the complete list is read again.
@@ -124,7 +126,11 @@
 
     /// Returns only the records present before the wait; later ones are returned by the next read.
     fn read(&self, stream: Stream, partition: u32, from: u64, wait_ms: u64) -> Answer<Page> {
-        self.answer(self.page(stream, partition, from), wait_ms)
+        let delay_ms = match stream {
+            Stream::Claims => self.claims_read_ms.load(Ordering::Relaxed),
+            _ => 0,
+        };
+        self.answer(self.page(stream, partition, from), wait_ms + delay_ms)
     }
 
     fn newest(&self, stream: Stream, partition: u32) -> Answer<Page> {
@@ -182,6 +188,12 @@
         stream.push(Record { key, value });
     }
 
+    /// Returns the number of claims and renewals written so far.
+    pub(crate) fn claim_count(&self) -> usize {
+        let records = self.records.lock().expect("the lock");
+        records.get(&(index(Stream::Claims), 0)).map_or(0, Vec::len)
+    }
+
     /// Returns the epoch of the newest claim, which is all that a process that starts can read.
     pub(crate) fn newest_claim_epoch(&self) -> u64 {
         let records = self.records.lock().expect("the lock");
