--- a/crates/scheduler/src/context.rs
+++ b/crates/scheduler/src/context.rs
@@ -18,6 +18,7 @@
 use rosemaryworks_platform::appender::Appender;
 use rosemaryworks_platform::directory::Listing;
 use rosemaryworks_platform::health::Health;
+use rosemaryworks_platform::log::CELL;
 use rosemaryworks_platform::{Directory, Instances, Log, Workers};
 use rosemaryworks_wire::link::Client;
 use rosemaryworks_wire::{Hello, Role};
@@ -130,7 +131,7 @@
         };
         Arc::new(Self {
             partition: Arc::new(settings.cell.partition.clone()),
-            appender: appender(rosemaryworks_platform::log::CELL),
+            appender: appender(CELL),
             config_appender: appender(rosemaryworks_platform::log::CONTRACTS),
             counters: Counters::new(&status.metrics),
             settings,
@@ -231,6 +232,24 @@
         true
     }
 
+    /// Waits until this process has applied the records that the cell stream holds now, for at most
+    /// `timeout`. Returns whether it has.
+    pub(crate) async fn catch_up(&self, timeout: Duration) -> bool {
+        let caught_up = async {
+            let next = lock(&self.cell).readback.next_offset().max(1);
+            let read = self.platform.log.read(CELL, next, 1, 0).await;
+            let Ok(page) = read else { return false };
+            let applied = match page.next.checked_sub(1) {
+                Some(last) if last >= next => lock(&self.cell).readback.wait(last),
+                _ => return true,
+            };
+            applied.await.is_ok()
+        };
+        tokio::time::timeout(timeout, caught_up)
+            .await
+            .unwrap_or(false)
+    }
+
     /// Appends `record` to the cell stream and waits until it is read back, for at most `timeout`
     /// in all, or a little longer if the append took most of it.
     pub(crate) async fn write(&self, record: &Cell, timeout: Duration) -> Written {
--- a/crates/scheduler/src/pool/jobs.rs
+++ b/crates/scheduler/src/pool/jobs.rs
@@ -20,6 +20,10 @@
 /// Timeout of the append of a submission or cancellation with its read-back.
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Timeout of the read to the end of the log before a job counts as unknown. Shorter than the
+/// sender of a forwarded cancellation waits.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Longest time that a call waits for the end of a job.
 const WAIT_MAX_MS: u64 = 60_000;
 
@@ -70,6 +74,10 @@
 
     /// Cancels a job at the shard that accepted it.
     pub(crate) async fn cancel(&self, context: &Context, id: &Id) -> Submission {
+        // The sender may have read the record of the job earlier than this process.
+        if self.status(context, id).is_none() && !context.catch_up(CATCH_UP_TIMEOUT).await {
+            return Submission::Unavailable(NotRun::LogUnavailable);
+        }
         let Some(status) = self.status(context, id) else {
             return Submission::Rejected("no such job".into());
         };
--- a/crates/scheduler/src/readback.rs
+++ b/crates/scheduler/src/readback.rs
@@ -18,10 +18,14 @@
 }
 
 impl Readback {
+    /// Returns the offset after the last record read.
+    pub(crate) fn next_offset(&self) -> Offset {
+        self.first_offset + self.verdicts.len() as Offset
+    }
+
     /// Stores the verdict on the record at `offset` and wakes its writers.
     pub(crate) fn resolve(&mut self, offset: Offset, valid: bool) {
-        let next = self.first_offset + self.verdicts.len() as Offset;
-        if offset != next {
+        if offset != self.next_offset() {
             self.verdicts.clear();
             self.first_offset = offset;
         }
--- a/crates/scheduler/tests/remapping.rs
+++ b/crates/scheduler/tests/remapping.rs
@@ -176,6 +176,50 @@
     );
 }
 
+/// Guards against a cancellation that is answered "no such job" because the owner that accepted the
+/// job has not read its record yet, while the owner that passes the cancellation on has.
+#[test]
+fn a_job_is_cancelled_whose_owner_has_not_read_it_yet() {
+    let cell = Cell::with_pool_shards(3, 3_600_000, SHARDS);
+    let shards: Vec<Id> = (0..SHARDS).map(|index| Id { index, ..pool() }).collect();
+    cell.wait_for("every shard has an owner", || {
+        shards.iter().all(|shard| cell.owner(shard).is_some())
+    });
+    let mapped_owner = cell.owner(&pool()).unwrap();
+    let has_other_owner = |shard: &&Id| cell.owner(shard).is_some_and(|o| o != mapped_owner);
+    let shard = shards.iter().find(has_other_owner).unwrap();
+    let late_owner = cell.owner(shard).unwrap();
+    let late_log = cell.processes[&late_owner].log.clone();
+    let submitted = record::Cell::Submitted {
+        shard: shard.clone(),
+        epoch: epoch(&cell, shard),
+        contract: "shops".into(),
+        job: Box::new(Spec {
+            size: Size::new(63_000, 100),
+            ..cell::job("late", 60_000)
+        }),
+        at_unix_ms: unix_ms(),
+    };
+    late_log.hold_reads(true);
+    // Ends the read that is under way.
+    cell.log.push(CELL, &"no record");
+    std::thread::sleep(Duration::from_millis(100));
+    cell.log.push(CELL, &submitted);
+    cell.wait_for("the new shard's owner has the job", || {
+        cell.status(&mapped_owner, "late", 0).is_some()
+    });
+    let release = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(300));
+        late_log.hold_reads(false);
+    });
+    let submission = cell.cancel(&mapped_owner, "late");
+    release.join().unwrap();
+    assert!(
+        matches!(submission, Submission::Accepted(_)),
+        "{submission:?}"
+    );
+}
+
 fn records(cell: &Cell, text: &str) -> Vec<record::Cell> {
     let records = cell.log.find_text(CELL, text);
     records
--- a/crates/scheduler/tests/support/cell.rs
+++ b/crates/scheduler/tests/support/cell.rs
@@ -36,6 +36,8 @@
 pub(crate) struct Process {
     runtime: Runtime,
     scheduler: Option<Scheduler>,
+    /// The process's access to the log.
+    pub(crate) log: MemoryLog,
     pub(crate) status: NodeStatus,
 }
 
@@ -149,8 +151,9 @@
             retention_ms: self.retention_ms,
             runtime_threads: 1,
         };
+        let log = self.log.for_process();
         let platform = Platform {
-            log: Arc::new(self.log.clone()),
+            log: Arc::new(log.clone()),
             workers: Arc::new(self.targets.clone()),
             instances: Arc::new(self.targets.clone()),
             directory: Arc::new(self.targets.clone()),
@@ -165,6 +168,7 @@
         let process = Process {
             runtime,
             scheduler: Some(scheduler),
+            log,
             status: node_status,
         };
         let name = self.settings.schedulers[index].name.clone();
--- a/crates/scheduler/tests/support/log.rs
+++ b/crates/scheduler/tests/support/log.rs
@@ -20,7 +20,11 @@
 
 /// Clones share the same streams.
 #[derive(Clone, Default)]
-pub(crate) struct MemoryLog(Arc<Inner>);
+pub(crate) struct MemoryLog {
+    inner: Arc<Inner>,
+    /// Whether reads that wait for records are held back. Shared with the clones.
+    reads_held: Arc<AtomicBool>,
+}
 
 #[derive(Default)]
 struct Inner {
@@ -31,25 +35,38 @@
 }
 
 impl MemoryLog {
+    /// Returns access to the same streams for one process, whose reads can be held back.
+    pub(crate) fn for_process(&self) -> Self {
+        Self {
+            inner: self.inner.clone(),
+            reads_held: Arc::default(),
+        }
+    }
+
+    /// Holds back the reads that wait for records, or lets them go on.
+    pub(crate) fn hold_reads(&self, held: bool) {
+        self.reads_held.store(held, Ordering::SeqCst);
+    }
+
     /// Makes every call fail, or succeed again.
     pub(crate) fn set_down(&self, down: bool) {
-        self.0.down.store(down, Ordering::SeqCst);
+        self.inner.down.store(down, Ordering::SeqCst);
     }
 
     /// Delays every append.
     pub(crate) fn set_delay(&self, delay: Duration) {
         let delay_ms = delay.as_millis() as usize;
-        self.0.delay_ms.store(delay_ms, Ordering::SeqCst);
+        self.inner.delay_ms.store(delay_ms, Ordering::SeqCst);
     }
 
     /// Loses the replies to the next `count` appends, which take effect.
     pub(crate) fn lose_answers(&self, count: usize) {
-        self.0.lost_answers.store(count, Ordering::SeqCst);
+        self.inner.lost_answers.store(count, Ordering::SeqCst);
     }
 
     /// Expires all records before offset `before`.
     pub(crate) fn expire(&self, stream: &str, before: Offset) {
-        let mut streams = self.0.streams.lock().unwrap();
+        let mut streams = self.inner.streams.lock().unwrap();
         streams.first.insert(stream.to_owned(), before);
     }
 
@@ -61,24 +78,24 @@
     /// Appends a record, bypassing the injected faults.
     pub(crate) fn push(&self, stream: &str, record: &impl serde::Serialize) {
         let record = serde_json::to_string(record).unwrap();
-        let mut streams = self.0.streams.lock().unwrap();
+        let mut streams = self.inner.streams.lock().unwrap();
         let records = streams.records.entry(stream.to_owned()).or_default();
         records.push(record.into());
     }
 
     /// Returns the records of a stream that contain `text`.
     pub(crate) fn find_text(&self, stream: &str, text: &str) -> Vec<Arc<str>> {
-        let streams = self.0.streams.lock().unwrap();
+        let streams = self.inner.streams.lock().unwrap();
         let records = streams.records.get(stream).into_iter().flatten();
         records.filter(|r| r.contains(text)).cloned().collect()
     }
 
     fn is_down(&self) -> bool {
-        self.0.down.load(Ordering::SeqCst)
+        self.inner.down.load(Ordering::SeqCst)
     }
 
     fn write(&self, append: &Append) -> Offset {
-        let mut streams = self.0.streams.lock().unwrap();
+        let mut streams = self.inner.streams.lock().unwrap();
         let records = streams
             .records
             .entry(append.stream.to_string())
@@ -90,7 +107,7 @@
     }
 
     fn page(&self, stream: &str, from: Offset, limit: u32) -> Page {
-        let streams = self.0.streams.lock().unwrap();
+        let streams = self.inner.streams.lock().unwrap();
         let records = streams.records.get(stream);
         let records = records.map(Vec::as_slice).unwrap_or_default();
         let entries = (1..).zip(records).skip_while(|(offset, _)| *offset < from);
@@ -119,14 +136,14 @@
     fn append(&self, append: Append) -> Answer<Offset> {
         let log = self.clone();
         Box::pin(async move {
-            let delay_ms = log.0.delay_ms.load(Ordering::SeqCst) as u64;
+            let delay_ms = log.inner.delay_ms.load(Ordering::SeqCst) as u64;
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
             if log.is_down() {
                 return unreached("append");
             }
             let offset = log.write(&append);
             let decrement = |count: usize| count.checked_sub(1);
-            let lost = &log.0.lost_answers;
+            let lost = &log.inner.lost_answers;
             match lost.fetch_update(Ordering::SeqCst, Ordering::SeqCst, decrement) {
                 Ok(_) => failed("append", Fault::Uncertain("answer lost".to_owned())),
                 Err(_) => Ok(offset),
@@ -141,7 +158,7 @@
             if log.is_down() {
                 return unreached("find");
             }
-            Ok(log.0.streams.lock().unwrap().appends.get(&id).copied())
+            Ok(log.inner.streams.lock().unwrap().appends.get(&id).copied())
         })
     }
 
@@ -149,6 +166,9 @@
         let log = self.clone();
         let stream = stream.to_owned();
         Box::pin(async move {
+            while wait_ms > 0 && log.reads_held.load(Ordering::SeqCst) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
             let waits = wait_ms / 5 + 1;
             for _ in 0..waits {
                 if log.is_down() {
