perf(workflow): an owner visits its workers every 40 ms and only permitted ones for a step

Cause: each tick of an owner visited every worker five times and every job twice, and each task of a step scored every worker of the pool. A backlog made ticks slower and ticks made the backlog longer.

Change: workers are checked every 40 ms, ended jobs removed every second, open jobs counted; the workers of a step are scored once for all its tasks, and only those with a permit where the queue needs one.

--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -46,6 +46,15 @@
         (now_ms < permit.expires_ms).then_some(&permit.text)
     }
 
+    /// Returns the workers with a valid permit.
+    pub(crate) fn permitted(&self, now_ms: u64) -> impl Iterator<Item = &Arc<str>> {
+        let valid = self
+            .allowed
+            .iter()
+            .filter(move |(_, permit)| now_ms < permit.expires_ms);
+        valid.map(|(worker, _)| worker)
+    }
+
     /// Returns whether the step must not run on a worker.
     pub(crate) fn is_denied(&self, worker: &str) -> bool {
         self.denied.contains(worker)
--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -102,7 +102,9 @@
         let keeps_permits = is_starving && capacity.starving_steps < STARVING_STEPS_MAX;
         capacity.starving_steps += u32::from(is_starving);
         let claimed = size.times(u64::from(needed)).min(&capacity.unclaimed);
-        if queue.advice.is_some() && !step.gang && size.fits(&capacity.unclaimed) {
+        // Without a worker on which a task fits, a request is of use only to keep permits valid.
+        let may_be_useful = keeps_permits || size.fits(&capacity.largest_free);
+        if queue.advice.is_some() && !step.gang && may_be_useful && size.fits(&capacity.unclaimed) {
             self.request_task_advice(key, step, queue, needed as usize, keeps_permits, now_ms);
         }
         // The capacity that a starving step waits for doesn't become free soon, so later steps may
--- a/crates/workflow/src/answers.rs
+++ b/crates/workflow/src/answers.rs
@@ -128,6 +128,7 @@
             && run.phase == Phase::Stopping
         {
             run.phase_since_ms = 0;
+            self.worker_check_due_ms = 0;
         }
     }
 }
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -1,7 +1,7 @@
 //! Placement of tasks on workers: short tasks of high priority, large gangs and long-running
 //! services share the pools.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use rosemaryworks_core::size::{Size, thousandths};
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct PoolCapacity {
     /// Upper bound of the free capacity of a single worker, per resource.
-    largest_free: Size,
+    pub(crate) largest_free: Size,
     /// Free capacity that no earlier step of the pass waits for. The free capacity is counted twice
     /// because only some of the workers that have it are allowed for a step.
     pub(crate) unclaimed: Size,
@@ -52,6 +52,9 @@
             return;
         }
         self.reserve(now_ms);
+        if self.ready.is_empty() {
+            return;
+        }
         let mut capacities = self.pool_capacities(now_ms);
         let entries: Vec<QueueEntry> = self.ready.iter().copied().collect();
         for entry in entries {
@@ -131,21 +134,17 @@
                 .collect(),
             None => return,
         };
-        for index in &indexes {
-            let Some(worker) = self.best_worker(key, step, queue, now_ms, &BTreeMap::new()) else {
+        let planned = BTreeMap::new();
+        let mut candidates = self.candidates(key, step, queue, now_ms, &planned);
+        for index in indexes {
+            let Some((_, worker)) = candidates.pop_first() else {
                 return;
             };
-            let attempt = self.next_attempt(key, &[*index]);
-            self.start_task(
-                &worker,
-                Key {
-                    step: key,
-                    index: *index,
-                },
-                attempt,
-                step,
-                now_ms,
-            );
+            let attempt = self.next_attempt(key, &[index]);
+            self.start_task(&worker, Key { step: key, index }, attempt, step, now_ms);
+            // The start changes the score of this worker only.
+            let score = self.candidate_score(&worker, key, step, queue, now_ms, &planned);
+            candidates.extend(score.map(|score| (score, worker)));
         }
     }
 
@@ -188,7 +187,8 @@
                 preferred_rack: previous_rack.or_else(|| step.preferred_rack.clone()),
                 ..step.clone()
             };
-            let Some(worker) = self.best_worker(key, &member, queue, now_ms, &planned) else {
+            let mut candidates = self.candidates(key, &member, queue, now_ms, &planned);
+            let Some((_, worker)) = candidates.pop_first() else {
                 return;
             };
             rack = self.hosts.get(&worker).map(|host| host.worker.rack.clone());
@@ -225,57 +225,58 @@
         }
     }
 
-    /// Returns the best worker for one more task of a step, in addition to those in `planned`.
-    fn best_worker(
+    /// Returns the workers that may run one more task of a step, in addition to those in `planned`,
+    /// the best first.
+    fn candidates(
         &self,
         key: StepKey,
         step: &Step,
         queue: &Queue,
         now_ms: u64,
         planned: &BTreeMap<Arc<str>, u32>,
-    ) -> Option<Arc<str>> {
-        let colocated_tasks = self.tasks_per_worker(key, step);
-        let advice = &self.step_run(key)?.advice;
-        let size = step.demand();
-        let mut best: Option<(i64, &Arc<str>)> = None;
-        for (id, host) in &self.hosts {
-            if host.worker.pool != queue.pool || !host.is_schedulable(now_ms) {
-                continue;
-            }
-            if queue.advice.is_some() && advice.permit(id, now_ms).is_none() {
-                continue;
-            }
-            let planned_here = planned.get(id).copied().unwrap_or(0);
-            let colocated = colocated_tasks.get(id).copied().unwrap_or(0) + planned_here;
-            if !meets_constraints(host, step, colocated)
-                || !size
-                    .times(u64::from(planned_here) + 1)
-                    .fits(&self.reservations.free(host, key, queue.priority))
-            {
-                continue;
-            }
-            let score = score(host, step, &size);
-            if best.is_none_or(|(least, _)| score < least) {
-                best = Some((score, id));
-            }
+    ) -> BTreeSet<(i64, Arc<str>)> {
+        let with_score = |id: &Arc<str>| {
+            let score = self.candidate_score(id, key, step, queue, now_ms, planned)?;
+            Some((score, id.clone()))
+        };
+        match self.step_run(key) {
+            None => BTreeSet::new(),
+            // Only workers with a permit are of use, a few of hundreds.
+            Some(run) if queue.advice.is_some() => run
+                .advice
+                .permitted(now_ms)
+                .filter_map(with_score)
+                .collect(),
+            Some(_) => self.hosts.keys().filter_map(with_score).collect(),
         }
-        best.map(|(_, id)| id.clone())
     }
 
-    /// Returns the number of tasks of a step on each worker, or an empty map if the step has no
-    /// limit per worker.
-    fn tasks_per_worker(&self, key: StepKey, step: &Step) -> BTreeMap<Arc<str>, u32> {
-        let mut counts = BTreeMap::new();
-        if step.max_per_worker == 0 {
-            return counts;
+    /// Returns the score of a worker for one more task of a step; `None` if it may not run one.
+    fn candidate_score(
+        &self,
+        id: &Arc<str>,
+        key: StepKey,
+        step: &Step,
+        queue: &Queue,
+        now_ms: u64,
+        planned: &BTreeMap<Arc<str>, u32>,
+    ) -> Option<i64> {
+        let host = self.hosts.get(id)?;
+        if host.worker.pool != queue.pool || !host.is_schedulable(now_ms) {
+            return None;
         }
-        for (id, host) in &self.hosts {
-            let count = host.runs.keys().filter(|run| run.step == key).count();
-            if count > 0 {
-                counts.insert(id.clone(), count as u32);
-            }
+        let size = step.demand();
+        let planned_here = planned.get(id).copied().unwrap_or(0);
+        let free = self.reservations.free(host, key, queue.priority);
+        if !size.times(u64::from(planned_here) + 1).fits(&free) {
+            return None;
         }
-        counts
+        // Counted only if the step has a limit per worker.
+        let colocated = match step.max_per_worker {
+            0 => 0,
+            _ => host.runs.keys().filter(|run| run.step == key).count() as u32,
+        };
+        meets_constraints(host, step, colocated + planned_here).then(|| score(host, step, &size))
     }
 
     fn start_task(&mut self, worker: &Arc<str>, key: Key, attempt: u32, step: &Step, now_ms: u64) {
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -67,6 +67,12 @@
     /// earlier tokens and rejects lower ones.
     removed_increments: u64,
     next_acceptance: u64,
+    /// Number of jobs that have not ended.
+    open_jobs: usize,
+    /// Time on the owner's clock from which [`Self::tick`] visits all workers again.
+    pub(crate) worker_check_due_ms: u64,
+    /// Time on the owner's clock from which [`Self::tick`] visits all jobs again.
+    pub(crate) job_check_due_ms: u64,
 }
 
 impl Shard {
@@ -93,6 +99,9 @@
             early_cancellations: HashSet::new(),
             removed_increments: 0,
             next_acceptance: 0,
+            open_jobs: 0,
+            worker_check_due_ms: 0,
+            job_check_due_ms: 0,
         }
     }
 
@@ -149,6 +158,7 @@
             attempt_floor: floor,
         };
         self.next_acceptance += 1;
+        self.open_jobs += 1;
         if job.spec.times == 0 {
             job.begin_occurrence(0);
         } else {
@@ -210,6 +220,7 @@
 
     /// Adds or updates a worker from the platform's directory.
     pub fn list_worker(&mut self, worker: Worker, now_ms: u64) {
+        self.worker_check_due_ms = 0;
         let epoch = self.epoch;
         let id = worker.id.clone();
         let Some(host) = self.hosts.get_mut(&id) else {
@@ -296,7 +307,7 @@
     /// Returns the number of jobs that have not ended.
     #[must_use]
     pub fn open_jobs(&self) -> usize {
-        self.jobs.values().filter(|job| !job.is_ended()).count()
+        self.open_jobs
     }
 
     pub(crate) fn record(&mut self, record: Record) {
@@ -351,6 +362,9 @@
 
     pub(crate) fn end_job(&mut self, id: Id, state: State, record: u64, now_ms: u64) {
         if let Some(job) = self.jobs.get_mut(&id) {
+            if !job.is_ended() {
+                self.open_jobs -= 1;
+            }
             job.ended = Some((state, record));
             job.ended_ms = now_ms;
             job.occurrences.clear();
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -12,6 +12,13 @@
 /// Time after which a stop request without effect is sent again, in milliseconds.
 const STOP_RETRY_MS: u64 = 1_500;
 
+/// Time between two visits of all workers, in milliseconds. What they find is due by times of
+/// hundreds of milliseconds, and visits at every tick would take most of the owner's CPU.
+const WORKER_CHECK_PERIOD_MS: u64 = 40;
+
+/// Time between two visits of all jobs, in milliseconds.
+const JOB_CHECK_PERIOD_MS: u64 = 1_000;
+
 /// Time without progress after which an attempt counts as stalled, in milliseconds.
 const STALLED_AFTER_MS: u64 = 4_000;
 
@@ -24,6 +31,22 @@
     pub fn tick(&mut self, now_ms: u64, unix_ms: u64) {
         self.recovery.tick(now_ms);
         self.begin_due_occurrences(unix_ms);
+        if now_ms >= self.worker_check_due_ms {
+            self.worker_check_due_ms = now_ms + WORKER_CHECK_PERIOD_MS;
+            self.check_workers(now_ms);
+        }
+        self.stop_orphans(now_ms);
+        if now_ms >= self.job_check_due_ms {
+            self.job_check_due_ms = now_ms + JOB_CHECK_PERIOD_MS;
+            let keep_ms = self.settings.keep_ms;
+            self.jobs
+                .retain(|_, job| !job.is_ended() || now_ms < job.ended_ms + keep_ms);
+        }
+        self.place(now_ms);
+    }
+
+    /// Does the work that is due on each worker.
+    fn check_workers(&mut self, now_ms: u64) {
         let ids: Vec<Arc<str>> = self.hosts.keys().cloned().collect();
         for id in ids {
             self.expire_lease(&id, now_ms);
@@ -32,9 +55,7 @@
             self.retry_stops(&id, now_ms);
             self.stop_stalled(&id, now_ms);
         }
-        self.stop_orphans(now_ms);
-        self.purge(now_ms);
-        self.place(now_ms);
+        self.remove_gone(now_ms);
     }
 
     /// Begins the occurrences that are due.
@@ -142,11 +163,8 @@
         }
     }
 
-    /// Removes ended jobs after their retention time, and unlisted workers that don't answer.
-    fn purge(&mut self, now_ms: u64) {
-        let keep_ms = self.settings.keep_ms;
-        self.jobs
-            .retain(|_, job| !job.is_ended() || now_ms < job.ended_ms + keep_ms);
+    /// Removes unlisted workers that don't answer.
+    fn remove_gone(&mut self, now_ms: u64) {
         let is_gone = |host: &crate::host::Host| {
             !host.listed
                 && host.runs.is_empty()
