--- a/crates/scheduler/tests/scheduler.rs
+++ b/crates/scheduler/tests/scheduler.rs
@@ -1,8 +1,10 @@
 //! Schedulers of one cell with an in-memory platform.
 
 #[path = "support/cell.rs"]
+#[allow(dead_code)]
 mod cell;
 #[path = "support/log.rs"]
+#[allow(dead_code)]
 mod log;
 #[path = "support/targets.rs"]
 mod targets;
