fix(node): a response that a late thread has not read yet is waited for

Change: a timeout is extended by the time by which the thread notices it late.

Test: responses_that_arrive_while_the_client_is_busy_are_read fails without the extension.

--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rosemaryworks_node::clock;
+use rosemaryworks_node::{clock, late};
 use rosemaryworks_wire::Message;
 use rosemaryworks_wire::link::{Client, Handler, Peer, Reply, serve};
 use rosemaryworks_wire::workflow::{JobState, Message as Workflow};
@@ -171,17 +171,18 @@
     ) -> Option<Workflow> {
         let address = lock(&self.claims).get(shard)?.address;
         let client = lock(&self.links).get(&address)?.client.clone();
-        let reply = client.call(Message::Workflow(message), timeout).await;
+        let call = client.call(Message::Workflow(message), timeout + late::EXTENSION_MAX);
+        let reply = late::timeout(timeout, call).await;
         let mut links = lock(&self.links);
         let link = links.get_mut(&address)?;
         match reply {
-            Ok(Message::Workflow(reply)) => {
+            Some(Ok(Message::Workflow(reply))) => {
                 link.unanswered = 0;
                 link.last_unanswered_ms = None;
                 Some(reply)
             }
-            Ok(_) => None,
-            Err(_) => {
+            Some(Ok(_)) => None,
+            Some(Err(_)) | None => {
                 link.unanswered += 1;
                 link.last_unanswered_ms = Some(clock::now().0);
                 if link.unanswered >= UNANSWERED_CALLS_MAX {
@@ -277,8 +278,9 @@
             workers: request.workers.clone(),
             cost_ms: request.cost_ms,
         };
-        match peer.call(Message::Workflow(message), timeout).await {
-            Ok(Message::Workflow(Workflow::Advised(permits))) => permits,
+        let call = peer.call(Message::Workflow(message), timeout + late::EXTENSION_MAX);
+        match late::timeout(timeout, call).await {
+            Some(Ok(Message::Workflow(Workflow::Advised(permits)))) => permits,
             _ => None,
         }
     }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -13,6 +13,8 @@
 use rosemaryworks_core::partition::hash;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::late;
+
 /// Largest response body in bytes.
 pub const BODY_MAX_BYTES: usize = 64 * 1024 * 1024;
 
@@ -34,7 +36,8 @@
     pub headers: Vec<(Arc<str>, Arc<str>)>,
     /// Body.
     pub body: Vec<u8>,
-    /// Timeout of the whole exchange, from opening a connection to the end of the response.
+    /// Timeout of the whole exchange, from opening a connection to the end of the response. Extended
+    /// by the time for which the client's thread is late.
     pub timeout: Duration,
 }
 
@@ -155,6 +158,17 @@
         Self(Arc::new(Threads { senders }))
     }
 
+    /// Starts a client on the calling thread, which must run an ntex system. Calls from tasks of the
+    /// same thread need no switch to another one.
+    #[must_use]
+    pub fn start_local() -> Self {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        ntex::rt::spawn(serve(receiver));
+        Self(Arc::new(Threads {
+            senders: vec![sender],
+        }))
+    }
+
     /// Sends a request and waits for the whole response.
     ///
     /// The request is completed even if the returned future is dropped.
@@ -206,10 +220,8 @@
         let client = client.clone();
         ntex::rt::spawn(async move {
             let timeout = request.timeout;
-            let result = match tokio::time::timeout(timeout, exchange(&client, request)).await {
-                Ok(result) => result,
-                Err(_) => Err(Error::Timeout),
-            };
+            let result = late::timeout(timeout, exchange(&client, request)).await;
+            let result = result.unwrap_or(Err(Error::Timeout));
             // The caller may have dropped its future.
             let _ = reply.send(result);
         });
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod event;
 pub mod http;
+pub mod late;
 mod log_queue;
 pub mod logging;
 pub mod metrics;
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -125,3 +125,52 @@
     let result = Client::start(1).send(request).await;
     assert!(matches!(result, Err(Error::Lost(_))), "{result:?}");
 }
+
+/// Guards against responses that count as missing because the client's thread was busy when they
+/// arrived. An owner that was short of CPU took its workers for silent and started their tasks again.
+#[test]
+fn responses_that_arrive_while_the_client_is_busy_are_read() {
+    const BUSY: Duration = Duration::from_millis(30);
+    let port = serve(1)[0];
+    let system = ntex::rt::System::new("client", ntex::rt::DefaultRuntime);
+    system.block_on(async move {
+        let client = Client::start_local();
+        let busy = ntex::rt::spawn(async {
+            for _ in 0..ROUNDS {
+                std::thread::sleep(BUSY);
+                tokio::task::yield_now().await;
+            }
+        });
+        let requests = (0..CONCURRENT).map(|_| {
+            let url = format!("http://127.0.0.1:{port}/");
+            let (client, request) = (client.clone(), Request::new("GET", url, BUSY / 2));
+            ntex::rt::spawn(async move { client.send(request).await })
+        });
+        let requests: Vec<_> = requests.collect();
+        for request in requests {
+            let response = request.await.unwrap();
+            assert_eq!(response.map(|response| response.status), Ok(200));
+        }
+        busy.await.unwrap();
+    });
+}
+
+/// Guards against extensions of timeouts that hide a server that doesn't answer.
+#[test]
+fn a_server_that_does_not_answer_is_noticed_in_time() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}/", listener.local_addr().unwrap());
+    let system = ntex::rt::System::new("client", ntex::rt::DefaultRuntime);
+    let result = system.block_on(async move {
+        let client = Client::start_local();
+        let request = Request::new("GET", url, Duration::from_millis(100));
+        let busy = ntex::rt::spawn(async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            std::thread::sleep(Duration::from_millis(200));
+        });
+        let result = tokio::time::timeout(Duration::from_secs(5), client.send(request)).await;
+        busy.await.unwrap();
+        result
+    });
+    assert_eq!(result.map(|r| r.map(|r| r.status)), Ok(Err(Error::Timeout)));
+}
