feat(workflow): starts in flight follow the answer times of an overloaded owner

Cause: an owner sent every start that fitted the pool.

Change: start_window.rs limits the starts in flight by the time to their answers; waiting tasks stay in the placement order. Advice is requested only for as many tasks as can be started while permits are valid. Ticks take at most a quarter of the time.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -27,6 +27,13 @@
 /// Shortest time between two ticks, so that events that arrive together share a tick.
 const TICK_SPACING: Duration = Duration::from_millis(2);
 
+/// Time between two ticks as a multiple of the duration of the last one, so that ticks leave most of
+/// the CPU to calls.
+const TICK_SPACING_FACTOR: u32 = 3;
+
+/// Upper bound of the time between two ticks while there are changes.
+const TICK_SPACING_MAX: Duration = Duration::from_millis(40);
+
 /// Longest time for which a read waits at the log for a new job, in milliseconds.
 const JOBS_WAIT_MS: u64 = 1_000;
 
@@ -286,6 +293,7 @@
             if self.is_ended() {
                 return;
             }
+            let began = std::time::Instant::now();
             let actions = {
                 let mut state = self.state();
                 if clock::now().0 >= republished_ms + republish_ms {
@@ -300,11 +308,13 @@
             for action in actions {
                 self.execute(&node, action);
             }
+            let spacing =
+                (began.elapsed() * TICK_SPACING_FACTOR).clamp(TICK_SPACING, TICK_SPACING_MAX);
             if clock::now().0 >= logged_ms + USAGE_PERIOD_MS {
                 logged_ms = clock::now().0;
                 self.log_usage();
             }
-            tokio::time::sleep(TICK_SPACING).await;
+            tokio::time::sleep(spacing).await;
             // Without a change, the next tick handles what is due by time.
             let _ = tokio::time::timeout(TICK, self.changed.notified()).await;
         }
--- a/crates/workflow/src/action.rs
+++ b/crates/workflow/src/action.rs
@@ -28,6 +28,8 @@
     pub checkpoint: Option<Arc<str>>,
     /// Permit to run the step on this worker.
     pub permit: Option<Arc<str>>,
+    /// Time on the owner's clock at which the task was placed, in milliseconds.
+    pub placed_ms: u64,
 }
 
 /// Request to a worker to stop an attempt.
--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -30,6 +30,9 @@
 /// may be allowed, and other steps may take the capacity meanwhile.
 const CAPACITY_MARGIN: f64 = 2.0;
 
+/// Part of the validity of a permit, as a divisor, in which it should be used.
+const VALIDITY_SHARE: u64 = 4;
+
 /// Maximum number of workers in a request for a gang. Decisions about workers are final, so one
 /// long call replaces several.
 const GANG_WORKERS_MAX: usize = 100;
@@ -104,9 +107,22 @@
         let claimed = size.times(u64::from(needed)).min(&capacity.unclaimed);
         // Without a worker on which a task fits, a request is of use only to keep permits valid.
         let may_be_useful = keeps_permits || size.fits(&capacity.largest_free);
-        if queue.advice.is_some() && !step.gang && may_be_useful && size.fits(&capacity.unclaimed) {
+        let is_advised = self.is_advised(key, now_ms);
+        // Permits for more tasks than this owner can start would expire unused.
+        let usable_ms = queue.advice.map_or(0, |terms| terms.validity_ms) / VALIDITY_SHARE;
+        let is_in_time =
+            (capacity.advised_tasks as f64) < self.start_window.expected_answers(usable_ms);
+        if queue.advice.is_some()
+            && !step.gang
+            && may_be_useful
+            && (is_advised || is_in_time)
+            && size.fits(&capacity.unclaimed)
+        {
             self.request_task_advice(key, step, queue, needed as usize, keeps_permits, now_ms);
         }
+        if is_advised || self.is_advised(key, now_ms) {
+            capacity.advised_tasks += u64::from(needed);
+        }
         // The capacity that a starving step waits for doesn't become free soon, so later steps may
         // claim what is free now.
         if !is_starving {
@@ -114,6 +130,14 @@
         }
     }
 
+    /// Returns whether a step has a valid permit or a request that waits for its answer.
+    fn is_advised(&self, key: StepKey, now_ms: u64) -> bool {
+        let advice = self.step_run(key).map(|run| &run.advice);
+        advice.is_some_and(|advice| {
+            advice.is_request_pending() || advice.permitted(now_ms).next().is_some()
+        })
+    }
+
     /// Requests advice for a gang: about undecided workers at first, and about the workers of its
     /// plan once it has one. Permits of a gang without a plan would expire unused.
     fn request_gang_advice(&mut self, key: StepKey, step: &Step, queue: &Queue, now_ms: u64) {
--- a/crates/workflow/src/answers.rs
+++ b/crates/workflow/src/answers.rs
@@ -21,6 +21,13 @@
     /// Applies the outcome of a start request.
     pub fn start_answered(&mut self, order: &Order, outcome: StartOutcome, now_ms: u64) {
         let lease_max_ms = self.settings.lease_max_ms;
+        match outcome {
+            StartOutcome::Unknown => self.start_window.unanswered(),
+            _ => {
+                let took_ms = now_ms.saturating_sub(order.placed_ms);
+                self.start_window.answered(took_ms, now_ms);
+            }
+        }
         let Some(host) = self.hosts.get_mut(&order.worker) else {
             return;
         };
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -28,6 +28,7 @@
 mod run;
 mod shard;
 mod start;
+mod start_window;
 mod task;
 mod timers;
 mod usage;
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -33,6 +33,8 @@
     pub(crate) unclaimed: Size,
     /// Starving steps found so far in the pass; the first ones keep their permits valid.
     pub(crate) starving_steps: u32,
+    /// Waiting tasks of the steps visited so far that have permits or have requested them.
+    pub(crate) advised_tasks: u64,
 }
 
 type PoolCapacities = BTreeMap<Arc<str>, PoolCapacity>;
@@ -58,6 +60,10 @@
         let mut capacities = self.pool_capacities(now_ms);
         let entries: Vec<QueueEntry> = self.ready.iter().copied().collect();
         for entry in entries {
+            // A request for advice would be answered before the permits can be used.
+            if !self.start_window.has_room() {
+                return;
+            }
             if let Placed::All = self.place_step(entry.2, &mut capacities, now_ms) {
                 self.ready.remove(&entry);
             }
@@ -110,8 +116,13 @@
                 self.place_tasks(key, step, &queue, now_ms);
             }
         }
-        self.request_advice(key, step, &queue, capacity, now_ms);
+        let has_room = self.start_window.has_room();
+        if has_room {
+            self.request_advice(key, step, &queue, capacity, now_ms);
+        }
         match self.step_run_mut(key) {
+            // The tasks wait for this owner, not for workers.
+            Some(run) if run.waiting > 0 && !has_room => Placed::Some,
             Some(run) if run.waiting > 0 => {
                 run.blocked_since_ms.get_or_insert(now_ms);
                 Placed::Some
@@ -137,6 +148,9 @@
         let planned = BTreeMap::new();
         let mut candidates = self.candidates(key, step, queue, now_ms, &planned);
         for index in indexes {
+            if !self.start_window.has_room() {
+                return;
+            }
             let Some((_, worker)) = candidates.pop_first() else {
                 return;
             };
@@ -310,6 +324,7 @@
             token: host.token(),
             checkpoint,
             permit,
+            placed_ms: now_ms,
         };
         let run = Run {
             attempt,
@@ -325,6 +340,7 @@
             token: order.token,
         };
         host.insert(key, run);
+        self.start_window.sent();
         self.actions.push(Action::Start(order));
     }
 }
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -13,6 +13,7 @@
 use crate::recovery::Recovery;
 use crate::reservation::Reservations;
 use crate::run::{Job, Placement};
+use crate::start_window::StartWindow;
 use crate::task::{Key, StepKey};
 use crate::worker::Worker;
 
@@ -57,6 +58,7 @@
     pub(crate) reservations: Reservations,
     pub(crate) orphans: Orphans,
     pub(crate) lost_answers: LostAnswers,
+    pub(crate) start_window: StartWindow,
     /// Number of records issued by this owner.
     pub(crate) issued_records: u64,
     /// Number of issued records that are durable.
@@ -94,6 +96,7 @@
             reservations: Reservations::default(),
             orphans: Orphans::default(),
             lost_answers: LostAnswers::default(),
+            start_window: StartWindow::default(),
             issued_records: 0,
             durable_records: 0,
             early_cancellations: HashSet::new(),
