fix(entry): own claims that are not held expire, and claims that were renewed over count

Causes, found by the review of the last incident: - A process whose claim was written without an answer, or whose takeover failed, never claimed the shard again, which ends the shard if it is the last process. - A superseded owner that writes to the log and can't read it renews its claim over its successor's. A process that starts then saw only the older claim and could claim the successor's epoch again. - The draining state of an entry that names a new incarnation was dropped. - The changed address of a worker was not recorded for a successor. - The owners' clock stood still while the VM was suspended, so permissions with a limited time outlived it.

Change: claims that this process doesn't hold expire like others; a process that starts reads the latest 400 records of the claims, too; the other three are kept, recorded, and taken from the clock that goes on in suspension.

Tests: an_own_claim_that_is_not_held_expires, a_claim_that_a_superseded_owner_renewed_over_counts, the_next_incarnation_of_a_worker_may_be_draining, a_changed_address_of_a_worker_is_recorded; each fails without its change. The clock has no test, because a test can't suspend the VM.

--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -86,6 +86,19 @@
     released: bool,
 }
 
+/// A process that may claim shards.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Name of the process.
+    pub node: &'a str,
+    /// Incarnation of the process.
+    pub incarnation: u64,
+    /// CPU of its VM in thousandths of a core.
+    pub millicores: u64,
+    /// Shards that it owns or takes over.
+    pub held: &'a BTreeSet<u32>,
+}
+
 /// The observed claims of all shards.
 #[derive(Debug, Default)]
 pub struct Claims {
@@ -178,16 +191,21 @@
             .collect()
     }
 
-    /// Returns the shards among `wanted` to claim now, each with the epoch for the claim.
+    /// Returns the shards among `wanted` that `candidate` should claim now, each with the epoch for
+    /// the claim.
     pub fn due(
         &mut self,
         wanted: &BTreeSet<u32>,
-        node: &str,
-        incarnation: u64,
-        millicores: u64,
+        candidate: Candidate<'_>,
         unlinked: &BTreeSet<SocketAddr>,
         now_ms: u64,
     ) -> Vec<(u32, u64)> {
+        let Candidate {
+            node,
+            incarnation,
+            millicores,
+            held,
+        } = candidate;
         self.next_due_ms = None;
         if self.caught_up_ms.is_none() {
             return Vec::new();
@@ -199,12 +217,12 @@
         let core_delay_ms = CORE_DELAY_MS * 1_000 / millicores.max(1);
         let mut due = Vec::new();
         for &shard in wanted {
+            if held.contains(&shard) {
+                self.candidate_since.remove(&shard);
+                continue;
+            }
             let (availability, epoch) = self.availability(shard, node, incarnation, unlinked);
             let since = match availability {
-                Availability::Never => {
-                    self.candidate_since.remove(&shard);
-                    continue;
-                }
                 Availability::Now => *self.candidate_since.entry(shard).or_insert(now_ms),
                 Availability::At(at_ms) => {
                     self.candidate_since.remove(&shard);
@@ -265,9 +283,8 @@
         if released || own {
             return (Availability::Now, epoch);
         }
-        if claim.incarnation == incarnation {
-            return (Availability::Never, epoch);
-        }
+        // An own claim that this process doesn't hold was written without an answer, or its takeover
+        // failed. It expires like any other.
         let expiry_ms = match unlinked.contains(&claim.address) {
             true => UNLINKED_EXPIRY_MS,
             false => EXPIRY_MS,
@@ -281,8 +298,6 @@
 enum Availability {
     /// From this time on, unless the claim is renewed.
     At(u64),
-    /// This process owns it.
-    Never,
     /// The shard has no owner.
     Now,
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,6 +1,6 @@
 //! The entry process: its configuration, its view of the other processes and the shards it owns.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
@@ -59,6 +59,8 @@
     pub(crate) claims: Mutex<Claims>,
     pub(crate) claims_changed: Notify,
     pub(crate) owned: Mutex<BTreeMap<u32, Arc<Owner>>>,
+    /// Shards whose claims were won and whose takeover is not complete.
+    pub(crate) taking_over: Mutex<BTreeSet<u32>>,
     /// Links that this process opened to owners of shards.
     pub(crate) links: Mutex<HashMap<std::net::SocketAddr, Link>>,
     /// Peers that opened a link to this process.
@@ -98,6 +100,7 @@
             claims: Mutex::default(),
             claims_changed: Notify::new(),
             owned: Mutex::default(),
+            taking_over: Mutex::default(),
             links: Mutex::default(),
             peers: Mutex::default(),
             advice_slot: Semaphore::new(1),
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -9,11 +9,11 @@
 use rosemaryworks_node::clock;
 use tokio::time::MissedTickBehavior;
 
-use crate::claim::{self, Claim};
+use crate::claim::{self, Candidate, Claim};
 use crate::events;
 use crate::node::{Node, lock};
 use crate::owner::Owner;
-use crate::port::{Append, Fault, Guard, Record, Stream};
+use crate::port::{Append, Fault, Guard, Page, Record, Stream};
 
 /// Partition of the claims stream.
 pub(crate) const PARTITION: u32 = 0;
@@ -21,6 +21,10 @@
 /// Upper bound of the tries of a release, which competes with the renewals of other owners.
 const RELEASE_TRIES_MAX: u32 = 4;
 
+/// Number of the latest records of the claims stream that a process reads when it starts. Owners
+/// write four a second for each shard.
+const HISTORY_RECORDS: u64 = 400;
+
 /// Read position in the claims stream.
 struct Position {
     next: Option<u64>,
@@ -63,7 +67,7 @@
         let store = &self.context.store;
         let page = match position.next {
             Some(next) => store.read(Stream::Claims, PARTITION, next, 0).await,
-            None => store.newest(Stream::Claims, PARTITION).await,
+            None => self.read_claim_history().await,
         };
         let page = match page {
             Ok(page) => page,
@@ -95,6 +99,25 @@
         at_end
     }
 
+    /// Reads the newest claim of each shard, and the latest records of the stream. A superseded owner
+    /// that doesn't know it yet renews over the claim of its successor, which is then missing among
+    /// the newest ones; without it this process might claim the successor's epoch again.
+    async fn read_claim_history(&self) -> Result<Page, Fault> {
+        let store = &self.context.store;
+        let newest = store.newest(Stream::Claims, PARTITION).await?;
+        let mut from = newest.end.saturating_sub(HISTORY_RECORDS);
+        loop {
+            match store.read(Stream::Claims, PARTITION, from, 0).await {
+                Ok(mut page) => {
+                    page.records.extend(newest.records);
+                    return Ok(page);
+                }
+                Err(Fault::Expired { first }) if first > from => from = first,
+                Err(fault) => return Err(fault),
+            }
+        }
+    }
+
     /// Returns whether the log holds no claim of a shard that is newer than `epoch`, and the end of
     /// the claims stream; `None` if the log doesn't answer.
     pub(crate) async fn read_newest_claim(&self, shard: u32, epoch: u64) -> Option<(bool, u64)> {
@@ -105,7 +128,8 @@
         let claims = records
             .filter(|record| record.key.as_ref() == Some(&key))
             .filter_map(|record| ciborium::from_reader(record.value.as_slice()).ok());
-        let newest = claims.map(|claim: Claim| claim.epoch).max();
+        let observed = lock(&self.claims).get(shard).map(|claim| claim.epoch);
+        let newest = claims.map(|claim: Claim| claim.epoch).chain(observed).max();
         Some((newest.is_none_or(|newest| newest <= epoch), page.end))
     }
 
@@ -120,7 +144,14 @@
         let millicores = self.millicores();
         let now_ms = clock::now().0;
         let (node, incarnation) = (&self.settings.node, self.hello.incarnation);
-        let due = lock(&self.claims).due(&wanted, node, incarnation, millicores, &unlinked, now_ms);
+        let held = self.held_shards();
+        let candidate = Candidate {
+            node,
+            incarnation,
+            millicores,
+            held: &held,
+        };
+        let due = lock(&self.claims).due(&wanted, candidate, &unlinked, now_ms);
         // One at a time: the next claim is conditional on the end of the stream after this one.
         let Some((shard, epoch)) = due.into_iter().next() else {
             return;
@@ -133,7 +164,14 @@
                 position.next = Some(appended);
                 lock(&self.claims).apply(shard, claim, clock::now().0);
                 events::CLAIMED.log(format_args!("shard={shard} epoch={epoch}"));
-                tokio::spawn(self.clone().take_over(shard, epoch, predecessor_ended));
+                lock(&self.taking_over).insert(shard);
+                let node = self.clone();
+                tokio::spawn(async move {
+                    node.clone()
+                        .take_over(shard, epoch, predecessor_ended)
+                        .await;
+                    lock(&node.taking_over).remove(&shard);
+                });
                 self.claims_changed.notify_one();
             }
             // Another process wrote first; the next read shows who owns the shard.
@@ -145,6 +183,13 @@
         }
     }
 
+    /// Returns the shards that this process owns or takes over.
+    fn held_shards(&self) -> BTreeSet<u32> {
+        let mut held = lock(&self.taking_over).clone();
+        held.extend(lock(&self.owned).keys());
+        held
+    }
+
     fn own_claim(&self, epoch: u64, renewal: u64) -> Claim {
         Claim {
             epoch,
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use rosemaryworks_entry::claim::{Claim, Claims, EXPIRY_MS, UNLINKED_EXPIRY_MS, key, shard_of};
+use rosemaryworks_entry::claim::{
+    Candidate, Claim, Claims, EXPIRY_MS, UNLINKED_EXPIRY_MS, key, shard_of,
+};
 
 const SHARD: u32 = 7;
 
@@ -23,11 +25,21 @@
     }
 }
 
+fn candidate<'a>(node: &'a str, millicores: u64, held: &'a BTreeSet<u32>) -> Candidate<'a> {
+    Candidate {
+        node,
+        incarnation: 2,
+        millicores,
+        held,
+    }
+}
+
 /// Returns the shards due for a candidate with one core.
 fn due(claims: &mut Claims, node: &str, unlinked: bool, now_ms: u64) -> Vec<(u32, u64)> {
     let wanted = BTreeSet::from([SHARD]);
     let unlinked: BTreeSet<SocketAddr> = unlinked.then(address).into_iter().collect();
-    claims.due(&wanted, node, 2, 1_000, &unlinked, now_ms)
+    let held = BTreeSet::new();
+    claims.due(&wanted, candidate(node, 1_000, &held), &unlinked, now_ms)
 }
 
 /// Reads the claims every 300 ms until the shard is due. Returns that time.
@@ -141,7 +153,12 @@
         let wanted = BTreeSet::from([SHARD]);
         let mut now_ms = 10_000;
         while claims
-            .due(&wanted, "a", 1, millicores, &BTreeSet::new(), now_ms)
+            .due(
+                &wanted,
+                candidate("a", millicores, &BTreeSet::new()),
+                &BTreeSet::new(),
+                now_ms,
+            )
             .is_empty()
         {
             now_ms += 10;
@@ -223,3 +240,30 @@
     assert!(due(&mut claims, "b", false, 10_000).is_empty());
     assert!(claims.pause_ms(120, true, 10_000) <= 300);
 }
+
+/// Guards against a shard without an owner for good: the claim of the last process was written
+/// without an answer, or its takeover failed, and the process never claimed the shard again.
+#[test]
+fn an_own_claim_that_is_not_held_expires() {
+    let mut claims = Claims::default();
+    claims.caught_up(9_900);
+    claims.apply(SHARD, claim("b", 2, 4, 0), 10_000);
+    let at = due_at(&mut claims, "b", false, 10_000);
+    assert!(at >= 10_000 + EXPIRY_MS, "{at}");
+    assert_eq!(due(&mut claims, "b", false, at), vec![(SHARD, 5)]);
+}
+
+/// Guards against an owner that claims its own shard again.
+#[test]
+fn a_held_shard_is_not_claimed() {
+    let mut claims = Claims::default();
+    claims.caught_up(9_900);
+    claims.apply(SHARD, claim("b", 2, 4, 0), 10_000);
+    let shards = BTreeSet::from([SHARD]);
+    let now_ms = 60_000;
+    claims.caught_up(now_ms - 200);
+    claims.caught_up(now_ms);
+    let holder = candidate("b", 1_000, &shards);
+    let due = claims.due(&shards, holder, &BTreeSet::new(), now_ms + 5_000);
+    assert!(due.is_empty());
+}
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -1,7 +1,7 @@
 //! An entry process on an in-memory log, with workers that run nothing to its end.
 #![allow(dead_code)] // Each test file uses a part.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -133,8 +133,14 @@
         self.answer(self.page(stream, partition, from), wait_ms + delay_ms)
     }
 
+    /// Returns the newest record of each key.
     fn newest(&self, stream: Stream, partition: u32) -> Answer<Page> {
-        self.answer(self.page(stream, partition, 0), 0)
+        let mut page = self.page(stream, partition, 0);
+        let mut keys = BTreeSet::new();
+        page.records.reverse();
+        page.records
+            .retain(|record| keys.insert(record.key.clone()));
+        self.answer(page, 0)
     }
 
     fn configuration(&self, since: Option<u64>, wait_ms: u64) -> Answer<Changes<Arc<Config>>> {
@@ -171,12 +177,17 @@
 impl Log {
     /// Appends a claim of the only shard by another process.
     pub(crate) fn put_claim(&self, epoch: u64) {
+        self.put_renewal(epoch, 0);
+    }
+
+    /// Appends a renewal of a claim of the only shard by another process.
+    pub(crate) fn put_renewal(&self, epoch: u64, renewal: u64) {
         let claim = rosemaryworks_entry::claim::Claim {
             epoch,
             node: "other".into(),
             incarnation: 5,
             address: "127.0.0.1:9".parse().expect("an address"),
-            renewal: 0,
+            renewal,
             unfinished: false,
             millicores: 500,
         };
--- a/crates/entry/tests/takeover.rs
+++ b/crates/entry/tests/takeover.rs
@@ -40,3 +40,16 @@
     let answer = process.node.job_state(&queue(), Id(7), deadline_ms).await;
     assert_eq!(answer, Lookup::State(State::Completed));
 }
+
+/// Guards against two owners with the same epoch: a superseded owner that could write to the log and
+/// not read it renewed its claim over that of its successor, and a process that started then claimed
+/// the successor's epoch.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_claim_that_a_superseded_owner_renewed_over_counts() {
+    let log = Arc::new(Log::default());
+    log.put_renewal(1, 8);
+    log.put_claim(2);
+    log.put_renewal(1, 9);
+    let process = Process::start_on(log).await;
+    assert_eq!(process.log.newest_claim_epoch(), 3);
+}
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -6,13 +6,15 @@
 use rosemaryworks_core::time::Instant;
 use rustix::time::{ClockId, clock_gettime};
 
-static START: OnceLock<std::time::Instant> = OnceLock::new();
+static START: OnceLock<u64> = OnceLock::new();
 
-/// Returns the monotonic time in milliseconds since the first call in this process.
+/// Returns the monotonic time in milliseconds since the first call in this process. It goes on while
+/// the VM is suspended, so that what was valid for a limited time has expired afterwards.
 #[must_use]
 pub fn now() -> Instant {
-    let start = START.get_or_init(std::time::Instant::now);
-    Instant(u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX))
+    let now_ms = uptime_ms();
+    let start_ms = *START.get_or_init(|| now_ms);
+    Instant(now_ms.saturating_sub(start_ms))
 }
 
 /// Returns the wall-clock time as Unix time in milliseconds.
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -217,7 +217,6 @@
         now_ms: u64,
     ) -> Vec<(Key, Run)> {
         self.worker.incarnation = incarnation;
-        self.worker.draining = false;
         self.lease.reset();
         self.last_processed_end = 0;
         self.last_durable_end = 0;
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -55,6 +55,8 @@
         }
         if report.incarnation > host.worker.incarnation {
             if host.worker.incarnation > 0 {
+                // What the directory said was about the previous incarnation.
+                host.worker.draining = false;
                 self.begin_incarnation(&host_id, report.incarnation, now_ms);
                 return;
             }
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -242,13 +242,21 @@
         }
         if worker.incarnation > host.worker.incarnation && host.worker.incarnation > 0 {
             let incarnation = worker.incarnation;
-            host.worker = worker;
+            let address_changed = host.worker.address != worker.address;
+            host.worker = worker.clone();
+            if address_changed && !self.recovery.is_replaying() {
+                self.record(Record::WorkerAdded { worker });
+            }
             self.begin_incarnation(&id, incarnation, now_ms);
             return;
         }
         let address_changed = host.worker.address != worker.address;
         let was_unresponsive = host.liveness == Liveness::Unresponsive;
-        host.worker = worker;
+        host.worker = worker.clone();
+        if address_changed && !self.recovery.is_replaying() {
+            // A successor that doesn't find the worker in the directory needs its address.
+            self.record(Record::WorkerAdded { worker });
+        }
         if address_changed || was_unresponsive {
             self.actions.push(Action::Renew(id));
         }
--- a/crates/workflow/tests/incarnations.rs
+++ b/crates/workflow/tests/incarnations.rs
@@ -63,3 +63,21 @@
     fleet.tick();
     assert_eq!(fleet.orders.len(), 2, "not restarted");
 }
+
+/// Guards against tasks that start on a worker which started again and drains already: the state in
+/// the directory's entry was dropped with the previous incarnation.
+#[test]
+fn the_next_incarnation_of_a_worker_may_be_draining() {
+    let mut fleet = Fleet::new(1);
+    restart(&mut fleet, "w0");
+    let size = rosemaryworks_core::size::Size::new(4_000, 16_384);
+    let next = rosemaryworks_workflow::Worker {
+        draining: true,
+        ..fleet::worker("w0", size, 8)
+    };
+    fleet.shard.list_worker(next, fleet.now_ms);
+    fleet.renew("w0");
+    fleet.submit(1, spec(vec![step(1)]));
+    fleet.advance(100);
+    assert!(fleet.orders.is_empty(), "started on a draining worker");
+}
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -409,3 +409,21 @@
     fleet.renew_all();
     assert!(fleet.shard.has_fenced_predecessors(fleet.now_ms));
 }
+
+/// Guards against a successor that calls a worker at its old address: the new one was known to the
+/// previous owner only, and the directory has lost the worker's entry.
+#[test]
+fn a_changed_address_of_a_worker_is_recorded() {
+    let mut fleet = Fleet::new(1);
+    let size = rosemaryworks_core::size::Size::new(4_000, 16_384);
+    let moved = rosemaryworks_workflow::Worker {
+        address: "127.0.0.1:2".parse().expect("an address"),
+        ..fleet::worker("w0", size, 7)
+    };
+    fleet.shard.list_worker(moved.clone(), fleet.now_ms);
+    fleet.take_actions();
+    fleet.workers.get_mut("w0").expect("a worker").unlisted = true;
+    fleet.take_over(2, &[], vec![fleet::queue("q")]);
+    let host = fleet.shard.host("w0").expect("a worker");
+    assert_eq!(host.worker().address, moved.address);
+}
