--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -46,6 +46,9 @@
     /// first of 400 loopback ports of scenarios with real processes (default 25000)
     #[argh(option, default = "25000")]
     base_port: u16,
+    /// largest number of workers in decisions (default 25000)
+    #[argh(option, default = "25000")]
+    workers: usize,
     /// file for all figures
     #[argh(option)]
     json: Option<PathBuf>,
@@ -66,9 +69,9 @@
 }
 
 /// Returns all simulated scenarios.
-fn scenarios() -> Vec<Box<dyn Scenario>> {
+fn scenarios(workers_max: usize) -> Vec<Box<dyn Scenario>> {
     vec![
-        Box::new(decisions::Decisions),
+        Box::new(decisions::Decisions { workers_max }),
         Box::new(waiting::Waiting),
         Box::new(night::Night),
         Box::new(stragglers::Stragglers),
@@ -89,12 +92,13 @@
     {
         return run_processes(name, arguments);
     }
-    let mut selected = scenarios();
+    let mut selected = scenarios(arguments.workers);
     if let Some(name) = &arguments.scenario {
         selected.retain(|scenario| scenario.name() == name);
     }
     if selected.is_empty() {
-        let mut names: Vec<_> = scenarios().iter().map(|known| known.name()).collect();
+        let known = scenarios(arguments.workers);
+        let mut names: Vec<_> = known.iter().map(|known| known.name()).collect();
         names.extend(processes::NAMES);
         eprintln!("no such scenario; known are: {}", names.join(", "));
         return ExitCode::from(2);
--- a/xtask/src/measure/decisions.rs
+++ b/xtask/src/measure/decisions.rs
@@ -21,9 +21,15 @@
 /// Number of contracts.
 const CONTRACTS: u64 = 180;
 
+/// Median run time of a service task in milliseconds: ten years.
+const SERVICE_RUN_MS: u64 = 10 * 365 * 24 * 3_600_000;
+
 /// Time of placement calls at several pool sizes.
 #[derive(Debug)]
-pub(crate) struct Decisions;
+pub(crate) struct Decisions {
+    /// Largest number of workers.
+    pub(crate) workers_max: usize,
+}
 
 /// Figures of one run.
 #[derive(Clone, Copy, Debug)]
@@ -54,7 +60,7 @@
     fn run(&self, seed: u64) -> Vec<Row> {
         let mut rows = Vec::new();
         let mut reference = 0.0;
-        for workers in WORKERS {
+        for workers in WORKERS.into_iter().filter(|n| *n <= self.workers_max) {
             let ours = measure(OURS, seed, workers);
             let baselines: Vec<_> = BASELINES
                 .iter()
@@ -123,7 +129,7 @@
 /// Submits service jobs that make up a fifth of the running tasks.
 fn fill_services(pool: &mut Pool, load: &mut Load, workers: usize) {
     for _ in 0..workers / 10 {
-        let mut job = random_job(load, 10, u64::MAX / 4);
+        let mut job = random_job(load, 10, SERVICE_RUN_MS);
         job.spec.kind = Kind::Service;
         job.actual.fails = false;
         pool.submit(job);
