feat(workflow): a takeover waits only for the tasks that silent workers may run

Change: an owner records which tasks a worker may run that has not answered for 300 ms, and that it runs none once its lease has expired. Such a worker gets no task before the record of its return is durable, so a successor waits for just the recorded tasks. Gangs wait as before.

--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -8,6 +8,7 @@
 use crate::action::Stop;
 use crate::backoff::Backoff;
 use crate::lease::Lease;
+use crate::silent::Silence;
 use crate::task::Key;
 use crate::worker::Worker;
 
@@ -105,6 +106,8 @@
     pub(crate) listed: bool,
     /// Time on the owner's clock at which the worker stopped answering.
     pub(crate) unresponsive_since_ms: Option<u64>,
+    /// What is recorded about the worker's silence.
+    pub(crate) silence: Silence,
     /// Time on the owner's clock at which this incarnation was first seen.
     pub(crate) first_seen_ms: u64,
     /// Fencing token before any request was invalidated.
@@ -137,6 +140,7 @@
             pending_ends: VecDeque::new(),
             listed: true,
             unresponsive_since_ms: None,
+            silence: Silence::default(),
             first_seen_ms: now_ms,
             token_base: epoch << TOKEN_COUNTER_BITS,
             token_increments,
@@ -272,6 +276,7 @@
         self.listed
             && !self.worker.draining
             && self.liveness == Liveness::Confirmed
+            && self.silence == Silence::Unrecorded
             && self.backoff.allows(now_ms)
             && !self.has_late_start(now_ms)
     }
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -27,6 +27,7 @@
 mod retention;
 mod run;
 mod shard;
+mod silent;
 mod start;
 mod start_window;
 mod task;
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -101,7 +101,8 @@
         if run.waiting == 0 {
             return Placed::All;
         }
-        if run.inherited && !is_recovered {
+        let is_inherited = run.inherited && !is_recovered;
+        if is_inherited && (step.gang || self.recovery.may_run_any_task()) {
             return Placed::Some;
         }
         let Some(queue) = self.queues.get(&queue).cloned() else {
@@ -136,15 +137,16 @@
     }
 
     fn place_tasks(&mut self, key: StepKey, step: &Step, queue: &Queue, now_ms: u64) {
-        let indexes: Vec<u32> = match self.step_run_mut(key) {
-            Some(run) => (0..step.count)
-                .filter(|&index| {
-                    let task = &run.tasks[index as usize];
-                    task.placement == Placement::Waiting && task.not_before_ms <= now_ms
-                })
-                .collect(),
-            None => return,
+        let Some(run) = self.step_run(key) else {
+            return;
+        };
+        let may_start = |&index: &u32| {
+            let task = &run.tasks[index as usize];
+            let may_run =
+                || run.inherited && self.recovery.may_run_silently(&Key { step: key, index });
+            task.placement == Placement::Waiting && task.not_before_ms <= now_ms && !may_run()
         };
+        let indexes: Vec<u32> = (0..step.count).filter(may_start).collect();
         let planned = BTreeMap::new();
         let mut candidates = self.candidates(key, step, queue, now_ms, &planned);
         for index in indexes {
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -61,6 +61,16 @@
         #[serde(rename = "w")]
         worker: Arc<str>,
     },
+    /// A worker doesn't answer. Holds until the worker is recorded as added again.
+    #[serde(rename = "u")]
+    WorkerSilent {
+        /// Identifier of the worker.
+        #[serde(rename = "w")]
+        worker: Arc<str>,
+        /// Tasks that it may run; it runs no others.
+        #[serde(rename = "t")]
+        tasks: Vec<Key>,
+    },
     /// A job was accepted.
     #[serde(rename = "j")]
     Submitted {
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -9,6 +9,8 @@
 use crate::lease;
 use crate::record::Record;
 use crate::shard::Shard;
+use crate::silent::Silence;
+use crate::task::Key;
 use crate::worker::Worker;
 
 /// Margin on top of the longest lease, after which no attempt of a previous owner is left, in
@@ -27,6 +29,8 @@
     known_workers: BTreeMap<Arc<str>, Worker>,
     /// Workers that may run attempts of a previous owner.
     unconfirmed: BTreeSet<Arc<str>>,
+    /// Workers that didn't answer the previous owner, with the tasks that they may run.
+    silent: BTreeMap<Arc<str>, Vec<Key>>,
     /// Time on the owner's clock from which such attempts have certainly ended.
     leases_expired_ms: u64,
     /// Time on the owner's clock from which no previous owner acts any more.
@@ -70,6 +74,20 @@
         self.unconfirmed.contains(worker)
     }
 
+    /// Returns whether some worker may run any task of a previous owner.
+    pub(crate) fn may_run_any_task(&self) -> bool {
+        let is_unknown = |worker: &Arc<str>| !self.silent.contains_key(worker);
+        self.unconfirmed.iter().any(is_unknown)
+    }
+
+    /// Returns whether some silent worker may run a task.
+    pub(crate) fn may_run_silently(&self, task: &Key) -> bool {
+        let silent = self.silent.iter();
+        silent
+            .filter(|(worker, _)| self.unconfirmed.contains(*worker))
+            .any(|(_, tasks)| tasks.contains(task))
+    }
+
     pub(crate) fn worker_confirmed(&mut self, worker: &str) {
         self.unconfirmed.remove(worker);
         self.complete_if_confirmed();
@@ -108,13 +126,18 @@
                 checkpoint,
             } => self.apply_end(None, key, attempt, how, checkpoint, now_ms),
             Record::WorkerAdded { worker } => {
+                self.recovery.silent.remove(&worker.id);
                 self.recovery
                     .known_workers
                     .insert(worker.id.clone(), worker);
             }
             Record::WorkerRemoved { worker } => {
+                self.recovery.silent.remove(&worker);
                 self.recovery.known_workers.remove(&worker);
             }
+            Record::WorkerSilent { worker, tasks } => {
+                self.recovery.silent.insert(worker, tasks);
+            }
             Record::Final { id, state } => {
                 let is_open = self.jobs.get(&id).is_some_and(|job| !job.is_ended());
                 if is_open && state != State::Cancelled {
@@ -133,6 +156,12 @@
                 self.unlist_worker(&id);
             }
         }
+        // Their return must be recorded before they get tasks of this owner.
+        for (id, tasks) in &self.recovery.silent {
+            if let Some(host) = self.hosts.get_mut(id) {
+                host.silence = Silence::Recorded(tasks.clone());
+            }
+        }
         self.record_workers();
         let unconfirmed = self
             .hosts
@@ -161,5 +190,13 @@
         for worker in workers {
             self.record(Record::WorkerAdded { worker });
         }
+        let silent = self.hosts.values().filter_map(|host| match &host.silence {
+            Silence::Recorded(tasks) => Some((host.id(), tasks.clone())),
+            Silence::Unrecorded | Silence::Returning(_) => None,
+        });
+        let silent: Vec<(Arc<str>, Vec<Key>)> = silent.collect();
+        for (worker, tasks) in silent {
+            self.record(Record::WorkerSilent { worker, tasks });
+        }
     }
 }
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -75,6 +75,7 @@
         let is_current_token = token == host.token();
         if is_current_token {
             host.liveness = Liveness::Confirmed;
+            self.record_return(id);
         } else if host.liveness == Liveness::Unresponsive {
             host.liveness = Liveness::Unconfirmed;
             self.actions.push(Action::Renew(host_id.clone()));
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -13,6 +13,7 @@
 use crate::recovery::Recovery;
 use crate::reservation::Reservations;
 use crate::run::{Job, Placement};
+use crate::silent::Silence;
 use crate::start_window::StartWindow;
 use crate::task::{Key, StepKey};
 use crate::worker::Worker;
@@ -211,6 +212,10 @@
     pub fn mark_durable(&mut self, count: u64) {
         self.durable_records = self.durable_records.max(count);
         for host in self.hosts.values_mut() {
+            if matches!(host.silence, Silence::Returning(record) if record <= self.durable_records)
+            {
+                host.silence = Silence::Unrecorded;
+            }
             while let Some((record, end)) = host.pending_ends.front().copied() {
                 if record > self.durable_records {
                     break;
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -50,6 +50,7 @@
         let ids: Vec<Arc<str>> = self.hosts.keys().cloned().collect();
         for id in ids {
             self.expire_lease(&id, now_ms);
+            self.record_silence(&id, now_ms);
             self.remove_if_departed(&id);
             self.drain(&id, now_ms);
             self.retry_stops(&id, now_ms);
