fix(entry): a shard whose owner lost a task is released; sessions make fewer looks

Causes: a panic in a task of an owner ended just that task, and the process went on renewing the claim of a shard that it no longer served.

Change: the tasks of an owner are supervised; if one panics the shard is released (E837). A session waits for the records of its own ends, and an idle worker's ends are acknowledged with its next start, or after a second. E826 reports the start requests in flight, their limit and their answer time. E836 and some comments use plainer words.

Test: a_shard_whose_owner_lost_a_task_is_taken_over fails without the change.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -45,8 +45,10 @@
 pub const WORKER_REACHABLE: Event = Event::new(831, Level::Info, "worker reachable");
 /// An attempt counts as ended without a report of its end, so its task may start again.
 pub const ATTEMPT_LOST: Event = Event::new(835, Level::Warn, "attempt lost");
-/// An owner stood still and checked its claim before it acts again.
-pub const STALLED: Event = Event::new(836, Level::Warn, "owner stood still");
+/// An owner was stalled and checked its claim before it acts again.
+pub const STALLED: Event = Event::new(836, Level::Warn, "owner was stalled");
+/// A task of an owner panicked.
+pub const PANICKED: Event = Event::new(837, Level::Error, "task of an owner panicked");
 /// A record of a stream is malformed.
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// The process received the signal to reload.
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -261,13 +261,27 @@
 
     /// Starts the tasks that serve the shard.
     pub(crate) fn start(self: &Arc<Self>, node: &Arc<Node>) {
-        tokio::spawn(self.clone().run_state_machine(node.clone()));
-        tokio::spawn(self.clone().follow_jobs(node.clone()));
-        tokio::spawn(self.clone().follow_workers(node.clone()));
-        tokio::spawn(self.clone().write_journal(node.clone()));
+        self.supervise(node, self.clone().run_state_machine(node.clone()));
+        self.supervise(node, self.clone().follow_jobs(node.clone()));
+        self.supervise(node, self.clone().follow_workers(node.clone()));
+        self.supervise(node, self.clone().write_journal(node.clone()));
         self.wake();
     }
 
+    /// Runs a task of the shard. If it panics, the shard is released: an owner that lacks one of its
+    /// tasks would renew its claim and do nothing.
+    fn supervise(&self, node: &Arc<Node>, task: impl Future<Output = ()> + Send + 'static) {
+        let (node, shard, epoch) = (node.clone(), self.shard, self.epoch);
+        let task = tokio::spawn(task);
+        tokio::spawn(async move {
+            let Err(error) = task.await else { return };
+            events::PANICKED.log(format_args!("shard={shard} epoch={epoch} {error}"));
+            node.step_down(shard, epoch, "a task panicked");
+            // Workers and the journal fence this owner.
+            node.release_claim(shard, epoch, true).await;
+        });
+    }
+
     async fn write_journal(self: Arc<Self>, node: Arc<Node>) {
         let written = |count| {
             self.state().mark_durable(count);
@@ -321,11 +335,15 @@
     }
 
     fn log_usage(&self) {
-        let usage = self.state().usage(clock::now().0);
+        let (usage, starts) = {
+            let state = self.state();
+            (state.usage(clock::now().0), state.starts())
+        };
         for (pool, usage) in usage {
             events::USAGE.log(format_args!(
                 "pool={pool} epoch={} workers={} empty={} free_millicores={}/{} free_mebibytes={}/{} \
-                 free_accelerators={}/{} steps={} gangs={} tasks={}",
+                 free_accelerators={}/{} steps={} gangs={} tasks={} starts={}/{} \
+                 answer_ms={}",
                 self.epoch,
                 usage.workers,
                 usage.empty,
@@ -337,12 +355,15 @@
                 usage.capacity.accelerators,
                 usage.steps,
                 usage.gangs,
-                usage.tasks
+                usage.tasks,
+                starts.in_flight,
+                starts.limit,
+                starts.answer_ms
             ));
         }
     }
 
-    /// Checks the claim if this process has stood still, and ends ownership if another process has
+    /// Checks the claim if this process was stalled, and ends ownership if another process has
     /// claimed the shard since.
     async fn check_claim_after_stall(&self, node: &Node) {
         if let Some(stalled_ms) = self.stall.stalled_ms(clock::uptime_ms()) {
@@ -371,7 +392,7 @@
         self.stall.beat(clock::uptime_ms());
     }
 
-    /// Waits until this owner may command workers: at once, unless the process has stood still.
+    /// Waits until this owner may command workers: at once, unless the process was stalled.
     pub(crate) async fn wait_until_checked(&self) {
         while !self.is_ended() && self.stall.stalled_ms(clock::uptime_ms()).is_some() {
             tokio::time::sleep(TICK_SPACING).await;
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rosemaryworks_node::clock;
-use rosemaryworks_workflow::RenewalFault;
+use rosemaryworks_workflow::{Host, RenewalFault};
 use tokio::sync::Notify;
 
 use crate::events;
@@ -26,6 +26,10 @@
     interrupt: Notify,
 }
 
+/// Longest time for which the ends of a worker that runs nothing wait for their acknowledgement. The
+/// next start usually comes sooner, and the renewal for it acknowledges them, too.
+const ACKNOWLEDGE_AFTER: Duration = Duration::from_millis(1_000);
+
 /// What a session does after a renewal.
 enum Next {
     /// Renew again at once.
@@ -74,7 +78,7 @@
             }
             match next {
                 Next::Renew => {}
-                Next::AwaitDurable => owner.wait_durable(DURABLE_WAIT_MAX).await,
+                Next::AwaitDurable => self.await_durable(&owner, &id).await,
                 Next::AwaitWork => {
                     tokio::select! {
                         () = self.wake.notified() => {}
@@ -96,6 +100,31 @@
     }
 }
 
+impl Session {
+    /// Waits until the reported ends of a worker are durable, and for its next start if it runs
+    /// nothing.
+    async fn await_durable(&self, owner: &Owner, id: &str) {
+        let end = tokio::time::Instant::now() + DURABLE_WAIT_MAX;
+        // Other records may become durable before those of this worker.
+        while owner.state().host(id).is_some_and(Host::has_pending_ends) {
+            let left = end.saturating_duration_since(tokio::time::Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            owner.wait_durable(left).await;
+        }
+        if !owner.state().host(id).is_some_and(Host::is_idle) {
+            return;
+        }
+        let pause = tokio::time::sleep(ACKNOWLEDGE_AFTER);
+        tokio::select! {
+            () = pause => {}
+            () = self.wake.notified() => {}
+            () = self.interrupt.notified() => {}
+        }
+    }
+}
+
 /// Renews the lease of a worker once. `last_fault` is the fault of the previous renewal and is
 /// updated.
 async fn renew(owner: &Arc<Owner>, id: &Arc<str>, last_fault: &mut Option<RenewalFault>) -> Next {
--- a/crates/entry/src/stall.rs
+++ b/crates/entry/src/stall.rs
@@ -1,18 +1,18 @@
-//! Detects that this process stood still, for owners that were frozen or suspended.
+//! Detects stalls of this process, for owners that were frozen or suspended.
 //!
-//! While an owner stands still, another process may take its shard over. Workers that the new owner
-//! has reached reject the commands of the old one, but others accept them. An owner that has stood
-//! still therefore checks its claim before it commands a worker again.
+//! While an owner is stalled, another process may take its shard over. Workers that the new owner
+//! has reached reject the commands of the old one, but others accept them. An owner that was
+//! stalled therefore checks its claim before it commands a worker again.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use crate::claim;
 
-/// Time without a beat from which the process counts as having stood still, in milliseconds. Until
+/// Time without a beat from which the process counts as stalled, in milliseconds. Until
 /// then its claim has not expired.
 pub const STALL_MS: u64 = claim::EXPIRY_MS;
 
-/// Time for which an owner that stood still waits for the log before it acts without an answer, in
+/// Time for which an owner that was stalled waits for the log before it acts without an answer, in
 /// milliseconds. The log may be unreachable for all processes, and then none can take a shard over.
 pub const CHECK_MAX_MS: u64 = 1_500;
 
@@ -31,12 +31,12 @@
         }
     }
 
-    /// Records that the owner runs, and that its claim was checked if it had stood still.
+    /// Records that the owner runs, and that its claim was checked if it was stalled.
     pub fn beat(&self, now_ms: u64) {
         self.beat_ms.store(now_ms, Ordering::Relaxed);
     }
 
-    /// Returns the time since the last beat if the process has stood still since then.
+    /// Returns the time since the last beat if the process was stalled since then.
     #[must_use]
     pub fn stalled_ms(&self, now_ms: u64) -> Option<u64> {
         let silent_ms = now_ms.saturating_sub(self.beat_ms.load(Ordering::Relaxed));
--- a/crates/entry/tests/stall.rs
+++ b/crates/entry/tests/stall.rs
@@ -17,7 +17,7 @@
     assert_eq!(stall.stalled_ms(13_900), None);
 }
 
-/// Guards against a clock that stands still while the VM is suspended, or jumps with the wall clock.
+/// Guards against a clock that stops while the VM is suspended, or jumps with the wall clock.
 #[test]
 fn the_clock_for_stalls_goes_on() {
     let (uptime, monotonic) = (clock::uptime_ms(), clock::now().0);
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -34,6 +34,8 @@
     pub(crate) claims_read_ms: AtomicU64,
     /// Complete list of workers and the keys of skipped entries.
     pub(crate) list: Mutex<(Vec<WorkerChange>, Vec<Arc<str>>)>,
+    /// Makes the next read of the jobs panic.
+    pub(crate) panic_at_jobs: AtomicBool,
     /// Whether the changes of the list have expired, so that the complete list is read again.
     pub(crate) list_expired: AtomicBool,
     /// Configuration, if it isn't the default one.
@@ -126,6 +128,9 @@
 
     /// Returns only the records present before the wait; later ones are returned by the next read.
     fn read(&self, stream: Stream, partition: u32, from: u64, wait_ms: u64) -> Answer<Page> {
+        if stream == Stream::Jobs && self.panic_at_jobs.swap(false, Ordering::Relaxed) {
+            panic!("injected");
+        }
         let delay_ms = match stream {
             Stream::Claims => self.claims_read_ms.load(Ordering::Relaxed),
             _ => 0,
--- a/crates/entry/tests/takeover.rs
+++ b/crates/entry/tests/takeover.rs
@@ -4,6 +4,8 @@
 mod memory;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use memory::{Log, Process, queue, submitted};
 use rosemaryworks_entry::Lookup;
@@ -41,6 +43,22 @@
     assert_eq!(answer, Lookup::State(State::Completed));
 }
 
+/// Guards against an owner that renews its claim and does nothing, because an unexpected error ended
+/// one of its tasks.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_shard_whose_owner_lost_a_task_is_taken_over() {
+    let process = Process::start().await;
+    process.log.panic_at_jobs.store(true, Ordering::Relaxed);
+    for _ in 0..500 {
+        if process.log.newest_claim_epoch() == 2 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(process.log.newest_claim_epoch(), 2);
+    process.wait_for_shards(1).await;
+}
+
 /// Guards against two owners with the same epoch: a superseded owner that could write to the log and
 /// not read it renewed its claim over that of its successor, and a process that started then claimed
 /// the successor's epoch.
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -44,5 +44,5 @@
 pub use shard::{Settings, Shard};
 pub use start::{Refusal, StartOutcome};
 pub use task::{Key, Outcome, StepKey};
-pub use usage::Usage;
+pub use usage::{Starts, Usage};
 pub use worker::Worker;
--- a/crates/workflow/src/start_window.rs
+++ b/crates/workflow/src/start_window.rs
@@ -61,6 +61,12 @@
         f64::from(self.in_flight) < self.limit
     }
 
+    /// Returns the requests in flight, the limit on them, and the mean time to the answer in
+    /// milliseconds.
+    pub(crate) fn figures(&self) -> (u32, u32, u32) {
+        (self.in_flight, self.limit as u32, self.mean_ms as u32)
+    }
+
     /// Returns how many requests are expected to be answered within `period_ms`.
     pub(crate) fn expected_answers(&self, period_ms: u64) -> f64 {
         self.limit * period_ms as f64 / self.mean_ms.max(ANSWER_MIN_MS)
--- a/crates/workflow/src/usage.rs
+++ b/crates/workflow/src/usage.rs
@@ -26,7 +26,29 @@
     pub tasks: u32,
 }
 
+/// Start requests of an owner, for logs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Starts {
+    /// Requests that wait for their answers.
+    pub in_flight: u32,
+    /// Limit on these requests.
+    pub limit: u32,
+    /// Mean time to the answer in milliseconds, which grows if the owner is overloaded.
+    pub answer_ms: u32,
+}
+
 impl Shard {
+    /// Returns the start requests of the owner.
+    #[must_use]
+    pub fn starts(&self) -> Starts {
+        let (in_flight, limit, answer_ms) = self.start_window.figures();
+        Starts {
+            in_flight,
+            limit,
+            answer_ms,
+        }
+    }
+
     /// Returns the utilisation of each pool.
     #[must_use]
     pub fn usage(&self, now_ms: u64) -> BTreeMap<Arc<str>, Usage> {
