fix(node): a limit that ends just as a late thread becomes free is extended, too

The lateness of the last timer alone decided about the extension, and it is small if the limit ends shortly before the thread becomes free, with the responses still unread.

Change: a timer of 2 ms after the limit shows whether the thread is late.

Each seed has a runtime of its own now. Acknowledgements are matched by attempt, and count unless the lease has expired in between.

--- a/crates/node/src/late.rs
+++ b/crates/node/src/late.rs
@@ -13,21 +13,28 @@
 /// within a few milliseconds.
 const LATE_MIN: Duration = Duration::from_millis(10);
 
+/// Length of the timer that shows whether the thread is late. A limit that ends just as the thread
+/// becomes free is noticed in time, although responses still wait to be read.
+const PROBE: Duration = Duration::from_millis(2);
+
 /// Upper bound of the total extension of a timeout.
 pub const EXTENSION_MAX: Duration = Duration::from_secs(2);
 
-/// Runs `future` for at most `limit`, extended by the time by which this thread notices the end of
-/// the limit late. Returns `None` if the future is not complete by then.
+/// Runs `future` for at most `limit`, extended by the time by which this thread notices timers late.
+/// Returns `None` if the future is not complete by then.
 pub async fn timeout<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
     let mut future = pin!(future);
     let mut limit = limit;
     let mut extended = Duration::ZERO;
     loop {
-        let end = Instant::now() + limit;
-        if let Ok(output) = tokio::time::timeout_at(end, &mut future).await {
-            return Some(output);
+        let mut late = Duration::ZERO;
+        for wait in [limit, PROBE] {
+            let end = Instant::now() + wait;
+            if let Ok(output) = tokio::time::timeout_at(end, &mut future).await {
+                return Some(output);
+            }
+            late = late.max(Instant::now().saturating_duration_since(end));
         }
-        let late = Instant::now().saturating_duration_since(end);
         limit = late.min(EXTENSION_MAX.saturating_sub(extended));
         if limit < LATE_MIN {
             return None;
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -16,7 +16,9 @@
     done: bool,
     /// Whether the run failed.
     failed: bool,
-    /// Whether an owner acknowledged the end to the worker.
+    /// Number of the attempt.
+    attempt: u32,
+    /// Whether an owner acknowledged the end to the worker, whose lease had not expired since.
     acknowledged: bool,
 }
 
@@ -103,7 +105,7 @@
     }
 
     /// Records the start of a run and checks it against the events before it.
-    pub(crate) fn record_start(&self, task: Key, worker: &str) {
+    pub(crate) fn record_start(&self, task: Key, attempt: u32, worker: &str) {
         let now_ms = self.now_ms();
         let mut records = self.records();
         let mut violations = Vec::new();
@@ -151,6 +153,7 @@
             ended_ms: None,
             done: false,
             failed: false,
+            attempt,
             acknowledged: false,
         });
         let violations = violations
@@ -172,14 +175,15 @@
         }
     }
 
-    /// Records that an owner acknowledged the end of a run to its worker.
-    pub(crate) fn record_acknowledgement(&self, task: Key, worker: &str) {
+    /// Records that an owner acknowledged the end of a run to its worker. The lease of the worker must
+    /// not have expired between the two: a task whose worker was silent for that long may start again.
+    pub(crate) fn record_acknowledgement(&self, task: Key, attempt: u32, worker: &str) {
         let mut records = self.records();
         let mut restarted = false;
         if let Some(runs) = records.runs.get_mut(&task) {
-            let position = runs
-                .iter()
-                .rposition(|run| run.worker == worker && run.ended_ms.is_some());
+            let position = runs.iter().rposition(|run| {
+                run.worker == worker && run.attempt == attempt && run.ended_ms.is_some()
+            });
             if let Some(position) = position {
                 runs[position].acknowledged = true;
                 let ended_ms = runs[position].ended_ms;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -147,14 +147,16 @@
     seeds: impl IntoIterator<Item = u64>,
     duration: Duration,
 ) {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-        .expect("can't start the runtime");
     let mut failed = Vec::new();
     for seed in seeds {
+        // The stand-ins of a seed end with its runtime; their timers would slow down later seeds.
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .expect("can't start the runtime");
         let violations = runtime.block_on(run(protocol.clone(), seed, duration));
+        runtime.shutdown_background();
         if !violations.is_empty() {
             failed.push(seed);
         }
--- a/crates/soak/src/worker.rs
+++ b/crates/soak/src/worker.rs
@@ -57,6 +57,8 @@
     finished: Vec<Finished>,
     /// Number of the latest entry of `finished`.
     last_number: u64,
+    /// Number of the latest entry of `finished` when a lease last expired.
+    expired_number: u64,
 }
 
 impl State {
@@ -67,6 +69,13 @@
         is_current
     }
 
+    /// Notes the ends before an expiry of the lease.
+    fn note_expiry(&mut self, now_ms: u64) {
+        if now_ms >= self.lease_deadline_ms {
+            self.expired_number = self.last_number;
+        }
+    }
+
     fn extend_lease(&mut self, deadline_ms: u64, now_ms: u64) {
         self.lease_deadline_ms = self
             .lease_deadline_ms
@@ -230,6 +239,7 @@
     fn end_due_runs(&self) {
         let now_ms = self.clock_ms();
         let mut state = self.state();
+        state.note_expiry(now_ms);
         let lapsed = now_ms >= state.lease_deadline_ms;
         let is_due = |run: &Run| lapsed || now_ms >= run.ends_ms;
         let due = state.runs.iter().filter(|(_, run)| is_due(run));
@@ -270,6 +280,7 @@
         if order.deadline_ms < clock_ms {
             return StartOutcome::Refused(Refusal::Late);
         }
+        state.note_expiry(clock_ms);
         state.extend_lease(order.deadline_ms, clock_ms);
         let running = state.runs.get(&order.key).map(|run| run.attempt);
         if running == Some(order.attempt) {
@@ -298,7 +309,8 @@
         state.runs.insert(order.key, run);
         state.attempts.insert(order.key, order.attempt);
         drop(state);
-        self.history.record_start(order.key, &self.id);
+        self.history
+            .record_start(order.key, order.attempt, &self.id);
         StartOutcome::Accepted { clock_ms }
     }
 
@@ -374,17 +386,20 @@
         if !state.accept_token(token) {
             return None;
         }
+        state.note_expiry(now_ms);
         if let Some(deadline_ms) = deadline_ms {
             state.extend_lease(deadline_ms, now_ms);
         }
+        let expired_number = state.expired_number;
         let finished = std::mem::take(&mut state.finished);
         let (removed, kept): (Vec<_>, Vec<_>) = finished
             .into_iter()
             .partition(|end| end.number <= acknowledged);
         state.finished = kept;
         drop(state);
-        for end in removed {
-            self.history.record_acknowledgement(end.key, &self.id);
+        for end in removed.iter().filter(|end| end.number > expired_number) {
+            self.history
+                .record_acknowledgement(end.key, end.attempt, &self.id);
         }
         Some(())
     }
