--- a/review/standin/log.py
+++ b/review/standin/log.py
@@ -142,7 +142,7 @@
         self.mode = "pass"
         self.lose = None  # function(request): whether the answer of a request is lost by a reset
         self.server = None
-        self.claims_read = None  # time of the last read of the claims that was answered
+        self.claims_read = b""  # records of the claims that the process has read
 
     @property
     def address(self):
@@ -168,6 +168,6 @@
             return SILENT
         if self.lose is not None and self.lose(request):
             return RESET
-        if request.path != "/-/log-append" and request.query.get("topic") == "keyed.claims":
-            self.claims_read = time.monotonic()
+        if request.path == "/-/log-read" and request.query["topic"] == "keyed.claims":
+            self.claims_read += result[1]
         return result
