fix(entry): a revision that comes into force during a takeover reaches the new owner

Cause: Node::recover takes the queues of the configuration in force when the takeover begins; Node::configure passes a revision on to the shards in `owned`, where a shard is entered when its takeover is complete. A revision in between reached neither, and steps of an unknown queue aren't placed.

Change: take_over enters the shard first and applies the configuration in force then; Owner::configure ignores a version that isn't newer than the last one it applied. A revision either sees the entry or is in force by then.

The in-memory log of the tests answers a waiting read of the configuration when a revision is published, instead of with the version of the time of the call.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -76,6 +76,8 @@
     /// Start of the last read to the end of the stream that was made for a job query.
     full_read_ms: tokio::sync::Mutex<Option<u64>>,
     pub(crate) workers_read: Position,
+    /// Version of the configuration that was applied last.
+    config_version: Mutex<Option<u64>>,
     sessions: Mutex<HashMap<Arc<str>, Arc<Session>>>,
     balancer: Mutex<Balancer>,
     timeouts: Mutex<Timeouts>,
@@ -92,6 +94,7 @@
     ) -> Arc<Self> {
         let epoch = state.epoch();
         let context = node.context.clone();
+        let config_version = workers_read.config.as_ref().map(|config| config.version);
         let journal = Journal::new(context.store.clone(), shard, epoch, context.metrics.clone());
         Arc::new(Self {
             shard,
@@ -108,6 +111,7 @@
             jobs_read_ms: AtomicU64::new(clock::now().0),
             full_read_ms: tokio::sync::Mutex::default(),
             workers_read,
+            config_version: Mutex::new(config_version),
             sessions: Mutex::default(),
             balancer: Mutex::default(),
             timeouts: Mutex::default(),
@@ -184,10 +188,17 @@
         self.changed.notify_one();
     }
 
-    /// Applies a configuration.
+    /// Applies a configuration, unless that version or a later one was applied before.
     pub(crate) fn configure(&self, config: &Config) {
-        let queues = config.routes.iter().map(|route| (*route.queue).clone());
-        self.state().set_queues(queues);
+        {
+            let mut applied = lock(&self.config_version);
+            if *applied >= Some(config.version) {
+                return;
+            }
+            *applied = Some(config.version);
+            let queues = config.routes.iter().map(|route| (*route.queue).clone());
+            self.state().set_queues(queues);
+        }
         self.wake();
     }
 
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -52,6 +52,11 @@
                     }
                     self.context.metrics.shards.set(owned.len() as i64);
                 }
+                // A revision that came into force since the takeover began was passed on to the
+                // shards that were owned by then.
+                if let Some(config) = self.config() {
+                    owner.configure(&config);
+                }
                 owner.start(&self);
             }
             Err(fault) => {
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use rosemaryworks_core::size::Size;
 use rosemaryworks_entry::port::{
     Advisor, Answer, Append, Appended, Changes, Fault, Page, Permits, Record, Store, Stream,
     WorkerChange, Workers,
@@ -16,6 +17,7 @@
 use rosemaryworks_node::status::Status;
 use rosemaryworks_workflow::{
     Id, Order, Pace, Queue, Renewal, RenewalFault, Report, Spec, StartOutcome, Step, StepKey, Stop,
+    Worker,
 };
 
 type Streams = BTreeMap<(u8, u32), Vec<Record>>;
@@ -23,6 +25,9 @@
 /// Time that a fence takes in milliseconds, so that concurrent reads finish first.
 const FENCE_MS: u64 = 50;
 
+/// Time between two looks of a waiting read at the configuration.
+const CONFIG_POLL: Duration = Duration::from_millis(5);
+
 /// An in-memory log.
 #[derive(Default)]
 pub(crate) struct Log {
@@ -39,7 +44,9 @@
     /// Whether the changes of the list have expired, so that the complete list is read again.
     pub(crate) list_expired: AtomicBool,
     /// Configuration, if it isn't the default one.
-    pub(crate) config: Mutex<Option<Config>>,
+    pub(crate) config: Arc<Mutex<Option<Config>>>,
+    /// Configuration that the operator publishes while the journal is being fenced.
+    pub(crate) config_at_fence: Mutex<Option<Config>>,
     pub(crate) workers: Arc<StandInWorkers>,
 }
 
@@ -107,6 +114,10 @@
     fn append(&self, append: Append) -> Answer<Appended> {
         if append.stream == Stream::Progress && append.records.is_empty() {
             let late = std::mem::take(&mut *self.before_fence.lock().expect("the lock"));
+            let published = self.config_at_fence.lock().expect("the lock").take();
+            if published.is_some() {
+                *self.config.lock().expect("the lock") = published;
+            }
             let records = self.records.clone();
             return Box::pin(async move {
                 tokio::time::sleep(Duration::from_millis(FENCE_MS)).await;
@@ -149,16 +160,27 @@
     }
 
     fn configuration(&self, since: Option<u64>, wait_ms: u64) -> Answer<Changes<Arc<Config>>> {
-        let config = self.config.lock().expect("the lock").clone();
-        let config = config.unwrap_or_else(|| configuration(1, &["pool"]));
-        let version = config.version;
-        let changes = Changes {
-            items: vec![Arc::new(config)],
-            skipped: Vec::new(),
-            next: version,
-            complete: since.is_none(),
-        };
-        self.answer(changes, if since.is_some() { wait_ms } else { 0 })
+        let (config, down) = (self.config.clone(), self.down.clone());
+        let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+        Box::pin(async move {
+            loop {
+                let current = config.lock().expect("the lock").clone();
+                let current = current.unwrap_or_else(|| configuration(1, &["pool"]));
+                if down.load(Ordering::Relaxed) {
+                    return Err(Fault::Refused("down".into()));
+                }
+                let is_new = since.is_none_or(|since| current.version > since);
+                if is_new || tokio::time::Instant::now() >= until {
+                    return Ok(Changes {
+                        next: current.version,
+                        items: vec![Arc::new(current)],
+                        skipped: Vec::new(),
+                        complete: since.is_none(),
+                    });
+                }
+                tokio::time::sleep(CONFIG_POLL).await;
+            }
+        })
     }
 
     fn workers(&self, since: Option<u64>) -> Answer<Changes<WorkerChange>> {
@@ -235,15 +257,35 @@
     }
 }
 
+/// Returns the entry of a worker in the list.
+pub(crate) fn worker(id: &str, pool: &str) -> WorkerChange {
+    WorkerChange::Updated(Worker {
+        address: "127.0.0.1:1".parse().expect("an address"),
+        incarnation: 7,
+        capacity: Size::new(4_000, 16_384),
+        draining: false,
+        id: id.into(),
+        labels: Vec::new(),
+        pool: pool.into(),
+        rack: "".into(),
+        remaining_ms: None,
+    })
+}
+
 /// Returns the record of a job with one task.
 pub(crate) fn submitted(id: Id) -> rosemaryworks_workflow::Record {
+    submitted_to(&queue().name, id)
+}
+
+/// The same for a job of another queue.
+pub(crate) fn submitted_to(queue: &Arc<str>, id: Id) -> rosemaryworks_workflow::Record {
     let step = Step {
         count: 1,
         ..Step::default()
     };
     rosemaryworks_workflow::Record::Submitted {
         id,
-        queue: queue().name,
+        queue: queue.clone(),
         spec: Arc::new(Spec {
             steps: vec![step],
             ..Spec::default()
--- a/crates/entry/tests/takeover.rs
+++ b/crates/entry/tests/takeover.rs
@@ -7,11 +7,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use memory::{Log, Process, queue, submitted};
-use rosemaryworks_entry::Lookup;
+use memory::{Log, Process, configuration, queue, submitted, submitted_to, worker};
 use rosemaryworks_entry::port::Stream;
+use rosemaryworks_entry::{Lookup, Route};
 use rosemaryworks_node::clock;
-use rosemaryworks_workflow::{Id, Key, Outcome, Record, State, StepKey};
+use rosemaryworks_workflow::{Id, Key, Outcome, Queue, Record, State, StepKey};
 
 /// A job is accepted and completed while its shard is taken over. The previous owner continues
 /// until its journal is fenced, which takes a second if answers of the log get lost. A successor
@@ -71,3 +71,40 @@
     let process = Process::start_on(log).await;
     assert_eq!(process.log.newest_claim_epoch(), 3);
 }
+
+/// Guards against a revision that never reaches the new owner of a shard, because it comes into force
+/// during the takeover: jobs of a route that it adds were accepted and never started.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_revision_that_comes_into_force_during_a_takeover_reaches_the_new_owner() {
+    let log = Arc::new(Log::default());
+    let added = Queue {
+        name: "added".into(),
+        ..queue()
+    };
+    let mut revision = configuration(2, &["pool"]);
+    revision.routes.push(Route {
+        host: "host".into(),
+        prefix: "/added/".into(),
+        queue: Arc::new(added.clone()),
+    });
+    *log.config_at_fence.lock().expect("the lock") = Some(revision);
+    *log.list.lock().expect("the lock") = (vec![worker("w", "pool")], Vec::new());
+    log.workers.answering.store(true, Ordering::Relaxed);
+    let process = Process::start_on(log).await;
+    let job = submitted_to(&added.name, Id(9));
+    process.log.put(Stream::Jobs, 0, &job);
+    for _ in 0..300 {
+        if !process
+            .log
+            .workers
+            .started
+            .lock()
+            .expect("the lock")
+            .is_empty()
+        {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the job of the added route is not started");
+}
--- a/crates/entry/tests/worker_list.rs
+++ b/crates/entry/tests/worker_list.rs
@@ -7,28 +7,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use memory::{Log, Process, configuration, submitted};
-use rosemaryworks_core::size::Size;
+use memory::{Log, Process, configuration, submitted, worker};
 use rosemaryworks_entry::port::{Stream, WorkerChange};
-use rosemaryworks_workflow::{Id, Worker};
+use rosemaryworks_workflow::Id;
 
 /// Time within which a change of the list has certainly been read, which happens every 0.35 s.
 const LIST_READ: Duration = Duration::from_millis(1_500);
 
-fn worker(id: &str, pool: &str) -> WorkerChange {
-    WorkerChange::Updated(Worker {
-        address: "127.0.0.1:1".parse().expect("an address"),
-        incarnation: 7,
-        capacity: Size::new(4_000, 16_384),
-        draining: false,
-        id: id.into(),
-        labels: Vec::new(),
-        pool: pool.into(),
-        rack: "".into(),
-        remaining_ms: None,
-    })
-}
-
 /// Starts a process on a list of workers that answer.
 async fn start_on(list: Vec<WorkerChange>) -> Process {
     let log = Arc::new(Log::default());
