fix(entry): a stop hands shards over to a peer that serves and answers every call

Causes: a stopping process released its shards at once although its peers were stopping, too, and claimed nothing; a stop ended after stop_ms with calls that waited for an owner still open.

A takeover that completes during a stop is served; the check against the release is made under the lock of the owned shards.

--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -2,6 +2,7 @@
 //! while the log is reachable from other VMs but not from this one.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rosemaryworks_node::clock;
@@ -9,6 +10,7 @@
 use rosemaryworks_wire::link::Peer;
 use rosemaryworks_wire::workflow::Message as Workflow;
 use rosemaryworks_workflow::Record;
+use tokio::task::JoinSet;
 
 use crate::journal;
 use crate::node::{Node, lock};
@@ -45,17 +47,16 @@
 const ROUND_TRIP_MS: u64 = 100;
 
 impl Node {
-    /// Announces the release of the owned shards once the log answers another process, which can
-    /// then take them over. This process acts as the owner until the successor fences it. If the
-    /// log answers no other process, the shards stay here: their work continues, but nothing can be
-    /// recorded.
+    /// Announces the release of the owned shards once another process can take them over. This
+    /// process acts as the owner until the successor fences it. If no other process can, the shards
+    /// stay here: their work continues, but nothing can be recorded.
     pub(crate) async fn hand_over_if_reachable_elsewhere(self: Arc<Self>) {
         while self.log_is_down() {
             let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
             if owners.is_empty() {
                 return;
             }
-            if self.log_answers_peers().await && self.log_is_down() {
+            if self.a_peer_can_take_over().await && self.log_is_down() {
                 for owner in owners {
                     self.notify_released(owner.shard(), owner.epoch());
                 }
@@ -65,21 +66,26 @@
         }
     }
 
-    /// Returns whether the log answers one of a few other processes.
-    async fn log_answers_peers(&self) -> bool {
-        let probes = self
-            .sample_peers(PROBED_PEERS_MAX)
-            .into_iter()
-            .map(|peer| async move {
-                let call = peer.call(Message::Workflow(Workflow::IsLogUp), PROBE_TIMEOUT);
-                matches!(call.await, Ok(Message::Workflow(Workflow::LogUp(true))))
+    /// Returns whether one of a few other processes can take shards over.
+    pub(crate) async fn a_peer_can_take_over(&self) -> bool {
+        let mut probes = JoinSet::new();
+        for peer in self.sample_peers(PROBED_PEERS_MAX) {
+            probes.spawn(async move {
+                let call = peer.call(Message::Workflow(Workflow::IsCandidate), PROBE_TIMEOUT);
+                matches!(call.await, Ok(Message::Workflow(Workflow::Candidate(true))))
             });
-        let tasks: Vec<_> = probes.map(tokio::spawn).collect();
-        let mut answered = false;
-        for task in tasks {
-            answered |= task.await.unwrap_or(false);
         }
-        answered
+        while let Some(probe) = probes.join_next().await {
+            if probe.unwrap_or(false) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Returns whether this process can take shards over: it isn't stopping and reaches the log.
+    pub(crate) async fn can_take_over(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed) && self.log_answers().await
     }
 
     /// Probes the log. The last answer may be older than an outage; a peer that released its shards
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -210,7 +210,7 @@
                 self.owner(shard)
                     .and_then(|owner| owner.queue_length(&queue)),
             ),
-            Workflow::IsLogUp => Workflow::LogUp(self.log_answers().await),
+            Workflow::IsCandidate => Workflow::Candidate(self.can_take_over().await),
             Workflow::Store {
                 shard,
                 record,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -9,7 +9,7 @@
 use rosemaryworks_node::status::Ready;
 use rosemaryworks_wire::link::Peer;
 use rosemaryworks_wire::{Hello, Role};
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::claim::Claims;
 use crate::config::Config;
@@ -68,6 +68,11 @@
     /// The advice service serves one call at a time for each VM.
     pub(crate) advice_slot: Semaphore,
     pub(crate) stopping: AtomicBool,
+    /// Whether a planned stop has released the shards, so that no further one may be held. Changes
+    /// under the lock of `owned`.
+    pub(crate) released: AtomicBool,
+    /// Time at which a planned stop answers the calls that are still open.
+    pub(crate) calls_end: watch::Sender<Option<tokio::time::Instant>>,
     pub(crate) skipped_workers: Skipped,
     skipped_configurations: Skipped,
     config: RwLock<Option<Arc<Config>>>,
@@ -105,6 +110,8 @@
             peers: Mutex::default(),
             advice_slot: Semaphore::new(1),
             stopping: AtomicBool::new(false),
+            released: AtomicBool::new(false),
+            calls_end: watch::Sender::new(None),
             skipped_workers: Skipped::new("workers"),
             skipped_configurations: Skipped::new("configurations"),
             config: RwLock::new(None),
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -184,7 +184,7 @@
     }
 
     /// Returns the shards that this process owns or takes over.
-    fn held_shards(&self) -> BTreeSet<u32> {
+    pub(crate) fn held_shards(&self) -> BTreeSet<u32> {
         let mut held = lock(&self.taking_over).clone();
         held.extend(lock(&self.owned).keys());
         held
@@ -262,9 +262,14 @@
         }
     }
 
-    /// Releases all owned shards and announces it to the other processes.
+    /// Releases all owned shards and announces it to the other processes. A takeover that completes
+    /// later releases its shard, too.
     pub(crate) async fn release_all(self: &Arc<Self>) {
-        let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
+        let owners: Vec<Arc<Owner>> = {
+            let owned = lock(&self.owned);
+            self.released.store(true, Ordering::Relaxed);
+            owned.values().cloned().collect()
+        };
         for owner in owners {
             let (shard, epoch) = (owner.shard(), owner.epoch());
             owner.flush().await;
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -108,6 +108,21 @@
     }
 
     async fn write(self: &Arc<Self>, pool: &str, record: &Record, deadline_ms: u64) -> Acceptance {
+        if self.calls_have_ended() {
+            return Acceptance::Refused;
+        }
+        tokio::select! {
+            outcome = self.write_until(pool, record, deadline_ms) => outcome,
+            () = self.calls_must_end() => Acceptance::Unknown,
+        }
+    }
+
+    async fn write_until(
+        self: &Arc<Self>,
+        pool: &str,
+        record: &Record,
+        deadline_ms: u64,
+    ) -> Acceptance {
         let shard = config::shard(pool, self.settings.shards);
         if self.log_is_down() {
             // The background reads detect the return of the log, so this call needs no probe.
@@ -169,6 +184,13 @@
 
     /// Returns the state of a job.
     pub async fn job_state(self: &Arc<Self>, queue: &Queue, id: Id, deadline_ms: u64) -> Lookup {
+        tokio::select! {
+            lookup = self.job_state_until(queue, id, deadline_ms) => lookup,
+            () = self.calls_must_end() => Lookup::Unavailable,
+        }
+    }
+
+    async fn job_state_until(self: &Arc<Self>, queue: &Queue, id: Id, deadline_ms: u64) -> Lookup {
         let shard = config::shard(&queue.pool, self.settings.shards);
         loop {
             let answer = match self.owner(shard) {
@@ -196,6 +218,13 @@
     /// Returns the number of jobs of a queue of which no task has started; `None` if the owner of
     /// the shard can't be reached in time.
     pub async fn queue_length(self: &Arc<Self>, queue: &Queue, deadline_ms: u64) -> Option<u64> {
+        tokio::select! {
+            length = self.queue_length_until(queue, deadline_ms) => length,
+            () = self.calls_must_end() => None,
+        }
+    }
+
+    async fn queue_length_until(self: &Arc<Self>, queue: &Queue, deadline_ms: u64) -> Option<u64> {
         let shard = config::shard(&queue.pool, self.settings.shards);
         loop {
             let length = match self.owner(shard) {
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -36,7 +36,7 @@
         let began = clock::now();
         match self.recover(shard, epoch, predecessor_ended).await {
             Ok(owner) => {
-                if self.stopping.load(Ordering::Relaxed) {
+                if !self.enter(&owner) {
                     self.release_claim(shard, epoch, true).await;
                     return;
                 }
@@ -45,13 +45,6 @@
                     "shard={shard} epoch={epoch} open_jobs={jobs} workers={workers} took_ms={}",
                     clock::now().since(began)
                 ));
-                {
-                    let mut owned = lock(&self.owned);
-                    if let Some(older) = owned.insert(shard, owner.clone()) {
-                        older.end();
-                    }
-                    self.context.metrics.shards.set(owned.len() as i64);
-                }
                 // A revision that came into force since the takeover began was passed on to the
                 // shards that were owned by then.
                 if let Some(config) = self.config() {
@@ -66,6 +59,19 @@
         }
     }
 
+    /// Enters the owner of a shard. Returns `false` if a planned stop has released the shards.
+    fn enter(&self, owner: &Arc<Owner>) -> bool {
+        let mut owned = lock(&self.owned);
+        if self.released.load(Ordering::Relaxed) {
+            return false;
+        }
+        if let Some(older) = owned.insert(owner.shard(), owner.clone()) {
+            older.end();
+        }
+        self.context.metrics.shards.set(owned.len() as i64);
+        true
+    }
+
     async fn recover(
         &self,
         shard: u32,
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -28,6 +28,9 @@
 /// Time between two looks of a waiting read at the configuration.
 const CONFIG_POLL: Duration = Duration::from_millis(5);
 
+/// Time within which a process that starts has opened its links.
+const LINK_OPEN: Duration = Duration::from_millis(600);
+
 /// An in-memory log.
 #[derive(Default)]
 pub(crate) struct Log {
@@ -393,11 +396,26 @@
 
     /// The same on a log with existing records.
     pub(crate) async fn start_on(log: Arc<Log>) -> Self {
+        let process = Self::launch(log, |_| {}).await;
+        process.wait_for_shards(1).await;
+        process
+    }
+
+    /// Starts a further process on the log of another one, and waits until it has opened its link to
+    /// the owner.
+    pub(crate) async fn start_peer(&self, name: &str) -> Self {
+        let peer = Self::launch(self.log.clone(), |settings| settings.node = name.into()).await;
+        tokio::time::sleep(LINK_OPEN).await;
+        peer
+    }
+
+    /// Starts a process with changed settings. Must be called within a tokio runtime.
+    pub(crate) async fn launch(log: Arc<Log>, change: impl FnOnce(&mut Settings)) -> Self {
         let links = tokio::net::TcpListener::bind("127.0.0.1:0")
             .await
             .expect("a free port");
         let address = links.local_addr().expect("an address");
-        let settings = Settings {
+        let mut settings = Settings {
             node: "n".into(),
             zone: "z".into(),
             listen: address,
@@ -413,6 +431,7 @@
             early_ms: 0,
             log: rosemaryworks_node::logging::Settings::default(),
         };
+        change(&mut settings);
         let status = Status::default();
         let metrics = Metrics::register(&status.metrics);
         let context = Context {
@@ -424,9 +443,7 @@
         };
         let node = Node::new(settings, context, tokio::runtime::Handle::current());
         node.start(links);
-        let process = Self { node, log, metrics };
-        process.wait_for_shards(1).await;
-        process
+        Self { node, log, metrics }
     }
 
     pub(crate) async fn wait_for_shards(&self, count: i64) {
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -38,12 +38,12 @@
     /// Reply to `QueryJob`.
     #[serde(rename = "j")]
     JobState(JobState),
-    /// Call: queries whether the receiver can reach the log. Answered by `LogUp`.
+    /// Call: queries whether the receiver can take shards over. Answered by `Candidate`.
     #[serde(rename = "p")]
-    IsLogUp,
-    /// Reply: whether the log is reachable.
+    IsCandidate,
+    /// Reply: whether the process reaches the log and isn't stopping.
     #[serde(rename = "u")]
-    LogUp(bool),
+    Candidate(bool),
     /// Call: appends a record of a shard to the log for a sender that can't do so itself. Answered
     /// by `StoreEnded`.
     #[serde(rename = "o")]
