fix(workflow): a job that is cancelled before it is read is retained

Callers could be told 410, no such job, for a job whose cancellation they had been told was stored.

Cause: a cancellation that an owner reads before its job ends the job when the job is read, at time 0 of the owner's clock; the job counts as ended long ago and is dropped at the next check.

Change: Shard::submit is passed the time.

Evidence: a_job_that_is_cancelled_before_it_is_read_is_remembered; before, state None instead of Cancelled.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -210,7 +210,7 @@
 
     fn apply_job(&self, state: &mut Shard, record: Record) {
         match record {
-            Record::Submitted { id, queue, spec } => state.submit(id, queue, spec),
+            Record::Submitted { id, queue, spec } => state.submit(id, queue, spec, clock::now().0),
             Record::Cancelled { id } => state.cancel(id, clock::now().0),
             // Owners write the ends of attempts and jobs to another stream.
             _ => {}
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -117,7 +117,7 @@
     /// Applies a record of the shard's streams.
     pub fn replay(&mut self, record: Record, now_ms: u64) {
         match record {
-            Record::Submitted { id, queue, spec } => self.submit(id, queue, spec),
+            Record::Submitted { id, queue, spec } => self.submit(id, queue, spec, now_ms),
             Record::Cancelled { id } => self.cancel(id, now_ms),
             Record::Ended {
                 key,
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -136,7 +136,7 @@
     }
 
     /// Adds an accepted job. Has no effect if the job is known.
-    pub fn submit(&mut self, id: Id, queue: Arc<str>, spec: Arc<Spec>) {
+    pub fn submit(&mut self, id: Id, queue: Arc<str>, spec: Arc<Spec>, now_ms: u64) {
         if self.jobs.contains_key(&id) {
             return;
         }
@@ -171,7 +171,7 @@
         self.jobs.insert(id, job);
         self.adopt_orphans(id);
         if self.early_cancellations.remove(&id) {
-            self.cancel(id, 0);
+            self.cancel(id, now_ms);
             return;
         }
         self.enqueue_ready(id, 0);
--- a/crates/workflow/tests/extreme_workers.rs
+++ b/crates/workflow/tests/extreme_workers.rs
@@ -123,9 +123,12 @@
     };
     for job in 1..=2 {
         let id = rosemaryworks_workflow::Id(job);
-        fleet
-            .shard
-            .submit(id, "small".into(), spec(vec![preemptible.clone()]));
+        fleet.shard.submit(
+            id,
+            "small".into(),
+            spec(vec![preemptible.clone()]),
+            fleet.now_ms,
+        );
         fleet.tick();
     }
     fleet.renew_all();
--- a/crates/workflow/tests/gangs.rs
+++ b/crates/workflow/tests/gangs.rs
@@ -41,7 +41,9 @@
 }
 
 fn submit(fleet: &mut Fleet, id: u64, queue: &str, step: Step) {
-    fleet.shard.submit(Id(id), queue.into(), spec(vec![step]));
+    fleet
+        .shard
+        .submit(Id(id), queue.into(), spec(vec![step]), fleet.now_ms);
     fleet.tick();
 }
 
--- a/crates/workflow/tests/overload.rs
+++ b/crates/workflow/tests/overload.rs
@@ -206,7 +206,7 @@
                     steps: vec![step],
                     ..Spec::default()
                 });
-                self.shard.submit(Id(self.jobs), "q".into(), spec);
+                self.shard.submit(Id(self.jobs), "q".into(), spec, now_ms);
             }
             Work::Tick => {
                 self.tick_queued = false;
--- a/crates/workflow/tests/steps.rs
+++ b/crates/workflow/tests/steps.rs
@@ -229,9 +229,12 @@
         size: Size::new(4_000, 1_024),
         ..step(1)
     };
-    fleet
-        .shard
-        .submit(Id(1), "q".into(), spec(vec![whole_worker.clone()]));
+    fleet.shard.submit(
+        Id(1),
+        "q".into(),
+        spec(vec![whole_worker.clone()]),
+        fleet.now_ms,
+    );
     fleet.shard.tick(fleet.now_ms, fleet.now_ms);
     let started = fleet.shard.take_actions();
     assert!(matches!(started[..], [Action::Start(_)]), "{started:?}");
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -169,7 +169,7 @@
     }
 
     pub(crate) fn submit(&mut self, id: u64, spec: Arc<Spec>) {
-        self.shard.submit(Id(id), "q".into(), spec);
+        self.shard.submit(Id(id), "q".into(), spec, self.now_ms);
         self.tick();
     }
 
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -65,6 +65,18 @@
     assert_eq!(fleet.workers_running(key(1, 0, 0)).len(), 1);
 }
 
+/// Guards against a cancelled job that is unknown at once: the cancellation arrived before the job,
+/// which counted as ended at the start of the clock.
+#[test]
+fn a_job_that_is_cancelled_before_it_is_read_is_remembered() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(1_000_000);
+    fleet.shard.cancel(Id(1), fleet.now_ms);
+    fleet.submit(1, spec(vec![step(1)]));
+    fleet.advance(2_000);
+    assert_eq!(fleet.shard.state(Id(1)), Some(State::Cancelled));
+}
+
 #[test]
 fn new_jobs_start_at_once_when_every_worker_has_reported() {
     let mut fleet = Fleet::new(3);
--- a/crates/workflow/tests/unresponsive_workers.rs
+++ b/crates/workflow/tests/unresponsive_workers.rs
@@ -235,6 +235,7 @@
         rosemaryworks_workflow::Id(1),
         "q".into(),
         spec(vec![step(1)]),
+        fleet.now_ms,
     );
     fleet.shard.tick(fleet.now_ms, fleet.now_ms);
     let actions = fleet.shard.take_actions();
