fix(workflow): ends that are reported before their job is read count

A task could run again after it had completed (TWICE).

Cause: a previous owner may start a job that is accepted after its successor has read the shard's jobs. If the worker reported the end to the successor before that had read the job, which takes a slow log half a second, the end was neither recorded nor kept, and was acknowledged; the job then ran anew.

Change: ends of unknown jobs are recorded like those of open jobs, kept for as long as ended jobs are, and applied when the job is read.

Evidence: an_end_that_is_reported_before_its_job_is_read_counts and ..._is_recorded fail before the change ("started after it had completed").

--- a/crates/workflow/src/orphan.rs
+++ b/crates/workflow/src/orphan.rs
@@ -1,12 +1,14 @@
 //! Attempts of jobs that this owner has not read yet.
 //!
 //! A previous owner may start a job that was accepted after its successor read the shard's jobs.
-//! The worker then reports the attempt to the successor before the successor reads the job.
+//! The worker then reports the attempt, or its end, to the successor before the successor reads the
+//! job.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::job::{Id, Step};
+use crate::report::Finished;
 use crate::run::Placement;
 use crate::shard::Shard;
 use crate::task::Key;
@@ -15,20 +17,52 @@
 /// read within a second.
 const JOB_READ_MAX_MS: u64 = 1_500;
 
-/// Unknown jobs with reported attempts, and the time on the owner's clock of the first report.
+/// Reported attempts of unknown jobs.
 #[derive(Debug, Default)]
-pub(crate) struct Orphans(BTreeMap<Id, u64>);
+pub(crate) struct Orphans {
+    /// Time on the owner's clock of the first report of a running attempt.
+    running: BTreeMap<Id, u64>,
+    /// Reported ends.
+    ended: BTreeMap<Id, Ends>,
+}
+
+/// Ended attempts of an unknown job.
+#[derive(Debug, Default)]
+struct Ends {
+    /// Time on the owner's clock of the last report.
+    reported_ms: u64,
+    /// The ends, each with its worker.
+    ends: Vec<(Arc<str>, Finished)>,
+}
 
 impl Orphans {
     pub(crate) fn add(&mut self, job: Id, now_ms: u64) {
-        self.0.entry(job).or_insert(now_ms);
+        self.running.entry(job).or_insert(now_ms);
+    }
+
+    pub(crate) fn add_end(&mut self, worker: Arc<str>, end: Finished, now_ms: u64) {
+        let ended = self.ended.entry(end.key.step.job).or_default();
+        ended.reported_ms = now_ms;
+        ended.ends.push((worker, end));
+    }
+
+    /// Forgets the ends of jobs that have not been read within `keep_ms`: they are of jobs that this
+    /// owner no longer retains.
+    pub(crate) fn forget_ends(&mut self, keep_ms: u64, now_ms: u64) {
+        self.ended
+            .retain(|_, ended| now_ms < ended.reported_ms + keep_ms);
     }
 }
 
 impl Shard {
-    /// Adopts the attempts of a job that has been read.
-    pub(crate) fn adopt_orphans(&mut self, job: Id) {
-        if self.orphans.0.remove(&job).is_none() {
+    /// Applies the ends of a job that has been read, and adopts its attempts.
+    pub(crate) fn adopt_orphans(&mut self, job: Id, now_ms: u64) {
+        let ended = self.orphans.ended.remove(&job).unwrap_or_default();
+        for (worker, end) in ended.ends {
+            let (key, attempt) = (end.key, end.attempt);
+            self.apply_end(Some(&worker), key, attempt, end.how, end.checkpoint, now_ms);
+        }
+        if self.orphans.running.remove(&job).is_none() {
             return;
         }
         // An attempt that is being stopped runs until the worker has reported its end.
@@ -60,7 +94,7 @@
     pub(crate) fn stop_orphans(&mut self, now_ms: u64) {
         let unknown: Vec<Id> = self
             .orphans
-            .0
+            .running
             .iter()
             .filter(|(_, since)| now_ms >= **since + JOB_READ_MAX_MS)
             .map(|(job, _)| *job)
@@ -68,7 +102,7 @@
         for job in unknown {
             let runs = self.runs_of(job);
             if runs.is_empty() {
-                self.orphans.0.remove(&job);
+                self.orphans.running.remove(&job);
             }
             for (worker, key) in runs {
                 self.stop_run(&worker, key, now_ms);
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -143,10 +143,12 @@
             Outcome::Failed if !stop_requested => host.backoff.failed(now_ms),
             _ => {}
         }
-        let is_open = self
-            .jobs
-            .get(&end.key.step.job)
-            .is_some_and(|job| !job.is_ended());
+        let job = self.jobs.get(&end.key.step.job);
+        // A job that has not been read yet may be open, too, and the worker forgets the end.
+        let is_open = job.is_none_or(|job| !job.is_ended());
+        if job.is_none() {
+            self.orphans.add_end(id.into(), end.clone(), now_ms);
+        }
         if is_open {
             self.record(Record::Ended {
                 key: end.key,
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -169,7 +169,7 @@
             self.scheduled.insert(id);
         }
         self.jobs.insert(id, job);
-        self.adopt_orphans(id);
+        self.adopt_orphans(id, now_ms);
         if self.early_cancellations.remove(&id) {
             self.cancel(id, now_ms);
             return;
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -41,6 +41,7 @@
             let keep_ms = self.settings.keep_ms;
             self.jobs
                 .retain(|_, job| !job.is_ended() || now_ms < job.ended_ms + keep_ms);
+            self.orphans.forget_ends(keep_ms, now_ms);
         }
         self.place(now_ms);
     }
--- a/crates/workflow/tests/takeover.rs
+++ b/crates/workflow/tests/takeover.rs
@@ -84,6 +84,43 @@
     assert_eq!(fleet.workers_running(key(1, 0, 0)).len(), 1);
 }
 
+/// Guards against a task that runs again after it has completed: the previous owner started it, its
+/// worker reported the end to the successor before that had read the job, and the end was
+/// acknowledged and forgotten.
+#[test]
+fn an_end_that_is_reported_before_its_job_is_read_counts() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    fleet.take_over(2, &[], vec![queue("q")]);
+    let worker = fleet.end_attempt(key(1, 0, 0), Outcome::Done);
+    fleet.renew_all();
+    fleet.make_durable();
+    fleet.renew(&worker);
+    assert!(fleet.workers[&worker].ends.is_empty(), "not acknowledged");
+    fleet.submit(1, spec(vec![step(1)]));
+    fleet.advance(8_000);
+    assert!(fleet.orders.is_empty(), "started after it had completed");
+    fleet.make_durable();
+    assert_eq!(fleet.shard.state(Id(1)), Some(State::Completed));
+}
+
+/// The same if the owner changes once more: the end must be on record.
+#[test]
+fn an_end_that_is_reported_before_its_job_is_read_is_recorded() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(1, spec(vec![step(1)]));
+    fleet.take_over(2, &[], vec![queue("q")]);
+    let worker = fleet.end_attempt(key(1, 0, 0), Outcome::Done);
+    fleet.renew_all();
+    fleet.make_durable();
+    fleet.renew(&worker);
+    assert!(fleet.workers[&worker].ends.is_empty(), "not acknowledged");
+    fleet.take_over(3, &[submitted(1, vec![step(1)])], vec![queue("q")]);
+    fleet.renew_all();
+    fleet.advance(8_000);
+    assert!(fleet.orders.is_empty(), "started after it had completed");
+}
+
 /// Guards against a cancelled job that is unknown at once: the cancellation arrived before the job,
 /// which counted as ended at the start of the clock.
 #[test]
