fix(entry): a superseded owner steps down within the time its successor allows for

One that reads the newer claim only stopped renewing its own; one that the log turns away announced its release and acted on; one that is cut off did nothing.

--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rosemaryworks_node::{clock, late};
@@ -76,6 +77,7 @@
 
     fn closed(&self, _peer: &Peer) {
         lock(&self.0.peers).retain(|peer| !peer.is_closed());
+        self.0.link_was_closed();
     }
 }
 
@@ -94,6 +96,7 @@
     fn opened(&self, _peer: &Peer) {}
 
     fn closed(&self, _peer: &Peer) {
+        self.0.link_was_closed();
         // The owner's shards may soon have no owner.
         self.0.claims_changed.notify_one();
     }
@@ -105,6 +108,10 @@
         tokio::spawn(serve(listener, self.hello.clone(), handler));
     }
 
+    fn link_was_closed(&self) {
+        self.link_closed_ms.store(clock::now().0, Ordering::Relaxed);
+    }
+
     /// Opens links to the owners of shards and closes links to processes that own none.
     pub(crate) fn dial_owners(self: &Arc<Self>) {
         let owners: BTreeMap<SocketAddr, Arc<str>> = lock(&self.claims).owners();
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -65,6 +65,8 @@
     pub(crate) links: Mutex<HashMap<std::net::SocketAddr, Link>>,
     /// Peers that opened a link to this process.
     pub(crate) peers: Mutex<Vec<Peer>>,
+    /// Time at which a link was closed last; 0 if none was.
+    pub(crate) link_closed_ms: AtomicU64,
     /// The advice service serves one call at a time for each VM.
     pub(crate) advice_slot: Semaphore,
     pub(crate) stopping: AtomicBool,
@@ -108,6 +110,7 @@
             taking_over: Mutex::default(),
             links: Mutex::default(),
             peers: Mutex::default(),
+            link_closed_ms: AtomicU64::new(0),
             advice_slot: Semaphore::new(1),
             stopping: AtomicBool::new(false),
             released: AtomicBool::new(false),
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -82,6 +82,8 @@
         };
         self.observe_log_response(true);
         let now_ms = clock::now().0;
+        let at_end = page.next >= page.end;
+        position.next = Some(page.next);
         let mut claims = lock(&self.claims);
         for record in page.records {
             let shard = record.key.as_deref().and_then(claim::shard_of);
@@ -91,14 +93,32 @@
                 _ => events::RECORD_SKIPPED.log(format_args!("stream=claims")),
             }
         }
-        position.next = Some(page.next);
-        let at_end = page.next >= page.end;
         if at_end {
             claims.caught_up(now_ms);
         }
+        drop(claims);
+        self.step_down_if_superseded();
         at_end
     }
 
+    /// Ends ownership of the shards that another process has claimed since. It counts the leases
+    /// that this process may grant only for a limited time after its takeover.
+    fn step_down_if_superseded(&self) {
+        let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
+        for owner in owners {
+            if self.is_superseded(&owner) {
+                let reason = "another process claimed the shard";
+                self.step_down(owner.shard(), owner.epoch(), reason);
+            }
+        }
+    }
+
+    fn is_superseded(&self, owner: &Owner) -> bool {
+        let claims = lock(&self.claims);
+        let claim = claims.get(owner.shard());
+        claim.is_some_and(|claim| claim.epoch > owner.epoch())
+    }
+
     /// Reads the newest claim of each shard, and the latest records of the stream. A superseded owner
     /// that doesn't know it yet renews over the claim of its successor, which is then missing among
     /// the newest ones; without it this process might claim the successor's epoch again.
@@ -228,10 +248,7 @@
     fn renew_claims(self: &Arc<Self>) {
         let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
         for owner in owners {
-            let superseded = lock(&self.claims)
-                .get(owner.shard())
-                .is_some_and(|claim| claim.epoch > owner.epoch());
-            if superseded {
+            if self.is_superseded(&owner) {
                 continue;
             }
             let mut claim = self.own_claim(owner.epoch(), owner.next_renewal());
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -7,6 +7,7 @@
 use rosemaryworks_node::event;
 use tokio::time::Instant;
 
+use crate::handover::Peers;
 use crate::node::Node;
 
 /// Upper bound of the time for which new connections still arrive after readiness was withdrawn:
@@ -74,7 +75,7 @@
     }
 
     async fn can_hand_over(&self) -> bool {
-        !self.log_is_down() && self.a_peer_can_take_over().await
+        !self.log_is_down() && self.ask_peers().await == Peers::CanTakeOver
     }
 
     /// Waits until calls must be answered even without an outcome, because a planned stop ends.
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -29,7 +29,7 @@
 const CONFIG_POLL: Duration = Duration::from_millis(5);
 
 /// Time within which a process that starts has opened its links.
-const LINK_OPEN: Duration = Duration::from_millis(600);
+pub(crate) const LINK_OPEN: Duration = Duration::from_millis(600);
 
 /// An in-memory log.
 #[derive(Default)]
@@ -373,6 +373,44 @@
     }
 }
 
+/// Access of one process to the log.
+pub(crate) struct Door {
+    log: Arc<Log>,
+    /// Whether the log turns this process away.
+    pub(crate) closed: AtomicBool,
+}
+
+impl Door {
+    fn pass<T: Send + 'static>(&self, call: impl FnOnce(&Log) -> Answer<T>) -> Answer<T> {
+        match self.closed.load(Ordering::Relaxed) {
+            true => Box::pin(async { Err(Fault::Refused("turned away".into())) }),
+            false => call(&self.log),
+        }
+    }
+}
+
+impl Store for Door {
+    fn append(&self, append: Append) -> Answer<Appended> {
+        self.pass(|log| log.append(append))
+    }
+
+    fn read(&self, stream: Stream, partition: u32, from: u64, wait_ms: u64) -> Answer<Page> {
+        self.pass(|log| log.read(stream, partition, from, wait_ms))
+    }
+
+    fn newest(&self, stream: Stream, partition: u32) -> Answer<Page> {
+        self.pass(|log| log.newest(stream, partition))
+    }
+
+    fn configuration(&self, since: Option<u64>, wait_ms: u64) -> Answer<Changes<Arc<Config>>> {
+        self.pass(|log| log.configuration(since, wait_ms))
+    }
+
+    fn workers(&self, since: Option<u64>) -> Answer<Changes<WorkerChange>> {
+        self.pass(|log| log.workers(since))
+    }
+}
+
 struct NoAdvisor;
 
 impl Advisor for NoAdvisor {
@@ -385,6 +423,7 @@
 pub(crate) struct Process {
     pub(crate) node: Arc<Node>,
     pub(crate) log: Arc<Log>,
+    pub(crate) door: Arc<Door>,
     pub(crate) metrics: Metrics,
 }
 
@@ -434,8 +473,12 @@
         change(&mut settings);
         let status = Status::default();
         let metrics = Metrics::register(&status.metrics);
+        let door = Arc::new(Door {
+            log: log.clone(),
+            closed: AtomicBool::new(false),
+        });
         let context = Context {
-            store: log.clone(),
+            store: door.clone(),
             workers: log.workers.clone(),
             advisor: Arc::new(NoAdvisor),
             metrics: metrics.clone(),
@@ -443,7 +486,12 @@
         };
         let node = Node::new(settings, context, tokio::runtime::Handle::current());
         node.start(links);
-        Self { node, log, metrics }
+        Self {
+            node,
+            log,
+            door,
+            metrics,
+        }
     }
 
     pub(crate) async fn wait_for_shards(&self, count: i64) {
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -17,10 +17,6 @@
 /// milliseconds. Covers a renewal that was under way when the previous owner was fenced.
 const LEASE_MARGIN_MS: u64 = 300;
 
-/// Time within which a previous owner that still acts has been rejected by some worker and has
-/// stepped down, in milliseconds: it renews the lease of each worker with attempts every 0.8 s.
-const PREDECESSOR_FENCED_MS: u64 = 1_200;
-
 /// Recovery of the state after a takeover.
 #[derive(Debug, Default)]
 pub(crate) struct Recovery {
@@ -121,6 +117,11 @@
 }
 
 impl Shard {
+    /// Time after a takeover within which a previous owner that still acts has stepped down, in
+    /// milliseconds. It reads the newer claim, is rejected by a worker, whose lease it renews every
+    /// 0.8 s, or notices that the log answers only other processes or that it is cut off.
+    pub const PREDECESSOR_FENCED_MS: u64 = 1_200;
+
     /// Returns whether no previous owner acts any more.
     #[must_use]
     pub fn has_fenced_predecessors(&self, now_ms: u64) -> bool {
@@ -184,7 +185,7 @@
         self.recovery.fenced_ms = if is_sole_owner {
             now_ms
         } else {
-            now_ms + PREDECESSOR_FENCED_MS
+            now_ms + Self::PREDECESSOR_FENCED_MS
         };
         // Until then the previous owner may renew the lease of a worker that this owner can't reach.
         self.recovery.leases_expired_ms =
