feat(workflow): jobs that can still be in time go first

Change: within a priority, jobs that can be in time are placed first, then those that can be late, then the others (decision 0023).

--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -31,6 +31,7 @@
 mod start;
 mod start_window;
 mod task;
+mod timeliness;
 mod timers;
 mod usage;
 mod worker;
