--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::action::{Action, AdviceRequest};
-use crate::job::{AdviceTerms, Queue, Step};
+use crate::job::{Queue, Step};
 use crate::placement::{PoolCapacity, meets_constraints, task_slots};
 use crate::run::StepRun;
 use crate::shard::Shard;
@@ -33,10 +33,6 @@
 /// Part of the validity of a permit, as a divisor, in which it should be used.
 const VALIDITY_SHARE: u64 = 4;
 
-/// Length of the calls, as a multiple, for which permits are requested ahead. Tasks that wait with
-/// permits for longer are late without need.
-const CALLS_AHEAD: f64 = 8.0;
-
 /// Maximum number of workers in a request for a gang. Decisions about workers are final, so one
 /// long call replaces several.
 const GANG_WORKERS_MAX: usize = 100;
@@ -78,12 +74,6 @@
     }
 }
 
-/// Returns the time ahead for which permits are requested, in milliseconds.
-fn usable_ms(terms: &AdviceTerms) -> u64 {
-    let call_ms = terms.call_ms + terms.worker_ms * WORKERS_MIN as f64;
-    (terms.validity_ms / VALIDITY_SHARE).min((call_ms * CALLS_AHEAD) as u64)
-}
-
 impl Shard {
     /// Requests advice for a step if the pool has free capacity that no earlier step waits for.
     /// Without this bound a large number of steps would repeatedly request permits for full
@@ -119,7 +109,7 @@
         let may_be_useful = keeps_permits || size.fits(&capacity.largest_free);
         let is_advised = self.is_advised(key, now_ms);
         // Permits for more tasks than this owner can start would expire unused.
-        let usable_ms = queue.advice.as_ref().map_or(0, usable_ms);
+        let usable_ms = queue.advice.map_or(0, |terms| terms.validity_ms) / VALIDITY_SHARE;
         let is_in_time =
             (capacity.advised_tasks as f64) < self.start_window.expected_answers(usable_ms);
         if queue.advice.is_some()
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -31,7 +31,6 @@
 mod start;
 mod start_window;
 mod task;
-mod timeliness;
 mod timers;
 mod usage;
 mod worker;
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -1,7 +1,7 @@
 //! Placement of tasks on workers: short tasks of high priority, large gangs and long-running
 //! services share the pools.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use rosemaryworks_core::size::{Size, thousandths};
@@ -47,18 +47,6 @@
     Some,
 }
 
-/// Takes the first of two ordered collections of steps.
-fn next_entry(
-    entries: &mut VecDeque<QueueEntry>,
-    demoted: &mut BTreeSet<QueueEntry>,
-) -> Option<QueueEntry> {
-    match (entries.front(), demoted.first()) {
-        (Some(entry), Some(first)) if first < entry => demoted.pop_first(),
-        (Some(_), _) => entries.pop_front(),
-        (None, _) => demoted.pop_first(),
-    }
-}
-
 impl Shard {
     /// Places waiting tasks, in the order of priority and acceptance.
     pub fn place(&mut self, now_ms: u64) {
@@ -70,16 +58,13 @@
             return;
         }
         let mut capacities = self.pool_capacities(now_ms);
-        let mut entries: VecDeque<QueueEntry> = self.ready.iter().copied().collect();
-        let mut demoted = BTreeSet::new();
-        while let Some(entry) = next_entry(&mut entries, &mut demoted) {
+        let entries: Vec<QueueEntry> = self.ready.iter().copied().collect();
+        for entry in entries {
             // A request for advice would be answered before the permits can be used.
             if !self.start_window.has_room() {
                 return;
             }
-            if let Some(later) = self.demote(entry, now_ms) {
-                demoted.insert(later);
-            } else if let Placed::All = self.place_step(entry.3, &mut capacities, now_ms) {
+            if let Placed::All = self.place_step(entry.2, &mut capacities, now_ms) {
                 self.ready.remove(&entry);
             }
         }
--- a/crates/workflow/src/reservation.rs
+++ b/crates/workflow/src/reservation.rs
@@ -136,7 +136,7 @@
         let waiting = self
             .ready
             .iter()
-            .map(|(priority, _, _, key)| (*priority, *key));
+            .map(|(priority, _, key)| (*priority, *key));
         for (priority, key) in waiting {
             match self.plan_if_gang(key, &reservations, now_ms) {
                 Some(Feasibility::Feasible(plan)) => {
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -112,8 +112,6 @@
     pub(crate) spec: Arc<Spec>,
     /// Position in the order of acceptance.
     pub(crate) acceptance_order: u64,
-    /// Time on the owner's clock at which the owner read the job.
-    pub(crate) accepted_ms: u64,
     /// Occurrences in progress, by number.
     pub(crate) occurrences: BTreeMap<u32, Vec<StepRun>>,
     /// Number of completed occurrences.
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -16,7 +16,6 @@
 use crate::silent::Silence;
 use crate::start_window::StartWindow;
 use crate::task::{Key, StepKey};
-use crate::timeliness::Timeliness;
 use crate::worker::Worker;
 
 /// Attempt numbers set aside for each epoch, because a previous owner may have used some without
@@ -38,8 +37,8 @@
     pub early_ms: u64,
 }
 
-/// Position of a step in the placement order: priority, timeliness, acceptance order of the job, key.
-pub(crate) type QueueEntry = (u32, Timeliness, u64, StepKey);
+/// Position of a step in the placement order: priority, acceptance order of the job, key.
+pub(crate) type QueueEntry = (u32, u64, StepKey);
 
 /// State of a shard under one owner.
 #[derive(Debug)]
@@ -129,7 +128,7 @@
             .map(|queue| (queue.name.clone(), Arc::new(queue)))
             .collect();
         // The placement order depends on the priorities of the queues.
-        let steps: Vec<StepKey> = self.ready.iter().map(|(_, _, _, key)| *key).collect();
+        let steps: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
         self.ready.clear();
         for key in steps {
             self.enqueue(key);
@@ -153,7 +152,6 @@
             queue,
             spec,
             acceptance_order: self.next_acceptance,
-            accepted_ms: now_ms,
             occurrences: BTreeMap::new(),
             completed_occurrences: 0,
             next_occurrence: 0,
@@ -348,12 +346,7 @@
             .and_then(|steps| steps.get(key.step as usize));
         if run.is_some_and(|run| run.ready && run.waiting > 0) {
             let priority = self.queues.get(&job.queue).map_or(0, |q| q.priority);
-            let order = job.acceptance_order;
-            for demoted in [Timeliness::Late, Timeliness::Missed] {
-                self.ready.remove(&(priority, demoted, order, key));
-            }
-            self.ready
-                .insert((priority, Timeliness::InTime, order, key));
+            self.ready.insert((priority, job.acceptance_order, key));
         }
     }
 
@@ -465,7 +458,7 @@
         for (key, _) in lost {
             self.mark_run_lost(id, key, Evidence::NewIncarnation);
         }
-        let steps: Vec<StepKey> = self.ready.iter().map(|(_, _, _, key)| *key).collect();
+        let steps: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
         for key in steps {
             if let Some(run) = self.step_run_mut(key) {
                 run.advice.forget_worker(id);
--- a/crates/workflow/src/usage.rs
+++ b/crates/workflow/src/usage.rs
@@ -64,7 +64,7 @@
             usage.capacity += host.worker.capacity;
             usage.free += host.free();
         }
-        for (_, _, _, key) in &self.ready {
+        for (_, _, key) in &self.ready {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
