--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -20,6 +20,10 @@
     Worker,
 };
 
+mod door;
+
+use door::Door;
+
 type Streams = BTreeMap<(u8, u32), Vec<Record>>;
 
 /// Time that a fence takes in milliseconds, so that concurrent reads finish first.
@@ -373,44 +377,6 @@
     }
 }
 
-/// Access of one process to the log.
-pub(crate) struct Door {
-    log: Arc<Log>,
-    /// Whether the log turns this process away.
-    pub(crate) closed: AtomicBool,
-}
-
-impl Door {
-    fn pass<T: Send + 'static>(&self, call: impl FnOnce(&Log) -> Answer<T>) -> Answer<T> {
-        match self.closed.load(Ordering::Relaxed) {
-            true => Box::pin(async { Err(Fault::Refused("turned away".into())) }),
-            false => call(&self.log),
-        }
-    }
-}
-
-impl Store for Door {
-    fn append(&self, append: Append) -> Answer<Appended> {
-        self.pass(|log| log.append(append))
-    }
-
-    fn read(&self, stream: Stream, partition: u32, from: u64, wait_ms: u64) -> Answer<Page> {
-        self.pass(|log| log.read(stream, partition, from, wait_ms))
-    }
-
-    fn newest(&self, stream: Stream, partition: u32) -> Answer<Page> {
-        self.pass(|log| log.newest(stream, partition))
-    }
-
-    fn configuration(&self, since: Option<u64>, wait_ms: u64) -> Answer<Changes<Arc<Config>>> {
-        self.pass(|log| log.configuration(since, wait_ms))
-    }
-
-    fn workers(&self, since: Option<u64>) -> Answer<Changes<WorkerChange>> {
-        self.pass(|log| log.workers(since))
-    }
-}
-
 struct NoAdvisor;
 
 impl Advisor for NoAdvisor {
