feat(entry): owners log what their time is spent on

It now reports the time of the owner's decisions, its lateness and the calls that ended in each second.

--- a/crates/entry/src/commands.rs
+++ b/crates/entry/src/commands.rs
@@ -29,6 +29,7 @@
             clock::now().since(began)
         ));
         self.context().metrics.starts.inc();
+        self.load().add_start();
         if !matches!(outcome, StartOutcome::Accepted { .. }) {
             self.context().metrics.start_faults.inc();
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod handover;
 mod journal;
 mod links;
+mod load;
 mod metrics;
 mod node;
 mod owner;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -14,6 +14,7 @@
 use crate::config::Config;
 use crate::events;
 use crate::journal::{self, Journal};
+use crate::load::Load;
 use crate::node::{Context, Node, lock};
 use crate::port::{Fault, Page, Stream};
 use crate::session::Session;
@@ -82,6 +83,7 @@
     balancer: Mutex<Balancer>,
     timeouts: Mutex<Timeouts>,
     stall: Stall,
+    load: Load,
 }
 
 impl Owner {
@@ -116,6 +118,7 @@
             balancer: Mutex::default(),
             timeouts: Mutex::default(),
             stall: Stall::new(clock::uptime_ms()),
+            load: Load::default(),
         })
     }
 
@@ -148,6 +151,10 @@
         lock(&self.timeouts)
     }
 
+    pub(crate) fn load(&self) -> &Load {
+        &self.load
+    }
+
     pub(crate) fn context(&self) -> &Context {
         &self.context
     }
@@ -330,6 +337,7 @@
                 self.context.metrics.open_jobs.set(open as i64);
                 state.take_actions()
             };
+            self.load.add_tick(began.elapsed());
             for action in actions {
                 self.execute(&node, action);
             }
@@ -339,41 +347,15 @@
                 logged_ms = clock::now().0;
                 self.log_usage();
             }
+            let pause = std::time::Instant::now();
             tokio::time::sleep(spacing).await;
+            self.load
+                .add_lateness(pause.elapsed().saturating_sub(spacing));
             // Without a change, the next tick handles what is due by time.
             let _ = tokio::time::timeout(TICK, self.changed.notified()).await;
         }
     }
 
-    fn log_usage(&self) {
-        let (usage, starts) = {
-            let state = self.state();
-            (state.usage(clock::now().0), state.starts())
-        };
-        for (pool, usage) in usage {
-            events::USAGE.log(format_args!(
-                "pool={pool} epoch={} workers={} empty={} free_millicores={}/{} free_mebibytes={}/{} \
-                 free_accelerators={}/{} steps={} gangs={} tasks={} starts={}/{} \
-                 answer_ms={}",
-                self.epoch,
-                usage.workers,
-                usage.empty,
-                usage.free.millicores,
-                usage.capacity.millicores,
-                usage.free.memory_mb,
-                usage.capacity.memory_mb,
-                usage.free.accelerators,
-                usage.capacity.accelerators,
-                usage.steps,
-                usage.gangs,
-                usage.tasks,
-                starts.in_flight,
-                starts.limit,
-                starts.answer_ms
-            ));
-        }
-    }
-
     /// Checks the claim if this process was stalled, and ends ownership if another process has
     /// claimed the shard since.
     async fn check_claim_after_stall(&self, node: &Node) {
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -146,6 +146,7 @@
         .workers
         .renew(id, &renewal, wait_ms, timeout)
         .await;
+    owner.load().add_renewal();
     let now_ms = clock::now().0;
     if wait_ms == 0 && result.is_ok() {
         owner.timeouts().observe(now_ms.saturating_sub(sent_ms));
