perf(workflow): decisions visit workers only where they may find something

Waiting steps searched all workers for some to ask about, at every tick and with four look-ups by name for each; due times and durable records were looked for on every worker, too.

A search first looks for any worker with room, and pauses for 20 ms if there is none; the first thirty candidates are selected instead of sorting all; answers of the advice service and reservations are in hash maps; only workers with something due, or that wait for a record, are visited. Decisions are the same but for the pause.

--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -1,8 +1,9 @@
 //! Answers of the advice service for one step: allowed and denied workers, and permits.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use foldhash::{HashMap, HashSet};
+
 /// Time before its expiry at which a permit is no longer used, in milliseconds. Covers the
 /// transmission of the start request.
 const EXPIRY_MARGIN_MS: u64 = 250;
@@ -18,12 +19,29 @@
 /// validity of permits.
 const DOUBLINGS_MAX: u32 = 4;
 
+/// Minimum time between two searches for workers to ask about, of which the first found none, in
+/// milliseconds. A search visits every worker.
+const SEARCH_PERIOD_MS: u64 = 20;
+
+/// What is known about a worker for a step.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Standing {
+    /// The step may run on it, but its permit has expired.
+    Allowed,
+    /// The step must not run on it.
+    Denied,
+    /// The step may run on it, and its permit is valid.
+    Permitted,
+    /// The service has not been asked.
+    Undecided,
+}
+
 /// Answers of the advice service for one step. A decision about an incarnation of a worker is
 /// final, but its permit expires.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Advice {
-    allowed: BTreeMap<Arc<str>, Permit>,
-    denied: BTreeSet<Arc<str>>,
+    allowed: HashMap<Arc<str>, Permit>,
+    denied: HashSet<Arc<str>>,
     /// Workers of the request that waits for its answer.
     requested: Option<Vec<Arc<str>>>,
     /// Time on the owner's clock before which no request is sent.
@@ -55,6 +73,16 @@
         valid.map(|(worker, _)| worker)
     }
 
+    /// Returns what is known about a worker.
+    pub(crate) fn standing(&self, worker: &str, now_ms: u64) -> Standing {
+        match self.allowed.get(worker) {
+            Some(permit) if now_ms < permit.expires_ms => Standing::Permitted,
+            Some(_) => Standing::Allowed,
+            None if self.denied.contains(worker) => Standing::Denied,
+            None => Standing::Undecided,
+        }
+    }
+
     /// Returns whether the step must not run on a worker.
     pub(crate) fn is_denied(&self, worker: &str) -> bool {
         self.denied.contains(worker)
@@ -116,6 +144,11 @@
         self.not_before_ms = 0;
     }
 
+    /// Records that no worker was found to ask about.
+    pub(crate) fn searched_in_vain(&mut self, now_ms: u64) {
+        self.not_before_ms = now_ms + SEARCH_PERIOD_MS;
+    }
+
     /// Records a request that got no answer.
     pub(crate) fn request_failed(&mut self, now_ms: u64) {
         self.requested = None;
--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use crate::action::{Action, AdviceRequest};
+use crate::advice::{Advice, Standing};
+use crate::host::Host;
 use crate::job::{Queue, Step};
 use crate::placement::{PoolCapacity, meets_constraints, task_slots};
 use crate::run::StepRun;
@@ -48,6 +50,8 @@
 /// A worker that may be named in a request.
 struct Candidate<'a> {
     id: &'a Arc<str>,
+    /// Position among the workers, which decides between candidates that are alike otherwise.
+    order: usize,
     /// Whether capacity on it is reserved for the step.
     reserved: bool,
     /// Whether it is already allowed for the step.
@@ -59,7 +63,7 @@
 impl Candidate<'_> {
     /// Returns the sort key of the worker; the lowest comes first. Small tasks prefer partly used
     /// workers, so that whole workers stay free for gangs.
-    fn rank(&self, prefers_empty: bool) -> (bool, bool, bool, u64) {
+    fn rank(&self, prefers_empty: bool) -> (bool, bool, bool, u64, usize) {
         let task_slots = if prefers_empty {
             u64::MAX - self.task_slots
         } else {
@@ -70,6 +74,7 @@
             !self.allowed,
             self.task_slots == 0,
             task_slots,
+            self.order,
         )
     }
 }
@@ -257,28 +262,33 @@
             .copied()
             .unwrap_or(INITIAL_ALLOWED_SHARE);
         let size = step.demand();
-        let mut candidates: Vec<Candidate<'_>> = self
-            .hosts
-            .iter()
-            .filter(|(id, host)| {
-                host.worker.pool == queue.pool
-                    && host.is_schedulable(now_ms)
-                    && !advice.is_denied(id)
-                    && advice.permit(id, now_ms).is_none()
-                    && meets_constraints(host, step, 0)
-                    && size.fits(&host.worker.capacity)
-            })
-            .map(|(id, host)| Candidate {
+        if !keeps_permits && !self.has_useful_worker(key, step, queue, advice, now_ms) {
+            if let Some(run) = self.step_run_mut(key) {
+                run.advice.searched_in_vain(now_ms);
+            }
+            return;
+        }
+        let hosts = self.hosts.iter().enumerate();
+        let candidates = hosts.filter_map(|(order, (id, host))| {
+            let is_allowed = match advice.standing(id, now_ms) {
+                Standing::Allowed => true,
+                Standing::Undecided => false,
+                Standing::Denied | Standing::Permitted => return None,
+            };
+            let may_run = host.worker.pool == queue.pool
+                && size.fits(&host.worker.capacity)
+                && host.is_schedulable(now_ms)
+                && meets_constraints(host, step, 0);
+            let free = self.reservations.free(host, key, queue.priority);
+            may_run.then(|| Candidate {
                 id,
+                order,
                 reserved: self.reservations.is_reserved_for(id, key),
-                allowed: advice.is_allowed(id),
-                task_slots: task_slots(
-                    &self.reservations.free(host, key, queue.priority),
-                    step,
-                    &size,
-                ),
+                allowed: is_allowed,
+                task_slots: task_slots(&free, step, &size),
             })
-            .collect();
+        });
+        let mut candidates: Vec<Candidate<'_>> = candidates.collect();
         // A starving step keeps its permits valid, so that it can use capacity as soon as it
         // becomes free.
         let is_useful = |candidate: &Candidate<'_>| {
@@ -287,7 +297,12 @@
         if !candidates.iter().any(is_useful) {
             return;
         }
-        candidates.sort_by_key(|candidate| candidate.rank(step.service));
+        let rank = |candidate: &Candidate<'_>| candidate.rank(step.service);
+        if candidates.len() > WORKERS_MAX {
+            candidates.select_nth_unstable_by_key(WORKERS_MAX, rank);
+            candidates.truncate(WORKERS_MAX);
+        }
+        candidates.sort_unstable_by_key(rank);
         let mut expected_slots = 0.0;
         let mut workers = Vec::new();
         for Candidate {
@@ -311,6 +326,35 @@
         self.send_advice_request(key, queue, workers);
     }
 
+    /// Returns whether a request could name a worker on which a task of the step fits now.
+    fn has_useful_worker(
+        &self,
+        key: StepKey,
+        step: &Step,
+        queue: &Queue,
+        advice: &Advice,
+        now_ms: u64,
+    ) -> bool {
+        let size = step.demand();
+        let fits = |host: &Host| {
+            let free = self.reservations.free(host, key, queue.priority);
+            task_slots(&free, step, &size) > 0
+        };
+        // Most workers fail one of the first conditions, which cost least.
+        let is_useful = |(id, host): (&Arc<str>, &Host)| {
+            size.fits(&host.free())
+                && host.worker.pool == queue.pool
+                && matches!(
+                    advice.standing(id, now_ms),
+                    Standing::Allowed | Standing::Undecided
+                )
+                && host.is_schedulable(now_ms)
+                && meets_constraints(host, step, 0)
+                && fits(host)
+        };
+        self.hosts.iter().any(is_useful)
+    }
+
     /// Applies an answer of the advice service. `allowed` lists the allowed workers with their
     /// permits, which are valid until `until_ms`.
     pub fn advice_received(
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -240,6 +240,22 @@
         ended.into_iter().collect()
     }
 
+    /// Applies that the first `durable` records of the owner are durable. Returns whether the worker
+    /// waits for no further one.
+    pub(crate) fn mark_durable(&mut self, durable: u64) -> bool {
+        if matches!(self.silence, Silence::Returning(record) if record <= durable) {
+            self.silence = Silence::Unrecorded;
+        }
+        while let Some((record, end)) = self.pending_ends.front().copied() {
+            if record > durable {
+                break;
+            }
+            self.last_durable_end = self.last_durable_end.max(end);
+            self.pending_ends.pop_front();
+        }
+        self.pending_ends.is_empty() && !matches!(self.silence, Silence::Returning(_))
+    }
+
     /// Returns whether a request was meant for an earlier incarnation of the worker.
     pub(crate) fn is_for_earlier_incarnation(&self, token: u64) -> bool {
         token < self.incarnation_token
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -160,6 +160,7 @@
         let record_number = self.issued_records;
         if let Some(host) = self.hosts.get_mut(id) {
             host.pending_ends.push_back((record_number, end.number));
+            self.awaiting_records.insert(host.id());
         }
         self.stop_duplicate(id, end, now_ms);
         self.apply_end(
--- a/crates/workflow/src/reservation.rs
+++ b/crates/workflow/src/reservation.rs
@@ -3,9 +3,10 @@
 //! Small tasks take any capacity as soon as it becomes free. A step that has waited for some time
 //! reserves workers that it may use, so that free capacity accumulates there.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use foldhash::HashMap;
 use rosemaryworks_core::size::{Size, thousandths};
 
 use crate::gangs::Feasibility;
@@ -41,7 +42,7 @@
 /// Reservations of all workers.
 #[derive(Debug, Default)]
 pub(crate) struct Reservations {
-    by_worker: BTreeMap<Arc<str>, Vec<Reservation>>,
+    by_worker: HashMap<Arc<str>, Vec<Reservation>>,
     /// Gangs whose members all have capacity, or will have it once preempted attempts have stopped.
     planned: BTreeSet<StepKey>,
     /// Gangs that do not fit on the workers allowed for them.
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -13,7 +13,6 @@
 use crate::recovery::Recovery;
 use crate::reservation::Reservations;
 use crate::run::{Job, Placement};
-use crate::silent::Silence;
 use crate::start_window::StartWindow;
 use crate::task::{Key, StepKey};
 use crate::worker::Worker;
@@ -64,6 +63,8 @@
     pub(crate) issued_records: u64,
     /// Number of issued records that are durable.
     pub(crate) durable_records: u64,
+    /// Workers that wait for a record to become durable.
+    pub(crate) awaiting_records: HashSet<Arc<str>>,
     /// Jobs that were cancelled before they arrived.
     early_cancellations: HashSet<Id>,
     /// Highest token increments of a removed worker. A worker that is listed again has seen its
@@ -100,6 +101,7 @@
             start_window: StartWindow::default(),
             issued_records: 0,
             durable_records: 0,
+            awaiting_records: HashSet::new(),
             early_cancellations: HashSet::new(),
             removed_increments: 0,
             next_acceptance: 0,
@@ -210,20 +212,14 @@
 
     /// Marks the first `count` issued records as durable.
     pub fn mark_durable(&mut self, count: u64) {
-        self.durable_records = self.durable_records.max(count);
-        for host in self.hosts.values_mut() {
-            if matches!(host.silence, Silence::Returning(record) if record <= self.durable_records)
-            {
-                host.silence = Silence::Unrecorded;
-            }
-            while let Some((record, end)) = host.pending_ends.front().copied() {
-                if record > self.durable_records {
-                    break;
-                }
-                host.last_durable_end = host.last_durable_end.max(end);
-                host.pending_ends.pop_front();
-            }
-        }
+        let durable = self.durable_records.max(count);
+        self.durable_records = durable;
+        let hosts = &mut self.hosts;
+        let awaits_more = |id: &Arc<str>| {
+            let host = hosts.get_mut(id);
+            host.is_some_and(|host| !host.mark_durable(durable))
+        };
+        self.awaiting_records.retain(awaits_more);
     }
 
     /// Adds or updates a worker from the platform's directory.
--- a/crates/workflow/src/silent.rs
+++ b/crates/workflow/src/silent.rs
@@ -63,6 +63,7 @@
         if matches!(host.silence, Silence::Recorded(_)) {
             host.silence = Silence::Returning(self.issued_records + 1);
             let worker = host.worker.clone();
+            self.awaiting_records.insert(worker.id.clone());
             self.record(Record::WorkerAdded { worker });
         }
     }
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::action::Action;
-use crate::host::{Liveness, Phase};
+use crate::host::{Host, Liveness, Phase};
 use crate::job::Id;
 use crate::lost_attempt::Evidence;
 use crate::shard::Shard;
@@ -48,7 +48,11 @@
 
     /// Does the work that is due on each worker.
     fn check_workers(&mut self, now_ms: u64) {
-        let ids: Vec<Arc<str>> = self.hosts.keys().cloned().collect();
+        let due = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| needs_check(host, now_ms));
+        let ids: Vec<Arc<str>> = due.map(|(id, _)| id.clone()).collect();
         for id in ids {
             self.expire_lease(&id, now_ms);
             self.record_silence(&id, now_ms);
@@ -167,7 +171,7 @@
 
     /// Removes unlisted workers that don't answer.
     fn remove_gone(&mut self, now_ms: u64) {
-        let is_gone = |host: &crate::host::Host| {
+        let is_gone = |host: &Host| {
             !host.listed
                 && host.runs.is_empty()
                 && host
@@ -196,3 +200,14 @@
         self.actions.extend(ids.into_iter().map(Action::Renew));
     }
 }
+
+/// Returns whether a worker may have work that is due by time. Most have none.
+fn needs_check(host: &Host, now_ms: u64) -> bool {
+    host.liveness == Liveness::Unresponsive
+        || host.worker.draining
+        || host.runs.values().any(|run| match run.phase {
+            Phase::Stopping => now_ms >= run.phase_since_ms + STOP_RETRY_MS,
+            Phase::Running => now_ms >= run.progressed_ms + STALLED_AFTER_MS,
+            Phase::Starting | Phase::Unresolved => false,
+        })
+}
