feat(entry): other VMs send the commands of an owner with many workers

Cause, second part: one VM of half a core sends every start and renewal of a pool of 792 workers.

An owner of more than 600 workers for each core has its commands sent by relays: the strongest linked VMs, one for each 200 workers. The owner still decides alone and keeps tokens, deadlines and leases; a relay does nothing that a slow network doesn't do (decision 0023). Its silence is not taken for that of workers, and what arrived during a stall of its own it declines.

--- a/crates/entry/src/commands.rs
+++ b/crates/entry/src/commands.rs
@@ -7,6 +7,7 @@
 
 use crate::events;
 use crate::owner::Owner;
+use crate::port::Workers as _;
 
 impl Owner {
     pub(crate) async fn send_start(self: Arc<Self>, order: Order) {
@@ -16,7 +17,7 @@
         }
         let began = clock::now();
         let timeout = self.timeouts().command();
-        let outcome = self.context().workers.start(&order, timeout).await;
+        let outcome = self.workers().start(&order, timeout).await;
         if matches!(outcome, StartOutcome::Accepted { .. }) {
             self.timeouts().observe(clock::now().since(began));
         }
@@ -43,7 +44,7 @@
         if self.is_ended() {
             return;
         }
-        let accepted = self.context().workers.stop(&stop).await;
+        let accepted = self.workers().stop(&stop).await;
         events::STOPPED.log(format_args!(
             "task={} attempt={} worker={} taken={accepted}",
             stop.key, stop.attempt, stop.worker
@@ -60,7 +61,7 @@
         if self.is_ended() {
             return;
         }
-        let accepted = self.context().workers.pace(&pace).await;
+        let accepted = self.workers().pace(&pace).await;
         events::PACED.log(format_args!(
             "task={} worker={} percent={} taken={accepted}",
             pace.run.key, pace.run.worker, pace.percent
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -49,6 +49,12 @@
 pub const STALLED: Event = Event::new(836, Level::Warn, "owner was stalled");
 /// A task of an owner panicked.
 pub const PANICKED: Event = Event::new(837, Level::Error, "task of an owner panicked");
+/// Other VMs send the commands of an owner to its workers.
+pub const RELAYS_ASSIGNED: Event = Event::new(838, Level::Info, "relays assigned");
+/// A relay gave no answer and gets no commands for a while.
+pub const RELAY_PAUSED: Event = Event::new(839, Level::Warn, "relay paused");
+/// Commands or their outcomes were dropped because this process was stalled before it sent them.
+pub const COMMANDS_DROPPED: Event = Event::new(840, Level::Warn, "commands dropped after a stall");
 /// A record of a stream is malformed.
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// The process received the signal to reload.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod config;
 pub mod events;
+mod exchange;
 mod handover;
 mod journal;
 mod links;
@@ -19,6 +20,9 @@
 mod owner;
 mod ownership;
 pub mod port;
+mod relay;
+mod relayed;
+pub mod relays;
 mod requests;
 mod session;
 pub mod settings;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -56,7 +56,7 @@
         })
     }
 
-    fn notice(&self, _peer: &Peer, message: Message) {
+    fn notice(&self, peer: &Peer, message: Message) {
         match message {
             Message::Workflow(Workflow::Released { shard, epoch }) => {
                 lock(&self.0.claims).released(shard, epoch);
@@ -67,6 +67,13 @@
                     owner.apply_stored(record);
                 }
             }
+            Message::Workflow(Workflow::Commands(commands)) => {
+                self.0.send_for_peer(peer, commands);
+            }
+            Message::Workflow(Workflow::Offers { millicores }) => {
+                self.0.exchange.offered(peer, millicores);
+            }
+            Message::Workflow(Workflow::Outcomes(outcomes)) => self.0.exchange.ended(outcomes),
             _ => {}
         }
     }
@@ -75,8 +82,9 @@
         lock(&self.0.peers).push(peer.clone());
     }
 
-    fn closed(&self, _peer: &Peer) {
+    fn closed(&self, peer: &Peer) {
         lock(&self.0.peers).retain(|peer| !peer.is_closed());
+        self.0.exchange.closed(peer);
         self.0.link_was_closed();
     }
 }
@@ -93,7 +101,9 @@
         Incoming(self.0.clone()).notice(peer, message);
     }
 
-    fn opened(&self, _peer: &Peer) {}
+    fn opened(&self, peer: &Peer) {
+        self.0.offer_relay(peer);
+    }
 
     fn closed(&self, _peer: &Peer) {
         self.0.link_was_closed();
@@ -227,14 +237,19 @@
         }
     }
 
+    /// Returns the open links to owners.
+    pub(crate) fn linked_owners(&self) -> Vec<Peer> {
+        let links = lock(&self.links);
+        links
+            .values()
+            .filter_map(|link| link.client.peer())
+            .collect()
+    }
+
     /// Returns an open link to every process that has one with this process.
     pub(crate) fn linked_peers(&self) -> Vec<Peer> {
         let mut peers: Vec<Peer> = lock(&self.peers).clone();
-        peers.extend(
-            lock(&self.links)
-                .values()
-                .filter_map(|link| link.client.peer()),
-        );
+        peers.extend(self.linked_owners());
         peers.retain(|peer| !peer.is_closed());
         peers
     }
--- a/crates/entry/src/load.rs
+++ b/crates/entry/src/load.rs
@@ -60,7 +60,7 @@
             events::USAGE.log(format_args!(
                 "pool={pool} epoch={} workers={} empty={} free_millicores={}/{} free_mebibytes={}/{} \
                  free_accelerators={}/{} steps={} gangs={} tasks={} starts={}/{} answer_ms={} \
-                 tick_ms={} late_ms={} started={} renewed={}",
+                 tick_ms={} late_ms={} started={} renewed={} relays={}",
                 self.epoch(),
                 usage.workers,
                 usage.empty,
@@ -79,7 +79,8 @@
                 counts.ticking.as_millis(),
                 counts.late.as_millis(),
                 counts.starts,
-                counts.renewals
+                counts.renewals,
+                self.workers().relay_count()
             ));
         }
     }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -14,10 +14,12 @@
 use crate::claim::Claims;
 use crate::config::Config;
 use crate::events;
+use crate::exchange::Exchange;
 use crate::links::Link;
 use crate::metrics::Metrics;
 use crate::owner::Owner;
 use crate::port::{Advisor, Store, Workers};
+use crate::relay::Relay;
 use crate::settings::Settings;
 use crate::skipped::Skipped;
 use crate::submitter::Submitter;
@@ -65,6 +67,10 @@
     pub(crate) links: Mutex<HashMap<std::net::SocketAddr, Link>>,
     /// Peers that opened a link to this process.
     pub(crate) peers: Mutex<Vec<Peer>>,
+    /// Commands that other processes send to workers for the owners of this one.
+    pub(crate) exchange: Arc<Exchange>,
+    /// Commands that this process sends for owners.
+    pub(crate) relay: Relay,
     /// Time at which a link was closed last; 0 if none was.
     pub(crate) link_closed_ms: AtomicU64,
     /// The advice service serves one call at a time for each VM.
@@ -110,6 +116,8 @@
             taking_over: Mutex::default(),
             links: Mutex::default(),
             peers: Mutex::default(),
+            exchange: Arc::default(),
+            relay: Relay::new(),
             link_closed_ms: AtomicU64::new(0),
             advice_slot: Semaphore::new(1),
             stopping: AtomicBool::new(false),
@@ -132,6 +140,8 @@
         tokio::spawn(self.clone().watch_configuration());
         tokio::spawn(self.clone().keep_claims());
         tokio::spawn(self.clone().follow_claims());
+        let node = self.clone();
+        tokio::spawn(async move { node.relay.beat().await });
     }
 
     /// Returns the configuration in force.
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -17,6 +17,7 @@
 use crate::load::Load;
 use crate::node::{Context, Node, lock};
 use crate::port::{Fault, Page, Stream};
+use crate::relayed::RelayedWorkers;
 use crate::session::Session;
 use crate::stall::{self, Stall};
 use crate::timeouts::Timeouts;
@@ -56,6 +57,9 @@
 /// Time between two log lines with the usage of the pools, in milliseconds.
 const USAGE_PERIOD_MS: u64 = 1_000;
 
+/// Time between two looks at the VMs that offer to send commands, in milliseconds.
+const RELAYS_PERIOD_MS: u64 = 250;
+
 /// Longest wait for the journal to be flushed at a planned stop.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -82,6 +86,7 @@
     sessions: Mutex<HashMap<Arc<str>, Arc<Session>>>,
     balancer: Mutex<Balancer>,
     timeouts: Mutex<Timeouts>,
+    workers: RelayedWorkers,
     stall: Stall,
     load: Load,
 }
@@ -96,6 +101,7 @@
     ) -> Arc<Self> {
         let epoch = state.epoch();
         let context = node.context.clone();
+        let workers = RelayedWorkers::new(context.workers.clone(), node.exchange.clone());
         let config_version = workers_read.config.as_ref().map(|config| config.version);
         let journal = Journal::new(context.store.clone(), shard, epoch, context.metrics.clone());
         Arc::new(Self {
@@ -117,6 +123,7 @@
             sessions: Mutex::default(),
             balancer: Mutex::default(),
             timeouts: Mutex::default(),
+            workers,
             stall: Stall::new(clock::uptime_ms()),
             load: Load::default(),
         })
@@ -155,6 +162,11 @@
         &self.load
     }
 
+    /// Returns the commands to the shard's workers.
+    pub(crate) fn workers(&self) -> &RelayedWorkers {
+        &self.workers
+    }
+
     pub(crate) fn context(&self) -> &Context {
         &self.context
     }
@@ -320,8 +332,13 @@
         let republish_ms = node.settings.retention_ms / REPUBLICATIONS_PER_RETENTION;
         let mut republished_ms = clock::now().0;
         let mut logged_ms = republished_ms;
+        let mut assigned_ms = 0;
         loop {
             self.check_claim_after_stall(&node).await;
+            if clock::now().0 >= assigned_ms + RELAYS_PERIOD_MS {
+                assigned_ms = clock::now().0;
+                self.assign_relays(&node);
+            }
             if self.is_ended() {
                 return;
             }
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -222,7 +222,7 @@
         }
     }
 
-    fn millicores(&self) -> u64 {
+    pub(crate) fn millicores(&self) -> u64 {
         (self.settings.cores * 1_000.0) as u64
     }
 
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -64,6 +64,9 @@
     pub async fn stop(self: &Arc<Self>, limit: Duration) {
         self.stopping.store(true, Ordering::Relaxed);
         self.update_ready();
+        for peer in self.linked_owners() {
+            self.offer_relay(&peer);
+        }
         let until = Instant::now() + limit;
         while !self.held_shards().is_empty() && !self.can_hand_over().await {
             if Instant::now() + HANDOVER_PERIOD >= until {
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -21,8 +21,10 @@
 };
 
 mod door;
+mod sender;
 
 use door::Door;
+use sender::Sender;
 
 type Streams = BTreeMap<(u8, u32), Vec<Record>>;
 
@@ -320,6 +322,8 @@
     pub(crate) renewed: Mutex<Vec<Arc<str>>>,
     /// Workers that were told to start an attempt.
     pub(crate) started: Mutex<Vec<Arc<str>>>,
+    /// Commands by the process that sent them.
+    pub(crate) sent: Mutex<BTreeMap<Arc<str>, usize>>,
 }
 
 impl StandInWorkers {
@@ -414,6 +418,12 @@
         peer
     }
 
+    /// Returns how many commands to workers a process sent.
+    pub(crate) fn sent_by(&self, node: &str) -> usize {
+        let sent = self.log.workers.sent.lock().expect("the lock");
+        sent.get(node).copied().unwrap_or(0)
+    }
+
     /// Starts a process with changed settings. Must be called within a tokio runtime.
     pub(crate) async fn launch(log: Arc<Log>, change: impl FnOnce(&mut Settings)) -> Self {
         let links = tokio::net::TcpListener::bind("127.0.0.1:0")
@@ -445,7 +455,7 @@
         });
         let context = Context {
             store: door.clone(),
-            workers: log.workers.clone(),
+            workers: Arc::new(Sender::new(&settings.node, &log.workers)),
             advisor: Arc::new(NoAdvisor),
             metrics: metrics.clone(),
             ready: status.ready.clone(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! A [`Frame`] is one CBOR item in one WebSocket binary message. A call is answered by a reply with
 //! the same id; a notice has no reply.
 
+pub mod command;
 mod compact;
 mod frame;
 pub mod link;
--- a/crates/wire/src/link/connection.rs
+++ b/crates/wire/src/link/connection.rs
@@ -93,6 +93,12 @@
         self.inner.pending().closed
     }
 
+    /// Returns whether both handles belong to the same connection.
+    #[must_use]
+    pub fn is_same_link(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.inner, &other.inner)
+    }
+
     /// Waits until the connection is closed.
     pub async fn closed(&self) {
         self.inner.outgoing.closed().await;
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -5,6 +5,8 @@
 use rosemaryworks_workflow::{Id, Record, State, StepKey};
 use serde::{Deserialize, Serialize};
 
+use crate::command::{Command, Outcome};
+
 /// Message between entry processes. Names on the wire are short, because job states are queried
 /// often.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -96,6 +98,21 @@
     /// Reply: number of waiting jobs; `None` if the process doesn't own the shard.
     #[serde(rename = "m")]
     LengthIs(Option<u64>),
+    /// Notice: commands that the receiver sends to workers on behalf of the sender, each with a
+    /// number that its outcome repeats. Answered by `Outcomes`.
+    #[serde(rename = "c")]
+    Commands(Vec<(u64, Command)>),
+    /// Notice: outcomes of `Commands`.
+    #[serde(rename = "e")]
+    Outcomes(Vec<(u64, Outcome)>),
+    /// Notice: the sender sends commands on behalf of the receiver from now on; with 0 thousandths
+    /// of a core it doesn't any more.
+    #[serde(rename = "f")]
+    Offers {
+        /// CPU of the sender's VM in thousandths of a core.
+        #[serde(rename = "m")]
+        millicores: u64,
+    },
 }
 
 /// State of a job as reported by the owner of its shard.
--- a/crates/workflow/src/action.rs
+++ b/crates/workflow/src/action.rs
@@ -3,56 +3,76 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::lost_attempt::LostAttempt;
 use crate::record::Record;
 use crate::task::{Key, StepKey};
 
 /// Request to a worker to start an attempt of a task.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Order {
     /// Identifier of the worker.
+    #[serde(rename = "w")]
     pub worker: Arc<str>,
     /// Address of the worker.
+    #[serde(rename = "a")]
     pub address: SocketAddr,
     /// Task to run.
+    #[serde(rename = "k")]
     pub key: Key,
     /// Number of the attempt.
+    #[serde(rename = "n")]
     pub attempt: u32,
     /// Opaque text passed to the task.
+    #[serde(rename = "x")]
     pub text: Arc<str>,
     /// Time on the worker's clock, in milliseconds, from which the worker rejects the request.
+    #[serde(rename = "d")]
     pub deadline_ms: u64,
     /// Fencing token.
+    #[serde(rename = "t")]
     pub token: u64,
     /// Checkpoint to resume from.
+    #[serde(default, rename = "c", skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<Arc<str>>,
     /// Permit to run the step on this worker.
+    #[serde(default, rename = "p", skip_serializing_if = "Option::is_none")]
     pub permit: Option<Arc<str>>,
-    /// Time on the owner's clock at which the task was placed, in milliseconds.
+    /// Time on the owner's clock at which the task was placed, in milliseconds. Other processes have
+    /// other clocks.
+    #[serde(skip)]
     pub placed_ms: u64,
 }
 
 /// Request to a worker to stop an attempt.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Stop {
     /// Identifier of the worker.
+    #[serde(rename = "w")]
     pub worker: Arc<str>,
     /// Address of the worker.
+    #[serde(rename = "a")]
     pub address: SocketAddr,
     /// Task to stop.
+    #[serde(rename = "k")]
     pub key: Key,
     /// Number of the attempt.
+    #[serde(rename = "n")]
     pub attempt: u32,
     /// Fencing token.
+    #[serde(rename = "t")]
     pub token: u64,
 }
 
 /// Request to a worker to limit the speed of an attempt.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Pace {
     /// Attempt to throttle, identified as in a stop request.
+    #[serde(rename = "r")]
     pub run: Stop,
     /// Share of full speed, in percent.
+    #[serde(rename = "p")]
     pub percent: u32,
 }
 
