feat(entry): setting own_workers, and a soak through relays

Relays were used only by owners of hundreds of workers, which neither the soak nor a small deployment has. The setting own_workers says how many workers an owner calls itself (default: 600 for each core of its VM); every odd seed of the soak sets it to 0. An owner with relays has two at least, so that the loss of one affects a part of its workers only; a relay no longer counts a command as under way whose task panicked.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -102,18 +102,33 @@
                 outbox.push(number, Outcome::Declined);
                 continue;
             }
-            self.relay.under_way.fetch_add(1, Ordering::Relaxed);
-            let (node, outbox) = (self.clone(), outbox.clone());
+            let (under_way, outbox) = (UnderWay::new(self.clone()), outbox.clone());
             tokio::spawn(async move {
-                let outcome = send(&*node.context.workers, command).await;
-                node.relay.under_way.fetch_sub(1, Ordering::Relaxed);
-                node.context.metrics.relayed.inc();
+                let context = &under_way.0.context;
+                let outcome = send(&*context.workers, command).await;
+                context.metrics.relayed.inc();
                 outbox.push(number, outcome);
             });
         }
     }
 }
 
+/// Counts a command as under way until it is dropped.
+struct UnderWay(Arc<Node>);
+
+impl UnderWay {
+    fn new(node: Arc<Node>) -> Self {
+        node.relay.under_way.fetch_add(1, Ordering::Relaxed);
+        Self(node)
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.0.relay.under_way.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn send(workers: &dyn Workers, command: Command) -> Outcome {
     let limit = |ms: u64| Duration::from_millis(ms.min(TIMEOUT_MAX_MS));
     match command {
--- a/crates/entry/src/relayed.rs
+++ b/crates/entry/src/relayed.rs
@@ -40,15 +40,15 @@
         }
     }
 
-    /// Assigns relays for `workers` of an owner on a VM with `millicores`. `is_owner` tells of
-    /// another process whether it owns a shard. Returns the relays if they have changed.
+    /// Assigns relays for `workers` of an owner that calls `own` of them itself at most. `is_owner`
+    /// tells of another process whether it owns a shard. Returns the relays if they have changed.
     fn assign(
         &self,
         workers: usize,
-        millicores: u64,
+        own: u32,
         is_owner: impl Fn(&str) -> bool,
     ) -> Option<Vec<Arc<str>>> {
-        let count = relays::needed(workers, millicores);
+        let count = relays::needed(workers, own);
         let offers: Vec<Offer> = match count {
             0 => Vec::new(),
             _ => self
@@ -206,7 +206,8 @@
         let workers = self.state().host_ids().len();
         let owners = lock(&node.claims).owners();
         let is_owner = |vm: &str| owners.values().any(|owner| **owner == *vm);
-        let changed = self.workers().assign(workers, node.millicores(), is_owner);
+        let own = node.settings.own_workers();
+        let changed = self.workers().assign(workers, own, is_owner);
         if let Some(relays) = changed {
             events::RELAYS_ASSIGNED.log(format_args!(
                 "shard={} epoch={} workers={workers} relays={}",
--- a/crates/entry/src/relays.rs
+++ b/crates/entry/src/relays.rs
@@ -11,11 +11,14 @@
 use rosemaryworks_core::partition::hash;
 
 /// Workers that an owner calls itself, for each core of its VM.
-const OWN_WORKERS_PER_CORE: u64 = 600;
+const OWN_WORKERS_PER_CORE: f64 = 600.0;
 
 /// Workers for each relay. Few relays, because commands that leave together share a message.
 const WORKERS_PER_RELAY: usize = 200;
 
+/// Smallest number of relays, so that the loss of one affects only a part of the workers.
+const RELAYS_MIN: usize = 2;
+
 /// Time for which a relay that gave no answer gets no command, in milliseconds. Doubles with each
 /// further failure up to [`PAUSE_MAX_MS`].
 const PAUSE_MS: u64 = 2_000;
@@ -54,12 +57,17 @@
     direct_until_ms: HashMap<Arc<str>, u64>,
 }
 
-/// Returns how many relays an owner of `workers` needs on a VM with `millicores`.
+/// Returns how many workers an owner calls itself on a VM with `cores`.
+#[must_use]
+pub fn own_workers(cores: f64) -> u32 {
+    (cores * OWN_WORKERS_PER_CORE) as u32
+}
+
+/// Returns how many relays an owner of `workers` needs that calls `own` of them itself at most.
 #[must_use]
-pub fn needed(workers: usize, millicores: u64) -> usize {
-    let own = millicores * OWN_WORKERS_PER_CORE / 1_000;
-    match workers as u64 > own {
-        true => workers.div_ceil(WORKERS_PER_RELAY),
+pub fn needed(workers: usize, own: u32) -> usize {
+    match workers > own as usize {
+        true => workers.div_ceil(WORKERS_PER_RELAY).max(RELAYS_MIN),
         false => 0,
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,8 @@
 use rosemaryworks_node::settings::{Check, Faults};
 use serde::{Deserialize, Serialize};
 
+use crate::relays;
+
 /// Upper bound of a worker's lease in milliseconds. The takeover of a shard takes 2.2 s at most.
 /// Leases are renewed every 0.8 s, so that much of a lease may have passed when the owner is lost.
 const LEASE_MAX_MS: u64 = 4_000;
@@ -32,6 +34,10 @@
     /// CPU of the VM in cores. Stronger VMs are preferred as owners of shards.
     #[serde(default = "defaults::cores")]
     pub cores: f64,
+    /// Largest number of workers that an owner calls itself; with more, other VMs send its commands.
+    /// Follows from `cores` if it is not set.
+    #[serde(default)]
+    pub own_workers: Option<u32>,
     /// Longest time from a planned stop to the end of the process in milliseconds.
     #[serde(default = "defaults::stop_ms")]
     pub stop_ms: u64,
@@ -82,6 +88,13 @@
     pub fn lease_ms(&self) -> u64 {
         self.lease_max_ms.min(LEASE_MAX_MS)
     }
+
+    /// Returns the largest number of workers that an owner calls itself.
+    #[must_use]
+    pub fn own_workers(&self) -> u32 {
+        let default = || relays::own_workers(self.cores);
+        self.own_workers.unwrap_or_else(default)
+    }
 }
 
 impl Check for Settings {
--- a/crates/entry/tests/relayed_commands.rs
+++ b/crates/entry/tests/relayed_commands.rs
@@ -13,10 +13,10 @@
 use rosemaryworks_node::clock;
 use rosemaryworks_workflow::{Id, Spec, Step};
 
-/// More workers than the owner of these tests calls itself.
 const WORKERS: usize = 100;
 
-const CORES: f64 = 0.1;
+/// Workers that the owner of these tests calls itself at most.
+const OWN_WORKERS: u32 = 60;
 
 /// Time within which an owner uses or replaces relays.
 const ASSIGNED: Duration = Duration::from_millis(500);
@@ -27,18 +27,20 @@
     log.workers.answering.store(true, Ordering::Relaxed);
     let workers = (0..WORKERS).map(|index| worker(&format!("w{index}"), "pool"));
     log.list.lock().expect("the lock").0 = workers.collect();
-    let owner = Process::launch(log, |settings| settings.cores = CORES).await;
+    let owner = Process::launch(log, |settings| settings.own_workers = Some(OWN_WORKERS)).await;
     owner.wait_for_shards(1).await;
     owner
 }
 
+/// Starts as many processes that link to the owner as it uses.
+async fn start_relays(log: Arc<Log>) -> [Process; 2] {
+    let first = start_relay(log.clone(), "relay").await;
+    [first, start_relay(log, "relay-2").await]
+}
+
 /// Starts a process that links to the owner.
 async fn start_relay(log: Arc<Log>, name: &str) -> Process {
-    let relay = Process::launch(log, |settings| {
-        settings.node = name.into();
-        settings.cores = CORES / 2.0;
-    });
-    let relay = relay.await;
+    let relay = Process::launch(log, |settings| settings.node = name.into()).await;
     tokio::time::sleep(LINK_OPEN + ASSIGNED).await;
     relay
 }
@@ -72,11 +74,11 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn commands_of_a_pool_too_large_for_its_owner_are_sent_by_other_vms() {
     let owner = start_owner().await;
-    let _relay = start_relay(owner.log.clone(), "relay").await;
+    let _relays = start_relays(owner.log.clone()).await;
     let before = owner.sent_by("n");
     run_job(&owner, 1, 40).await;
     assert_eq!(owner.sent_by("n") - before, 0, "the owner sent commands");
-    assert!(owner.sent_by("relay") >= 40);
+    assert!(owner.sent_by("relay") + owner.sent_by("relay-2") >= 40);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -106,11 +108,11 @@
 async fn a_relay_that_ends_is_not_taken_for_silent_workers() {
     let owner = start_owner().await;
     let relays = tokio::runtime::Runtime::new().expect("a runtime");
-    let relay = relays.spawn(start_relay(owner.log.clone(), "relay"));
-    let _relay = relay.await.expect("the relay starts");
-    let before = owner.sent_by("relay");
+    let started = relays.spawn(start_relays(owner.log.clone()));
+    let _processes = started.await.expect("the relays start");
+    let before = owner.sent_by("n");
     run_job(&owner, 1, 5).await;
-    assert!(owner.sent_by("relay") > before);
+    assert_eq!(owner.sent_by("n"), before, "the owner sent commands");
     relays.shutdown_background();
     run_job(&owner, 2, 40).await;
     assert_eq!(owner.metrics.start_faults.get(), 0);
--- a/crates/entry/tests/relays.rs
+++ b/crates/entry/tests/relays.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use quickcheck::quickcheck;
-use rosemaryworks_entry::relays::{Offer, Relays, needed};
+use rosemaryworks_entry::relays::{Offer, Relays, needed, own_workers};
 
 fn offer(vm: &str, millicores: u64) -> Offer {
     Offer {
@@ -25,10 +25,11 @@
 
 #[test]
 fn an_owner_of_few_workers_needs_no_relay() {
-    assert_eq!(needed(300, 500), 0);
-    assert_eq!(needed(301, 500), 2);
-    assert_eq!(needed(792, 500), 4);
-    assert_eq!(needed(35, 250), 0);
+    assert_eq!(needed(300, own_workers(0.5)), 0);
+    assert_eq!(needed(301, own_workers(0.5)), 2);
+    assert_eq!(needed(792, own_workers(0.5)), 4);
+    assert_eq!(needed(35, own_workers(0.25)), 0);
+    assert_eq!(needed(1, 0), 2);
 }
 
 #[test]
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -439,6 +439,7 @@
             metrics_listen: address,
             shards: 1,
             cores: 1.0,
+            own_workers: None,
             stop_ms: 5_000,
             lease_max_ms: 4_000,
             keep_ms: 120_000,
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -31,6 +31,8 @@
     pub log: SocketAddr,
     /// Address of the advice service.
     pub advisor: SocketAddr,
+    /// Largest number of workers that an owner calls itself; `None` leaves it to the process.
+    pub own_workers: Option<u32>,
 }
 
 fn loopback(port: u16) -> SocketAddr {
@@ -82,6 +84,7 @@
         folder: &Path,
         log: SocketAddr,
         advisor: SocketAddr,
+        own_workers: Option<u32>,
         protocol: &dyn Protocol,
     ) -> Self {
         let name = format!("n{index}");
@@ -95,6 +98,7 @@
             metrics,
             log: log_proxy.address,
             advisor,
+            own_workers,
         };
         let settings = folder.join(format!("{name}.json"));
         std::fs::write(&settings, protocol.settings(&addresses))
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -71,10 +71,19 @@
         let started = Worker::start(index, history.clone(), protocol.clone(), &log);
         workers.push(started.await);
     }
+    // Every other seed has its commands sent through relays.
+    let own_workers = (seed % 2 == 1).then_some(0);
     let mut processes = Vec::new();
     for index in 0..PROCESS_COUNT {
-        let prepared =
-            Process::prepare(index, &folder, log_address, advisor, protocol.as_ref()).await;
+        let prepared = Process::prepare(
+            index,
+            &folder,
+            log_address,
+            advisor,
+            own_workers,
+            protocol.as_ref(),
+        );
+        let prepared = prepared.await;
         prepared.spawn();
         processes.push(Arc::new(prepared));
     }
