fix(workflow): requests for advice name no worker that may run no further task of a step

A task that lasts and had failed didn't start again for 6 s or more, although workers that may run it had room (LOST).

Cause: a request names 12 workers for one task, those already allowed first. For a step with a limit per worker, these were workers that run its other tasks and have room for more, but not for this step. Their permits run out before all of them have been named, so the same ones were named again, and the free workers never. Starving steps reserved such workers, too.

Both now leave out workers at the limit, as the placement does. The test a_request_names_no_worker_that_runs_as_many_tasks_of_the_step_as_it_may failed before: 59 of 60 tasks run, 10 workers are free, and the last one didn't start within 14 s.

--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -7,7 +7,7 @@
 use crate::advice::{Advice, Standing};
 use crate::host::Host;
 use crate::job::{Queue, Step};
-use crate::placement::{PoolCapacity, meets_constraints, task_slots};
+use crate::placement::{PoolCapacity, colocated, meets_constraints, task_slots};
 use crate::run::StepRun;
 use crate::shard::Shard;
 use crate::task::StepKey;
@@ -278,7 +278,7 @@
             let may_run = host.worker.pool == queue.pool
                 && size.fits(&host.worker.capacity)
                 && host.is_schedulable(now_ms)
-                && meets_constraints(host, step, 0);
+                && meets_constraints(host, step, colocated(host, key, step));
             let free = self.reservations.free(host, key, queue.priority);
             may_run.then(|| Candidate {
                 id,
@@ -349,7 +349,7 @@
                     Standing::Allowed | Standing::Undecided
                 )
                 && host.is_schedulable(now_ms)
-                && meets_constraints(host, step, 0)
+                && meets_constraints(host, step, colocated(host, key, step))
                 && fits(host)
         };
         self.hosts.iter().any(is_useful)
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -287,11 +287,7 @@
         if !size.times(u64::from(planned_here) + 1).fits(&free) {
             return None;
         }
-        // Counted only if the step has a limit per worker.
-        let colocated = match step.max_per_worker {
-            0 => 0,
-            _ => host.runs.keys().filter(|run| run.step == key).count() as u32,
-        };
+        let colocated = colocated(host, key, step);
         meets_constraints(host, step, colocated + planned_here).then(|| score(host, step, &size))
     }
 
@@ -347,6 +343,14 @@
     }
 }
 
+/// Returns how many tasks of a step a worker has. Counted only if the step has a limit per worker.
+pub(crate) fn colocated(host: &Host, key: StepKey, step: &Step) -> u32 {
+    match step.max_per_worker {
+        0 => 0,
+        _ => host.runs.keys().filter(|run| run.step == key).count() as u32,
+    }
+}
+
 /// Returns whether a worker that already has `colocated` tasks of a step may run one more.
 pub(crate) fn meets_constraints(host: &Host, step: &Step, colocated: u32) -> bool {
     let below_limit = step.max_per_worker == 0 || colocated < step.max_per_worker;
--- a/crates/workflow/src/reservation.rs
+++ b/crates/workflow/src/reservation.rs
@@ -12,6 +12,7 @@
 use crate::gangs::Feasibility;
 use crate::host::Host;
 use crate::job::Step;
+use crate::placement::{colocated, meets_constraints};
 use crate::shard::Shard;
 use crate::task::StepKey;
 
@@ -213,10 +214,7 @@
                     && size.fits(&host.worker.capacity)
                     && !run.advice.is_denied(id)
                     && (!has_allowed || run.advice.is_allowed(id))
-                    && step
-                        .requires
-                        .as_ref()
-                        .is_none_or(|label| host.worker.labels.contains(label))
+                    && meets_constraints(host, step, colocated(host, key, step))
             })
             .map(|(id, host)| (free_share(host), id))
             .collect();
