test: owners that command workers without knowing that they are owners

The in-memory log answers a read of the newest records as of the time at which the call arrives, 3 ms later, as a log behind a network does.

--- /dev/null
+++ b/crates/entry/tests/permission.rs
@@ -0,0 +1,93 @@
+//! Guards against tasks that run twice because an owner commands workers although it can't know
+//! whether another process has claimed its shard.
+
+#[path = "support/memory.rs"]
+mod memory;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use memory::{Log, Process, submitted, worker};
+use rosemaryworks_entry::port::Stream;
+use rosemaryworks_workflow::{Id, Shard};
+
+/// Time after a takeover from which the successor counts on it that earlier owners command no worker.
+const FENCED: Duration = Duration::from_millis(Shard::PREDECESSOR_FENCED_MS);
+
+/// Time for which no command may follow.
+const OBSERVED: Duration = Duration::from_millis(2_000);
+
+/// Returns a log with a worker that answers.
+fn log() -> Arc<Log> {
+    let log = Arc::new(Log::default());
+    *log.list.lock().expect("the lock") = (vec![worker("w", "pool")], Vec::new());
+    log.workers.answering.store(true, Ordering::Relaxed);
+    log
+}
+
+/// Submits a job whose task never ends, and waits until its owner sends commands.
+async fn keep_busy(process: &Process) {
+    process.log.put(Stream::Jobs, 0, &submitted(Id(1)));
+    for _ in 0..300 {
+        if !process
+            .log
+            .workers
+            .started
+            .lock()
+            .expect("the lock")
+            .is_empty()
+        {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the job is not started");
+}
+
+/// A zone was cut off with the owner and one of its peers in it. The peer answered that it can't take
+/// the shard over either, which the owner took for an outage of the log for all processes. It
+/// commanded workers for as long as the cut lasted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_that_is_cut_off_together_with_a_peer_commands_no_worker() {
+    let process = Process::start_on(log()).await;
+    let inside = process.start_peer("inside").await;
+    let outside = tokio::runtime::Runtime::new().expect("a runtime");
+    let log = process.log.clone();
+    let peer = outside.spawn(async move {
+        let peer = Process::launch(log, |settings| settings.node = "outside".into()).await;
+        tokio::time::sleep(memory::LINK_OPEN).await;
+        peer
+    });
+    let _peer = peer.await.expect("the peer starts");
+    keep_busy(&process).await;
+    process.door.closed.store(true, Ordering::Relaxed);
+    inside.door.closed.store(true, Ordering::Relaxed);
+    // Its connections are closed.
+    outside.shutdown_background();
+    process.log.put_claim(2);
+    tokio::time::sleep(FENCED).await;
+    let sent = process.sent_by("n");
+    tokio::time::sleep(OBSERVED).await;
+    assert_eq!(process.sent_by("n"), sent, "commands of a superseded owner");
+}
+
+/// The owner was paused, and its shard claimed meanwhile. It renewed its claim before it read the
+/// claims, then found its renewal as the newest claim and took itself for the owner.
+#[tokio::test]
+async fn an_owner_that_was_paused_commands_no_worker_before_it_has_read_the_claims() {
+    let process = Process::start_on(log()).await;
+    keep_busy(&process).await;
+    process
+        .log
+        .claims_read_ms
+        .store(OBSERVED.as_millis() as u64, Ordering::Relaxed);
+    // A read that began before the pause returns nothing of what follows.
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    process.log.put_claim(2);
+    // The runtime has one thread, so the whole process stands still.
+    std::thread::sleep(2 * FENCED);
+    let sent = process.sent_by("n");
+    tokio::time::sleep(FENCED).await;
+    assert_eq!(process.sent_by("n"), sent, "commands of a superseded owner");
+}
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -31,6 +31,9 @@
 /// Time that a fence takes in milliseconds, so that concurrent reads finish first.
 const FENCE_MS: u64 = 50;
 
+/// Time that a call needs to reach the log.
+const NETWORK_DELAY: Duration = Duration::from_millis(3);
+
 /// Time between two looks of a waiting read at the configuration.
 const CONFIG_POLL: Duration = Duration::from_millis(5);
 
@@ -80,6 +83,22 @@
     stream.push(Record { key: None, value });
 }
 
+/// Returns the records of a partition from an offset on.
+fn page(records: &Mutex<Streams>, stream: Stream, partition: u32, from: u64) -> Page {
+    let records = records.lock().expect("the lock");
+    let all = records
+        .get(&(index(stream), partition))
+        .cloned()
+        .unwrap_or_default();
+    let end = all.len() as u64;
+    let records = all.into_iter().skip(from as usize).collect();
+    Page {
+        records,
+        next: end,
+        end,
+    }
+}
+
 impl Log {
     /// Appends a record on behalf of another process.
     pub(crate) fn put(
@@ -104,18 +123,7 @@
     }
 
     fn page(&self, stream: Stream, partition: u32, from: u64) -> Page {
-        let records = self.records.lock().expect("the lock");
-        let all = records
-            .get(&(index(stream), partition))
-            .cloned()
-            .unwrap_or_default();
-        let end = all.len() as u64;
-        let records = all.into_iter().skip(from as usize).collect();
-        Page {
-            records,
-            next: end,
-            end,
-        }
+        page(&self.records, stream, partition, from)
     }
 }
 
@@ -158,14 +166,21 @@
         self.answer(self.page(stream, partition, from), wait_ms + delay_ms)
     }
 
-    /// Returns the newest record of each key.
+    /// Returns the newest record of each key as of the time at which the call reaches the log.
     fn newest(&self, stream: Stream, partition: u32) -> Answer<Page> {
-        let mut page = self.page(stream, partition, 0);
-        let mut keys = BTreeSet::new();
-        page.records.reverse();
-        page.records
-            .retain(|record| keys.insert(record.key.clone()));
-        self.answer(page, 0)
+        let (records, down) = (self.records.clone(), self.down.clone());
+        Box::pin(async move {
+            tokio::time::sleep(NETWORK_DELAY).await;
+            if down.load(Ordering::Relaxed) {
+                return Err(Fault::Refused("down".into()));
+            }
+            let mut page = page(&records, stream, partition, 0);
+            let mut keys = BTreeSet::new();
+            page.records.reverse();
+            page.records
+                .retain(|record| keys.insert(record.key.clone()));
+            Ok(page)
+        })
     }
 
     fn configuration(&self, since: Option<u64>, wait_ms: u64) -> Answer<Changes<Arc<Config>>> {
@@ -324,11 +339,14 @@
     pub(crate) started: Mutex<Vec<Arc<str>>>,
     /// Commands by the process that sent them.
     pub(crate) sent: Mutex<BTreeMap<Arc<str>, usize>>,
+    /// Workers that leave all commands without an answer.
+    pub(crate) silent: Mutex<BTreeSet<Arc<str>>>,
 }
 
 impl StandInWorkers {
-    fn answers(&self) -> bool {
-        self.answering.load(Ordering::Relaxed)
+    fn answers(&self, worker: &str) -> bool {
+        let is_silent = self.silent.lock().expect("the lock").contains(worker);
+        self.answering.load(Ordering::Relaxed) && !is_silent
     }
 }
 
@@ -340,7 +358,7 @@
     ) -> Pin<Box<dyn Future<Output = StartOutcome> + Send>> {
         let mut started = self.started.lock().expect("the lock");
         started.push(order.worker.clone());
-        let outcome = match self.answers() {
+        let outcome = match self.answers(&order.worker) {
             true => StartOutcome::Accepted { clock_ms: 1 },
             false => StartOutcome::Unknown,
         };
@@ -370,7 +388,7 @@
             finished: Vec::new(),
             running: Vec::new(),
         };
-        let answer = match self.answers() {
+        let answer = match self.answers(id) {
             true => Ok(report),
             false => Err(RenewalFault::Silent),
         };
