feat(entry): owners log how old their knowledge of the claims is

Change: E807 and E836 report claims_age_ms, the time since the last complete read of the claims. Result: no change of logic.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -60,6 +60,8 @@
     pub(crate) hello: Hello,
     pub(crate) claims: Mutex<Claims>,
     pub(crate) claims_changed: Notify,
+    /// Time up to which the observed claims are certainly complete.
+    pub(crate) claims_known_ms: AtomicU64,
     pub(crate) owned: Mutex<BTreeMap<u32, Arc<Owner>>>,
     /// Shards whose claims were won and whose takeover is not complete.
     pub(crate) taking_over: Mutex<BTreeSet<u32>>,
@@ -112,6 +114,7 @@
             hello,
             claims: Mutex::default(),
             claims_changed: Notify::new(),
+            claims_known_ms: AtomicU64::new(0),
             owned: Mutex::default(),
             taking_over: Mutex::default(),
             links: Mutex::default(),
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -392,8 +392,10 @@
                 None => "unknown",
             };
             events::STALLED.log(format_args!(
-                "shard={} epoch={} stalled_ms={stalled_ms} claim={claim}",
-                self.shard, self.epoch
+                "shard={} epoch={} stalled_ms={stalled_ms} claim={claim} claims_age_ms={}",
+                self.shard,
+                self.epoch,
+                node.claims_age_ms()
             ));
             if is_own == Some(false) {
                 node.step_down(self.shard, self.epoch, "another process claimed the shard");
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -64,6 +64,7 @@
 
     /// Reads the claims stream. Returns whether the read reached the end of the stream.
     async fn read_claims(self: &Arc<Self>, position: &mut Position) -> bool {
+        let asked_ms = clock::now().0;
         let store = &self.context.store;
         let page = match position.next {
             Some(next) => store.read(Stream::Claims, PARTITION, next, 0).await,
@@ -95,6 +96,7 @@
         }
         if at_end {
             claims.caught_up(now_ms);
+            self.claims_known_ms.store(asked_ms, Ordering::Relaxed);
         }
         drop(claims);
         self.step_down_if_superseded();
@@ -275,10 +277,19 @@
                 owner.end();
             }
             self.context.metrics.shards.set(owned.len() as i64);
-            events::STEPPED_DOWN.log(format_args!("shard={shard} epoch={epoch} reason={reason}"));
+            events::STEPPED_DOWN.log(format_args!(
+                "shard={shard} epoch={epoch} reason={reason} claims_age_ms={}",
+                self.claims_age_ms()
+            ));
         }
     }
 
+    /// Returns the time since the observed claims were certainly complete, in milliseconds.
+    pub(crate) fn claims_age_ms(&self) -> u64 {
+        let known_ms = self.claims_known_ms.load(Ordering::Relaxed);
+        clock::now().0.saturating_sub(known_ms)
+    }
+
     /// Releases all owned shards and announces it to the other processes. A takeover that completes
     /// later releases its shard, too.
     pub(crate) async fn release_all(self: &Arc<Self>) {
