fix(workflow): attempts aren't stopped because their owner stood still

What callers saw: after a pause of an owner of 4 s or more, work that ran was stopped and began again. Cause: an attempt counts as stalled if the owner has seen no progress for 4 s, and a paused owner has seen none of any attempt (class: silence of the observer taken for silence of the observed). Change: the time counts up to the last report of the worker.

--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -106,6 +106,8 @@
     pub(crate) listed: bool,
     /// Time on the owner's clock at which the worker stopped answering.
     pub(crate) unresponsive_since_ms: Option<u64>,
+    /// Time on the owner's clock at which the worker last reported its attempts.
+    pub(crate) reported_ms: u64,
     /// What is recorded about the worker's silence.
     pub(crate) silence: Silence,
     /// Time on the owner's clock at which this incarnation was first seen.
@@ -140,6 +142,7 @@
             pending_ends: VecDeque::new(),
             listed: true,
             unresponsive_since_ms: None,
+            reported_ms: now_ms,
             silence: Silence::default(),
             first_seen_ms: now_ms,
             token_base: epoch << TOKEN_COUNTER_BITS,
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -140,7 +140,8 @@
         }
     }
 
-    /// Stops attempts without progress, so that they continue on another worker.
+    /// Stops attempts without progress, so that they continue on another worker. The time for which
+    /// the worker reported nothing, because this owner stood still, doesn't count.
     fn stop_stalled(&mut self, id: &Arc<str>, now_ms: u64) {
         let Some(host) = self
             .hosts
@@ -151,8 +152,8 @@
         };
         let mut stalled = Vec::new();
         for (key, run) in &host.runs {
-            let no_progress =
-                run.phase == Phase::Running && now_ms >= run.progressed_ms + STALLED_AFTER_MS;
+            let no_progress = run.phase == Phase::Running
+                && host.reported_ms >= run.progressed_ms + STALLED_AFTER_MS;
             let Some(step) = self.step_spec(key.step).filter(|_| no_progress) else {
                 continue;
             };
