fix(workflow): jobs that are read late after a takeover wait for silent workers

What callers saw: TWICE; a second start less than a second after the first, from two owners. Cause: a successor took every job that it read 1.2 s after its takeover for one that the previous owner can't have started. A read that was slow, or whose answer was lost, returns jobs that were stored before (class: time of an observation taken for the time of the event). Change: a job counts as new only after a read of the jobs that began after the fence has reached the end.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -270,7 +270,7 @@
         let Ok(page) = read.await else {
             return false;
         };
-        self.apply_jobs(&page);
+        self.apply_jobs(&page, began_ms);
         let complete = page.next >= page.end;
         if complete {
             *full_read_ms = Some(began_ms);
@@ -455,6 +455,7 @@
     /// Reads the jobs and cancellations of the shard as they are appended.
     async fn follow_jobs(self: Arc<Self>, node: Arc<Node>) {
         while !self.is_ended() {
+            let asked_ms = clock::now().0;
             let next = self.jobs_read.load(Ordering::Relaxed);
             let read = self
                 .context
@@ -463,7 +464,7 @@
             match read.await {
                 Ok(page) => {
                     node.observe_log_response(true);
-                    self.apply_jobs(&page);
+                    self.apply_jobs(&page, asked_ms);
                     self.jobs_read.store(page.next, Ordering::Relaxed);
                     if !page.records.is_empty() {
                         self.wake();
@@ -479,7 +480,8 @@
         }
     }
 
-    fn apply_jobs(&self, page: &Page) {
+    /// Applies a page of jobs that was requested at `asked_ms`.
+    fn apply_jobs(&self, page: &Page, asked_ms: u64) {
         let mut state = self.state();
         for record in &page.records {
             if let Some(record) = journal::decode(&record.value) {
@@ -487,6 +489,7 @@
             }
         }
         if page.next >= page.end {
+            state.jobs_read(asked_ms);
             self.jobs_read_ms.store(clock::now().0, Ordering::Relaxed);
         }
     }
--- a/crates/entry/tests/takeover.rs
+++ b/crates/entry/tests/takeover.rs
@@ -108,3 +108,36 @@
     }
     panic!("the job of the added route is not started");
 }
+
+/// Guards against a task that runs twice because its job was read late. The previous owner may have
+/// started the job before it was fenced, on a worker that its successor can't reach. The successor
+/// took every job that it read after the fence for a new one, also if a slow read returned it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_was_stored_before_the_fence_and_read_later_waits_for_silent_workers() {
+    let log = Arc::new(Log::default());
+    log.put_claim(1);
+    let list = vec![worker("w0", "pool"), worker("w1", "pool")];
+    *log.list.lock().expect("the lock") = (list, Vec::new());
+    log.workers.answering.store(true, Ordering::Relaxed);
+    log.workers
+        .silent
+        .lock()
+        .expect("the lock")
+        .insert("w0".into());
+    let process = Process::start_on(log).await;
+    // The read that is under way returns nothing, and the next one returns after the fence.
+    process.log.put(Stream::Jobs, 0, &submitted(Id(7)));
+    let started = || {
+        let started = process.log.workers.started.lock().expect("the lock");
+        started.clone()
+    };
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    assert!(started().is_empty(), "started while w0 may run it");
+    for _ in 0..500 {
+        if !started().is_empty() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the job is not started after the lease of w0 has expired");
+}
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -31,8 +31,8 @@
     leases_expired_ms: u64,
     /// Time on the owner's clock from which no previous owner acts any more.
     fenced_ms: u64,
-    /// Whether the state machine has run since then.
-    fenced: bool,
+    /// Whether all jobs that were stored before then have been read.
+    jobs_read: bool,
 }
 
 /// Stage of a takeover.
@@ -67,12 +67,13 @@
         }
     }
 
-    /// Returns whether a previous owner may start the tasks of a job that is read now, on a worker
-    /// that has not seen the fencing token of this owner.
+    /// Returns whether a previous owner may have started the tasks of a job that is read now, on a
+    /// worker that has not seen the fencing token of this owner. That it is read late doesn't mean
+    /// that it was stored late.
     pub(crate) fn predecessors_may_start(&self) -> bool {
         match self.stage {
             Stage::Replaying => true,
-            Stage::Confirming => !self.fenced,
+            Stage::Confirming => !self.jobs_read,
             Stage::Complete => false,
         }
     }
@@ -101,8 +102,12 @@
         self.complete_if_confirmed();
     }
 
+    /// Records that every job that was stored before `at_ms` has been read.
+    pub(crate) fn jobs_read(&mut self, at_ms: u64) {
+        self.jobs_read |= self.stage == Stage::Confirming && at_ms >= self.fenced_ms;
+    }
+
     pub(crate) fn tick(&mut self, now_ms: u64) {
-        self.fenced |= self.is_fenced(now_ms);
         if self.stage == Stage::Confirming && now_ms >= self.leases_expired_ms {
             self.unconfirmed.clear();
         }
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -117,6 +117,11 @@
         self.epoch
     }
 
+    /// Records that every job that was stored before `at_ms` has been read.
+    pub fn jobs_read(&mut self, at_ms: u64) {
+        self.recovery.jobs_read(at_ms);
+    }
+
     /// Returns the actions issued since the last call.
     #[must_use]
     pub fn take_actions(&mut self) -> Vec<Action> {
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -179,8 +179,10 @@
         self.tick();
     }
 
-    /// Ticks and carries out the actions immediately, except lease renewals.
+    /// Ticks and carries out the actions immediately, except lease renewals. The shard's jobs have been
+    /// read.
     pub(crate) fn tick(&mut self) {
+        self.shard.jobs_read(self.now_ms);
         self.shard.tick(self.now_ms, self.now_ms);
         self.take_actions();
     }
