fix(entry): owners command workers only while they certainly are the owners

Cause: the right of an owner to command workers had no limit in time (class: a permission that is held until bad news arrives). A successor counts leases as expired a lease after its takeover, on the assumption that its predecessor hears of it within 1.2 s. A predecessor that was cut off together with a peer took the peer's answer for an outage of the log; one that was paused renewed its claim over the newer one, read its own renewal back as the newest record and took itself for the owner. Both went on starting tasks and renewing leases on workers that the successor didn't reach, and counted leases as expired that the successor renewed. Change: commands only within 1 s of a proof, counted from its question: a read of the claims to the end of their stream, or, without the log, the answers of all processes that may have claimed a shard (decision 0024). Without one the owner is suspended (E841, E842, E843). A lease counts as expired only as of the last proof. A takeover that was superseded before it was complete doesn't become active.

--- a/crates/entry/src/commands.rs
+++ b/crates/entry/src/commands.rs
@@ -11,7 +11,7 @@
 
 impl Owner {
     pub(crate) async fn send_start(self: Arc<Self>, order: Order) {
-        self.wait_until_checked().await;
+        self.until_permitted().await;
         if self.is_ended() {
             return;
         }
@@ -40,7 +40,7 @@
     }
 
     pub(crate) async fn send_stop(self: Arc<Self>, stop: Stop) {
-        self.wait_until_checked().await;
+        self.until_permitted().await;
         if self.is_ended() {
             return;
         }
@@ -57,7 +57,7 @@
     }
 
     pub(crate) async fn send_pace(self: Arc<Self>, pace: Pace) {
-        self.wait_until_checked().await;
+        self.until_permitted().await;
         if self.is_ended() {
             return;
         }
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -45,7 +45,7 @@
 pub const WORKER_REACHABLE: Event = Event::new(831, Level::Info, "worker reachable");
 /// An attempt counts as ended without a report of its end, so its task may start again.
 pub const ATTEMPT_LOST: Event = Event::new(835, Level::Warn, "attempt lost");
-/// An owner was stalled and checked its claim before it acts again.
+/// An owner stood still.
 pub const STALLED: Event = Event::new(836, Level::Warn, "owner was stalled");
 /// A task of an owner panicked.
 pub const PANICKED: Event = Event::new(837, Level::Error, "task of an owner panicked");
@@ -55,6 +55,12 @@
 pub const RELAY_PAUSED: Event = Event::new(839, Level::Warn, "relay paused");
 /// Commands or their outcomes were dropped because this process was stalled before it sent them.
 pub const COMMANDS_DROPPED: Event = Event::new(840, Level::Warn, "commands dropped after a stall");
+/// An owner commands no worker, because another process may have claimed its shard.
+pub const SUSPENDED: Event = Event::new(841, Level::Warn, "owner suspended");
+/// An owner that was suspended commands workers again.
+pub const RESUMED: Event = Event::new(842, Level::Info, "owner resumed");
+/// Processes that may have claimed a shard don't answer while the log is unreachable.
+pub const PEERS_SILENT: Event = Event::new(843, Level::Warn, "peers don't answer");
 /// A record of a stream is malformed.
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// The process received the signal to reload.
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -1,6 +1,7 @@
 //! Storage of records through the owner of a shard or another peer, and handover of owned shards
 //! while the log is reachable from other VMs but not from this one.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,10 +13,12 @@
 use rosemaryworks_workflow::{Record, Shard};
 use tokio::task::JoinSet;
 
+use crate::events;
 use crate::journal;
 use crate::node::{Node, lock};
 use crate::owner::Owner;
 use crate::ownership;
+use crate::permission;
 use crate::port::Stream;
 use crate::requests::Acceptance;
 use crate::submitter::Outcome;
@@ -27,26 +30,23 @@
 const PEER_TIMEOUT: Duration =
     Duration::from_millis(PROBE_TIMEOUT.as_millis() as u64 + ROUND_TRIP_MS);
 
-/// Time for which an owner acts after it announced the release of its shards. Together with a margin
-/// for the announcement it is less than [`Shard::PREDECESSOR_FENCED_MS`].
+/// Time for which an owner keeps its shards after it announced their release. Its permission to
+/// command workers usually ends sooner.
 const ANNOUNCED_MAX: Duration = Duration::from_millis(Shard::PREDECESSOR_FENCED_MS - 400);
 
 /// Consecutive rounds without any answer after which an owner without a log counts as cut off.
 const UNANSWERED_ROUNDS_MAX: u32 = 2;
 
-/// Pause between such rounds. Another process can take the shards over a second after the log was
-/// lost, and allows for [`Shard::PREDECESSOR_FENCED_MS`] more.
+/// Pause between such rounds.
 const UNANSWERED_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time between the loss of the links and that of the log, up to which both count as one cut, in
-/// milliseconds.
-const LINK_LOSS_BEFORE_MS: u64 = 1_000;
-
-/// Upper bound of the peers that probe the log in one round. The log may reject a third of the VMs.
+/// Upper bound of the peers that are asked whether they can take shards over at a planned stop. The
+/// log may reject a third of the VMs.
 const PROBED_PEERS_MAX: usize = 4;
 
-/// Time between two rounds of probes.
-const PROBE_PERIOD: Duration = Duration::from_millis(700);
+/// Time between two rounds of questions in an outage of the log. A round must prove the ownership
+/// again before the proof of the round before it has expired.
+const PROBE_PERIOD: Duration = Duration::from_millis(permission::VALID_MS * 2 / 5);
 
 /// Upper bound of the peers through which a record is stored, one after the other.
 const RELAY_PEERS_MAX: usize = 2;
@@ -65,49 +65,99 @@
 /// Allowance for the round trip to a peer in milliseconds.
 const ROUND_TRIP_MS: u64 = 100;
 
-/// What a few other processes answered about taking shards over.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Peers {
-    /// One of them can.
-    CanTakeOver,
-    /// Some answered and none can, or there are no peers.
-    CannotTakeOver,
-    /// None answered.
-    Unreachable,
+/// What the other processes answered about the shards of this one.
+#[derive(Debug, Default)]
+struct Survey {
+    /// Shards that have a later owner.
+    superseded: BTreeSet<u32>,
+    /// Whether a process can take the shards over. It may be the only one whose answer was awaited.
+    candidate: bool,
+    /// Whether any process answered.
+    answered: bool,
+    /// Processes that may have claimed a shard and gave no answer.
+    unanswered: BTreeSet<Arc<str>>,
+}
+
+/// What an owner that has lost the log does after a round of questions.
+enum Next {
+    /// Another process can take the shards over.
+    Announce,
+    /// No other process has claimed a shard.
+    Continue,
+    /// Some process that gave no answer may have claimed a shard.
+    Suspend,
+    /// No process answered, although there are others.
+    CutOff,
+}
+
+impl Survey {
+    fn next(&self) -> Next {
+        match (self.candidate, self.unanswered.is_empty(), self.answered) {
+            (true, ..) => Next::Announce,
+            (false, true, _) => Next::Continue,
+            (false, false, true) => Next::Suspend,
+            (false, false, false) => Next::CutOff,
+        }
+    }
 }
 
 impl Node {
-    /// Gives the owned shards up while the log answers other processes and not this one. Their
-    /// release is announced, so that another process takes them over, and this one acts as the owner
-    /// only for as long as its successor allows for. If the log answers no other process, the shards
-    /// stay here: their work continues, but nothing can be recorded.
+    /// Keeps or gives up the owned shards while the log doesn't answer this process.
+    ///
+    /// If the log answers another process, their release is announced, so that the other one takes
+    /// them over. If no process has claimed them, as in an outage of the log for all, this process
+    /// stays permitted to command their workers. If it can't know, the permission expires; the
+    /// shards stay here until the log shows a later claim or no other process answers.
     pub(crate) async fn hand_over_if_reachable_elsewhere(self: Arc<Self>) {
+        let lost_ms = clock::now().0.saturating_sub(self.log_response_age_ms());
         let mut unanswered_rounds = 0;
+        let mut reported = BTreeSet::new();
         while self.log_is_down() {
             let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
             if owners.is_empty() {
                 return;
             }
-            let pause = match self.ask_peers().await {
-                Peers::CanTakeOver if self.log_is_down() => {
+            let asked_ms = clock::now().0;
+            let survey = self.survey_peers(&owners, lost_ms).await;
+            for owner in &owners {
+                if survey.superseded.contains(&owner.shard()) {
+                    let reason = "a peer knows a later owner";
+                    self.step_down(owner.shard(), owner.epoch(), reason);
+                }
+            }
+            let next = survey.next();
+            if !matches!(next, Next::CutOff) {
+                unanswered_rounds = 0;
+            }
+            let pause = match next {
+                Next::Announce if self.log_is_down() => {
                     for owner in &owners {
                         self.notify_released(owner.shard(), owner.epoch());
                     }
                     tokio::time::sleep(ANNOUNCED_MAX).await;
                     return self.step_down_from(&owners, "the release was announced");
                 }
-                Peers::Unreachable => {
+                Next::Continue => {
+                    // The claim of a shard that is being taken over may be superseded as well.
+                    if lock(&self.taking_over).is_empty() {
+                        self.permission.prove(asked_ms);
+                    }
+                    PROBE_PERIOD
+                }
+                Next::CutOff => {
                     unanswered_rounds += 1;
                     if unanswered_rounds >= UNANSWERED_ROUNDS_MAX {
                         return self.step_down_from(&owners, "cut off from the log and all peers");
                     }
                     UNANSWERED_PAUSE
                 }
-                Peers::CanTakeOver | Peers::CannotTakeOver => {
-                    unanswered_rounds = 0;
-                    PROBE_PERIOD
-                }
+                Next::Announce | Next::Suspend => PROBE_PERIOD,
             };
+            if survey.unanswered != reported {
+                reported = survey.unanswered;
+                let names: Vec<&str> = reported.iter().map(|name| &**name).collect();
+                events::PEERS_SILENT.log(format_args!("peers={}", names.join(",")));
+            }
             tokio::time::sleep(pause).await;
         }
     }
@@ -118,39 +168,78 @@
         }
     }
 
-    /// Asks a few other processes whether they can take shards over.
-    pub(crate) async fn ask_peers(&self) -> Peers {
-        let mut probes = JoinSet::new();
-        for peer in self.sample_peers(PROBED_PEERS_MAX) {
-            probes.spawn(async move {
-                let message = Message::Workflow(Workflow::IsCandidate);
-                let call = peer.call(message, PEER_TIMEOUT + late::EXTENSION_MAX);
-                match late::timeout(PEER_TIMEOUT, call).await {
-                    Some(Ok(Message::Workflow(Workflow::Candidate(can)))) => Some(can),
-                    _ => None,
-                }
+    /// Asks all processes that may have claimed a shard since `since_ms`. Returns early if one can
+    /// take shards over.
+    async fn survey_peers(&self, owners: &[Arc<Owner>], since_ms: u64) -> Survey {
+        let owned: Vec<(u32, u64)> = owners
+            .iter()
+            .map(|owner| (owner.shard(), owner.epoch()))
+            .collect();
+        let mut survey = Survey {
+            unanswered: lock(&self.known).since(since_ms),
+            ..Survey::default()
+        };
+        let mut calls = JoinSet::new();
+        for peer in self.linked_peers() {
+            let owned = owned.clone();
+            calls.spawn(async move {
+                let reply = ask(&peer, Workflow::AskOwnership { owned }).await;
+                (peer.hello().node.clone(), reply)
             });
         }
-        let mut peers = match probes.is_empty() && !self.lost_links_lately() {
-            true => Peers::CannotTakeOver,
-            false => Peers::Unreachable,
-        };
-        while let Some(probe) = probes.join_next().await {
-            match probe.unwrap_or(None) {
-                Some(true) => return Peers::CanTakeOver,
-                Some(false) => peers = Peers::CannotTakeOver,
-                None => {}
+        while let Some(call) = calls.join_next().await {
+            let Ok((
+                node,
+                Some(Workflow::Ownership {
+                    superseded,
+                    candidate,
+                }),
+            )) = call
+            else {
+                continue;
+            };
+            survey.answered = true;
+            survey.unanswered.remove(&node);
+            survey.superseded.extend(superseded);
+            survey.candidate |= candidate;
+            if candidate {
+                break;
             }
         }
-        peers
+        survey
     }
 
-    /// Returns whether a link was closed about when the log stopped answering, or later. Without any,
-    /// a process that has no links has no peers.
-    fn lost_links_lately(&self) -> bool {
-        let closed_ms = self.link_closed_ms.load(Ordering::Relaxed);
-        let since_ms = clock::now().0.saturating_sub(self.log_response_age_ms());
-        closed_ms > 0 && closed_ms + LINK_LOSS_BEFORE_MS >= since_ms
+    /// Answers which of a peer's shards have a later owner that this process knows of.
+    pub(crate) async fn report_ownership(&self, owned: &[(u32, u64)]) -> Workflow {
+        let candidate = self.can_take_over().await;
+        // Read last: the answer must hold at the time at which it is given.
+        let claims = lock(&self.claims);
+        let is_superseded = |(shard, epoch): &&(u32, u64)| {
+            let claim = claims.get(*shard);
+            claim.is_some_and(|claim| claim.epoch > *epoch)
+        };
+        Workflow::Ownership {
+            superseded: owned
+                .iter()
+                .filter(is_superseded)
+                .map(|(shard, _)| *shard)
+                .collect(),
+            candidate,
+        }
+    }
+
+    /// Asks a few other processes whether one of them can take shards over.
+    pub(crate) async fn a_peer_can_take_over(&self) -> bool {
+        let mut probes = JoinSet::new();
+        for peer in self.sample_peers(PROBED_PEERS_MAX) {
+            probes.spawn(async move { ask(&peer, Workflow::IsCandidate).await });
+        }
+        while let Some(probe) = probes.join_next().await {
+            if matches!(probe, Ok(Some(Workflow::Candidate(true)))) {
+                return true;
+            }
+        }
+        false
     }
 
     /// Returns whether this process can take shards over: it isn't stopping and reaches the log.
@@ -267,3 +356,15 @@
         }
     }
 }
+
+/// Asks a peer a question whose answer may need a probe of the log; `None` without an answer in time.
+async fn ask(peer: &Peer, question: Workflow) -> Option<Workflow> {
+    let call = peer.call(
+        Message::Workflow(question),
+        PEER_TIMEOUT + late::EXTENSION_MAX,
+    );
+    match late::timeout(PEER_TIMEOUT, call).await {
+        Some(Ok(Message::Workflow(reply))) => Some(reply),
+        _ => None,
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,8 @@
 mod node;
 mod owner;
 mod ownership;
+pub mod peers;
+pub mod permission;
 pub mod port;
 mod relay;
 mod relayed;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rosemaryworks_node::{clock, late};
@@ -62,6 +61,9 @@
                 lock(&self.0.claims).released(shard, epoch);
                 self.0.claims_changed.notify_one();
             }
+            Message::Workflow(Workflow::Leaving) => {
+                lock(&self.0.known).leaves(&peer.hello().node);
+            }
             Message::Workflow(Workflow::Stored { shard, record }) => {
                 if let Some(owner) = self.0.owner(shard) {
                     owner.apply_stored(record);
@@ -80,12 +82,13 @@
 
     fn opened(&self, peer: &Peer) {
         lock(&self.0.peers).push(peer.clone());
+        self.0.link_was_opened(peer);
     }
 
     fn closed(&self, peer: &Peer) {
         lock(&self.0.peers).retain(|peer| !peer.is_closed());
         self.0.exchange.closed(peer);
-        self.0.link_was_closed();
+        self.0.link_was_closed(peer);
     }
 }
 
@@ -102,11 +105,12 @@
     }
 
     fn opened(&self, peer: &Peer) {
+        self.0.link_was_opened(peer);
         self.0.offer_relay(peer);
     }
 
-    fn closed(&self, _peer: &Peer) {
-        self.0.link_was_closed();
+    fn closed(&self, peer: &Peer) {
+        self.0.link_was_closed(peer);
         // The owner's shards may soon have no owner.
         self.0.claims_changed.notify_one();
     }
@@ -118,8 +122,12 @@
         tokio::spawn(serve(listener, self.hello.clone(), handler));
     }
 
-    fn link_was_closed(&self) {
-        self.link_closed_ms.store(clock::now().0, Ordering::Relaxed);
+    fn link_was_opened(&self, peer: &Peer) {
+        lock(&self.known).opened(&peer.hello().node);
+    }
+
+    fn link_was_closed(&self, peer: &Peer) {
+        lock(&self.known).closed(&peer.hello().node, clock::now().0);
     }
 
     /// Opens links to the owners of shards and closes links to processes that own none.
@@ -228,6 +236,7 @@
                     .and_then(|owner| owner.queue_length(&queue)),
             ),
             Workflow::IsCandidate => Workflow::Candidate(self.can_take_over().await),
+            Workflow::AskOwnership { owned } => self.report_ownership(&owned).await,
             Workflow::Store {
                 shard,
                 record,
@@ -307,6 +316,14 @@
         }
     }
 
+    /// Notifies all linked processes that this one is about to end.
+    pub(crate) fn notify_leaving(&self) {
+        for peer in self.linked_peers() {
+            // An owner that misses the notification counts this process among those that may claim.
+            let _ = peer.notify(Message::Workflow(Workflow::Leaving));
+        }
+    }
+
     /// Notifies all linked processes that a shard was released.
     pub(crate) fn notify_released(&self, shard: u32, epoch: u64) {
         for peer in self.linked_peers() {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -18,6 +18,8 @@
 use crate::links::Link;
 use crate::metrics::Metrics;
 use crate::owner::Owner;
+use crate::peers::Known;
+use crate::permission::Permission;
 use crate::port::{Advisor, Store, Workers};
 use crate::relay::Relay;
 use crate::settings::Settings;
@@ -60,8 +62,8 @@
     pub(crate) hello: Hello,
     pub(crate) claims: Mutex<Claims>,
     pub(crate) claims_changed: Notify,
-    /// Time up to which the observed claims are certainly complete.
-    pub(crate) claims_known_ms: AtomicU64,
+    /// Permission to command the workers of the owned shards.
+    pub(crate) permission: Arc<Permission>,
     pub(crate) owned: Mutex<BTreeMap<u32, Arc<Owner>>>,
     /// Shards whose claims were won and whose takeover is not complete.
     pub(crate) taking_over: Mutex<BTreeSet<u32>>,
@@ -73,8 +75,8 @@
     pub(crate) exchange: Arc<Exchange>,
     /// Commands that this process sends for owners.
     pub(crate) relay: Relay,
-    /// Time at which a link was closed last; 0 if none was.
-    pub(crate) link_closed_ms: AtomicU64,
+    /// Processes that may claim a shard.
+    pub(crate) known: Mutex<Known>,
     /// The advice service serves one call at a time for each VM.
     pub(crate) advice_slot: Semaphore,
     pub(crate) stopping: AtomicBool,
@@ -114,14 +116,14 @@
             hello,
             claims: Mutex::default(),
             claims_changed: Notify::new(),
-            claims_known_ms: AtomicU64::new(0),
+            permission: Arc::default(),
             owned: Mutex::default(),
             taking_over: Mutex::default(),
             links: Mutex::default(),
             peers: Mutex::default(),
             exchange: Arc::default(),
             relay: Relay::new(),
-            link_closed_ms: AtomicU64::new(0),
+            known: Mutex::default(),
             advice_slot: Semaphore::new(1),
             stopping: AtomicBool::new(false),
             released: AtomicBool::new(false),
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -16,10 +16,11 @@
 use crate::journal::{self, Journal};
 use crate::load::Load;
 use crate::node::{Context, Node, lock};
+use crate::permission::Permission;
 use crate::port::{Fault, Page, Stream};
 use crate::relayed::RelayedWorkers;
 use crate::session::Session;
-use crate::stall::{self, Stall};
+use crate::stall::Stall;
 use crate::timeouts::Timeouts;
 use crate::worker_list::Position;
 
@@ -87,6 +88,7 @@
     balancer: Mutex<Balancer>,
     timeouts: Mutex<Timeouts>,
     workers: RelayedWorkers,
+    permission: Arc<Permission>,
     stall: Stall,
     load: Load,
 }
@@ -124,6 +126,7 @@
             balancer: Mutex::default(),
             timeouts: Mutex::default(),
             workers,
+            permission: node.permission.clone(),
             stall: Stall::new(clock::uptime_ms()),
             load: Load::default(),
         })
@@ -184,6 +187,7 @@
     pub(crate) fn end(&self) {
         self.ended.store(true, Ordering::Relaxed);
         self.changed.notify_one();
+        self.permission.wake();
         for session in lock(&self.sessions).values() {
             session.interrupt();
         }
@@ -334,7 +338,7 @@
         let mut logged_ms = republished_ms;
         let mut assigned_ms = 0;
         loop {
-            self.check_claim_after_stall(&node).await;
+            self.await_permission().await;
             if clock::now().0 >= assigned_ms + RELAYS_PERIOD_MS {
                 assigned_ms = clock::now().0;
                 self.assign_relays(&node);
@@ -349,6 +353,9 @@
                     republished_ms = clock::now().0;
                     state.republish();
                 }
+                if let Some(proven_ms) = self.permission.proven_ms() {
+                    state.confirm_ownership(proven_ms);
+                }
                 state.tick(clock::now().0, clock::unix_ms());
                 let open = state.open_jobs();
                 self.context.metrics.open_jobs.set(open as i64);
@@ -373,41 +380,40 @@
         }
     }
 
-    /// Checks the claim if this process was stalled, and ends ownership if another process has
-    /// claimed the shard since.
-    async fn check_claim_after_stall(&self, node: &Node) {
+    /// Waits until this owner may command workers or has ended. Logs the wait, and a stall of this
+    /// process.
+    async fn await_permission(&self) {
+        let (shard, epoch) = (self.shard, self.epoch);
         if let Some(stalled_ms) = self.stall.stalled_ms(clock::uptime_ms()) {
-            let until_ms = clock::now().0 + stall::CHECK_MAX_MS;
-            let mut is_own = None;
-            while is_own.is_none() && clock::now().0 < until_ms && !self.is_ended() {
-                let read = node.read_newest_claim(self.shard, self.epoch).await;
-                is_own = read.map(|(is_own, _)| is_own);
-                if is_own.is_none() {
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
-            }
-            let claim = match is_own {
-                Some(true) => "own",
-                Some(false) => "lost",
-                None => "unknown",
-            };
             events::STALLED.log(format_args!(
-                "shard={} epoch={} stalled_ms={stalled_ms} claim={claim} claims_age_ms={}",
-                self.shard,
-                self.epoch,
-                node.claims_age_ms()
+                "shard={shard} epoch={epoch} stalled_ms={stalled_ms}"
             ));
-            if is_own == Some(false) {
-                node.step_down(self.shard, self.epoch, "another process claimed the shard");
+        }
+        let began = clock::now();
+        if !self.is_ended() && !self.permission.is_valid(began.0) {
+            let age_ms = self.permission.age_ms(began.0).unwrap_or(began.0);
+            events::SUSPENDED.log(format_args!(
+                "shard={shard} epoch={epoch} claims_age_ms={age_ms}"
+            ));
+            self.until_permitted().await;
+            if !self.is_ended() {
+                events::RESUMED.log(format_args!(
+                    "shard={shard} epoch={epoch} suspended_ms={}",
+                    clock::now().since(began)
+                ));
             }
         }
         self.stall.beat(clock::uptime_ms());
     }
 
-    /// Waits until this owner may command workers: at once, unless the process was stalled.
-    pub(crate) async fn wait_until_checked(&self) {
-        while !self.is_ended() && self.stall.stalled_ms(clock::uptime_ms()).is_some() {
-            tokio::time::sleep(TICK_SPACING).await;
+    /// Waits until this owner may command workers or has ended.
+    pub(crate) async fn until_permitted(&self) {
+        let mut proofs = self.permission.proofs();
+        while !self.is_ended() && !self.permission.is_valid(clock::now().0) {
+            // The sender is dropped with the process.
+            if proofs.changed().await.is_err() {
+                return;
+            }
         }
     }
 
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -96,15 +96,16 @@
         }
         if at_end {
             claims.caught_up(now_ms);
-            self.claims_known_ms.store(asked_ms, Ordering::Relaxed);
         }
         drop(claims);
         self.step_down_if_superseded();
+        if at_end {
+            self.permission.prove(asked_ms);
+        }
         at_end
     }
 
-    /// Ends ownership of the shards that another process has claimed since. It counts the leases
-    /// that this process may grant only for a limited time after its takeover.
+    /// Ends ownership of the shards that another process has claimed since.
     fn step_down_if_superseded(&self) {
         let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
         for owner in owners {
@@ -115,7 +116,7 @@
         }
     }
 
-    fn is_superseded(&self, owner: &Owner) -> bool {
+    pub(crate) fn is_superseded(&self, owner: &Owner) -> bool {
         let claims = lock(&self.claims);
         let claim = claims.get(owner.shard());
         claim.is_some_and(|claim| claim.epoch > owner.epoch())
@@ -284,10 +285,11 @@
         }
     }
 
-    /// Returns the time since the observed claims were certainly complete, in milliseconds.
+    /// Returns the time since the last proof that no other process had claimed a shard of this one, in
+    /// milliseconds.
     pub(crate) fn claims_age_ms(&self) -> u64 {
-        let known_ms = self.claims_known_ms.load(Ordering::Relaxed);
-        clock::now().0.saturating_sub(known_ms)
+        let now_ms = clock::now().0;
+        self.permission.age_ms(now_ms).unwrap_or(now_ms)
     }
 
     /// Releases all owned shards and announces it to the other processes. A takeover that completes
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -129,7 +129,7 @@
 /// Renews the lease of a worker once. `last_fault` is the fault of the previous renewal and is
 /// updated.
 async fn renew(owner: &Arc<Owner>, id: &Arc<str>, last_fault: &mut Option<RenewalFault>) -> Next {
-    owner.wait_until_checked().await;
+    owner.until_permitted().await;
     if owner.is_ended() {
         return Next::End;
     }
--- a/crates/entry/src/stall.rs
+++ b/crates/entry/src/stall.rs
@@ -12,10 +12,6 @@
 /// then its claim has not expired.
 pub const STALL_MS: u64 = claim::EXPIRY_MS;
 
-/// Time for which an owner that was stalled waits for the log before it acts without an answer, in
-/// milliseconds. The log may be unreachable for all processes, and then none can take a shard over.
-pub const CHECK_MAX_MS: u64 = 1_500;
-
 /// Beats of an owner. Times are in milliseconds on a clock that goes on while the VM is suspended.
 #[derive(Debug)]
 pub struct Stall {
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -7,7 +7,6 @@
 use rosemaryworks_node::event;
 use tokio::time::Instant;
 
-use crate::handover::Peers;
 use crate::node::Node;
 
 /// Upper bound of the time for which new connections still arrive after readiness was withdrawn:
@@ -75,10 +74,11 @@
             tokio::time::sleep(HANDOVER_PERIOD).await;
         }
         self.release_all().await;
+        self.notify_leaving();
     }
 
     async fn can_hand_over(&self) -> bool {
-        !self.log_is_down() && self.ask_peers().await == Peers::CanTakeOver
+        !self.log_is_down() && self.a_peer_can_take_over().await
     }
 
     /// Waits until calls must be answered even without an outcome, because a planned stop ends.
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -37,6 +37,9 @@
         match self.recover(shard, epoch, predecessor_ended).await {
             Ok(owner) => {
                 if !self.enter(&owner) {
+                    let reason = "released or claimed again meanwhile";
+                    events::TAKEOVER_FAILED
+                        .log(format_args!("shard={shard} epoch={epoch} {reason}"));
                     self.release_claim(shard, epoch, true).await;
                     return;
                 }
@@ -59,10 +62,11 @@
         }
     }
 
-    /// Enters the owner of a shard. Returns `false` if a planned stop has released the shards.
+    /// Enters the owner of a shard. Returns `false` if a planned stop has released the shards, or
+    /// another process has claimed the shard during the takeover.
     fn enter(&self, owner: &Arc<Owner>) -> bool {
         let mut owned = lock(&self.owned);
-        if self.released.load(Ordering::Relaxed) {
+        if self.released.load(Ordering::Relaxed) || self.is_superseded(owner) {
             return false;
         }
         if let Some(older) = owned.insert(owner.shard(), owner.clone()) {
--- a/crates/entry/tests/permission.rs
+++ b/crates/entry/tests/permission.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use memory::{Log, Process, submitted, worker};
+use rosemaryworks_entry::permission::{Permission, VALID_MS};
 use rosemaryworks_entry::port::Stream;
 use rosemaryworks_workflow::{Id, Shard};
 
@@ -91,3 +92,33 @@
     tokio::time::sleep(FENCED).await;
     assert_eq!(process.sent_by("n"), sent, "commands of a superseded owner");
 }
+
+/// Guards against the opposite: in an outage of the log for all processes no successor exists, and
+/// the owner commands workers throughout.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_commands_workers_in_an_outage_for_all_processes() {
+    let process = Process::start_on(log()).await;
+    let _peer = process.start_peer("peer").await;
+    keep_busy(&process).await;
+    process.log.down.store(true, Ordering::Relaxed);
+    tokio::time::sleep(2 * FENCED).await;
+    for _ in 0..4 {
+        let sent = process.sent_by("n");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert!(process.sent_by("n") > sent, "no command for 500 ms");
+    }
+}
+
+/// The limits of a permission, counted from the question that proved it.
+#[test]
+fn a_permission_expires_unless_it_is_proven_again() {
+    let permission = Permission::default();
+    assert!(!permission.is_valid(0), "valid without a proof");
+    permission.prove(10_000);
+    assert!(permission.is_valid(10_000 + VALID_MS - 1));
+    assert!(!permission.is_valid(10_000 + VALID_MS));
+    permission.prove(9_000);
+    assert_eq!(permission.proven_ms(), Some(10_000), "an older proof");
+    permission.prove(11_500);
+    assert!(permission.is_valid(11_500 + VALID_MS - 1));
+}
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -46,6 +46,27 @@
     /// Reply: whether the process reaches the log and isn't stopping.
     #[serde(rename = "u")]
     Candidate(bool),
+    /// Call: asks whether the receiver knows a later owner of a shard, and whether it can take
+    /// shards over. Answered by `Ownership`.
+    #[serde(rename = "g")]
+    AskOwnership {
+        /// Shards that the sender owns, each with its epoch.
+        #[serde(rename = "s")]
+        owned: Vec<(u32, u64)>,
+    },
+    /// Reply to `AskOwnership`.
+    #[serde(rename = "h")]
+    Ownership {
+        /// Those of the shards that have a later owner.
+        #[serde(default, rename = "l", skip_serializing_if = "Vec::is_empty")]
+        superseded: Vec<u32>,
+        /// Whether the process reaches the log and isn't stopping.
+        #[serde(rename = "u")]
+        candidate: bool,
+    },
+    /// Notice: the sender is about to end and claims no shard any more.
+    #[serde(rename = "k")]
+    Leaving,
     /// Call: appends a record of a shard to the log for a sender that can't do so itself. Answered
     /// by `StoreEnded`.
     #[serde(rename = "o")]
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -107,8 +107,9 @@
         self.jobs_read |= self.stage == Stage::Confirming && at_ms >= self.fenced_ms;
     }
 
-    pub(crate) fn tick(&mut self, now_ms: u64) {
-        if self.stage == Stage::Confirming && now_ms >= self.leases_expired_ms {
+    /// Ends the wait for workers whose lease had certainly expired at `at_ms`.
+    pub(crate) fn tick(&mut self, at_ms: u64) {
+        if self.stage == Stage::Confirming && at_ms >= self.leases_expired_ms {
             self.unconfirmed.clear();
         }
         self.complete_if_confirmed();
@@ -122,9 +123,8 @@
 }
 
 impl Shard {
-    /// Time after a takeover within which a previous owner that still acts has stepped down, in
-    /// milliseconds. It reads the newer claim, is rejected by a worker, whose lease it renews every
-    /// 0.8 s, or notices that the log answers only other processes or that it is cut off.
+    /// Time after a takeover from which no previous owner commands a worker, in milliseconds. An
+    /// owner may do so only for a shorter time after a moment at which it certainly was the owner.
     pub const PREDECESSOR_FENCED_MS: u64 = 1_200;
 
     /// Returns whether no previous owner acts any more.
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -29,7 +29,7 @@
 impl Shard {
     /// Does the work that is due at `now_ms`. `unix_ms` is the Unix time in milliseconds.
     pub fn tick(&mut self, now_ms: u64, unix_ms: u64) {
-        self.recovery.tick(now_ms);
+        self.recovery.tick(self.owned_until_ms.min(now_ms));
         self.begin_due_occurrences(unix_ms);
         if now_ms >= self.worker_check_due_ms {
             self.worker_check_due_ms = now_ms + WORKER_CHECK_PERIOD_MS;
@@ -54,7 +54,7 @@
             .filter(|(_, host)| needs_check(host, now_ms));
         let ids: Vec<Arc<str>> = due.map(|(id, _)| id.clone()).collect();
         for id in ids {
-            self.expire_lease(&id, now_ms);
+            self.expire_lease(&id, self.owned_until_ms.min(now_ms));
             self.record_silence(&id, now_ms);
             self.remove_if_departed(&id);
             self.drain(&id, now_ms);
@@ -90,13 +90,17 @@
         }
     }
 
-    /// Marks the attempts on an unresponsive worker as lost once its lease has certainly expired.
-    fn expire_lease(&mut self, id: &Arc<str>, now_ms: u64) {
+    /// Marks the attempts on an unresponsive worker as lost if its lease had certainly expired at
+    /// `at_ms`.
+    fn expire_lease(&mut self, id: &Arc<str>, at_ms: u64) {
         let Some(host) = self.hosts.get(id) else {
             return;
         };
         let is_unresponsive = host.liveness == Liveness::Unresponsive;
-        let is_expired = host.lease.expires_at().is_none_or(|at| now_ms >= at);
+        let is_expired = host
+            .lease
+            .expires_at()
+            .is_none_or(|expires_ms| at_ms >= expires_ms);
         // The outcome of a start that is under way decides about its attempt.
         let is_settled = !host.runs.is_empty() && !host.has_pending_start();
         if is_unresponsive && is_expired && is_settled {
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -179,9 +179,10 @@
         self.tick();
     }
 
-    /// Ticks and carries out the actions immediately, except lease renewals. The shard's jobs have been
-    /// read.
+    /// Ticks and carries out the actions immediately, except lease renewals. No other process has
+    /// claimed the shard, and its jobs have been read.
     pub(crate) fn tick(&mut self) {
+        self.shard.confirm_ownership(self.now_ms);
         self.shard.jobs_read(self.now_ms);
         self.shard.tick(self.now_ms, self.now_ms);
         self.take_actions();
