fix(entry): owners ask their peers for a proof when they read the claims late

What callers saw: nothing yet; found by reading the change before this one. If one partition of the log doesn't answer, or the owner reads slowly, the log doesn't count as unreachable, peers aren't asked, and an owner that nobody has superseded is suspended. It also kept its claim while it did nothing. Cause: proofs of peers depended on the outage of the log, not on the age of the last proof. Change: peers are asked as soon as the last proof is 400 ms old; they probe the log only if the asker has lost it. An owner that has been suspended for a second lets its claim expire. Evidence: an_owner_whose_reads_of_the_claims_are_slow_commands_workers and a_suspended_owner_lets_its_claim_expire failed before and pass.

--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -18,7 +18,6 @@
 use crate::node::{Node, lock};
 use crate::owner::Owner;
 use crate::ownership;
-use crate::permission;
 use crate::port::Stream;
 use crate::requests::Acceptance;
 use crate::submitter::Outcome;
@@ -37,16 +36,16 @@
 /// Consecutive rounds without any answer after which an owner without a log counts as cut off.
 const UNANSWERED_ROUNDS_MAX: u32 = 2;
 
-/// Pause between such rounds.
-const UNANSWERED_PAUSE: Duration = Duration::from_millis(100);
-
 /// Upper bound of the peers that are asked whether they can take shards over at a planned stop. The
 /// log may reject a third of the VMs.
 const PROBED_PEERS_MAX: usize = 4;
 
-/// Time between two rounds of questions in an outage of the log. A round must prove the ownership
-/// again before the proof of the round before it has expired.
-const PROBE_PERIOD: Duration = Duration::from_millis(permission::VALID_MS * 2 / 5);
+/// Age of the last proof of ownership from which peers are asked for one, in milliseconds. Reads of the
+/// claims usually give one sooner. Leaves a peer the time to probe the log before the proof expires.
+const ASK_AFTER_MS: u64 = 400;
+
+/// Shortest pause between two rounds of questions.
+const ASK_PAUSE_MIN: Duration = Duration::from_millis(100);
 
 /// Upper bound of the peers through which a record is stored, one after the other.
 const RELAY_PEERS_MAX: usize = 2;
@@ -78,9 +77,9 @@
     unanswered: BTreeSet<Arc<str>>,
 }
 
-/// What an owner that has lost the log does after a round of questions.
+/// What an owner does after a round of questions.
 enum Next {
-    /// Another process can take the shards over.
+    /// The log answers another process, which can take the shards over.
     Announce,
     /// No other process has claimed a shard.
     Continue,
@@ -101,65 +100,92 @@
     }
 }
 
+/// Rounds of questions since the last proof.
+#[derive(Default)]
+struct Rounds {
+    /// Consecutive rounds without any answer.
+    unanswered: u32,
+    /// Processes that gave no answer in the last round.
+    silent: BTreeSet<Arc<str>>,
+}
+
 impl Node {
-    /// Keeps or gives up the owned shards while the log doesn't answer this process.
-    ///
-    /// If the log answers another process, their release is announced, so that the other one takes
-    /// them over. If no process has claimed them, as in an outage of the log for all, this process
-    /// stays permitted to command their workers. If it can't know, the permission expires; the
-    /// shards stay here until the log shows a later claim or no other process answers.
-    pub(crate) async fn hand_over_if_reachable_elsewhere(self: Arc<Self>) {
-        let lost_ms = clock::now().0.saturating_sub(self.log_response_age_ms());
-        let mut unanswered_rounds = 0;
-        let mut reported = BTreeSet::new();
-        while self.log_is_down() {
+    /// Proves the ownership of the shards by questions to the other processes while the claims can't
+    /// be read in time, until the process ends.
+    pub(crate) async fn keep_permission(self: Arc<Self>) {
+        let mut rounds = Rounds::default();
+        let mut log_was_lost = false;
+        loop {
+            let age_ms = self.permission.age_ms(clock::now().0).unwrap_or(0);
+            let is_due = log_was_lost || age_ms >= ASK_AFTER_MS;
             let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
-            if owners.is_empty() {
-                return;
+            let pause = match is_due && !owners.is_empty() {
+                true => self.ask_for_proof(&owners, &mut rounds).await,
+                false => {
+                    rounds = Rounds::default();
+                    Duration::from_millis(ASK_AFTER_MS.saturating_sub(age_ms))
+                }
+            };
+            let pause = tokio::time::sleep(pause.max(ASK_PAUSE_MIN));
+            log_was_lost = tokio::select! {
+                () = pause => false,
+                () = self.log_lost.notified() => true,
+            };
+        }
+    }
+
+    /// Asks the other processes once. Returns the pause until the next round.
+    ///
+    /// If no process has claimed the shards, as in an outage of the log for all, this process stays
+    /// permitted to command their workers. If the log answers another process and not this one, their
+    /// release is announced, so that the other one takes them over. If this process can't know, its
+    /// permission expires; the shards stay here until a later claim is known or no other process
+    /// answers.
+    async fn ask_for_proof(&self, owners: &[Arc<Owner>], rounds: &mut Rounds) -> Duration {
+        let asked_ms = clock::now().0;
+        let survey = self.survey_peers(owners).await;
+        for owner in owners {
+            if survey.superseded.contains(&owner.shard()) {
+                let reason = "a peer knows a later owner";
+                self.step_down(owner.shard(), owner.epoch(), reason);
             }
-            let asked_ms = clock::now().0;
-            let survey = self.survey_peers(&owners, lost_ms).await;
-            for owner in &owners {
-                if survey.superseded.contains(&owner.shard()) {
-                    let reason = "a peer knows a later owner";
-                    self.step_down(owner.shard(), owner.epoch(), reason);
+        }
+        let next = survey.next();
+        if survey.unanswered != rounds.silent {
+            let names: Vec<&str> = survey.unanswered.iter().map(|name| &**name).collect();
+            events::PEERS_SILENT.log(format_args!("peers={}", names.join(",")));
+            rounds.silent = survey.unanswered;
+        }
+        match next {
+            Next::Announce if self.log_is_down() => {
+                for owner in owners {
+                    self.notify_released(owner.shard(), owner.epoch());
                 }
+                tokio::time::sleep(ANNOUNCED_MAX).await;
+                self.step_down_from(owners, "the release was announced");
             }
-            let next = survey.next();
-            if !matches!(next, Next::CutOff) {
-                unanswered_rounds = 0;
+            Next::Continue if self.may_prove(survey.answered) => {
+                self.permission.prove(asked_ms);
+                return Duration::from_millis(ASK_AFTER_MS);
             }
-            let pause = match next {
-                Next::Announce if self.log_is_down() => {
-                    for owner in &owners {
-                        self.notify_released(owner.shard(), owner.epoch());
-                    }
-                    tokio::time::sleep(ANNOUNCED_MAX).await;
-                    return self.step_down_from(&owners, "the release was announced");
-                }
-                Next::Continue => {
-                    // The claim of a shard that is being taken over may be superseded as well.
-                    if lock(&self.taking_over).is_empty() {
-                        self.permission.prove(asked_ms);
-                    }
-                    PROBE_PERIOD
+            Next::CutOff if self.log_is_down() => {
+                rounds.unanswered += 1;
+                if rounds.unanswered >= UNANSWERED_ROUNDS_MAX {
+                    self.step_down_from(owners, "cut off from the log and all peers");
                 }
-                Next::CutOff => {
-                    unanswered_rounds += 1;
-                    if unanswered_rounds >= UNANSWERED_ROUNDS_MAX {
-                        return self.step_down_from(&owners, "cut off from the log and all peers");
-                    }
-                    UNANSWERED_PAUSE
-                }
-                Next::Announce | Next::Suspend => PROBE_PERIOD,
-            };
-            if survey.unanswered != reported {
-                reported = survey.unanswered;
-                let names: Vec<&str> = reported.iter().map(|name| &**name).collect();
-                events::PEERS_SILENT.log(format_args!("peers={}", names.join(",")));
+                return ASK_PAUSE_MIN;
             }
-            tokio::time::sleep(pause).await;
+            _ => {}
         }
+        rounds.unanswered = 0;
+        ASK_PAUSE_MIN
+    }
+
+    /// Returns whether answers without a later claim prove the ownership. The claim of a shard that is
+    /// being taken over may be superseded as well. A process that knows no other one asks the log
+    /// unless it is unreachable.
+    fn may_prove(&self, answered: bool) -> bool {
+        (answered || self.log_is_down()) && lock(&self.taking_over).is_empty()
     }
 
     fn step_down_from(&self, owners: &[Arc<Owner>], reason: &str) {
@@ -168,9 +194,11 @@
         }
     }
 
-    /// Asks all processes that may have claimed a shard since `since_ms`. Returns early if one can
-    /// take shards over.
-    async fn survey_peers(&self, owners: &[Arc<Owner>], since_ms: u64) -> Survey {
+    /// Asks all processes that may have claimed a shard since the last proof. While the log is
+    /// unreachable, looks for one that can take shards over, and returns early if there is one.
+    async fn survey_peers(&self, owners: &[Arc<Owner>]) -> Survey {
+        let since_ms = self.permission.proven_ms().unwrap_or(0);
+        let seeks_candidate = self.log_is_down();
         let owned: Vec<(u32, u64)> = owners
             .iter()
             .map(|owner| (owner.shard(), owner.epoch()))
@@ -183,8 +211,11 @@
         for peer in self.linked_peers() {
             let owned = owned.clone();
             calls.spawn(async move {
-                let reply = ask(&peer, Workflow::AskOwnership { owned }).await;
-                (peer.hello().node.clone(), reply)
+                let question = Workflow::AskOwnership {
+                    owned,
+                    seeks_candidate,
+                };
+                (peer.hello().node.clone(), ask(&peer, question).await)
             });
         }
         while let Some(call) = calls.join_next().await {
@@ -210,8 +241,12 @@
     }
 
     /// Answers which of a peer's shards have a later owner that this process knows of.
-    pub(crate) async fn report_ownership(&self, owned: &[(u32, u64)]) -> Workflow {
-        let candidate = self.can_take_over().await;
+    pub(crate) async fn report_ownership(
+        &self,
+        owned: &[(u32, u64)],
+        seeks_candidate: bool,
+    ) -> Workflow {
+        let candidate = seeks_candidate && self.can_take_over().await;
         // Read last: the answer must hold at the time at which it is given.
         let claims = lock(&self.claims);
         let is_superseded = |(shard, epoch): &&(u32, u64)| {
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -236,7 +236,10 @@
                     .and_then(|owner| owner.queue_length(&queue)),
             ),
             Workflow::IsCandidate => Workflow::Candidate(self.can_take_over().await),
-            Workflow::AskOwnership { owned } => self.report_ownership(&owned).await,
+            Workflow::AskOwnership {
+                owned,
+                seeks_candidate,
+            } => self.report_ownership(&owned, seeks_candidate).await,
             Workflow::Store {
                 shard,
                 record,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -62,6 +62,8 @@
     pub(crate) hello: Hello,
     pub(crate) claims: Mutex<Claims>,
     pub(crate) claims_changed: Notify,
+    /// Notified when the log becomes unreachable.
+    pub(crate) log_lost: Notify,
     /// Permission to command the workers of the owned shards.
     pub(crate) permission: Arc<Permission>,
     pub(crate) owned: Mutex<BTreeMap<u32, Arc<Owner>>>,
@@ -116,6 +118,7 @@
             hello,
             claims: Mutex::default(),
             claims_changed: Notify::new(),
+            log_lost: Notify::new(),
             permission: Arc::default(),
             owned: Mutex::default(),
             taking_over: Mutex::default(),
@@ -145,6 +148,7 @@
         tokio::spawn(self.clone().watch_configuration());
         tokio::spawn(self.clone().keep_claims());
         tokio::spawn(self.clone().follow_claims());
+        tokio::spawn(self.clone().keep_permission());
         let node = self.clone();
         tokio::spawn(async move { node.relay.beat().await });
     }
@@ -200,8 +204,7 @@
                     "node={} silent_ms={silent_ms}",
                     self.settings.node
                 ));
-                self.runtime
-                    .spawn(self.clone().hand_over_if_reachable_elsewhere());
+                self.log_lost.notify_one();
             }
         }
         self.update_ready();
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -13,6 +13,7 @@
 use crate::events;
 use crate::node::{Node, lock};
 use crate::owner::Owner;
+use crate::permission;
 use crate::port::{Append, Fault, Guard, Page, Record, Stream};
 
 /// Partition of the claims stream.
@@ -247,8 +248,12 @@
         Ok(appended.end)
     }
 
-    /// Renews the claims of the owned shards.
+    /// Renews the claims of the owned shards, unless this process has been suspended for so long that
+    /// another one should take them over.
     fn renew_claims(self: &Arc<Self>) {
+        if self.claims_age_ms() >= permission::VALID_MS + claim::EXPIRY_MS {
+            return;
+        }
         let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
         for owner in owners {
             if self.is_superseded(&owner) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -7,6 +7,10 @@
 /// milliseconds. Every process links to the owners as soon as it reads the claims.
 const MEMORY_MS: u64 = 10_000;
 
+/// Time after which a process without a link is forgotten, in milliseconds. Longer than outages of the
+/// log, in which the last proof stays as old as the outage.
+const FORGET_MS: u64 = 600_000;
+
 /// Links with one process.
 #[derive(Clone, Copy, Debug, Default)]
 struct Contact {
@@ -38,7 +42,7 @@
             contact.closed_ms = now_ms;
         }
         self.contacts.retain(|_, contact| {
-            contact.open > 0 || !contact.leaving && now_ms < contact.closed_ms + MEMORY_MS * 2
+            contact.open > 0 || !contact.leaving && now_ms < contact.closed_ms + FORGET_MS
         });
     }
 
--- a/crates/entry/tests/permission.rs
+++ b/crates/entry/tests/permission.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use memory::{Log, Process, submitted, worker};
+use rosemaryworks_entry::claim::EXPIRY_MS;
 use rosemaryworks_entry::permission::{Permission, VALID_MS};
 use rosemaryworks_entry::port::Stream;
 use rosemaryworks_workflow::{Id, Shard};
@@ -122,3 +123,31 @@
     permission.prove(11_500);
     assert!(permission.is_valid(11_500 + VALID_MS - 1));
 }
+
+/// Guards against owners that are suspended without need: reads of the claims are slow, as for an owner
+/// short of CPU, or one partition of the log doesn't answer. No other process has claimed the shard,
+/// which its peers can tell.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_whose_reads_of_the_claims_are_slow_commands_workers() {
+    let process = Process::start_on(log()).await;
+    let _peer = process.start_peer("peer").await;
+    keep_busy(&process).await;
+    process.log.claims_read_ms.store(20_000, Ordering::Relaxed);
+    tokio::time::sleep(2 * FENCED).await;
+    for _ in 0..4 {
+        let sent = process.sent_by("n");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert!(process.sent_by("n") > sent, "no command for 500 ms");
+    }
+}
+
+/// Guards against a shard whose owner does nothing and keeps it: it can write its claim and read none.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_suspended_owner_lets_its_claim_expire() {
+    let process = Process::start_on(log()).await;
+    process.log.claims_read_ms.store(20_000, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(VALID_MS + EXPIRY_MS + 500)).await;
+    let renewals = process.log.claim_count();
+    tokio::time::sleep(Duration::from_millis(EXPIRY_MS)).await;
+    assert_eq!(process.log.claim_count(), renewals, "renewed");
+}
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -46,21 +46,23 @@
     /// Reply: whether the process reaches the log and isn't stopping.
     #[serde(rename = "u")]
     Candidate(bool),
-    /// Call: asks whether the receiver knows a later owner of a shard, and whether it can take
-    /// shards over. Answered by `Ownership`.
+    /// Call: asks whether the receiver knows a later owner of a shard. Answered by `Ownership`.
     #[serde(rename = "g")]
     AskOwnership {
         /// Shards that the sender owns, each with its epoch.
         #[serde(rename = "s")]
         owned: Vec<(u32, u64)>,
+        /// Whether the receiver is to probe the log and to say whether it can take shards over.
+        #[serde(rename = "c")]
+        seeks_candidate: bool,
     },
     /// Reply to `AskOwnership`.
     #[serde(rename = "h")]
     Ownership {
         /// Those of the shards that have a later owner.
-        #[serde(default, rename = "l", skip_serializing_if = "Vec::is_empty")]
+        #[serde(rename = "l")]
         superseded: Vec<u32>,
-        /// Whether the process reaches the log and isn't stopping.
+        /// Whether the process was asked to probe the log, reaches it and isn't stopping.
         #[serde(rename = "u")]
         candidate: bool,
     },
--- /dev/null
+++ b/crates/wire/tests/ownership.rs
@@ -0,0 +1,30 @@
+//! Guards against an owner that takes a changed answer of a peer for a proof of its ownership.
+
+use quickcheck::quickcheck;
+use rosemaryworks_wire::workflow::Message as Workflow;
+use rosemaryworks_wire::{Frame, Kind, Message};
+
+fn survives(kind: Kind, message: Workflow) -> bool {
+    let frame = Frame {
+        id: 7,
+        kind,
+        message: Message::Workflow(message),
+    };
+    let bytes = frame.encode().expect("a frame");
+    Frame::decode(&bytes).as_ref() == Ok(&frame)
+}
+
+quickcheck! {
+    fn questions_survive_a_round_trip(owned: Vec<(u32, u64)>, seeks_candidate: bool) -> bool {
+        survives(Kind::Call, Workflow::AskOwnership { owned, seeks_candidate })
+    }
+
+    fn answers_survive_a_round_trip(superseded: Vec<u32>, candidate: bool) -> bool {
+        survives(Kind::Reply, Workflow::Ownership { superseded, candidate })
+    }
+}
+
+#[test]
+fn an_announced_end_survives_a_round_trip() {
+    assert!(survives(Kind::Notice, Workflow::Leaving));
+}
