--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -20,6 +20,8 @@
     pub start_faults: Counter,
     /// Attempts that count as ended without a report of their end.
     pub attempts_lost: Counter,
+    /// Times that an owner was suspended because it had no proof of its ownership.
+    pub suspensions: Counter,
     /// Commands to workers sent on behalf of owners on other VMs.
     pub relayed: Counter,
     /// Requests to the advice service.
@@ -51,6 +53,7 @@
             starts: counter("entry_starts", "Runs ordered"),
             start_faults: counter("entry_start_faults", "Starts refused or unanswered"),
             attempts_lost: counter("entry_attempts_lost", "Attempts ended without a report"),
+            suspensions: counter("entry_suspensions", "Owners suspended without a proof"),
             relayed: counter("entry_relayed", "Commands sent for other owners"),
             advice_requests: counter("entry_questions", "Questions to the advice service"),
             shards: registry.register("entry_shards", "Shards owned", Gauge::default()),
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -395,6 +395,7 @@
             events::SUSPENDED.log(format_args!(
                 "shard={shard} epoch={epoch} claims_age_ms={age_ms}"
             ));
+            self.context.metrics.suspensions.inc();
             self.until_permitted().await;
             if !self.is_ended() {
                 events::RESUMED.log(format_args!(
