fix(workflow): a report counts from the time of its renewal, not of its arrival

A slow task that ran well was stopped after a pause of its owner. Cause: the answer to a renewal waits in the socket while the owner is paused. Its report counted as one from after the pause (class: time of an observation taken for the time of the event). Change: attempts count as stalled up to the time at which the last answered renewal was sent. Evidence: attempts_are_not_stopped_for_a_report_from_before_the_pause failed before and passes.

--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -106,7 +106,8 @@
     pub(crate) listed: bool,
     /// Time on the owner's clock at which the worker stopped answering.
     pub(crate) unresponsive_since_ms: Option<u64>,
-    /// Time on the owner's clock at which the worker last reported its attempts.
+    /// Time on the owner's clock at which the last renewal that the worker answered was sent. The
+    /// answer may have arrived long before it was read.
     pub(crate) reported_ms: u64,
     /// What is recorded about the worker's silence.
     pub(crate) silence: Silence,
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -63,7 +63,7 @@
             host.worker.incarnation = report.incarnation;
         }
         host.lease.observe_clock(report.clock_ms, now_ms);
-        host.reported_ms = now_ms;
+        host.reported_ms = host.reported_ms.max(sent_ms);
         let silent_ms = host
             .unresponsive_since_ms
             .take()
--- a/crates/workflow/tests/owner_pauses.rs
+++ b/crates/workflow/tests/owner_pauses.rs
@@ -4,6 +4,7 @@
 mod fleet;
 
 use fleet::{Fleet, key, spec, step};
+use rosemaryworks_workflow::{Report, Running};
 
 /// An owner that was paused for four seconds had seen no progress for that long. It took every
 /// attempt for stalled and stopped it, although no worker had been asked meanwhile.
@@ -38,3 +39,33 @@
     }
     assert_eq!(fleet.stops.len(), 1);
 }
+
+/// The owner was paused while a renewal was under way. The response waited in the socket, and its
+/// report of a slow task was taken for one of the time after the pause.
+#[test]
+fn attempts_are_not_stopped_for_a_report_from_before_the_pause() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(1, spec(vec![step(1)]));
+    fleet.renew_all();
+    let sent_ms = fleet.now_ms;
+    let renewal = fleet.shard.renewal("w0", sent_ms).expect("a renewal");
+    fleet.now_ms += 6_000;
+    let report = Report {
+        incarnation: 7,
+        clock_ms: sent_ms + 1_000_800,
+        finished: Vec::new(),
+        may_have_more_ends: false,
+        running: vec![Running {
+            key: key(1, 0, 0),
+            attempt: 1,
+            checkpoint: None,
+            percent: 0,
+            metric: 0.0,
+        }],
+    };
+    fleet
+        .shard
+        .report("w0", report, renewal.token, sent_ms, fleet.now_ms);
+    fleet.tick();
+    assert!(fleet.stops.is_empty(), "stopped for an old report");
+}
