fix(workflow): tasks run only on recorded workers, and unread jobs keep their attempts

Cause: (1) an owner starts tasks on a worker whose record is not durable. (2) Attempts of jobs that the owner has not read are stopped after 1.5 s, also if the log answered no read meanwhile (class: what isn't known yet taken for what isn't there). Change: (1) a worker gets tasks once its record is durable, as one that returns after a silence does. (2) The 1.5 s count up to the last complete read of the jobs. The state of a read job is asked without a wait as soon as earlier owners have stopped, so that later jobs count as new.

--- a/crates/workflow/src/orphan.rs
+++ b/crates/workflow/src/orphan.rs
@@ -90,13 +90,14 @@
         }
     }
 
-    /// Stops the attempts of jobs that stay unknown.
+    /// Stops the attempts of jobs that stay unknown although the jobs have been read.
     pub(crate) fn stop_orphans(&mut self, now_ms: u64) {
+        let read_ms = self.jobs_read_ms.min(now_ms);
         let unknown: Vec<Id> = self
             .orphans
             .running
             .iter()
-            .filter(|(_, since)| now_ms >= **since + JOB_READ_MAX_MS)
+            .filter(|(_, since)| read_ms >= **since + JOB_READ_MAX_MS)
             .map(|(job, _)| *job)
             .collect();
         for job in unknown {
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -107,6 +107,13 @@
         self.jobs_read |= self.stage == Stage::Confirming && at_ms >= self.fenced_ms;
     }
 
+    /// Returns the time until no previous owner acts any more, unless all jobs from before have been
+    /// read.
+    pub(crate) fn fenced_in(&self, now_ms: u64) -> Option<u64> {
+        self.predecessors_may_start()
+            .then(|| self.fenced_ms.saturating_sub(now_ms))
+    }
+
     /// Ends the wait for workers whose lease had certainly expired at `at_ms`.
     pub(crate) fn tick(&mut self, at_ms: u64) {
         if self.stage == Stage::Confirming && at_ms >= self.leases_expired_ms {
@@ -133,6 +140,25 @@
         self.recovery.is_fenced(now_ms)
     }
 
+    /// Records that at `at_ms` no other process had claimed the shard. Until then nobody else
+    /// renewed the leases of its workers, so only a lease that had expired by then counts as expired.
+    pub fn confirm_ownership(&mut self, at_ms: u64) {
+        self.owned_until_ms = self.owned_until_ms.max(at_ms);
+    }
+
+    /// Records that every job that was stored before `at_ms` has been read.
+    pub fn jobs_read(&mut self, at_ms: u64) {
+        self.jobs_read_ms = self.jobs_read_ms.max(at_ms);
+        self.recovery.jobs_read(at_ms);
+    }
+
+    /// Returns the time until previous owners can start no task, in milliseconds, unless every job
+    /// that was stored before then has been read.
+    #[must_use]
+    pub fn fenced_in(&self, now_ms: u64) -> Option<u64> {
+        self.recovery.fenced_in(now_ms)
+    }
+
     /// Applies a record of the shard's streams.
     pub fn replay(&mut self, record: Record, now_ms: u64) {
         match record {
@@ -169,7 +195,10 @@
     /// Ends the replay. Workers known so far, from the directory or from records, may run attempts
     /// of a previous owner. `is_sole_owner` states that no previous owner acts any more.
     pub fn finish_replay(&mut self, is_sole_owner: bool, now_ms: u64) {
-        for (id, worker) in std::mem::take(&mut self.recovery.known_workers) {
+        let recorded = std::mem::take(&mut self.recovery.known_workers);
+        let unrecorded = self.hosts.keys().filter(|id| !recorded.contains_key(*id));
+        let unrecorded: Vec<Arc<str>> = unrecorded.cloned().collect();
+        for (id, worker) in recorded {
             if !self.hosts.contains_key(&id) {
                 self.list_worker(worker, now_ms);
                 self.unlist_worker(&id);
@@ -182,6 +211,9 @@
             }
         }
         self.record_workers();
+        for id in unrecorded {
+            self.use_once_recorded(&id);
+        }
         let unconfirmed = self
             .hosts
             .iter()
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -75,6 +75,8 @@
     open_jobs: usize,
     /// Time on the owner's clock up to which certainly no other process had claimed the shard.
     pub(crate) owned_until_ms: u64,
+    /// Time on the owner's clock up to which every stored job has been read.
+    pub(crate) jobs_read_ms: u64,
     /// Time on the owner's clock from which [`Self::tick`] visits all workers again.
     pub(crate) worker_check_due_ms: u64,
     /// Time on the owner's clock from which [`Self::tick`] visits all jobs again.
@@ -109,6 +111,7 @@
             next_acceptance: 0,
             open_jobs: 0,
             owned_until_ms: 0,
+            jobs_read_ms: 0,
             worker_check_due_ms: 0,
             job_check_due_ms: 0,
         }
@@ -120,17 +123,6 @@
         self.epoch
     }
 
-    /// Records that at `at_ms` no other process had claimed the shard. Until then nobody else
-    /// renewed the leases of its workers, so only a lease that had expired by then counts as expired.
-    pub fn confirm_ownership(&mut self, at_ms: u64) {
-        self.owned_until_ms = self.owned_until_ms.max(at_ms);
-    }
-
-    /// Records that every job that was stored before `at_ms` has been read.
-    pub fn jobs_read(&mut self, at_ms: u64) {
-        self.recovery.jobs_read(at_ms);
-    }
-
     /// Returns the actions issued since the last call.
     #[must_use]
     pub fn take_actions(&mut self) -> Vec<Action> {
@@ -247,6 +239,7 @@
             self.hosts.insert(id.clone(), host);
             if !self.recovery.is_replaying() {
                 self.record(Record::WorkerAdded { worker });
+                self.use_once_recorded(&id);
             }
             self.actions.push(Action::Renew(id));
             return;
--- a/crates/workflow/src/silent.rs
+++ b/crates/workflow/src/silent.rs
@@ -23,8 +23,8 @@
     Unrecorded,
     /// The worker may run these tasks and no others.
     Recorded(Vec<Key>),
-    /// The record with this number says that the worker answers again. Until it is durable, a
-    /// successor would not expect further tasks on the worker.
+    /// The record with this number says that the worker exists or answers again. Until it is durable,
+    /// a successor would not expect further tasks on the worker.
     Returning(u64),
 }
 
@@ -55,6 +55,15 @@
         }
     }
 
+    /// Lets a worker have tasks only once the records issued so far are durable, the last of which
+    /// names it: a successor that finds it in no list must know it.
+    pub(crate) fn use_once_recorded(&mut self, id: &Arc<str>) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.silence = Silence::Returning(self.issued_records);
+            self.awaiting_records.insert(id.clone());
+        }
+    }
+
     /// Records that a worker answers again if its silence was recorded.
     pub(crate) fn record_return(&mut self, id: &str) {
         let Some(host) = self.hosts.get_mut(id) else {
--- a/crates/workflow/tests/extreme_workers.rs
+++ b/crates/workflow/tests/extreme_workers.rs
@@ -25,6 +25,7 @@
     }
     fleet.take_actions();
     fleet.renew_all();
+    fleet.make_durable();
     fleet
 }
 
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -113,6 +113,7 @@
         }
         fleet.shard.finish_replay(true, 0);
         fleet.renew_all();
+        fleet.make_durable();
         fleet
     }
 
