--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -162,6 +162,12 @@
         self.caught_up_ms = Some(now_ms);
     }
 
+    /// Returns whether the claims have been read to their end since this process started.
+    #[must_use]
+    pub fn is_caught_up(&self) -> bool {
+        self.caught_up_ms.is_some()
+    }
+
     /// Returns the claim of a shard.
     #[must_use]
     pub fn get(&self, shard: u32) -> Option<&Claim> {
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -11,7 +11,7 @@
 use rosemaryworks_wire::link::Peer;
 use rosemaryworks_wire::workflow::Message as Workflow;
 use rosemaryworks_workflow::{Record, Shard};
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 
 use crate::events;
 use crate::journal;
@@ -44,6 +44,12 @@
 /// claims usually give one sooner. Leaves a peer the time to probe the log before the proof expires.
 const ASK_AFTER_MS: u64 = 400;
 
+/// Time after a takeover within which other processes open their links to the owner, in milliseconds.
+const LINKS_OPEN_AFTER_MS: u64 = 2_000;
+
+/// Time by which a probe of the log by this process may take longer than that of a peer.
+const OWN_PROBE_SLACK: Duration = Duration::from_millis(100);
+
 /// Shortest pause between two rounds of questions.
 const ASK_PAUSE_MIN: Duration = Duration::from_millis(100);
 
@@ -141,9 +147,18 @@
     /// release is announced, so that the other one takes them over. If this process can't know, its
     /// permission expires; the shards stay here until a later claim is known or no other process
     /// answers.
-    async fn ask_for_proof(&self, owners: &[Arc<Owner>], rounds: &mut Rounds) -> Duration {
+    async fn ask_for_proof(
+        self: &Arc<Self>,
+        owners: &[Arc<Owner>],
+        rounds: &mut Rounds,
+    ) -> Duration {
         let asked_ms = clock::now().0;
-        let survey = self.survey_peers(owners).await;
+        let held = self.held_claims();
+        let node = self.clone();
+        let probe = self
+            .log_is_down()
+            .then(|| tokio::spawn(async move { node.log_answers().await }));
+        let survey = self.survey_peers(&held).await;
         for owner in owners {
             if survey.superseded.contains(&owner.shard()) {
                 let reason = "a peer knows a later owner";
@@ -157,16 +172,20 @@
             rounds.silent = survey.unanswered;
         }
         match next {
-            Next::Announce if self.log_is_down() => {
+            // At the end of an outage a peer may see the log a moment earlier than this process.
+            Next::Announce if self.log_is_down() && !answers_soon(probe).await => {
                 for owner in owners {
                     self.notify_released(owner.shard(), owner.epoch());
                 }
                 tokio::time::sleep(ANNOUNCED_MAX).await;
                 self.step_down_from(owners, "the release was announced");
             }
-            Next::Continue if self.may_prove(survey.answered) => {
+            Next::Continue
+                if survey.superseded.is_empty() && self.may_prove(&held, survey.answered) =>
+            {
                 self.permission.prove(asked_ms);
-                return Duration::from_millis(ASK_AFTER_MS);
+                let age_ms = clock::now().0.saturating_sub(asked_ms);
+                return Duration::from_millis(ASK_AFTER_MS.saturating_sub(age_ms));
             }
             Next::CutOff if self.log_is_down() => {
                 rounds.unanswered += 1;
@@ -181,11 +200,24 @@
         ASK_PAUSE_MIN
     }
 
-    /// Returns whether answers without a later claim prove the ownership. The claim of a shard that is
-    /// being taken over may be superseded as well. A process that knows no other one asks the log
-    /// unless it is unreachable.
-    fn may_prove(&self, answered: bool) -> bool {
-        (answered || self.log_is_down()) && lock(&self.taking_over).is_empty()
+    /// Returns whether answers without a later claim of `held` prove the ownership. A process that knows
+    /// no other one asks the log unless it is unreachable; right after a takeover the others may not
+    /// have opened their links yet.
+    fn may_prove(&self, held: &[(u32, u64)], answered: bool) -> bool {
+        let now_ms = clock::now().0;
+        let is_sole = self.log_is_down()
+            && now_ms >= self.entered_ms.load(Ordering::Relaxed) + LINKS_OPEN_AFTER_MS;
+        (answered || is_sole) && *held == *self.held_claims()
+    }
+
+    /// Returns the shards that this process owns or takes over, each with the epoch of its claim.
+    fn held_claims(&self) -> Vec<(u32, u64)> {
+        let held = self.held_shards();
+        let claims = lock(&self.claims);
+        let epoch = |shard: u32| claims.get(shard).map_or(0, |claim| claim.epoch);
+        held.into_iter()
+            .map(|shard| (shard, epoch(shard)))
+            .collect()
     }
 
     fn step_down_from(&self, owners: &[Arc<Owner>], reason: &str) {
@@ -196,20 +228,16 @@
 
     /// Asks all processes that may have claimed a shard since the last proof. While the log is
     /// unreachable, looks for one that can take shards over, and returns early if there is one.
-    async fn survey_peers(&self, owners: &[Arc<Owner>]) -> Survey {
+    async fn survey_peers(&self, held: &[(u32, u64)]) -> Survey {
         let since_ms = self.permission.proven_ms().unwrap_or(0);
         let seeks_candidate = self.log_is_down();
-        let owned: Vec<(u32, u64)> = owners
-            .iter()
-            .map(|owner| (owner.shard(), owner.epoch()))
-            .collect();
         let mut survey = Survey {
             unanswered: lock(&self.known).since(since_ms),
             ..Survey::default()
         };
         let mut calls = JoinSet::new();
         for peer in self.linked_peers() {
-            let owned = owned.clone();
+            let owned = held.to_vec();
             calls.spawn(async move {
                 let question = Workflow::AskOwnership {
                     owned,
@@ -230,10 +258,13 @@
                 continue;
             };
             survey.answered = true;
-            survey.unanswered.remove(&node);
-            survey.superseded.extend(superseded);
             survey.candidate |= candidate;
-            if candidate {
+            if let Some(superseded) = superseded {
+                survey.unanswered.remove(&node);
+                survey.superseded.extend(superseded);
+            }
+            // A process with several links has answered on one of them.
+            if candidate || survey.unanswered.is_empty() {
                 break;
             }
         }
@@ -253,12 +284,13 @@
             let claim = claims.get(*shard);
             claim.is_some_and(|claim| claim.epoch > *epoch)
         };
+        let superseded = owned.iter().filter(is_superseded);
+        // An earlier incarnation of this process may have claimed a shard.
+        let superseded = claims
+            .is_caught_up()
+            .then(|| superseded.map(|(shard, _)| *shard).collect());
         Workflow::Ownership {
-            superseded: owned
-                .iter()
-                .filter(is_superseded)
-                .map(|(shard, _)| *shard)
-                .collect(),
+            superseded,
             candidate,
         }
     }
@@ -403,3 +435,12 @@
         _ => None,
     }
 }
+
+/// Returns whether a probe of the log by this process has an answer, or has one soon.
+async fn answers_soon(probe: Option<JoinHandle<bool>>) -> bool {
+    let Some(probe) = probe else { return false };
+    matches!(
+        tokio::time::timeout(OWN_PROBE_SLACK, probe).await,
+        Ok(Ok(true))
+    )
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod stall;
 mod stop;
 mod submitter;
+mod suspension;
 mod takeover;
 pub mod timeouts;
 mod worker_list;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -62,6 +62,8 @@
     pub(crate) hello: Hello,
     pub(crate) claims: Mutex<Claims>,
     pub(crate) claims_changed: Notify,
+    /// Time at which this process last became the owner of a shard.
+    pub(crate) entered_ms: AtomicU64,
     /// Notified when the log becomes unreachable.
     pub(crate) log_lost: Notify,
     /// Permission to command the workers of the owned shards.
@@ -118,6 +120,7 @@
             hello,
             claims: Mutex::default(),
             claims_changed: Notify::new(),
+            entered_ms: AtomicU64::new(0),
             log_lost: Notify::new(),
             permission: Arc::default(),
             owned: Mutex::default(),
@@ -196,6 +199,7 @@
             self.log_answered_ms.store(now_ms, Ordering::Relaxed);
             if self.log_down.swap(false, Ordering::Relaxed) {
                 events::LOG_REACHABLE.log(format_args!("node={}", self.settings.node));
+                self.claims_changed.notify_one();
             }
         } else {
             let silent_ms = now_ms.saturating_sub(self.log_answered_ms.load(Ordering::Relaxed));
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -174,6 +174,14 @@
         &self.context
     }
 
+    pub(crate) fn permission(&self) -> &Permission {
+        &self.permission
+    }
+
+    pub(crate) fn stall(&self) -> &Stall {
+        &self.stall
+    }
+
     pub(crate) fn counts(&self) -> (usize, usize) {
         let state = self.state();
         (state.open_jobs(), state.host_ids().len())
@@ -338,7 +346,7 @@
         let mut logged_ms = republished_ms;
         let mut assigned_ms = 0;
         loop {
-            self.await_permission().await;
+            let now_ms = self.await_permission().await;
             if clock::now().0 >= assigned_ms + RELAYS_PERIOD_MS {
                 assigned_ms = clock::now().0;
                 self.assign_relays(&node);
@@ -356,7 +364,7 @@
                 if let Some(proven_ms) = self.permission.proven_ms() {
                     state.confirm_ownership(proven_ms);
                 }
-                state.tick(clock::now().0, clock::unix_ms());
+                state.tick(now_ms, clock::unix_ms());
                 let open = state.open_jobs();
                 self.context.metrics.open_jobs.set(open as i64);
                 state.take_actions()
@@ -380,44 +388,6 @@
         }
     }
 
-    /// Waits until this owner may command workers or has ended. Logs the wait, and a stall of this
-    /// process.
-    async fn await_permission(&self) {
-        let (shard, epoch) = (self.shard, self.epoch);
-        if let Some(stalled_ms) = self.stall.stalled_ms(clock::uptime_ms()) {
-            events::STALLED.log(format_args!(
-                "shard={shard} epoch={epoch} stalled_ms={stalled_ms}"
-            ));
-        }
-        let began = clock::now();
-        if !self.is_ended() && !self.permission.is_valid(began.0) {
-            let age_ms = self.permission.age_ms(began.0).unwrap_or(began.0);
-            events::SUSPENDED.log(format_args!(
-                "shard={shard} epoch={epoch} claims_age_ms={age_ms}"
-            ));
-            self.context.metrics.suspensions.inc();
-            self.until_permitted().await;
-            if !self.is_ended() {
-                events::RESUMED.log(format_args!(
-                    "shard={shard} epoch={epoch} suspended_ms={}",
-                    clock::now().since(began)
-                ));
-            }
-        }
-        self.stall.beat(clock::uptime_ms());
-    }
-
-    /// Waits until this owner may command workers or has ended.
-    pub(crate) async fn until_permitted(&self) {
-        let mut proofs = self.permission.proofs();
-        while !self.is_ended() && !self.permission.is_valid(clock::now().0) {
-            // The sender is dropped with the process.
-            if proofs.changed().await.is_err() {
-                return;
-            }
-        }
-    }
-
     fn execute(self: &Arc<Self>, node: &Arc<Node>, action: Action) {
         match action {
             Action::RequestAdvice(request) => {
@@ -464,10 +434,13 @@
         while !self.is_ended() {
             let asked_ms = clock::now().0;
             let next = self.jobs_read.load(Ordering::Relaxed);
+            // Jobs count as new only after a read that began when previous owners had stopped.
+            let fenced_in_ms = self.state().fenced_in(asked_ms);
+            let wait_ms = fenced_in_ms.unwrap_or(JOBS_WAIT_MS).min(JOBS_WAIT_MS);
             let read = self
                 .context
                 .store
-                .read(Stream::Jobs, self.shard, next, JOBS_WAIT_MS);
+                .read(Stream::Jobs, self.shard, next, wait_ms);
             match read.await {
                 Ok(page) => {
                     node.observe_log_response(true);
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -26,6 +26,9 @@
 /// write four a second for each shard.
 const HISTORY_RECORDS: u64 = 400;
 
+/// Shortest pause before a failed read of the claims is retried, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 20;
+
 /// Read position in the claims stream.
 struct Position {
     next: Option<u64>,
@@ -47,6 +50,7 @@
     pub(crate) async fn follow_claims(self: Arc<Self>) {
         let mut position = Position { next: None };
         loop {
+            let began_ms = clock::now().0;
             let mut pause_ms = claim::POLL_MS;
             if self.read_claims(&mut position).await {
                 self.dial_owners();
@@ -54,6 +58,10 @@
                 let linked = self.is_linked_to_owners();
                 let claims = lock(&self.claims);
                 pause_ms = claims.pause_ms(self.millicores(), linked, clock::now().0);
+            } else {
+                // The time that a lost answer took counts.
+                let took_ms = clock::now().0.saturating_sub(began_ms);
+                pause_ms = pause_ms.saturating_sub(took_ms).max(RETRY_PAUSE_MS);
             }
             let pause = tokio::time::sleep(Duration::from_millis(pause_ms));
             tokio::select! {
@@ -249,9 +257,11 @@
     }
 
     /// Renews the claims of the owned shards, unless this process has been suspended for so long that
-    /// another one should take them over.
+    /// another one should take them over. In an outage of the log none can; the first renewal after
+    /// it keeps the claims from expiring.
     fn renew_claims(self: &Arc<Self>) {
-        if self.claims_age_ms() >= permission::VALID_MS + claim::EXPIRY_MS {
+        let suspended = self.claims_age_ms() >= permission::VALID_MS + claim::EXPIRY_MS;
+        if suspended && !self.log_is_down() {
             return;
         }
         let owners: Vec<Arc<Owner>> = lock(&self.owned).values().cloned().collect();
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -129,11 +129,10 @@
 /// Renews the lease of a worker once. `last_fault` is the fault of the previous renewal and is
 /// updated.
 async fn renew(owner: &Arc<Owner>, id: &Arc<str>, last_fault: &mut Option<RenewalFault>) -> Next {
-    owner.until_permitted().await;
+    let sent_ms = owner.until_permitted().await;
     if owner.is_ended() {
         return Next::End;
     }
-    let sent_ms = clock::now().0;
     let Some(renewal) = owner.state().renewal(id, sent_ms) else {
         return Next::End;
     };
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -69,6 +69,7 @@
         if self.released.load(Ordering::Relaxed) || self.is_superseded(owner) {
             return false;
         }
+        self.entered_ms.store(clock::now().0, Ordering::Relaxed);
         if let Some(older) = owned.insert(owner.shard(), owner.clone()) {
             older.end();
         }
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -43,3 +43,19 @@
     known.opened(&"a".into());
     assert_eq!(names(&known, 0), ["a".into()]);
 }
+
+/// Guards against an owner that forgets, during a long cut, the processes with which it had links when
+/// it lost the log: it then took itself and the peers inside the cut for the only processes.
+#[test]
+fn a_process_that_was_linked_when_the_log_was_lost_counts_for_the_whole_outage() {
+    let mut known = Known::default();
+    known.opened(&"inside".into());
+    known.opened(&"outside".into());
+    let lost_ms = 50_000;
+    known.closed("outside", 51_000);
+    assert_eq!(names(&known, lost_ms), ["inside".into(), "outside".into()]);
+    // The link with a peer inside the cut is opened again, as after two unanswered calls.
+    known.opened(&"inside".into());
+    known.closed("inside", 71_000);
+    assert_eq!(names(&known, lost_ms), ["inside".into(), "outside".into()]);
+}
--- a/crates/entry/tests/permission.rs
+++ b/crates/entry/tests/permission.rs
@@ -151,3 +151,34 @@
     tokio::time::sleep(Duration::from_millis(EXPIRY_MS)).await;
     assert_eq!(process.log.claim_count(), renewals, "renewed");
 }
+
+/// A zone was cut off with the owner and one of its peers in it, and the log answered some calls of the
+/// owner during the cut, none of them a read of the claims. The owner then asked only for processes
+/// that had a link shortly before that answer, and found none outside the cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_of_the_log_that_shows_no_claims_does_not_end_a_cut() {
+    let process = Process::start_on(log()).await;
+    let inside = process.start_peer("inside").await;
+    let outside = tokio::runtime::Runtime::new().expect("a runtime");
+    let log = process.log.clone();
+    let peer = outside.spawn(async move {
+        let peer = Process::launch(log, |settings| settings.node = "outside".into()).await;
+        tokio::time::sleep(memory::LINK_OPEN).await;
+        peer
+    });
+    let _peer = peer.await.expect("the peer starts");
+    keep_busy(&process).await;
+    process.door.claims_closed.store(true, Ordering::Relaxed);
+    process.door.closed.store(true, Ordering::Relaxed);
+    inside.door.closed.store(true, Ordering::Relaxed);
+    // Its connections are closed.
+    outside.shutdown_background();
+    process.log.put_claim(2);
+    tokio::time::sleep(Duration::from_secs(11)).await;
+    let sent = process.sent_by("n");
+    process.door.closed.store(false, Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    process.door.closed.store(true, Ordering::Relaxed);
+    tokio::time::sleep(2 * OBSERVED).await;
+    assert_eq!(process.sent_by("n"), sent, "commands of a superseded owner");
+}
--- a/crates/entry/tests/support/door.rs
+++ b/crates/entry/tests/support/door.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use rosemaryworks_entry::Config;
 use rosemaryworks_entry::port::{
@@ -15,10 +16,25 @@
     pub(crate) log: Arc<Log>,
     /// Whether the log turns this process away.
     pub(crate) closed: AtomicBool,
+    /// Whether the log turns away this process's reads of the claims only.
+    pub(crate) claims_closed: AtomicBool,
+    /// Whether the answer of the next read of the claims is lost.
+    pub(crate) lose_claims_read: AtomicBool,
+    /// Whether calls of this process get no answer.
+    pub(crate) silent: AtomicBool,
 }
 
+/// Time-out of a call of the log.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+
 impl Door {
     fn pass<T: Send + 'static>(&self, call: impl FnOnce(&Log) -> Answer<T>) -> Answer<T> {
+        if self.silent.load(Ordering::Relaxed) {
+            return Box::pin(async {
+                tokio::time::sleep(CALL_TIMEOUT).await;
+                Err(Fault::Unknown("no response in time".into()))
+            });
+        }
         match self.closed.load(Ordering::Relaxed) {
             true => Box::pin(async { Err(Fault::Refused("turned away".into())) }),
             false => call(&self.log),
@@ -32,6 +48,15 @@
     }
 
     fn read(&self, stream: Stream, partition: u32, from: u64, wait_ms: u64) -> Answer<Page> {
+        if stream == Stream::Claims && self.claims_closed.load(Ordering::Relaxed) {
+            return Box::pin(async { Err(Fault::Refused("turned away".into())) });
+        }
+        if stream == Stream::Claims && self.lose_claims_read.swap(false, Ordering::Relaxed) {
+            return Box::pin(async {
+                tokio::time::sleep(CALL_TIMEOUT).await;
+                Err(Fault::Unknown("no response in time".into()))
+            });
+        }
         self.pass(|log| log.read(stream, partition, from, wait_ms))
     }
 
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -2,8 +2,6 @@
 #![allow(dead_code)] // Each test file uses a part.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::future::Future;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -11,20 +9,19 @@
 use rosemaryworks_core::size::Size;
 use rosemaryworks_entry::port::{
     Advisor, Answer, Append, Appended, Changes, Fault, Page, Permits, Record, Store, Stream,
-    WorkerChange, Workers,
+    WorkerChange,
 };
 use rosemaryworks_entry::{Config, Context, Metrics, Node, Route, Settings};
 use rosemaryworks_node::status::Status;
-use rosemaryworks_workflow::{
-    Id, Order, Pace, Queue, Renewal, RenewalFault, Report, Spec, StartOutcome, Step, StepKey, Stop,
-    Worker,
-};
+use rosemaryworks_workflow::{Id, Queue, Spec, Step, StepKey, Worker};
 
 mod door;
 mod sender;
+mod workers;
 
 use door::Door;
 use sender::Sender;
+pub(crate) use workers::StandInWorkers;
 
 type Streams = BTreeMap<(u8, u32), Vec<Record>>;
 
@@ -233,11 +230,17 @@
 
     /// Appends a renewal of a claim of the only shard by another process.
     pub(crate) fn put_renewal(&self, epoch: u64, renewal: u64) {
+        let address = "127.0.0.1:9".parse().expect("an address");
+        self.put_renewal_at(epoch, renewal, address);
+    }
+
+    /// The same by a process that accepts links at an address.
+    pub(crate) fn put_renewal_at(&self, epoch: u64, renewal: u64, address: std::net::SocketAddr) {
         let claim = rosemaryworks_entry::claim::Claim {
             epoch,
             node: "other".into(),
             incarnation: 5,
-            address: "127.0.0.1:9".parse().expect("an address"),
+            address,
             renewal,
             unfinished: false,
             millicores: 500,
@@ -329,76 +332,6 @@
     }
 }
 
-/// Workers that don't answer, or answer and never end an attempt.
-#[derive(Default)]
-pub(crate) struct StandInWorkers {
-    pub(crate) answering: AtomicBool,
-    /// Workers whose lease was renewed.
-    pub(crate) renewed: Mutex<Vec<Arc<str>>>,
-    /// Workers that were told to start an attempt.
-    pub(crate) started: Mutex<Vec<Arc<str>>>,
-    /// Commands by the process that sent them.
-    pub(crate) sent: Mutex<BTreeMap<Arc<str>, usize>>,
-    /// Workers that leave all commands without an answer.
-    pub(crate) silent: Mutex<BTreeSet<Arc<str>>>,
-}
-
-impl StandInWorkers {
-    fn answers(&self, worker: &str) -> bool {
-        let is_silent = self.silent.lock().expect("the lock").contains(worker);
-        self.answering.load(Ordering::Relaxed) && !is_silent
-    }
-}
-
-impl Workers for StandInWorkers {
-    fn start(
-        &self,
-        order: &Order,
-        _: Duration,
-    ) -> Pin<Box<dyn Future<Output = StartOutcome> + Send>> {
-        let mut started = self.started.lock().expect("the lock");
-        started.push(order.worker.clone());
-        let outcome = match self.answers(&order.worker) {
-            true => StartOutcome::Accepted { clock_ms: 1 },
-            false => StartOutcome::Unknown,
-        };
-        Box::pin(async move { outcome })
-    }
-
-    fn stop(&self, _: &Stop) -> Pin<Box<dyn Future<Output = bool> + Send>> {
-        Box::pin(async { false })
-    }
-
-    fn pace(&self, _: &Pace) -> Pin<Box<dyn Future<Output = bool> + Send>> {
-        Box::pin(async { false })
-    }
-
-    fn renew(
-        &self,
-        id: &Arc<str>,
-        _: &Renewal,
-        _: u64,
-        _: Duration,
-    ) -> Answer<Report, RenewalFault> {
-        self.renewed.lock().expect("the lock").push(id.clone());
-        let report = Report {
-            may_have_more_ends: false,
-            incarnation: 7,
-            clock_ms: 1,
-            finished: Vec::new(),
-            running: Vec::new(),
-        };
-        let answer = match self.answers(id) {
-            true => Ok(report),
-            false => Err(RenewalFault::Silent),
-        };
-        Box::pin(async move {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-            answer
-        })
-    }
-}
-
 struct NoAdvisor;
 
 impl Advisor for NoAdvisor {
@@ -471,6 +404,9 @@
         let door = Arc::new(Door {
             log: log.clone(),
             closed: AtomicBool::new(false),
+            claims_closed: AtomicBool::new(false),
+            lose_claims_read: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
         });
         let context = Context {
             store: door.clone(),
--- a/crates/wire/src/link/connection.rs
+++ b/crates/wire/src/link/connection.rs
@@ -226,18 +226,34 @@
     };
     opened(&peer);
     handler.opened(&peer);
+    // A client that is dropped aborts this task.
+    let _closing = Closing {
+        peer: &peer,
+        handler: handler.as_ref(),
+    };
     // Reads and writes run concurrently. If both ends read only between their sends, they deadlock
     // once the socket buffers in both directions are full.
     tokio::select! {
         () = read(stream, &peer, handler) => {}
         () = write(sink, queue) => {}
     }
-    {
-        let mut pending = peer.inner.pending();
-        pending.closed = true;
-        pending.calls.clear();
+}
+
+/// Marks a connection as closed on drop.
+struct Closing<'a> {
+    peer: &'a Peer,
+    handler: &'a dyn Handler,
+}
+
+impl Drop for Closing<'_> {
+    fn drop(&mut self) {
+        {
+            let mut pending = self.peer.inner.pending();
+            pending.closed = true;
+            pending.calls.clear();
+        }
+        self.handler.closed(self.peer);
     }
-    handler.closed(&peer);
 }
 
 /// Reads and dispatches frames until the connection is closed or idle for [`IDLE_TIMEOUT`].
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -59,9 +59,10 @@
     /// Reply to `AskOwnership`.
     #[serde(rename = "h")]
     Ownership {
-        /// Those of the shards that have a later owner.
+        /// Those of the shards that have a later owner; `None` if the process has read no claims since
+        /// it started.
         #[serde(rename = "l")]
-        superseded: Vec<u32>,
+        superseded: Option<Vec<u32>>,
         /// Whether the process was asked to probe the log, reaches it and isn't stopping.
         #[serde(rename = "u")]
         candidate: bool,
--- a/crates/wire/tests/ownership.rs
+++ b/crates/wire/tests/ownership.rs
@@ -19,7 +19,7 @@
         survives(Kind::Call, Workflow::AskOwnership { owned, seeks_candidate })
     }
 
-    fn answers_survive_a_round_trip(superseded: Vec<u32>, candidate: bool) -> bool {
+    fn answers_survive_a_round_trip(superseded: Option<Vec<u32>>, candidate: bool) -> bool {
         survives(Kind::Reply, Workflow::Ownership { superseded, candidate })
     }
 }
