test(entry): a model of ownership and takeover in simulated time

Cause: the limit of the permission in time (decision 0024) was tested by four scenarios only, each with one order of events.

Change: a seeded model runs the kernels of claims, permission, peers and shard for 3 to 5 processes, with a simulated log, links, pauses, crashes and workers with leases. It checks that no owner commands a worker 1.2 s after a successor's takeover, that no task runs on two workers at once, and that no task starts after an acknowledged end. Two mutations (owners that ignore the permission, proofs by the newest record) must be noticed by the first check and by one of the others.

--- /dev/null
+++ b/crates/entry/tests/ownership_model.rs
@@ -0,0 +1,156 @@
+//! Guards against owners that act after their successor counts on their end: simulated processes run
+//! the real kernels of claims, permission, peers and shard in simulated time, with faults of the
+//! log, the links, the processes and the paths to the workers that a seed draws.
+//!
+//! There is one shard. Planned stops, workers that start again or are missing in the list, advice and
+//! relays aren't modelled. `MODEL_SEEDS=A..B` sets the seeds, and `MODEL_TRACE` prints the events.
+
+mod model {
+    pub(crate) mod claiming;
+    pub(crate) mod clock;
+    pub(crate) mod fault;
+    pub(crate) mod fleet;
+    pub(crate) mod handover;
+    pub(crate) mod history;
+    pub(crate) mod links;
+    pub(crate) mod log;
+    pub(crate) mod network;
+    pub(crate) mod owner;
+    pub(crate) mod process;
+    pub(crate) mod queue;
+    pub(crate) mod session;
+    pub(crate) mod takeover;
+    pub(crate) mod worker;
+    pub(crate) mod world;
+
+    /// The only shard.
+    pub(crate) const SHARD: u32 = 0;
+}
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+
+use model::fault::Fault;
+use model::history::{Counts, Invariant};
+use model::network::{Path, Place};
+use model::world::{Acquaintance, Rules, Scale, World};
+
+/// First violation of each invariant in a run.
+type Violations = BTreeMap<Invariant, String>;
+
+/// Seeds of a run in CI.
+const SEEDS: Range<u64> = 0..70;
+
+/// Returns the seeds to run: those of `MODEL_SEEDS`, given as `A..B`, or a few.
+fn seeds() -> Range<u64> {
+    let Ok(text) = std::env::var("MODEL_SEEDS") else {
+        return SEEDS;
+    };
+    let (begin, end) = text.split_once("..").expect("MODEL_SEEDS as A..B");
+    let number = |text: &str| text.parse().expect("a number in MODEL_SEEDS");
+    number(begin)..number(end)
+}
+
+/// The rules of the product, except that all processes know each other. Without that, an owner
+/// doesn't ask a process with which it had no link.
+const INTRODUCED: Rules = Rules {
+    acquaintance: Acquaintance::All,
+    ignores_permission: false,
+    proves_by_newest: false,
+};
+
+/// Runs a world to its end and returns what it violates.
+fn finish(mut world: World) -> (Violations, Counts) {
+    if std::env::var_os("MODEL_TRACE").is_some() {
+        world.history.trace = Some(Vec::new());
+    }
+    world.run();
+    for line in world.history.trace.iter().flatten() {
+        println!("{line}");
+    }
+    (world.history.violations, world.history.counts)
+}
+
+fn run(seed: u64, rules: Rules) -> (Violations, Counts) {
+    finish(World::new(seed, rules))
+}
+
+/// Asserts that owners that deviate from the protocol violate the invariants.
+fn assert_noticed(rules: Rules) {
+    let mut found: BTreeMap<Invariant, Vec<(u64, String)>> = BTreeMap::new();
+    for seed in seeds() {
+        for (invariant, text) in run(seed, rules).0 {
+            found.entry(invariant).or_default().push((seed, text));
+        }
+        let has_effect = [Invariant::OneRun, Invariant::OneResult]
+            .iter()
+            .any(|invariant| found.contains_key(invariant));
+        if has_effect && found.contains_key(&Invariant::FencedCommand) {
+            println!("noticed with the seeds up to {seed}");
+            return;
+        }
+    }
+    panic!("not noticed by every check: {found:#?}");
+}
+
+/// Two owners commanded workers at once, so that tasks ran twice.
+#[test]
+fn only_one_owner_has_an_effect() {
+    let mut total = Counts::default();
+    let mut found = Vec::new();
+    for seed in seeds() {
+        let (violations, counts) = run(seed, INTRODUCED);
+        total.add(counts);
+        found.extend((!violations.is_empty()).then_some((seed, violations)));
+    }
+    println!("{total:?}");
+    assert!(found.is_empty(), "{found:#?}");
+    assert!(total.is_exercised(), "{total:?}");
+}
+
+/// A check that can't fail proves nothing: owners that ignore the permission must be noticed, and
+/// the tasks that run twice because of them.
+#[test]
+fn owners_without_permission_are_noticed() {
+    assert_noticed(Rules {
+        ignores_permission: true,
+        ..INTRODUCED
+    });
+}
+
+/// The same for owners that take their own renewal over a later claim as a proof.
+#[test]
+fn proofs_by_the_newest_record_are_noticed() {
+    assert_noticed(Rules {
+        proves_by_newest: true,
+        ..INTRODUCED
+    });
+}
+
+/// The path between an owner and another process was cut before they had a link. Once the owner was
+/// cut off from the log and from one of two workers, it proved its ownership without asking the
+/// other process, kept the lease of the worker that its successor couldn't reach, and the
+/// successor started the task of that worker again.
+#[test]
+fn an_owner_without_the_log_asks_processes_that_it_never_had_a_link_with() {
+    let (owner, successor) = (Place::Process(0), Place::Process(1));
+    let (near, far) = (Place::Worker(0), Place::Worker(1));
+    let scale = Scale {
+        processes: 2,
+        workers: 2,
+    };
+    let cut = |pairs: &[(Place, Place)]| Fault::Cut(pairs.to_vec(), Path::Silent);
+    let faults = vec![
+        (0..30_000, cut(&[(owner, successor)])),
+        // Lets the first process become the owner.
+        (0..1_500, cut(&[(successor, Place::Log)])),
+        (
+            5_000..30_000,
+            cut(&[(owner, Place::Log), (owner, far), (successor, near)]),
+        ),
+    ];
+    let world = World::with_faults(0, scale, faults, Rules::default());
+    let (violations, counts) = finish(world);
+    assert_eq!(counts.takeovers, 2);
+    assert!(violations.is_empty(), "{violations:#?}");
+}
