fix(wire): a link whose client is dropped is reported as closed

Cause: dropping a Client aborts its task, which skipped the report to the handler. An owner closes its link to a process that owns no shard any more, so that process counted as linked forever and had to answer each question in an outage (class: clean-up code after a cancellation point). Change: a guard closes the peer and reports it, also if the task is aborted. Evidence: a_dropped_client_reports_its_link_as_closed fails without the change and passes with it.

--- a/crates/wire/src/link/connection.rs
+++ b/crates/wire/src/link/connection.rs
@@ -193,6 +193,23 @@
     WebSocketConfig::default().read_buffer_size(READ_BUFFER_BYTES)
 }
 
+/// Closes a peer when its connection ends, also if the task of the connection is aborted.
+struct Closing<'a> {
+    peer: &'a Peer,
+    handler: &'a Arc<dyn Handler>,
+}
+
+impl Drop for Closing<'_> {
+    fn drop(&mut self) {
+        {
+            let mut pending = self.peer.inner.pending();
+            pending.closed = true;
+            pending.calls.clear();
+        }
+        self.handler.closed(self.peer);
+    }
+}
+
 /// Runs a connection until it is closed. `opened` is called with the peer after its [`Hello`].
 pub(super) async fn run(
     socket: WebSocketStream<TcpStream>,
@@ -226,18 +243,16 @@
     };
     opened(&peer);
     handler.opened(&peer);
+    let _closing = Closing {
+        peer: &peer,
+        handler,
+    };
     // Reads and writes run concurrently. If both ends read only between their sends, they deadlock
     // once the socket buffers in both directions are full.
     tokio::select! {
         () = read(stream, &peer, handler) => {}
         () = write(sink, queue) => {}
     }
-    {
-        let mut pending = peer.inner.pending();
-        pending.closed = true;
-        pending.calls.clear();
-    }
-    handler.closed(&peer);
 }
 
 /// Reads and dispatches frames until the connection is closed or idle for [`IDLE_TIMEOUT`].
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -163,3 +163,23 @@
     assert_eq!(near.closed.load(Ordering::SeqCst), 1);
     assert!(call.await.unwrap().is_err());
 }
+
+/// Guards against links that count as open forever: an aborted connection was not reported as closed.
+#[tokio::test]
+async fn a_dropped_client_reports_its_link_as_closed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve(listener, hello("far"), Arc::new(Counters::default())));
+    let near = Arc::new(Counters::default());
+    let client = Client::start("far".into(), address, hello("near"), near.clone());
+    let peer = open(&client).await;
+    drop(client);
+    for _ in 0..200 {
+        if near.closed.load(Ordering::SeqCst) == 1 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(near.closed.load(Ordering::SeqCst), 1);
+    assert!(peer.is_closed());
+}
