fix(entry): owners don't wait for processes that linked to them while they stopped

What callers saw: after a planned stop of other VMs, an outage of the log suspended an owner for as long as it lasted; the work on its workers lapsed and began again. Cause: a process announces its end once, after it has released its shards, and serves for up to 4 s more. Meanwhile it links to owners that took over after the announcement, and they never hear of it (class: an announcement to those who listen now, about a state that lasts). Change: a process that has announced its end repeats it on each link that opens. Evidence: an_owner_does_not_wait_for_processes_that_ended_before_it_took_over fails without the change, "no command for 500 ms", and passes with it.

--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rosemaryworks_node::{clock, late};
@@ -124,6 +125,9 @@
 
     fn link_was_opened(&self, peer: &Peer) {
         lock(&self.known).opened(&peer.hello().node);
+        if self.leaving.load(Ordering::Relaxed) {
+            let _ = peer.notify(Message::Workflow(Workflow::Leaving));
+        }
     }
 
     fn link_was_closed(&self, peer: &Peer) {
@@ -316,8 +320,9 @@
         }
     }
 
-    /// Notifies all linked processes that this one is about to end.
+    /// Notifies all linked processes, and those that link later, that this one is about to end.
     pub(crate) fn notify_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
         for peer in self.linked_peers() {
             // An owner that misses the notification counts this process among those that may claim.
             let _ = peer.notify(Message::Workflow(Workflow::Leaving));
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -77,6 +77,8 @@
     pub(crate) relay: Relay,
     /// Processes that may claim a shard.
     pub(crate) known: Mutex<Known>,
+    /// Whether this process has released its shards for good and is about to end.
+    pub(crate) leaving: AtomicBool,
     /// The advice service serves one call at a time for each VM.
     pub(crate) advice_slot: Semaphore,
     pub(crate) stopping: AtomicBool,
@@ -124,6 +126,7 @@
             exchange: Arc::default(),
             relay: Relay::new(),
             known: Mutex::default(),
+            leaving: AtomicBool::new(false),
             advice_slot: Semaphore::new(1),
             stopping: AtomicBool::new(false),
             released: AtomicBool::new(false),
--- a/crates/entry/tests/permission.rs
+++ b/crates/entry/tests/permission.rs
@@ -109,6 +109,36 @@
     }
 }
 
+/// An owner waited for processes that had ended as planned: they opened their links to it only after
+/// they had announced their end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_does_not_wait_for_processes_that_ended_before_it_took_over() {
+    let others = tokio::runtime::Runtime::new().expect("a runtime");
+    let started = others.spawn(async {
+        let process = Process::start_on(log()).await;
+        let earlier = process.start_peer("earlier").await;
+        (process, earlier)
+    });
+    let (process, earlier) = started.await.expect("the processes start");
+    let successor = process.start_peer("successor").await;
+    keep_busy(&process).await;
+    earlier.node.stop(FENCED).await;
+    process.node.stop(FENCED).await;
+    successor.wait_for_shards(1).await;
+    tokio::time::sleep(memory::LINK_OPEN).await;
+    others.shutdown_background();
+    successor.log.down.store(true, Ordering::Relaxed);
+    tokio::time::sleep(2 * FENCED).await;
+    for _ in 0..4 {
+        let sent = successor.sent_by("successor");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert!(
+            successor.sent_by("successor") > sent,
+            "no command for 500 ms"
+        );
+    }
+}
+
 /// The limits of a permission, counted from the question that proved it.
 #[test]
 fn a_permission_expires_unless_it_is_proven_again() {
