test(soak): each process loses workers, peers and zones of its own

A worker had one proxy for all processes, links between processes were never cut, and no worker stood still with what it ran.

Change: each process reaches the log, the workers and the other processes through proxies of its own. The log holds addresses with one host, and each process reads them with a host of its own, so it needs no setting for it. New faults: zones that lose the log, the other processes and a group of workers, with and without the others losing the remaining workers; cuts between two processes and between one process and a group of workers; pauses of several processes; pauses with a takeover; workers that stand still, with a clock that goes on, and in a test of its own with a clock that stops.

The checks are as before. Runs on a clock that stopped are reported apart, since the promise on leases doesn't cover them; only the test of stopped clocks stops them. Jobs may take 40 s in place of 25 s to end, as tasks take up to 9 s per attempt.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -11,18 +11,26 @@
 use rosemaryworks_workflow::{Id, Spec, State, Step};
 
 use crate::history::History;
+use crate::layout::Layout;
 use crate::process::Process;
 use crate::protocol::{Acknowledgement, JobStatus, Protocol};
 
 /// Maximum attempts to submit a job.
 const SUBMIT_ATTEMPTS: u32 = 5;
 
+/// Percentage of jobs with one long step. They run for longer than a takeover and a lease.
+const LONG_PERCENT: u32 = 4;
+
+/// Run times of the tasks of long jobs in milliseconds.
+const LONG_MS: std::ops::Range<u64> = 4_000..9_000;
+
 /// State that all callers share.
 pub(crate) struct Context {
     pub(crate) history: Arc<History>,
     pub(crate) protocol: Arc<dyn Protocol>,
     pub(crate) processes: Vec<Arc<Process>>,
     pub(crate) client: Client,
+    pub(crate) layout: Layout,
     /// Whether callers still submit new jobs.
     pub(crate) submitting: AtomicBool,
 }
@@ -38,13 +46,13 @@
         while self.submitting.load(Ordering::Relaxed) {
             tokio::time::sleep(Duration::from_millis(rng.random_range(20..250))).await;
             let id = Id(rng.random());
-            let steps: Vec<u32> = (0..rng.random_range(1..=2))
-                .map(|_| rng.random_range(1..=4))
-                .collect();
+            let long = rng.random_range(0..100) < LONG_PERCENT;
+            let step_count = if long { 1 } else { rng.random_range(1..=2) };
+            let steps: Vec<u32> = (0..step_count).map(|_| rng.random_range(1..=4)).collect();
             self.history.record_submission(id, steps.clone());
             let mut refused = true;
             let mut accepted = false;
-            let spec = spec(&steps, &mut rng);
+            let spec = spec(&steps, long, &mut rng);
             for _ in 0..SUBMIT_ATTEMPTS {
                 match self.submit(id, &spec, &mut rng).await {
                     Acknowledgement::Accepted => {
@@ -68,7 +76,8 @@
 
     async fn submit(&self, id: Id, spec: &Spec, rng: &mut SmallRng) -> Acknowledgement {
         let process = self.random_process(rng);
-        let request = self.protocol.submission(process.caller_address, id, spec);
+        let (to, queue) = (process.caller_address, self.layout.queue_of_job(id));
+        let request = self.protocol.submission(to, queue, id, spec);
         match self.client.send(request).await {
             Ok(response) => {
                 let acknowledgement = self.protocol.acknowledgement(&response);
@@ -104,7 +113,8 @@
 
     /// Cancels a job. Returns whether the cancellation was acknowledged.
     async fn cancel(&self, id: Id, process: &Process) -> bool {
-        let request = self.protocol.cancellation(process.caller_address, id);
+        let (to, queue) = (process.caller_address, self.layout.queue_of_job(id));
+        let request = self.protocol.cancellation(to, queue, id);
         let Ok(response) = self.client.send(request).await else {
             return false;
         };
@@ -119,7 +129,8 @@
 
     /// Queries the state of a job and checks it. Returns whether the job has ended or is unknown.
     async fn query(&self, id: Id, process: &Process) -> bool {
-        let request = self.protocol.status_request(process.caller_address, id);
+        let (to, queue) = (process.caller_address, self.layout.queue_of_job(id));
+        let request = self.protocol.status_request(to, queue, id);
         let Ok(response) = self.client.send(request).await else {
             return false;
         };
@@ -140,9 +151,11 @@
 
 /// Returns a job whose steps run one after the other. Its text sets the run time, processor use and
 /// failure percentage of its tasks at the workers.
-fn spec(steps: &[u32], rng: &mut SmallRng) -> Spec {
-    let millicores = rng.random_range(5..=20) * 100;
-    let ms = rng.random_range(80..900);
+fn spec(steps: &[u32], long: bool, rng: &mut SmallRng) -> Spec {
+    let (millicores, ms) = match long {
+        true => (300, rng.random_range(LONG_MS)),
+        false => (rng.random_range(5..=20) * 100, rng.random_range(80..900)),
+    };
     let step = |(index, count): (u16, &u32)| Step {
         after: index.checked_sub(1).into_iter().collect(),
         count: *count,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,5 +1,6 @@
 //! Fault injection: a seed selects faults, their targets and their durations. Faults may overlap.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,9 +10,9 @@
 
 use crate::callers::Context;
 use crate::log::Log;
-use crate::proxy::Mode;
+use crate::proxy::{Imposition, Mode};
 use crate::run::publish_configuration;
-use crate::worker::Worker;
+use crate::worker::{Incarnation, Worker};
 
 /// Injects faults into the processes, the log and the workers.
 pub(crate) struct Injector {
@@ -32,6 +33,11 @@
     Stop,
     /// Suspends a process.
     Pause,
+    /// Suspends several processes at once.
+    PauseGroup,
+    /// Suspends a process for longer than a takeover takes. The other processes lose a group of
+    /// workers meanwhile and some time afterwards.
+    PauseAndTakeover(Mode),
     /// Sends SIGHUP to a process.
     Reload,
     /// The log rejects every call.
@@ -42,10 +48,23 @@
     LogLosesAnswers,
     /// Network fault between a process and the log.
     LogCut(Mode),
+    /// Network fault between two processes.
+    PeerCut(Mode),
+    /// Network fault between a group of processes and the log, the other processes and a group of
+    /// workers.
+    ZoneCut(Mode),
+    /// The same; in addition the other processes lose the other workers.
+    Split(Mode),
     /// Crashes a worker and starts it again.
     WorkerCrash,
-    /// Network fault of the connections to a worker.
+    /// Suspends a worker with its runs. Its clock goes on.
+    WorkerPause,
+    /// Suspends a worker with its runs and its clock.
+    WorkerStandstill,
+    /// Network fault of the connections of all processes to a worker.
     WorkerLink(Mode),
+    /// Network fault between one process and a group of workers.
+    WorkerGroupCut(Mode),
     /// All workers drop some responses.
     WorkersLoseAnswers,
     /// Publishes a configuration revision.
@@ -53,7 +72,7 @@
 }
 
 /// Faults to select from with equal probability; an entry that is listed twice is twice as likely.
-const FAULTS: [Fault; 23] = [
+const FAULTS: [Fault; 41] = [
     Fault::Kill,
     Fault::Kill,
     Fault::KillAll,
@@ -61,6 +80,9 @@
     Fault::Stop,
     Fault::Pause,
     Fault::Pause,
+    Fault::PauseGroup,
+    Fault::PauseAndTakeover(Mode::Silent),
+    Fault::PauseAndTakeover(Mode::Reset),
     Fault::Reload,
     Fault::LogRefuses,
     Fault::LogSlow,
@@ -69,132 +91,381 @@
     Fault::LogCut(Mode::Reset),
     Fault::LogCut(Mode::OneWay),
     Fault::LogCut(Mode::Delay(60)),
+    Fault::PeerCut(Mode::Silent),
+    Fault::PeerCut(Mode::Reset),
+    Fault::PeerCut(Mode::Delay(60)),
+    Fault::ZoneCut(Mode::Silent),
+    Fault::ZoneCut(Mode::Reset),
+    Fault::ZoneCut(Mode::Delay(300)),
+    Fault::Split(Mode::Silent),
+    Fault::Split(Mode::Reset),
     Fault::WorkerCrash,
+    Fault::WorkerPause,
+    Fault::WorkerPause,
     Fault::WorkerLink(Mode::Silent),
     Fault::WorkerLink(Mode::OneWay),
     Fault::WorkerLink(Mode::Delay(120)),
     Fault::WorkerLink(Mode::Refuse),
     Fault::WorkerLink(Mode::Reset),
+    Fault::WorkerGroupCut(Mode::Silent),
+    Fault::WorkerGroupCut(Mode::OneWay),
+    Fault::WorkerGroupCut(Mode::Delay(120)),
+    Fault::WorkerGroupCut(Mode::Refuse),
+    Fault::WorkerGroupCut(Mode::Reset),
     Fault::WorkersLoseAnswers,
     Fault::Revision,
 ];
 
+/// Faults after which an owner may be superseded without news of it, to select from with equal
+/// probability.
+const OWNERSHIP_FAULTS: [Fault; 13] = [
+    Fault::Kill,
+    Fault::Pause,
+    Fault::PauseGroup,
+    Fault::PauseAndTakeover(Mode::Silent),
+    Fault::PauseAndTakeover(Mode::Reset),
+    Fault::LogCut(Mode::Silent),
+    Fault::PeerCut(Mode::Silent),
+    Fault::ZoneCut(Mode::Silent),
+    Fault::Split(Mode::Silent),
+    Fault::Split(Mode::Silent),
+    Fault::Split(Mode::Reset),
+    Fault::WorkerPause,
+    Fault::WorkerGroupCut(Mode::Silent),
+];
+
+/// Faults around clocks that stand still, to select from with equal probability. No other selection
+/// stops clocks: a run that outlives its lease that way would hide other causes.
+const STANDSTILL_FAULTS: [Fault; 6] = [
+    Fault::WorkerStandstill,
+    Fault::WorkerStandstill,
+    Fault::Kill,
+    Fault::Pause,
+    Fault::LogCut(Mode::Silent),
+    Fault::WorkerGroupCut(Mode::Silent),
+];
+
+/// Selection of faults.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mix {
+    /// All faults but clocks that stand still. Two of four consecutive seeds have fewer kinds of faults
+    /// with longer pauses.
+    Any,
+    /// Workers whose clocks stand still, beside a few other faults.
+    Standstill,
+}
+
+impl Mix {
+    /// Returns the faults of a seed and the longest pause between two of them in milliseconds.
+    fn faults(self, seed: u64) -> (&'static [Fault], u64) {
+        match (self, seed % 4) {
+            (Self::Any, 0 | 1) => (&FAULTS, 1_500),
+            (Self::Any, _) => (&OWNERSHIP_FAULTS, 4_000),
+            (Self::Standstill, _) => (&STANDSTILL_FAULTS, 4_000),
+        }
+    }
+}
+
+/// What a fault applies to.
+#[derive(Clone, Copy, Debug)]
+struct Target {
+    /// Number of a process.
+    process: usize,
+    /// Selects a worker or a further process.
+    number: usize,
+    /// Bits that select groups of processes and workers.
+    group: u32,
+    /// Duration.
+    ms: u64,
+}
+
+impl Target {
+    /// Returns the duration.
+    fn duration(self) -> Duration {
+        Duration::from_millis(self.ms)
+    }
+
+    /// Returns a duration from 3.6 to 9 s. It may be longer than a takeover and a lease together.
+    fn long_duration(self) -> Duration {
+        Duration::from_millis(3_000 + self.ms * 2)
+    }
+
+    /// Returns whether a worker belongs to the group.
+    fn has_worker(self, index: usize) -> bool {
+        self.group >> index & 1 == 1
+    }
+
+    /// Returns whether the bit of a process is set.
+    fn has_process(self, index: usize) -> bool {
+        self.group >> (16 + index) & 1 == 1
+    }
+}
+
 impl Injector {
     /// Injects faults for `duration`. Returns a description of each.
-    pub(crate) async fn inject(self: Arc<Self>, seed: u64, duration: Duration) -> Vec<String> {
+    pub(crate) async fn inject(
+        self: Arc<Self>,
+        mix: Mix,
+        seed: u64,
+        duration: Duration,
+    ) -> Vec<String> {
         let mut rng = SmallRng::seed_from_u64(seed);
+        let (faults, pause_max_ms) = mix.faults(seed);
         let until = tokio::time::Instant::now() + duration;
         let mut injected = Vec::new();
         let mut running = tokio::task::JoinSet::new();
         while tokio::time::Instant::now() < until {
-            let fault = FAULTS[rng.random_range(0..FAULTS.len())];
-            let (target, ms) = (rng.random::<u32>() as usize, rng.random_range(300..3_000));
+            let fault = faults[rng.random_range(0..faults.len())];
+            let target = Target {
+                process: self.select_process(&mut rng),
+                number: rng.random::<u32>() as usize,
+                group: rng.random(),
+                ms: rng.random_range(300..3_000),
+            };
             let at_ms = self.context.history.now_ms();
-            injected.push(format!("{at_ms} ms: {fault:?} target {target} for {ms} ms"));
-            running.spawn(self.clone().apply(fault, target, ms));
-            tokio::time::sleep(Duration::from_millis(rng.random_range(50..1_500))).await;
+            injected.push(format!("{at_ms} ms: {fault:?} {target:?}"));
+            running.spawn(self.clone().apply(fault, target));
+            tokio::time::sleep(Duration::from_millis(rng.random_range(50..pause_max_ms))).await;
         }
         while running.join_next().await.is_some() {}
         injected
     }
 
-    async fn apply(self: Arc<Self>, fault: Fault, target: usize, ms: u64) {
-        let duration = Duration::from_millis(ms);
-        let process = self.context.processes[target % self.context.processes.len()].clone();
-        let worker = self.workers[target % self.workers.len()].clone();
-        if matches!(
-            fault,
-            Fault::Kill | Fault::Stop | Fault::Pause | Fault::Reload
-        ) && !process.reserve()
-        {
-            return;
+    /// Selects the process that took over a shard last, or any with equal probability.
+    fn select_process(&self, rng: &mut SmallRng) -> usize {
+        let any = rng.random_range(0..self.context.processes.len());
+        match rng.random() {
+            true => any,
+            false => self.log.last_claimant.load(Ordering::Relaxed),
         }
-        match fault {
-            Fault::Kill => {
-                process.kill();
-                tokio::time::sleep(duration).await;
-                process.spawn();
+    }
+
+    /// Returns the group of processes of a target, which is neither empty nor complete.
+    fn zone(&self, target: Target) -> BTreeSet<usize> {
+        let (first, count) = (target.process, self.context.processes.len());
+        let mut zone: BTreeSet<usize> = (0..count)
+            .filter(|index| *index == first || target.has_process(*index))
+            .collect();
+        if zone.len() == count {
+            zone.remove(&((first + 1) % count));
+        }
+        zone
+    }
+
+    /// Imposes a fault on the links between two processes, in both directions.
+    fn cut_peers(&self, one: usize, other: usize, mode: Mode) -> Vec<Imposition> {
+        let mut cuts = Vec::new();
+        for (from, to) in [(one, other), (other, one)] {
+            let links = &self.context.processes[to].links;
+            let proxies = links.iter().filter(|(index, _)| *index == from);
+            cuts.extend(proxies.map(|(_, proxy)| proxy.impose(mode)));
+        }
+        cuts
+    }
+
+    /// Imposes a fault on the connections between a process and the workers of a group, or the workers
+    /// outside of it.
+    fn cut_workers(
+        &self,
+        process: usize,
+        target: Target,
+        inside: bool,
+        mode: Mode,
+    ) -> Vec<Imposition> {
+        let workers = (0..).zip(&self.workers);
+        let cut = workers.filter(|(index, _)| target.has_worker(*index) == inside);
+        cut.map(|(_, worker)| worker.proxies[process].impose(mode))
+            .collect()
+    }
+
+    /// Cuts a group of processes off. `others` says whether the other processes lose the workers that
+    /// the group keeps.
+    fn cut_zone(&self, target: Target, others: bool, mode: Mode) -> Vec<Imposition> {
+        let zone = self.zone(target);
+        let mut cuts = Vec::new();
+        for index in 0..self.context.processes.len() {
+            if zone.contains(&index) {
+                cuts.push(self.context.processes[index].log_proxy.impose(mode));
+                cuts.extend(self.cut_workers(index, target, true, mode));
+                continue;
             }
-            Fault::KillAll => {
-                let reserved: Vec<_> = self
-                    .context
-                    .processes
-                    .iter()
-                    .filter(|process| process.reserve())
-                    .collect();
-                reserved.iter().for_each(|process| process.kill());
-                tokio::time::sleep(duration / 2).await;
-                reserved.iter().for_each(|process| {
-                    process.spawn();
-                    process.release();
-                });
-                return;
+            for member in &zone {
+                cuts.extend(self.cut_peers(*member, index, mode));
             }
-            Fault::Stop => {
-                if let Some(description) = process.stop().await {
-                    self.context.history.add_violation(description);
-                }
-                process.spawn();
+            if others {
+                cuts.extend(self.cut_workers(index, target, false, mode));
             }
-            Fault::Pause => {
-                process.signal("-STOP");
-                tokio::time::sleep(duration).await;
-                process.signal("-CONT");
+        }
+        cuts
+    }
+
+    /// Suspends processes for a while. Processes under another fault are left out.
+    async fn pause(&self, indices: impl Iterator<Item = usize>, duration: Duration) {
+        let processes = indices.map(|index| &self.context.processes[index]);
+        let reserved: Vec<_> = processes.filter(|process| process.reserve()).collect();
+        reserved.iter().for_each(|process| process.signal("-STOP"));
+        tokio::time::sleep(duration).await;
+        reserved.iter().for_each(|process| {
+            process.signal("-CONT");
+            process.release();
+        });
+    }
+
+    async fn pause_and_takeover(&self, target: Target, mode: Mode) {
+        let paused = target.process;
+        let others = (0..self.context.processes.len()).filter(|index| *index != paused);
+        let cuts: Vec<Imposition> = others
+            .flat_map(|index| self.cut_workers(index, target, true, mode))
+            .collect();
+        // Shorter than a lease, so that work goes on that the successor counts as lost.
+        let pause = Duration::from_millis(2_000 + target.ms * 6 / 10);
+        self.pause(std::iter::once(paused), pause).await;
+        tokio::time::sleep(target.long_duration()).await;
+        drop(cuts);
+    }
+
+    async fn kill_all(&self, duration: Duration) {
+        let processes = self.context.processes.iter();
+        let reserved: Vec<_> = processes.filter(|process| process.reserve()).collect();
+        reserved.iter().for_each(|process| process.kill());
+        tokio::time::sleep(duration).await;
+        reserved.iter().for_each(|process| {
+            process.spawn();
+            process.release();
+        });
+    }
+
+    /// Stops a process, by a signal or not, and starts it again.
+    async fn restart(&self, fault: Fault, target: Target) {
+        let process = &self.context.processes[target.process];
+        if !process.reserve() {
+            return;
+        }
+        if matches!(fault, Fault::Stop) {
+            if let Some(description) = process.stop().await {
+                self.context.history.add_violation(description);
             }
-            Fault::Reload => process.signal("-HUP"),
+        } else {
+            process.kill();
+            tokio::time::sleep(target.duration()).await;
+        }
+        process.spawn();
+        process.release();
+    }
+
+    fn reload(&self, target: Target) {
+        let process = &self.context.processes[target.process];
+        if process.reserve() {
+            process.signal("-HUP");
+            process.release();
+        }
+    }
+
+    /// Sets the percentage of responses that all workers drop.
+    fn drop_responses(&self, percent: u32) {
+        for worker in &self.workers {
+            worker.dropped_percent.store(percent, Ordering::Relaxed);
+        }
+    }
+
+    async fn pause_worker(
+        &self,
+        worker: &Worker,
+        suspend: impl FnOnce(&Incarnation),
+        duration: Duration,
+    ) {
+        let Some(incarnation) = worker.incarnation() else {
+            return;
+        };
+        let held = worker.impose(Mode::Silent);
+        suspend(&incarnation);
+        tokio::time::sleep(duration).await;
+        incarnation.resume();
+        drop(held);
+    }
+
+    fn publish_revision(&self) {
+        let version = self.next_version.fetch_add(3, Ordering::Relaxed);
+        let context = &self.context;
+        publish_configuration(
+            context.protocol.as_ref(),
+            &context.layout,
+            &self.log,
+            version,
+        );
+    }
+
+    async fn apply(self: Arc<Self>, fault: Fault, target: Target) {
+        let duration = target.duration();
+        let index = target.process;
+        let process = &self.context.processes[index];
+        let worker = &self.workers[target.number % self.workers.len()];
+        match fault {
+            Fault::Kill | Fault::Stop => self.restart(fault, target).await,
+            Fault::KillAll => self.kill_all(duration / 2).await,
+            Fault::Pause => self.pause(std::iter::once(index), duration).await,
+            Fault::PauseGroup => self.pause(self.zone(target).into_iter(), duration).await,
+            Fault::PauseAndTakeover(mode) => self.pause_and_takeover(target, mode).await,
+            Fault::Reload => self.reload(target),
             Fault::LogRefuses => {
                 self.log.rejecting_faults.fetch_add(1, Ordering::Relaxed);
                 tokio::time::sleep(duration).await;
                 self.log.rejecting_faults.fetch_sub(1, Ordering::Relaxed);
-                return;
             }
             Fault::LogSlow => {
                 self.log.delay_ms.store(200, Ordering::Relaxed);
                 tokio::time::sleep(duration).await;
                 self.log.delay_ms.store(0, Ordering::Relaxed);
-                return;
             }
             Fault::LogLosesAnswers => {
                 self.log.dropped_percent.store(30, Ordering::Relaxed);
                 tokio::time::sleep(duration).await;
                 self.log.dropped_percent.store(0, Ordering::Relaxed);
-                return;
             }
-            Fault::LogCut(mode) => {
-                process.log_proxy.set(mode);
-                tokio::time::sleep(duration).await;
-                process.log_proxy.set(Mode::Pass);
-                return;
+            Fault::LogCut(mode) => hold(vec![process.log_proxy.impose(mode)], duration).await,
+            Fault::PeerCut(mode) => {
+                let count = self.context.processes.len();
+                let other = (index + 1 + target.number % (count - 1)) % count;
+                hold(self.cut_peers(index, other, mode), duration).await;
+            }
+            Fault::ZoneCut(mode) => {
+                hold(self.cut_zone(target, false, mode), target.long_duration()).await;
+            }
+            Fault::Split(mode) => {
+                hold(self.cut_zone(target, true, mode), target.long_duration()).await;
             }
             Fault::WorkerCrash => {
                 worker.crash();
                 tokio::time::sleep(duration).await;
                 worker.restart(&self.log).await;
-                return;
             }
-            Fault::WorkerLink(mode) => {
-                worker.proxy.set(mode);
-                tokio::time::sleep(duration).await;
-                worker.proxy.set(Mode::Pass);
-                return;
+            Fault::WorkerPause => {
+                let paused =
+                    self.pause_worker(worker, Incarnation::suspend, target.long_duration());
+                paused.await;
+            }
+            Fault::WorkerStandstill => {
+                let paused =
+                    self.pause_worker(worker, Incarnation::stand_still, target.long_duration());
+                paused.await;
+            }
+            Fault::WorkerLink(mode) => hold(worker.impose(mode), duration).await,
+            Fault::WorkerGroupCut(mode) => {
+                let cuts = self.cut_workers(index, target, true, mode);
+                hold(cuts, target.long_duration()).await;
             }
             Fault::WorkersLoseAnswers => {
-                let set = |percent| {
-                    for worker in &self.workers {
-                        worker.dropped_percent.store(percent, Ordering::Relaxed);
-                    }
-                };
-                set(8);
+                self.drop_responses(8);
                 tokio::time::sleep(duration).await;
-                set(0);
-                return;
-            }
-            Fault::Revision => {
-                let version = self.next_version.fetch_add(3, Ordering::Relaxed);
-                publish_configuration(self.context.protocol.as_ref(), &self.log, version);
-                return;
+                self.drop_responses(0);
             }
+            Fault::Revision => self.publish_revision(),
         }
-        process.release();
     }
 }
+
+/// Keeps network faults for a while.
+async fn hold(faults: Vec<Imposition>, duration: Duration) {
+    tokio::time::sleep(duration).await;
+    drop(faults);
+}
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -20,6 +20,9 @@
     attempt: u32,
     /// Whether an owner acknowledged the end to the worker, whose lease had not expired since.
     acknowledged: bool,
+    /// Whether the worker's clock stood still before the end was acknowledged. Leases are only promised
+    /// for clocks that are at most 2 % slow, so what follows is reported apart from the violations.
+    stood_still: bool,
 }
 
 /// A job as its caller submitted it.
@@ -42,6 +45,8 @@
     runs: BTreeMap<Key, Vec<Run>>,
     jobs: BTreeMap<Id, Job>,
     violations: Vec<String>,
+    /// Second runs of tasks whose first run outlived a standstill of its worker's clock.
+    exempt: Vec<String>,
 }
 
 /// Thread-safe history. The checks run as events are recorded.
@@ -137,12 +142,17 @@
             }
         }
         let runs = records.runs.entry(task).or_default();
+        let mut exempt = Vec::new();
         for run in runs.iter() {
+            let target = match run.stood_still {
+                true => &mut exempt,
+                false => &mut violations,
+            };
             if run.ended_ms.is_none() {
-                violations.push(format!("{task} runs on {} and on {worker}", run.worker));
+                target.push(format!("{task} runs on {} and on {worker}", run.worker));
             }
             if run.done && run.acknowledged {
-                violations.push(format!(
+                target.push(format!(
                     "{task} starts on {worker} after its completion was acknowledged"
                 ));
             }
@@ -155,11 +165,21 @@
             failed: false,
             attempt,
             acknowledged: false,
+            stood_still: false,
         });
-        let violations = violations
-            .into_iter()
-            .map(|description| format!("{now_ms} ms: {description}"));
-        records.violations.extend(violations);
+        let timed = |description| format!("{now_ms} ms: {description}");
+        records.violations.extend(violations.into_iter().map(timed));
+        records.exempt.extend(exempt.into_iter().map(timed));
+    }
+
+    /// Records that a worker's clock stands still during its latest run of a task or before an owner
+    /// acknowledged the end.
+    pub(crate) fn record_standstill(&self, task: Key, worker: &str) {
+        let mut records = self.records();
+        let runs = records.runs.entry(task).or_default();
+        if let Some(run) = runs.iter_mut().rev().find(|run| run.worker == worker) {
+            run.stood_still = true;
+        }
     }
 
     /// Records the end of the latest unfinished run on a worker.
@@ -180,12 +200,14 @@
     pub(crate) fn record_acknowledgement(&self, task: Key, attempt: u32, worker: &str) {
         let mut records = self.records();
         let mut restarted = false;
+        let mut stood_still = false;
         if let Some(runs) = records.runs.get_mut(&task) {
             let position = runs.iter().rposition(|run| {
                 run.worker == worker && run.attempt == attempt && run.ended_ms.is_some()
             });
             if let Some(position) = position {
                 runs[position].acknowledged = true;
+                stood_still = runs[position].stood_still;
                 let ended_ms = runs[position].ended_ms;
                 let is_later = |run: &Run| Some(run.began_ms) > ended_ms;
                 restarted = runs[position].done && runs.iter().skip(position + 1).any(is_later);
@@ -196,7 +218,10 @@
             let description = format!(
                 "{now_ms} ms: {task} was started again after a completion that was then acknowledged"
             );
-            records.violations.push(description);
+            match stood_still {
+                true => records.exempt.push(description),
+                false => records.violations.push(description),
+            }
         }
     }
 
@@ -254,6 +279,11 @@
         (records.violations.clone(), accepted, runs)
     }
 
+    /// Returns the second runs that follow from clocks that stood still.
+    pub(crate) fn exempt(&self) -> Vec<String> {
+        self.records().exempt.clone()
+    }
+
     /// Returns a description of a job and its runs for a violation.
     pub(crate) fn describe_job(&self, id: Id) -> String {
         let records = self.records();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,7 +7,9 @@
 mod callers;
 mod faults;
 mod history;
+mod layout;
 mod log;
+mod network;
 mod process;
 mod protocol;
 pub mod proxy;
@@ -15,7 +17,9 @@
 pub mod server;
 mod worker;
 
+pub use faults::Mix;
 pub use log::Log;
+pub use network::View;
 pub use process::Addresses;
 pub use protocol::{Acknowledgement, JobStatus, Protocol};
 pub use run::{run, run_all};
--- a/crates/soak/src/log.rs
+++ b/crates/soak/src/log.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform's log.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -73,6 +73,8 @@
     pub(crate) rejecting_faults: AtomicU32,
     /// Percentage of appends whose responses are dropped.
     pub(crate) dropped_percent: AtomicU32,
+    /// The process that took over a shard last.
+    pub(crate) last_claimant: AtomicUsize,
     appends: AtomicU64,
 }
 
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -5,9 +5,11 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use crate::layout::Layout;
+use crate::network;
 use crate::protocol::Protocol;
 use crate::proxy::Proxy;
 
@@ -39,11 +41,13 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-/// An entry process under test and its proxy to the log.
+/// An entry process under test and the proxies in front of the log and of itself.
 pub(crate) struct Process {
     pub(crate) name: String,
     pub(crate) caller_address: SocketAddr,
     pub(crate) log_proxy: Proxy,
+    /// Proxies of the links that other processes open to this one, with the number of the other.
+    pub(crate) links: Vec<(usize, Proxy)>,
     /// Whether a fault has reserved the process. No other process fault is applied meanwhile.
     pub(crate) reserved: AtomicBool,
     program: PathBuf,
@@ -52,43 +56,26 @@
     child: Mutex<Option<Child>>,
 }
 
-/// Port range below the system's ephemeral ports: an outgoing connection could take an ephemeral port
-/// while its process is down.
-const PORT_RANGE: std::ops::Range<u16> = 12_000..24_000;
-
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-/// Returns free ports. The search starts at an offset from the process id, because several soak tests
-/// may run at the same time.
-fn free_ports() -> [u16; 4] {
-    let first = (std::process::id() * 97 % u32::from(PORT_RANGE.end - PORT_RANGE.start)) as u16;
-    let mut ports = [0; 4];
-    for port in &mut ports {
-        loop {
-            let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-            let offset = (first + step % 4_000) % (PORT_RANGE.end - PORT_RANGE.start);
-            *port = PORT_RANGE.start + offset;
-            if std::net::TcpListener::bind(("127.0.0.1", *port)).is_ok() {
-                break;
-            }
-        }
-    }
-    ports
-}
-
 impl Process {
-    /// Chooses the addresses, starts the proxy to the log and writes the settings file. The process
-    /// itself is started by [`Self::spawn`].
+    /// Chooses the addresses, starts the proxies and writes the settings file. The process itself is
+    /// started by [`Self::spawn`].
     pub(crate) async fn prepare(
         index: usize,
+        layout: &Layout,
         folder: &Path,
         log: SocketAddr,
         advisor: SocketAddr,
-        own_workers: Option<u32>,
         protocol: &dyn Protocol,
     ) -> Self {
         let name = format!("n{index}");
-        let [callers, probes, peers, metrics] = free_ports().map(loopback);
+        let [callers, probes, metrics] = [(); 3].map(|()| loopback(network::free_port()));
+        let port = network::free_port();
+        let peers = network::seen_by(index, port);
+        let mut links = Vec::new();
+        for other in (0..layout.processes).filter(|other| *other != index) {
+            let proxy = Proxy::start_at(network::seen_by(other, port), peers);
+            links.push((other, proxy.await));
+        }
         let log_proxy = Proxy::start(log).await;
         let addresses = Addresses {
             name: name.clone(),
@@ -98,7 +85,7 @@
             metrics,
             log: log_proxy.address,
             advisor,
-            own_workers,
+            own_workers: layout.own_workers,
         };
         let settings = folder.join(format!("{name}.json"));
         std::fs::write(&settings, protocol.settings(&addresses))
@@ -108,6 +95,7 @@
             name,
             caller_address: callers,
             log_proxy,
+            links,
             reserved: AtomicBool::new(false),
             program: protocol.program(),
             settings,
--- a/crates/soak/src/protocol.rs
+++ b/crates/soak/src/protocol.rs
@@ -8,6 +8,7 @@
 use rosemaryworks_workflow::{Id, Queue, Spec, State, Worker};
 
 use crate::log::Log;
+use crate::network::View;
 use crate::process::Addresses;
 use crate::server::Handler;
 use crate::worker::Incarnation;
@@ -44,8 +45,8 @@
     /// Returns the settings file of a process.
     fn settings(&self, addresses: &Addresses) -> String;
 
-    /// Returns the HTTP handler of the log.
-    fn log(&self, log: Arc<Log>) -> Arc<dyn Handler>;
+    /// Returns the HTTP handler of the log for one process.
+    fn log(&self, log: View) -> Arc<dyn Handler>;
 
     /// Returns the HTTP handler of one incarnation of a worker.
     fn worker(&self, incarnation: Arc<Incarnation>) -> Arc<dyn Handler>;
@@ -53,20 +54,20 @@
     /// Returns the HTTP handler of the advice service, which allows every worker.
     fn advisor(&self) -> Arc<dyn Handler>;
 
-    /// Publishes a configuration revision with one queue.
-    fn publish_configuration(&self, log: &Log, version: u64, queue: &Queue);
+    /// Publishes a configuration revision.
+    fn publish_configuration(&self, log: &Log, version: u64, queues: &[Queue]);
 
     /// Publishes a worker in the platform's list of workers.
     fn publish_worker(&self, log: &Log, worker: &Worker);
 
-    /// Returns the request that submits a job.
-    fn submission(&self, to: SocketAddr, id: Id, spec: &Spec) -> Request;
+    /// Returns the request that submits a job to a queue.
+    fn submission(&self, to: SocketAddr, queue: &str, id: Id, spec: &Spec) -> Request;
 
-    /// Returns the request that cancels a job.
-    fn cancellation(&self, to: SocketAddr, id: Id) -> Request;
+    /// Returns the request that cancels a job of a queue.
+    fn cancellation(&self, to: SocketAddr, queue: &str, id: Id) -> Request;
 
-    /// Returns the request for the state of a job.
-    fn status_request(&self, to: SocketAddr, id: Id) -> Request;
+    /// Returns the request for the state of a job of a queue.
+    fn status_request(&self, to: SocketAddr, queue: &str, id: Id) -> Request;
 
     /// Parses the response to a submission or cancellation.
     fn acknowledgement(&self, response: &Response) -> Acknowledgement;
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,7 +1,8 @@
 //! Loopback TCP proxies that inject network faults: delayed, withheld and reset connections.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -9,6 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch::{self, Receiver, Sender};
 
+use crate::network;
 use crate::server::bind;
 
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -62,17 +64,36 @@
     }
 }
 
+/// Modes that faults impose on a proxy, in the order in which they began.
+type Imposed = Arc<Mutex<Vec<(u64, Mode)>>>;
+
 /// A proxy in front of one address.
 #[derive(Clone)]
 pub(crate) struct Proxy {
     pub(crate) address: SocketAddr,
     forward: Arc<Sender<Flow>>,
     backward: Arc<Sender<Flow>>,
+    imposed: Imposed,
+    next_number: Arc<AtomicU64>,
 }
 
 impl Proxy {
+    /// Starts a proxy at a free address.
     pub(crate) async fn start(target: SocketAddr) -> Self {
         let (listener, address) = bind().await;
+        Self::serve(listener, address, target)
+    }
+
+    /// Starts a proxy at `address`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the address can't be bound within five seconds.
+    pub(crate) async fn start_at(address: SocketAddr, target: SocketAddr) -> Self {
+        Self::serve(network::bind(address).await, address, target)
+    }
+
+    fn serve(listener: TcpListener, address: SocketAddr, target: SocketAddr) -> Self {
         let (forward, forward_flow) = watch::channel(Flow::Pass);
         let (backward, backward_flow) = watch::channel(Flow::Pass);
         tokio::spawn(serve(listener, target, forward_flow, backward_flow));
@@ -80,16 +101,47 @@
             address,
             forward: Arc::new(forward),
             backward: Arc::new(backward),
+            imposed: Imposed::default(),
+            next_number: Arc::default(),
         }
     }
 
-    pub(crate) fn set(&self, mode: Mode) {
+    /// Imposes a fault until the returned value is dropped. Of several faults the last one takes
+    /// effect.
+    pub(crate) fn impose(&self, mode: Mode) -> Imposition {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        self.change(|imposed| imposed.push((number, mode)));
+        Imposition {
+            proxy: self.clone(),
+            number,
+        }
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Vec<(u64, Mode)>)) {
+        let mut imposed = self.imposed.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut imposed);
+        let mode = imposed.last().map_or(Mode::Pass, |(_, mode)| *mode);
         let (forward, backward) = mode.flows();
         self.forward.send_replace(forward);
         self.backward.send_replace(backward);
     }
 }
 
+/// A fault that a proxy has until this value is dropped.
+#[must_use]
+pub(crate) struct Imposition {
+    proxy: Proxy,
+    number: u64,
+}
+
+impl Drop for Imposition {
+    fn drop(&mut self) {
+        let number = self.number;
+        self.proxy
+            .change(|imposed| imposed.retain(|(other, _)| *other != number));
+    }
+}
+
 /// Relays each accepted connection to `target`. `forward` controls the bytes that the client sends,
 /// `backward` those of the server. Connections end once the senders are dropped.
 pub async fn serve(
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -8,16 +8,16 @@
 use rosemaryworks_workflow::{AdviceTerms, Queue};
 
 use crate::callers::Context;
-use crate::faults::Injector;
+use crate::faults::{Injector, Mix};
 use crate::history::{History, MAX_ATTEMPTS};
+use crate::layout::Layout;
 use crate::log::Log;
+use crate::network::View;
 use crate::process::Process;
 use crate::protocol::Protocol;
 use crate::server;
-use crate::worker::{POOL, Worker};
+use crate::worker::Worker;
 
-const PROCESS_COUNT: usize = 3;
-const WORKER_COUNT: usize = 6;
 const CALLER_COUNT: u64 = 6;
 
 /// Time for the processes to start.
@@ -28,27 +28,35 @@
 const SUBMISSION_WAIT: Duration = Duration::from_secs(2);
 
 /// Time after the last fault in which every accepted job must end: a lease of at most 6 s on the
-/// slowest clock, a takeover, the longest job of two steps, its failed runs and the pauses before their
-/// retries.
-const COMPLETION_TIMEOUT: Duration = Duration::from_secs(25);
+/// slowest clock, a takeover, the longest job, its failed runs and the pauses before their retries.
+const COMPLETION_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// Number of the next run of this program. Several tests may run the same seed at the same time.
+static NEXT_RUN: AtomicU64 = AtomicU64::new(0);
 
 /// Publishes a configuration revision. Its service level objective includes the
 /// version, so that revisions differ.
-pub(crate) fn publish_configuration(protocol: &dyn Protocol, log: &Log, version: u64) {
-    let queue = Queue {
+pub(crate) fn publish_configuration(
+    protocol: &dyn Protocol,
+    layout: &Layout,
+    log: &Log,
+    version: u64,
+) {
+    let queue = |pool: &Arc<str>| Queue {
         max_attempts: MAX_ATTEMPTS,
         advice: Some(AdviceTerms {
             call_ms: 15.0,
             worker_ms: 0.1,
             validity_ms: 2_000,
         }),
-        name: "jobs".into(),
-        pool: POOL.into(),
+        name: pool.clone(),
+        pool: pool.clone(),
         priority: 0,
         slack_factor: 1.5,
         slo_ms: 250 + version,
     };
-    protocol.publish_configuration(log, version, &queue);
+    let queues: Vec<Queue> = layout.pools.iter().map(queue).collect();
+    protocol.publish_configuration(log, version, &queues);
 }
 
 /// Runs one seed and injects faults for `duration`. Returns the violations.
@@ -56,42 +64,50 @@
 /// # Panics
 ///
 /// Panics if a part of the soak test can't be started, or if no job was accepted or run.
-pub async fn run(protocol: Arc<dyn Protocol>, seed: u64, duration: Duration) -> Vec<String> {
-    let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+pub async fn run(
+    protocol: Arc<dyn Protocol>,
+    mix: Mix,
+    seed: u64,
+    duration: Duration,
+) -> Vec<String> {
+    let number = NEXT_RUN.fetch_add(1, Ordering::Relaxed);
+    let name = format!("soak-{}-{number}-seed-{seed}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder).expect("can't create the soak folder");
     let history = Arc::new(History::new());
     let log = Arc::new(Log::default());
-    publish_configuration(protocol.as_ref(), &log, 1);
-    let (listener, log_address) = server::bind().await;
-    tokio::spawn(server::serve(listener, protocol.log(log.clone())));
+    let layout = Layout::of_seed(seed);
+    publish_configuration(protocol.as_ref(), &layout, &log, 1);
     let (listener, advisor) = server::bind().await;
     tokio::spawn(server::serve(listener, protocol.advisor()));
     let mut workers = Vec::new();
-    for index in 0..WORKER_COUNT {
-        let started = Worker::start(index, history.clone(), protocol.clone(), &log);
+    for index in 0..layout.workers {
+        let started = Worker::start(index, &layout, history.clone(), protocol.clone(), &log);
         workers.push(started.await);
     }
-    // Every other seed has its commands sent through relays.
-    let own_workers = (seed % 2 == 1).then_some(0);
     let mut processes = Vec::new();
-    for index in 0..PROCESS_COUNT {
+    for index in 0..layout.processes {
+        let (listener, log_address) = server::bind().await;
+        let view = View::new(log.clone(), index);
+        tokio::spawn(server::serve(listener, protocol.log(view)));
         let prepared = Process::prepare(
             index,
+            &layout,
             &folder,
             log_address,
             advisor,
-            own_workers,
             protocol.as_ref(),
         );
-        let prepared = prepared.await;
-        prepared.spawn();
-        processes.push(Arc::new(prepared));
+        processes.push(Arc::new(prepared.await));
     }
+    // A process may connect to any other as soon as it runs.
+    processes.iter().for_each(|process| process.spawn());
     let context = Arc::new(Context {
         history: history.clone(),
         protocol,
         processes,
         client: Client::start(2),
+        layout,
         submitting: AtomicBool::new(true),
     });
     tokio::time::sleep(STARTUP_TIME).await;
@@ -104,7 +120,7 @@
         workers,
         next_version: AtomicU64::new(2),
     });
-    let injected = injector.clone().inject(seed, duration).await;
+    let injected = injector.clone().inject(mix, seed, duration).await;
     context.submitting.store(false, Ordering::Relaxed);
     await_completion(&context).await;
     let (violations, accepted, runs) = history.summary();
@@ -113,6 +129,10 @@
         injected.len(),
         violations.len()
     );
+    let exempt = history.exempt();
+    if mix == Mix::Standstill {
+        println!("  {} second runs after standstills", exempt.len());
+    }
     if violations.is_empty() {
         // The logs of a passing run aren't needed. A folder that can't be removed does no harm.
         let _ = std::fs::remove_dir_all(&folder);
@@ -153,6 +173,7 @@
 /// Panics after the last seed if any seed had violations.
 pub fn run_all(
     protocol: &Arc<dyn Protocol>,
+    mix: Mix,
     seeds: impl IntoIterator<Item = u64>,
     duration: Duration,
 ) {
@@ -164,7 +185,7 @@
             .enable_all()
             .build()
             .expect("can't start the runtime");
-        let violations = runtime.block_on(run(protocol.clone(), seed, duration));
+        let violations = runtime.block_on(run(protocol.clone(), mix, seed, duration));
         runtime.shutdown_background();
         if !violations.is_empty() {
             failed.push(seed);
--- a/crates/soak/src/worker.rs
+++ b/crates/soak/src/worker.rs
@@ -1,30 +1,33 @@
 //! Stand-ins for workers: they run simulated tasks under leases and check their own capacity.
 
+mod clock;
+mod run;
+
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rosemaryworks_core::size::Size;
-use rosemaryworks_node::clock;
+use rosemaryworks_node::clock::unix_ms;
 use rosemaryworks_workflow::{
     Finished, Key, Order, Outcome, Refusal, Report, Running, StartOutcome, Stop,
     Worker as WorkerEntry,
 };
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 
 use crate::history::History;
+use crate::layout::{Layout, clock_rate};
 use crate::log::{DROP_STRIDE, Log};
+use crate::network;
 use crate::protocol::Protocol;
-use crate::proxy::Proxy;
+use crate::proxy::{Imposition, Mode, Proxy};
 use crate::server;
-
-/// Pool of all workers.
-pub(crate) const POOL: &str = "pool";
+use crate::worker::clock::Clock;
+use crate::worker::run::Run;
 
 /// Capacity of each worker.
 const CAPACITY: Size = Size::new(8_000, 16_000);
@@ -35,16 +38,6 @@
 /// Time that a run takes to stop, in milliseconds.
 const STOP_DURATION_MS: u64 = 150;
 
-/// Clock rate of the workers relative to real time: the slowest that is allowed.
-const CLOCK_RATE: f64 = 0.98;
-
-struct Run {
-    attempt: u32,
-    millicores: u64,
-    ends_ms: u64,
-    outcome: Outcome,
-}
-
 #[derive(Default)]
 struct State {
     /// Highest fencing token received.
@@ -59,6 +52,8 @@
     last_number: u64,
     /// Number of the latest entry of `finished` when a lease last expired.
     expired_number: u64,
+    /// Time at which the worker was suspended.
+    suspended_ms: Option<u64>,
 }
 
 impl State {
@@ -87,10 +82,12 @@
 pub struct Incarnation {
     id: Arc<str>,
     started_unix_ms: u64,
-    started_at: Instant,
+    clock: Clock,
     history: Arc<History>,
     state: Mutex<State>,
     run_ended: Notify,
+    /// Whether the worker is suspended.
+    suspended: watch::Sender<bool>,
     /// Percentage of calls whose responses are dropped.
     dropped_percent: Arc<AtomicU32>,
     calls: AtomicU64,
@@ -105,9 +102,12 @@
 
 /// A worker across its incarnations.
 pub(crate) struct Worker {
-    pub(crate) proxy: Proxy,
+    /// Proxy of each process to the worker.
+    pub(crate) proxies: Vec<Proxy>,
     pub(crate) dropped_percent: Arc<AtomicU32>,
     id: Arc<str>,
+    pool: Arc<str>,
+    clock_rate: f64,
     address: SocketAddr,
     history: Arc<History>,
     protocol: Arc<dyn Protocol>,
@@ -117,14 +117,24 @@
 impl Worker {
     pub(crate) async fn start(
         index: usize,
+        layout: &Layout,
         history: Arc<History>,
         protocol: Arc<dyn Protocol>,
         log: &Log,
     ) -> Arc<Self> {
-        let (listener, address) = server::bind().await;
+        let port = network::free_port();
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let listener = network::bind(address).await;
+        let mut proxies = Vec::new();
+        for process in 0..layout.processes {
+            let proxy = Proxy::start_at(network::seen_by(process, port), address);
+            proxies.push(proxy.await);
+        }
         let worker = Arc::new(Self {
             id: format!("i-{index}").into(),
-            proxy: Proxy::start(address).await,
+            pool: layout.pool_of_worker(index).clone(),
+            clock_rate: clock_rate(index),
+            proxies,
             dropped_percent: Arc::default(),
             address,
             history,
@@ -142,11 +152,12 @@
     fn start_incarnation(&self, listener: TcpListener, log: &Log) {
         let incarnation = Arc::new(Incarnation {
             id: self.id.clone(),
-            started_unix_ms: clock::unix_ms(),
-            started_at: Instant::now(),
+            started_unix_ms: unix_ms(),
+            clock: Clock::start(self.clock_rate),
             history: self.history.clone(),
             state: Mutex::default(),
             run_ended: Notify::new(),
+            suspended: watch::Sender::new(false),
             dropped_percent: self.dropped_percent.clone(),
             calls: AtomicU64::new(0),
         });
@@ -154,13 +165,13 @@
         let server = tokio::spawn(server::serve(listener, handler));
         let timer = tokio::spawn(run_timer(incarnation.clone()));
         let entry = WorkerEntry {
-            address: self.proxy.address,
+            address: network::published(self.address.port()),
             incarnation: incarnation.started_unix_ms,
             capacity: CAPACITY,
             draining: false,
             id: self.id.clone(),
             labels: vec!["a".into(), "r1".into()],
-            pool: POOL.into(),
+            pool: self.pool.clone(),
             rack: "r1".into(),
             remaining_ms: None,
         };
@@ -172,6 +183,20 @@
         });
     }
 
+    /// Returns the running incarnation.
+    pub(crate) fn incarnation(&self) -> Option<Arc<Incarnation>> {
+        let active = self.active();
+        active.as_ref().map(|active| active.incarnation.clone())
+    }
+
+    /// Imposes a network fault of the connections of all processes.
+    pub(crate) fn impose(&self, mode: Mode) -> Vec<Imposition> {
+        self.proxies
+            .iter()
+            .map(|proxy| proxy.impose(mode))
+            .collect()
+    }
+
     /// Crashes the worker: closes its listener and connections and ends its runs.
     pub(crate) fn crash(&self) {
         let Some(active) = self.active().take() else {
@@ -194,14 +219,8 @@
         if self.active().is_some() {
             return;
         }
-        for _ in 0..100 {
-            if let Ok(listener) = TcpListener::bind(self.address).await {
-                self.start_incarnation(listener, log);
-                return;
-            }
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-        panic!("{} can't bind {} again", self.id, self.address);
+        let listener = network::bind(self.address).await;
+        self.start_incarnation(listener, log);
     }
 }
 
@@ -226,7 +245,7 @@
     /// Returns the time on the worker's clock in milliseconds.
     #[must_use]
     pub fn clock_ms(&self) -> u64 {
-        1_000 + (self.started_at.elapsed().as_millis() as f64 * CLOCK_RATE) as u64
+        self.clock.now_ms()
     }
 
     /// Returns whether the response to the next call is to be dropped.
@@ -235,20 +254,66 @@
         call * DROP_STRIDE % 100 < u64::from(self.dropped_percent.load(Ordering::Relaxed))
     }
 
+    /// Suspends the worker: its runs make no progress until [`Self::resume`]. Its clock goes on, so that
+    /// its lease may lapse.
+    pub(crate) fn suspend(&self) {
+        let now_ms = self.clock_ms();
+        self.state().suspended_ms.get_or_insert(now_ms);
+        self.suspended.send_replace(true);
+    }
+
+    /// Suspends the worker and stops its clock, as if its VM were suspended.
+    pub(crate) fn stand_still(&self) {
+        self.clock.stop();
+        self.suspend();
+        let state = self.state();
+        // The ends that no owner has acknowledged are void once the lease has expired.
+        let ended = state.finished.iter().map(|end| end.key);
+        let keys: Vec<Key> = state.runs.keys().copied().chain(ended).collect();
+        drop(state);
+        for key in keys {
+            self.history.record_standstill(key, &self.id);
+        }
+    }
+
+    /// Resumes the worker, its runs and its clock.
+    pub(crate) fn resume(&self) {
+        self.clock.resume();
+        // A lapse of the lease takes effect before a run completes.
+        self.end_due_runs();
+        let now_ms = self.clock_ms();
+        let mut state = self.state();
+        let since_ms = state.suspended_ms.take().unwrap_or(now_ms);
+        for run in state.runs.values_mut() {
+            run.ends_ms += now_ms - since_ms;
+        }
+        drop(state);
+        self.suspended.send_replace(false);
+    }
+
+    /// Waits while the worker is suspended.
+    async fn until_resumed(&self) {
+        let mut suspended = self.suspended.subscribe();
+        // Fails only once the sender is gone.
+        let _ = suspended.wait_for(|suspended| !suspended).await;
+    }
+
     /// Ends the runs that have completed or been stopped, and all runs once the lease has lapsed.
     fn end_due_runs(&self) {
         let now_ms = self.clock_ms();
         let mut state = self.state();
         state.note_expiry(now_ms);
         let lapsed = now_ms >= state.lease_deadline_ms;
-        let is_due = |run: &Run| lapsed || now_ms >= run.ends_ms;
+        let suspended = state.suspended_ms.is_some();
+        let completed = |run: &Run| now_ms >= run.ends_ms && !suspended;
+        let is_due = |run: &Run| lapsed || completed(run);
         let due = state.runs.iter().filter(|(_, run)| is_due(run));
         let due: Vec<Key> = due.map(|(key, _)| *key).collect();
         for key in &due {
             let Some(run) = state.runs.remove(key) else {
                 continue;
             };
-            let outcome = match now_ms >= run.ends_ms {
+            let outcome = match completed(&run) {
                 true => run.outcome,
                 false => Outcome::Lapsed,
             };
@@ -290,16 +355,19 @@
         if running.is_some() || order.attempt <= last {
             return StartOutcome::Refused(Refusal::Old);
         }
-        let millicores = parse_field(&order.text, "cpu=");
+        let millicores = run::parse_field(&order.text, "cpu=");
         let used: u64 = state.runs.values().map(|run| run.millicores).sum();
         if used + millicores > CAPACITY.millicores {
             self.report_overcommit(&state, order, millicores);
         }
-        let fails = hash_percent(order.key, order.attempt) < parse_field(&order.text, "fails=");
+        let fails =
+            run::hash_percent(order.key, order.attempt) < run::parse_field(&order.text, "fails=");
+        let duration_ms = run::parse_field(&order.text, "ms=");
         let run = Run {
             attempt: order.attempt,
             millicores,
-            ends_ms: clock_ms + parse_field(&order.text, "ms="),
+            duration_ms,
+            ends_ms: clock_ms + duration_ms,
             outcome: if fails {
                 Outcome::Failed
             } else {
@@ -362,13 +430,14 @@
             // After the timeout the report lists the runs in progress.
             let _ = tokio::time::timeout(wait, ended).await;
         }
+        self.until_resumed().await;
         let clock_ms = self.clock_ms();
         let state = self.state();
         let running = state.runs.iter().map(|(key, run)| Running {
             key: *key,
             attempt: run.attempt,
             checkpoint: None,
-            percent: (clock_ms % 100) as u32,
+            percent: run.percent(clock_ms),
             metric: 0.0,
         });
         Some(Report {
@@ -404,17 +473,3 @@
         Some(())
     }
 }
-
-/// Returns the number that follows `name` in a text of fields separated by spaces, or 0 if there is
-/// none.
-fn parse_field(text: &str, name: &str) -> u64 {
-    let part = text.split(' ').find_map(|part| part.strip_prefix(name));
-    part.and_then(|number| number.parse().ok()).unwrap_or(0)
-}
-
-/// Returns a number from 0 to 99 derived from a task and its attempt.
-fn hash_percent(key: Key, attempt: u32) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (key, attempt).hash(&mut hasher);
-    hasher.finish() % 100
-}
