--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -1,5 +1,6 @@
-//! Storage of records through the owner of a shard or another peer, and handover of owned shards
-//! while the log is reachable from other VMs but not from this one.
+//! What a process does with the help of its peers while the log answers it late or not at all: proofs
+//! of its ownership, handover of owned shards, and storage of records through the owner of a shard or
+//! another peer.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
