--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -306,7 +306,9 @@
 
 class Minion:
     """A minion in `rpc` mode without `constraints`: it starts whatever it is told to start. `spec` of
-    a job is JSON with `ms`, the run time of its tasks; without it they last."""
+    a job is JSON with `ms`, the mean run time of its tasks; without it they last. `spread` of the minion
+    is the sigma of the lognormal distribution of run times; a share `tail` of the tasks takes `tail_x`
+    times as long."""
 
     MAX_HOLD_MS = 10_000
     STOP_MS = 100
@@ -314,6 +316,7 @@
     def __init__(self, record, store, runs, name, labels, cpu=16_000, mem=32_768):
         self.record, self.store, self.all_runs = record, store, runs
         self.name, self.labels, self.cpu, self.mem = name, labels, cpu, mem
+        self.spread, self.tail, self.tail_x = 0.0, 0.0, 1.0
         self.port, self.state, self.up, self.beat_s = 0, "ready", False, None
 
     async def start(self, labels=None):
@@ -399,6 +402,8 @@
                         f"{body['fencingToken']} labels {self.labels}")
         work_ms = json.loads(body["spec"]).get("ms")
         if work_ms is not None:
+            work_ms *= random.lognormvariate(-self.spread ** 2 / 2, self.spread)
+            work_ms *= self.tail_x if random.random() < self.tail else 1
             asyncio.get_running_loop().call_later(
                 work_ms / 1000, self.end_run, run, "done", self.born)
         return self.answer(200)
@@ -464,13 +469,15 @@
 
 # The system
 
+# Scripts that run at the same time mostly use different ranges.
+FIRST_PORT = 20_000 + os.getpid() % 12 * 1_000
 PORTS = set()
 
 
 def free_port():
     """Returns a free port below the range from which outgoing connections get theirs."""
     while True:
-        port = random.randrange(20_000, 32_000)
+        port = FIRST_PORT + random.randrange(1_000)
         if port in PORTS:
             continue
         PORTS.add(port)
