--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -174,6 +174,8 @@
         self.record, self.keep_s = record, keep_s
         self.parts, self.changed = {}, asyncio.Condition()
         self.last_conditional = {}
+        # Processes that the store turns away with 503.
+        self.denied = set()
         self.too_large = []
 
     def part(self, topic, part):
@@ -216,6 +218,8 @@
         return handle
 
     async def handle(self, process, request):
+        if process in self.denied:
+            return 503, {}
         query = request.query
         topic = query.get("topic")
         part = self.part(topic, query.get("part", 0))
