--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -711,6 +711,10 @@
 
     async def run():
         case = Case(folder, **deployment)
+        # A script that is ended ends its processes, too.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             await case.start()
             return await scenario(case), case
@@ -719,7 +723,7 @@
 
     try:
         broken, case = asyncio.run(run())
-    except Exception as error:  # The case couldn't run, whatever the reason.
+    except (Exception, asyncio.CancelledError) as error:  # Whatever the reason is.
         print(f"the case couldn't run: {error!r}", file=sys.stderr)
         sys.exit(2)
     for line in broken[:40]:
