--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import fcntl
 import json
 import os
 import random
@@ -337,6 +338,7 @@
         self.server = await Server(self.handle).start(self.port)
         self.up = True
         self.record.log(f"minion {self.name} starts, born {self.born}, labels {self.labels}")
+        await self.beat()
         return self
 
     async def crash(self):
@@ -369,6 +371,7 @@
             return 200, {}
         if request.headers.get("x-expected-instance") != self.name:
             return 421, {}
+        self.check_lease()
         body = request.json()
         token = body.get("fencingToken", 0)
         if token < self.token:
@@ -465,7 +468,9 @@
                       for number, r in self.ended[:500]])
 
     def check_lease(self):
-        if self.up and self.running and self.clock() >= self.lease_ms:
+        """Ends everything once the lease has lapsed. Ends that were listed before then don't count as
+        taken note of any more, also if nothing runs."""
+        if self.up and self.clock() >= self.lease_ms:
             for run in list(self.running.values()):
                 self.end_run(run, "lapsed", self.born)
             self.lapsed_number = self.last_number
@@ -473,15 +478,27 @@
 
 # The system
 
-# Below the ports of the project's own tests. Scripts that run at the same time mostly use different ranges.
-FIRST_PORT = 10_000 + os.getpid() % 10 * 1_000
+def reserve_ports():
+    """Returns the first of 250 ports that no other script uses, below those of the project's own tests
+    and of outgoing connections. The lock ends with the script."""
+    for slot in range(40):
+        lock = open(os.path.join(tempfile.gettempdir(), f"review-ports-{slot}.lock"), "w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            return 10_000 + slot * 250, lock
+        except OSError:
+            lock.close()
+    raise RuntimeError("too many scripts run")
+
+
+FIRST_PORT, PORTS_LOCK = reserve_ports()
 PORTS = set()
 
 
 def free_port():
-    """Returns a free port below the range from which outgoing connections get theirs."""
+    """Returns a free port of this script."""
     while True:
-        port = FIRST_PORT + random.randrange(1_000)
+        port = FIRST_PORT + random.randrange(250)
         if port in PORTS:
             continue
         PORTS.add(port)
@@ -574,11 +591,10 @@
 
     async def start(self):
         for entry in self.entries:
-            self.stores.append(await Server(self.store.view(entry.index)).start())
+            self.stores.append(await Server(self.store.view(entry.index)).start(free_port()))
         await self.configure()
         for minion in self.minions:
             await minion.start()
-            await minion.beat()
         self.tasks.append(asyncio.ensure_future(self.tick()))
         self.tasks += [asyncio.ensure_future(self.beats(minion)) for minion in self.minions]
         for entry in self.entries:
