--- a/crates/entry/src/commands.rs
+++ b/crates/entry/src/commands.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use rosemaryworks_node::clock;
-use rosemaryworks_workflow::{LostAttempt, Order, Pace, StartOutcome, Stop};
+use rosemaryworks_workflow::{
+    Incarnation, LostAttempt, Order, Pace, StartOutcome, Stop, Unreported,
+};
 
 use crate::events;
 use crate::owner::Owner;
@@ -68,6 +70,37 @@
         ));
     }
 
+    /// Logs a worker that started again.
+    pub(crate) fn log_incarnation(&self, incarnation: &Incarnation) {
+        let now_ms = clock::now().0;
+        let lease_left_ms = incarnation
+            .lease_expires_ms
+            .map(|at| at.saturating_sub(now_ms));
+        events::WORKER_RESTARTED.log(format_args!(
+            "shard={} epoch={} worker={} incarnation={} former={} ended={} pending={} lease_left_ms={lease_left_ms:?}",
+            self.shard(),
+            self.epoch(),
+            incarnation.worker,
+            incarnation.number,
+            incarnation.former_number,
+            incarnation.ended,
+            incarnation.pending
+        ));
+        self.context().metrics.worker_restarts.inc();
+    }
+
+    /// Logs a worker that didn't report after a takeover.
+    pub(crate) fn log_unreported(&self, unreported: &Unreported) {
+        events::WORKER_UNREPORTED.log(format_args!(
+            "shard={} epoch={} worker={} incarnation={} waited_ms={}",
+            self.shard(),
+            self.epoch(),
+            unreported.worker,
+            unreported.incarnation,
+            unreported.waited_ms
+        ));
+    }
+
     /// Logs an attempt that counts as ended without a report of its end.
     pub(crate) fn log_lost(&self, lost: &LostAttempt) {
         let now_ms = clock::now().0;
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -63,6 +63,10 @@
 pub const RESUMED: Event = Event::new(842, Level::Info, "owner resumed");
 /// Processes that may have claimed a shard don't answer while the log is unreachable.
 pub const PEERS_SILENT: Event = Event::new(843, Level::Warn, "peers don't answer");
+/// A worker started again under its id.
+pub const WORKER_RESTARTED: Event = Event::new(845, Level::Warn, "worker started again");
+/// A takeover waits no longer for a worker that didn't report.
+pub const WORKER_UNREPORTED: Event = Event::new(846, Level::Warn, "worker didn't report");
 /// A record of a stream is malformed.
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// The process received the signal to reload.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -20,6 +20,8 @@
     pub start_faults: Counter,
     /// Attempts that count as ended without a report of their end.
     pub attempts_lost: Counter,
+    /// Workers that started again under their ids.
+    pub worker_restarts: Counter,
     /// Times that an owner was suspended because it had no proof of its ownership.
     pub suspensions: Counter,
     /// Commands to workers sent on behalf of owners on other VMs.
@@ -53,6 +55,7 @@
             starts: counter("entry_starts", "Runs ordered"),
             start_faults: counter("entry_start_faults", "Starts refused or unanswered"),
             attempts_lost: counter("entry_attempts_lost", "Attempts ended without a report"),
+            worker_restarts: counter("entry_worker_restarts", "Workers that started again"),
             suspensions: counter("entry_suspensions", "Owners suspended without a proof"),
             relayed: counter("entry_relayed", "Commands sent for other owners"),
             advice_requests: counter("entry_questions", "Questions to the advice service"),
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -413,7 +413,9 @@
                 node.step_down(self.shard, self.epoch, "a worker reported a later owner")
             }
             Action::Renew(id) => self.session(&id).interrupt(),
+            Action::LogIncarnation(incarnation) => self.log_incarnation(&incarnation),
             Action::LogLost(lost) => self.log_lost(&lost),
+            Action::LogUnreported(unreported) => self.log_unreported(&unreported),
             Action::Pace(pace) => {
                 tokio::spawn(self.clone().send_pace(pace));
             }
--- a/crates/entry/tests/model/owner.rs
+++ b/crates/entry/tests/model/owner.rs
@@ -127,6 +127,18 @@
                     )
                 });
             }
+            Action::LogIncarnation(incarnation) => {
+                let now_ms = self.now_ms;
+                return self
+                    .history
+                    .note(|| format!("{now_ms}: p{process} learns of a restart: {incarnation:?}"));
+            }
+            Action::LogUnreported(unreported) => {
+                let now_ms = self.now_ms;
+                return self
+                    .history
+                    .note(|| format!("{now_ms}: p{process} waits no longer: {unreported:?}"));
+            }
             Action::RequestAdvice(_) | Action::Pace(_) => return,
         };
         self.input_after(process, 0, Input::Send { epoch, command });
--- a/crates/workflow/src/action.rs
+++ b/crates/workflow/src/action.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::incarnation::{Incarnation, Unreported};
 use crate::lost_attempt::LostAttempt;
 use crate::record::Record;
 use crate::task::{Key, StepKey};
@@ -98,8 +99,12 @@
     RequestAdvice(AdviceRequest),
     /// A worker has seen a higher fencing token: stop acting as owner of the shard.
     StepDown,
+    /// Log that a worker has started again.
+    LogIncarnation(Incarnation),
     /// Log that an attempt counts as ended without a report of its end.
     LogLost(LostAttempt),
+    /// Log that a takeover waits no longer for a worker that didn't report.
+    LogUnreported(Unreported),
     /// Renew the lease of a worker now and fetch its report.
     Renew(Arc<str>),
     /// Limit the speed of an attempt.
--- /dev/null
+++ b/crates/workflow/src/incarnation.rs
@@ -0,0 +1,33 @@
+//! Workers that started again under their ids.
+
+use std::sync::Arc;
+
+/// A new incarnation of a worker, as its owner learns of it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Incarnation {
+    /// Worker.
+    pub worker: Arc<str>,
+    /// Incarnation, see [`crate::Worker::incarnation`].
+    pub number: u64,
+    /// Incarnation that the owner knew before.
+    pub former_number: u64,
+    /// Number of attempts that ended with the former incarnation.
+    pub ended: usize,
+    /// Number of attempts whose start the new incarnation may have carried out.
+    pub pending: usize,
+    /// Time on the owner's clock, in milliseconds, from which the lease of the new incarnation has
+    /// certainly expired unless it is renewed; `None` if the owner counts on no lease.
+    pub lease_expires_ms: Option<u64>,
+}
+
+/// A worker that didn't report to a successor, which takes all attempts of previous owners on it as
+/// ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Unreported {
+    /// Worker.
+    pub worker: Arc<str>,
+    /// Incarnation that the owner counts on; 0 if it isn't known.
+    pub incarnation: u64,
+    /// Time since previous owners stopped commanding workers, in milliseconds.
+    pub waited_ms: u64,
+}
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -13,6 +13,7 @@
 mod completion;
 mod gangs;
 mod host;
+mod incarnation;
 mod job;
 mod lease;
 mod lost_answers;
@@ -39,6 +40,7 @@
 
 pub use action::{Action, AdviceRequest, Order, Pace, Stop};
 pub use host::{Host, Liveness};
+pub use incarnation::{Incarnation, Unreported};
 pub use job::{AdviceTerms, Id, Queue, Spec, State, Step};
 pub use lost_attempt::{Evidence, LostAttempt};
 pub use record::Record;
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -4,7 +4,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use crate::action::Action;
 use crate::host::Liveness;
+use crate::incarnation::Unreported;
 use crate::lease;
 use crate::record::Record;
 use crate::shard::Shard;
@@ -113,12 +115,14 @@
             .then(|| self.fenced_ms.saturating_sub(now_ms))
     }
 
-    /// Ends the wait for workers whose lease had certainly expired at `at_ms`.
-    pub(crate) fn tick(&mut self, at_ms: u64) {
+    /// Ends the wait for workers whose lease had certainly expired at `at_ms`, and returns them.
+    fn tick(&mut self, at_ms: u64) -> BTreeSet<Arc<str>> {
+        let mut expired = BTreeSet::new();
         if self.stage == Stage::Confirming && at_ms >= self.leases_expired_ms {
-            self.unconfirmed.clear();
+            expired = std::mem::take(&mut self.unconfirmed);
         }
         self.complete_if_confirmed();
+        expired
     }
 
     fn complete_if_confirmed(&mut self) {
@@ -158,6 +162,22 @@
         self.recovery.fenced_in(now_ms)
     }
 
+    /// Ends the wait for workers whose lease has certainly expired.
+    pub(crate) fn end_waits(&mut self, now_ms: u64) {
+        let at_ms = self.owned_until_ms.min(now_ms);
+        for worker in self.recovery.tick(at_ms) {
+            let incarnation = self
+                .hosts
+                .get(&worker)
+                .map_or(0, |host| host.worker.incarnation);
+            self.actions.push(Action::LogUnreported(Unreported {
+                worker,
+                incarnation,
+                waited_ms: at_ms.saturating_sub(self.recovery.fenced_ms),
+            }));
+        }
+    }
+
     /// Applies a record of the shard's snapshot or streams. The snapshot comes first.
     pub fn replay(&mut self, record: Record, now_ms: u64) {
         match record {
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -6,6 +6,7 @@
 use crate::action::Action;
 use crate::clock::Clock;
 use crate::host::{Host, Liveness, Phase};
+use crate::incarnation::Incarnation;
 use crate::job::{Id, Queue, Spec, State, Step};
 use crate::lost_answers::LostAnswers;
 use crate::lost_attempt::{Evidence, LostAttempt};
@@ -455,7 +456,16 @@
         let Some(host) = self.hosts.get_mut(id) else {
             return;
         };
+        let former_number = host.worker.incarnation;
         let lost = host.begin_incarnation(incarnation, self.settings.lease_max_ms, now_ms);
+        self.actions.push(Action::LogIncarnation(Incarnation {
+            worker: id.clone(),
+            number: incarnation,
+            former_number,
+            ended: lost.len(),
+            pending: host.runs.len(),
+            lease_expires_ms: host.lease.expires_at(),
+        }));
         for (key, _) in lost {
             self.mark_run_lost(id, key, Evidence::NewIncarnation);
         }
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -206,6 +206,7 @@
             Action::RequestAdvice(request) => self.advice_requests.push(request),
             Action::StepDown => self.stepped_down = true,
             Action::LogLost(lost) => self.lost.push(lost),
+            Action::LogIncarnation(_) | Action::LogUnreported(_) => {}
             Action::Renew(id) => self.renewals.push(id),
             Action::Pace(pace) => self.paces.push(pace),
             Action::Record(record) => self.records.push(record),
