test(workflow): calls for the former life of a worker take effect in the next one

The tests reproduce it in the kernel: an owner and its successors count on the granted lease of a worker whose next life holds the longest one, acknowledgements for the former life make the next one forget ends, and a next life with an earlier start time is never noticed.

--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -6,11 +6,11 @@
 
 use rosemaryworks_core::size::Size;
 use rosemaryworks_workflow::{
-    Action, Finished, Id, Key, Order, Outcome, Queue, Record, Report, Running, Settings, Shard,
-    Spec, StartOutcome, Step, Stop, Worker,
+    Action, Finished, Id, Key, Order, Outcome, Queue, Record, Refusal, Renewal, Report, Running,
+    Settings, Shard, Spec, StartOutcome, Step, Stop, Worker,
 };
 
-/// Clock of every simulated worker minus the owner's clock, in milliseconds.
+/// Clock of a simulated worker in its first life minus the owner's clock, in milliseconds.
 const CLOCK_OFFSET_MS: u64 = 1_000_000;
 
 /// A simulated worker.
@@ -26,6 +26,14 @@
     pub(crate) metric: f64,
     pub(crate) unresponsive: bool,
     pub(crate) unlisted: bool,
+    /// Incarnation in the list of workers, if the list lags.
+    pub(crate) listed_incarnation: Option<u64>,
+    /// Reason for which it refuses starts.
+    pub(crate) refusal: Option<Refusal>,
+    /// Time on the owner's clock at which its lease expires.
+    lease_expires_ms: u64,
+    /// Time on the owner's clock at which its present life began; `None` in its first life.
+    began_ms: Option<u64>,
     last_end: u64,
 }
 
@@ -158,10 +166,10 @@
             shard.replay(record.clone(), self.now_ms);
         }
         for (id, simulated) in self.workers.iter().filter(|(_, s)| !s.unlisted) {
-            shard.list_worker(
-                worker(id, self.capacity, simulated.incarnation),
-                self.now_ms,
-            );
+            let incarnation = simulated
+                .listed_incarnation
+                .unwrap_or(simulated.incarnation);
+            shard.list_worker(worker(id, self.capacity, incarnation), self.now_ms);
         }
         shard.finish_replay(false, self.now_ms);
         self.shard = shard;
@@ -228,11 +236,7 @@
         let outcome = if simulated.unresponsive {
             StartOutcome::Unknown
         } else {
-            simulated.token = simulated.token.max(order.token);
-            simulated.runs.insert(order.key, order.attempt);
-            StartOutcome::Accepted {
-                clock_ms: self.now_ms + CLOCK_OFFSET_MS,
-            }
+            simulated.start(&order, self.now_ms)
         };
         self.shard.start_answered(&order, outcome, self.now_ms);
         self.orders.push(order);
@@ -250,17 +254,7 @@
                 .renewal_failed(id, renewal.token, fault, self.now_ms);
             return;
         }
-        simulated.token = simulated.token.max(renewal.token);
-        simulated
-            .ends
-            .retain(|end| end.number > renewal.acknowledged);
-        let report = Report {
-            incarnation: simulated.incarnation,
-            clock_ms: self.now_ms + CLOCK_OFFSET_MS,
-            finished: simulated.ends.clone(),
-            may_have_more_ends: false,
-            running: simulated.running(),
-        };
+        let report = simulated.renew(&renewal, self.now_ms);
         self.shard
             .report(id, report, renewal.token, self.now_ms, self.now_ms);
         self.take_actions();
@@ -273,6 +267,34 @@
         }
     }
 
+    /// Starts a worker again under its id, without the owner's knowledge: it knows nothing of its
+    /// former life, and its clock and the numbers of its ends begin anew.
+    pub(crate) fn restart(&mut self, id: &str) {
+        let simulated = self.workers.get_mut(id).expect("a worker");
+        *simulated = SimulatedWorker {
+            incarnation: simulated.incarnation + 1,
+            began_ms: Some(self.now_ms),
+            ..SimulatedWorker::default()
+        };
+    }
+
+    /// Lets the owner read the entry of a worker in the list of workers.
+    pub(crate) fn list(&mut self, id: &str) {
+        let entry = worker(id, self.capacity, self.workers[id].incarnation);
+        self.shard.list_worker(entry, self.now_ms);
+        self.take_actions();
+    }
+
+    /// Returns the number of workers that run a task under a lease that has not expired.
+    pub(crate) fn live_runs(&self, key: Key) -> usize {
+        let workers = self.workers.values();
+        workers
+            .filter(|worker| {
+                worker.runs.contains_key(&key) && self.now_ms < worker.lease_expires_ms
+            })
+            .count()
+    }
+
     /// Marks all records as durable.
     pub(crate) fn make_durable(&mut self) {
         self.shard.mark_durable(self.records.len() as u64);
@@ -309,6 +331,47 @@
 }
 
 impl SimulatedWorker {
+    fn clock_ms(&self, now_ms: u64) -> u64 {
+        match self.began_ms {
+            None => now_ms + CLOCK_OFFSET_MS,
+            Some(began_ms) => now_ms - began_ms + 1,
+        }
+    }
+
+    fn extend_lease(&mut self, deadline_ms: u64, now_ms: u64) {
+        let left_ms = deadline_ms.saturating_sub(self.clock_ms(now_ms));
+        let expires_ms = now_ms + left_ms.min(settings().lease_max_ms);
+        self.lease_expires_ms = self.lease_expires_ms.max(expires_ms);
+    }
+
+    fn start(&mut self, order: &Order, now_ms: u64) -> StartOutcome {
+        self.token = self.token.max(order.token);
+        self.extend_lease(order.deadline_ms, now_ms);
+        if let Some(refusal) = self.refusal {
+            return StartOutcome::Refused(refusal);
+        }
+        self.runs.insert(order.key, order.attempt);
+        StartOutcome::Accepted {
+            clock_ms: self.clock_ms(now_ms),
+        }
+    }
+
+    /// Carries a renewal out, whichever life it was meant for.
+    pub(crate) fn renew(&mut self, renewal: &Renewal, now_ms: u64) -> Report {
+        self.token = self.token.max(renewal.token);
+        if let Some(deadline_ms) = renewal.deadline_ms {
+            self.extend_lease(deadline_ms, now_ms);
+        }
+        self.ends.retain(|end| end.number > renewal.acknowledged);
+        Report {
+            incarnation: self.incarnation,
+            clock_ms: self.clock_ms(now_ms),
+            finished: self.ends.clone(),
+            may_have_more_ends: false,
+            running: self.running(),
+        }
+    }
+
     pub(crate) fn end(&mut self, key: Key, how: Outcome) {
         let attempt = self.runs.remove(&key).expect("a run");
         self.last_end += 1;
