fix(workflow): owners count the longest lease of a worker that started again

Cause: a renewal or start that was meant for the former life of a worker carries a deadline on the clock of that life. The owner forgot the lease when it learned of the next life and counted on the 4 s that it grants; only starts without a report were allowed for.

Change: until a new incarnation has answered a renewal with the raised fencing token, its lease counts as the longest one from now on, or from the time until which a call without an answer may be late (12 s); from that answer on, calls for earlier incarnations are void, and the longest lease counts from then.

Nothing changes for workers that don't start again.

Why it works: a worker shortens each lease to its longest one, counted from when it carries the call out, and does nothing for a lower token.

--- a/crates/workflow/src/answers.rs
+++ b/crates/workflow/src/answers.rs
@@ -2,6 +2,7 @@
 
 use crate::action::{Action, Order};
 use crate::host::{Liveness, Phase, StartState};
+use crate::incarnation::Restart;
 use crate::lost_attempt::Evidence;
 use crate::shard::Shard;
 use crate::start::{Refusal, StartOutcome};
@@ -20,7 +21,6 @@
 impl Shard {
     /// Applies the outcome of a start request.
     pub fn start_answered(&mut self, order: &Order, outcome: StartOutcome, now_ms: u64) {
-        let lease_max_ms = self.settings.lease_max_ms;
         match outcome {
             StartOutcome::Unknown => self.start_window.unanswered(),
             _ => {
@@ -31,11 +31,18 @@
         let Some(host) = self.hosts.get_mut(&order.worker) else {
             return;
         };
+        if outcome == StartOutcome::Unknown {
+            host.lease.call_unanswered(now_ms);
+        }
         if host.is_for_earlier_incarnation(order.token) {
             // The deadline of the request is on the clock of the earlier incarnation, and the
             // reading in the answer may be, too.
-            if may_set_lease(outcome) {
-                host.lease.assume_longest(lease_max_ms, now_ms);
+            match outcome {
+                StartOutcome::Unknown if host.restart == Restart::Unfenced => {
+                    host.lease.assume_late_calls(now_ms);
+                }
+                _ if may_set_lease(outcome) => host.lease.assume_longest(now_ms),
+                _ => {}
             }
         } else if let StartOutcome::Accepted { clock_ms } = outcome {
             host.lease.observe_clock(clock_ms, now_ms);
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -7,6 +7,7 @@
 
 use crate::action::Stop;
 use crate::backoff::Backoff;
+use crate::incarnation::Restart;
 use crate::lease::Lease;
 use crate::silent::Silence;
 use crate::task::Key;
@@ -86,6 +87,15 @@
     pub(crate) token: u64,
 }
 
+/// A renewal under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingRenewal {
+    /// Time on the owner's clock at which it was sent.
+    pub(crate) sent_ms: u64,
+    /// Whether it carries a deadline.
+    pub(crate) has_deadline: bool,
+}
+
 /// A worker with its lease and the attempts on it.
 #[derive(Debug)]
 pub struct Host {
@@ -94,6 +104,10 @@
     /// Capacity that the attempts occupy.
     pub(crate) used: Size,
     pub(crate) lease: Lease,
+    /// What calls for earlier incarnations may do.
+    pub(crate) restart: Restart,
+    /// Renewal whose answer is awaited.
+    pub(crate) renewal: Option<PendingRenewal>,
     pub(crate) liveness: Liveness,
     pub(crate) backoff: Backoff,
     /// Highest number of an ended attempt that was processed, see [`crate::Finished::number`].
@@ -131,7 +145,7 @@
         worker: Worker,
         epoch: u64,
         token_increments: u64,
-        lease_ms: u64,
+        lease: Lease,
         now_ms: u64,
     ) -> Self {
         Self {
@@ -139,7 +153,9 @@
             worker,
             runs: BTreeMap::new(),
             used: Size::ZERO,
-            lease: Lease::new(lease_ms),
+            lease,
+            restart: Restart::None,
+            renewal: None,
             liveness: Liveness::Unconfirmed,
             backoff: Backoff::default(),
             last_processed_end: 0,
@@ -220,16 +236,12 @@
 
     /// Resets the state for a new incarnation of the worker. Returns the attempts that ended with the
     /// previous one: those that it had reported. The new one, which had seen no fencing token, may
-    /// have received the start requests of the others, so these stay until it reports. It may keep
-    /// them for `lease_max_ms`, because their deadlines are on the clock of the previous one.
-    pub(crate) fn begin_incarnation(
-        &mut self,
-        incarnation: u64,
-        lease_max_ms: u64,
-        now_ms: u64,
-    ) -> Vec<(Key, Run)> {
+    /// have received the start requests of the others, so these stay until it reports.
+    pub(crate) fn begin_incarnation(&mut self, incarnation: u64, now_ms: u64) -> Vec<(Key, Run)> {
+        self.abandon_renewal(now_ms);
         self.worker.incarnation = incarnation;
-        self.lease.reset();
+        self.restart = Restart::Unfenced;
+        self.lease.begin_incarnation(now_ms);
         self.last_processed_end = 0;
         self.last_durable_end = 0;
         self.pending_ends.clear();
@@ -240,14 +252,45 @@
         let runs = std::mem::take(&mut self.runs).into_iter();
         let (ended, pending): (BTreeMap<Key, Run>, _) =
             runs.partition(|(_, run)| run.start == StartState::Confirmed);
-        if !pending.is_empty() {
-            self.lease.assume_longest(lease_max_ms, now_ms);
-        }
         self.runs = pending;
         self.used = self.occupied();
         ended.into_iter().collect()
     }
 
+    /// Gives up the answer to a renewal under way: the worker may carry it out later.
+    pub(crate) fn abandon_renewal(&mut self, now_ms: u64) {
+        if self
+            .renewal
+            .take()
+            .is_some_and(|renewal| renewal.has_deadline)
+        {
+            self.lease.call_unanswered(now_ms);
+        }
+    }
+
+    /// Returns the deadline of a renewal that is sent now, if the worker's clock is known, and records
+    /// the renewal as under way.
+    pub(crate) fn begin_renewal(&mut self, ttl_ms: u64, now_ms: u64) -> Option<u64> {
+        self.abandon_renewal(now_ms);
+        // Without attempts no lease is needed, and without a lease a later loss of the worker is
+        // handled sooner. An unresponsive worker may still receive the renewal, so renewing its
+        // lease would keep it from ever expiring.
+        let needs_lease = !self.runs.is_empty() && self.liveness != Liveness::Unresponsive;
+        let deadline_ms = needs_lease
+            .then(|| self.lease.deadline(now_ms, ttl_ms))
+            .flatten();
+        self.renewal = Some(PendingRenewal {
+            sent_ms: now_ms,
+            has_deadline: deadline_ms.is_some(),
+        });
+        deadline_ms
+    }
+
+    /// Ends a renewal that was sent at `sent_ms` and has been answered, or had no effect.
+    pub(crate) fn end_renewal(&mut self, sent_ms: u64) {
+        self.renewal = self.renewal.filter(|renewal| renewal.sent_ms != sent_ms);
+    }
+
     /// Applies that the first `durable` records of the owner are durable. Returns whether the worker
     /// waits for no further one.
     pub(crate) fn mark_durable(&mut self, durable: u64) -> bool {
--- a/crates/workflow/src/incarnation.rs
+++ b/crates/workflow/src/incarnation.rs
@@ -2,6 +2,24 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
+/// What calls that were meant for an earlier incarnation of a worker may do to the current one.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Restart {
+    /// They are void: the worker has seen a later fencing token. It may still hold the longest lease
+    /// because of them.
+    #[serde(rename = "f")]
+    Fenced,
+    /// Nothing: the worker hasn't started again, or its lease is as granted again.
+    #[default]
+    #[serde(rename = "n")]
+    None,
+    /// They may still be carried out.
+    #[serde(rename = "u")]
+    Unfenced,
+}
+
 /// A new incarnation of a worker, as its owner learns of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Incarnation {
--- a/crates/workflow/src/lease.rs
+++ b/crates/workflow/src/lease.rs
@@ -6,6 +6,9 @@
 /// Time that a worker may need to kill an attempt after its lease has expired, in milliseconds.
 const KILL_MARGIN_MS: u64 = 200;
 
+/// Longest time for which a call that got no answer may be under way, in milliseconds.
+const LATE_CALL_MAX_MS: u64 = 12_000;
+
 /// Returns the longest time on the owner's clock, in milliseconds, until every attempt under a lease
 /// of `lease_ms` has ended.
 pub(crate) fn longest_ms(lease_ms: u64) -> u64 {
@@ -17,6 +20,9 @@
 pub(crate) struct Lease {
     /// Length of the leases that owners grant, in milliseconds.
     length_ms: u64,
+    /// Longest lease that the worker grants, in milliseconds. A deadline that was meant for an earlier
+    /// incarnation is worth as much in a later one, whose clock began anew.
+    max_ms: u64,
     /// Last reading of the worker's clock and the time on the owner's clock at which it arrived, in
     /// milliseconds.
     clock: Option<(u64, u64)>,
@@ -26,23 +32,48 @@
     /// Time on the owner's clock before which the lease may not have expired, whatever the
     /// deadlines say, in milliseconds.
     earliest_expiry_ms: u64,
+    /// Time on the owner's clock until which calls without an answer may be carried out, in
+    /// milliseconds.
+    late_until_ms: u64,
 }
 
 impl Lease {
     /// Creates the lease of a worker that was not heard of before. Owners grant leases of
-    /// `length_ms`.
-    pub(crate) fn new(length_ms: u64) -> Self {
+    /// `length_ms`, the worker leases of up to `max_ms`.
+    pub(crate) fn new(length_ms: u64, max_ms: u64) -> Self {
         Self {
             length_ms,
+            max_ms,
             clock: None,
             latest_deadline_ms: 0,
             earliest_expiry_ms: 0,
+            late_until_ms: 0,
         }
     }
 
-    /// Resets the lease for a new incarnation of the worker.
-    pub(crate) fn reset(&mut self) {
-        *self = Self::new(self.length_ms);
+    /// Begins the lease of a new incarnation, which was first heard of at `now_ms`. Calls that were
+    /// meant for earlier ones may give it the longest lease.
+    pub(crate) fn begin_incarnation(&mut self, now_ms: u64) {
+        let late_until_ms = self.late_until_ms;
+        *self = Self::new(self.length_ms, self.max_ms);
+        self.late_until_ms = late_until_ms;
+        self.assume_late_calls(now_ms);
+    }
+
+    /// Records that calls for earlier incarnations may still be carried out at `now_ms`, and calls
+    /// without an answer later than that.
+    pub(crate) fn assume_late_calls(&mut self, now_ms: u64) {
+        self.assume_longest(now_ms.max(self.late_until_ms));
+    }
+
+    /// Records that calls for earlier incarnations have had no effect since `now_ms`.
+    pub(crate) fn void_earlier_calls(&mut self, now_ms: u64) {
+        self.earliest_expiry_ms = now_ms + longest_ms(self.max_ms);
+    }
+
+    /// Records that a call that carries a deadline has got no answer at `now_ms`.
+    pub(crate) fn call_unanswered(&mut self, now_ms: u64) {
+        self.late_until_ms = self.late_until_ms.max(now_ms + LATE_CALL_MAX_MS);
     }
 
     /// Records a reading of the worker's clock that arrived at `now_ms`.
@@ -60,9 +91,9 @@
     }
 
     /// Records that the worker may have received a deadline on an unknown clock at `now_ms`, which it
-    /// shortens to `lease_max_ms`.
-    pub(crate) fn assume_longest(&mut self, lease_max_ms: u64, now_ms: u64) {
-        let expires_ms = now_ms + longest_ms(lease_max_ms);
+    /// shortens to the longest lease.
+    pub(crate) fn assume_longest(&mut self, now_ms: u64) {
+        let expires_ms = now_ms + longest_ms(self.max_ms);
         self.earliest_expiry_ms = self.earliest_expiry_ms.max(expires_ms);
     }
 
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -40,7 +40,7 @@
 
 pub use action::{Action, AdviceRequest, Order, Pace, Stop};
 pub use host::{Host, Liveness};
-pub use incarnation::{Incarnation, Unreported};
+pub use incarnation::{Incarnation, Restart, Unreported};
 pub use job::{AdviceTerms, Id, Queue, Spec, State, Step};
 pub use lost_attempt::{Evidence, LostAttempt};
 pub use record::Record;
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -4,6 +4,7 @@
 
 use crate::action::Action;
 use crate::host::{Liveness, Phase, Run, StartState};
+use crate::incarnation::Restart;
 use crate::lost_attempt::Evidence;
 use crate::record::Record;
 use crate::report::{Finished, Renewal, RenewalFault, Report, Running};
@@ -28,13 +29,7 @@
         Some(Renewal {
             address: host.worker.address,
             acknowledged: host.last_durable_end,
-            // Without attempts no lease is needed, and without a lease a later loss of the worker
-            // is handled sooner. An unresponsive worker may still receive the renewal, so renewing
-            // its lease would keep it from ever expiring.
-            deadline_ms: match host.runs.is_empty() || host.liveness == Liveness::Unresponsive {
-                true => None,
-                false => host.lease.deadline(now_ms, lease_ms),
-            },
+            deadline_ms: host.begin_renewal(lease_ms, now_ms),
             token: host.token(),
             wait_ms: match host.liveness == Liveness::Confirmed && !host.runs.is_empty() {
                 true => wait_ms,
@@ -49,6 +44,7 @@
             return;
         };
         let host_id = host.id();
+        host.end_renewal(sent_ms);
         if report.incarnation < host.worker.incarnation {
             // The report is from a previous incarnation.
             return;
@@ -74,6 +70,12 @@
             None => self.lost_answers.arrived(),
         }
         let is_current_token = token == host.token();
+        let is_fenced =
+            host.restart == Restart::Unfenced && !host.is_for_earlier_incarnation(token);
+        if is_fenced {
+            host.restart = Restart::Fenced;
+            host.lease.void_earlier_calls(now_ms);
+        }
         if is_current_token {
             host.liveness = Liveness::Confirmed;
             self.record_return(id);
@@ -104,6 +106,12 @@
         let Some(host) = self.hosts.get_mut(id) else {
             return;
         };
+        match fault {
+            RenewalFault::Silent => host.abandon_renewal(now_ms),
+            RenewalFault::Fenced | RenewalFault::Refused | RenewalFault::WrongInstance => {
+                host.renewal = None;
+            }
+        }
         if fault == RenewalFault::Fenced {
             if token == host.token() {
                 self.actions.push(Action::StepDown);
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -8,6 +8,7 @@
 use crate::host::{Host, Liveness, Phase};
 use crate::incarnation::Incarnation;
 use crate::job::{Id, Queue, Spec, State, Step};
+use crate::lease::Lease;
 use crate::lost_answers::LostAnswers;
 use crate::lost_attempt::{Evidence, LostAttempt};
 use crate::orphan::Orphans;
@@ -262,8 +263,14 @@
         let epoch = self.epoch;
         let id = worker.id.clone();
         let Some(host) = self.hosts.get_mut(&id) else {
-            let (increments, lease_ms) = (self.removed_increments, self.settings.lease_ms);
-            let host = Host::new(worker.clone(), epoch, increments, lease_ms, now_ms);
+            let lease = Lease::new(self.settings.lease_ms, self.settings.lease_max_ms);
+            let host = Host::new(
+                worker.clone(),
+                epoch,
+                self.removed_increments,
+                lease,
+                now_ms,
+            );
             self.hosts.insert(id.clone(), host);
             if !self.recovery.is_replaying() {
                 self.record(Record::WorkerAdded { worker });
@@ -457,7 +464,7 @@
             return;
         };
         let former_number = host.worker.incarnation;
-        let lost = host.begin_incarnation(incarnation, self.settings.lease_max_ms, now_ms);
+        let lost = host.begin_incarnation(incarnation, now_ms);
         self.actions.push(Action::LogIncarnation(Incarnation {
             worker: id.clone(),
             number: incarnation,
