fix(workflow): successors know which workers started again lately

Cause: a successor counts each lease as 4 s at the most, as owners grant it. A worker that started again before the takeover may hold the longest one (10 s) because of a call for its former life, and the log didn't say that it had started again: the record of a worker named its first life.

Change: an owner records each later incarnation once calls for the earlier ones are void, before it gives it tasks, and again once the longest lease is over. A successor waits for the longest lease of such a worker, and in addition for calls that may be late (12 s) if the list of workers, then or later, names another incarnation than the record. Waits are kept for each worker. A start with a permit is late for as long as its permit is valid at the most.

Two tests changed: a_new_incarnation_gets_tasks_once_its_entry_is_read makes records durable, because a worker that started again is used once its record is; an_attempt_that_reached_the_next_incarnation_is_kept_for_the_longest_lease expected a restart 12 s after a start without an answer, which may be carried out until then, and now checks both bounds for starts with and without one.

Why it works: what a next life can hold is bounded by the longest lease from the last call that could reach it, and the log bounds when that was.

--- a/crates/workflow/src/answers.rs
+++ b/crates/workflow/src/answers.rs
@@ -3,6 +3,7 @@
 use crate::action::{Action, Order};
 use crate::host::{Liveness, Phase, StartState};
 use crate::incarnation::Restart;
+use crate::lease::LATE_CALL_MAX_MS;
 use crate::lost_attempt::Evidence;
 use crate::shard::Shard;
 use crate::start::{Refusal, StartOutcome};
@@ -28,11 +29,12 @@
                 self.start_window.answered(took_ms, now_ms);
             }
         }
+        let late_ms = self.late_start_ms(order);
         let Some(host) = self.hosts.get_mut(&order.worker) else {
             return;
         };
         if outcome == StartOutcome::Unknown {
-            host.lease.call_unanswered(now_ms);
+            host.lease.call_unanswered(now_ms + late_ms);
         }
         if host.is_for_earlier_incarnation(order.token) {
             // The deadline of the request is on the clock of the earlier incarnation, and the
@@ -87,6 +89,18 @@
         }
     }
 
+    /// Returns the longest time for which a start request without an answer may be carried out, in
+    /// milliseconds. A worker rejects it once its permit has expired.
+    fn late_start_ms(&self, order: &Order) -> u64 {
+        let job = self.jobs.get(&order.key.step.job);
+        let queue = job.and_then(|job| self.queues.get(&job.queue));
+        let terms = queue.and_then(|queue| queue.advice.as_ref());
+        match terms.filter(|_| order.permit.is_some()) {
+            Some(terms) => terms.validity_ms.min(LATE_CALL_MAX_MS),
+            None => LATE_CALL_MAX_MS,
+        }
+    }
+
     /// Issues [`Action::StepDown`] if a worker rejected a fencing token that this owner did not
     /// invalidate itself: another owner has issued a higher one.
     fn check_fence(&mut self, order: &Order, outcome: StartOutcome) {
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -8,7 +8,7 @@
 use crate::action::Stop;
 use crate::backoff::Backoff;
 use crate::incarnation::Restart;
-use crate::lease::Lease;
+use crate::lease::{LATE_CALL_MAX_MS, Lease};
 use crate::silent::Silence;
 use crate::task::Key;
 use crate::worker::Worker;
@@ -257,6 +257,32 @@
         ended.into_iter().collect()
     }
 
+    /// Takes over what previous owners recorded, which command no worker from `fenced_ms` on.
+    pub(crate) fn inherit(&mut self, recorded: &Worker, restart: Restart, fenced_ms: u64) {
+        let is_other = recorded.incarnation != self.worker.incarnation;
+        self.restart = match is_other && recorded.incarnation > 0 {
+            true => Restart::Unfenced,
+            false => restart,
+        };
+        self.lease.call_unanswered(fenced_ms + LATE_CALL_MAX_MS);
+        match self.restart {
+            Restart::Fenced => self.lease.assume_longest(fenced_ms),
+            Restart::None => {}
+            Restart::Unfenced => self.lease.assume_late_calls(fenced_ms),
+        }
+    }
+
+    /// Returns whether calls for earlier incarnations can have no effect any more, although they could
+    /// have one when that was last recorded.
+    pub(crate) fn has_settled(&self, now_ms: u64) -> bool {
+        let is_over = match self.restart {
+            Restart::Fenced => true,
+            Restart::None => false,
+            Restart::Unfenced => self.runs.is_empty(),
+        };
+        is_over && self.lease.is_as_granted(now_ms)
+    }
+
     /// Gives up the answer to a renewal under way: the worker may carry it out later.
     pub(crate) fn abandon_renewal(&mut self, now_ms: u64) {
         if self
@@ -264,7 +290,7 @@
             .take()
             .is_some_and(|renewal| renewal.has_deadline)
         {
-            self.lease.call_unanswered(now_ms);
+            self.lease.call_unanswered(now_ms + LATE_CALL_MAX_MS);
         }
     }
 
--- a/crates/workflow/src/incarnation.rs
+++ b/crates/workflow/src/incarnation.rs
@@ -20,6 +20,12 @@
     Unfenced,
 }
 
+impl Restart {
+    pub(crate) fn is_none(&self) -> bool {
+        *self == Self::None
+    }
+}
+
 /// A new incarnation of a worker, as its owner learns of it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Incarnation {
--- a/crates/workflow/src/lease.rs
+++ b/crates/workflow/src/lease.rs
@@ -7,7 +7,7 @@
 const KILL_MARGIN_MS: u64 = 200;
 
 /// Longest time for which a call that got no answer may be under way, in milliseconds.
-const LATE_CALL_MAX_MS: u64 = 12_000;
+pub(crate) const LATE_CALL_MAX_MS: u64 = 12_000;
 
 /// Returns the longest time on the owner's clock, in milliseconds, until every attempt under a lease
 /// of `lease_ms` has ended.
@@ -71,9 +71,23 @@
         self.earliest_expiry_ms = now_ms + longest_ms(self.max_ms);
     }
 
-    /// Records that a call that carries a deadline has got no answer at `now_ms`.
-    pub(crate) fn call_unanswered(&mut self, now_ms: u64) {
-        self.late_until_ms = self.late_until_ms.max(now_ms + LATE_CALL_MAX_MS);
+    /// Records that a call that carries a deadline has got no answer, and may be carried out until
+    /// `late_until_ms`.
+    pub(crate) fn call_unanswered(&mut self, late_until_ms: u64) {
+        self.late_until_ms = self.late_until_ms.max(late_until_ms);
+    }
+
+    /// Returns whether only the deadlines that this owner has granted to the current incarnation
+    /// determine when its lease expires.
+    pub(crate) fn is_as_granted(&self, now_ms: u64) -> bool {
+        now_ms >= self.earliest_expiry_ms
+    }
+
+    /// Returns the time on the owner's clock from which every attempt of previous owners has certainly
+    /// ended if these command no worker from `fenced_ms` on.
+    pub(crate) fn inherited_expiry(&self, fenced_ms: u64) -> u64 {
+        self.earliest_expiry_ms
+            .max(fenced_ms + longest_ms(self.length_ms))
     }
 
     /// Records a reading of the worker's clock that arrived at `now_ms`.
--- a/crates/workflow/src/lost_attempt.rs
+++ b/crates/workflow/src/lost_attempt.rs
@@ -2,6 +2,11 @@
 
 use std::sync::Arc;
 
+use rosemaryworks_core::size::Size;
+
+use crate::action::Action;
+use crate::run::Placement;
+use crate::shard::Shard;
 use crate::start::Refusal;
 use crate::task::Key;
 
@@ -38,3 +43,42 @@
     /// it answers.
     pub unresponsive_since_ms: Option<u64>,
 }
+
+impl Shard {
+    /// Removes all attempts on a worker and makes their tasks wait again.
+    pub(crate) fn mark_runs_lost(&mut self, id: &str, evidence: Evidence) {
+        let Some(host) = self.hosts.get_mut(id) else {
+            return;
+        };
+        let runs = std::mem::take(&mut host.runs);
+        host.used = Size::ZERO;
+        for key in runs.into_keys() {
+            self.mark_run_lost(id, key, evidence);
+        }
+    }
+
+    /// Makes the task of an attempt that its worker no longer runs wait again.
+    pub(crate) fn mark_run_lost(&mut self, worker: &str, key: Key, evidence: Evidence) {
+        let Some(step) = self.step_run_mut(key.step) else {
+            return;
+        };
+        let Some(task) = step.tasks.get(key.index as usize) else {
+            return;
+        };
+        if !matches!(&task.placement, Placement::Assigned(on) if &**on == worker) {
+            return;
+        }
+        let attempt = task.attempt;
+        step.set_placement(key.index, Placement::Waiting);
+        self.enqueue(key.step);
+        let host = self.hosts.get(worker);
+        self.actions.push(Action::LogLost(LostAttempt {
+            worker: worker.into(),
+            key,
+            attempt,
+            evidence,
+            lease_expires_ms: host.and_then(|host| host.lease.expires_at()),
+            unresponsive_since_ms: host.and_then(|host| host.unresponsive_since_ms),
+        }));
+    }
+}
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::incarnation::Restart;
 use crate::job::{Id, Spec, State};
 use crate::task::{Key, Outcome, StepKey};
 use crate::worker::Worker;
@@ -107,6 +108,9 @@
         /// Worker.
         #[serde(rename = "w")]
         worker: Worker,
+        /// What calls for earlier incarnations may do.
+        #[serde(default, rename = "r", skip_serializing_if = "Restart::is_none")]
+        restart: Restart,
     },
     /// A worker has ended or is no longer used.
     #[serde(rename = "g")]
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -1,13 +1,12 @@
 //! Takeover of a shard: replays its records, then waits until no previous owner can act and every
 //! worker has reported its attempts.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::action::Action;
-use crate::host::Liveness;
-use crate::incarnation::Unreported;
-use crate::lease;
+use crate::host::{Host, Liveness};
+use crate::incarnation::{Restart, Unreported};
 use crate::record::Record;
 use crate::shard::Shard;
 use crate::silent::Silence;
@@ -22,14 +21,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct Recovery {
     stage: Stage,
-    /// Workers that previous owners used.
-    known_workers: BTreeMap<Arc<str>, Worker>,
-    /// Workers that may run attempts of a previous owner.
-    unconfirmed: BTreeSet<Arc<str>>,
+    /// Workers that previous owners used, with what calls for their earlier incarnations may do.
+    known_workers: BTreeMap<Arc<str>, (Worker, Restart)>,
+    /// Workers that may run attempts of a previous owner, with the time on the owner's clock from which
+    /// such attempts have certainly ended.
+    unconfirmed: BTreeMap<Arc<str>, u64>,
     /// Workers that didn't answer the previous owner, with the tasks that they may run.
     silent: BTreeMap<Arc<str>, Vec<Key>>,
-    /// Time on the owner's clock from which such attempts have certainly ended.
-    leases_expired_ms: u64,
     /// Time on the owner's clock from which no previous owner acts any more.
     fenced_ms: u64,
     /// Whether all jobs that were stored before then have been read.
@@ -81,20 +79,20 @@
 
     /// Returns whether a worker may run attempts of a previous owner that it has not reported.
     pub(crate) fn may_run_attempts(&self, worker: &str) -> bool {
-        self.unconfirmed.contains(worker)
+        self.unconfirmed.contains_key(worker)
     }
 
     /// Returns whether some worker may run any task of a previous owner.
     pub(crate) fn may_run_any_task(&self) -> bool {
         let is_unknown = |worker: &Arc<str>| !self.silent.contains_key(worker);
-        self.unconfirmed.iter().any(is_unknown)
+        self.unconfirmed.keys().any(is_unknown)
     }
 
     /// Returns whether some silent worker may run a task.
     pub(crate) fn may_run_silently(&self, task: &Key) -> bool {
         let silent = self.silent.iter();
         silent
-            .filter(|(worker, _)| self.unconfirmed.contains(*worker))
+            .filter(|(worker, _)| self.unconfirmed.contains_key(*worker))
             .any(|(_, tasks)| tasks.contains(task))
     }
 
@@ -115,12 +113,25 @@
             .then(|| self.fenced_ms.saturating_sub(now_ms))
     }
 
-    /// Ends the wait for workers whose lease had certainly expired at `at_ms`, and returns them.
-    fn tick(&mut self, at_ms: u64) -> BTreeSet<Arc<str>> {
-        let mut expired = BTreeSet::new();
-        if self.stage == Stage::Confirming && at_ms >= self.leases_expired_ms {
-            expired = std::mem::take(&mut self.unconfirmed);
+    /// Waits longer for a worker of which a later incarnation became known, whose attempts have certainly
+    /// ended at `expires_ms`.
+    pub(crate) fn postpone(&mut self, worker: &str, expires_ms: u64) {
+        if let Some(expiry_ms) = self.unconfirmed.get_mut(worker) {
+            *expiry_ms = (*expiry_ms).max(expires_ms + LEASE_MARGIN_MS);
         }
+    }
+
+    /// Ends the wait for workers whose lease had certainly expired at `at_ms`, and returns them.
+    fn tick(&mut self, at_ms: u64) -> Vec<Arc<str>> {
+        let expired = match self.stage {
+            Stage::Confirming => {
+                let expired = self
+                    .unconfirmed
+                    .extract_if(.., |_, expiry| at_ms >= *expiry);
+                expired.map(|(worker, _)| worker).collect()
+            }
+            Stage::Complete | Stage::Replaying => Vec::new(),
+        };
         self.complete_if_confirmed();
         expired
     }
@@ -189,11 +200,11 @@
                 how,
                 checkpoint,
             } => self.apply_end(None, key, attempt, how, checkpoint, now_ms),
-            Record::WorkerAdded { worker } => {
+            Record::WorkerAdded { worker, restart } => {
                 self.recovery.silent.remove(&worker.id);
                 self.recovery
                     .known_workers
-                    .insert(worker.id.clone(), worker);
+                    .insert(worker.id.clone(), (worker, restart));
             }
             Record::WorkerRemoved { worker } => {
                 self.recovery.silent.remove(&worker);
@@ -226,11 +237,19 @@
         let recorded = std::mem::take(&mut self.recovery.known_workers);
         let unrecorded = self.hosts.keys().filter(|id| !recorded.contains_key(*id));
         let unrecorded: Vec<Arc<str>> = unrecorded.cloned().collect();
-        for (id, worker) in recorded {
+        self.recovery.fenced_ms = if is_sole_owner {
+            now_ms
+        } else {
+            now_ms + Self::PREDECESSOR_FENCED_MS
+        };
+        for (id, (worker, restart)) in recorded {
             if !self.hosts.contains_key(&id) {
-                self.list_worker(worker, now_ms);
+                self.list_worker(worker.clone(), now_ms);
                 self.unlist_worker(&id);
             }
+            if let Some(host) = self.hosts.get_mut(&id) {
+                host.inherit(&worker, restart, self.recovery.fenced_ms);
+            }
         }
         // Their return must be recorded before they get tasks of this owner.
         for (id, tasks) in &self.recovery.silent {
@@ -242,19 +261,16 @@
         for id in unrecorded {
             self.use_once_recorded(&id);
         }
+        let fenced_ms = self.recovery.fenced_ms;
         let unconfirmed = self
             .hosts
             .iter()
             .filter(|(_, host)| host.liveness == Liveness::Unconfirmed);
-        self.recovery.unconfirmed = unconfirmed.map(|(id, _)| id.clone()).collect();
-        self.recovery.fenced_ms = if is_sole_owner {
-            now_ms
-        } else {
-            now_ms + Self::PREDECESSOR_FENCED_MS
-        };
         // Until then the previous owner may renew the lease of a worker that this owner can't reach.
-        self.recovery.leases_expired_ms =
-            self.recovery.fenced_ms + lease::longest_ms(self.settings.lease_ms) + LEASE_MARGIN_MS;
+        let expiry = |host: &Host| host.lease.inherited_expiry(fenced_ms) + LEASE_MARGIN_MS;
+        self.recovery.unconfirmed = unconfirmed
+            .map(|(id, host)| (id.clone(), expiry(host)))
+            .collect();
         self.start_clock(now_ms);
         self.sort_ready();
         self.recovery.stage = Stage::Confirming;
@@ -263,21 +279,9 @@
 
     /// Records every worker again, because the records of previous owners expire.
     pub fn record_workers(&mut self) {
-        let workers: Vec<Worker> = self
-            .hosts
-            .values()
-            .map(|host| host.worker.clone())
-            .collect();
-        for worker in workers {
-            self.record(Record::WorkerAdded { worker });
-        }
-        let silent = self.hosts.values().filter_map(|host| match &host.silence {
-            Silence::Recorded(tasks) => Some((host.id(), tasks.clone())),
-            Silence::Unrecorded | Silence::Returning(_) => None,
-        });
-        let silent: Vec<(Arc<str>, Vec<Key>)> = silent.collect();
-        for (worker, tasks) in silent {
-            self.record(Record::WorkerSilent { worker, tasks });
+        let ids: Vec<Arc<str>> = self.hosts.keys().cloned().collect();
+        for id in ids {
+            self.record_worker(&id);
         }
     }
 }
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -78,11 +78,15 @@
         }
         if is_current_token {
             host.liveness = Liveness::Confirmed;
-            self.record_return(id);
         } else if host.liveness == Liveness::Unresponsive {
             host.liveness = Liveness::Unconfirmed;
             self.actions.push(Action::Renew(host_id.clone()));
         }
+        if is_fenced {
+            self.record_restart(&host_id);
+        } else if is_current_token {
+            self.record_return(id);
+        }
         for end in &report.finished {
             self.process_end(id, end, now_ms);
         }
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -10,12 +10,12 @@
 use crate::job::{Id, Queue, Spec, State, Step};
 use crate::lease::Lease;
 use crate::lost_answers::LostAnswers;
-use crate::lost_attempt::{Evidence, LostAttempt};
+use crate::lost_attempt::Evidence;
 use crate::orphan::Orphans;
 use crate::record::Record;
 use crate::recovery::Recovery;
 use crate::reservation::Reservations;
-use crate::run::{Job, Placement};
+use crate::run::Job;
 use crate::start_window::StartWindow;
 use crate::task::{Key, StepKey};
 use crate::worker::Worker;
@@ -273,7 +273,7 @@
             );
             self.hosts.insert(id.clone(), host);
             if !self.recovery.is_replaying() {
-                self.record(Record::WorkerAdded { worker });
+                self.record_worker(&id);
                 self.use_once_recorded(&id);
             }
             self.actions.push(Action::Renew(id));
@@ -287,19 +287,20 @@
         if worker.incarnation > host.worker.incarnation && host.worker.incarnation > 0 {
             let incarnation = worker.incarnation;
             let address_changed = host.worker.address != worker.address;
-            host.worker = worker.clone();
+            let former = std::mem::replace(&mut host.worker, worker);
+            host.worker.incarnation = former.incarnation;
+            self.begin_incarnation(&id, incarnation, now_ms);
             if address_changed && !self.recovery.is_replaying() {
-                self.record(Record::WorkerAdded { worker });
+                self.record_worker(&id);
             }
-            self.begin_incarnation(&id, incarnation, now_ms);
             return;
         }
         let address_changed = host.worker.address != worker.address;
         let was_unresponsive = host.liveness == Liveness::Unresponsive;
-        host.worker = worker.clone();
+        host.worker = worker;
         if address_changed && !self.recovery.is_replaying() {
             // A successor that doesn't find the worker in the directory needs its address.
-            self.record(Record::WorkerAdded { worker });
+            self.record_worker(&id);
         }
         if address_changed || was_unresponsive {
             self.actions.push(Action::Renew(id));
@@ -420,43 +421,6 @@
         self.actions.push(Action::Stop(stop));
     }
 
-    /// Removes all attempts on a worker and makes their tasks wait again.
-    pub(crate) fn mark_runs_lost(&mut self, id: &str, evidence: Evidence) {
-        let Some(host) = self.hosts.get_mut(id) else {
-            return;
-        };
-        let runs = std::mem::take(&mut host.runs);
-        host.used = rosemaryworks_core::size::Size::ZERO;
-        for key in runs.into_keys() {
-            self.mark_run_lost(id, key, evidence);
-        }
-    }
-
-    /// Makes the task of an attempt that its worker no longer runs wait again.
-    pub(crate) fn mark_run_lost(&mut self, worker: &str, key: Key, evidence: Evidence) {
-        let Some(step) = self.step_run_mut(key.step) else {
-            return;
-        };
-        let Some(task) = step.tasks.get(key.index as usize) else {
-            return;
-        };
-        if !matches!(&task.placement, Placement::Assigned(on) if &**on == worker) {
-            return;
-        }
-        let attempt = task.attempt;
-        step.set_placement(key.index, Placement::Waiting);
-        self.enqueue(key.step);
-        let host = self.hosts.get(worker);
-        self.actions.push(Action::LogLost(LostAttempt {
-            worker: worker.into(),
-            key,
-            attempt,
-            evidence,
-            lease_expires_ms: host.and_then(|host| host.lease.expires_at()),
-            unresponsive_since_ms: host.and_then(|host| host.unresponsive_since_ms),
-        }));
-    }
-
     /// Resets the state for a new incarnation of a worker: the tasks of the previous one wait
     /// again, and steps with waiting tasks forget the answers of the advice service about it.
     pub(crate) fn begin_incarnation(&mut self, id: &Arc<str>, incarnation: u64, now_ms: u64) {
@@ -473,6 +437,8 @@
             pending: host.runs.len(),
             lease_expires_ms: host.lease.expires_at(),
         }));
+        let expires_ms = host.lease.inherited_expiry(0);
+        self.recovery.postpone(id, expires_ms);
         for (key, _) in lost {
             self.mark_run_lost(id, key, Evidence::NewIncarnation);
         }
--- a/crates/workflow/src/silent.rs
+++ b/crates/workflow/src/silent.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use crate::host::Liveness;
+use crate::incarnation::Restart;
 use crate::record::Record;
 use crate::shard::Shard;
 use crate::task::Key;
@@ -70,10 +71,48 @@
             return;
         };
         if matches!(host.silence, Silence::Recorded(_)) {
-            host.silence = Silence::Returning(self.issued_records + 1);
-            let worker = host.worker.clone();
-            self.awaiting_records.insert(worker.id.clone());
-            self.record(Record::WorkerAdded { worker });
+            host.silence = Silence::Unrecorded;
+            let id = host.id();
+            self.record_worker(&id);
+            self.use_once_recorded(&id);
+        }
+    }
+
+    /// Records a worker, and the tasks that it may run if it doesn't answer.
+    pub(crate) fn record_worker(&mut self, id: &Arc<str>) {
+        let Some(host) = self.hosts.get(id) else {
+            return;
+        };
+        let (worker, restart) = (host.worker.clone(), host.restart);
+        let silent = match &host.silence {
+            Silence::Recorded(tasks) => Some(tasks.clone()),
+            Silence::Unrecorded | Silence::Returning(_) => None,
+        };
+        self.record(Record::WorkerAdded { worker, restart });
+        if let Some(tasks) = silent {
+            let worker = id.clone();
+            self.record(Record::WorkerSilent { worker, tasks });
+        }
+    }
+
+    /// Records that calls for earlier incarnations of a worker are void, and lets the worker have
+    /// tasks once that is durable: a successor must know that it may hold the longest lease.
+    pub(crate) fn record_restart(&mut self, id: &Arc<str>) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.silence = Silence::Unrecorded;
+        }
+        self.record_worker(id);
+        self.use_once_recorded(id);
+    }
+
+    /// Records that a worker that started again is as any other again.
+    pub(crate) fn settle(&mut self, id: &Arc<str>, now_ms: u64) {
+        let Some(host) = self.hosts.get_mut(id) else {
+            return;
+        };
+        if host.has_settled(now_ms) {
+            host.restart = Restart::None;
+            self.record_worker(id);
         }
     }
 }
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -54,6 +54,7 @@
         for id in ids {
             self.expire_lease(&id, self.owned_until_ms.min(now_ms));
             self.record_silence(&id, now_ms);
+            self.settle(&id, now_ms);
             self.remove_if_departed(&id);
             self.drain(&id, now_ms);
             self.retry_stops(&id, now_ms);
@@ -208,6 +209,7 @@
 fn needs_check(host: &Host, now_ms: u64) -> bool {
     host.liveness == Liveness::Unresponsive
         || host.worker.draining
+        || host.has_settled(now_ms)
         || host.runs.values().any(|run| match run.phase {
             Phase::Stopping => now_ms >= run.phase_since_ms + STOP_RETRY_MS,
             Phase::Running => now_ms >= run.progressed_ms + STALLED_AFTER_MS,
--- a/crates/workflow/tests/incarnations.rs
+++ b/crates/workflow/tests/incarnations.rs
@@ -90,6 +90,7 @@
     restart(&mut fleet, "w0");
     for _ in 0..3 {
         fleet.renew_all();
+        fleet.make_durable();
         fleet.advance(100);
     }
     let labelled = rosemaryworks_workflow::Step {
@@ -111,6 +112,7 @@
     fleet.shard.list_worker(next, fleet.now_ms);
     for _ in 0..3 {
         fleet.renew_all();
+        fleet.make_durable();
         fleet.advance(100);
     }
     assert_eq!(fleet.workers_running(key(2, 0, 0)).len(), 1);
--- a/crates/workflow/tests/unresponsive_workers.rs
+++ b/crates/workflow/tests/unresponsive_workers.rs
@@ -299,28 +299,36 @@
 
 /// Guards against tasks that run twice because a start request to an earlier incarnation gave the
 /// next one a lease that the owner doesn't know: its deadline is on another clock, so the worker
-/// may keep the attempt for the longest lease that it grants.
+/// may keep the attempt for the longest lease that it grants, from when the request is carried out.
 #[test]
 fn an_attempt_that_reached_the_next_incarnation_is_kept_for_the_longest_lease() {
-    let mut fleet = Fleet::new(2);
-    let order = restart_worker_during_a_start(&mut fleet);
-    let unknown = rosemaryworks_workflow::StartOutcome::Unknown;
-    fleet.shard.start_answered(&order, unknown, fleet.now_ms);
-    fleet.set_unresponsive(&order.worker, true);
-    let longest_ms = fleet::settings().lease_max_ms;
-    for _ in 0..longest_ms / 250 {
-        fleet.advance(250);
-        fleet.renew(&order.worker);
-    }
-    assert!(
-        fleet.orders.is_empty(),
-        "started while the worker may run it"
-    );
-    for _ in 0..8 {
-        fleet.advance(250);
-        fleet.renew(&order.worker);
+    // A call without an answer may be carried out 12 s later.
+    for (outcome, late_ms) in [
+        (rosemaryworks_workflow::StartOutcome::Unknown, 12_000),
+        (
+            rosemaryworks_workflow::StartOutcome::Accepted { clock_ms: 5 },
+            0,
+        ),
+    ] {
+        let mut fleet = Fleet::new(2);
+        let order = restart_worker_during_a_start(&mut fleet);
+        fleet.shard.start_answered(&order, outcome, fleet.now_ms);
+        fleet.set_unresponsive(&order.worker, true);
+        let longest_ms = late_ms + fleet::settings().lease_max_ms;
+        for _ in 0..longest_ms / 250 {
+            fleet.advance(250);
+            fleet.renew(&order.worker);
+        }
+        assert!(
+            fleet.orders.is_empty(),
+            "started while the worker may run it after {outcome:?}"
+        );
+        for _ in 0..8 {
+            fleet.advance(250);
+            fleet.renew(&order.worker);
+        }
+        assert_eq!(fleet.orders.len(), 1, "not restarted after {outcome:?}");
     }
-    assert_eq!(fleet.orders.len(), 1, "not restarted");
 }
 
 /// Guards against an owner that steps down, and against late start requests that a worker accepts
