fix(workflow): a restart is noticed although the worker's time of day was set back

If the time of day was set back between two lives, the reports of the present one were ignored for good: its worker got no tasks, and its former tasks never started again.

Change: an incarnation that answers a renewal which was sent after the known one was heard of is a later one, whatever its start time; the superseded one and its entry in the list of workers are ignored from then on, and an entry that was read too early is applied once a report names its incarnation. A worker counts as described only by an entry of its present incarnation.

Evidence: a_next_life_with_an_earlier_start_time_is_noticed failed before and passes, also with the entry read before or after the report.

Why it works: lives follow each other, so what answers a later call lives later.

--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -1,5 +1,6 @@
 //! State of a worker as tracked by the owner of the shard.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -128,6 +129,11 @@
     pub(crate) reported_ms: u64,
     /// What is recorded about the worker's silence.
     pub(crate) silence: Silence,
+    /// Entry in the directory of an incarnation that seems to be an earlier one. It is a later one if the
+    /// worker's time of day was set back, which its report tells.
+    pub(crate) older_entry: Option<Worker>,
+    /// Earlier incarnations with later start times, because the worker's time of day was set back.
+    superseded: Vec<u64>,
     /// Time on the owner's clock at which this incarnation was first seen.
     pub(crate) first_seen_ms: u64,
     /// Fencing token before any request was invalidated.
@@ -165,6 +171,8 @@
             unresponsive_since_ms: None,
             reported_ms: now_ms,
             silence: Silence::default(),
+            older_entry: None,
+            superseded: Vec::new(),
             first_seen_ms: now_ms,
             token_base: epoch << TOKEN_COUNTER_BITS,
             token_increments,
@@ -239,6 +247,9 @@
     /// have received the start requests of the others, so these stay until it reports.
     pub(crate) fn begin_incarnation(&mut self, incarnation: u64, now_ms: u64) -> Vec<(Key, Run)> {
         self.abandon_renewal(now_ms);
+        if self.worker.incarnation > incarnation {
+            self.superseded.push(self.worker.incarnation);
+        }
         self.worker.incarnation = incarnation;
         self.restart = Restart::Unfenced;
         self.lease.begin_incarnation(now_ms);
@@ -333,6 +344,24 @@
         self.pending_ends.is_empty() && !matches!(self.silence, Silence::Returning(_))
     }
 
+    /// Compares an incarnation that answered a renewal which was sent at `sent_ms` with the current one.
+    /// Start times tell their order, unless the worker's time of day was set back: an incarnation that
+    /// answers what was sent after the current one was known is a later one.
+    pub(crate) fn compare(&self, incarnation: u64, sent_ms: u64) -> Ordering {
+        if self.superseded.contains(&incarnation) {
+            return Ordering::Less;
+        }
+        match incarnation.cmp(&self.worker.incarnation) {
+            Ordering::Less if incarnation > 0 && sent_ms > self.first_seen_ms => Ordering::Greater,
+            order => order,
+        }
+    }
+
+    /// Returns whether an entry of the directory is about an incarnation before the current one.
+    pub(crate) fn is_outdated(&self, entry: &Worker) -> bool {
+        entry.incarnation < self.worker.incarnation || self.superseded.contains(&entry.incarnation)
+    }
+
     /// Returns whether a request was meant for an earlier incarnation of the worker.
     pub(crate) fn is_for_earlier_incarnation(&self, token: u64) -> bool {
         token < self.incarnation_token
@@ -377,7 +406,7 @@
 
     /// Returns whether labels and capacity are those of the current incarnation.
     fn is_described(&self) -> bool {
-        self.listed_incarnation == 0 || self.listed_incarnation >= self.worker.incarnation
+        self.listed_incarnation == 0 || self.listed_incarnation == self.worker.incarnation
     }
 
     /// Returns whether a start request has waited too long for its answer. For a worker without
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -1,5 +1,6 @@
 //! Lease renewal and worker reports: running attempts, ended attempts and unresponsive workers.
 
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 
 use crate::action::Action;
@@ -45,18 +46,16 @@
         };
         let host_id = host.id();
         host.end_renewal(sent_ms);
-        if report.incarnation < host.worker.incarnation {
-            // The report is from a previous incarnation.
-            return;
-        }
-        if report.incarnation > host.worker.incarnation {
-            if host.worker.incarnation > 0 {
+        match host.compare(report.incarnation, sent_ms) {
+            Ordering::Less => return,
+            Ordering::Equal => {}
+            Ordering::Greater if host.worker.incarnation > 0 => {
                 // What the directory said was about the previous incarnation.
                 host.worker.draining = false;
                 self.begin_incarnation(&host_id, report.incarnation, now_ms);
                 return;
             }
-            host.worker.incarnation = report.incarnation;
+            Ordering::Greater => host.worker.incarnation = report.incarnation,
         }
         host.lease.observe_clock(report.clock_ms, now_ms);
         host.reported_ms = host.reported_ms.max(sent_ms);
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -280,7 +280,8 @@
             return;
         };
         host.listed = true;
-        if worker.incarnation < host.worker.incarnation {
+        if host.is_outdated(&worker) {
+            host.older_entry = Some(worker);
             return;
         }
         host.listed_incarnation = worker.incarnation;
@@ -449,6 +450,20 @@
             }
         }
         self.actions.push(Action::Renew(id.clone()));
+        self.apply_older_entry(id, now_ms);
+    }
+
+    /// Applies an entry of the directory that was read before its incarnation was known to be the
+    /// current one.
+    fn apply_older_entry(&mut self, id: &str, now_ms: u64) {
+        let Some(host) = self.hosts.get_mut(id) else {
+            return;
+        };
+        let incarnation = host.worker.incarnation;
+        let entry = host.older_entry.take();
+        if let Some(entry) = entry.filter(|entry| entry.incarnation == incarnation) {
+            self.list_worker(entry, now_ms);
+        }
     }
 
     pub(crate) fn step_run(&self, key: StepKey) -> Option<&crate::run::StepRun> {
--- a/crates/workflow/tests/restarted_workers.rs
+++ b/crates/workflow/tests/restarted_workers.rs
@@ -309,13 +309,26 @@
 /// its lives, so that the start of the next one seems to be earlier.
 #[test]
 fn a_next_life_with_an_earlier_start_time_is_noticed() {
-    let mut fleet = Fleet::new(1);
-    fleet.submit(1, spec(vec![step(1)]));
-    fleet.renew("w0");
-    fleet.advance(STEP_MS);
-    fleet.restart("w0");
-    fleet.workers.get_mut("w0").expect("a worker").incarnation = 3;
-    add_ready_worker(&mut fleet, "w1");
-    fleet.renew("w0");
-    await_restart(&mut fleet, STEP_MS);
+    for is_listed_first in [false, true] {
+        let mut fleet = Fleet::new(1);
+        fleet.submit(1, spec(vec![step(1)]));
+        fleet.renew("w0");
+        fleet.advance(STEP_MS);
+        fleet.restart("w0");
+        fleet.workers.get_mut("w0").expect("a worker").incarnation = 3;
+        if is_listed_first {
+            fleet.list("w0");
+        }
+        fleet.renew("w0");
+        let former = fleet::worker("w0", rosemaryworks_core::size::Size::new(4_000, 16_384), 7);
+        fleet.shard.list_worker(former, fleet.now_ms);
+        if !is_listed_first {
+            fleet.list("w0");
+        }
+        fleet.renew("w0");
+        fleet.make_durable();
+        fleet.tick();
+        assert_eq!(fleet.workers_running(task()), ["w0".into()]);
+        assert_eq!(fleet.orders.len(), 2, "listed first: {is_listed_first}");
+    }
 }
