fix(workflow): a removed worker that is listed again counts as started again

Cause: an owner forgets a worker that is no longer listed and silent. If it starts again and is listed, it counted as a new worker with the granted lease, although a renewal for its former life may still reach it and give it the longest one.

Change: of a removed worker its incarnation and the time until which calls for it may be late are kept; if it returns in another incarnation, it counts as started again. A successor keeps the workers that the records of its predecessors remove, until their calls are certainly over.

Why it works: the same bound as for workers that are not removed, from the last call that can reach the next life.

--- a/crates/workflow/src/lease.rs
+++ b/crates/workflow/src/lease.rs
@@ -77,6 +77,11 @@
         self.late_until_ms = self.late_until_ms.max(late_until_ms);
     }
 
+    /// Returns the time on the owner's clock until which calls without an answer may be carried out.
+    pub(crate) fn late_until(&self) -> u64 {
+        self.late_until_ms
+    }
+
     /// Returns whether only the deadlines that this owner has granted to the current incarnation
     /// determine when its lease expires.
     pub(crate) fn is_as_granted(&self, now_ms: u64) -> bool {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -24,6 +24,7 @@
 mod placement;
 mod record;
 mod recovery;
+mod removed;
 mod renewal;
 mod report;
 mod reservation;
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -7,6 +7,7 @@
 use crate::action::Action;
 use crate::host::{Host, Liveness};
 use crate::incarnation::{Restart, Unreported};
+use crate::lease::LATE_CALL_MAX_MS;
 use crate::record::Record;
 use crate::shard::Shard;
 use crate::silent::Silence;
@@ -202,13 +203,16 @@
             } => self.apply_end(None, key, attempt, how, checkpoint, now_ms),
             Record::WorkerAdded { worker, restart } => {
                 self.recovery.silent.remove(&worker.id);
+                self.removed.forget(&worker.id);
                 self.recovery
                     .known_workers
                     .insert(worker.id.clone(), (worker, restart));
             }
             Record::WorkerRemoved { worker } => {
                 self.recovery.silent.remove(&worker);
-                self.recovery.known_workers.remove(&worker);
+                let known = self.recovery.known_workers.remove(&worker);
+                let incarnation = known.map_or(0, |(known, _)| known.incarnation);
+                self.removed.add_recorded(worker, incarnation);
             }
             Record::WorkerSilent { worker, tasks } => {
                 self.recovery.silent.insert(worker, tasks);
@@ -251,6 +255,11 @@
                 host.inherit(&worker, restart, self.recovery.fenced_ms);
             }
         }
+        let late_until_ms = self.recovery.fenced_ms + LATE_CALL_MAX_MS;
+        self.removed.fenced(late_until_ms);
+        for id in &unrecorded {
+            self.restore_removed(id, self.recovery.fenced_ms);
+        }
         // Their return must be recorded before they get tasks of this owner.
         for (id, tasks) in &self.recovery.silent {
             if let Some(host) = self.hosts.get_mut(id) {
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -14,6 +14,7 @@
 use crate::orphan::Orphans;
 use crate::record::Record;
 use crate::recovery::Recovery;
+use crate::removed::Removed;
 use crate::reservation::Reservations;
 use crate::run::Job;
 use crate::start_window::StartWindow;
@@ -73,9 +74,7 @@
     pub(crate) clock: Clock,
     /// First offset that the log retains of the jobs' stream.
     pub(crate) first_retained: u64,
-    /// Highest token increments of a removed worker. A worker that is listed again has seen its
-    /// earlier tokens and rejects lower ones.
-    removed_increments: u64,
+    pub(crate) removed: Removed,
     pub(crate) next_acceptance: u64,
     /// Number of jobs that have not ended.
     pub(crate) open_jobs: usize,
@@ -115,7 +114,7 @@
             early_cancellations: BTreeMap::new(),
             clock: Clock::default(),
             first_retained: 0,
-            removed_increments: 0,
+            removed: Removed::default(),
             next_acceptance: 0,
             open_jobs: 0,
             owned_until_ms: 0,
@@ -267,12 +266,13 @@
             let host = Host::new(
                 worker.clone(),
                 epoch,
-                self.removed_increments,
+                self.removed.increments(),
                 lease,
                 now_ms,
             );
             self.hosts.insert(id.clone(), host);
             if !self.recovery.is_replaying() {
+                self.restore_removed(&id, now_ms);
                 self.record_worker(&id);
                 self.use_once_recorded(&id);
             }
@@ -338,7 +338,7 @@
     /// Removes a worker that can't run an attempt of this owner.
     pub(crate) fn remove_worker(&mut self, id: &str) {
         if let Some(host) = self.hosts.remove(id) {
-            self.removed_increments = self.removed_increments.max(host.token_increments);
+            self.removed.add(&host);
             self.record(Record::WorkerRemoved { worker: host.id() });
         }
     }
--- a/crates/workflow/tests/restarted_workers.rs
+++ b/crates/workflow/tests/restarted_workers.rs
@@ -248,6 +248,44 @@
     await_restart_of(&mut fleet, task, longest_wait_ms());
 }
 
+/// The same for a worker that a previous owner removed, which a call of that owner may still reach.
+#[test]
+fn a_worker_that_a_previous_owner_removed_counts_as_started_again() {
+    let mut fleet = restarted();
+    advance_life(&mut fleet);
+    let former = fleet.shard.renewal("w0", fleet.now_ms).expect("a renewal");
+    fleet.set_unresponsive("w0", true);
+    fleet.workers.get_mut("w0").expect("a worker").runs.clear();
+    fleet.shard.unlist_worker("w0");
+    await_restart(&mut fleet, longest_wait_ms());
+    fleet.advance(5_000);
+    assert!(fleet.shard.host("w0").is_none(), "not removed");
+    fleet.end_attempt(task(), Outcome::Failed);
+    fleet.restart("w0");
+    take_over(&mut fleet, 2);
+    let size = rosemaryworks_core::size::Size::new(4_000, 16_384);
+    let draining = rosemaryworks_workflow::Worker {
+        draining: true,
+        ..fleet::worker("w1", size, 7)
+    };
+    fleet.shard.list_worker(draining, fleet.now_ms);
+    let life = fleet.workers.get_mut("w0").expect("a worker");
+    life.renew(&former, fleet.now_ms);
+    for _ in 0..32 {
+        fleet.advance(STEP_MS);
+        fleet.renew_all();
+        fleet.make_durable();
+        if fleet.workers["w0"].runs.contains_key(&task()) {
+            break;
+        }
+    }
+    fleet.renew("w0");
+    assert_eq!(fleet.workers_running(task()), ["w0".into()]);
+    fleet.list("w1");
+    fleet.set_unresponsive("w0", true);
+    await_restart(&mut fleet, longest_wait_ms());
+}
+
 /// Guards against takeovers that wait longer than for the granted lease although no worker started
 /// again, or its longest lease has expired since.
 #[test]
