fix(workflow): acknowledgements never reach a later life with ends of its own

Cause: the numbers of ends begin anew in each incarnation. An acknowledgement that was meant for the former life of a worker, sent by an owner that doesn't know of the next one or carried out late, made the next one forget ends that nobody had seen. The owner then missed the attempts in the report and started their tasks again.

Change: ends are acknowledged only while the worker has reported every attempt whose start was sent, and once only. A start raises the fencing token if an acknowledgement under way carries the current one, and so does one without an answer. While a start is under way a session waits for its answer, for 50 ms at most, because a worker with ends that it can't forget answers at once.

Evidence: an_end_in_the_next_life_is_not_forgotten_unseen (a third start) and a_start_makes_an_acknowledgement_under_way_void failed before and pass.

Why it works: an acknowledgement harms only a life in which a start was carried out before. Such a start was either sent before, and then not reported, or after, and then the acknowledgement is fenced.

--- a/crates/entry/tests/model/process.rs
+++ b/crates/entry/tests/model/process.rs
@@ -63,7 +63,6 @@
     Renewal {
         worker: Arc<str>,
         token: u64,
-        acknowledged: u64,
         sent_ms: u64,
         waits: bool,
     },
--- a/crates/entry/tests/model/session.rs
+++ b/crates/entry/tests/model/session.rs
@@ -21,6 +21,9 @@
 /// milliseconds.
 const ACKNOWLEDGE_AFTER_MS: u64 = 1_000;
 
+/// Longest wait for the answer to a start before the next renewal, in milliseconds.
+const START_WAIT_MAX_MS: u64 = 50;
+
 impl World {
     /// Ends any wait of a session, so that the lease is renewed now.
     pub(crate) fn interrupt(&mut self, process: usize, worker: &Arc<str>) {
@@ -103,7 +106,6 @@
         let sent = Sent::Renewal {
             worker: worker.clone(),
             token: renewal.token,
-            acknowledged: renewal.acknowledged,
             sent_ms,
             waits: wait_ms > 0,
         };
@@ -127,7 +129,6 @@
         let Sent::Renewal {
             worker,
             token,
-            acknowledged,
             sent_ms,
             waits,
         } = sent
@@ -158,11 +159,11 @@
                 owner.shard.renewal_failed(&worker, token, fault, now_ms);
             }
         }
-        self.wait_after_renewal(process, &worker, acknowledged);
+        self.wait_after_renewal(process, &worker);
         self.wake_owner(process, 2);
     }
 
-    fn wait_after_renewal(&mut self, process: usize, worker: &Arc<str>, acknowledged: u64) {
+    fn wait_after_renewal(&mut self, process: usize, worker: &Arc<str>) {
         let Some(owner) = &mut self.processes[process].owner else {
             return;
         };
@@ -180,9 +181,8 @@
                 (Wait::Time, Some(pause_ms))
             }
             Some(host) if host.has_pending_ends() => (Wait::Durable, Some(DURABLE_WAIT_MAX_MS)),
-            Some(host) if host.is_idle() && host.acknowledged() == acknowledged => {
-                (Wait::Work, None)
-            }
+            Some(host) if host.is_idle() && host.has_acknowledged() => (Wait::Work, None),
+            Some(host) if host.awaits_start() => (Wait::Work, Some(START_WAIT_MAX_MS)),
             Some(_) => (Wait::Time, Some(0)),
         };
         self.wait_for(process, worker, wait, limit_ms);
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -95,6 +95,10 @@
     pub(crate) sent_ms: u64,
     /// Whether it carries a deadline.
     pub(crate) has_deadline: bool,
+    /// Highest number of an end that it acknowledges; 0 if none.
+    pub(crate) acknowledged: u64,
+    /// Fencing token.
+    pub(crate) token: u64,
 }
 
 /// A worker with its lease and the attempts on it.
@@ -115,6 +119,8 @@
     pub(crate) last_processed_end: u64,
     /// Highest number of an ended attempt whose record is durable.
     pub(crate) last_durable_end: u64,
+    /// Highest number of an end that the worker has forgotten for certain.
+    pub(crate) last_acknowledged_end: u64,
     /// Ends whose records are not durable yet, as (record number, end number).
     pub(crate) pending_ends: VecDeque<(u64, u64)>,
     /// Whether the platform's directory lists the worker.
@@ -166,6 +172,7 @@
             backoff: Backoff::default(),
             last_processed_end: 0,
             last_durable_end: 0,
+            last_acknowledged_end: 0,
             pending_ends: VecDeque::new(),
             listed: true,
             unresponsive_since_ms: None,
@@ -186,10 +193,16 @@
         self.token_base + self.token_increments
     }
 
-    /// Returns the highest number of an ended attempt that the worker may forget.
+    /// Returns whether the worker has forgotten every end that it may forget.
+    #[must_use]
+    pub fn has_acknowledged(&self) -> bool {
+        self.last_acknowledged_end == self.last_durable_end
+    }
+
+    /// Returns whether ends can't be acknowledged until a start request is answered.
     #[must_use]
-    pub fn acknowledged(&self) -> u64 {
-        self.last_durable_end
+    pub fn awaits_start(&self) -> bool {
+        !self.has_acknowledged() && self.has_pending_start()
     }
 
     /// Returns the worker.
@@ -255,6 +268,7 @@
         self.lease.begin_incarnation(now_ms);
         self.last_processed_end = 0;
         self.last_durable_end = 0;
+        self.last_acknowledged_end = 0;
         self.pending_ends.clear();
         self.first_seen_ms = now_ms;
         self.invalidate_requests();
@@ -296,6 +310,7 @@
 
     /// Gives up the answer to a renewal under way: the worker may carry it out later.
     pub(crate) fn abandon_renewal(&mut self, now_ms: u64) {
+        self.void_acknowledgement();
         if self
             .renewal
             .take()
@@ -305,9 +320,9 @@
         }
     }
 
-    /// Returns the deadline of a renewal that is sent now, if the worker's clock is known, and records
-    /// the renewal as under way.
-    pub(crate) fn begin_renewal(&mut self, ttl_ms: u64, now_ms: u64) -> Option<u64> {
+    /// Records a renewal as under way. Returns its deadline, if the worker needs a lease and its clock is
+    /// known, and the highest number of an end that it acknowledges.
+    pub(crate) fn begin_renewal(&mut self, ttl_ms: u64, now_ms: u64) -> (Option<u64>, u64) {
         self.abandon_renewal(now_ms);
         // Without attempts no lease is needed, and without a lease a later loss of the worker is
         // handled sooner. An unresponsive worker may still receive the renewal, so renewing its
@@ -316,16 +331,48 @@
         let deadline_ms = needs_lease
             .then(|| self.lease.deadline(now_ms, ttl_ms))
             .flatten();
+        let acknowledged = match self.may_acknowledge() {
+            true => self.last_durable_end,
+            false => 0,
+        };
         self.renewal = Some(PendingRenewal {
             sent_ms: now_ms,
             has_deadline: deadline_ms.is_some(),
+            acknowledged,
+            token: self.token(),
         });
-        deadline_ms
+        (deadline_ms, acknowledged)
     }
 
-    /// Ends a renewal that was sent at `sent_ms` and has been answered, or had no effect.
+    /// Returns whether ends may be acknowledged now. The numbers of ends begin anew in each incarnation,
+    /// so an acknowledgement must not reach a later one that has carried out a start: it would
+    /// forget ends that nobody has seen. A start that the worker has reported was carried out by the
+    /// current one; later ones void the acknowledgement.
+    fn may_acknowledge(&self) -> bool {
+        self.liveness == Liveness::Confirmed
+            && !self.has_acknowledged()
+            && self
+                .runs
+                .values()
+                .all(|run| run.start == StartState::Confirmed)
+    }
+
+    /// Raises the fencing token if an acknowledgement with the current one may still be carried out, so
+    /// that it is void once a later start is carried out.
+    pub(crate) fn void_acknowledgement(&mut self) {
+        let token = self.token();
+        let is_valid =
+            |renewal: &PendingRenewal| renewal.acknowledged > 0 && renewal.token == token;
+        if self.renewal.as_ref().is_some_and(is_valid) {
+            self.token_increments += 1;
+        }
+    }
+
+    /// Ends a renewal that was sent at `sent_ms` and was answered.
     pub(crate) fn end_renewal(&mut self, sent_ms: u64) {
-        self.renewal = self.renewal.filter(|renewal| renewal.sent_ms != sent_ms);
+        if let Some(renewal) = self.renewal.take_if(|renewal| renewal.sent_ms == sent_ms) {
+            self.last_acknowledged_end = self.last_acknowledged_end.max(renewal.acknowledged);
+        }
     }
 
     /// Applies that the first `durable` records of the owner are durable. Returns whether the worker
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -312,6 +312,7 @@
         let Some(deadline_ms) = host.lease.deadline(now_ms, ttl_ms) else {
             return;
         };
+        host.void_acknowledgement();
         let order = Order {
             worker: worker.clone(),
             address: host.worker.address,
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -27,10 +27,11 @@
         let lease_ms = self.settings.lease_ms;
         let wait_ms = self.lost_answers.wait_ms();
         let host = self.hosts.get_mut(id)?;
+        let (deadline_ms, acknowledged) = host.begin_renewal(lease_ms, now_ms);
         Some(Renewal {
             address: host.worker.address,
-            acknowledged: host.last_durable_end,
-            deadline_ms: host.begin_renewal(lease_ms, now_ms),
+            acknowledged,
+            deadline_ms,
             token: host.token(),
             wait_ms: match host.liveness == Liveness::Confirmed && !host.runs.is_empty() {
                 true => wait_ms,
