fix(workflow): silent workers are given up only once a restart would be listed

Cause: an owner takes a silent worker for the life that it knows. A later one that has carried a start out is in the list of workers by the time the lease of the former one has expired, but the list may not have been read since, because the log is slow or unreachable.

Change: an owner tells the shard up to when it has read the list.

Why it works: without a later entry in a list that is recent enough, the life that the owner knows is the last one that could carry the start out. The wait gets longer only while the list can't be read.

--- a/crates/entry/src/port.rs
+++ b/crates/entry/src/port.rs
@@ -147,6 +147,8 @@
     pub skipped: Vec<Arc<str>>,
     /// Offset for the next read.
     pub next: u64,
+    /// Whether later changes are left for the next read.
+    pub has_more: bool,
     /// Whether the items are the complete state instead of changes since an offset.
     pub complete: bool,
 }
--- a/crates/entry/src/worker_list.rs
+++ b/crates/entry/src/worker_list.rs
@@ -49,11 +49,16 @@
                 // Entries that were skipped may belong to a pool that is named now.
                 since = None;
             }
+            let asked_ms = clock::now().0;
             match self.context().store.workers(since).await {
                 Ok(changes) => {
                     since = Some(changes.next);
                     config = current;
+                    let has_more = changes.has_more;
                     let skipped = self.apply_worker_changes(changes, config.as_deref());
+                    if !has_more {
+                        self.state().workers_read(asked_ms);
+                    }
                     node.skipped_workers.log(&skipped, clock::now().0);
                 }
                 Err(Fault::Expired { .. }) => since = None,
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -196,6 +196,7 @@
                         next: current.version,
                         items: vec![Arc::new(current)],
                         skipped: Vec::new(),
+                        has_more: false,
                         complete: since.is_none(),
                     });
                 }
@@ -216,6 +217,7 @@
             items,
             skipped,
             next: 0,
+            has_more: false,
             complete: since.is_none(),
         };
         self.answer(changes, 0)
--- a/crates/workflow/src/incarnation.rs
+++ b/crates/workflow/src/incarnation.rs
@@ -4,6 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Time from the start of an incarnation until the platform's directory certainly names it, in
+/// milliseconds: a period of the workers' entries and the lag of the directory.
+pub(crate) const LISTED_AFTER_MS: u64 = 2_500;
+
 /// What calls that were meant for an earlier incarnation of a worker may do to the current one.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Restart {
--- a/crates/workflow/src/lease.rs
+++ b/crates/workflow/src/lease.rs
@@ -15,6 +15,13 @@
     (lease_ms as f64 / SLOWEST_CLOCK_RATE) as u64 + KILL_MARGIN_MS
 }
 
+/// Returns the longest time on the owner's clock, in milliseconds, until every attempt has ended that a
+/// call which has been sent may start or keep in an incarnation that nobody knows. Workers grant leases
+/// of up to `max_ms`.
+pub(crate) fn longest_unknown_ms(max_ms: u64) -> u64 {
+    LATE_CALL_MAX_MS + longest_ms(max_ms)
+}
+
 /// Lease of a worker and the last reading of its clock.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Lease {
--- a/crates/workflow/src/lost_attempt.rs
+++ b/crates/workflow/src/lost_attempt.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use rosemaryworks_core::size::Size;
-
 use crate::action::Action;
 use crate::run::Placement;
 use crate::shard::Shard;
@@ -45,14 +43,12 @@
 }
 
 impl Shard {
-    /// Removes all attempts on a worker and makes their tasks wait again.
-    pub(crate) fn mark_runs_lost(&mut self, id: &str, evidence: Evidence) {
-        let Some(host) = self.hosts.get_mut(id) else {
-            return;
-        };
-        let runs = std::mem::take(&mut host.runs);
-        host.used = Size::ZERO;
-        for key in runs.into_keys() {
+    /// Removes attempts on a worker and makes their tasks wait again.
+    pub(crate) fn mark_runs_lost(&mut self, id: &str, keys: Vec<Key>, evidence: Evidence) {
+        for key in keys {
+            if let Some(host) = self.hosts.get_mut(id) {
+                host.remove(&key);
+            }
             self.mark_run_lost(id, key, evidence);
         }
     }
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -128,7 +128,8 @@
         // answer of another worker at the address means that they have ended. A call without an
         // answer means nothing: a network cut may refuse or reset connections.
         if fault == RenewalFault::WrongInstance {
-            self.mark_runs_lost(id, Evidence::WrongInstance);
+            let keys = host.runs.keys().copied().collect();
+            self.mark_runs_lost(id, keys, Evidence::WrongInstance);
             self.recovery.worker_confirmed(id);
         }
         self.remove_if_departed(id);
@@ -340,12 +341,7 @@
             .filter(|(key, run)| is_absent(key, run))
             .map(|(key, _)| *key)
             .collect();
-        for key in absent_keys {
-            if let Some(host) = self.hosts.get_mut(id) {
-                host.remove(&key);
-            }
-            self.mark_run_lost(id, key, Evidence::Absent);
-        }
+        self.mark_runs_lost(id, absent_keys, Evidence::Absent);
     }
 
     /// Returns whether a service task is serving.
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -82,6 +82,8 @@
     pub(crate) owned_until_ms: u64,
     /// Time on the owner's clock up to which every stored job has been read.
     pub(crate) jobs_read_ms: u64,
+    /// Time on the owner's clock up to which the list of workers has been read.
+    pub(crate) workers_read_ms: u64,
     /// Time on the owner's clock from which [`Self::tick`] visits all workers again.
     pub(crate) worker_check_due_ms: u64,
     /// Time on the owner's clock from which [`Self::tick`] visits all jobs again.
@@ -119,6 +121,7 @@
             open_jobs: 0,
             owned_until_ms: 0,
             jobs_read_ms: 0,
+            workers_read_ms: 0,
             worker_check_due_ms: 0,
             job_check_due_ms: 0,
         }
@@ -308,6 +311,11 @@
         }
     }
 
+    /// Records that the platform's directory has been read up to its state at `at_ms`.
+    pub fn workers_read(&mut self, at_ms: u64) {
+        self.workers_read_ms = self.workers_read_ms.max(at_ms);
+    }
+
     /// Handles the removal of a worker from the platform's directory.
     pub fn unlist_worker(&mut self, id: &str) {
         let Some(host) = self.hosts.get_mut(id) else {
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 
 use crate::action::Action;
-use crate::host::{Host, Liveness, Phase};
+use crate::host::{Host, Liveness, Phase, Run, StartState};
+use crate::incarnation::LISTED_AFTER_MS;
 use crate::job::Id;
+use crate::lease;
 use crate::lost_attempt::Evidence;
 use crate::shard::Shard;
 use crate::task::Key;
@@ -101,10 +103,32 @@
             .lease
             .expires_at()
             .is_none_or(|expires_ms| at_ms >= expires_ms);
-        // The outcome of a start that is under way decides about its attempt.
-        let is_settled = !host.runs.is_empty() && !host.has_pending_start();
-        if is_unresponsive && is_expired && is_settled {
-            self.mark_runs_lost(id, Evidence::LeaseExpired);
+        if !is_unresponsive || !is_expired {
+            return;
+        }
+        let has_ended = |(_, run): &(&Key, &Run)| self.has_ended_with_lease(run, at_ms);
+        let ended: Vec<Key> = host
+            .runs
+            .iter()
+            .filter(has_ended)
+            .map(|(key, _)| *key)
+            .collect();
+        self.mark_runs_lost(id, ended, Evidence::LeaseExpired);
+    }
+
+    /// Returns whether an attempt has certainly ended once the lease of the incarnation has expired that
+    /// this owner knows. A later one may have carried the start out and hold a longer lease, until the
+    /// directory would name it.
+    fn has_ended_with_lease(&self, run: &Run, at_ms: u64) -> bool {
+        match run.start {
+            StartState::Confirmed => true,
+            // The outcome of a start that is under way decides about its attempt.
+            StartState::Sent => false,
+            StartState::Accepted | StartState::Unanswered => {
+                let max_ms = self.settings.lease_max_ms;
+                self.workers_read_ms >= run.started_ms + LISTED_AFTER_MS
+                    || at_ms >= run.started_ms + lease::longest_unknown_ms(max_ms)
+            }
         }
     }
 
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -50,6 +50,8 @@
     pub(crate) renewals: Vec<Arc<str>>,
     pub(crate) lost: Vec<rosemaryworks_workflow::LostAttempt>,
     pub(crate) stepped_down: bool,
+    /// Whether the list of workers can't be read.
+    pub(crate) is_list_unreadable: bool,
     capacity: Size,
 }
 
@@ -139,6 +141,7 @@
             renewals: Vec::new(),
             lost: Vec::new(),
             stepped_down: false,
+            is_list_unreadable: false,
             capacity: Size::new(4_000, 16_384),
         }
     }
@@ -189,10 +192,13 @@
     }
 
     /// Ticks and carries out the actions immediately, except lease renewals. No other process has
-    /// claimed the shard, and its jobs have been read.
+    /// claimed the shard, and its jobs and the list of workers have been read.
     pub(crate) fn tick(&mut self) {
         self.shard.confirm_ownership(self.now_ms);
         self.shard.jobs_read(self.now_ms);
+        if !self.is_list_unreadable {
+            self.shard.workers_read(self.now_ms);
+        }
         self.shard.tick(self.now_ms, self.now_ms);
         self.take_actions();
     }
