test(entry): model workers that start again under their id

Change: with Rules::restarts workers start again with a clock of their own, a share of the calls is carried out late, starts need a permit, owners read the list of workers, and faults come in series around restarts.

--- a/crates/entry/tests/model/claiming.rs
+++ b/crates/entry/tests/model/claiming.rs
@@ -40,6 +40,7 @@
             Input::ReadClaims { timer } => self.read_claims(process, timer),
             Input::ReadJobs { epoch } => self.read_jobs(process, epoch),
             Input::ReadNewest => self.read_newest(process),
+            Input::ReadWorkers { epoch } => self.read_workers(process, epoch),
             Input::Renew => self.renew_claim(process),
             Input::RoundBegins { round } => self.begin_round(process, round),
             Input::RoundEnds { round } => self.end_round(process, round),
@@ -86,9 +87,15 @@
             Purpose::Renewal => self.observe_log(process, response.is_some()),
             Purpose::Submit(record) if response.is_some() => self.notify_stored(process, record),
             Purpose::Submit(_) => {}
-            Purpose::Fence | Purpose::ReplayJobs | Purpose::ReplayProgress => {
+            Purpose::Fence
+            | Purpose::ReplayJobs
+            | Purpose::ReplayProgress
+            | Purpose::ReplayWorkers { .. } => {
                 self.takeover_answered(process, purpose, response);
             }
+            Purpose::Workers { epoch, asked_ms } => {
+                self.workers_answered(process, epoch, asked_ms, response);
+            }
         }
     }
 
@@ -248,6 +255,8 @@
         match response {
             Some(Response::Appended(end)) => {
                 let claim = self.own_claim(process, epoch, 0);
+                let workers = self.known_list();
+                let reads_list = workers.is_none();
                 let state = &mut self.processes[process];
                 state.claims_next = end;
                 state.claims.apply(SHARD, claim, now_ms);
@@ -256,12 +265,17 @@
                     predecessor_ended,
                     jobs: None,
                     progress: None,
+                    workers,
                     retries: 0,
                 });
                 let real_ms = self.now_ms;
                 self.history
                     .note(|| format!("{real_ms}: p{process} claimed {epoch}"));
                 self.continue_takeover(process, Purpose::Fence);
+                if reads_list {
+                    let asked_ms = now_ms;
+                    self.continue_takeover(process, Purpose::ReplayWorkers { asked_ms });
+                }
                 self.notify_claims_changed(process);
             }
             Some(_) => self.notify_claims_changed(process),
--- a/crates/entry/tests/model/fault.rs
+++ b/crates/entry/tests/model/fault.rs
@@ -7,6 +7,7 @@
 
 use super::network::{Path, Place};
 use super::process::{Input, Process};
+use super::worker::Down;
 use super::world::{Acquaintance, LOG_DELAY_MS, Scale, World};
 
 /// Time of the first faults in milliseconds.
@@ -26,6 +27,14 @@
     Pause(usize, u64),
     /// The log answers late.
     SlowLog(u64),
+    /// A share of the commands in percent is carried out late, without an answer.
+    LateCalls(u32),
+    /// The process that owns the shard then ends and starts again.
+    OwnerCrash(u64),
+    /// The process that owns the shard then stands still.
+    OwnerPause(u64),
+    /// A worker ends, and starts again at the end of the fault.
+    Restart(usize, Down),
 }
 
 impl Fault {
@@ -50,7 +59,7 @@
     }
 }
 
-fn draw_path(rng: &mut SmallRng) -> Path {
+pub(crate) fn draw_path(rng: &mut SmallRng) -> Path {
     match rng.random_range(0..3) {
         0 => Path::Closed,
         1 => Path::Held,
@@ -101,12 +110,21 @@
         self.history.note(|| format!("{now_ms}: begins {fault:?}"));
         match fault {
             Fault::Cut(pairs, path) => self.set_paths(pairs, *path),
-            Fault::Pause(process, ms) => {
-                let until_ms = &mut self.processes[*process].paused_until_ms;
-                *until_ms = (*until_ms).max(now_ms + ms);
-            }
+            Fault::Pause(process, ms) => self.pause(*process, *ms),
             Fault::Crash(process, ms) => self.crash(*process, *ms),
             Fault::SlowLog(delay_ms) => self.network.log_delay_ms = *delay_ms,
+            Fault::LateCalls(percent) => self.late_percent = *percent,
+            Fault::OwnerCrash(ms) => {
+                if let Some(process) = self.owner() {
+                    self.crash(process, *ms);
+                }
+            }
+            Fault::OwnerPause(ms) => {
+                if let Some(process) = self.owner() {
+                    self.pause(process, *ms);
+                }
+            }
+            Fault::Restart(worker, down) => self.crash_worker(*worker, *down),
         }
     }
 
@@ -115,8 +133,10 @@
         self.history.note(|| format!("{now_ms}: ends {fault:?}"));
         match fault {
             Fault::Cut(pairs, _) => self.set_paths(pairs, Path::Open),
-            Fault::Crash(..) | Fault::Pause(..) => {}
+            Fault::Crash(..) | Fault::OwnerCrash(_) | Fault::OwnerPause(_) | Fault::Pause(..) => {}
             Fault::SlowLog(_) => self.network.log_delay_ms = LOG_DELAY_MS,
+            Fault::LateCalls(_) => self.late_percent = 0,
+            Fault::Restart(worker, _) => self.restart_worker(*worker),
         }
     }
 
@@ -126,6 +146,19 @@
         }
     }
 
+    /// Returns the process that owns the shard.
+    fn owner(&self) -> Option<usize> {
+        let epoch = |process: &Process| process.owner.as_ref().map(|owner| owner.epoch);
+        let processes = self.processes.iter().enumerate();
+        let owners = processes.filter_map(|(index, process)| Some((epoch(process)?, index)));
+        owners.max().map(|(_, index)| index)
+    }
+
+    fn pause(&mut self, process: usize, ms: u64) {
+        let until_ms = &mut self.processes[process].paused_until_ms;
+        *until_ms = (*until_ms).max(self.now_ms + ms);
+    }
+
     /// Ends a process, which starts again without its state after `ms`.
     fn crash(&mut self, process: usize, ms: u64) {
         self.close_links(process);
--- a/crates/entry/tests/model/fleet.rs
+++ b/crates/entry/tests/model/fleet.rs
@@ -1,7 +1,7 @@
 //! Commands that reach the workers, and the ends of their attempts.
 
 use rand::Rng;
-use rosemaryworks_workflow::{Order, Outcome, RenewalFault};
+use rosemaryworks_workflow::{Order, Outcome, Refusal, RenewalFault, StartOutcome};
 
 use super::network::{Path, Place};
 use super::process::{Answer, Command, Input};
@@ -13,68 +13,104 @@
 const TOKEN_COUNTER_BITS: u32 = 20;
 
 /// Time after which a held command is tried again, in milliseconds.
-const HELD_MS: u64 = 50;
+pub(crate) const HELD_MS: u64 = 50;
 
-impl World {
-    pub(crate) fn receive_command(
-        &mut self,
-        process: usize,
-        epoch: u64,
-        call: u64,
-        command: Command,
-    ) {
-        let worker = match &command {
+/// A command on its way to its worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) process: usize,
+    pub(crate) epoch: u64,
+    pub(crate) number: u64,
+    pub(crate) command: Command,
+    /// Simulated time at which it was sent.
+    pub(crate) sent_ms: u64,
+    /// Incarnation that it is meant for: the one that its sender knew.
+    pub(crate) incarnation: u64,
+    /// Incarnation that the permit of a start is for, if starts need one.
+    pub(crate) permit: Option<u64>,
+    /// Whether it is carried out whatever its path is by then, and gets no answer.
+    pub(crate) late: bool,
+    /// Whether it has reached a worker that has ended, and waits for its start.
+    pub(crate) awaits_start: bool,
+}
+
+impl Call {
+    fn worker(&self) -> usize {
+        match &self.command {
             Command::Renew { worker, .. } => *worker,
             Command::Start(order) => worker_index(&order.worker),
             Command::Stop(stop) => worker_index(&stop.worker),
+        }
+    }
+}
+
+impl World {
+    pub(crate) fn receive_call(&mut self, call: Call) {
+        let worker = call.worker();
+        let path = match call.late {
+            true => Path::Open,
+            false => (self.network).path(Place::Process(call.process), Place::Worker(worker)),
         };
-        match (self.network).path(Place::Process(process), Place::Worker(worker)) {
+        match path {
             Path::Open => {}
-            Path::Held => {
-                let event = Event::WorkerCall {
-                    process,
-                    epoch,
-                    call,
-                    command,
-                };
-                return self.after(HELD_MS, event);
-            }
+            Path::Held => return self.after(HELD_MS, Event::WorkerCall(call)),
             Path::Closed | Path::Silent => return,
         }
+        if self.workers[worker].down.is_some() {
+            return self.await_start(call);
+        }
         self.end_due_runs(worker);
-        let answer = match command {
+        let (process, epoch, number) = (call.process, call.epoch, call.number);
+        if let Some(answer) = self.execute_call(worker, &call).filter(|_| !call.late) {
+            self.answer_command(worker, process, epoch, number, answer);
+        }
+        self.set_worker_timer(worker);
+    }
+
+    /// Carries a command out. Returns the answer unless it has to wait.
+    fn execute_call(&mut self, worker: usize, call: &Call) -> Option<Answer> {
+        let now_ms = self.worker_clock_ms(worker);
+        match &call.command {
             Command::Renew {
                 renewal, wait_ms, ..
             } => {
-                let now_ms = self.worker_clock_ms(worker);
-                match self.workers[worker].renew(&renewal, now_ms) {
-                    None => Some(Answer::Renewed(Err(RenewalFault::Fenced))),
-                    Some(changes) => {
-                        self.apply_changes(worker, changes);
-                        let poll = Poll {
-                            number: self.next_number(),
-                            worker,
-                            process,
-                            epoch,
-                            call,
-                        };
-                        self.poll(poll, wait_ms)
-                    }
+                let Some(changes) = self.workers[worker].renew(renewal, now_ms) else {
+                    return Some(Answer::Renewed(Err(RenewalFault::Fenced)));
+                };
+                self.carried_out(worker, call);
+                self.apply_changes(worker, changes);
+                let poll = Poll {
+                    number: self.next_number(),
+                    worker,
+                    process: call.process,
+                    epoch: call.epoch,
+                    call: call.number,
+                };
+                self.poll(poll, if call.late { 0 } else { *wait_ms })
+            }
+            Command::Start(order) => {
+                if !self.permits(worker, call) {
+                    let refused = StartOutcome::Refused(Refusal::Permit);
+                    return Some(Answer::Started(refused));
+                }
+                let answer = self.start(worker, order);
+                let refused = StartOutcome::Refused(Refusal::Fenced);
+                if !matches!(answer, Answer::Started(outcome) if outcome == refused) {
+                    self.carried_out(worker, call);
                 }
+                Some(answer)
             }
-            Command::Start(order) => Some(self.start(worker, &order)),
             Command::Stop(stop) => {
-                let now_ms = self.worker_clock_ms(worker);
-                Some(Answer::Stopped(self.workers[worker].stop(&stop, now_ms)))
+                let accepted = self.workers[worker].stop(stop, now_ms);
+                if accepted {
+                    self.carried_out(worker, call);
+                }
+                Some(Answer::Stopped(accepted))
             }
-        };
-        if let Some(answer) = answer {
-            self.answer_command(worker, process, epoch, call, answer);
         }
-        self.set_worker_timer(worker);
     }
 
-    fn worker_clock_ms(&self, worker: usize) -> u64 {
+    pub(crate) fn worker_clock_ms(&self, worker: usize) -> u64 {
         self.workers[worker].clock.read(self.now_ms)
     }
 
@@ -164,6 +200,9 @@
 
     /// Ends the attempts of a worker that are due.
     pub(crate) fn end_due_runs(&mut self, worker: usize) {
+        if self.workers[worker].down.is_some() {
+            return;
+        }
         let now_ms = self.worker_clock_ms(worker);
         let changes = self.workers[worker].end_due(now_ms);
         if changes.is_empty() {
--- a/crates/entry/tests/model/history.rs
+++ b/crates/entry/tests/model/history.rs
@@ -4,6 +4,8 @@
 
 use rosemaryworks_workflow::{Key, Shard};
 
+use super::world::Rules;
+
 /// Counts that show whether a run exercised the protocol.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Counts {
@@ -13,6 +15,12 @@
     pub(crate) suspensions: u64,
     pub(crate) proofs_by_peers: u64,
     pub(crate) lapses: u64,
+    /// Workers that started again.
+    pub(crate) restarts: u64,
+    /// Calls that were carried out late and got no answer.
+    pub(crate) late_calls: u64,
+    /// Calls that another incarnation carried out than they were meant for.
+    pub(crate) misdirected_calls: u64,
 }
 
 /// An invariant that doesn't hold.
@@ -103,10 +111,13 @@
         self.suspensions += other.suspensions;
         self.proofs_by_peers += other.proofs_by_peers;
         self.lapses += other.lapses;
+        self.restarts += other.restarts;
+        self.late_calls += other.late_calls;
+        self.misdirected_calls += other.misdirected_calls;
     }
 
-    /// Returns whether every part of the protocol took place.
-    pub(crate) fn is_exercised(&self) -> bool {
+    /// Returns whether every part of the protocol took place, and every fault of the rules.
+    pub(crate) fn is_exercised(&self, rules: Rules) -> bool {
         let counts = [
             self.starts,
             self.takeovers,
@@ -115,6 +126,8 @@
             self.proofs_by_peers,
             self.lapses,
         ];
-        counts.into_iter().all(|count| count > 0)
+        let restarts = [self.restarts, self.late_calls, self.misdirected_calls];
+        let restarts = restarts.into_iter().filter(|_| rules.restarts);
+        counts.into_iter().chain(restarts).all(|count| count > 0)
     }
 }
--- a/crates/entry/tests/model/log.rs
+++ b/crates/entry/tests/model/log.rs
@@ -1,7 +1,7 @@
 //! The platform's log with the streams of one shard.
 
 use rosemaryworks_entry::claim::Claim;
-use rosemaryworks_workflow::Record;
+use rosemaryworks_workflow::{Record, Worker};
 
 /// A call of the log.
 #[derive(Clone, Debug)]
@@ -26,6 +26,9 @@
     ReadJobs { from: u64 },
     /// Returns all records of owners.
     ReadProgress,
+    /// Returns the changes of the list of workers from an offset to the end as of some time ago; the
+    /// newest entry of each worker from 0.
+    ReadWorkers { from: u64, lag_ms: u64 },
 }
 
 /// Answer of the log.
@@ -41,6 +44,8 @@
     Mismatch,
     /// Records and the offset after them.
     Records(Vec<Record>, u64),
+    /// Entries of the list of workers and the offset after them.
+    Workers(Vec<Worker>, u64),
 }
 
 /// Streams of the log.
@@ -49,12 +54,14 @@
     claims: Vec<Claim>,
     jobs: Vec<Record>,
     progress: Vec<Record>,
+    /// Entries of the list of workers with their times.
+    workers: Vec<(u64, Worker)>,
     epoch: u64,
     next_number: u64,
 }
 
 impl Log {
-    pub(crate) fn execute(&mut self, request: Request) -> Response {
+    pub(crate) fn execute(&mut self, request: Request, now_ms: u64) -> Response {
         match request {
             Request::AppendClaim { claim, end } => self.append_claim(claim, end),
             Request::AppendJob(record) => {
@@ -89,9 +96,34 @@
             Request::ReadProgress => {
                 Response::Records(self.progress.clone(), self.progress.len() as u64)
             }
+            Request::ReadWorkers { from, lag_ms } => {
+                self.read_workers(from, now_ms.saturating_sub(lag_ms))
+            }
         }
     }
 
+    pub(crate) fn list_worker(&mut self, worker: Worker, now_ms: u64) {
+        self.workers.push((now_ms, worker));
+    }
+
+    fn read_workers(&self, from: u64, at_ms: u64) -> Response {
+        let listed = self
+            .workers
+            .iter()
+            .filter(|(listed_ms, _)| *listed_ms <= at_ms);
+        let next = from.max(listed.count() as u64);
+        let entries = self.workers[from as usize..next as usize].iter();
+        let entries: Vec<&Worker> = entries.map(|(_, worker)| worker).collect();
+        let is_newest = |index: usize, worker: &Worker| {
+            let mut later = entries[index + 1..].iter();
+            from > 0 || later.all(|other| other.id != worker.id)
+        };
+        let read = entries.iter().enumerate();
+        let read = read.filter(|(index, worker)| is_newest(*index, worker));
+        let read = read.map(|(_, worker)| Worker::clone(worker)).collect();
+        Response::Workers(read, next)
+    }
+
     fn append_claim(&mut self, claim: Claim, end: Option<u64>) -> Response {
         if end.is_some_and(|end| end != self.claims.len() as u64) {
             return Response::Mismatch;
--- a/crates/entry/tests/model/owner.rs
+++ b/crates/entry/tests/model/owner.rs
@@ -5,6 +5,7 @@
 use rosemaryworks_entry::timeouts::Timeouts;
 use rosemaryworks_workflow::{Action, Order, Refusal, RenewalFault, Shard, StartOutcome, Stop};
 
+use super::fleet::Call;
 use super::log::{Request, Response};
 use super::network::{Path, Place};
 use super::process::{Answer, Command, Input, Owner, Purpose, Sent, Wait};
@@ -25,12 +26,13 @@
 const APPEND_RETRY_MS: u64 = 50;
 
 impl Owner {
-    pub(crate) fn new(epoch: u64, shard: Shard, jobs_next: u64) -> Self {
+    pub(crate) fn new(epoch: u64, shard: Shard, jobs_next: u64, workers_next: u64) -> Self {
         Self {
             epoch,
             shard,
             renewals: 0,
             jobs_next,
+            workers_next,
             sessions: BTreeMap::new(),
             sent: BTreeMap::new(),
             held: Vec::new(),
@@ -258,9 +260,11 @@
             call,
             answer,
         };
+        let host = owner.shard.host(&format!("w{worker}"));
+        let incarnation = host.map_or(0, |host| host.worker().incarnation);
         self.set_timer(process, timeout_ms, answer(lost));
         let path = (self.network).path(Place::Process(process), Place::Worker(worker));
-        if path == Path::Closed {
+        if path == Path::Closed || self.workers[worker].refuses() {
             self.input_after(process, 2, answer(refused));
             return call;
         }
@@ -268,13 +272,26 @@
             0 => self.rng.random_range(100..3_000),
             _ => self.rng.random_range(1..6),
         };
-        let event = Event::WorkerCall {
+        let late_ms = match path {
+            Path::Open => self.draw_late_ms(),
+            Path::Closed | Path::Held | Path::Silent => None,
+        };
+        let permit = match &command {
+            Command::Start(_) => self.draw_permit(worker),
+            Command::Renew { .. } | Command::Stop(_) => None,
+        };
+        let sent = Call {
             process,
             epoch,
-            call,
+            number: call,
             command,
+            sent_ms: self.now_ms,
+            incarnation,
+            permit,
+            late: late_ms.is_some(),
+            awaits_start: false,
         };
-        self.after(delay_ms, event);
+        self.after(late_ms.unwrap_or(delay_ms), Event::WorkerCall(sent));
         call
     }
 
--- a/crates/entry/tests/model/process.rs
+++ b/crates/entry/tests/model/process.rs
@@ -8,7 +8,7 @@
 use rosemaryworks_entry::permission::Permission;
 use rosemaryworks_entry::timeouts::Timeouts;
 use rosemaryworks_workflow::{
-    Order, Record, Renewal, RenewalFault, Report, Shard, StartOutcome, Stop,
+    Order, Record, Renewal, RenewalFault, Report, Shard, StartOutcome, Stop, Worker,
 };
 
 use super::clock::Clock;
@@ -87,7 +87,9 @@
     Renewal,
     ReplayJobs,
     ReplayProgress,
+    ReplayWorkers { asked_ms: u64 },
     Submit(Record),
+    Workers { epoch: u64, asked_ms: u64 },
 }
 
 /// What reaches a process: timers, answers and messages.
@@ -117,6 +119,9 @@
         epoch: u64,
     },
     ReadNewest,
+    ReadWorkers {
+        epoch: u64,
+    },
     Renew,
     RoundBegins {
         round: u64,
@@ -174,6 +179,7 @@
     pub(crate) shard: Shard,
     pub(crate) renewals: u64,
     pub(crate) jobs_next: u64,
+    pub(crate) workers_next: u64,
     pub(crate) sessions: BTreeMap<Arc<str>, Session>,
     pub(crate) sent: BTreeMap<u64, Sent>,
     /// Commands that wait for the permission.
@@ -188,6 +194,14 @@
     pub(crate) tick_ms: u64,
 }
 
+/// Entries read from the list of workers.
+#[derive(Debug)]
+pub(crate) struct Listed {
+    pub(crate) entries: Vec<Worker>,
+    pub(crate) next: u64,
+    pub(crate) asked_ms: u64,
+}
+
 /// A takeover under way.
 #[derive(Debug)]
 pub(crate) struct Takeover {
@@ -195,6 +209,7 @@
     pub(crate) predecessor_ended: bool,
     pub(crate) jobs: Option<(Vec<Record>, u64)>,
     pub(crate) progress: Option<Vec<Record>>,
+    pub(crate) workers: Option<Listed>,
     pub(crate) retries: u32,
 }
 
--- a/crates/entry/tests/model/takeover.rs
+++ b/crates/entry/tests/model/takeover.rs
@@ -4,8 +4,8 @@
 use rosemaryworks_workflow::{Queue, Record, Settings, Shard, Worker as Entry};
 
 use super::log::{Request, Response};
-use super::process::{Input, Owner, Purpose, Takeover};
-use super::worker::{INCARNATION, LEASE_MAX_MS};
+use super::process::{Input, Listed, Owner, Purpose, Takeover};
+use super::restart;
 use super::world::World;
 
 /// Pause before a call without an answer is retried, in milliseconds.
@@ -14,10 +14,10 @@
 /// Upper bound of the retries of a takeover.
 const RETRIES_MAX: u32 = 30;
 
-fn settings() -> Settings {
+fn settings(lease_max_ms: u64) -> Settings {
     Settings {
         lease_ms: 4_000,
-        lease_max_ms: LEASE_MAX_MS,
+        lease_max_ms,
         order_ttl_ms: 2_000,
         keep_ms: 120_000,
         early_ms: 0,
@@ -36,10 +36,11 @@
     }
 }
 
-fn entry(worker: usize) -> Entry {
+/// Returns the entry of a worker in the list.
+pub(crate) fn entry(worker: usize, incarnation: u64) -> Entry {
     Entry {
         address: "127.0.0.1:1".parse().expect("an address"),
-        incarnation: INCARNATION,
+        incarnation,
         capacity: Size::new(4_000, 16_384),
         draining: false,
         id: format!("w{worker}").into(),
@@ -58,15 +59,22 @@
 impl World {
     /// Makes a call of the takeover.
     pub(crate) fn continue_takeover(&mut self, process: usize, purpose: Purpose) {
+        let asked_ms = self.clock_ms(process);
         let Some(takeover) = &self.processes[process].takeover else {
             return;
         };
-        let request = match purpose {
-            Purpose::Fence => Request::Fence {
-                epoch: takeover.epoch,
-            },
-            Purpose::ReplayJobs => Request::ReadJobs { from: 0 },
-            _ => Request::ReadProgress,
+        let (purpose, request) = match purpose {
+            Purpose::Fence => {
+                let epoch = takeover.epoch;
+                (purpose, Request::Fence { epoch })
+            }
+            Purpose::ReplayJobs => (purpose, Request::ReadJobs { from: 0 }),
+            Purpose::ReplayWorkers { .. } => {
+                let lag_ms = restart::draw_lag(&mut self.rng);
+                let request = Request::ReadWorkers { from: 0, lag_ms };
+                (Purpose::ReplayWorkers { asked_ms }, request)
+            }
+            _ => (purpose, Request::ReadProgress),
         };
         self.call_log(process, purpose, request);
     }
@@ -93,6 +101,14 @@
                 takeover.progress = Some(progress);
                 self.complete_takeover(process);
             }
+            (Purpose::ReplayWorkers { asked_ms }, Some(Response::Workers(entries, next))) => {
+                takeover.workers = Some(Listed {
+                    entries,
+                    next,
+                    asked_ms: *asked_ms,
+                });
+                self.complete_takeover(process);
+            }
             (_, None) if takeover.retries < RETRIES_MAX => {
                 takeover.retries += 1;
                 self.set_timer(process, RETRY_PAUSE_MS, Input::Takeover { purpose });
@@ -105,13 +121,19 @@
     fn complete_takeover(&mut self, process: usize) {
         let now_ms = self.clock_ms(process);
         let state = &mut self.processes[process];
-        let is_read =
-            |takeover: &mut Takeover| takeover.jobs.is_some() && takeover.progress.is_some();
+        let is_read = |takeover: &mut Takeover| {
+            let records_read = takeover.jobs.is_some() && takeover.progress.is_some();
+            records_read && takeover.workers.is_some()
+        };
         let Some(takeover) = state.takeover.take_if(is_read) else {
             return;
         };
+        let Some(listed) = takeover.workers else {
+            return;
+        };
+        let workers_next = listed.next;
         let epoch = takeover.epoch;
-        let mut shard = Shard::new(settings(), epoch);
+        let mut shard = Shard::new(settings(self.lease_max_ms), epoch);
         shard.set_queues([queue()]);
         let (jobs, jobs_next) = takeover.jobs.unwrap_or_default();
         let records = jobs
@@ -120,19 +142,24 @@
         for record in records {
             shard.replay(record, now_ms);
         }
-        for worker in 0..self.workers.len() {
-            shard.list_worker(entry(worker), now_ms);
-        }
+        restart::apply_list(&mut shard, listed, now_ms);
         shard.finish_replay(takeover.predecessor_ended, now_ms);
         if state.is_superseded(epoch) {
             return;
         }
-        state.owner = Some(Owner::new(epoch, shard, jobs_next));
+        state.owner = Some(Owner::new(epoch, shard, jobs_next, workers_next));
         let real_ms = self.now_ms;
         self.history.took_over(epoch, real_ms);
         self.history
             .note(|| format!("{real_ms}: p{process} took over {epoch}"));
         self.input_after(process, 0, Input::ReadJobs { epoch });
+        if self.rules.restarts {
+            self.set_timer(
+                process,
+                restart::LIST_PERIOD_MS,
+                Input::ReadWorkers { epoch },
+            );
+        }
         self.wake_owner(process, 0);
     }
 
--- a/crates/entry/tests/model/worker.rs
+++ b/crates/entry/tests/model/worker.rs
@@ -8,14 +8,14 @@
 
 use super::clock::Clock;
 
-/// Upper bound of a lease in milliseconds.
+/// Usual upper bound of a lease in milliseconds.
 pub(crate) const LEASE_MAX_MS: u64 = 10_000;
 
 /// Time until a stopped attempt has ended, in milliseconds.
 const STOP_MS: u64 = 150;
 
-/// Incarnation of every worker.
-pub(crate) const INCARNATION: u64 = 7;
+/// First incarnation of every worker; the next ones follow.
+const INCARNATION: u64 = 7;
 
 struct Run {
     attempt: u32,
@@ -30,9 +30,22 @@
     Ended(Key, Outcome),
 }
 
-/// A worker. Its times are on its own clock.
+/// What a worker that has ended does with calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Down {
+    /// They get no answer.
+    Dark,
+    /// Connections are refused.
+    Refusing,
+}
+
+/// A worker. Its times are on its own clock, except those of its starts.
 pub(crate) struct Worker {
     pub(crate) clock: Clock,
+    pub(crate) down: Option<Down>,
+    /// Simulated times at which its incarnations started.
+    starts: Vec<u64>,
+    lease_max_ms: u64,
     token: u64,
     lease_ms: u64,
     /// Time from the end of the lease to the end of its attempts, in milliseconds.
@@ -46,9 +59,12 @@
 }
 
 impl Worker {
-    pub(crate) fn new(clock: Clock, kill_ms: u64) -> Self {
+    pub(crate) fn new(clock: Clock, kill_ms: u64, lease_max_ms: u64) -> Self {
         Self {
             clock,
+            down: None,
+            starts: vec![0],
+            lease_max_ms,
             token: 0,
             lease_ms: 0,
             kill_ms,
@@ -60,6 +76,42 @@
         }
     }
 
+    /// Returns the current incarnation, or the last one of a worker that has ended.
+    pub(crate) fn incarnation(&self) -> u64 {
+        INCARNATION + self.starts.len() as u64 - 1
+    }
+
+    /// Returns the incarnation that was the newest one at a simulated time.
+    pub(crate) fn incarnation_at(&self, at_ms: u64) -> u64 {
+        let later = self.starts.iter().filter(|start_ms| **start_ms > at_ms);
+        self.incarnation() - later.count() as u64
+    }
+
+    pub(crate) fn refuses(&self) -> bool {
+        self.down == Some(Down::Refusing)
+    }
+
+    /// Returns the time for which the lease still lasts.
+    pub(crate) fn lease_left_ms(&self, now_ms: u64) -> u64 {
+        self.lease_ms.saturating_sub(now_ms)
+    }
+
+    /// Ends the worker. Returns the tasks whose attempts ended with it.
+    pub(crate) fn crash(&mut self, down: Down) -> Vec<Key> {
+        self.down = Some(down);
+        std::mem::take(&mut self.runs).into_keys().collect()
+    }
+
+    /// Starts an incarnation that knows nothing of the former one.
+    pub(crate) fn restart(&mut self, clock: Clock, at_ms: u64) {
+        let mut starts = std::mem::take(&mut self.starts);
+        starts.push(at_ms);
+        *self = Self {
+            starts,
+            ..Self::new(clock, self.kill_ms, self.lease_max_ms)
+        };
+    }
+
     fn accept_token(&mut self, token: u64) -> bool {
         let is_current = token >= self.token;
         self.token = self.token.max(token);
@@ -68,7 +120,7 @@
 
     fn extend_lease(&mut self, deadline_ms: u64, now_ms: u64) {
         self.note_expiry(now_ms);
-        let deadline_ms = deadline_ms.min(now_ms + LEASE_MAX_MS);
+        let deadline_ms = deadline_ms.min(now_ms + self.lease_max_ms);
         self.lease_ms = self.lease_ms.max(deadline_ms);
     }
 
@@ -163,7 +215,7 @@
             metric: 0.0,
         });
         Report {
-            incarnation: INCARNATION,
+            incarnation: self.incarnation(),
             clock_ms: now_ms,
             finished: self.finished.clone(),
             may_have_more_ends: false,
--- a/crates/entry/tests/model/world.rs
+++ b/crates/entry/tests/model/world.rs
@@ -10,16 +10,21 @@
 
 use super::clock::Clock;
 use super::fault::Fault;
+use super::fleet::Call;
 use super::history::History;
 use super::log::{Log, Request};
 use super::network::{Network, Path, Place};
-use super::process::{Command, Input, Message, Process, Purpose, name};
+use super::process::{Input, Message, Process, Purpose, name};
 use super::queue::Queue;
-use super::worker::Worker;
+use super::series;
+use super::worker::{LEASE_MAX_MS, Worker};
 
 /// Simulated time of a run in milliseconds.
 const END_MS: u64 = 30_000;
 
+/// Longest lease in some worlds in which workers start again, in milliseconds.
+const SHORT_LEASE_MAX_MS: u64 = 6_000;
+
 /// Time-out of a call of the log in milliseconds.
 const LOG_TIMEOUT_MS: u64 = 700;
 
@@ -36,7 +41,7 @@
     Links,
 }
 
-/// Deviations from the protocol. The default has none.
+/// Deviations from the protocol, and whether workers start again. The default has none.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Rules {
     pub(crate) acquaintance: Acquaintance,
@@ -44,6 +49,8 @@
     pub(crate) ignores_permission: bool,
     /// Owners take the newest record of the claim's key as a proof, in place of the stream.
     pub(crate) proves_by_newest: bool,
+    /// Workers start again, calls to them are late, and starts need a permit.
+    pub(crate) restarts: bool,
 }
 
 /// Size of a world.
@@ -71,11 +78,10 @@
         input: Input,
     },
     Submit,
-    WorkerCall {
-        process: usize,
-        epoch: u64,
-        call: u64,
-        command: Command,
+    WorkerCall(Call),
+    WorkerListed {
+        worker: usize,
+        incarnation: u64,
     },
     WorkerTimer(usize),
 }
@@ -100,6 +106,10 @@
     pub(crate) workers: Vec<Worker>,
     pub(crate) polls: Vec<Poll>,
     pub(crate) history: History,
+    /// Longest lease that workers grant, in milliseconds.
+    pub(crate) lease_max_ms: u64,
+    /// Share of the commands that are late, in percent.
+    pub(crate) late_percent: u32,
     pub(crate) last_number: u64,
     queue: Queue<Event>,
     last_job: u64,
@@ -115,8 +125,17 @@
         };
         let count = rng.random_range(4..=14);
         let faults = (0..count).map(|_| Fault::draw(&mut rng, scale));
-        let faults: Vec<(Range<u64>, Fault)> = faults.collect();
-        Self::with_faults(seed, scale, faults, rules)
+        let mut faults: Vec<(Range<u64>, Fault)> = faults.collect();
+        let mut lease_max_ms = LEASE_MAX_MS;
+        if rules.restarts {
+            // A generator of its own, so that the other faults stay those of the seed.
+            let mut rng = SmallRng::seed_from_u64(seed ^ 0x00a9_a125);
+            faults.extend(series::draw(&mut rng, scale));
+            if rng.random_bool(0.3) {
+                lease_max_ms = SHORT_LEASE_MAX_MS;
+            }
+        }
+        Self::with_lease(seed, scale, faults, rules, lease_max_ms)
     }
 
     /// Creates a world with the given faults, each with its times.
@@ -125,6 +144,16 @@
         scale: Scale,
         faults: Vec<(Range<u64>, Fault)>,
         rules: Rules,
+    ) -> Self {
+        Self::with_lease(seed, scale, faults, rules, LEASE_MAX_MS)
+    }
+
+    fn with_lease(
+        seed: u64,
+        scale: Scale,
+        faults: Vec<(Range<u64>, Fault)>,
+        rules: Rules,
+        lease_max_ms: u64,
     ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
         let processes =
@@ -132,7 +161,7 @@
         let processes = processes.collect();
         let worker = |_| {
             let clock = Clock::draw(&mut rng);
-            Worker::new(clock, rng.random_range(0..150))
+            Worker::new(clock, rng.random_range(0..150), lease_max_ms)
         };
         let workers = (0..scale.workers).map(worker).collect();
         let mut world = Self {
@@ -148,6 +177,8 @@
             workers,
             polls: Vec::new(),
             history: History::default(),
+            lease_max_ms,
+            late_percent: 0,
             last_number: 0,
             queue: Queue::default(),
             last_job: 0,
@@ -168,6 +199,7 @@
                 self.input_after(process, delay_ms, Input::ReadNewest);
             }
         }
+        self.list_all();
         self.after(0, Event::Links);
         self.after(1_000, Event::Submit);
         for (times, fault) in faults {
@@ -208,12 +240,11 @@
             Event::PollEnds { poll } => self.end_poll(poll),
             Event::Process { process, input } => self.deliver(process, input),
             Event::Submit => self.submit_job(),
-            Event::WorkerCall {
-                process,
-                epoch,
-                call,
-                command,
-            } => self.receive_command(process, epoch, call, command),
+            Event::WorkerCall(call) => self.receive_call(call),
+            Event::WorkerListed {
+                worker,
+                incarnation,
+            } => self.list_worker(worker, incarnation),
             Event::WorkerTimer(worker) => self.end_due_runs(worker),
         }
     }
@@ -303,7 +334,7 @@
             }
             Path::Closed | Path::Silent => return,
         }
-        let response = self.log.execute(request);
+        let response = self.log.execute(request, self.now_ms);
         let delay_ms = match self.rng.random_range(0..100) {
             0 => return,
             1 => self.rng.random_range(300..900),
--- a/crates/entry/tests/ownership_model.rs
+++ b/crates/entry/tests/ownership_model.rs
@@ -2,8 +2,10 @@
 //! the real kernels of claims, permission, peers and shard in simulated time, with faults of the
 //! log, the links, the processes and the paths to the workers that a seed draws.
 //!
-//! There is one shard. Planned stops, workers that start again or are missing in the list, advice and
-//! relays aren't modelled. `MODEL_SEEDS=A..B` sets the seeds, and `MODEL_TRACE` prints the events.
+//! There is one shard. With [`Rules::restarts`] workers start again under their identifier, calls to
+//! them may be carried out late or by another incarnation, and owners read the list of workers.
+//! Planned stops, workers that are missing in the list, advice and relays aren't modelled.
+//! `MODEL_SEEDS=A..B` sets the seeds, and `MODEL_TRACE` prints the events.
 
 mod model {
     pub(crate) mod claiming;
@@ -18,6 +20,8 @@
     pub(crate) mod owner;
     pub(crate) mod process;
     pub(crate) mod queue;
+    pub(crate) mod restart;
+    pub(crate) mod series;
     pub(crate) mod session;
     pub(crate) mod takeover;
     pub(crate) mod worker;
@@ -57,6 +61,7 @@
     acquaintance: Acquaintance::All,
     ignores_permission: false,
     proves_by_newest: false,
+    restarts: false,
 };
 
 /// Runs a world to its end and returns what it violates.
@@ -93,19 +98,34 @@
     panic!("not noticed by every check: {found:#?}");
 }
 
-/// Two owners commanded workers at once, so that tasks ran twice.
-#[test]
-fn only_one_owner_has_an_effect() {
+/// Asserts that all invariants hold with every seed, and that the seeds exercise the protocol.
+fn assert_all_hold(rules: Rules) {
     let mut total = Counts::default();
     let mut found = Vec::new();
     for seed in seeds() {
-        let (violations, counts) = run(seed, INTRODUCED);
+        let (violations, counts) = run(seed, rules);
         total.add(counts);
         found.extend((!violations.is_empty()).then_some((seed, violations)));
     }
     println!("{total:?}");
     assert!(found.is_empty(), "{found:#?}");
-    assert!(total.is_exercised(), "{total:?}");
+    assert!(total.is_exercised(rules), "{total:?}");
+}
+
+/// Two owners commanded workers at once, so that tasks ran twice.
+#[test]
+fn only_one_owner_has_an_effect() {
+    assert_all_hold(INTRODUCED);
+}
+
+/// Tasks ran twice after workers had started again under their identifiers, were cut off soon after,
+/// and their owner had changed.
+#[test]
+fn restarted_workers_run_each_task_once() {
+    assert_all_hold(Rules {
+        restarts: true,
+        ..INTRODUCED
+    });
 }
 
 /// A check that can't fail proves nothing: owners that ignore the permission must be noticed, and
