--- a/crates/entry/tests/model/owner.rs
+++ b/crates/entry/tests/model/owner.rs
@@ -273,7 +273,7 @@
             _ => self.rng.random_range(1..6),
         };
         let late_ms = match path {
-            Path::Open => self.draw_late_ms(),
+            Path::Open => self.draw_late_ms(worker),
             Path::Closed | Path::Held | Path::Silent => None,
         };
         let permit = match &command {
--- a/crates/entry/tests/model/restart.rs
+++ b/crates/entry/tests/model/restart.rs
@@ -150,8 +150,9 @@
     }
 
     /// Draws whether a command that is sent now is late, and how late.
-    pub(crate) fn draw_late_ms(&mut self) -> Option<u64> {
-        if self.late_percent == 0 || self.rng.random_range(0..100) >= self.late_percent {
+    pub(crate) fn draw_late_ms(&mut self, worker: usize) -> Option<u64> {
+        let percent = self.workers[worker].late_percent;
+        if percent == 0 || self.rng.random_range(0..100) >= percent {
             return None;
         }
         Some(self.rng.random_range(2_000..=12_000))
@@ -177,7 +178,7 @@
 
     /// Lets a call that reaches a worker after its end wait for its start, or get lost.
     pub(crate) fn await_start(&mut self, mut call: Call) {
-        if !call.late && !call.awaits_start && self.rng.random_bool(0.5) {
+        if !call.late && !call.awaits_start && self.rng.random_bool(0.3) {
             return;
         }
         call.awaits_start = true;
--- a/crates/entry/tests/model/worker.rs
+++ b/crates/entry/tests/model/worker.rs
@@ -43,6 +43,8 @@
 pub(crate) struct Worker {
     pub(crate) clock: Clock,
     pub(crate) down: Option<Down>,
+    /// Share of the commands to it that are late, in percent.
+    pub(crate) late_percent: u32,
     /// Simulated times at which its incarnations started.
     starts: Vec<u64>,
     lease_max_ms: u64,
@@ -63,6 +65,7 @@
         Self {
             clock,
             down: None,
+            late_percent: 0,
             starts: vec![0],
             lease_max_ms,
             token: 0,
@@ -108,6 +111,7 @@
         starts.push(at_ms);
         *self = Self {
             starts,
+            late_percent: self.late_percent,
             ..Self::new(clock, self.kill_ms, self.lease_max_ms)
         };
     }
--- a/crates/entry/tests/model/world.rs
+++ b/crates/entry/tests/model/world.rs
@@ -22,6 +22,9 @@
 /// Simulated time of a run in milliseconds.
 const END_MS: u64 = 30_000;
 
+/// The same for a world in which workers start again.
+const RESTARTS_END_MS: u64 = 60_000;
+
 /// Longest lease in some worlds in which workers start again, in milliseconds.
 const SHORT_LEASE_MAX_MS: u64 = 6_000;
 
@@ -108,8 +111,6 @@
     pub(crate) history: History,
     /// Longest lease that workers grant, in milliseconds.
     pub(crate) lease_max_ms: u64,
-    /// Share of the commands that are late, in percent.
-    pub(crate) late_percent: u32,
     pub(crate) last_number: u64,
     queue: Queue<Event>,
     last_job: u64,
@@ -119,7 +120,7 @@
     /// Creates a world whose size and faults the seed draws.
     pub(crate) fn new(seed: u64, rules: Rules) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let scale = Scale {
+        let mut scale = Scale {
             processes: rng.random_range(3..=5),
             workers: rng.random_range(2..=4),
         };
@@ -130,7 +131,8 @@
         if rules.restarts {
             // A generator of its own, so that the other faults stay those of the seed.
             let mut rng = SmallRng::seed_from_u64(seed ^ 0x00a9_a125);
-            faults.extend(series::draw(&mut rng, scale));
+            scale.workers += rng.random_range(1..=3);
+            series::draw(&mut rng, scale, &mut faults);
             if rng.random_bool(0.3) {
                 lease_max_ms = SHORT_LEASE_MAX_MS;
             }
@@ -178,7 +180,6 @@
             polls: Vec::new(),
             history: History::default(),
             lease_max_ms,
-            late_percent: 0,
             last_number: 0,
             queue: Queue::default(),
             last_job: 0,
@@ -218,8 +219,12 @@
 
     /// Runs the world to its end.
     pub(crate) fn run(&mut self) {
+        let end_ms = match self.rules.restarts {
+            true => RESTARTS_END_MS,
+            false => END_MS,
+        };
         while let Some((at_ms, event)) = self.queue.pop() {
-            if at_ms > END_MS {
+            if at_ms > end_ms {
                 return;
             }
             self.now_ms = at_ms;
