--- a/crates/entry/tests/model/world.rs
+++ b/crates/entry/tests/model/world.rs
@@ -10,16 +10,24 @@
 
 use super::clock::Clock;
 use super::fault::Fault;
+use super::fleet::Call;
 use super::history::History;
 use super::log::{Log, Request};
 use super::network::{Network, Path, Place};
-use super::process::{Command, Input, Message, Process, Purpose, name};
+use super::process::{Input, Message, Process, Purpose, name};
 use super::queue::Queue;
-use super::worker::Worker;
+use super::series;
+use super::worker::{LEASE_MAX_MS, Worker};
 
 /// Simulated time of a run in milliseconds.
 const END_MS: u64 = 30_000;
 
+/// The same for a world in which workers start again.
+const RESTARTS_END_MS: u64 = 60_000;
+
+/// Longest lease in some worlds in which workers start again, in milliseconds.
+const SHORT_LEASE_MAX_MS: u64 = 6_000;
+
 /// Time-out of a call of the log in milliseconds.
 const LOG_TIMEOUT_MS: u64 = 700;
 
@@ -36,7 +44,7 @@
     Links,
 }
 
-/// Deviations from the protocol. The default has none.
+/// Deviations from the protocol, and whether workers start again. The default has none.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Rules {
     pub(crate) acquaintance: Acquaintance,
@@ -44,6 +52,8 @@
     pub(crate) ignores_permission: bool,
     /// Owners take the newest record of the claim's key as a proof, in place of the stream.
     pub(crate) proves_by_newest: bool,
+    /// Workers start again, calls to them are late, and starts need a permit.
+    pub(crate) restarts: bool,
 }
 
 /// Size of a world.
@@ -71,11 +81,10 @@
         input: Input,
     },
     Submit,
-    WorkerCall {
-        process: usize,
-        epoch: u64,
-        call: u64,
-        command: Command,
+    WorkerCall(Call),
+    WorkerListed {
+        worker: usize,
+        incarnation: u64,
     },
     WorkerTimer(usize),
 }
@@ -100,6 +109,10 @@
     pub(crate) workers: Vec<Worker>,
     pub(crate) polls: Vec<Poll>,
     pub(crate) history: History,
+    /// Longest lease that workers grant, in milliseconds.
+    pub(crate) lease_max_ms: u64,
+    /// Whether most tasks take several seconds.
+    pub(crate) has_long_tasks: bool,
     pub(crate) last_number: u64,
     queue: Queue<Event>,
     last_job: u64,
@@ -109,14 +122,28 @@
     /// Creates a world whose size and faults the seed draws.
     pub(crate) fn new(seed: u64, rules: Rules) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let scale = Scale {
+        let mut scale = Scale {
             processes: rng.random_range(3..=5),
             workers: rng.random_range(2..=4),
         };
         let count = rng.random_range(4..=14);
         let faults = (0..count).map(|_| Fault::draw(&mut rng, scale));
-        let faults: Vec<(Range<u64>, Fault)> = faults.collect();
-        Self::with_faults(seed, scale, faults, rules)
+        let mut faults: Vec<(Range<u64>, Fault)> = faults.collect();
+        let (mut lease_max_ms, mut has_long_tasks) = (LEASE_MAX_MS, false);
+        if rules.restarts {
+            // A generator of its own, so that the other faults stay those of the seed.
+            let mut rng = SmallRng::seed_from_u64(seed ^ 0x00a9_a125);
+            scale.workers += rng.random_range(1..=3);
+            series::draw(&mut rng, scale, &mut faults);
+            if rng.random_bool(0.3) {
+                lease_max_ms = SHORT_LEASE_MAX_MS;
+            }
+            has_long_tasks = rng.random_bool(0.6);
+        }
+        Self {
+            has_long_tasks,
+            ..Self::with_lease(seed, scale, faults, rules, lease_max_ms)
+        }
     }
 
     /// Creates a world with the given faults, each with its times.
@@ -125,6 +152,16 @@
         scale: Scale,
         faults: Vec<(Range<u64>, Fault)>,
         rules: Rules,
+    ) -> Self {
+        Self::with_lease(seed, scale, faults, rules, LEASE_MAX_MS)
+    }
+
+    fn with_lease(
+        seed: u64,
+        scale: Scale,
+        faults: Vec<(Range<u64>, Fault)>,
+        rules: Rules,
+        lease_max_ms: u64,
     ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
         let processes =
@@ -132,7 +169,7 @@
         let processes = processes.collect();
         let worker = |_| {
             let clock = Clock::draw(&mut rng);
-            Worker::new(clock, rng.random_range(0..150))
+            Worker::new(clock, rng.random_range(0..150), lease_max_ms)
         };
         let workers = (0..scale.workers).map(worker).collect();
         let mut world = Self {
@@ -148,6 +185,8 @@
             workers,
             polls: Vec::new(),
             history: History::default(),
+            lease_max_ms,
+            has_long_tasks: false,
             last_number: 0,
             queue: Queue::default(),
             last_job: 0,
@@ -168,6 +207,7 @@
                 self.input_after(process, delay_ms, Input::ReadNewest);
             }
         }
+        self.list_all();
         self.after(0, Event::Links);
         self.after(1_000, Event::Submit);
         for (times, fault) in faults {
@@ -186,8 +226,12 @@
 
     /// Runs the world to its end.
     pub(crate) fn run(&mut self) {
+        let end_ms = match self.rules.restarts {
+            true => RESTARTS_END_MS,
+            false => END_MS,
+        };
         while let Some((at_ms, event)) = self.queue.pop() {
-            if at_ms > END_MS {
+            if at_ms > end_ms {
                 return;
             }
             self.now_ms = at_ms;
@@ -208,12 +252,11 @@
             Event::PollEnds { poll } => self.end_poll(poll),
             Event::Process { process, input } => self.deliver(process, input),
             Event::Submit => self.submit_job(),
-            Event::WorkerCall {
-                process,
-                epoch,
-                call,
-                command,
-            } => self.receive_command(process, epoch, call, command),
+            Event::WorkerCall(call) => self.receive_call(call),
+            Event::WorkerListed {
+                worker,
+                incarnation,
+            } => self.list_worker(worker, incarnation),
             Event::WorkerTimer(worker) => self.end_due_runs(worker),
         }
     }
@@ -303,7 +346,7 @@
             }
             Path::Closed | Path::Silent => return,
         }
-        let response = self.log.execute(request);
+        let response = self.log.execute(request, self.now_ms);
         let delay_ms = match self.rng.random_range(0..100) {
             0 => return,
             1 => self.rng.random_range(300..900),
