fix(entry): acknowledgements that a relay sends late, and tokens that run out

Cause: a renewal to which its relay gives no answer is sent again directly, and its answer counted for both, although the relay may still send the first one to a later life of the worker.

Change: a renewal that was sent twice counts as one without an answer, for its lease and its acknowledgement.

--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -329,9 +329,8 @@
         tokio::spawn(async move {
             let Err(error) = task.await else { return };
             events::PANICKED.log(format_args!("shard={shard} epoch={epoch} {error}"));
-            node.step_down(shard, epoch, "a task panicked");
             // Workers and the journal fence this owner.
-            node.release_claim(shard, epoch, true).await;
+            node.give_up(shard, epoch, "a task panicked").await;
         });
     }
 
@@ -412,6 +411,10 @@
             Action::StepDown => {
                 node.step_down(self.shard, self.epoch, "a worker reported a later owner")
             }
+            Action::Release => {
+                let (node, shard, epoch) = (node.clone(), self.shard, self.epoch);
+                tokio::spawn(async move { node.give_up(shard, epoch, "tokens used up").await });
+            }
             Action::Renew(id) => self.session(&id).interrupt(),
             Action::LogIncarnation(incarnation) => self.log_incarnation(&incarnation),
             Action::LogLost(lost) => self.log_lost(&lost),
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -300,6 +300,12 @@
         }
     }
 
+    /// Steps down from a shard that this process can't go on to serve, and releases it.
+    pub(crate) async fn give_up(&self, shard: u32, epoch: u64, reason: &str) {
+        self.step_down(shard, epoch, reason);
+        self.release_claim(shard, epoch, true).await;
+    }
+
     /// Returns the time since the last proof that no other process had claimed a shard of this one, in
     /// milliseconds.
     pub(crate) fn claims_age_ms(&self) -> u64 {
--- a/crates/entry/src/relayed.rs
+++ b/crates/entry/src/relayed.rs
@@ -23,6 +23,13 @@
 /// Time for a relay to stop or pace an attempt, and to return the outcome.
 const COMMAND_LIMIT: Duration = Duration::from_millis(500);
 
+/// Outcome of a renewal.
+pub(crate) struct Renewed {
+    pub(crate) result: Result<Report, RenewalFault>,
+    /// Whether it was sent twice, because a relay gave no answer and may still send it.
+    pub(crate) is_repeated: bool,
+}
+
 /// Commands to the workers of one owner. Clones share the relays.
 #[derive(Clone)]
 pub(crate) struct RelayedWorkers {
@@ -90,6 +97,48 @@
         relayed
     }
 
+    /// Renews the lease of a worker, see [`Workers::renew`].
+    pub(crate) async fn send_renewal(
+        &self,
+        id: &Arc<str>,
+        renewal: &Renewal,
+        wait_ms: u64,
+        timeout: Duration,
+    ) -> Renewed {
+        let Some(vm) = self.choose(id) else {
+            return Renewed {
+                result: self.direct.renew(id, renewal, wait_ms, timeout).await,
+                is_repeated: false,
+            };
+        };
+        let command = Command::Renew {
+            worker: id.clone(),
+            renewal: renewal.clone(),
+            wait_ms,
+            timeout_ms: millis(timeout),
+        };
+        let limit = timeout + Duration::from_millis(wait_ms) + RELAY_SLACK;
+        let relayed = self.relay(&vm, command, limit).await;
+        if let Relayed::Outcome(Outcome::Renewed(result)) = relayed {
+            let unreached = [RenewalFault::Refused, RenewalFault::Silent];
+            if result
+                .as_ref()
+                .is_err_and(|fault| unreached.contains(fault))
+            {
+                self.worker_failed(id);
+            }
+            return Renewed {
+                result,
+                is_repeated: false,
+            };
+        }
+        // The silence of a relay says nothing about the worker.
+        Renewed {
+            result: self.direct.renew(id, renewal, 0, timeout).await,
+            is_repeated: !matches!(relayed, Relayed::NotSent),
+        }
+    }
+
     fn worker_failed(&self, worker: &Arc<str>) {
         lock(&self.relays).worker_failed(worker, clock::now().0);
     }
@@ -170,32 +219,12 @@
         wait_ms: u64,
         timeout: Duration,
     ) -> Answer<Report, RenewalFault> {
-        let Some(vm) = self.choose(id) else {
-            return self.direct.renew(id, renewal, wait_ms, timeout);
-        };
         let (workers, id, renewal) = (self.clone(), id.clone(), renewal.clone());
-        let command = Command::Renew {
-            worker: id.clone(),
-            renewal: renewal.clone(),
-            wait_ms,
-            timeout_ms: millis(timeout),
-        };
-        let limit = timeout + Duration::from_millis(wait_ms) + RELAY_SLACK;
         Box::pin(async move {
-            match workers.relay(&vm, command, limit).await {
-                Relayed::Outcome(Outcome::Renewed(result)) => {
-                    let unreached = [RenewalFault::Refused, RenewalFault::Silent];
-                    if result
-                        .as_ref()
-                        .is_err_and(|fault| unreached.contains(fault))
-                    {
-                        workers.worker_failed(&id);
-                    }
-                    result
-                }
-                // The silence of a relay says nothing about the worker.
-                _ => workers.direct.renew(&id, &renewal, 0, timeout).await,
-            }
+            workers
+                .send_renewal(&id, &renewal, wait_ms, timeout)
+                .await
+                .result
         })
     }
 }
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -9,7 +9,7 @@
 
 use crate::events;
 use crate::owner::Owner;
-use crate::port::Workers as _;
+use crate::relayed::Renewed;
 
 /// First pause before the renewal of a worker that didn't answer is retried. Short, because lost
 /// answers are more frequent than ended workers. Doubles up to [`RETRY_PAUSE_MAX`].
@@ -155,13 +155,22 @@
         Some(_) => 0,
     };
     let timeout = owner.timeouts().renewal();
-    let result = owner.workers().renew(id, &renewal, wait_ms, timeout).await;
+    let Renewed {
+        result,
+        is_repeated,
+    } = owner
+        .workers()
+        .send_renewal(id, &renewal, wait_ms, timeout)
+        .await;
     owner.load().add_renewal();
     let now_ms = clock::now().0;
     if wait_ms == 0 && result.is_ok() {
         owner.timeouts().observe(now_ms.saturating_sub(sent_ms));
     }
     let mut state = owner.state();
+    if is_repeated {
+        state.renewal_repeated(id, now_ms);
+    }
     match result {
         Ok(report) => {
             if last_fault.take().is_some() {
--- a/crates/entry/tests/model/owner.rs
+++ b/crates/entry/tests/model/owner.rs
@@ -117,6 +117,7 @@
                 return self.append_records(process, epoch);
             }
             Action::Renew(worker) => return self.interrupt(process, &worker),
+            Action::Release => return self.step_down(process, epoch, "used up tokens"),
             Action::StepDown => return self.step_down(process, epoch, "a worker"),
             Action::Start(order) => Command::Start(order),
             Action::Stop(stop) => Command::Stop(stop),
--- a/crates/workflow/src/action.rs
+++ b/crates/workflow/src/action.rs
@@ -97,6 +97,8 @@
 pub enum Action {
     /// Request permits for a step from the advice service.
     RequestAdvice(AdviceRequest),
+    /// The fencing tokens for a worker are used up: release the shard, so that it gets a new epoch.
+    Release,
     /// A worker has seen a higher fencing token: stop acting as owner of the shard.
     StepDown,
     /// Log that a worker has started again.
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -18,6 +18,10 @@
 /// requests to the worker. The owner's epoch is in the bits above.
 const TOKEN_COUNTER_BITS: u32 = 20;
 
+/// Number of invalidations from which an owner releases its shard: with the next epoch they begin anew.
+/// Leaves room for those until it has done so.
+const INVALIDATIONS_MAX: u64 = (1 << TOKEN_COUNTER_BITS) - (1 << 12);
+
 /// Time without an answer to a start after which a worker gets no further starts, in milliseconds.
 /// Answers usually take a few milliseconds.
 const START_ANSWER_LATE_MS: u64 = 40;
@@ -239,6 +243,11 @@
         }
     }
 
+    /// Returns whether the owner can hardly invalidate further requests.
+    pub(crate) fn has_used_up_tokens(&self) -> bool {
+        self.token_increments >= INVALIDATIONS_MAX
+    }
+
     pub(crate) fn free(&self) -> Size {
         self.worker.capacity - self.used
     }
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -105,6 +105,14 @@
         self.adjust_pace(id);
     }
 
+    /// Records that the renewal of a worker that is under way was sent twice, so that it may be carried
+    /// out after its answer.
+    pub fn renewal_repeated(&mut self, id: &str, now_ms: u64) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.abandon_renewal(now_ms);
+        }
+    }
+
     /// Handles a failed renewal.
     pub fn renewal_failed(&mut self, id: &str, token: u64, fault: RenewalFault, now_ms: u64) {
         let Some(host) = self.hosts.get_mut(id) else {
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -54,6 +54,9 @@
             .iter()
             .filter(|(_, host)| needs_check(host, now_ms));
         let ids: Vec<Arc<str>> = due.map(|(id, _)| id.clone()).collect();
+        if self.hosts.values().any(Host::has_used_up_tokens) {
+            self.actions.push(Action::Release);
+        }
         for id in ids {
             self.expire_lease(&id, self.owned_until_ms.min(now_ms));
             self.record_silence(&id, now_ms);
--- a/crates/workflow/tests/restarted_workers.rs
+++ b/crates/workflow/tests/restarted_workers.rs
@@ -374,6 +374,25 @@
     assert!(order.token > renewal.token, "the acknowledgement is valid");
 }
 
+/// Guards against an acknowledgement that a relay sends after the owner has sent it itself, and that
+/// counts as carried out with the answer to the second one.
+#[test]
+fn an_acknowledgement_that_was_sent_twice_is_void_after_a_start() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(1, spec(vec![step(1)]));
+    fleet.end_and_report(task(), Outcome::Done);
+    let renewal = fleet.shard.renewal("w0", fleet.now_ms).expect("a renewal");
+    assert_eq!(renewal.acknowledged, 1);
+    let life = fleet.workers.get_mut("w0").expect("a worker");
+    let report = life.renew(&renewal, fleet.now_ms);
+    fleet.shard.renewal_repeated("w0", fleet.now_ms);
+    let (token, now_ms) = (renewal.token, fleet.now_ms);
+    fleet.shard.report("w0", report, token, now_ms, now_ms);
+    fleet.submit(2, spec(vec![step(1)]));
+    let order = fleet.orders.last().expect("an order");
+    assert!(order.token > renewal.token, "the acknowledgement is valid");
+}
+
 /// Guards against a worker that is out of use for good because the time of day was set back between
 /// its lives, so that the start of the next one seems to be earlier.
 #[test]
@@ -401,3 +420,20 @@
         assert_eq!(fleet.orders.len(), 2, "listed first: {is_listed_first}");
     }
 }
+
+/// Guards against fencing tokens of one epoch that reach those of the next: an owner that has raised
+/// its tokens that often releases its shard before.
+#[test]
+fn an_owner_releases_its_shard_before_its_tokens_are_used_up() {
+    let mut fleet = Fleet::new(1);
+    let next_epoch = 2 << 20;
+    while !fleet.released {
+        // Each renewal that gets no answer voids its acknowledgement.
+        fleet.submit(1, spec(vec![step(1)]));
+        fleet.restart("w0");
+        fleet.renew("w0");
+        fleet.advance(STEP_MS);
+        let token = fleet.shard.host("w0").expect("a host").token();
+        assert!(token < next_epoch, "{token}");
+    }
+}
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -50,6 +50,7 @@
     pub(crate) renewals: Vec<Arc<str>>,
     pub(crate) lost: Vec<rosemaryworks_workflow::LostAttempt>,
     pub(crate) stepped_down: bool,
+    pub(crate) released: bool,
     /// Whether the list of workers can't be read.
     pub(crate) is_list_unreadable: bool,
     capacity: Size,
@@ -141,6 +142,7 @@
             renewals: Vec::new(),
             lost: Vec::new(),
             stepped_down: false,
+            released: false,
             is_list_unreadable: false,
             capacity: Size::new(4_000, 16_384),
         }
@@ -218,6 +220,7 @@
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::RequestAdvice(request) => self.advice_requests.push(request),
+            Action::Release => self.released = true,
             Action::StepDown => self.stepped_down = true,
             Action::LogLost(lost) => self.lost.push(lost),
             Action::LogIncarnation(_) | Action::LogUnreported(_) => {}
