--- a/crates/entry/tests/model/fleet.rs
+++ b/crates/entry/tests/model/fleet.rs
@@ -94,8 +94,11 @@
                     return Some(Answer::Started(refused));
                 }
                 let answer = self.start(worker, order);
-                let refused = StartOutcome::Refused(Refusal::Fenced);
-                if !matches!(answer, Answer::Started(outcome) if outcome == refused) {
+                let nothing_done = matches!(
+                    answer,
+                    Answer::Started(StartOutcome::Refused(Refusal::Fenced | Refusal::Late))
+                );
+                if !nothing_done {
                     self.carried_out(worker, call);
                 }
                 Some(answer)
