fix(workflow): an attempt with the largest number doesn't end the shard's task

A worker that reported the end of an attempt with the number ended the state machine of the shard (E837) in a build with overflow checks, and that of each successor, to which it reported the same end. In a release build the next number wrapped to 0, which workers reject.

Cause: the number of the next attempt is the highest known one plus one, without a check. The sum now stays at the largest number.

Measured: an_attempt_with_the_largest_number_is_followed_by_another panics without the change (debug build) and passes with it.

--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -178,7 +178,9 @@
             let task = step?.tasks.get(*index as usize)?;
             Some(task.attempt)
         });
-        used.max().unwrap_or(0).max(job.attempt_floor) + 1
+        // A worker may report any number.
+        let highest = used.max().unwrap_or(0).max(job.attempt_floor);
+        highest.saturating_add(1)
     }
 
     fn place_gang(&mut self, key: StepKey, step: &Step, queue: &Queue, now_ms: u64) {
