--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -43,4 +43,5 @@
 pub use node::{Context, Node};
 pub use requests::{Acceptance, Lookup, deadline_ms};
 pub use settings::Settings;
+pub use skipped::Skipped;
 pub use stop::Frontend;
--- a/crates/entry/src/skipped.rs
+++ b/crates/entry/src/skipped.rs
@@ -11,7 +11,7 @@
 
 /// Skipped entries of one list.
 #[derive(Debug)]
-pub(crate) struct Skipped {
+pub struct Skipped {
     list: &'static str,
     state: Mutex<State>,
 }
@@ -24,7 +24,9 @@
 }
 
 impl Skipped {
-    pub(crate) fn new(list: &'static str) -> Self {
+    /// Creates the state of a list without skipped entries.
+    #[must_use]
+    pub fn new(list: &'static str) -> Self {
         Self {
             list,
             state: Mutex::default(),
@@ -33,7 +35,7 @@
 
     /// Logs that entries were skipped: one line, with their number since the last line and the
     /// first key.
-    pub(crate) fn log(&self, keys: &[Arc<str>], now_ms: u64) {
+    pub fn log(&self, keys: &[Arc<str>], now_ms: u64) {
         let Some(first) = keys.first() else { return };
         let mut state = lock(&self.state);
         state.count += keys.len();
