fix(workflow): an occurrence that is due after the last time doesn't start

In a release build the sum wrapped, and an occurrence that is never due started at once.

Cause: the time at which an occurrence is due was a sum and a product of 64-bit integers without a check. They now stay at the largest time.

Measured: an_occurrence_that_is_due_after_the_last_time_does_not_start fails without the change (debug build: panic in timers.rs; release build: 3 starts in place of 2) and passes with it in both builds.

--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -105,6 +105,12 @@
     pub fn occurrences(&self) -> u32 {
         self.times.max(1)
     }
+
+    /// Returns the Unix time in milliseconds at which an occurrence is due.
+    pub(crate) fn due_ms(&self, occurrence: u32) -> u64 {
+        let after_ms = u64::from(occurrence).saturating_mul(self.interval_ms);
+        self.first_ms.saturating_add(after_ms)
+    }
 }
 
 /// State of a job as reported to callers.
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -72,7 +72,7 @@
             };
             let spec = job.spec.clone();
             while job.next_occurrence < spec.times {
-                let due_ms = spec.first_ms + u64::from(job.next_occurrence) * spec.interval_ms;
+                let due_ms = spec.due_ms(job.next_occurrence);
                 if unix_ms + self.settings.early_ms < due_ms {
                     break;
                 }
--- a/crates/workflow/tests/occurrences.rs
+++ b/crates/workflow/tests/occurrences.rs
@@ -63,3 +63,19 @@
         assert_eq!(fleet.shard.state(Id(1)), Some(State::Completed));
     }
 }
+
+/// Guards against a time of a job that ends the shard's task, and that of each successor, or lets an
+/// occurrence start at once: the time at which the occurrence is due overflowed.
+#[test]
+fn an_occurrence_that_is_due_after_the_last_time_does_not_start() {
+    for (first_ms, interval_ms) in [(1, u64::MAX), (1, u64::MAX / 2 + 1), (u64::MAX, 1)] {
+        let mut fleet = Fleet::new(2);
+        let mut timed = (*spec(vec![step(1)])).clone();
+        (timed.times, timed.first_ms, timed.interval_ms) = (4, first_ms, interval_ms);
+        fleet.submit(1, std::sync::Arc::new(timed));
+        fleet.submit(2, spec(vec![step(1)]));
+        fleet.advance(1_000);
+        let starts = usize::from(first_ms == 1) + 1;
+        assert_eq!(fleet.orders.len(), starts, "{first_ms} {interval_ms}");
+    }
+}
