test(node): a request on a used connection is sent once

Operators of similar systems saw orders that went out twice. The client must not repeat a request whose connection ended after it was read, and such a request must not count as unsent: a start would count as refused, and a job as not stored. No fault was found: the test passes without a change, for a connection that is closed and for one that is reset.

--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -174,3 +174,55 @@
     });
     assert_eq!(result.map(|r| r.map(|r| r.status)), Ok(Err(Error::Timeout)));
 }
+
+/// Reads a request without a body from a connection; `None` if there is none.
+fn read_head(stream: &mut std::net::TcpStream) -> Option<String> {
+    use std::io::Read;
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).ok()
+}
+
+/// Guards against commands that are sent twice, or count as not sent, because the peer ends a
+/// connection that was used before, after it has read the request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_on_a_used_connection_that_ends_is_sent_once_and_lost() {
+    use std::io::Write;
+    for is_reset in [false, true] {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let url = format!("http://{}/", listener.local_addr().unwrap());
+        let (sender, read) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            // The first connection answers once; a further one would be that of a repeated request.
+            for stream in listener.incoming().flatten() {
+                let (mut stream, sender) = (stream, sender.clone());
+                std::thread::spawn(move || {
+                    let _ = read_head(&mut stream).map(|head| sender.send(head));
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                    stream.write_all(answer).unwrap();
+                    let next = match is_reset {
+                        // Ending a connection with unread bytes resets it.
+                        true => stream.peek(&mut [0]).map(|_| "unread".to_owned()).ok(),
+                        false => read_head(&mut stream),
+                    };
+                    let _ = next.map(|head| sender.send(head));
+                });
+            }
+        });
+        let client = Client::start(1);
+        let request = Request::new("GET", url, Duration::from_secs(2));
+        let first = client.send(request.clone()).await;
+        assert_eq!(first.map(|response| response.status), Ok(200));
+        let second = client.send(request).await;
+        assert!(
+            matches!(second, Err(Error::Lost(_))),
+            "{is_reset} {second:?}"
+        );
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(read.try_iter().count(), 2, "{is_reset}");
+    }
+}
