--- a/crates/workflow/tests/departed_workers.rs
+++ b/crates/workflow/tests/departed_workers.rs
@@ -30,7 +30,6 @@
         }
     }
     // The records do name it, so that a successor asks what it runs.
-    let is_named =
-        |record: &Record| matches!(record, Record::WorkerAdded { worker } if &*worker.id == "w0");
+    let is_named = |record: &Record| matches!(record, Record::WorkerAdded { worker, .. } if &*worker.id == "w0");
     assert!(fleet.records.iter().any(is_named));
 }
