fix(workflow): a successor restores the speed of attempts that were paced

Cause: a successor took inherited attempts for ones at full speed, so one that its predecessor had paused got no command while the latency was low. A command to pace that got lost was taken for carried out, too.

Change: the speed of an inherited attempt, or after a command that was not accepted, counts as unknown and is sent again with the next decision.

Evidence: a_successor_speeds_up_an_attempt_that_its_predecessor_had_paused failed before (no command in 15 s) and passes.

--- a/crates/entry/src/commands.rs
+++ b/crates/entry/src/commands.rs
@@ -64,6 +64,10 @@
             return;
         }
         let accepted = self.workers().pace(&pace).await;
+        if !accepted {
+            let run = &pace.run;
+            self.state().pace_failed(&run.worker, run.key, run.attempt);
+        }
         events::PACED.log(format_args!(
             "task={} worker={} percent={} taken={accepted}",
             pace.run.key, pace.run.worker, pace.percent
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -93,6 +93,8 @@
     pub(crate) metric: f64,
     /// Share of full speed that it may use, in percent.
     pub(crate) pace_percent: u32,
+    /// Whether the worker has taken that speed for certain. A previous owner may have set another one.
+    pub(crate) is_pace_known: bool,
     /// Fencing token of the start request.
     pub(crate) token: u64,
 }
--- a/crates/workflow/src/pacing.rs
+++ b/crates/workflow/src/pacing.rs
@@ -48,6 +48,15 @@
         }
     }
 
+    /// Makes a command to pace an attempt due again that the worker didn't accept.
+    pub fn pace_failed(&mut self, worker: &str, key: Key, attempt: u32) {
+        let host = self.hosts.get_mut(worker);
+        let run = host.and_then(|host| host.runs.get_mut(&key));
+        if let Some(run) = run.filter(|run| run.attempt == attempt) {
+            run.is_pace_known = false;
+        }
+    }
+
     fn pace_run(&mut self, id: &str, key: Key, highest_percent: f64) {
         let Some(host) = self.hosts.get_mut(id) else {
             return;
@@ -63,12 +72,13 @@
         } else if highest_percent <= RESUME_PERCENT {
             (run.pace_percent + PACE_STEP_PERCENT).min(100)
         } else {
-            run.pace_percent
+            return;
         };
-        if percent == run.pace_percent {
+        if percent == run.pace_percent && run.is_pace_known {
             return;
         }
         run.pace_percent = percent;
+        run.is_pace_known = true;
         let attempt = run.attempt;
         let run = host.stop_request(key, attempt);
         self.actions.push(Action::Pace(Pace { run, percent }));
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -340,6 +340,7 @@
             progressed_ms: now_ms,
             metric: 0.0,
             pace_percent: 100,
+            is_pace_known: true,
             token: order.token,
         };
         host.insert(key, run);
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -286,6 +286,7 @@
             progressed_ms: now_ms,
             metric: reported.metric,
             pace_percent: 100,
+            is_pace_known: false,
             token,
         };
         host.insert(reported.key, run);
