fix(entry): a job with more tasks than a process can hold is refused

Cause: nothing bounded the number of tasks of a job. A job with more than 100,000 tasks, in one occurrence or in those that are due when it is submitted, is now refused with 413, as one whose record is too large is. Such jobs that are stored already, and occurrences that come due faster than they end, are not covered.

--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -38,6 +38,10 @@
 /// snapshot needs some bytes for the key.
 const SUBMISSION_MAX_BYTES: usize = 255 * 1024;
 
+/// Upper bound of the tasks of a job that are due when it is submitted. Each takes 80 bytes in every
+/// process that owns the job's shard.
+const TASKS_MAX: u64 = 100_000;
+
 /// Returns the deadline for the response on the process's clock, for a caller that waits for
 /// `wait_ms` from now.
 #[must_use]
@@ -53,7 +57,7 @@
     Accepted,
     /// It is not stored and never will be.
     Refused,
-    /// It is too large to be stored.
+    /// It is too large to be stored, or has more tasks than a process can hold.
     TooLarge,
     /// It may be stored.
     Unknown,
@@ -80,12 +84,15 @@
         deadline_ms: u64,
     ) -> Acceptance {
         let began = clock::now();
+        let has_too_many_tasks = spec.due_tasks(clock::unix_ms()) > TASKS_MAX;
         let record = Record::Submitted {
             id,
             queue: queue.name.clone(),
             spec: Arc::new(spec),
         };
-        let outcome = match journal::encode(&record).len() > SUBMISSION_MAX_BYTES {
+        let is_too_large =
+            has_too_many_tasks || journal::encode(&record).len() > SUBMISSION_MAX_BYTES;
+        let outcome = match is_too_large {
             true => Acceptance::TooLarge,
             false => self.write(&queue.pool, &record, deadline_ms).await,
         };
--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -106,6 +106,23 @@
         self.times.max(1)
     }
 
+    /// Returns the number of tasks of the occurrences that are due at `unix_ms`, or of one occurrence
+    /// if none is due yet.
+    #[must_use]
+    pub fn due_tasks(&self, unix_ms: u64) -> u64 {
+        let since_ms = unix_ms.saturating_sub(self.first_ms);
+        let due = match self.interval_ms {
+            0 => u64::MAX,
+            interval_ms => (since_ms / interval_ms).saturating_add(1),
+        };
+        let due = match unix_ms < self.first_ms {
+            true => 1,
+            false => due.min(u64::from(self.occurrences())),
+        };
+        let counts = self.steps.iter().map(|step| u64::from(step.count));
+        due.saturating_mul(counts.sum())
+    }
+
     /// Returns the Unix time in milliseconds at which an occurrence is due.
     pub(crate) fn due_ms(&self, occurrence: u32) -> u64 {
         let after_ms = u64::from(occurrence).saturating_mul(self.interval_ms);
