--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -38,8 +38,8 @@
 /// snapshot needs some bytes for the key.
 const SUBMISSION_MAX_BYTES: usize = 255 * 1024;
 
-/// Upper bound of the tasks of a job that are due when it is submitted. Each takes 80 bytes in the process
-/// that owns the job's shard, and in each one that takes it over.
+/// Upper bound of the tasks of a job that are due when it is submitted. Each takes 80 bytes in every
+/// process that owns the job's shard.
 const TASKS_MAX: u64 = 100_000;
 
 /// Returns the deadline for the response on the process's clock, for a caller that waits for
