fix(workflow): takeovers don't wait for the list of workers

Cause: the successor's wait for the list was the price for a restart that only the list could tell during an outage of the log. Change: successors no longer wait for it; owners still do for attempts that no report has confirmed.

--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -6,8 +6,8 @@
 
 use crate::action::Action;
 use crate::host::{Host, Liveness};
-use crate::incarnation::{LISTED_AFTER_MS, Restart, Unreported};
-use crate::lease::{self, LATE_CALL_MAX_MS};
+use crate::incarnation::{Restart, Unreported};
+use crate::lease::LATE_CALL_MAX_MS;
 use crate::record::Record;
 use crate::shard::Shard;
 use crate::silent::Silence;
@@ -24,8 +24,9 @@
     stage: Stage,
     /// Workers that previous owners used, with what calls for their earlier incarnations may do.
     known_workers: BTreeMap<Arc<str>, (Worker, Restart)>,
-    /// Workers that may run attempts of a previous owner.
-    unconfirmed: BTreeMap<Arc<str>, Wait>,
+    /// Workers that may run attempts of a previous owner, with the time on the owner's clock from which
+    /// such attempts have certainly ended.
+    unconfirmed: BTreeMap<Arc<str>, u64>,
     /// Workers that didn't answer the previous owner, with the tasks that they may run.
     silent: BTreeMap<Arc<str>, Vec<Key>>,
     /// Time on the owner's clock from which no previous owner acts any more.
@@ -34,25 +35,6 @@
     jobs_read: bool,
 }
 
-/// Wait for a worker that has not reported.
-#[derive(Clone, Copy, Debug)]
-struct Wait {
-    /// Time on the owner's clock from which attempts of previous owners have certainly ended in the
-    /// incarnation that this owner knows.
-    expiry_ms: u64,
-    /// Time from which they have certainly ended in any incarnation.
-    longest_ms: u64,
-    /// Whether a later incarnation would be in the platform's directory, and hasn't been read there.
-    is_listed: bool,
-}
-
-impl Wait {
-    fn is_over(&self, at_ms: u64, is_list_read: bool) -> bool {
-        let may_be_unlisted = self.is_listed && !is_list_read;
-        at_ms >= self.longest_ms || at_ms >= self.expiry_ms && !may_be_unlisted
-    }
-}
-
 /// Stage of a takeover.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 enum Stage {
@@ -135,21 +117,18 @@
     /// Waits longer for a worker of which a later incarnation became known, whose attempts have certainly
     /// ended at `expires_ms`.
     pub(crate) fn postpone(&mut self, worker: &str, expires_ms: u64) {
-        if let Some(wait) = self.unconfirmed.get_mut(worker) {
-            wait.expiry_ms = wait.expiry_ms.max(expires_ms + LEASE_MARGIN_MS);
-            wait.longest_ms = wait.longest_ms.max(wait.expiry_ms);
-            wait.is_listed = false;
+        if let Some(expiry_ms) = self.unconfirmed.get_mut(worker) {
+            *expiry_ms = (*expiry_ms).max(expires_ms + LEASE_MARGIN_MS);
         }
     }
 
-    /// Ends the wait for workers whose lease had certainly expired at `at_ms`, and returns them. The
-    /// platform's directory has been read up to its state at `workers_read_ms`.
-    fn tick(&mut self, at_ms: u64, workers_read_ms: u64) -> Vec<Arc<str>> {
-        let is_list_read = workers_read_ms >= self.fenced_ms + LISTED_AFTER_MS;
+    /// Ends the wait for workers whose lease had certainly expired at `at_ms`, and returns them.
+    fn tick(&mut self, at_ms: u64) -> Vec<Arc<str>> {
         let expired = match self.stage {
             Stage::Confirming => {
-                let is_over = |_: &Arc<str>, wait: &mut Wait| wait.is_over(at_ms, is_list_read);
-                let expired = self.unconfirmed.extract_if(.., is_over);
+                let expired = self
+                    .unconfirmed
+                    .extract_if(.., |_, expiry| at_ms >= *expiry);
                 expired.map(|(worker, _)| worker).collect()
             }
             Stage::Complete | Stage::Replaying => Vec::new(),
@@ -198,7 +177,7 @@
     /// Ends the wait for workers whose lease has certainly expired.
     pub(crate) fn end_waits(&mut self, now_ms: u64) {
         let at_ms = self.owned_until_ms.min(now_ms);
-        for worker in self.recovery.tick(at_ms, self.workers_read_ms) {
+        for worker in self.recovery.tick(at_ms) {
             let incarnation = self
                 .hosts
                 .get(&worker)
@@ -299,15 +278,10 @@
             .hosts
             .iter()
             .filter(|(_, host)| host.liveness == Liveness::Unconfirmed);
-        let longest_ms = fenced_ms + lease::longest_unknown_ms(self.settings.lease_max_ms);
         // Until then the previous owner may renew the lease of a worker that this owner can't reach.
-        let wait = |host: &Host| Wait {
-            expiry_ms: host.lease.inherited_expiry(fenced_ms) + LEASE_MARGIN_MS,
-            longest_ms: longest_ms + LEASE_MARGIN_MS,
-            is_listed: host.restart.is_none(),
-        };
+        let expiry = |host: &Host| host.lease.inherited_expiry(fenced_ms) + LEASE_MARGIN_MS;
         self.recovery.unconfirmed = unconfirmed
-            .map(|(id, host)| (id.clone(), wait(host)))
+            .map(|(id, host)| (id.clone(), expiry(host)))
             .collect();
         self.start_clock(now_ms);
         self.sort_ready();
--- a/crates/workflow/tests/unlisted_incarnations.rs
+++ b/crates/workflow/tests/unlisted_incarnations.rs
@@ -143,3 +143,22 @@
         }
     });
 }
+
+/// A successor took a silent worker for the life that the list of workers had named before the log
+/// became unreachable.
+#[test]
+fn a_successor_keeps_inherited_tasks_while_the_list_of_workers_is_not_read() {
+    let mut fleet = Fleet::new(1);
+    fleet.restart("w0");
+    fleet.submit(1, spec(vec![step(1)]));
+    add_ready_worker(&mut fleet, "w1");
+    fleet.is_list_unreadable = true;
+    fleet.set_unresponsive("w0", true);
+    fleet
+        .workers
+        .get_mut("w0")
+        .expect("a worker")
+        .listed_incarnation = Some(7);
+    take_over(&mut fleet, 2);
+    await_restart(&mut fleet, task(), 25_000, |_, _| {});
+}
