test(soak): workers that start again, late calls and permits

A worker's process was given up with its connections, so no call that was meant for a former life reached the next one. Workers granted leases up to 10 s while the settings of all runs said 6 s, every life's clock began at 1 s, and starts were accepted with any permit.

Change: the layout of a seed sets the longest lease (6 or 10 s), which workers and settings share. While a fault lasts, 40 % of the calls to workers get no answer and are carried out 2 to 12 s later by the life that runs then, through the same handler. Permits are valid for a step, a life and 2 s. The clock of a next life begins below, near or above the former one. `Mix::Restarts` starts groups of workers again, supersedes their owner and cuts the group off; its jobs are longer and fewer, because workers are away most of the time. A run with violations writes the events of its workers to `workers.log`. A start is recorded before a crash of the same life can record its end.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers that submit jobs and query their states.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -28,11 +29,15 @@
 /// retention time of the log for most jobs.
 const FINAL_QUERY_AFTER_MS: std::ops::Range<u64> = 5_000..20_000;
 
-/// Percentage of jobs with one long step. They run for longer than a takeover and a lease.
-const LONG_PERCENT: u32 = 4;
-
-/// Run times of the tasks of long jobs in milliseconds.
-const LONG_MS: std::ops::Range<u64> = 4_000..9_000;
+/// Jobs that callers submit.
+pub(crate) struct Load {
+    /// Pause of a caller between two jobs in milliseconds.
+    pub(crate) pause_ms: Range<u64>,
+    /// Percentage of jobs with one long step. They run for longer than a takeover and a lease.
+    pub(crate) long_percent: u32,
+    /// Run times of the tasks of long jobs in milliseconds.
+    pub(crate) long_ms: Range<u64>,
+}
 
 /// State that all callers share.
 pub(crate) struct Context {
@@ -41,6 +46,7 @@
     pub(crate) processes: Vec<Arc<Process>>,
     pub(crate) client: Client,
     pub(crate) layout: Layout,
+    pub(crate) load: Load,
     /// Whether callers still submit new jobs.
     pub(crate) submitting: AtomicBool,
 }
@@ -54,15 +60,19 @@
     pub(crate) async fn run_caller(self: Arc<Self>, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
         while self.submitting.load(Ordering::Relaxed) {
-            tokio::time::sleep(Duration::from_millis(rng.random_range(20..250))).await;
+            tokio::time::sleep(Duration::from_millis(
+                rng.random_range(self.load.pause_ms.clone()),
+            ))
+            .await;
             let id = Id(rng.random());
-            let long = rng.random_range(0..100) < LONG_PERCENT;
+            let long = rng.random_range(0..100) < self.load.long_percent;
             let step_count = if long { 1 } else { rng.random_range(1..=2) };
             let steps: Vec<u32> = (0..step_count).map(|_| rng.random_range(1..=4)).collect();
             self.history.record_submission(id, steps.clone());
             let mut refused = true;
             let mut accepted = false;
-            let spec = spec(&steps, long, &mut rng);
+            let long_ms = long.then(|| self.load.long_ms.clone());
+            let spec = spec(&steps, long_ms, &mut rng);
             for _ in 0..SUBMIT_ATTEMPTS {
                 match self.submit(id, &spec, &mut rng).await {
                     Acknowledgement::Accepted => {
@@ -179,10 +189,10 @@
 
 /// Returns a job whose steps run one after the other. Its text sets the run time, processor use and
 /// failure percentage of its tasks at the workers.
-fn spec(steps: &[u32], long: bool, rng: &mut SmallRng) -> Spec {
-    let (millicores, ms) = match long {
-        true => (300, rng.random_range(LONG_MS)),
-        false => (rng.random_range(5..=20) * 100, rng.random_range(80..900)),
+fn spec(steps: &[u32], long_ms: Option<Range<u64>>, rng: &mut SmallRng) -> Spec {
+    let (millicores, ms) = match long_ms {
+        Some(long_ms) => (300, rng.random_range(long_ms)),
+        None => (rng.random_range(5..=20) * 100, rng.random_range(80..900)),
     };
     let step = |(index, count): (u16, &u32)| Step {
         after: index.checked_sub(1).into_iter().collect(),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,5 +1,8 @@
 //! Fault injection: a seed selects faults, their targets and their durations. Faults may overlap.
 
+mod mix;
+mod recut;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -9,6 +12,8 @@
 use rand::{Rng, SeedableRng};
 
 use crate::callers::Context;
+use crate::faults::mix::Fault;
+pub use crate::faults::mix::Mix;
 use crate::log::Log;
 use crate::proxy::{Imposition, Mode};
 use crate::run::publish_configuration;
@@ -22,150 +27,6 @@
     pub(crate) next_version: std::sync::atomic::AtomicU64,
 }
 
-/// Kinds of faults.
-#[derive(Clone, Copy, Debug)]
-enum Fault {
-    /// Kills a process and starts it again.
-    Kill,
-    /// Kills every process without another fault and starts them again.
-    KillAll,
-    /// Shuts a process down gracefully and starts it again.
-    Stop,
-    /// Suspends a process.
-    Pause,
-    /// Suspends several processes at once.
-    PauseGroup,
-    /// Suspends a process for longer than a takeover takes. The other processes lose a group of
-    /// workers meanwhile and some time afterwards.
-    PauseAndTakeover(Mode),
-    /// Sends SIGHUP to a process.
-    Reload,
-    /// The log rejects every call.
-    LogRefuses,
-    /// The log delays every call.
-    LogSlow,
-    /// The log drops some append responses.
-    LogLosesAnswers,
-    /// Network fault between a process and the log.
-    LogCut(Mode),
-    /// Network fault between two processes.
-    PeerCut(Mode),
-    /// Network fault between a group of processes and the log, the other processes and a group of
-    /// workers.
-    ZoneCut(Mode),
-    /// The same; in addition the other processes lose the other workers.
-    Split(Mode),
-    /// Crashes a worker and starts it again.
-    WorkerCrash,
-    /// Suspends a worker with its runs. Its clock goes on.
-    WorkerPause,
-    /// Suspends a worker with its runs and its clock.
-    WorkerStandstill,
-    /// Network fault of the connections of all processes to a worker.
-    WorkerLink(Mode),
-    /// Network fault between one process and a group of workers.
-    WorkerGroupCut(Mode),
-    /// All workers drop some responses.
-    WorkersLoseAnswers,
-    /// Publishes a configuration revision.
-    Revision,
-}
-
-/// Faults to select from with equal probability; an entry that is listed twice is twice as likely.
-const FAULTS: [Fault; 41] = [
-    Fault::Kill,
-    Fault::Kill,
-    Fault::KillAll,
-    Fault::Stop,
-    Fault::Stop,
-    Fault::Pause,
-    Fault::Pause,
-    Fault::PauseGroup,
-    Fault::PauseAndTakeover(Mode::Silent),
-    Fault::PauseAndTakeover(Mode::Reset),
-    Fault::Reload,
-    Fault::LogRefuses,
-    Fault::LogSlow,
-    Fault::LogLosesAnswers,
-    Fault::LogCut(Mode::Silent),
-    Fault::LogCut(Mode::Reset),
-    Fault::LogCut(Mode::OneWay),
-    Fault::LogCut(Mode::Delay(60)),
-    Fault::PeerCut(Mode::Silent),
-    Fault::PeerCut(Mode::Reset),
-    Fault::PeerCut(Mode::Delay(60)),
-    Fault::ZoneCut(Mode::Silent),
-    Fault::ZoneCut(Mode::Reset),
-    Fault::ZoneCut(Mode::Delay(300)),
-    Fault::Split(Mode::Silent),
-    Fault::Split(Mode::Reset),
-    Fault::WorkerCrash,
-    Fault::WorkerPause,
-    Fault::WorkerPause,
-    Fault::WorkerLink(Mode::Silent),
-    Fault::WorkerLink(Mode::OneWay),
-    Fault::WorkerLink(Mode::Delay(120)),
-    Fault::WorkerLink(Mode::Refuse),
-    Fault::WorkerLink(Mode::Reset),
-    Fault::WorkerGroupCut(Mode::Silent),
-    Fault::WorkerGroupCut(Mode::OneWay),
-    Fault::WorkerGroupCut(Mode::Delay(120)),
-    Fault::WorkerGroupCut(Mode::Refuse),
-    Fault::WorkerGroupCut(Mode::Reset),
-    Fault::WorkersLoseAnswers,
-    Fault::Revision,
-];
-
-/// Faults after which an owner may be superseded without news of it, to select from with equal
-/// probability.
-const OWNERSHIP_FAULTS: [Fault; 13] = [
-    Fault::Kill,
-    Fault::Pause,
-    Fault::PauseGroup,
-    Fault::PauseAndTakeover(Mode::Silent),
-    Fault::PauseAndTakeover(Mode::Reset),
-    Fault::LogCut(Mode::Silent),
-    Fault::PeerCut(Mode::Silent),
-    Fault::ZoneCut(Mode::Silent),
-    Fault::Split(Mode::Silent),
-    Fault::Split(Mode::Silent),
-    Fault::Split(Mode::Reset),
-    Fault::WorkerPause,
-    Fault::WorkerGroupCut(Mode::Silent),
-];
-
-/// Faults around clocks that stand still, to select from with equal probability. No other selection
-/// stops clocks: a run that outlives its lease that way would hide other causes.
-const STANDSTILL_FAULTS: [Fault; 6] = [
-    Fault::WorkerStandstill,
-    Fault::WorkerStandstill,
-    Fault::Kill,
-    Fault::Pause,
-    Fault::LogCut(Mode::Silent),
-    Fault::WorkerGroupCut(Mode::Silent),
-];
-
-/// Selection of faults.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Mix {
-    /// All faults but clocks that stand still. Two of four consecutive seeds have fewer kinds of faults
-    /// with longer pauses.
-    Any,
-    /// Workers whose clocks stand still, beside a few other faults.
-    Standstill,
-}
-
-impl Mix {
-    /// Returns the faults of a seed and the longest pause between two of them in milliseconds.
-    fn faults(self, seed: u64) -> (&'static [Fault], u64) {
-        match (self, seed % 4) {
-            (Self::Any, 0 | 1) => (&FAULTS, 1_500),
-            (Self::Any, _) => (&OWNERSHIP_FAULTS, 4_000),
-            (Self::Standstill, _) => (&STANDSTILL_FAULTS, 4_000),
-        }
-    }
-}
-
 /// What a fault applies to.
 #[derive(Clone, Copy, Debug)]
 struct Target {
@@ -335,24 +196,31 @@
         });
     }
 
-    /// Stops a process, by a signal or not, and starts it again.
-    async fn restart(&self, fault: Fault, target: Target) {
-        let process = &self.context.processes[target.process];
+    /// Shuts a process down gracefully and starts it again.
+    async fn stop(&self, index: usize) {
+        let process = &self.context.processes[index];
         if !process.reserve() {
             return;
         }
-        if matches!(fault, Fault::Stop) {
-            if let Some(description) = process.stop().await {
-                self.context.history.add_violation(description);
-            }
-        } else {
-            process.kill();
-            tokio::time::sleep(target.duration()).await;
+        if let Some(description) = process.stop().await {
+            self.context.history.add_violation(description);
         }
         process.spawn();
         process.release();
     }
 
+    /// Kills a process and starts it again after `duration`.
+    async fn kill(&self, index: usize, duration: Duration) {
+        let process = &self.context.processes[index];
+        if !process.reserve() {
+            return;
+        }
+        process.kill();
+        tokio::time::sleep(duration).await;
+        process.spawn();
+        process.release();
+    }
+
     fn reload(&self, target: Target) {
         let process = &self.context.processes[target.process];
         if process.reserve() {
@@ -401,7 +269,8 @@
         let process = &self.context.processes[index];
         let worker = &self.workers[target.number % self.workers.len()];
         match fault {
-            Fault::Kill | Fault::Stop => self.restart(fault, target).await,
+            Fault::Kill => self.kill(index, duration).await,
+            Fault::Stop => self.stop(index).await,
             Fault::KillAll => self.kill_all(duration / 2).await,
             Fault::Pause => self.pause(std::iter::once(index), duration).await,
             Fault::PauseGroup => self.pause(self.zone(target).into_iter(), duration).await,
@@ -439,6 +308,15 @@
                 tokio::time::sleep(duration).await;
                 worker.restart(&self.log).await;
             }
+            Fault::WorkerRestart => {
+                self.start_again(&[worker], target).await;
+            }
+            Fault::Recut(supersede) => self.recut(target, supersede).await,
+            Fault::WorkersLate => {
+                let late: Vec<_> = self.workers.iter().map(|worker| worker.delay()).collect();
+                tokio::time::sleep(duration).await;
+                drop(late);
+            }
             Fault::WorkerPause => {
                 let paused =
                     self.pause_worker(worker, Incarnation::suspend, target.long_duration());
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -47,6 +47,8 @@
     violations: Vec<String>,
     /// Second runs of tasks whose first run outlived a standstill of its worker's clock.
     exempt: Vec<String>,
+    /// What else helps to find the cause of a violation.
+    notes: Vec<String>,
 }
 
 /// Thread-safe history. The checks run as events are recorded.
@@ -95,6 +97,36 @@
             .push(format!("{now_ms} ms: {description}"));
     }
 
+    /// Adds a line that helps to find the cause of a violation.
+    pub(crate) fn note(&self, description: String) {
+        let now_ms = self.now_ms();
+        self.records()
+            .notes
+            .push(format!("{now_ms} ms: {description}"));
+    }
+
+    /// Returns the numbers of lives of workers and of the calls that were carried out late.
+    pub(crate) fn describe_lives(&self) -> String {
+        let records = self.records();
+        let lives = records
+            .notes
+            .iter()
+            .filter(|note| note.contains(" starts with clock "));
+        let late = records.notes.iter().filter(|note| note.contains(" late /"));
+        let succeeded = late.clone().filter(|note| note.contains(": 200 "));
+        format!(
+            "{} lives of workers, {} late calls, of which {} succeeded",
+            lives.count(),
+            late.count(),
+            succeeded.count()
+        )
+    }
+
+    /// Returns the notes.
+    pub(crate) fn notes(&self) -> Vec<String> {
+        self.records().notes.clone()
+    }
+
     pub(crate) fn record_submission(&self, id: Id, steps: Vec<u32>) {
         let job = Job {
             steps,
--- a/crates/soak/src/layout.rs
+++ b/crates/soak/src/layout.rs
@@ -10,6 +10,9 @@
 /// Numbers of processes of consecutive seeds.
 const PROCESSES: [usize; 5] = [3, 3, 5, 3, 6];
 
+/// Longest leases that workers grant, in milliseconds.
+const LEASES_MAX_MS: [u64; 2] = [6_000, 10_000];
+
 /// Clock rates of consecutive workers relative to real time. The slowest is the slowest that is
 /// allowed.
 const CLOCK_RATES: [f64; 4] = [0.98, 1.0, 0.985, 0.995];
@@ -25,6 +28,8 @@
     pub(crate) pools: Vec<Arc<str>>,
     /// Largest number of workers that an owner calls itself; `None` leaves it to the process.
     pub(crate) own_workers: Option<u32>,
+    /// Longest lease that a worker grants in milliseconds. It shortens a longer one.
+    pub(crate) lease_max_ms: u64,
 }
 
 impl Layout {
@@ -40,6 +45,8 @@
             workers: 4 + 2 * pools,
             pools: POOLS[..pools].iter().map(|pool| (*pool).into()).collect(),
             own_workers: (seed % 2 == 1).then_some(0),
+            // Two of four consecutive seeds have other faults, so that the lease changes after four.
+            lease_max_ms: LEASES_MAX_MS[seed as usize / 4 % LEASES_MAX_MS.len()],
         }
     }
 
--- a/crates/soak/src/log.rs
+++ b/crates/soak/src/log.rs
@@ -117,6 +117,8 @@
     pub(crate) dropped_percent: AtomicU32,
     /// The process that took over a shard last.
     pub(crate) last_claimant: AtomicUsize,
+    /// The process that wrote to the journal of a shard last.
+    pub(crate) last_writer: AtomicUsize,
     appends: AtomicU64,
 }
 
--- a/crates/soak/src/network.rs
+++ b/crates/soak/src/network.rs
@@ -18,6 +18,9 @@
 /// Last number of the host that stands in the log.
 const PUBLISHED_HOST: u8 = 10;
 
+/// Producer of the records in the journals of shards.
+const OWNER: &str = "owner";
+
 /// Maximum number of processes. The hosts stay below 24, so that a host has the same length in all
 /// encodings.
 pub(crate) const PROCESSES_MAX: usize = 6;
@@ -131,7 +134,11 @@
         for record in &mut records {
             replace_host(&mut record.value, host_number(self.process), PUBLISHED_HOST);
         }
+        let has_records = !records.is_empty();
         let appended = self.log.append(topic, part, records, guard)?;
+        if matches!(guard, Guard::Producer { name, .. } if has_records && &**name == OWNER) {
+            self.log.last_writer.store(self.process, Ordering::Relaxed);
+        }
         // Only takeovers of shards are conditional on the offset.
         if matches!(guard, Guard::EndOffset(_)) {
             let claimant = &self.log.last_claimant;
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -36,6 +36,8 @@
     pub advisor: SocketAddr,
     /// Largest number of workers that an owner calls itself; `None` leaves it to the process.
     pub own_workers: Option<u32>,
+    /// Longest lease that a worker grants in milliseconds.
+    pub lease_max_ms: u64,
     /// Retention time of the log in milliseconds.
     pub retention_ms: u64,
 }
@@ -89,6 +91,7 @@
             log: log_proxy.address,
             advisor,
             own_workers: layout.own_workers,
+            lease_max_ms: layout.lease_max_ms,
             retention_ms: RETENTION.as_millis() as u64,
         };
         let settings = folder.join(format!("{name}.json"));
--- a/crates/soak/src/protocol.rs
+++ b/crates/soak/src/protocol.rs
@@ -9,6 +9,7 @@
 
 use crate::log::Log;
 use crate::network::View;
+use crate::permit::Permits;
 use crate::process::Addresses;
 use crate::server::Handler;
 use crate::worker::Incarnation;
@@ -52,7 +53,7 @@
     fn worker(&self, incarnation: Arc<Incarnation>) -> Arc<dyn Handler>;
 
     /// Returns the HTTP handler of the advice service, which allows every worker.
-    fn advisor(&self) -> Arc<dyn Handler>;
+    fn advisor(&self, permits: Arc<Permits>) -> Arc<dyn Handler>;
 
     /// Publishes a configuration revision.
     fn publish_configuration(&self, log: &Log, version: u64, queues: &[Queue]);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,10 +13,11 @@
 use crate::layout::Layout;
 use crate::log::Log;
 use crate::network::View;
+use crate::permit::{self, Permits};
 use crate::process::Process;
 use crate::protocol::Protocol;
 use crate::server;
-use crate::worker::Worker;
+use crate::worker::{Services, Worker};
 
 const CALLER_COUNT: u64 = 6;
 
@@ -31,7 +32,7 @@
 /// submitted.
 const SUBMISSION_WAIT: Duration = Duration::from_secs(2);
 
-/// Time after the last fault in which every accepted job must end: a lease of at most 6 s on the
+/// Time after the last fault in which every accepted job must end: a lease of at most 10 s on the
 /// slowest clock, a takeover, the longest job, its failed runs and the pauses before their retries.
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(40);
 
@@ -51,7 +52,7 @@
         advice: Some(AdviceTerms {
             call_ms: 15.0,
             worker_ms: 0.1,
-            validity_ms: 2_000,
+            validity_ms: permit::VALIDITY_MS,
         }),
         name: pool.clone(),
         pool: pool.clone(),
@@ -83,11 +84,17 @@
     let layout = Layout::of_seed(seed);
     publish_configuration(protocol.as_ref(), &layout, &log, 1);
     let (listener, advisor) = server::bind().await;
-    tokio::spawn(server::serve(listener, protocol.advisor()));
+    let permits = Arc::new(Permits::default());
+    tokio::spawn(server::serve(listener, protocol.advisor(permits.clone())));
     let mut workers = Vec::new();
     for index in 0..layout.workers {
-        let started = Worker::start(index, &layout, history.clone(), protocol.clone(), &log);
-        workers.push(started.await);
+        let services = Services {
+            history: history.clone(),
+            permits: permits.clone(),
+            protocol: protocol.clone(),
+        };
+        let seed = seed * 1_000 + index as u64;
+        workers.push(Worker::start(index, seed, &layout, services, &log).await);
     }
     let mut processes = Vec::new();
     for index in 0..layout.processes {
@@ -112,6 +119,7 @@
         processes,
         client: Client::start(2),
         layout,
+        load: mix.load(),
         submitting: AtomicBool::new(true),
     });
     tokio::time::sleep(STARTUP_TIME).await;
@@ -137,11 +145,16 @@
     if mix == Mix::Standstill {
         println!("  {} second runs after standstills", exempt.len());
     }
+    if mix == Mix::Restarts {
+        println!("  {}", history.describe_lives());
+    }
     if violations.is_empty() {
         // The logs of a passing run aren't needed. A folder that can't be removed does no harm.
         let _ = std::fs::remove_dir_all(&folder);
     } else {
         let (injected, violated) = (injected.join("\n"), violations.join("\n"));
+        let notes = history.notes().join("\n");
+        std::fs::write(folder.join("workers.log"), notes).expect("can't write to the soak folder");
         println!("logs: {}\n{injected}\n{violated}", folder.display());
     }
     assert!(
