fix(soak): end the processes of a run with it

Cause: callers that still wait hold the processes.

Change: a run kills its processes after its last check.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -135,6 +135,8 @@
     let injected = injector.clone().inject(mix, seed, duration).await;
     context.submitting.store(false, Ordering::Relaxed);
     await_completion(&context).await;
+    // Callers may still hold the processes when this program exits.
+    context.processes.iter().for_each(|process| process.kill());
     let (violations, accepted, runs) = history.summary();
     println!(
         "seed {seed}: {} faults, {accepted} jobs accepted, {runs} runs, {} violations",
