fix(workflow): starts that show the known clock don't hold acknowledgements back

Change: the answer to a start holds a reading of the worker's clock. If it goes on from the last one, within 2 % and 100 ms, the start was carried out by the incarnation that it was meant for, and ends may be acknowledged at once. A later incarnation whose clock happens to go on from that of the former one is the limit of this; its clock begins anew.

--- a/crates/workflow/src/answers.rs
+++ b/crates/workflow/src/answers.rs
@@ -33,6 +33,7 @@
         let Some(host) = self.hosts.get_mut(&order.worker) else {
             return;
         };
+        let mut is_same_clock = false;
         if outcome == StartOutcome::Unknown {
             host.lease.call_unanswered(now_ms + late_ms);
         }
@@ -47,6 +48,7 @@
                 _ => {}
             }
         } else if let StartOutcome::Accepted { clock_ms } = outcome {
+            is_same_clock = host.lease.continues(clock_ms, now_ms);
             host.lease.observe_clock(clock_ms, now_ms);
         }
         let pending_run = host.runs.get_mut(&order.key).filter(|run| {
@@ -58,6 +60,7 @@
             return;
         };
         run.outcome_ms = Some(now_ms);
+        run.is_same_clock = is_same_clock;
         run.carried_out_ms = now_ms;
         match outcome {
             StartOutcome::Accepted { .. } => {
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -83,6 +83,8 @@
     pub(crate) started_ms: u64,
     /// Time on the owner's clock at which the start request was answered or given up; `None` before.
     pub(crate) outcome_ms: Option<u64>,
+    /// Whether the answer to the start request shows the clock of the incarnation that it was meant for.
+    pub(crate) is_same_clock: bool,
     /// Time on the owner's clock by which the start request counts as carried out, if it is at all.
     pub(crate) carried_out_ms: u64,
     /// Progress in percent.
--- a/crates/workflow/src/lease.rs
+++ b/crates/workflow/src/lease.rs
@@ -6,6 +6,10 @@
 /// Time that a worker may need to kill an attempt after its lease has expired, in milliseconds.
 const KILL_MARGIN_MS: u64 = 200;
 
+/// Difference between two readings of one clock beyond the time that has passed, in milliseconds: the
+/// time that an answer takes.
+const READING_MARGIN_MS: u64 = 100;
+
 /// Longest time for which a call that got no answer may be under way, in milliseconds.
 pub(crate) const LATE_CALL_MAX_MS: u64 = 12_000;
 
@@ -130,6 +134,19 @@
         Some(clock + now_ms.saturating_sub(read_ms))
     }
 
+    /// Returns whether a reading that arrived at `now_ms` goes on from the last one. In a later incarnation
+    /// the clock has begun anew.
+    pub(crate) fn continues(&self, clock_ms: u64, now_ms: u64) -> bool {
+        let Some((last_ms, read_ms)) = self.clock else {
+            return false;
+        };
+        let passed_ms = now_ms.saturating_sub(read_ms);
+        let least_ms = last_ms + (passed_ms as f64 * SLOWEST_CLOCK_RATE) as u64;
+        let most_ms = last_ms + passed_ms;
+        (least_ms.saturating_sub(READING_MARGIN_MS)..=most_ms + READING_MARGIN_MS)
+            .contains(&clock_ms)
+    }
+
     /// Returns a deadline on the worker's clock, `ttl_ms` from now, if a reading of the clock is
     /// known. The latest deadline determines when the lease expires.
     pub(crate) fn deadline(&mut self, now_ms: u64, ttl_ms: u64) -> Option<u64> {
--- a/crates/workflow/src/pending_renewal.rs
+++ b/crates/workflow/src/pending_renewal.rs
@@ -85,11 +85,12 @@
         self.last_durable_end - self.last_acknowledged_end >= UNACKNOWLEDGED_MAX && !is_under_way
     }
 
-    /// Returns whether no later incarnation can have carried out a start: the current one has answered a
-    /// renewal that was sent after the outcome of each start was known.
+    /// Returns whether no later incarnation can have carried out a start: each answer shows the clock of
+    /// the current one, or it has answered a renewal that was sent after the outcome was known.
     fn knows_starts(&self) -> bool {
         self.runs.values().all(|run| {
             run.start == StartState::Confirmed
+                || run.is_same_clock
                 || run.outcome_ms.is_some_and(|at_ms| at_ms < self.answered_ms)
         })
     }
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -335,6 +335,7 @@
             phase_since_ms: now_ms,
             started_ms: now_ms,
             outcome_ms: None,
+            is_same_clock: false,
             carried_out_ms: now_ms,
             percent: 0,
             progressed_ms: now_ms,
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -281,6 +281,7 @@
             phase_since_ms: now_ms,
             started_ms: now_ms,
             outcome_ms: Some(now_ms),
+            is_same_clock: false,
             carried_out_ms: now_ms,
             percent: reported.percent,
             progressed_ms: now_ms,
