fix(entry): renewals don't pause while a start is under way

Cause: with ends that could not be acknowledged yet, a session waited up to 50 ms for the answer to a start before the next renewal, and a worker with 8 such ends got no start. On an owner that is short of CPU there is always a start under way, so ends became known late and workers stood idle.

--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -21,9 +21,6 @@
 /// Longest wait for ends of attempts to become durable before the next renewal.
 const DURABLE_WAIT_MAX: Duration = Duration::from_millis(200);
 
-/// Longest wait for the answer to a start request before the next renewal.
-const START_WAIT_MAX: Duration = Duration::from_millis(50);
-
 /// Renewal task of one worker.
 pub(crate) struct Session {
     wake: Notify,
@@ -36,9 +33,6 @@
     Renew,
     /// Wait until the reported ends are durable, which lets the worker forget them.
     AwaitDurable,
-    /// Wait until a start request is answered: until then the worker forgets no ends, and answers at
-    /// once because of them.
-    AwaitStart,
     /// Wait until the worker has work.
     AwaitWork,
     /// Wait, because the worker is unresponsive.
@@ -82,14 +76,6 @@
             match next {
                 Next::Renew => {}
                 Next::AwaitDurable => self.await_durable(&owner, &id).await,
-                Next::AwaitStart => {
-                    let pause = tokio::time::sleep(START_WAIT_MAX);
-                    tokio::select! {
-                        () = pause => {}
-                        () = self.wake.notified() => {}
-                        () = self.interrupt.notified() => {}
-                    }
-                }
                 Next::AwaitWork => {
                     tokio::select! {
                         () = self.wake.notified() => {}
@@ -179,7 +165,6 @@
         Some(_) if last_fault.is_some() => Next::BackOff,
         Some(host) if host.has_pending_ends() => Next::AwaitDurable,
         Some(host) if host.is_idle() && host.has_acknowledged() => Next::AwaitWork,
-        Some(host) if host.awaits_start() => Next::AwaitStart,
         Some(_) => Next::Renew,
     };
     drop(state);
--- a/crates/entry/tests/model/session.rs
+++ b/crates/entry/tests/model/session.rs
@@ -17,9 +17,6 @@
 /// Longest wait for durable ends in milliseconds.
 const DURABLE_WAIT_MAX_MS: u64 = 200;
 
-/// Longest wait for the answer to a start before the next renewal, in milliseconds.
-const START_WAIT_MAX_MS: u64 = 50;
-
 impl World {
     /// Ends any wait of a session, so that the lease is renewed now.
     pub(crate) fn interrupt(&mut self, process: usize, worker: &Arc<str>) {
@@ -178,7 +175,6 @@
             }
             Some(host) if host.has_pending_ends() => (Wait::Durable, Some(DURABLE_WAIT_MAX_MS)),
             Some(host) if host.is_idle() && host.has_acknowledged() => (Wait::Work, None),
-            Some(host) if host.awaits_start() => (Wait::Work, Some(START_WAIT_MAX_MS)),
             Some(_) => (Wait::Time, Some(0)),
         };
         self.wait_for(process, worker, wait, limit_ms);
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -353,11 +353,6 @@
         token < self.incarnation_token
     }
 
-    /// Returns whether a start request is under way.
-    pub(crate) fn has_pending_start(&self) -> bool {
-        self.runs.values().any(|run| run.start == StartState::Sent)
-    }
-
     fn occupied(&self) -> Size {
         let sizes = self.runs.values().map(|run| run.size);
         sizes.fold(Size::ZERO, |used, size| used + size)
--- a/crates/workflow/src/pending_renewal.rs
+++ b/crates/workflow/src/pending_renewal.rs
@@ -4,7 +4,7 @@
 use crate::lease::LATE_CALL_MAX_MS;
 
 /// Number of ends that a worker may forget and has not, from which it gets no start before that.
-const UNACKNOWLEDGED_MAX: u64 = 8;
+const UNACKNOWLEDGED_MAX: u64 = 100;
 
 /// A renewal under way.
 #[derive(Clone, Copy, Debug)]
@@ -26,12 +26,6 @@
         self.last_acknowledged_end == self.last_durable_end
     }
 
-    /// Returns whether ends can't be acknowledged until a start request is answered.
-    #[must_use]
-    pub fn awaits_start(&self) -> bool {
-        !self.has_acknowledged() && self.has_pending_start()
-    }
-
     /// Gives up the answer to a renewal under way: the worker may carry it out later.
     pub(crate) fn abandon_renewal(&mut self, now_ms: u64) {
         self.void_acknowledgement();
