--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use rosemaryworks_workflow::Queue;
+use rosemaryworks_workflow::{Queue, Shard};
+
+use crate::access::Directory;
 
 /// A route from a path to a queue.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,6 +16,8 @@
     pub prefix: Arc<str>,
     /// Queue.
     pub queue: Arc<Queue>,
+    /// Whether calls need no key.
+    pub anonymous: bool,
 }
 
 /// A version of the configuration.
@@ -25,6 +29,8 @@
     pub routes: Vec<Route>,
     /// Pools of workers.
     pub pools: BTreeSet<Arc<str>>,
+    /// Teams and their keys; `None` if the deployment has no teams.
+    pub teams: Option<Directory>,
 }
 
 impl Config {
@@ -49,6 +55,12 @@
         self.named_pools().any(|named| **named == *pool)
     }
 
+    /// Passes the queues and teams to a shard.
+    pub(crate) fn apply_to(&self, shard: &mut Shard) {
+        shard.set_queues(self.routes.iter().map(|route| (*route.queue).clone()));
+        shard.set_teams(self.teams.as_ref().map(Directory::teams).cloned());
+    }
+
     fn named_pools(&self) -> impl Iterator<Item = &Arc<str>> {
         let pools = self.routes.iter().map(|route| &route.queue.pool);
         pools.chain(&self.pools)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! It accesses the platform only through the traits of [`port`].
 
+pub mod access;
 pub mod advice_balancer;
 mod advice_requests;
 pub mod claim;
@@ -38,6 +39,7 @@
 pub mod timeouts;
 mod worker_list;
 
+pub use access::Verdict;
 pub use config::{Config, Route};
 pub use metrics::Metrics;
 pub use node::{Context, Node};
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -244,8 +244,7 @@
                 return;
             }
             *applied = Some(config.version);
-            let queues = config.routes.iter().map(|route| (*route.queue).clone());
-            self.state().set_queues(queues);
+            config.apply_to(&mut self.state());
         }
         self.wake();
     }
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -94,8 +94,7 @@
         let mut state = Shard::new(settings, epoch);
         let config = self.config();
         if let Some(config) = &config {
-            let queues = config.routes.iter().map(|route| (*route.queue).clone());
-            state.set_queues(queues);
+            config.apply_to(&mut state);
         }
         // In parallel, because a slow log takes a quarter of a second for each answer.
         let (progress_fenced, snapshot_fenced, jobs, changes) = tokio::join!(
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -283,7 +283,9 @@
 pub(crate) fn configuration(version: u64, pools: &[&str]) -> Config {
     Config {
         version,
+        teams: None,
         routes: vec![Route {
+            anonymous: false,
             host: "host".into(),
             prefix: "/".into(),
             queue: Arc::new(queue()),
--- a/crates/entry/tests/takeover.rs
+++ b/crates/entry/tests/takeover.rs
@@ -83,6 +83,7 @@
     };
     let mut revision = configuration(2, &["pool"]);
     revision.routes.push(Route {
+        anonymous: false,
         host: "host".into(),
         prefix: "/added/".into(),
         queue: Arc::new(added.clone()),
--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -93,6 +93,9 @@
     pub interval_ms: u64,
     /// Steps of each occurrence.
     pub steps: Vec<Step>,
+    /// Team whose key submitted the job; `None` for jobs of anonymous routes and without teams.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub team: Option<Arc<str>>,
     /// Opaque text passed to every task.
     pub text: Arc<str>,
     /// Number of occurrences; 0 for a job that runs once, immediately.
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -10,7 +10,7 @@
 use crate::host::{Host, Phase, Run, StartState};
 use crate::job::{Queue, Step};
 use crate::run::Placement;
-use crate::shard::{QueueEntry, Shard};
+use crate::shard::Shard;
 use crate::task::{Key, StepKey};
 
 /// Penalty for a worker outside the preferred rack, in thousandths of a worker's size.
@@ -53,18 +53,19 @@
         if !self.recovery.is_fenced(now_ms) {
             return;
         }
-        self.reserve(now_ms);
-        if self.ready.is_empty() {
+        let order = self.placement_order(now_ms);
+        self.reserve(&order, now_ms);
+        if order.is_empty() {
             return;
         }
         let mut capacities = self.pool_capacities(now_ms);
-        let entries: Vec<QueueEntry> = self.ready.iter().copied().collect();
-        for entry in entries {
+        for rank in order {
             // A request for advice would be answered before the permits can be used.
             if !self.start_window.has_room() {
                 return;
             }
-            if let Placed::All = self.place_step(entry.2, &mut capacities, now_ms) {
+            if let Placed::All = self.place_step(rank.key, &mut capacities, now_ms) {
+                let entry = (rank.priority, rank.acceptance_order, rank.key);
                 self.ready.remove(&entry);
             }
         }
--- a/crates/workflow/src/reservation.rs
+++ b/crates/workflow/src/reservation.rs
@@ -12,6 +12,7 @@
 use crate::gangs::Feasibility;
 use crate::host::Host;
 use crate::job::Step;
+use crate::order::Rank;
 use crate::placement::{colocated, meets_constraints};
 use crate::shard::Shard;
 use crate::task::StepKey;
@@ -126,7 +127,7 @@
 impl Shard {
     /// Computes the reservations of all waiting steps, in placement order, and stops the attempts
     /// that planned gangs preempt.
-    pub(crate) fn reserve(&mut self, now_ms: u64) {
+    pub(crate) fn reserve(&mut self, order: &[Rank], now_ms: u64) {
         if (self.reservations.decided_ms).is_some_and(|at| now_ms < at + DECISION_PERIOD_MS) {
             return;
         }
@@ -135,11 +136,7 @@
             ..Reservations::default()
         };
         let mut stops = Vec::new();
-        let waiting = self
-            .ready
-            .iter()
-            .map(|(priority, _, key)| (*priority, *key));
-        for (priority, key) in waiting {
+        for Rank { priority, key, .. } in order.iter().copied() {
             match self.plan_if_gang(key, &reservations, now_ms) {
                 Some(Feasibility::Feasible(plan)) => {
                     let size = self.step_spec(key).map(Step::demand).unwrap_or_default();
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -19,6 +19,7 @@
 use crate::run::Job;
 use crate::start_window::StartWindow;
 use crate::task::{Key, StepKey};
+use crate::team::Teams;
 use crate::worker::Worker;
 
 /// Attempt numbers set aside for each epoch, because a previous owner may have used some without
@@ -49,6 +50,8 @@
     pub(crate) settings: Settings,
     pub(crate) epoch: u64,
     pub(crate) queues: HashMap<Arc<str>, Arc<Queue>>,
+    /// Teams of the configuration; `None` if it names none.
+    pub(crate) teams: Option<Teams>,
     pub(crate) hosts: BTreeMap<Arc<str>, Host>,
     pub(crate) jobs: HashMap<Id, Job>,
     /// Ready steps with waiting tasks, in placement order.
@@ -99,6 +102,7 @@
             settings,
             epoch,
             queues: HashMap::new(),
+            teams: None,
             hosts: BTreeMap::new(),
             jobs: HashMap::new(),
             ready: BTreeSet::new(),
@@ -148,6 +152,11 @@
         self.sort_ready();
     }
 
+    /// Replaces the teams; `None` if the configuration names none.
+    pub fn set_teams(&mut self, teams: Option<Teams>) {
+        self.teams = teams;
+    }
+
     /// Sorts the ready steps again after the priorities of queues or the order of jobs have changed.
     pub(crate) fn sort_ready(&mut self) {
         let steps: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
