feat(entry): VMs queue advice requests and report their backlog

Cause: owners chose VMs by their own counts, timed out on requests that waited behind those of other owners, and asked again, while the VMs sent the former requests, too. After a surge service did not return.

Change: - A VM queues what it can send while the answer is of use, refuses the rest at once, and drops what has waited too long. Priority first, owners of the same priority in turn, nobody passed over more than three times. One call at the service; a call is awaited for four times its expected time and 3 s, and counts as backlog while it is overdue. - Replies carry the backlog, and owners choose VMs by it. Late answers are used. Permits count from when the service gave them. - Queued requests of an owner that has ended are dropped everywhere. - The kernel sends no request that would wait for more than 0.5, 0.4 or 0.3 of a permit's validity, by priority, except short ones; refused steps pause and keep what they know. - `Advise` has optional terms; new `Advice` (w) and `WithdrawAdvice` (x). The tests of the balancer are those of the choice; `reported` and `silent` take the places of `completed` and `failed`, and a VM that was excluded is among the next two.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,8 +4,8 @@
 //! It accesses the platform only through the traits of [`port`].
 
 pub mod access;
-pub mod advice_balancer;
-mod advice_requests;
+pub mod advice;
+mod advised;
 pub mod claim;
 mod commands;
 
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -12,7 +12,6 @@
 use rosemaryworks_wire::workflow::{JobState, Message as Workflow};
 
 use crate::node::{Node, lock};
-use crate::port::Permits;
 
 /// Time-out of a call to another process.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -21,10 +20,6 @@
 /// Covers the takeover of its shards.
 const OWNER_PAUSE_MS: u64 = 1_500;
 
-/// Time-out of a relayed advice request beyond its expected time, in milliseconds. Short, because
-/// another VM may answer sooner.
-const ADVICE_SLACK_MS: u64 = 400;
-
 /// Consecutive unanswered calls after which a link is reopened.
 const UNANSWERED_CALLS_MAX: u32 = 2;
 
@@ -46,7 +41,7 @@
         Box::pin(async move {
             match message {
                 Message::Workflow(message @ Workflow::Advise { .. }) => tokio::select! {
-                    reply = node.handle_call(message) => Message::Workflow(reply),
+                    reply = node.advice.clone().handle(message) => Message::Workflow(reply),
                     // Requests of an owner that has ended would delay those of its successor.
                     () = peer.closed() => Message::Workflow(Workflow::Advised(None)),
                 },
@@ -76,6 +71,9 @@
             Message::Workflow(Workflow::Offers { millicores }) => {
                 self.0.exchange.offered(peer, millicores);
             }
+            Message::Workflow(Workflow::WithdrawAdvice { shard, epoch }) => {
+                self.0.advice.end_owner(shard, epoch);
+            }
             Message::Workflow(Workflow::Outcomes(outcomes)) => self.0.exchange.ended(outcomes),
             _ => {}
         }
@@ -226,11 +224,6 @@
 
     async fn handle_call(self: &Arc<Self>, message: Workflow) -> Workflow {
         match message {
-            Workflow::Advise {
-                step,
-                workers,
-                cost_ms,
-            } => Workflow::Advised(self.request_advice(step, &workers, cost_ms).await),
             Workflow::QueryJob { shard, job } => Workflow::JobState(match self.owner(shard) {
                 Some(owner) => owner.job_state(job).await,
                 None => JobState::Unavailable,
@@ -287,42 +280,6 @@
         }
     }
 
-    /// Sends an advice request from this VM, after those queued before it.
-    pub(crate) async fn request_advice(
-        &self,
-        step: rosemaryworks_workflow::StepKey,
-        workers: &[Arc<str>],
-        cost_ms: f64,
-    ) -> Option<Permits> {
-        let _slot = self.advice_slot.acquire().await.ok()?;
-        self.context.metrics.advice_requests.inc();
-        self.context
-            .advisor
-            .advise(step, workers, cost_ms)
-            .await
-            .ok()
-    }
-
-    /// Sends an advice request through a peer's VM.
-    pub(crate) async fn request_advice_via(
-        peer: &Peer,
-        request: &rosemaryworks_workflow::AdviceRequest,
-        queued_ms: f64,
-    ) -> Option<Permits> {
-        let expected_ms = (request.cost_ms + queued_ms) as u64;
-        let timeout = Duration::from_millis(expected_ms.saturating_add(ADVICE_SLACK_MS));
-        let message = Workflow::Advise {
-            step: request.step,
-            workers: request.workers.clone(),
-            cost_ms: request.cost_ms,
-        };
-        let call = peer.call(Message::Workflow(message), timeout + late::EXTENSION_MAX);
-        match late::timeout(timeout, call).await {
-            Some(Ok(Message::Workflow(Workflow::Advised(permits)))) => permits,
-            _ => None,
-        }
-    }
-
     /// Notifies all linked processes, and those that link later, that this one is about to end.
     pub(crate) fn notify_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -28,6 +28,14 @@
     pub relayed: Counter,
     /// Requests to the advice service.
     pub advice_requests: Counter,
+    /// Advice requests of owners that this VM refused because too many were queued.
+    pub advice_busy: Counter,
+    /// Advice requests dropped from the queue of this VM because their time had passed.
+    pub advice_expired: Counter,
+    /// Answers of the advice service that were used after their request counted as failed.
+    pub advice_late: Counter,
+    /// Expected time of the advice requests that this VM has yet to send, in milliseconds.
+    pub advice_backlog_ms: Gauge,
     /// Owned shards.
     pub shards: Gauge,
     /// Open jobs of the owned shards.
@@ -59,6 +67,20 @@
             suspensions: counter("entry_suspensions", "Owners suspended without a proof"),
             relayed: counter("entry_relayed", "Commands sent for other owners"),
             advice_requests: counter("entry_questions", "Questions to the advice service"),
+            advice_busy: counter("entry_advice_busy", "Advice requests refused as busy"),
+            advice_expired: counter(
+                "entry_advice_expired",
+                "Advice requests dropped from the queue",
+            ),
+            advice_late: counter(
+                "entry_advice_late",
+                "Advice used after its request had failed",
+            ),
+            advice_backlog_ms: registry.register(
+                "entry_advice_backlog_ms",
+                "Expected time of queued advice requests",
+                Gauge::default(),
+            ),
             shards: registry.register("entry_shards", "Shards owned", Gauge::default()),
             open_jobs: registry.register("entry_open_jobs", "Jobs not ended", Gauge::default()),
             accept_seconds: histogram("entry_accept_seconds", "Time to accept a job"),
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -9,8 +9,9 @@
 use rosemaryworks_node::status::Ready;
 use rosemaryworks_wire::link::Peer;
 use rosemaryworks_wire::{Hello, Role};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, watch};
 
+use crate::advice::service::Service;
 use crate::claim::Claims;
 use crate::config::Config;
 use crate::events;
@@ -83,8 +84,8 @@
     pub(crate) known: Mutex<Known>,
     /// Whether this process has released its shards for good and is about to end.
     pub(crate) leaving: AtomicBool,
-    /// The advice service serves one call at a time for each VM.
-    pub(crate) advice_slot: Semaphore,
+    /// Calls of the advice service from this VM.
+    pub(crate) advice: Arc<Service>,
     pub(crate) stopping: AtomicBool,
     /// Whether a planned stop has released the shards, so that no further one may be held. Changes
     /// under the lock of `owned`.
@@ -116,6 +117,7 @@
             incarnation: clock::incarnation(),
         };
         context.ready.clear("no configuration yet");
+        let advice = Service::new(context.advisor.clone(), context.metrics.clone());
         Arc::new(Self {
             settings,
             context,
@@ -133,7 +135,7 @@
             relay: Relay::new(),
             known: Mutex::default(),
             leaving: AtomicBool::new(false),
-            advice_slot: Semaphore::new(1),
+            advice,
             stopping: AtomicBool::new(false),
             released: AtomicBool::new(false),
             calls_end: watch::Sender::new(None),
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -10,7 +10,7 @@
 use rosemaryworks_workflow::{Action, Id, Record, Shard, State};
 use tokio::sync::Notify;
 
-use crate::advice_balancer::Balancer;
+use crate::advice::requester::Requester;
 use crate::config::Config;
 use crate::events;
 use crate::journal::{self, Journal};
@@ -89,7 +89,7 @@
     /// Version of the configuration that was applied last.
     config_version: Mutex<Option<u64>>,
     sessions: Mutex<HashMap<Arc<str>, Arc<Session>>>,
-    balancer: Mutex<Balancer>,
+    advice: Arc<Requester>,
     timeouts: Mutex<Timeouts>,
     workers: RelayedWorkers,
     permission: Arc<Permission>,
@@ -114,6 +114,8 @@
             let metrics = context.metrics.clone();
             Journal::new(context.store.clone(), stream, shard, epoch, metrics)
         });
+        let (own, metrics) = (node.settings.node.clone(), context.metrics.clone());
+        let advice = Requester::new(shard, epoch, own, node.advice.clone(), metrics);
         Arc::new(Self {
             shard,
             shards: node.settings.shards,
@@ -133,7 +135,7 @@
             workers_read,
             config_version: Mutex::new(config_version),
             sessions: Mutex::default(),
-            balancer: Mutex::default(),
+            advice,
             timeouts: Mutex::default(),
             workers,
             permission: node.permission.clone(),
@@ -163,10 +165,6 @@
         lock(&self.state)
     }
 
-    pub(crate) fn balancer(&self) -> MutexGuard<'_, Balancer> {
-        lock(&self.balancer)
-    }
-
     pub(crate) fn timeouts(&self) -> MutexGuard<'_, Timeouts> {
         lock(&self.timeouts)
     }
@@ -366,8 +364,10 @@
                 self.assign_relays(&node);
             }
             if self.is_ended() {
+                self.advice.withdraw(&lock(&node.peers));
                 return;
             }
+            let advice_load = self.advice.load(&lock(&node.peers));
             let began = std::time::Instant::now();
             let actions = {
                 let mut state = self.state();
@@ -378,6 +378,7 @@
                 if let Some(proven_ms) = self.permission.proven_ms() {
                     state.confirm_ownership(proven_ms);
                 }
+                state.set_advice_load(advice_load);
                 state.tick(now_ms, clock::unix_ms());
                 let open = state.open_jobs();
                 self.context.metrics.open_jobs.set(open as i64);
@@ -405,7 +406,8 @@
     fn execute(self: &Arc<Self>, node: &Arc<Node>, action: Action) {
         match action {
             Action::RequestAdvice(request) => {
-                tokio::spawn(self.clone().request_advice(node.clone(), request));
+                let (peers, sink) = (lock(&node.peers).clone(), self.clone());
+                tokio::spawn(self.advice.clone().request(peers, request, sink));
             }
             Action::StepDown => {
                 node.step_down(self.shard, self.epoch, "a worker reported a later owner")
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -8,13 +8,13 @@
 
 use rosemaryworks_core::size::Size;
 use rosemaryworks_entry::port::{
-    Advisor, Answer, Append, Appended, Changes, Fault, Page, Permits, Record, Store, Stream,
-    WorkerChange,
+    Answer, Append, Appended, Changes, Fault, Page, Record, Store, Stream, WorkerChange,
 };
 use rosemaryworks_entry::{Config, Context, Metrics, Node, Route, Settings};
 use rosemaryworks_node::status::Status;
-use rosemaryworks_workflow::{Id, Queue, Spec, Step, StepKey, Worker};
+use rosemaryworks_workflow::{Id, Queue, Spec, Step, Worker};
 
+pub(crate) mod advisor;
 mod door;
 mod partition;
 mod sender;
@@ -62,6 +62,7 @@
     /// Configuration that the operator publishes while the journal is being fenced.
     pub(crate) config_at_fence: Mutex<Option<Config>>,
     pub(crate) workers: Arc<StandInWorkers>,
+    pub(crate) advice: Arc<advisor::Service>,
 }
 
 fn index(stream: Stream) -> u8 {
@@ -361,14 +362,6 @@
     }
 }
 
-struct NoAdvisor;
-
-impl Advisor for NoAdvisor {
-    fn advise(&self, _: StepKey, _: &[Arc<str>], _: f64) -> Answer<Permits> {
-        Box::pin(async { Err(Fault::Refused("no advice".into())) })
-    }
-}
-
 /// A process and its log.
 pub(crate) struct Process {
     pub(crate) node: Arc<Node>,
@@ -440,7 +433,10 @@
         let context = Context {
             store: door.clone(),
             workers: Arc::new(Sender::new(&settings.node, &log.workers)),
-            advisor: Arc::new(NoAdvisor),
+            advisor: Arc::new(advisor::Advisor {
+                vm: settings.node.to_string(),
+                service: log.advice.clone(),
+            }),
             metrics: metrics.clone(),
             ready: status.ready.clone(),
         };
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -23,10 +23,28 @@
         /// Expected duration of the call to the advice service in milliseconds.
         #[serde(rename = "c")]
         cost_ms: f64,
+        /// Terms of the request; `None` from a sender of an earlier version, which is answered by
+        /// `Advised`.
+        #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
+        terms: Option<Terms>,
     },
     /// Reply: allowed workers with their permits; `None` if the advice service did not answer.
     #[serde(rename = "b")]
     Advised(Option<Vec<(Arc<str>, Arc<str>)>>),
+    /// Reply to `Advise` with terms.
+    #[serde(rename = "w")]
+    Advice(Advice),
+    /// Notice: the sender is no longer the owner of a shard, so the receiver drops the advice
+    /// requests of that owner and of earlier ones.
+    #[serde(rename = "x")]
+    WithdrawAdvice {
+        /// Shard.
+        #[serde(rename = "s")]
+        shard: u32,
+        /// Epoch in which the sender owned the shard.
+        #[serde(rename = "e")]
+        epoch: u64,
+    },
     /// Call: queries the owner of a shard for the state of a job. Answered by `JobState`.
     #[serde(rename = "i")]
     QueryJob {
@@ -139,6 +157,57 @@
     },
 }
 
+/// Terms of an advice request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Terms {
+    /// Shard whose owner sends it.
+    #[serde(rename = "s")]
+    pub shard: u32,
+    /// Epoch of the owner.
+    #[serde(rename = "e")]
+    pub epoch: u64,
+    /// Priority; 0 is the highest.
+    #[serde(rename = "p")]
+    pub priority: u32,
+    /// Time within which the answer is of use, in milliseconds.
+    #[serde(rename = "u")]
+    pub useful_ms: u64,
+}
+
+/// Reply to an advice request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Advice {
+    /// What became of the request.
+    #[serde(rename = "r")]
+    pub result: AdviceResult,
+    /// Time since the advice service answered, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// Time from the arrival of the request to this reply, in milliseconds.
+    #[serde(rename = "h")]
+    pub held_ms: u64,
+    /// Expected time of the requests that the VM has yet to send, in milliseconds.
+    #[serde(rename = "b")]
+    pub backlog_ms: f64,
+}
+
+/// What became of an advice request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum AdviceResult {
+    /// The service answered: allowed workers with their permits.
+    #[serde(rename = "a")]
+    Answered(Vec<(Arc<str>, Arc<str>)>),
+    /// Too many requests are queued to answer it in time.
+    #[serde(rename = "b")]
+    Busy,
+    /// It waited in the queue for longer than its answer was of use.
+    #[serde(rename = "e")]
+    Expired,
+    /// The service did not answer, or the owner was superseded.
+    #[serde(rename = "f")]
+    Failed,
+}
+
 /// State of a job as reported by the owner of its shard.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum JobState {
--- a/crates/workflow/src/action.rs
+++ b/crates/workflow/src/action.rs
@@ -88,6 +88,8 @@
     pub priority: u32,
     /// Expected duration of the call in milliseconds.
     pub cost_ms: f64,
+    /// Time within which the answer is of use, in milliseconds.
+    pub useful_ms: u64,
     /// Validity of the returned permits in milliseconds.
     pub validity_ms: u64,
 }
--- a/crates/workflow/src/advice.rs
+++ b/crates/workflow/src/advice.rs
@@ -11,6 +11,13 @@
 /// Pause after a failed request, in milliseconds.
 const RETRY_PAUSE_MS: u64 = 100;
 
+/// Pause after the first request that was refused because too many were queued, in milliseconds.
+/// Doubles with each further one.
+const BUSY_PAUSE_MS: u64 = 100;
+
+/// Maximum number of doublings of [`BUSY_PAUSE_MS`].
+const BUSY_DOUBLINGS_MAX: u32 = 2;
+
 /// Pause after the first answer that led to no placement, in milliseconds. Doubles with each
 /// further one.
 const FRUITLESS_PAUSE_MS: u64 = 60;
@@ -48,6 +55,8 @@
     not_before_ms: u64,
     /// Answers received since a task of the step was last placed.
     answers_since_placement: u32,
+    /// Requests refused since the last answer because too many were queued.
+    refusals: u32,
 }
 
 /// Permit to run the step on one worker.
@@ -124,18 +133,42 @@
         self.not_before_ms =
             now_ms + (FRUITLESS_PAUSE_MS << self.answers_since_placement.min(DOUBLINGS_MAX));
         self.answers_since_placement += 1;
+        self.refusals = 0;
         let requested = self.requested.take().unwrap_or_default();
         let counts = (requested.len(), allowed.len());
+        self.decided(requested, allowed, expires_ms);
+        counts
+    }
+
+    /// Applies an answer to a request about `requested` that arrives after the request counts as
+    /// failed. Another request may be under way.
+    pub(crate) fn answered_late(
+        &mut self,
+        requested: Vec<Arc<str>>,
+        allowed: Vec<(Arc<str>, Arc<str>)>,
+        expires_ms: u64,
+    ) {
+        self.decided(requested, allowed, expires_ms);
+    }
+
+    fn decided(
+        &mut self,
+        requested: Vec<Arc<str>>,
+        allowed: Vec<(Arc<str>, Arc<str>)>,
+        expires_ms: u64,
+    ) {
         for (worker, text) in allowed {
             let expires_ms = expires_ms.saturating_sub(EXPIRY_MARGIN_MS);
-            self.allowed.insert(worker, Permit { text, expires_ms });
+            let known = self.allowed.get(&worker);
+            if known.is_none_or(|permit| permit.expires_ms < expires_ms) {
+                self.allowed.insert(worker, Permit { text, expires_ms });
+            }
         }
         for worker in requested {
             if !self.allowed.contains_key(&worker) {
                 self.denied.insert(worker);
             }
         }
-        counts
     }
 
     /// Resets the pause after a task was placed.
@@ -155,6 +188,14 @@
         self.not_before_ms = now_ms + RETRY_PAUSE_MS;
     }
 
+    /// Records a request that was refused because too many were queued. What is known stays.
+    pub(crate) fn request_refused(&mut self, now_ms: u64) {
+        self.requested = None;
+        let doublings = self.refusals.min(BUSY_DOUBLINGS_MAX);
+        self.not_before_ms = now_ms + (BUSY_PAUSE_MS << doublings);
+        self.refusals += 1;
+    }
+
     /// Marks a permit as expired after a worker rejected it.
     pub(crate) fn expire_permit(&mut self, worker: &str) {
         if let Some(permit) = self.allowed.get_mut(worker) {
--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -5,6 +5,7 @@
 
 use crate::action::{Action, AdviceRequest};
 use crate::advice::{Advice, Standing};
+use crate::advice_load::AdviceLoad;
 use crate::host::Host;
 use crate::job::{Queue, Step};
 use crate::placement::{PoolCapacity, colocated, meets_constraints, task_slots};
@@ -99,7 +100,7 @@
         let is_starving = run
             .blocked_since_ms
             .is_some_and(|since| now_ms >= since + STARVED_AFTER_MS);
-        if needed == 0 {
+        if needed == 0 || !self.admits_advice(queue) {
             return;
         }
         if step.gang {
@@ -135,6 +136,20 @@
         }
     }
 
+    /// Returns whether the load of the advice service leaves room for a request of a queue.
+    fn admits_advice(&self, queue: &Queue) -> bool {
+        queue.advice.is_none_or(|terms| {
+            let cost_ms = terms.call_ms + terms.worker_ms * WORKERS_MIN as f64;
+            let load = &self.advice_load;
+            load.admits(queue.priority, cost_ms, terms.validity_ms)
+        })
+    }
+
+    /// Sets the load of the advice service as the VMs reported it.
+    pub fn set_advice_load(&mut self, load: AdviceLoad) {
+        self.advice_load = load;
+    }
+
     /// Returns whether a step has a valid permit or a request that waits for its answer.
     fn is_advised(&self, key: StepKey, now_ms: u64) -> bool {
         let advice = self.step_run(key).map(|run| &run.advice);
@@ -227,13 +242,17 @@
 
     fn send_advice_request(&mut self, key: StepKey, queue: &Queue, workers: Vec<Arc<str>>) {
         let Some(terms) = queue.advice else { return };
+        let cost_ms = terms.call_ms + terms.worker_ms * workers.len() as f64;
+        let wait_max_ms = AdviceLoad::wait_max_ms(queue.priority, terms.validity_ms);
+        self.advice_load.sent(cost_ms);
         if let Some(run) = self.step_run_mut(key) {
             run.advice.request_sent(workers.clone());
         }
         self.actions.push(Action::RequestAdvice(AdviceRequest {
             step: key,
-            cost_ms: terms.call_ms + terms.worker_ms * workers.len() as f64,
+            cost_ms,
             workers,
+            useful_ms: wait_max_ms.saturating_add(cost_ms as u64),
             priority: queue.priority,
             validity_ms: terms.validity_ms,
         }));
@@ -380,6 +399,26 @@
         }
     }
 
+    /// Applies an answer to a request about `requested` that counts as failed.
+    pub fn advice_received_late(
+        &mut self,
+        step: StepKey,
+        requested: Vec<Arc<str>>,
+        allowed: Vec<(Arc<str>, Arc<str>)>,
+        until_ms: u64,
+    ) {
+        if let Some(run) = self.step_run_mut(step) {
+            run.advice.answered_late(requested, allowed, until_ms);
+        }
+    }
+
+    /// Records that a request was refused because too many are queued at the VMs.
+    pub fn advice_refused(&mut self, step: StepKey, now_ms: u64) {
+        if let Some(run) = self.step_run_mut(step) {
+            run.advice.request_refused(now_ms);
+        }
+    }
+
     /// Records that a request to the advice service got no answer.
     pub fn advice_failed(&mut self, step: StepKey, now_ms: u64) {
         if let Some(run) = self.step_run_mut(step) {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod advice;
+mod advice_load;
 mod advice_request;
 mod answers;
 mod backoff;
@@ -43,6 +44,7 @@
 mod worker;
 
 pub use action::{Action, AdviceRequest, Order, Pace, Stop};
+pub use advice_load::{AdviceLoad, SHORT_ADVICE_MS};
 pub use host::{Host, Liveness};
 pub use incarnation::{Incarnation, Restart, Unreported};
 pub use job::{AdviceTerms, Id, Queue, Spec, State, Step};
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::action::Action;
+use crate::advice_load::AdviceLoad;
 use crate::clock::Clock;
 use crate::host::{Host, Liveness, Phase};
 use crate::incarnation::Incarnation;
@@ -62,6 +63,7 @@
     pub(crate) actions: Vec<Action>,
     /// Moving average of the share of requested workers that the advice service allows, by queue.
     pub(crate) allowed_shares: HashMap<Arc<str>, f64>,
+    pub(crate) advice_load: AdviceLoad,
     pub(crate) reservations: Reservations,
     pub(crate) orphans: Orphans,
     pub(crate) lost_answers: LostAnswers,
@@ -110,6 +112,7 @@
             recovery: Recovery::default(),
             actions: Vec::new(),
             allowed_shares: HashMap::new(),
+            advice_load: AdviceLoad::default(),
             reservations: Reservations::default(),
             orphans: Orphans::default(),
             lost_answers: LostAnswers::default(),
