fix(entry): load of the VMs every 20 ms, replies of earlier versions

Cause: an owner computed the mean backlog of all VMs in every tick, 2 ms apart at the least; with hundreds of VMs that costs CPU that small VMs lack. A reply of a VM of an earlier version set its backlog to 0, and the whole wait counted as the age of its permits.

Change: the load is computed every 20 ms at most; the kernel counts its own requests between. A reply without a backlog leaves the owner's count, and its permits count from the reply.

--- a/crates/entry/src/advice/choice.rs
+++ b/crates/entry/src/advice/choice.rs
@@ -115,7 +115,7 @@
         })
     }
 
-    /// Applies the backlog that a VM reported with a reply.
+    /// Applies the backlog that a VM reported with a reply; not a number if it reported none.
     pub fn reported(&mut self, vm: &Arc<str>, backlog_ms: f64, now_ms: u64) {
         let known = self.vms.entry(vm.clone()).or_default();
         let in_transit = known
@@ -123,7 +123,9 @@
             .iter()
             .filter(|(sent_ms, _)| now_ms < sent_ms + TRANSIT_MS);
         let in_transit_ms: f64 = in_transit.map(|(_, cost_ms)| cost_ms).sum();
-        known.free_at_ms = now_ms as f64 + backlog_ms.max(0.0) + in_transit_ms;
+        if backlog_ms.is_finite() {
+            known.free_at_ms = now_ms as f64 + backlog_ms.max(0.0) + in_transit_ms;
+        }
         known.replied_ms = now_ms;
         known.excluded_until_ms = 0;
     }
--- a/crates/entry/src/advice/requester.rs
+++ b/crates/entry/src/advice/requester.rs
@@ -1,6 +1,7 @@
 //! Advice requests of an owner, each sent through the VM with the shortest queue.
 
 use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -13,7 +14,6 @@
 use super::choice::{Assignment, Choice};
 use super::service::{Call, Service};
 use crate::events;
-use crate::metrics::Metrics;
 use crate::port::Permits;
 
 /// Time beyond the expected one after which a VM without a reply counts as silent, in milliseconds.
@@ -26,6 +26,10 @@
 /// Time for which a late answer is awaited after the request counts as failed.
 const LATE_MAX: Duration = Duration::from_secs(8);
 
+/// Time between two computations of the load in milliseconds. Each visits every VM, and an owner may
+/// tick each 2 ms.
+const LOAD_PERIOD_MS: u64 = 20;
+
 /// VMs that are tried for a request while they refuse it as busy. The owner's view of a queue may be
 /// some milliseconds old.
 const VMS_TRIED: u32 = 3;
@@ -56,25 +60,20 @@
     /// Name of this VM, which is one of those that send requests.
     own: Arc<str>,
     service: Arc<Service>,
-    metrics: Metrics,
     choice: Mutex<Choice>,
+    /// Time at which the load was last computed.
+    load_ms: AtomicU64,
 }
 
 impl Requester {
-    pub(crate) fn new(
-        shard: u32,
-        epoch: u64,
-        own: Arc<str>,
-        service: Arc<Service>,
-        metrics: Metrics,
-    ) -> Arc<Self> {
+    pub(crate) fn new(shard: u32, epoch: u64, own: &Arc<str>, service: &Arc<Service>) -> Arc<Self> {
         Arc::new(Self {
             shard,
             epoch,
-            own,
-            service,
-            metrics,
+            own: own.clone(),
+            service: service.clone(),
             choice: Mutex::new(Choice::new(shard)),
+            load_ms: AtomicU64::new(0),
         })
     }
 
@@ -90,9 +89,14 @@
         vms
     }
 
-    /// Returns the load of the VMs as they reported it.
-    pub(crate) fn load(&self, peers: &[Peer]) -> AdviceLoad {
-        self.choice().load(&self.vms(peers), clock::now().0)
+    /// Returns the load of the VMs as they reported it; `None` if that was computed a moment ago.
+    pub(crate) fn load(&self, peers: &[Peer]) -> Option<AdviceLoad> {
+        let now_ms = clock::now().0;
+        if now_ms < self.load_ms.load(Ordering::Relaxed) + LOAD_PERIOD_MS {
+            return None;
+        }
+        self.load_ms.store(now_ms, Ordering::Relaxed);
+        Some(self.choice().load(&self.vms(peers), now_ms))
     }
 
     /// Drops all requests of this owner, because it isn't the owner any more.
@@ -193,7 +197,7 @@
         let until_ms = (now_ms + request.validity_ms).saturating_sub(age_ms);
         match reply.result {
             AdviceResult::Answered(permits) if is_late => {
-                self.metrics.advice_late.inc();
+                self.service.count_late();
                 sink.advised(request, Outcome::AnsweredLate { permits, until_ms });
             }
             AdviceResult::Answered(permits) => {
@@ -236,12 +240,13 @@
         };
         match peer.call(Message::Workflow(message), limit).await {
             Ok(Message::Workflow(Workflow::Advice(advice))) => Some(advice),
-            // A VM of an earlier version doesn't report its backlog.
+            // A VM of an earlier version reports neither its backlog nor the time that it held the
+            // request.
             Ok(Message::Workflow(Workflow::Advised(permits))) => Some(Advice {
                 result: permits.map_or(AdviceResult::Failed, AdviceResult::Answered),
                 age_ms: 0,
-                held_ms: 0,
-                backlog_ms: 0.0,
+                held_ms: u64::MAX,
+                backlog_ms: f64::NAN,
             }),
             _ => None,
         }
--- a/crates/entry/src/advice/service.rs
+++ b/crates/entry/src/advice/service.rs
@@ -204,6 +204,11 @@
         }
     }
 
+    /// Counts an answer that is used after its request counted as failed.
+    pub(crate) fn count_late(&self) {
+        self.metrics.advice_late.inc();
+    }
+
     /// Ends the requests whose time has passed.
     fn expire(&self) {
         let now_ms = clock::now().0;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -114,8 +114,7 @@
             let metrics = context.metrics.clone();
             Journal::new(context.store.clone(), stream, shard, epoch, metrics)
         });
-        let (own, metrics) = (node.settings.node.clone(), context.metrics.clone());
-        let advice = Requester::new(shard, epoch, own, node.advice.clone(), metrics);
+        let advice = Requester::new(shard, epoch, &node.settings.node, &node.advice);
         Arc::new(Self {
             shard,
             shards: node.settings.shards,
@@ -367,7 +366,9 @@
                 self.advice.withdraw(&lock(&node.peers));
                 return;
             }
-            let advice_load = self.advice.load(&lock(&node.peers));
+            if let Some(load) = self.advice.load(&lock(&node.peers)) {
+                self.state().set_advice_load(load);
+            }
             let began = std::time::Instant::now();
             let actions = {
                 let mut state = self.state();
@@ -378,7 +379,6 @@
                 if let Some(proven_ms) = self.permission.proven_ms() {
                     state.confirm_ownership(proven_ms);
                 }
-                state.set_advice_load(advice_load);
                 state.tick(now_ms, clock::unix_ms());
                 let open = state.open_jobs();
                 self.context.metrics.open_jobs.set(open as i64);
--- a/crates/entry/tests/advice_choice.rs
+++ b/crates/entry/tests/advice_choice.rs
@@ -114,3 +114,13 @@
     let second = assign(&mut Choice::new(1), &vms, 800.0, 0).expect("a VM");
     assert_ne!(first.vm, second.vm);
 }
+
+/// A VM of an earlier version reports no backlog; its own requests must still count.
+#[test]
+fn a_reply_without_a_backlog_leaves_the_count() {
+    let (mut choice, vms) = (Choice::new(0), vms(1));
+    assign(&mut choice, &vms, 800.0, 0).expect("a VM");
+    choice.reported(&vms[0], f64::NAN, 100);
+    let next = assign(&mut choice, &vms, 800.0, 100).expect("a VM");
+    assert!((next.queued_ms - 700.0).abs() < 1.0);
+}
