feat(workflow): caps of teams across shards, and shares in full pools

Cause: a team's running tasks over all pools must not exceed its cap, although each pool has its own owner, and a flood of one team must not delay the others. Change: attempts count for their team with the size of the task's request; a start is allowed only within the shard's part of the cap. Parts are kept by a bounded counter without I/O, whose totals are recorded before they are announced, and move on request. Sets of shards change by confirmation. Steps of teams over their share of a full pool come last.

--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -99,7 +99,7 @@
         let is_starving = run
             .blocked_since_ms
             .is_some_and(|since| now_ms >= since + STARVED_AFTER_MS);
-        if needed == 0 {
+        if needed == 0 || self.is_held_back(key) {
             return;
         }
         if step.gang {
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -13,6 +13,7 @@
 use crate::pending_renewal::PendingRenewal;
 use crate::silent::Silence;
 use crate::task::Key;
+use crate::team::usage::{Charge, Tally};
 use crate::worker::Worker;
 
 /// Number of low bits of a fencing token that count how often the owner has invalidated earlier
@@ -72,6 +73,8 @@
     pub(crate) attempt: u32,
     /// Capacity that it occupies.
     pub(crate) size: Size,
+    /// Whose use of resources it counts as.
+    pub(crate) charge: Charge,
     /// Current state.
     pub(crate) phase: Phase,
     /// What is known about its start. An attempt may be stopped before its start is confirmed.
@@ -108,6 +111,8 @@
     pub(crate) runs: BTreeMap<Key, Run>,
     /// Capacity that the attempts occupy.
     pub(crate) used: Size,
+    /// What the attempts use, by team.
+    pub(crate) tally: Tally,
     pub(crate) lease: Lease,
     /// What calls for earlier incarnations may do.
     pub(crate) restart: Restart,
@@ -167,6 +172,7 @@
             worker,
             runs: BTreeMap::new(),
             used: Size::ZERO,
+            tally: Tally::default(),
             lease,
             restart: Restart::None,
             renewal: None,
@@ -242,12 +248,14 @@
     pub(crate) fn insert(&mut self, key: Key, run: Run) {
         self.remove(&key);
         self.used += run.size;
+        self.tally.add(&run);
         self.runs.insert(key, run);
     }
 
     pub(crate) fn remove(&mut self, key: &Key) -> Option<Run> {
         let run = self.runs.remove(key)?;
         self.used = self.occupied();
+        self.tally = Tally::of(self.runs.values());
         Some(run)
     }
 
@@ -276,6 +284,7 @@
             runs.partition(|(_, run)| run.start == StartState::Confirmed);
         self.runs = pending;
         self.used = self.occupied();
+        self.tally = Tally::of(self.runs.values());
         ended.into_iter().collect()
     }
 
--- a/crates/workflow/src/order.rs
+++ b/crates/workflow/src/order.rs
@@ -35,11 +35,6 @@
         order
     }
 
-    /// Returns whether the team of a job uses more than its share of the job's pool.
-    fn is_over_share(&self, _job: &Job) -> bool {
-        false
-    }
-
     /// Returns whether a job can't end any more in time to be of use.
     fn is_overdue(&self, _job: &Job, _now_ms: u64) -> bool {
         false
--- a/crates/workflow/src/orphan.rs
+++ b/crates/workflow/src/orphan.rs
@@ -7,6 +7,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use rosemaryworks_core::size::Size;
+
 use crate::job::{Id, Step};
 use crate::report::Finished;
 use crate::run::Placement;
@@ -68,6 +70,7 @@
         // An attempt that is being stopped runs until the worker has reported its end.
         for (worker, key) in self.runs_of(job) {
             let size = self.step_spec(key.step).map(Step::demand);
+            let charge = self.charge(key.step, Size::ZERO);
             let Some(host) = self.hosts.get_mut(&worker) else {
                 continue;
             };
@@ -75,7 +78,9 @@
                 continue;
             };
             let attempt = run.attempt;
-            run.size = size.unwrap_or(run.size);
+            if let Some(size) = size {
+                (run.size, run.charge) = (size, charge);
+            }
             host.insert(key, run);
             if let Some(job_state) = self.jobs.get_mut(&job) {
                 job_state.started = true;
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -12,6 +12,7 @@
 use crate::run::Placement;
 use crate::shard::Shard;
 use crate::task::{Key, StepKey};
+use crate::team::usage::Charge;
 
 /// Penalty for a worker outside the preferred rack, in thousandths of a worker's size.
 const REMOTE_RACK_PENALTY: i64 = 1_500;
@@ -53,6 +54,7 @@
         if !self.recovery.is_fenced(now_ms) {
             return;
         }
+        self.begin_pass(now_ms);
         let order = self.placement_order(now_ms);
         self.reserve(&order, now_ms);
         if order.is_empty() {
@@ -118,13 +120,20 @@
                 self.place_tasks(key, step, &queue, now_ms);
             }
         }
+        let largest_free = capacity.largest_free;
         let has_room = self.start_window.has_room();
         if has_room {
             self.request_advice(key, step, &queue, capacity, now_ms);
         }
+        let is_held_back = self.is_held_back(key);
         match self.step_run_mut(key) {
             // The tasks wait for this owner, not for workers.
             Some(run) if run.waiting > 0 && !has_room => Placed::Some,
+            Some(run) if run.waiting > 0 && is_held_back => {
+                run.held_back();
+                self.note_held_back(key, step, size.fits(&largest_free), now_ms);
+                Placed::Some
+            }
             Some(run) if run.waiting > 0 => {
                 run.blocked_since_ms.get_or_insert(now_ms);
                 Placed::Some
@@ -151,7 +160,7 @@
         let planned = BTreeMap::new();
         let mut candidates = self.candidates(key, step, queue, now_ms, &planned);
         for index in indexes {
-            if !self.start_window.has_room() {
+            if !self.start_window.has_room() || self.is_held_back(key) {
                 return;
             }
             let Some((_, worker)) = candidates.pop_first() else {
@@ -192,7 +201,7 @@
             self.stop_remaining_members(key, now_ms);
             return;
         }
-        if run.tasks.iter().any(|task| task.not_before_ms > now_ms) {
+        if run.tasks.iter().any(|task| task.not_before_ms > now_ms) || self.is_held_back(key) {
             return;
         }
         let members: Vec<u32> = (0..step.count).collect();
@@ -300,6 +309,7 @@
             return;
         };
         let text = job.spec.text.clone();
+        let charge = self.charge(key.step, step.size);
         // Without a reading of the worker's clock no start can be sent.
         let host = self.hosts.get_mut(worker);
         let deadline_ms = host.and_then(|host| host.lease.deadline(now_ms, ttl_ms));
@@ -328,9 +338,13 @@
             permit,
             placed_ms: now_ms,
         };
+        if let Charge::Team(team, size) = &charge {
+            self.quota.charge(team, *size);
+        }
         let run = Run {
             attempt,
             size: step.demand(),
+            charge,
             phase: Phase::Starting,
             start: StartState::Sent,
             phase_since_ms: now_ms,
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -1,5 +1,6 @@
 //! Records in the streams of a shard.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -74,6 +75,30 @@
         #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
         at_ms: Option<u64>,
     },
+    /// Parts of teams' caps that the shard has given to another one since ever. Must be durable before
+    /// the totals are announced.
+    #[serde(rename = "v")]
+    Given {
+        /// Digest of the set of shards between which the caps are divided.
+        #[serde(rename = "m")]
+        members: u64,
+        /// Shard that received them.
+        #[serde(rename = "s")]
+        shard: u32,
+        /// Totals in millionths, by team.
+        #[serde(rename = "t")]
+        totals: Vec<(Arc<str>, u64)>,
+    },
+    /// The sets of shards between which caps are divided.
+    #[serde(rename = "m")]
+    Members {
+        /// Version of the newest configuration that the owner knew.
+        #[serde(rename = "v")]
+        version: u64,
+        /// Sets that may be in use, the newest last.
+        #[serde(rename = "s")]
+        sets: Vec<BTreeSet<u32>>,
+    },
     /// What is known of an open job, in a snapshot. Follows the job's submission and precedes the
     /// records of its tasks.
     #[serde(rename = "o")]
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -89,6 +89,19 @@
         self.unconfirmed.keys().any(is_unknown)
     }
 
+    /// Returns whether a worker didn't answer the previous owner, which recorded its tasks.
+    pub(crate) fn is_silent(&self, worker: &str) -> bool {
+        self.silent.contains_key(worker)
+    }
+
+    /// Returns the tasks that silent workers may run.
+    pub(crate) fn silent_tasks(&self) -> impl Iterator<Item = &Key> {
+        let silent = self.silent.iter();
+        silent
+            .filter(|(worker, _)| self.unconfirmed.contains_key(*worker))
+            .flat_map(|(_, tasks)| tasks)
+    }
+
     /// Returns whether some silent worker may run a task.
     pub(crate) fn may_run_silently(&self, task: &Key) -> bool {
         let silent = self.silent.iter();
@@ -235,6 +248,12 @@
                 completed,
             } => self.replay_open(id, order, next_occurrence, completed),
             Record::Clock { at_ms } => self.clock.advance(at_ms),
+            Record::Members { version, sets } => self.quota.counter.replay_sets(version, sets),
+            Record::Given {
+                members,
+                shard,
+                totals,
+            } => self.quota.counter.replay_given(members, shard, &totals),
         }
     }
 
@@ -286,6 +305,7 @@
         self.start_clock(now_ms);
         self.sort_ready();
         self.recovery.stage = Stage::Confirming;
+        self.apply_members(now_ms);
         self.recovery.complete_if_confirmed();
     }
 
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -262,6 +262,8 @@
         let size = self
             .step_spec(reported.key.step)
             .map(crate::job::Step::demand);
+        let capacity = self.hosts.get(id).map(|host| host.worker.capacity);
+        let charge = self.charge(reported.key.step, capacity.unwrap_or_default());
         let Some(host) = self.hosts.get_mut(id) else {
             return;
         };
@@ -276,6 +278,7 @@
         let run = Run {
             attempt: reported.attempt,
             size,
+            charge,
             phase: Phase::Running,
             start: StartState::Confirmed,
             phase_since_ms: now_ms,
--- a/crates/workflow/src/reservation.rs
+++ b/crates/workflow/src/reservation.rs
@@ -137,6 +137,9 @@
         };
         let mut stops = Vec::new();
         for Rank { priority, key, .. } in order.iter().copied() {
+            if self.is_held_back(key) {
+                continue;
+            }
             match self.plan_if_gang(key, &reservations, now_ms) {
                 Some(Feasibility::Feasible(plan)) => {
                     let size = self.step_spec(key).map(Step::demand).unwrap_or_default();
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -20,6 +20,7 @@
 use crate::start_window::StartWindow;
 use crate::task::{Key, StepKey};
 use crate::team::Teams;
+use crate::team::quota::Quota;
 use crate::worker::Worker;
 
 /// Attempt numbers set aside for each epoch, because a previous owner may have used some without
@@ -52,6 +53,7 @@
     pub(crate) queues: HashMap<Arc<str>, Arc<Queue>>,
     /// Teams of the configuration; `None` if it names none.
     pub(crate) teams: Option<Teams>,
+    pub(crate) quota: Quota,
     pub(crate) hosts: BTreeMap<Arc<str>, Host>,
     pub(crate) jobs: HashMap<Id, Job>,
     /// Ready steps with waiting tasks, in placement order.
@@ -103,6 +105,7 @@
             epoch,
             queues: HashMap::new(),
             teams: None,
+            quota: Quota::default(),
             hosts: BTreeMap::new(),
             jobs: HashMap::new(),
             ready: BTreeSet::new(),
@@ -152,11 +155,6 @@
         self.sort_ready();
     }
 
-    /// Replaces the teams; `None` if the configuration names none.
-    pub fn set_teams(&mut self, teams: Option<Teams>) {
-        self.teams = teams;
-    }
-
     /// Sorts the ready steps again after the priorities of queues or the order of jobs have changed.
     pub(crate) fn sort_ready(&mut self) {
         let steps: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
--- a/crates/workflow/src/snapshot.rs
+++ b/crates/workflow/src/snapshot.rs
@@ -47,6 +47,13 @@
             key: "clock".into(),
             records: vec![clock],
         }];
+        let quota = self.quota_records();
+        if !quota.is_empty() {
+            entries.push(Entry {
+                key: "quota".into(),
+                records: quota,
+            });
+        }
         entries.extend(self.ended_jobs());
         entries.extend(self.early_cancellations());
         entries.extend(self.open_job_entries());
--- a/crates/workflow/src/team.rs
+++ b/crates/workflow/src/team.rs
@@ -1,5 +1,11 @@
 //! Teams that share the pools of workers.
 
+pub(crate) mod counter;
+pub(crate) mod exchange;
+pub(crate) mod quota;
+pub(crate) mod share;
+pub(crate) mod usage;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -28,6 +34,11 @@
         self.0.get(name)
     }
 
+    /// Returns whether any team has a cap.
+    pub(crate) fn has_caps(&self) -> bool {
+        self.iter().any(|team| team.cap != Size::ZERO)
+    }
+
     /// Returns all teams in the order of their names.
     pub fn iter(&self) -> impl Iterator<Item = &Team> {
         self.0.values()
--- a/crates/workflow/tests/support/fleet.rs
+++ b/crates/workflow/tests/support/fleet.rs
@@ -416,3 +416,21 @@
         index,
     }
 }
+
+/// Returns a team without a cap in the components that are 0.
+pub(crate) fn team(name: &str, weight: f64, cap: Size) -> rosemaryworks_workflow::Team {
+    rosemaryworks_workflow::Team {
+        cap,
+        name: name.into(),
+        weight,
+    }
+}
+
+/// Returns a job of a team.
+pub(crate) fn team_spec(team: &str, steps: Vec<Step>) -> Arc<Spec> {
+    Arc::new(Spec {
+        steps,
+        team: Some(team.into()),
+        ..Spec::default()
+    })
+}
