feat(entry): owners exchange parts of teams' caps

Cause: the cap of a team spans the owners of several shards. Change: an owner that lacks room asks the owners of the other shards over their links, or directly within a process; a giver answers once its record is durable. Messages AskRoom (t) and RoomGiven (v), events E860 and E861, four metrics. Nothing is sent without caps, and nothing while nobody lacks room.

--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use rosemaryworks_node::clock;
 use rosemaryworks_workflow::{Queue, Shard};
 
 use crate::access::Directory;
@@ -55,10 +56,11 @@
         self.named_pools().any(|named| **named == *pool)
     }
 
-    /// Passes the queues and teams to a shard.
-    pub(crate) fn apply_to(&self, shard: &mut Shard) {
-        shard.set_queues(self.routes.iter().map(|route| (*route.queue).clone()));
-        shard.set_teams(self.teams.as_ref().map(Directory::teams).cloned());
+    /// Passes the queues and teams to the shard `number` out of `count` shards.
+    pub(crate) fn apply_to(&self, state: &mut Shard, number: u32, count: u32) {
+        state.set_queues(self.routes.iter().map(|route| (*route.queue).clone()));
+        state.set_teams(self.teams.as_ref().map(Directory::teams).cloned());
+        state.set_members(number, self.version, self.shards(count), clock::now().0);
     }
 
     fn named_pools(&self) -> impl Iterator<Item = &Arc<str>> {
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -67,6 +67,10 @@
 pub const WORKER_RESTARTED: Event = Event::new(845, Level::Warn, "worker started again");
 /// A takeover waits no longer for a worker that didn't report.
 pub const WORKER_UNREPORTED: Event = Event::new(846, Level::Warn, "worker didn't report");
+/// Teams are held back by their caps or placed last because of their shares.
+pub const TEAMS_HELD: Event = Event::new(860, Level::Info, "teams held back");
+/// An owner gave parts of teams' caps to the owner of another shard.
+pub const ROOM_GIVEN: Event = Event::new(861, Level::Info, "room given");
 /// A record of a stream is malformed.
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// The process received the signal to reload.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod peers;
 pub mod permission;
 pub mod port;
+mod quota;
 mod relay;
 mod relayed;
 pub mod relays;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -1,18 +1,23 @@
 //! Links between entry processes: every process opens a link to each owner of a shard.
 
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::pin::Pin;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
 use rosemaryworks_node::{clock, late};
 use rosemaryworks_wire::Message;
 use rosemaryworks_wire::link::{Client, Handler, Peer, Reply, serve};
 use rosemaryworks_wire::workflow::{JobState, Message as Workflow};
+use rosemaryworks_workflow::{Ask, Grant, Shard};
 
 use crate::node::{Node, lock};
+use crate::owner::Owner;
 use crate::port::Permits;
+use crate::quota;
 
 /// Time-out of a call to another process.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -117,6 +122,41 @@
     }
 }
 
+impl quota::Reach for Arc<Node> {
+    fn ask(&self, shard: u32, ask: Ask) -> Pin<Box<dyn Future<Output = Option<Grant>> + Send>> {
+        let node = self.clone();
+        Box::pin(async move {
+            node.context.metrics.room_requests.inc();
+            if let Some(owner) = node.owner(shard) {
+                return quota::answer(&*owner, &ask).await;
+            }
+            let message = Workflow::AskRoom { shard, ask };
+            match node.call_owner(shard, message, CALL_TIMEOUT).await {
+                Some(Workflow::RoomGiven(grant)) => grant,
+                _ => None,
+            }
+        })
+    }
+}
+
+impl quota::Holder for Owner {
+    fn state(&self) -> MutexGuard<'_, Shard> {
+        Owner::state(self)
+    }
+
+    fn wake(&self) {
+        Owner::wake(self);
+    }
+
+    fn is_ended(&self) -> bool {
+        Owner::is_ended(self)
+    }
+
+    fn wait_durable(&self, limit: Duration) -> Pin<Box<dyn Future<Output = ()> + Send + '_>> {
+        Box::pin(Owner::wait_durable(self, limit))
+    }
+}
+
 impl Node {
     pub(crate) fn serve_links(self: &Arc<Self>, listener: tokio::net::TcpListener) {
         let handler = Arc::new(Incoming(self.clone()));
@@ -244,6 +284,10 @@
                 owned,
                 seeks_candidate,
             } => self.report_ownership(&owned, seeks_candidate).await,
+            Workflow::AskRoom { shard, ask } => Workflow::RoomGiven(match self.owner(shard) {
+                Some(owner) => quota::answer(&*owner, &ask).await,
+                None => None,
+            }),
             Workflow::Store {
                 shard,
                 record,
--- a/crates/entry/src/load.rs
+++ b/crates/entry/src/load.rs
@@ -8,6 +8,7 @@
 use crate::events;
 use crate::node::lock;
 use crate::owner::Owner;
+use crate::quota;
 
 /// What an owner has done since the last report.
 #[derive(Debug, Default)]
@@ -51,10 +52,13 @@
 impl Owner {
     /// Logs the usage of the shard's pools and the work of the owner since the last such line.
     pub(crate) fn log_usage(&self) {
-        let (usage, starts) = {
+        let (usage, starts, held) = {
             let state = self.state();
-            (state.usage(clock::now().0), state.starts())
+            let usage = state.usage(clock::now().0);
+            (usage, state.starts(), state.held_teams())
         };
+        let metrics = &self.context().metrics;
+        quota::report(self.shard(), self.epoch(), &held, metrics);
         let counts = self.load().take();
         for (pool, usage) in usage {
             events::USAGE.log(format_args!(
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -32,6 +32,14 @@
     pub shards: Gauge,
     /// Open jobs of the owned shards.
     pub open_jobs: Gauge,
+    /// Requests for parts of teams' caps sent to owners of other shards.
+    pub room_requests: Counter,
+    /// Steps that a team's cap holds back.
+    pub steps_capped: Gauge,
+    /// Teams that their caps hold back.
+    pub teams_capped: Gauge,
+    /// Teams that use more than their share of a full pool.
+    pub teams_over_share: Gauge,
     /// Time to accept a job in seconds.
     pub accept_seconds: Histogram,
     /// Time of an append to a shard's journal in seconds.
@@ -43,6 +51,7 @@
     #[must_use]
     pub fn register(registry: &Registry) -> Self {
         let counter = |name, help| registry.register(name, help, Counter::default());
+        let gauge = |name, help| registry.register(name, help, Gauge::default());
         // From 1 ms to 8 s, which covers the deadlines of callers.
         let histogram = |name, help| {
             let buckets = exponential_buckets(0.001, 2.0, 14);
@@ -61,6 +70,10 @@
             advice_requests: counter("entry_questions", "Questions to the advice service"),
             shards: registry.register("entry_shards", "Shards owned", Gauge::default()),
             open_jobs: registry.register("entry_open_jobs", "Jobs not ended", Gauge::default()),
+            room_requests: counter("entry_room_requests", "Requests for parts of caps"),
+            steps_capped: gauge("entry_steps_capped", "Steps held back by a cap"),
+            teams_capped: gauge("entry_teams_capped", "Teams held back by their caps"),
+            teams_over_share: gauge("entry_teams_over_share", "Teams over their share"),
             accept_seconds: histogram("entry_accept_seconds", "Time to accept a job"),
             append_seconds: histogram("entry_append_seconds", "Time of an append"),
         }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -18,6 +18,7 @@
 use crate::node::{Context, Node, lock};
 use crate::permission::Permission;
 use crate::port::{Fault, Page, Stream};
+use crate::quota;
 use crate::relayed::RelayedWorkers;
 use crate::session::Session;
 use crate::snapshot::Stored;
@@ -244,7 +245,7 @@
                 return;
             }
             *applied = Some(config.version);
-            config.apply_to(&mut self.state());
+            config.apply_to(&mut self.state(), self.shard, self.shards);
         }
         self.wake();
     }
@@ -317,6 +318,8 @@
         self.supervise(node, self.clone().write_journal(node.clone()));
         self.supervise(node, self.clone().write_snapshots(node.clone()));
         self.supervise(node, self.clone().keep_snapshot(node.clone()));
+        let reach = Arc::new(node.clone());
+        self.supervise(node, quota::ask_for_room(self.clone(), reach));
         self.wake();
     }
 
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -94,7 +94,7 @@
         let mut state = Shard::new(settings, epoch);
         let config = self.config();
         if let Some(config) = &config {
-            config.apply_to(&mut state);
+            config.apply_to(&mut state, shard, self.settings.shards);
         }
         // In parallel, because a slow log takes a quarter of a second for each answer.
         let (progress_fenced, snapshot_fenced, jobs, changes) = tokio::join!(
--- a/crates/entry/tests/support/workers.rs
+++ b/crates/entry/tests/support/workers.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use rosemaryworks_entry::port::{Answer, Workers};
-use rosemaryworks_workflow::{Key, Order, Pace, Renewal, RenewalFault, Report, StartOutcome, Stop};
+use rosemaryworks_workflow::{
+    Key, Order, Pace, Renewal, RenewalFault, Report, Running, StartOutcome, Stop,
+};
 
 /// Workers that don't answer, or answer and never end an attempt.
 #[derive(Default)]
@@ -20,6 +22,10 @@
     pub(crate) started: Mutex<Vec<Arc<str>>>,
     /// Tasks of these attempts.
     pub(crate) started_tasks: Mutex<Vec<Key>>,
+    /// Whether workers report the attempts that they were told to start.
+    pub(crate) reporting: AtomicBool,
+    /// Attempts that they were told to start.
+    pub(crate) running: Mutex<BTreeMap<Arc<str>, Vec<Running>>>,
     /// Commands by the process that sent them.
     pub(crate) sent: Mutex<BTreeMap<Arc<str>, usize>>,
     /// Workers that leave all commands without an answer.
@@ -43,6 +49,17 @@
         started.push(order.worker.clone());
         let mut tasks = self.started_tasks.lock().expect("the lock");
         tasks.push(order.key);
+        let mut running = self.running.lock().expect("the lock");
+        running
+            .entry(order.worker.clone())
+            .or_default()
+            .push(Running {
+                key: order.key,
+                attempt: order.attempt,
+                checkpoint: None,
+                percent: 0,
+                metric: 0.0,
+            });
         let outcome = match self.answers(&order.worker) {
             true => StartOutcome::Accepted { clock_ms: 1 },
             false => StartOutcome::Unknown,
@@ -66,12 +83,16 @@
         _: Duration,
     ) -> Answer<Report, RenewalFault> {
         self.renewed.lock().expect("the lock").push(id.clone());
+        let running = match self.reporting.load(Ordering::Relaxed) {
+            true => self.running.lock().expect("the lock").get(id).cloned(),
+            false => None,
+        };
         let report = Report {
             may_have_more_ends: false,
             incarnation: 7,
             clock_ms: 1,
             finished: Vec::new(),
-            running: Vec::new(),
+            running: running.unwrap_or_default(),
         };
         let answer = match self.answers(id) {
             true => Ok(report),
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use rosemaryworks_workflow::{Id, Record, State, StepKey};
+use rosemaryworks_workflow::{Ask, Grant, Id, Record, State, StepKey};
 use serde::{Deserialize, Serialize};
 
 use crate::command::{Command, Outcome};
@@ -122,6 +122,19 @@
     /// Reply: number of waiting jobs; `None` if the process doesn't own the shard.
     #[serde(rename = "m")]
     LengthIs(Option<u64>),
+    /// Call: asks the owner of a shard for parts of teams' caps. Answered by `RoomGiven`.
+    #[serde(rename = "t")]
+    AskRoom {
+        /// Shard.
+        #[serde(rename = "s")]
+        shard: u32,
+        /// Request.
+        #[serde(rename = "a")]
+        ask: Ask,
+    },
+    /// Reply: what the shard has given; `None` if the process doesn't own it.
+    #[serde(rename = "v")]
+    RoomGiven(Option<Grant>),
     /// Notice: commands that the receiver sends to workers on behalf of the sender, each with a
     /// number that its outcome repeats. Answered by `Outcomes`.
     #[serde(rename = "c")]
--- a/crates/workflow/src/team/exchange.rs
+++ b/crates/workflow/src/team/exchange.rs
@@ -89,6 +89,17 @@
     pub totals: Vec<(Arc<str>, u64)>,
 }
 
+/// Teams that are held back, in the order of their names, for logs.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct HeldTeams {
+    /// Teams that a cap holds back.
+    pub capped: Vec<Arc<str>>,
+    /// Teams that use more than their share of a full pool, whose steps are placed last.
+    pub over_share: Vec<Arc<str>>,
+    /// Steps that a cap holds back.
+    pub steps: u32,
+}
+
 /// What a shard needs for a team, in millionths of the cap.
 #[derive(Clone, Copy, Debug)]
 struct Need {
@@ -279,12 +290,13 @@
         }
     }
 
-    /// Returns the teams that a cap holds back and those that use more than their share of a pool,
-    /// in the order of their names, and the number of steps held back by a cap.
+    /// Returns the teams that are held back.
     #[must_use]
-    pub fn held_teams(&self) -> (Vec<Arc<str>>, Vec<Arc<str>>, u32) {
-        let capped = self.quota.held.keys().cloned().collect();
-        let over = self.quota.shares.teams().into_iter().cloned().collect();
-        (capped, over, self.quota.held_steps)
+    pub fn held_teams(&self) -> HeldTeams {
+        HeldTeams {
+            capped: self.quota.held.keys().cloned().collect(),
+            over_share: self.quota.shares.teams().into_iter().cloned().collect(),
+            steps: self.quota.held_steps,
+        }
     }
 }
