feat(workflow): shards come to equal parts of a cap, and large tasks take turns

Cause: a shard that refills its part at once would never give any of it away, and one that is over a lowered cap can't keep another one from starting. Change: a shard starts nothing beyond what an asking one leaves to it; a task or gang that is larger than an equal part gets room after a second; an owner reports use beyond its part. A successor first learns the totals, and others make no room for what unreported workers may run.

--- a/crates/entry/src/quota/asking.rs
+++ b/crates/entry/src/quota/asking.rs
@@ -35,7 +35,11 @@
         for shard in shards {
             let is_new = lock(&pending).insert(shard);
             if is_new {
-                let exchange = exchange(holder.clone(), reach.clone(), shard, ask.clone());
+                let mut ask = ask.clone();
+                if !holder.state().has_heard(shard) {
+                    ask.wants.clear();
+                }
+                let exchange = exchange(holder.clone(), reach.clone(), shard, ask);
                 let pending = pending.clone();
                 tokio::spawn(async move {
                     exchange.await;
--- a/crates/workflow/src/team/exchange.rs
+++ b/crates/workflow/src/team/exchange.rs
@@ -63,6 +63,10 @@
     /// Part that the sender has.
     #[serde(rename = "p")]
     pub part: u64,
+    /// Part that its running tasks use. More than it has after a cap was lowered, or until a
+    /// successor has learned the totals again.
+    #[serde(rename = "u")]
+    pub used: u64,
     /// Part that its running and waiting tasks need.
     #[serde(rename = "w")]
     pub wanted: u64,
@@ -117,11 +121,19 @@
     let fair = own
         .wanted
         .min((total / 2).max(total.saturating_sub(want.wanted)));
-    let is_starved = |next: u64, held_ms: u64, fair: u64| {
-        next > fair && next <= WHOLE && held_ms >= STARVED_AFTER_MS
+    let is_starved = |alone: u64, held_ms: u64, fair: u64| {
+        alone > fair && alone <= WHOLE && held_ms >= STARVED_AFTER_MS
     };
-    let own_starved = is_starved(own.next, own.held_ms, fair);
-    let starved = is_starved(want.next, want.held_ms, total - fair);
+    if want.used > want.part {
+        // Both together must not start anything beyond the cap.
+        return total.saturating_sub(want.used).min(fair);
+    }
+    let own_starved = is_starved(own.next.saturating_sub(own.used), own.held_ms, fair);
+    let starved = is_starved(
+        want.next.saturating_sub(want.used),
+        want.held_ms,
+        total - fair,
+    );
     // With equal times, the lower shard comes first.
     let is_first = (want.held_ms, own_shard) > (own.held_ms, from);
     if starved && (!own_starved || is_first) {
@@ -175,20 +187,22 @@
 
     fn wants(&self, now_ms: u64) -> Vec<Want> {
         let mut wants = Vec::new();
-        for (team, held) in &self.quota.held {
-            let (part, Some(room)) = (self.quota.part(team), self.quota.rooms.get(team)) else {
-                continue;
-            };
+        for (team, room) in &self.quota.rooms {
+            let (part, used) = (self.quota.part(team), room.known_part());
             // With more than the whole cap, it waits for tasks of this shard.
-            if held.next > part && held.next <= WHOLE {
-                wants.push(Want {
-                    team: team.clone(),
-                    part,
-                    wanted: room.wanted_part().max(held.next),
-                    next: held.next,
-                    held_ms: now_ms.saturating_sub(held.since_ms),
-                });
+            let held = self.quota.held.get(team);
+            let held = held.filter(|held| held.next > part && held.next <= WHOLE);
+            if held.is_none() && used <= part {
+                continue;
             }
+            wants.push(Want {
+                team: team.clone(),
+                part,
+                used,
+                wanted: held.map_or(used, |held| room.wanted_part().max(held.next)),
+                next: held.map_or(used, |held| held.next),
+                held_ms: held.map_or(0, |held| now_ms.saturating_sub(held.since_ms)),
+            });
         }
         wants
     }
@@ -273,12 +287,20 @@
         self.durable_records >= records
     }
 
+    /// Returns whether the owner of another shard has answered this owner. Until then this one doesn't
+    /// know what that shard has given, and asks for nothing more.
+    #[must_use]
+    pub fn has_heard(&self, shard: u32) -> bool {
+        self.quota.heard.contains(&shard)
+    }
+
     /// Applies the answer of the owner of another shard.
     pub fn apply_grant(&mut self, from: u32, grant: Grant, now_ms: u64) {
         self.apply_confirmation(from, grant.confirmed, now_ms);
         self.quota
             .counter
             .receive(grant.members, from, grant.totals);
+        self.quota.heard.insert(from);
     }
 
     fn apply_confirmation(&mut self, from: u32, confirmed: Option<Confirmation>, now_ms: u64) {
--- a/crates/workflow/src/team/quota.rs
+++ b/crates/workflow/src/team/quota.rs
@@ -23,6 +23,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Quota {
     pub(crate) counter: Counter,
+    /// Shards whose owners have answered a request.
+    pub(crate) heard: Members,
     /// Members of the last configuration with its version, once known.
     members: Option<(u64, Members)>,
     /// Teams with caps, as of the current placement pass.
@@ -42,8 +44,10 @@
     cap: Size,
     /// What the team may use in this shard.
     limit: Size,
-    /// What it uses.
+    /// What it uses at most: its attempts, and others that may be running after a takeover.
     used: Size,
+    /// What its attempts use.
+    known: Size,
     /// Size of the waiting tasks, as far as the pools have capacity for them.
     waiting: Size,
 }
@@ -98,14 +102,19 @@
         (self.used + *size).fits(&self.limit)
     }
 
-    /// Returns the part of the cap in use, in millionths.
+    /// Returns the part of the cap that may be in use, in millionths.
     pub(crate) fn used_part(&self) -> u64 {
         needed_part(&self.cap, &self.used)
     }
 
+    /// Returns the part of the cap that the known attempts use, in millionths.
+    pub(crate) fn known_part(&self) -> u64 {
+        needed_part(&self.cap, &self.known)
+    }
+
     /// Returns the part of the cap in use and waited for, in millionths.
     pub(crate) fn wanted_part(&self) -> u64 {
-        needed_part(&self.cap, &(self.used + self.waiting)).min(WHOLE)
+        needed_part(&self.cap, &(self.known + self.waiting)).min(WHOLE)
     }
 }
 
@@ -137,6 +146,7 @@
     pub(crate) fn charge(&mut self, team: &Arc<str>, size: Size) {
         if let Some(room) = self.rooms.get_mut(team) {
             room.used += size;
+            room.known += size;
         }
     }
 }
@@ -235,7 +245,8 @@
     pub(crate) fn rooms(&self, survey: &Survey, now_ms: u64) -> BTreeMap<Arc<str>, Room> {
         let teams = self.teams.iter().flat_map(Teams::iter);
         let room = |team: &Team| {
-            let used = survey.charged.get(&team.name).copied().unwrap_or_default();
+            let known = survey.charged.get(&team.name).copied().unwrap_or_default();
+            let unreported = survey.unreported.get(&team.name).copied();
             let mut waiting = Size::ZERO;
             for pool in survey.pools.values() {
                 if let Some(size) = pool.waiting.get(&team.name) {
@@ -246,7 +257,8 @@
             let room = Room {
                 cap: team.cap,
                 limit: allowed(&team.cap, part),
-                used: used + survey.unknown,
+                used: known + unreported.unwrap_or_default() + survey.unknown,
+                known,
                 waiting,
             };
             (team.name.clone(), room)
@@ -286,7 +298,8 @@
         if !may_fit && !step.gang && !step.service {
             return;
         }
-        let next = needed_part(&room.cap, &(room.used + unit(step)));
+        // What may be running after a takeover is soon known; others need not make room for it.
+        let next = needed_part(&room.cap, &(room.known + unit(step)));
         let held = self.quota.held.entry(team).or_insert(Held {
             since_ms: now_ms,
             at_ms: 0,
--- a/crates/workflow/src/team/usage.rs
+++ b/crates/workflow/src/team/usage.rs
@@ -85,8 +85,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Survey {
     pub(crate) pools: BTreeMap<Arc<str>, PoolUse>,
-    /// Sizes that count towards the cap of each team.
+    /// Sizes of the attempts of each team, which count towards its cap.
     pub(crate) charged: BTreeMap<Arc<str>, Size>,
+    /// What workers that have not reported may run, by team.
+    pub(crate) unreported: BTreeMap<Arc<str>, Size>,
     /// What may belong to any team, which counts for all.
     pub(crate) unknown: Size,
 }
@@ -154,7 +156,7 @@
             ) else {
                 continue;
             };
-            if let Some(pool) = self.pools_entry(&mut survey, &queue.pool) {
+            if let Some(pool) = survey.pools.get_mut(&queue.pool) {
                 let waiting = step.demand().times(u64::from(run.waiting));
                 add(&mut pool.waiting, team, waiting);
             }
@@ -163,10 +165,6 @@
         survey
     }
 
-    fn pools_entry<'a>(&self, survey: &'a mut Survey, pool: &str) -> Option<&'a mut PoolUse> {
-        survey.pools.get_mut(pool)
-    }
-
     /// Adds what workers that have not reported since the takeover may run: no more than their
     /// capacity, and no more than the team's open tasks that a previous owner may have started.
     fn add_unreported(&self, survey: &mut Survey) {
@@ -185,10 +183,10 @@
         }
         for (team, open) in self.open_inherited() {
             let may_run = open.occupying.min(&capacity);
-            add(&mut survey.charged, &team, may_run);
+            add(&mut survey.unreported, &team, may_run);
             // Best-effort tasks are not limited by the processor time of a worker.
             if capacity != Size::ZERO {
-                add(&mut survey.charged, &team, open.best_effort);
+                add(&mut survey.unreported, &team, open.best_effort);
             }
         }
         for task in self.recovery.silent_tasks() {
@@ -197,7 +195,7 @@
                 .and_then(|run| run.tasks.get(task.index as usize))
                 .is_none_or(|task| task.placement == Placement::Waiting);
             match self.charge(task.step, Size::ZERO) {
-                Charge::Team(team, size) if is_waiting => add(&mut survey.charged, &team, size),
+                Charge::Team(team, size) if is_waiting => add(&mut survey.unreported, &team, size),
                 _ => {}
             }
         }
--- a/crates/workflow/tests/team_counter.rs
+++ b/crates/workflow/tests/team_counter.rs
@@ -240,6 +240,7 @@
                 ask.wants = vec![Want {
                     team: "a".into(),
                     part,
+                    used: 0,
                     wanted: u64::from(wanted),
                     next: u64::from(wanted),
                     held_ms: u64::from(wanted % 3_000),
