feat(workflow): workers by speed, and overdue work last

Cause: in a pool where one in four workers is slow, urgent jobs miss their objectives on them while others have room; after a surge every job waits for work that can't be of use any more. Change: the score of workers, the plan of gangs and the workers that the advice service is asked about count how much slower a worker is. Jobs have an objective from expected run times; work that can't meet it comes after work of its priority that can, and work that can't be of use comes last, one job of each pool at a time excepted.

--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -58,12 +58,14 @@
     allowed: bool,
     /// Number of tasks of the step that fit.
     task_slots: u64,
+    /// Penalty for its speed.
+    speed_penalty: i64,
 }
 
 impl Candidate<'_> {
     /// Returns the sort key of the worker; the lowest comes first. Small tasks prefer partly used
     /// workers, so that whole workers stay free for gangs.
-    fn rank(&self, prefers_empty: bool) -> (bool, bool, bool, u64, usize) {
+    fn rank(&self, prefers_empty: bool) -> (bool, bool, bool, i64, u64, usize) {
         let task_slots = if prefers_empty {
             u64::MAX - self.task_slots
         } else {
@@ -73,6 +75,7 @@
             !self.reserved,
             !self.allowed,
             self.task_slots == 0,
+            self.speed_penalty.signum(),
             task_slots,
             self.order,
         )
@@ -210,7 +213,14 @@
                 (task_slots(&free, step, &size), id)
             })
             .collect();
-        undecided.sort_by(|a, b| b.cmp(a));
+        let is_slow = |id: &Arc<str>| {
+            let host = self.hosts.get(id);
+            host.is_some_and(|host| host.speed.slowness(now_ms) > 1.0)
+        };
+        undecided.sort_by(|a, b| {
+            let rank = |(slots, id): &(u64, &Arc<str>)| (*slots == 0, is_slow(id));
+            rank(a).cmp(&rank(b)).then_with(|| b.cmp(a))
+        });
         let wanted_slots = f64::from(step.count) * CAPACITY_MARGIN;
         let mut expected_slots = 0.0;
         let mut workers = Vec::new();
@@ -268,6 +278,7 @@
             }
             return;
         }
+        let slack = self.slack(key, step, queue, now_ms);
         let hosts = self.hosts.iter().enumerate();
         let candidates = hosts.filter_map(|(order, (id, host))| {
             let is_allowed = match advice.standing(id, now_ms) {
@@ -286,6 +297,7 @@
                 reserved: self.reservations.is_reserved_for(id, key),
                 allowed: is_allowed,
                 task_slots: task_slots(&free, step, &size),
+                speed_penalty: slack.penalty(host.speed.slowness(now_ms)),
             })
         });
         let mut candidates: Vec<Candidate<'_>> = candidates.collect();
--- a/crates/workflow/src/gangs.rs
+++ b/crates/workflow/src/gangs.rs
@@ -52,6 +52,8 @@
     /// Whether it is already reserved for the gang. Such workers come first, because a move of the
     /// plan to other workers needs new permits.
     reserved: bool,
+    /// Whether it is slow. All members wait for the slowest one.
+    slow: bool,
     /// Members assigned by the current plan.
     planned_members: u32,
     /// Attempts that may be preempted, those with the least progress first.
@@ -98,7 +100,10 @@
             .hosts
             .values()
             .filter(|host| self.may_run_member(host, step, queue, run, now_ms))
-            .map(|host| self.candidate(host, key, step, queue, &size, reservations))
+            .map(|host| Candidate {
+                slow: host.speed.slowness(now_ms) > 1.0,
+                ..self.candidate(host, key, step, queue, &size, reservations)
+            })
             .collect();
         let max_members: u32 = candidates
             .iter()
@@ -216,6 +221,7 @@
             free,
             fitting_members: member_slots(&free),
             reserved: self.reservations.is_reserved_for(&host.worker.id, key),
+            slow: false,
             planned_members: 0,
             victims: victims.collect(),
         }
@@ -275,6 +281,7 @@
     order.sort_by_key(|&index| {
         (
             !candidates[index].reserved,
+            candidates[index].slow,
             leftover_share(&candidates[index], size),
         )
     });
--- a/crates/workflow/src/host.rs
+++ b/crates/workflow/src/host.rs
@@ -11,6 +11,7 @@
 use crate::incarnation::Restart;
 use crate::lease::{LATE_CALL_MAX_MS, Lease};
 use crate::pending_renewal::PendingRenewal;
+use crate::run_times::Speed;
 use crate::silent::Silence;
 use crate::task::Key;
 use crate::worker::Worker;
@@ -99,6 +100,10 @@
     pub(crate) is_pace_known: bool,
     /// Fencing token of the start request.
     pub(crate) token: u64,
+    /// Whether it began from a checkpoint, or under another owner.
+    pub(crate) is_resumed: bool,
+    /// Time on the owner's clock and progress in percent of the first report of a resumed attempt.
+    pub(crate) first_report: Option<(u64, u32)>,
 }
 
 /// A worker with its lease and the attempts on it.
@@ -142,6 +147,10 @@
     pub(crate) older_entry: Option<Worker>,
     /// Earlier incarnations with later start times, because the worker's time of day was set back.
     superseded: Vec<u64>,
+    /// Speed relative to other workers.
+    pub(crate) speed: Speed,
+    /// Time on the owner's clock at which the worker last answered again after a silence.
+    pub(crate) returned_ms: u64,
     /// Time on the owner's clock at which this incarnation was first seen.
     pub(crate) first_seen_ms: u64,
     /// Fencing token before any request was invalidated.
@@ -183,6 +192,8 @@
             silence: Silence::default(),
             older_entry: None,
             superseded: Vec::new(),
+            speed: Speed::default(),
+            returned_ms: 0,
             first_seen_ms: now_ms,
             token_base: epoch << TOKEN_COUNTER_BITS,
             token_increments,
@@ -262,6 +273,7 @@
         self.worker.incarnation = incarnation;
         self.restart = Restart::Unfenced;
         self.lease.begin_incarnation(now_ms);
+        self.speed = Speed::default();
         self.last_processed_end = 0;
         self.last_durable_end = 0;
         self.last_acknowledged_end = 0;
--- a/crates/workflow/src/order.rs
+++ b/crates/workflow/src/order.rs
@@ -1,9 +1,21 @@
 //! Order in which waiting steps are placed.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::job::Id;
 use crate::run::Job;
 use crate::shard::Shard;
 use crate::task::StepKey;
 
+/// Longest time for which an overdue job keeps its place, in milliseconds. One that can't be placed
+/// must not keep the others from theirs.
+const TURN_MAX_MS: u64 = 10_000;
+
+/// Overdue jobs that keep their place, by pool, each with the time of its turn on the owner's clock.
+/// There is one at a time, so that overdue jobs end one after the other and none starves.
+pub(crate) type Turns = BTreeMap<Arc<str>, (Id, u64)>;
+
 /// Position of a step in the placement order; the lowest comes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Rank {
@@ -12,6 +24,8 @@
     /// Whether the job can't end in time to be of use.
     pub(crate) overdue: bool,
     pub(crate) priority: u32,
+    /// Whether the job will miss its objective. Within a priority, work that can meet it comes first.
+    pub(crate) late: bool,
     /// Position of the job in the order of acceptance.
     pub(crate) acceptance_order: u64,
     pub(crate) key: StepKey,
@@ -26,6 +40,7 @@
                 over_share: job.is_some_and(|job| self.is_over_share(job)),
                 overdue: job.is_some_and(|job| self.is_overdue(job, now_ms)),
                 priority: *priority,
+                late: job.is_some_and(|job| misses_objective(job, now_ms) && !self.has_turn(job)),
                 acceptance_order: *acceptance_order,
                 key: *key,
             }
@@ -35,13 +50,56 @@
         order
     }
 
+    /// Gives the turn of each pool to its oldest overdue job, unless the last one still has it.
+    pub(crate) fn pass_turns(&mut self, now_ms: u64) {
+        let mut oldest: BTreeMap<Arc<str>, (u64, Id)> = BTreeMap::new();
+        for (_, acceptance_order, key) in &self.ready {
+            let job = self.jobs.get(&key.job);
+            let Some(job) = job.filter(|job| self.is_useless(job, now_ms)) else {
+                continue;
+            };
+            if let Some(queue) = self.queues.get(&job.queue) {
+                let candidate = (*acceptance_order, key.job);
+                let first = oldest.entry(queue.pool.clone()).or_insert(candidate);
+                *first = candidate.min(*first);
+            }
+        }
+        let jobs = &self.jobs;
+        self.turns.retain(|_, (id, since_ms)| {
+            let is_open = jobs.get(id).is_some_and(|job| !job.is_ended());
+            is_open && now_ms < *since_ms + TURN_MAX_MS
+        });
+        for (pool, (_, id)) in oldest {
+            self.turns.entry(pool).or_insert((id, now_ms));
+        }
+    }
+
     /// Returns whether the team of a job uses more than its share of the job's pool.
     fn is_over_share(&self, _job: &Job) -> bool {
         false
     }
 
+    /// Returns whether a job comes after all others because it can't end in time to be of use.
+    fn is_overdue(&self, job: &Job, now_ms: u64) -> bool {
+        self.is_useless(job, now_ms) && !self.has_turn(job)
+    }
+
+    fn has_turn(&self, job: &Job) -> bool {
+        let pool = self.queues.get(&job.queue).map(|queue| &queue.pool);
+        let turn = pool.and_then(|pool| self.turns.get(pool));
+        let holder = turn.and_then(|(id, _)| self.jobs.get(id));
+        holder.is_some_and(|holder| holder.acceptance_order == job.acceptance_order)
+    }
+
     /// Returns whether a job can't end any more in time to be of use.
-    fn is_overdue(&self, _job: &Job, _now_ms: u64) -> bool {
-        false
+    pub(crate) fn is_useless(&self, job: &Job, now_ms: u64) -> bool {
+        let objective = job.objective.as_ref();
+        objective.is_some_and(|objective| now_ms as f64 > objective.overdue_ms)
     }
 }
+
+/// Returns whether a job will end after its objective.
+fn misses_objective(job: &Job, now_ms: u64) -> bool {
+    let objective = job.objective.as_ref();
+    objective.is_some_and(|objective| now_ms as f64 > objective.late_ms)
+}
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -291,7 +291,8 @@
             return None;
         }
         let colocated = colocated(host, key, step);
-        meets_constraints(host, step, colocated + planned_here).then(|| score(host, step, &size))
+        meets_constraints(host, step, colocated + planned_here)
+            .then(|| score(host, step, &size) + self.speed_penalty(host, key, step, queue, now_ms))
     }
 
     fn start_task(&mut self, worker: &Arc<str>, key: Key, attempt: u32, step: &Step, now_ms: u64) {
@@ -344,6 +345,8 @@
             pace_percent: 100,
             is_pace_known: true,
             token: order.token,
+            is_resumed: order.checkpoint.is_some(),
+            first_report: None,
         };
         host.insert(key, run);
         self.start_window.sent();
--- a/crates/workflow/src/renewal.rs
+++ b/crates/workflow/src/renewal.rs
@@ -65,6 +65,9 @@
             .unresponsive_since_ms
             .take()
             .map(|since| now_ms.saturating_sub(since));
+        if silent_ms.is_some() {
+            host.returned_ms = now_ms;
+        }
         match silent_ms {
             Some(ms) if ms <= LOST_ANSWER_MAX_MS => self.lost_answers.lost(),
             Some(_) => {}
@@ -160,11 +163,16 @@
         let mut stop_requested = false;
         if is_known && let Some(run) = host.remove(&end.key) {
             stop_requested = run.phase == Phase::Stopping;
+            if end.how == Outcome::Done {
+                self.observe_run(id, end.key, &run, now_ms);
+            }
         }
-        match end.how {
-            Outcome::Done => host.backoff.completed(),
-            Outcome::Failed if !stop_requested => host.backoff.failed(now_ms),
-            _ => {}
+        if let Some(host) = self.hosts.get_mut(id) {
+            match end.how {
+                Outcome::Done => host.backoff.completed(),
+                Outcome::Failed if !stop_requested => host.backoff.failed(now_ms),
+                _ => {}
+            }
         }
         let job = self.jobs.get(&end.key.step.job);
         // A job that has not been read yet may be open, too, and the worker forgets the end.
@@ -234,6 +242,9 @@
                 run.progressed_ms = now_ms;
             }
             run.percent = reported.percent;
+            if run.is_resumed {
+                run.first_report.get_or_insert((now_ms, reported.percent));
+            }
             run.metric = reported.metric;
             if matches!(run.start, StartState::Sent | StartState::Unanswered) {
                 run.started_ms = now_ms;
@@ -289,6 +300,8 @@
             pace_percent: 100,
             is_pace_known: false,
             token,
+            is_resumed: true,
+            first_report: Some((now_ms, reported.percent)),
         };
         host.insert(reported.key, run);
         if !self.jobs.contains_key(&reported.key.step.job) {
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -5,6 +5,7 @@
 
 use crate::advice::Advice;
 use crate::job::{Spec, State};
+use crate::objective::Objective;
 
 /// Placement of a task.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -127,6 +128,11 @@
     pub(crate) ended_ms: u64,
     /// Offset of its last submission in the jobs' stream, if it was read.
     pub(crate) logged: Option<u64>,
+    /// Time on the owner's clock at which the job was accepted. A successor takes the time at which it
+    /// learned of the job, which is later, so that it never takes a job for older than it is.
+    pub(crate) accepted_ms: u64,
+    /// Objective as last computed; `None` if the job has none or its run time is unknown.
+    pub(crate) objective: Option<Objective>,
     /// Whether a previous owner may have started tasks, or may do so before it is fenced.
     pub(crate) inherited: bool,
     /// Highest attempt number that previous owners may have used without leaving a record.
@@ -147,6 +153,8 @@
             ended: None,
             ended_ms: 0,
             logged: None,
+            accepted_ms: 0,
+            objective: None,
             inherited: false,
             attempt_floor: 0,
         }
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -11,12 +11,14 @@
 use crate::lease::Lease;
 use crate::lost_answers::LostAnswers;
 use crate::lost_attempt::Evidence;
+use crate::order::Turns;
 use crate::orphan::Orphans;
 use crate::record::Record;
 use crate::recovery::Recovery;
 use crate::removed::Removed;
 use crate::reservation::Reservations;
 use crate::run::Job;
+use crate::run_times::{RunTimes, Speed};
 use crate::start_window::StartWindow;
 use crate::task::{Key, StepKey};
 use crate::team::Teams;
@@ -91,6 +93,10 @@
     pub(crate) worker_check_due_ms: u64,
     /// Time on the owner's clock from which [`Self::tick`] visits all jobs again.
     pub(crate) job_check_due_ms: u64,
+    /// Time on the owner's clock from which the objectives of waiting jobs are computed again.
+    pub(crate) objectives_due_ms: u64,
+    pub(crate) run_times: RunTimes,
+    pub(crate) turns: Turns,
 }
 
 impl Shard {
@@ -128,6 +134,9 @@
             workers_read_ms: 0,
             worker_check_due_ms: 0,
             job_check_due_ms: 0,
+            objectives_due_ms: 0,
+            run_times: RunTimes::default(),
+            turns: Turns::new(),
         }
     }
 
@@ -205,6 +214,8 @@
             ended: None,
             ended_ms: 0,
             logged: None,
+            accepted_ms: now_ms,
+            objective: None,
             inherited,
             attempt_floor: floor,
         };
@@ -221,6 +232,7 @@
             self.cancel(id, now_ms);
             return;
         }
+        self.refresh_objective(id, now_ms);
         self.enqueue_ready(id, 0);
     }
 
@@ -306,6 +318,9 @@
         }
         let address_changed = host.worker.address != worker.address;
         let was_unresponsive = host.liveness == Liveness::Unresponsive;
+        if host.worker.capacity != worker.capacity {
+            host.speed = Speed::default();
+        }
         host.worker = worker;
         if address_changed && !self.recovery.is_replaying() {
             // A successor that doesn't find the worker in the directory needs its address.
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -44,6 +44,7 @@
             self.removed.forget_unreachable(now_ms);
             self.orphans.forget_ends(self.settings.keep_ms, now_ms);
         }
+        self.refresh_objectives(now_ms);
         self.place(now_ms);
     }
 
