feat(workflow): judge whether a new job can start in time

Cause: where teams compete for too little capacity, jobs are accepted that can't start while they are of use. Change: the kernel counts by team and queue the work that waits and the rate at which it is started, and says for how long a caller should wait. No process asks for it yet.

--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Action`]s for the process that hosts it.
 
 mod action;
+mod admission;
 mod advice;
 mod advice_request;
 mod answers;
--- a/crates/workflow/src/objective.rs
+++ b/crates/workflow/src/objective.rs
@@ -3,9 +3,11 @@
 
 use std::sync::Arc;
 
+use crate::admission::Flows;
 use crate::job::{Id, Queue, Spec, Step};
+use crate::order::Turns;
 use crate::run::Job;
-use crate::run_times::{Class, Expectation};
+use crate::run_times::{Class, Expectation, RunTimes};
 use crate::shard::Shard;
 
 /// Multiple of the objective after which a job is worth nothing.
@@ -14,6 +16,16 @@
 /// Time between two computations of the objectives of waiting jobs, in milliseconds.
 const REFRESH_PERIOD_MS: u64 = 500;
 
+/// What an owner expects of the work of its shard.
+#[derive(Debug, Default)]
+pub(crate) struct Outlook {
+    /// Time on the owner's clock from which the objectives of waiting jobs are computed again.
+    due_ms: u64,
+    pub(crate) flows: Flows,
+    pub(crate) run_times: RunTimes,
+    pub(crate) turns: Turns,
+}
+
 /// Objective of a job. Times are on the owner's clock in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Objective {
@@ -30,6 +42,8 @@
 /// Expected duration of a job that has not begun.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Duration {
+    /// Time along the critical path in milliseconds.
+    pub(crate) path_ms: f64,
     /// Time from the acceptance in which the job must end to be of use, in milliseconds.
     pub(crate) useful_ms: f64,
 }
@@ -43,21 +57,24 @@
         now_ms: u64,
     ) -> Option<Expectation> {
         let class = Class::of(queue, step);
-        self.run_times.expect(&class, step.estimate_ms, now_ms)
+        self.outlook
+            .run_times
+            .expect(&class, step.estimate_ms, now_ms)
     }
 
     /// Computes the objectives of the jobs with waiting steps if that is due.
     pub(crate) fn refresh_objectives(&mut self, now_ms: u64) {
-        if now_ms < self.objectives_due_ms {
+        if now_ms < self.outlook.due_ms {
             return;
         }
-        self.objectives_due_ms = now_ms + REFRESH_PERIOD_MS;
+        self.outlook.due_ms = now_ms + REFRESH_PERIOD_MS;
         let mut ids: Vec<Id> = self.ready.iter().map(|(_, _, key)| key.job).collect();
         ids.dedup();
         for id in ids {
             self.refresh_objective(id, now_ms);
         }
         self.pass_turns(now_ms);
+        self.refresh_flows(now_ms);
     }
 
     /// Computes the objective of a job.
@@ -107,6 +124,7 @@
         let path_ms = critical_path(spec, mean)?;
         let objective_ms = queue.slack_factor * path_ms + queue.slo_ms as f64;
         Some(Duration {
+            path_ms,
             useful_ms: USEFUL_FACTOR * objective_ms,
         })
     }
--- a/crates/workflow/src/observation.rs
+++ b/crates/workflow/src/observation.rs
@@ -20,7 +20,8 @@
         };
         if let Some(sample) = sample(host, step, run, now_ms) {
             let class = Class::of(&job.queue, step);
-            self.run_times
+            self.outlook
+                .run_times
                 .observe(&class, &sample, &mut host.speed, now_ms);
         }
     }
--- a/crates/workflow/src/order.rs
+++ b/crates/workflow/src/order.rs
@@ -65,12 +65,12 @@
             }
         }
         let jobs = &self.jobs;
-        self.turns.retain(|_, (id, since_ms)| {
+        self.outlook.turns.retain(|_, (id, since_ms)| {
             let is_open = jobs.get(id).is_some_and(|job| !job.is_ended());
             is_open && now_ms < *since_ms + TURN_MAX_MS
         });
         for (pool, (_, id)) in oldest {
-            self.turns.entry(pool).or_insert((id, now_ms));
+            self.outlook.turns.entry(pool).or_insert((id, now_ms));
         }
     }
 
@@ -86,7 +86,7 @@
 
     fn has_turn(&self, job: &Job) -> bool {
         let pool = self.queues.get(&job.queue).map(|queue| &queue.pool);
-        let turn = pool.and_then(|pool| self.turns.get(pool));
+        let turn = pool.and_then(|pool| self.outlook.turns.get(pool));
         let holder = turn.and_then(|(id, _)| self.jobs.get(id));
         holder.is_some_and(|holder| holder.acceptance_order == job.acceptance_order)
     }
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -350,6 +350,7 @@
         };
         host.insert(key, run);
         self.start_window.sent();
+        self.count_started(key.step, step, now_ms);
         self.actions.push(Action::Start(order));
     }
 }
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -6,6 +6,8 @@
 use crate::advice::Advice;
 use crate::job::{Spec, State};
 use crate::objective::Objective;
+use crate::shard::Shard;
+use crate::task::StepKey;
 
 /// Placement of a task.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -183,3 +185,21 @@
         self.ended.is_some()
     }
 }
+
+impl Shard {
+    pub(crate) fn step_run(&self, key: StepKey) -> Option<&StepRun> {
+        self.jobs
+            .get(&key.job)?
+            .occurrences
+            .get(&key.occurrence)?
+            .get(key.step as usize)
+    }
+
+    pub(crate) fn step_run_mut(&mut self, key: StepKey) -> Option<&mut StepRun> {
+        self.jobs
+            .get_mut(&key.job)?
+            .occurrences
+            .get_mut(&key.occurrence)?
+            .get_mut(key.step as usize)
+    }
+}
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -11,14 +11,14 @@
 use crate::lease::Lease;
 use crate::lost_answers::LostAnswers;
 use crate::lost_attempt::Evidence;
-use crate::order::Turns;
+use crate::objective::Outlook;
 use crate::orphan::Orphans;
 use crate::record::Record;
 use crate::recovery::Recovery;
 use crate::removed::Removed;
 use crate::reservation::Reservations;
 use crate::run::Job;
-use crate::run_times::{RunTimes, Speed};
+use crate::run_times::Speed;
 use crate::start_window::StartWindow;
 use crate::task::{Key, StepKey};
 use crate::team::Teams;
@@ -93,10 +93,7 @@
     pub(crate) worker_check_due_ms: u64,
     /// Time on the owner's clock from which [`Self::tick`] visits all jobs again.
     pub(crate) job_check_due_ms: u64,
-    /// Time on the owner's clock from which the objectives of waiting jobs are computed again.
-    pub(crate) objectives_due_ms: u64,
-    pub(crate) run_times: RunTimes,
-    pub(crate) turns: Turns,
+    pub(crate) outlook: Outlook,
 }
 
 impl Shard {
@@ -134,9 +131,7 @@
             workers_read_ms: 0,
             worker_check_due_ms: 0,
             job_check_due_ms: 0,
-            objectives_due_ms: 0,
-            run_times: RunTimes::default(),
-            turns: Turns::new(),
+            outlook: Outlook::default(),
         }
     }
 
@@ -233,6 +228,7 @@
             return;
         }
         self.refresh_objective(id, now_ms);
+        self.count_accepted(id, now_ms);
         self.enqueue_ready(id, 0);
     }
 
@@ -497,20 +493,4 @@
             self.list_worker(entry, now_ms);
         }
     }
-
-    pub(crate) fn step_run(&self, key: StepKey) -> Option<&crate::run::StepRun> {
-        self.jobs
-            .get(&key.job)?
-            .occurrences
-            .get(&key.occurrence)?
-            .get(key.step as usize)
-    }
-
-    pub(crate) fn step_run_mut(&mut self, key: StepKey) -> Option<&mut crate::run::StepRun> {
-        self.jobs
-            .get_mut(&key.job)?
-            .occurrences
-            .get_mut(&key.occurrence)?
-            .get_mut(key.step as usize)
-    }
 }
--- a/crates/workflow/tests/support/load.rs
+++ b/crates/workflow/tests/support/load.rs
@@ -49,6 +49,12 @@
     pub(crate) fleet: Fleet,
     speed: fn(usize) -> f64,
     random: u64,
+    /// Team of the jobs.
+    pub(crate) team: Option<Arc<str>>,
+    /// Whether jobs are submitted only if the shard doesn't refuse them.
+    pub(crate) refuses: bool,
+    /// Number of refused jobs.
+    pub(crate) refused: u64,
     jobs: BTreeMap<u64, Submitted>,
     /// Attempts by the time of their end, each with its worker and the time of its start.
     ends: BTreeMap<(u64, Key), (Arc<str>, u64)>,
@@ -69,6 +75,9 @@
             fleet: Fleet::with_queues(workers, queues()),
             speed,
             random: 1,
+            team: None,
+            refuses: false,
+            refused: 0,
             jobs: BTreeMap::new(),
             ends: BTreeMap::new(),
         }
@@ -83,8 +92,8 @@
         (self.random >> 40) as f64 / (1_u64 << 24) as f64
     }
 
-    pub(crate) fn submit(&mut self, kind: Kind) {
-        let id = self.jobs.len() as u64 + 1;
+    /// Returns the specification of a job.
+    pub(crate) fn spec(&mut self, kind: Kind) -> Arc<Spec> {
         let step = |number: u16, estimate: f64| Step {
             after: (0..number).collect(),
             count: kind.tasks,
@@ -95,11 +104,22 @@
         };
         // Estimates are up to 90% off.
         let estimates: Vec<f64> = (0..kind.steps).map(|_| 0.1 + 1.8 * self.random()).collect();
-        let spec = Arc::new(Spec {
+        Arc::new(Spec {
             steps: (0..).zip(estimates).map(|(n, e)| step(n, e)).collect(),
+            team: self.team.clone(),
             ..Spec::default()
-        });
+        })
+    }
+
+    pub(crate) fn submit(&mut self, kind: Kind) {
+        let id = self.jobs.len() as u64 + 1;
+        let spec = self.spec(kind);
         let now_ms = self.fleet.now_ms;
+        let shard = &self.fleet.shard;
+        if self.refuses && shard.refusal(Id(id), kind.queue, &spec, now_ms).is_some() {
+            self.refused += 1;
+            return;
+        }
         let submitted = Submitted {
             kind,
             at_ms: now_ms,
