--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -363,6 +363,7 @@
         match self.call_owner(shard, message, timeout).await {
             Some(Workflow::StoreEnded(Some(true))) => Acceptance::Accepted,
             Some(Workflow::StoreEnded(Some(false))) => Acceptance::Refused,
+            Some(Workflow::Busy { wait_ms }) => Acceptance::Busy { wait_ms },
             _ => Acceptance::Unknown,
         }
     }
@@ -392,21 +393,31 @@
                     return Acceptance::Accepted;
                 }
                 Ok(Message::Workflow(Workflow::StoreEnded(Some(false)))) => {}
+                // An earlier peer may have stored the job.
+                Ok(Message::Workflow(Workflow::Busy { wait_ms }))
+                    if outcome == Acceptance::Refused =>
+                {
+                    return Acceptance::Busy { wait_ms };
+                }
                 _ => outcome = Acceptance::Unknown,
             }
         }
         outcome
     }
 
-    /// Stores a record on behalf of a peer.
+    /// Stores a record on behalf of a peer. The owner of the shard may refuse a job.
     pub(crate) async fn store_for_peer(
         &self,
         shard: u32,
         record: &Record,
         timeout_ms: u64,
-    ) -> Option<bool> {
+    ) -> Workflow {
         if self.log_is_down() {
-            return Some(false);
+            return Workflow::StoreEnded(Some(false));
+        }
+        let refusal = self.owner(shard).and_then(|owner| owner.refusal(record));
+        if let Some(wait_ms) = refusal {
+            return Workflow::Busy { wait_ms };
         }
         let now_ms = clock::now().0;
         let written = self.submitter(shard).write(
@@ -414,14 +425,15 @@
             now_ms + timeout_ms,
             now_ms + RELAY_RETRY_MS,
         );
-        match tokio::time::timeout(Duration::from_millis(timeout_ms), written).await {
+        let stored = match tokio::time::timeout(Duration::from_millis(timeout_ms), written).await {
             Ok(Ok(Outcome::Stored)) => {
                 self.notify_stored(shard, record);
                 Some(true)
             }
             Ok(Ok(Outcome::Refused)) => Some(false),
             _ => None,
-        }
+        };
+        Workflow::StoreEnded(stored)
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! It accesses the platform only through the traits of [`port`].
 
 pub mod access;
+pub mod admission;
 pub mod advice_balancer;
 mod advice_requests;
 pub mod claim;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -248,7 +248,7 @@
                 shard,
                 record,
                 timeout_ms,
-            } => Workflow::StoreEnded(self.store_for_peer(shard, &record, timeout_ms).await),
+            } => self.store_for_peer(shard, &record, timeout_ms).await,
             other => other,
         }
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -12,6 +12,8 @@
     pub accepted: Counter,
     /// Jobs rejected because the log refused them or counts as unreachable.
     pub refused: Counter,
+    /// Jobs refused because they can't start in time to be of use.
+    pub busy: Counter,
     /// Jobs with an unknown outcome of the submission.
     pub unknown: Counter,
     /// Starts sent to workers.
@@ -51,6 +53,7 @@
         Self {
             accepted: counter("entry_jobs_accepted", "Jobs accepted"),
             refused: counter("entry_jobs_refused", "Jobs refused"),
+            busy: counter("entry_jobs_busy", "Jobs refused for lack of capacity"),
             unknown: counter("entry_jobs_unknown", "Jobs with unknown outcome"),
             starts: counter("entry_starts", "Runs ordered"),
             start_faults: counter("entry_start_faults", "Starts refused or unanswered"),
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -55,6 +55,11 @@
 pub enum Acceptance {
     /// It is stored.
     Accepted,
+    /// The job can't start in time to be of use. It is not stored and never will be.
+    Busy {
+        /// Time that the caller should wait before it submits the job again, in milliseconds.
+        wait_ms: u64,
+    },
     /// It is not stored and never will be.
     Refused,
     /// It is too large to be stored, or has more tasks than a process can hold.
@@ -100,6 +105,7 @@
         let metrics = &self.context.metrics;
         match outcome {
             Acceptance::Accepted => metrics.accepted.inc(),
+            Acceptance::Busy { .. } => metrics.busy.inc(),
             Acceptance::Refused | Acceptance::TooLarge => metrics.refused.inc(),
             Acceptance::Unknown => metrics.unknown.inc(),
         };
@@ -140,16 +146,20 @@
         deadline_ms: u64,
     ) -> Acceptance {
         let shard = config::shard(pool, self.settings.shards);
+        let owner = self.owner(shard);
+        if let Some(wait_ms) = owner.as_ref().and_then(|owner| owner.refusal(record)) {
+            return Acceptance::Busy { wait_ms };
+        }
         if self.log_is_down() {
             // The background reads detect the return of the log, so this call needs no probe.
             return self.store_via_peer(shard, record, deadline_ms).await;
         }
-        let via_owner = match self.owner(shard) {
+        let via_owner = match owner {
             // This process is the owner: nothing has been sent yet.
             Some(_) => Acceptance::Refused,
             None => self.store_via_owner(shard, record, deadline_ms).await,
         };
-        if via_owner == Acceptance::Accepted {
+        if matches!(via_owner, Acceptance::Accepted | Acceptance::Busy { .. }) {
             return via_owner;
         }
         // The log is probed with a read first: an append without an answer would leave an
@@ -160,7 +170,9 @@
             return Acceptance::Refused;
         }
         match (self.write_here(shard, record, deadline_ms).await, via_owner) {
-            (Acceptance::Refused, Acceptance::Unknown) => Acceptance::Unknown,
+            (Acceptance::Refused | Acceptance::Busy { .. }, Acceptance::Unknown) => {
+                Acceptance::Unknown
+            }
             (outcome, _) => outcome,
         }
     }
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -71,7 +71,7 @@
     #[serde(rename = "k")]
     Leaving,
     /// Call: appends a record of a shard to the log for a sender that can't do so itself. Answered
-    /// by `StoreEnded`.
+    /// by `StoreEnded` or, by the owner of the shard, `Busy`.
     #[serde(rename = "o")]
     Store {
         /// Shard.
@@ -87,6 +87,14 @@
     /// Reply: whether the record was stored; `None` if that is unknown.
     #[serde(rename = "q")]
     StoreEnded(Option<bool>),
+    /// Reply to `Store`: the job was refused, because it can't start in time to be of use, and is not
+    /// stored.
+    #[serde(rename = "y")]
+    Busy {
+        /// Time that the caller should wait in milliseconds.
+        #[serde(rename = "w")]
+        wait_ms: u64,
+    },
     /// Notice: passes a stored record to the owner of its shard before the owner reads it from the
     /// log.
     #[serde(rename = "d")]
