--- a/crates/entry/src/load.rs
+++ b/crates/entry/src/load.rs
@@ -58,12 +58,13 @@
         let counts = self.load().take();
         for (pool, usage) in usage {
             events::USAGE.log(format_args!(
-                "pool={pool} epoch={} workers={} empty={} free_millicores={}/{} free_mebibytes={}/{} \
-                 free_accelerators={}/{} steps={} gangs={} tasks={} starts={}/{} answer_ms={} \
+                "pool={pool} epoch={} workers={} empty={} slow={} free_millicores={}/{} free_mebibytes={}/{} \
+                 free_accelerators={}/{} steps={} gangs={} overdue={} tasks={} starts={}/{} answer_ms={} \
                  tick_ms={} late_ms={} started={} renewed={} relays={}",
                 self.epoch(),
                 usage.workers,
                 usage.empty,
+                usage.slow,
                 usage.free.millicores,
                 usage.capacity.millicores,
                 usage.free.memory_mb,
@@ -72,6 +73,7 @@
                 usage.capacity.accelerators,
                 usage.steps,
                 usage.gangs,
+                usage.overdue,
                 usage.tasks,
                 starts.in_flight,
                 starts.limit,
--- a/crates/workflow/src/admission.rs
+++ b/crates/workflow/src/admission.rs
@@ -140,8 +140,11 @@
             self.outlook.flows = Flows::default();
             return;
         }
-        let idle = |flow: &Flow| flow.rate(now_ms).is_some_and(|rate| rate < RATE_MIN);
-        self.outlook.flows.0.retain(|_, flow| !idle(flow));
+        let is_idle = |flow: &Flow| match flow.rate(now_ms) {
+            Some(rate) => rate < RATE_MIN,
+            None => flow.first_ms == 0,
+        };
+        self.outlook.flows.0.retain(|_, flow| !is_idle(flow));
         for flow in self.outlook.flows.0.values_mut() {
             flow.waiting = 0.0;
         }
--- a/crates/workflow/src/usage.rs
+++ b/crates/workflow/src/usage.rs
@@ -14,6 +14,8 @@
     pub workers: u32,
     /// Schedulable workers without attempts.
     pub empty: u32,
+    /// Schedulable workers that are clearly slower than others.
+    pub slow: u32,
     /// Total capacity of the schedulable workers.
     pub capacity: Size,
     /// Free capacity of the schedulable workers.
@@ -22,6 +24,8 @@
     pub steps: u32,
     /// Gangs among these steps.
     pub gangs: u32,
+    /// Steps whose jobs can't end any more in time to be of use.
+    pub overdue: u32,
     /// Tasks that wait for placement.
     pub tasks: u32,
 }
@@ -61,6 +65,7 @@
             let usage = pools.entry(host.worker.pool.clone()).or_default();
             usage.workers += 1;
             usage.empty += u32::from(host.runs.is_empty());
+            usage.slow += u32::from(host.speed.slowness(now_ms) > 1.0);
             usage.capacity += host.worker.capacity;
             usage.free += host.free();
         }
@@ -78,6 +83,7 @@
             let usage = pools.entry(queue.pool.clone()).or_default();
             usage.steps += 1;
             usage.gangs += u32::from(step.gang);
+            usage.overdue += u32::from(self.is_useless(job, now_ms));
             usage.tasks += run.waiting;
         }
         pools
--- a/crates/workflow/tests/overdue.rs
+++ b/crates/workflow/tests/overdue.rs
@@ -6,7 +6,9 @@
 #[path = "support/load.rs"]
 mod load;
 
+use fleet::Fleet;
 use load::{Load, URGENT};
+use rosemaryworks_workflow::{Id, Record};
 
 const WORKERS: usize = 15;
 
@@ -47,3 +49,29 @@
     println!("ended {ended:.3}");
     assert!(ended >= 0.3, "{ended}");
 }
+
+/// A successor doesn't know when jobs were accepted. It must not take one for older than it is, and one
+/// that is overdue must not count as new for good.
+#[test]
+fn a_successor_counts_from_when_it_learned_of_a_job() {
+    let mut fleet = Fleet::new(0);
+    let spec = fleet::spec(vec![fleet::step(1)]);
+    fleet.submit(1, spec.clone());
+    let overdue = |fleet: &Fleet| {
+        let usage = fleet.shard.usage(fleet.now_ms);
+        usage.values().map(|usage| usage.overdue).sum::<u32>()
+    };
+    assert_eq!(overdue(&fleet), 0);
+    fleet.advance(4_000);
+    assert_eq!(overdue(&fleet), 1);
+    let submitted = Record::Submitted {
+        id: Id(1),
+        queue: "q".into(),
+        spec,
+    };
+    fleet.take_over(2, &[submitted], vec![fleet::queue("q")]);
+    fleet.advance(1_500);
+    assert_eq!(overdue(&fleet), 0);
+    fleet.advance(3_000);
+    assert_eq!(overdue(&fleet), 1);
+}
--- a/crates/workflow/tests/worker_speeds.rs
+++ b/crates/workflow/tests/worker_speeds.rs
@@ -7,6 +7,7 @@
 mod load;
 
 use load::{BATCH, Load, URGENT};
+use rosemaryworks_workflow::{Id, Step};
 
 const WORKERS: usize = 60;
 
@@ -50,3 +51,53 @@
     assert!(urgent >= 0.85, "{urgent}");
     assert!(batch >= 0.85, "{batch}");
 }
+
+/// Returns a pool whose slow workers are known, without work.
+fn known_pool() -> Load {
+    let mut load = Load::new(WORKERS, two_speeds);
+    load.run(15_000, &[(URGENT, 10.0)]);
+    load.run(15_000, &[]);
+    assert_eq!(load.open(), 0);
+    load
+}
+
+/// Submits a step and returns how many of its tasks are started without delay on fast and on slow workers.
+fn place(load: &mut Load, step: Step) -> (usize, usize) {
+    load.fleet.orders.clear();
+    load.fleet.shard.submit(
+        Id(99_999),
+        "urgent".into(),
+        fleet::spec(vec![step]),
+        load.fleet.now_ms,
+    );
+    // The starts in flight are limited.
+    (0..10).for_each(|_| load.fleet.tick());
+    let orders = load.fleet.orders.iter();
+    let is_slow = |worker: &str| {
+        let number: usize = worker[1..].parse().expect("a number");
+        two_speeds(number) < 1.0
+    };
+    let slow = orders.filter(|order| is_slow(&order.worker)).count();
+    (load.fleet.orders.len() - slow, slow)
+}
+
+/// A gang waits for its slowest member, so one slow worker slows all of it.
+#[test]
+fn a_gang_avoids_slow_workers() {
+    let gang = Step {
+        gang: true,
+        image: "gang".into(),
+        ..fleet::step(100)
+    };
+    assert_eq!(place(&mut known_pool(), gang), (100, 0));
+}
+
+/// Work must not wait for a fast worker while a slow one is free.
+#[test]
+fn work_takes_slow_workers_if_no_other_is_free() {
+    let wide = Step {
+        image: "urgent".into(),
+        ..fleet::step(4 * WORKERS as u32)
+    };
+    assert_eq!(place(&mut known_pool(), wide), (180, 60));
+}
