--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -71,6 +71,8 @@
 pub const TEAMS_HELD: Event = Event::new(860, Level::Info, "teams held back");
 /// An owner gave parts of teams' caps to the owner of another shard.
 pub const ROOM_GIVEN: Event = Event::new(861, Level::Info, "room given");
+/// The owner of a shard refused a job that can't start in time to be of use.
+pub const REFUSED: Event = Event::new(880, Level::Info, "job refused");
 /// A record of a stream is malformed.
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// The process received the signal to reload.
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -10,6 +10,7 @@
 use rosemaryworks_workflow::{Action, Id, Record, Shard, State};
 use tokio::sync::Notify;
 
+use crate::admission::Attempts;
 use crate::advice::requester::Requester;
 use crate::config::Config;
 use crate::events;
@@ -91,6 +92,7 @@
     config_version: Mutex<Option<u64>>,
     sessions: Mutex<HashMap<Arc<str>, Arc<Session>>>,
     advice: Arc<Requester>,
+    attempts: Mutex<Attempts>,
     timeouts: Mutex<Timeouts>,
     workers: RelayedWorkers,
     permission: Arc<Permission>,
@@ -136,6 +138,7 @@
             config_version: Mutex::new(config_version),
             sessions: Mutex::default(),
             advice,
+            attempts: Mutex::default(),
             timeouts: Mutex::default(),
             workers,
             permission: node.permission.clone(),
@@ -259,6 +262,26 @@
         self.wake();
     }
 
+    /// Returns the time that the caller of a job should wait if the job is refused, in milliseconds.
+    pub(crate) fn refusal(&self, record: &Record) -> Option<u64> {
+        let Record::Submitted { id, queue, spec } = record else {
+            return None;
+        };
+        let now_ms = clock::now().0;
+        if self.is_ended() || lock(&self.attempts).contains(*id, now_ms) {
+            return None;
+        }
+        let refusal = self.state().refusal(*id, queue, spec, now_ms);
+        match refusal {
+            Some(wait_ms) => events::REFUSED.log(format_args!(
+                "job={id} queue={queue} team={} wait_ms={wait_ms}",
+                spec.team.as_deref().unwrap_or_default()
+            )),
+            None => lock(&self.attempts).add(*id, now_ms),
+        }
+        refusal
+    }
+
     /// Returns the state of a job. Another process may have stored an unknown job a moment ago, so
     /// the stream is read to its end before the job is reported as unknown.
     pub(crate) async fn job_state(&self, job: Id) -> JobState {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Action`]s for the process that hosts it.
 
 mod action;
+mod admission;
 mod advice;
 mod advice_load;
 mod advice_request;
@@ -19,6 +20,8 @@
 mod lease;
 mod lost_answers;
 mod lost_attempt;
+mod objective;
+mod observation;
 mod open_jobs;
 mod order;
 mod orphan;
@@ -32,8 +35,10 @@
 mod report;
 mod reservation;
 mod run;
+mod run_times;
 mod shard;
 mod silent;
+mod slack;
 mod snapshot;
 mod start;
 mod start_window;
@@ -51,6 +56,7 @@
 pub use lost_attempt::{Evidence, LostAttempt};
 pub use record::Record;
 pub use report::{Finished, Renewal, RenewalFault, Report, Running};
+pub use run_times::{Class, Expectation, RunTimes, Sample, Speed};
 pub use shard::{Settings, Shard};
 pub use snapshot::Entry;
 pub use start::{Refusal, StartOutcome};
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -12,12 +12,14 @@
 use crate::lease::Lease;
 use crate::lost_answers::LostAnswers;
 use crate::lost_attempt::Evidence;
+use crate::objective::Outlook;
 use crate::orphan::Orphans;
 use crate::record::Record;
 use crate::recovery::Recovery;
 use crate::removed::Removed;
 use crate::reservation::Reservations;
 use crate::run::Job;
+use crate::run_times::Speed;
 use crate::start_window::StartWindow;
 use crate::task::{Key, StepKey};
 use crate::team::Teams;
@@ -95,6 +97,7 @@
     pub(crate) worker_check_due_ms: u64,
     /// Time on the owner's clock from which [`Self::tick`] visits all jobs again.
     pub(crate) job_check_due_ms: u64,
+    pub(crate) outlook: Outlook,
 }
 
 impl Shard {
@@ -134,6 +137,7 @@
             workers_read_ms: 0,
             worker_check_due_ms: 0,
             job_check_due_ms: 0,
+            outlook: Outlook::default(),
         }
     }
 
@@ -206,6 +210,8 @@
             ended: None,
             ended_ms: 0,
             logged: None,
+            accepted_ms: now_ms,
+            objective: None,
             inherited,
             attempt_floor: floor,
         };
@@ -222,6 +228,8 @@
             self.cancel(id, now_ms);
             return;
         }
+        self.refresh_objective(id, now_ms);
+        self.count_accepted(id, now_ms);
         self.enqueue_ready(id, 0);
     }
 
@@ -307,6 +315,9 @@
         }
         let address_changed = host.worker.address != worker.address;
         let was_unresponsive = host.liveness == Liveness::Unresponsive;
+        if host.worker.capacity != worker.capacity {
+            host.speed = Speed::default();
+        }
         host.worker = worker;
         if address_changed && !self.recovery.is_replaying() {
             // A successor that doesn't find the worker in the directory needs its address.
@@ -483,20 +494,4 @@
             self.list_worker(entry, now_ms);
         }
     }
-
-    pub(crate) fn step_run(&self, key: StepKey) -> Option<&crate::run::StepRun> {
-        self.jobs
-            .get(&key.job)?
-            .occurrences
-            .get(&key.occurrence)?
-            .get(key.step as usize)
-    }
-
-    pub(crate) fn step_run_mut(&mut self, key: StepKey) -> Option<&mut crate::run::StepRun> {
-        self.jobs
-            .get_mut(&key.job)?
-            .occurrences
-            .get_mut(&key.occurrence)?
-            .get_mut(key.step as usize)
-    }
 }
