feat(entry): configurations through peers while reads of the log fail

Cause: a VM that the log rejected went on with its last configuration: it ran calls with revoked keys and refused new ones.

Change: revisions::Tracker, a kernel without I/O, decides when to ask, whom, and what to make of an answer; revisions::exchange asks and answers over the links (messages n and s). Owners relay versions. A process without a configuration takes one that was confirmed within 3 s; versions only increase. After a failed read of the configuration the next one does not wait at the log. Events E850 to E852, one metric.

--- a/crates/entry/src/access.rs
+++ b/crates/entry/src/access.rs
@@ -5,11 +5,12 @@
 use std::sync::Arc;
 
 use rosemaryworks_workflow::{Team, Teams};
+use serde::{Deserialize, Serialize};
 
 use crate::config::{Config, Route};
 
 /// The teams of a configuration and their keys. Its debug output shows no key.
-#[derive(Clone, Default, PartialEq)]
+#[derive(Clone, Default, Deserialize, PartialEq, Serialize)]
 pub struct Directory {
     teams: Teams,
     /// Team of each key.
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 
 use rosemaryworks_workflow::{Queue, Shard};
+use serde::{Deserialize, Serialize};
 
 use crate::access::Directory;
 
 /// A route from a path to a queue.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Route {
     /// Host name in lower case.
     pub host: Arc<str>,
@@ -21,7 +22,7 @@
 }
 
 /// A version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Config {
     /// Version number, which increases with each revision.
     pub version: u64,
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -75,3 +75,10 @@
 pub const SUBMIT_FAILED: Event = Event::new(809, Level::Warn, "append of jobs failed");
 /// A record can't be encoded.
 pub const RECORD_FAULTY: Event = Event::new(834, Level::Error, "record can't be encoded");
+/// Reads of the log fail, so this process asks others for configurations.
+pub const REVISIONS_SOUGHT: Event = Event::new(850, Level::Info, "configurations asked of peers");
+/// A configuration of another process comes into force.
+pub const REVISION_TAKEN: Event = Event::new(851, Level::Info, "configuration from a peer");
+/// A configuration of another process can't be decoded.
+pub const REVISION_MALFORMED: Event =
+    Event::new(852, Level::Warn, "malformed configuration of a peer");
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod relayed;
 pub mod relays;
 mod requests;
+pub mod revisions;
 mod session;
 pub mod settings;
 mod skipped;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -11,8 +11,10 @@
 use rosemaryworks_wire::link::{Client, Handler, Peer, Reply, serve};
 use rosemaryworks_wire::workflow::{JobState, Message as Workflow};
 
+use crate::config::Config;
 use crate::node::{Node, lock};
 use crate::port::Permits;
+use crate::revisions;
 
 /// Time-out of a call to another process.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -117,6 +119,21 @@
     }
 }
 
+impl revisions::exchange::Process for Node {
+    fn configure(&self, config: Arc<Config>) {
+        Node::configure(self, config);
+    }
+
+    fn peers(&self) -> revisions::Peers<Peer> {
+        let mut others = lock(&self.peers).clone();
+        others.retain(|peer| !peer.is_closed());
+        revisions::Peers {
+            owners: self.linked_owners(),
+            others,
+        }
+    }
+}
+
 impl Node {
     pub(crate) fn serve_links(self: &Arc<Self>, listener: tokio::net::TcpListener) {
         let handler = Arc::new(Incoming(self.clone()));
@@ -239,6 +256,10 @@
                 self.owner(shard)
                     .and_then(|owner| owner.queue_length(&queue)),
             ),
+            Workflow::AskRevision { version } => {
+                let config = self.config();
+                Workflow::Revision(self.revisions.answer(version, config.as_deref()))
+            }
             Workflow::IsCandidate => Workflow::Candidate(self.can_take_over().await),
             Workflow::AskOwnership {
                 owned,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -28,6 +28,8 @@
     pub relayed: Counter,
     /// Requests to the advice service.
     pub advice_requests: Counter,
+    /// Configurations that came from other processes.
+    pub revisions_taken: Counter,
     /// Owned shards.
     pub shards: Gauge,
     /// Open jobs of the owned shards.
@@ -59,6 +61,10 @@
             suspensions: counter("entry_suspensions", "Owners suspended without a proof"),
             relayed: counter("entry_relayed", "Commands sent for other owners"),
             advice_requests: counter("entry_questions", "Questions to the advice service"),
+            revisions_taken: counter(
+                "entry_configurations_from_peers",
+                "Configurations that came from other processes",
+            ),
             shards: registry.register("entry_shards", "Shards owned", Gauge::default()),
             open_jobs: registry.register("entry_open_jobs", "Jobs not ended", Gauge::default()),
             accept_seconds: histogram("entry_accept_seconds", "Time to accept a job"),
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -22,6 +22,7 @@
 use crate::permission::Permission;
 use crate::port::{Advisor, Store, Workers};
 use crate::relay::Relay;
+use crate::revisions::{self, Source};
 use crate::settings::Settings;
 use crate::skipped::Skipped;
 use crate::submitter::Submitter;
@@ -91,6 +92,8 @@
     pub(crate) released: AtomicBool,
     /// Time at which a planned stop answers the calls that are still open.
     pub(crate) calls_end: watch::Sender<Option<tokio::time::Instant>>,
+    /// Exchange of configurations with other processes.
+    pub(crate) revisions: Arc<revisions::exchange::Exchange>,
     pub(crate) skipped_workers: Skipped,
     skipped_configurations: Skipped,
     config: RwLock<Option<Arc<Config>>>,
@@ -116,6 +119,7 @@
             incarnation: clock::incarnation(),
         };
         context.ready.clear("no configuration yet");
+        let revisions = revisions::exchange::Exchange::new(context.metrics.revisions_taken.clone());
         Arc::new(Self {
             settings,
             context,
@@ -137,6 +141,7 @@
             stopping: AtomicBool::new(false),
             released: AtomicBool::new(false),
             calls_end: watch::Sender::new(None),
+            revisions: Arc::new(revisions),
             skipped_workers: Skipped::new("workers"),
             skipped_configurations: Skipped::new("configurations"),
             config: RwLock::new(None),
@@ -152,6 +157,7 @@
     pub fn start(self: &Arc<Self>, link_listener: tokio::net::TcpListener) {
         self.serve_links(link_listener);
         tokio::spawn(self.clone().watch_configuration());
+        tokio::spawn(self.revisions.clone().run(self.clone()));
         tokio::spawn(self.clone().keep_claims());
         tokio::spawn(self.clone().follow_claims());
         tokio::spawn(self.clone().keep_permission());
@@ -279,22 +285,38 @@
         const WAIT_MS: u64 = 1_800;
         const RETRY_PAUSE: Duration = Duration::from_millis(150);
         let mut since = None;
+        let mut answered = true;
         loop {
-            // While the log is unreachable, only a call without a wait detects its return soon.
-            let wait_ms = if self.log_is_down() { 0 } else { WAIT_MS };
-            match self.context.store.configuration(since, wait_ms).await {
+            // After a failure, only a call without a wait detects the return of the log soon.
+            let wait_ms = match self.log_is_down() || !answered {
+                true => 0,
+                false => WAIT_MS,
+            };
+            let asked_ms = clock::uptime_ms();
+            let read = self.context.store.configuration(since, wait_ms).await;
+            answered = matches!(read, Ok(_) | Err(crate::port::Fault::Expired { .. }));
+            match read {
                 Ok(changes) => {
                     self.observe_log_response(true);
+                    let newest = changes.items.iter().map(|config| config.version).max();
+                    // Without a change the log has waited for the whole time.
+                    let waited = newest.is_none() && clock::uptime_ms() >= asked_ms + wait_ms;
+                    let read_ms = asked_ms + if waited { wait_ms } else { 0 };
                     since = Some(changes.next);
                     self.skipped_configurations
                         .log(&changes.skipped, clock::now().0);
                     for config in changes.items {
                         self.configure(config);
                     }
+                    if !changes.has_more {
+                        self.revisions.read_from_log(newest, read_ms);
+                    }
+                    self.revisions.read_ended(Source::Configuration, true);
                 }
                 Err(crate::port::Fault::Expired { .. }) => since = None,
                 Err(_) => {
                     self.observe_log_response(false);
+                    self.revisions.read_ended(Source::Configuration, false);
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -15,6 +15,7 @@
 use crate::owner::Owner;
 use crate::permission;
 use crate::port::{Append, Fault, Guard, Page, Record, Stream};
+use crate::revisions::Source;
 
 /// Partition of the claims stream.
 pub(crate) const PARTITION: u32 = 0;
@@ -87,10 +88,12 @@
             }
             Err(_) => {
                 self.observe_log_response(false);
+                self.revisions.read_ended(Source::Claims, false);
                 return false;
             }
         };
         self.observe_log_response(true);
+        self.revisions.read_ended(Source::Claims, true);
         let now_ms = clock::now().0;
         let at_end = page.next >= page.end;
         position.next = Some(page.next);
--- a/crates/entry/tests/support/door.rs
+++ b/crates/entry/tests/support/door.rs
@@ -18,6 +18,8 @@
     pub(crate) closed: AtomicBool,
     /// Whether the log turns away this process's reads of the claims only.
     pub(crate) claims_closed: AtomicBool,
+    /// Whether the log turns away this process's reads of the configuration only.
+    pub(crate) configuration_closed: AtomicBool,
     /// Whether the answer of the next read of the claims is lost.
     pub(crate) lose_claims_read: AtomicBool,
     /// Whether calls of this process get no answer.
@@ -65,6 +67,9 @@
     }
 
     fn configuration(&self, since: Option<u64>, wait_ms: u64) -> Answer<Changes<Arc<Config>>> {
+        if self.configuration_closed.load(Ordering::Relaxed) {
+            return Box::pin(async { Err(Fault::Refused("turned away".into())) });
+        }
         self.pass(|log| log.configuration(since, wait_ms))
     }
 
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -409,6 +409,19 @@
 
     /// Starts a process with changed settings. Must be called within a tokio runtime.
     pub(crate) async fn launch(log: Arc<Log>, change: impl FnOnce(&mut Settings)) -> Self {
+        Self::launch_with(log, change, false).await
+    }
+
+    /// Starts a process whose reads of the configuration the log rejects.
+    pub(crate) async fn launch_rejected(log: Arc<Log>, name: &str) -> Self {
+        Self::launch_with(log, |settings| settings.node = name.into(), true).await
+    }
+
+    async fn launch_with(
+        log: Arc<Log>,
+        change: impl FnOnce(&mut Settings),
+        is_rejected: bool,
+    ) -> Self {
         let links = tokio::net::TcpListener::bind("127.0.0.1:0")
             .await
             .expect("a free port");
@@ -437,6 +450,7 @@
             log: log.clone(),
             closed: AtomicBool::new(false),
             claims_closed: AtomicBool::new(false),
+            configuration_closed: AtomicBool::new(is_rejected),
             lose_claims_read: AtomicBool::new(false),
             silent: AtomicBool::new(false),
         });
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -1,5 +1,6 @@
 //! Messages between entry processes, which serve jobs that consist of steps.
 
+use std::fmt;
 use std::sync::Arc;
 
 use rosemaryworks_workflow::{Id, Record, State, StepKey};
@@ -137,6 +138,42 @@
         #[serde(rename = "m")]
         millicores: u64,
     },
+    /// Call: asks for the newest configuration that the receiver knows. Answered by `Revision`.
+    #[serde(rename = "n")]
+    AskRevision {
+        /// Version in force at the sender.
+        #[serde(rename = "v")]
+        version: Option<u64>,
+    },
+    /// Reply to `AskRevision`.
+    #[serde(rename = "s")]
+    Revision(Revision),
+}
+
+/// The newest configuration that a process knows.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Revision {
+    /// Version; `None` if the process has no configuration.
+    #[serde(rename = "v")]
+    pub version: Option<u64>,
+    /// Time since this version was last confirmed to be the newest, in milliseconds; `None` if it
+    /// never was.
+    #[serde(rename = "a")]
+    pub age_ms: Option<u64>,
+    /// The configuration, if it is newer than that of the process that asked.
+    #[serde(default, rename = "c", skip_serializing_if = "Option::is_none")]
+    pub config: Option<Encoded>,
+}
+
+/// An encoded configuration. Its debug output shows no content, which includes the keys of callers.
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct Encoded(pub Vec<u8>);
+
+impl fmt::Debug for Encoded {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Encoded({} bytes)", self.0.len())
+    }
 }
 
 /// State of a job as reported by the owner of its shard.
--- a/crates/wire/tests/ownership.rs
+++ b/crates/wire/tests/ownership.rs
@@ -1,7 +1,7 @@
 //! Guards against an owner that takes a changed answer of a peer for a proof of its ownership.
 
 use quickcheck::quickcheck;
-use rosemaryworks_wire::workflow::Message as Workflow;
+use rosemaryworks_wire::workflow::{Encoded, Message as Workflow, Revision};
 use rosemaryworks_wire::{Frame, Kind, Message};
 
 fn survives(kind: Kind, message: Workflow) -> bool {
@@ -24,6 +24,20 @@
     }
 }
 
+#[test]
+fn revisions_survive_a_round_trip_and_show_no_key() {
+    let key = "a-secret-key";
+    let revision = Revision {
+        version: Some(3),
+        age_ms: Some(20),
+        config: Some(Encoded(key.as_bytes().to_vec())),
+    };
+    assert!(!format!("{revision:?}").contains("115"), "{revision:?}");
+    assert!(survives(Kind::Reply, Workflow::Revision(revision)));
+    let version = Some(2);
+    assert!(survives(Kind::Call, Workflow::AskRevision { version }));
+}
+
 #[test]
 fn an_announced_end_survives_a_round_trip() {
     assert!(survives(Kind::Notice, Workflow::Leaving));
--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -160,7 +160,7 @@
 }
 
 /// Settings of a job queue.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Queue {
     /// Failed attempts of a task after which its job fails.
     pub max_attempts: u32,
