--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -14,9 +14,11 @@
 use rosemaryworks_wire::workflow::{JobState, Message as Workflow};
 use rosemaryworks_workflow::{Ask, Grant, Shard};
 
+use crate::config::Config;
 use crate::node::{Node, lock};
 use crate::owner::Owner;
 use crate::quota;
+use crate::revisions;
 
 /// Time-out of a call to another process.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -155,6 +157,21 @@
     }
 }
 
+impl revisions::exchange::Process for Node {
+    fn configure(&self, config: Arc<Config>) {
+        Node::configure(self, config);
+    }
+
+    fn peers(&self) -> revisions::Peers<Peer> {
+        let mut others = lock(&self.peers).clone();
+        others.retain(|peer| !peer.is_closed());
+        revisions::Peers {
+            owners: self.linked_owners(),
+            others,
+        }
+    }
+}
+
 impl Node {
     pub(crate) fn serve_links(self: &Arc<Self>, listener: tokio::net::TcpListener) {
         let handler = Arc::new(Incoming(self.clone()));
@@ -272,6 +289,10 @@
                 self.owner(shard)
                     .and_then(|owner| owner.queue_length(&queue)),
             ),
+            Workflow::AskRevision { version } => {
+                let config = self.config();
+                Workflow::Revision(self.revisions.answer(version, config.as_deref()))
+            }
             Workflow::IsCandidate => Workflow::Candidate(self.can_take_over().await),
             Workflow::AskOwnership {
                 owned,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -38,6 +38,8 @@
     pub advice_late: Counter,
     /// Expected time of the advice requests that this VM has yet to send, in milliseconds.
     pub advice_backlog_ms: Gauge,
+    /// Configurations that came from other processes.
+    pub revisions_taken: Counter,
     /// Owned shards.
     pub shards: Gauge,
     /// Open jobs of the owned shards.
@@ -93,6 +95,10 @@
                 "Expected time of queued advice requests",
                 Gauge::default(),
             ),
+            revisions_taken: counter(
+                "entry_configurations_from_peers",
+                "Configurations that came from other processes",
+            ),
             shards: registry.register("entry_shards", "Shards owned", Gauge::default()),
             open_jobs: registry.register("entry_open_jobs", "Jobs not ended", Gauge::default()),
             room_requests: counter("entry_room_requests", "Requests for parts of caps"),
