fix(workflow): workers that are alike don't count as slow

Cause: the shortest tasks of a step end first, so the expectation of its class is too short when the others end. Change: the distance of runs from the expectation counts against its mean over the queue's runs; the path of a job takes the slowest task of each step.

--- a/crates/workflow/src/objective.rs
+++ b/crates/workflow/src/objective.rs
@@ -120,8 +120,15 @@
         if !has_objective || spec.times > 0 || spec.steps.iter().any(|step| step.service) {
             return None;
         }
-        let mean = |_, step: &Step| Some(self.expected(&queue.name, step, now_ms)?.ms());
-        let path_ms = critical_path(spec, mean)?;
+        // A step ends with its slowest task; the members of a gang end together.
+        let step_ms = |_, step: &Step| {
+            let expected = self.expected(&queue.name, step, now_ms)?;
+            Some(match step.gang {
+                true => expected.ms(),
+                false => expected.slowest_ms(step.count),
+            })
+        };
+        let path_ms = critical_path(spec, step_ms)?;
         let objective_ms = queue.slack_factor * path_ms + queue.slo_ms as f64;
         Some(Duration {
             path_ms,
--- a/crates/workflow/src/run_times.rs
+++ b/crates/workflow/src/run_times.rs
@@ -74,6 +74,9 @@
 pub struct RunTimes {
     classes: HashMap<Class, Average>,
     queues: HashMap<Arc<str>, Average>,
+    /// Mean distance of runs from the expectation, by queue. The shortest tasks of a step end first,
+    /// so what is known when the others end is too short, on every worker.
+    biases: HashMap<Arc<str>, Average>,
 }
 
 impl RunTimes {
@@ -92,7 +95,12 @@
         insert(&mut self.classes, class, CLASSES_MAX, normal, now_ms);
         insert(&mut self.queues, &class.queue, QUEUES_MAX, normal, now_ms);
         if let Some(expected) = expected.filter(|expected| expected.is_learned && !sample.is_gang) {
-            speed.observe(log - expected.log, expected.spread, now_ms);
+            let distance = log - expected.log;
+            let bias = self.biases.get(&class.queue);
+            let bias = bias.map_or(distance, |bias| bias.mean());
+            speed.observe(distance - bias, expected.spread, now_ms);
+            let biases = &mut self.biases;
+            insert(biases, &class.queue, QUEUES_MAX, distance, now_ms);
         }
     }
 
--- a/crates/workflow/tests/run_times.rs
+++ b/crates/workflow/tests/run_times.rs
@@ -200,3 +200,26 @@
     assert!((expected_ms(&times, "a", 0, 600) - 1_000.0).abs() < 20.0);
     assert!(speed.slowness(600) == 1.0);
 }
+
+/// The shortest tasks of a step end first. Judged by them, the workers of the others counted as slow:
+/// 210 to 274 of 277 workers on a day on which the speeds lay between 0.8 and 1.25.
+#[test]
+fn workers_of_a_step_whose_short_tasks_end_first_are_not_slow() {
+    let mut times = RunTimes::default();
+    let mut pool = [Speed::default(); 20];
+    for step in 0..200_u64 {
+        let class = Class {
+            size: Size::new(1_000 + step, 1_024),
+            ..class("a")
+        };
+        for task in 0..10 {
+            let took_ms = 400.0 * 1.12_f64.powf(task as f64);
+            let worker = (step * 7 + task * 3) as usize % pool.len();
+            let now_ms = step * 100 + task * 10;
+            let sample = sample(took_ms as u64, 700);
+            times.observe(&class, &sample, &mut pool[worker], now_ms);
+        }
+    }
+    let slow = pool.iter().filter(|speed| speed.slowness(20_000) > 1.0);
+    assert!(slow.count() <= 1, "workers that are alike count as slow");
+}
