refactor(entry): the load of the VMs is applied without the lock on links

Cause: the guard of the list of links lived on while the state of the shard was locked; no other code takes both in that order.

Change: two statements; the state is reached through the file that applies outcomes.

--- a/crates/entry/src/advised.rs
+++ b/crates/entry/src/advised.rs
@@ -1,11 +1,20 @@
-//! Outcomes of advice requests, which the owner applies to its state.
+//! Outcomes of advice requests and the load of the VMs, which the owner applies to its state.
 
 use rosemaryworks_node::clock;
-use rosemaryworks_workflow::AdviceRequest;
+use rosemaryworks_workflow::{AdviceLoad, AdviceRequest};
 
 use crate::advice::requester::{Outcome, Sink};
 use crate::owner::Owner;
 
+impl Owner {
+    /// Passes the load of the VMs to the state, if it was computed anew.
+    pub(crate) fn set_advice_load(&self, load: Option<AdviceLoad>) {
+        if let Some(load) = load {
+            self.state().set_advice_load(load);
+        }
+    }
+}
+
 impl Sink for Owner {
     fn advised(&self, request: &AdviceRequest, outcome: Outcome) {
         let now_ms = clock::now().0;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -366,9 +366,8 @@
                 self.advice.withdraw(&lock(&node.peers));
                 return;
             }
-            if let Some(load) = self.advice.load(&lock(&node.peers)) {
-                self.state().set_advice_load(load);
-            }
+            let load = self.advice.load(&lock(&node.peers));
+            self.set_advice_load(load);
             let began = std::time::Instant::now();
             let actions = {
                 let mut state = self.state();
