--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -5,6 +5,7 @@
 
 use crate::advice::Advice;
 use crate::job::{Spec, State};
+use crate::task::StepKey;
 
 /// Placement of a task.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -152,6 +153,13 @@
         }
     }
 
+    /// Returns the state of a step.
+    pub(crate) fn step_run(&self, key: StepKey) -> Option<&StepRun> {
+        self.occurrences
+            .get(&key.occurrence)?
+            .get(key.step as usize)
+    }
+
     /// Begins the occurrences below `next` that have not begun. They are due in the order of their
     /// numbers, so all of them are due if the last one has a task that started.
     pub(crate) fn begin_occurrences(&mut self, next: u32) {
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -482,11 +482,7 @@
     }
 
     pub(crate) fn step_run(&self, key: StepKey) -> Option<&crate::run::StepRun> {
-        self.jobs
-            .get(&key.job)?
-            .occurrences
-            .get(&key.occurrence)?
-            .get(key.step as usize)
+        self.jobs.get(&key.job)?.step_run(key)
     }
 
     pub(crate) fn step_run_mut(&mut self, key: StepKey) -> Option<&mut crate::run::StepRun> {
--- a/crates/workflow/src/team/share.rs
+++ b/crates/workflow/src/team/share.rs
@@ -8,7 +8,7 @@
 use crate::run::Job;
 use crate::shard::Shard;
 use crate::team::Teams;
-use crate::team::usage::{PoolUse, Survey};
+use crate::team::usage::{PoolUse, Survey, TeamUse};
 
 /// Teams that use more than their share of a pool, for one placement pass.
 #[derive(Debug, Default)]
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Returns whether any team uses more than its share.
+    fn any(&self) -> bool {
+        !self.over.is_empty()
+    }
+
     /// Returns whether a team uses more than its share of a pool.
     fn is_over(&self, pool: &str, team: &str) -> bool {
         self.over
@@ -62,8 +67,8 @@
     if total <= 0.0 {
         return BTreeSet::new();
     }
-    let is_over = |(team, used): &(&Arc<str>, &Size)| {
-        dominant_share(used, &pool.capacity) > weight(team) / total
+    let is_over = |(team, used): &(&Arc<str>, &TeamUse)| {
+        dominant_share(&used.occupied, &pool.capacity) > weight(team) / total
     };
     let over = pool.teams.iter().filter(is_over);
     over.map(|(team, _)| team.clone()).collect()
@@ -83,7 +88,7 @@
 impl Shard {
     /// Returns whether the team of a job uses more than its share of the job's pool.
     pub(crate) fn is_over_share(&self, job: &Job) -> bool {
-        let Some(team) = &job.spec.team else {
+        let Some(team) = job.spec.team.as_ref().filter(|_| self.quota.shares.any()) else {
             return false;
         };
         let queue = self.queues.get(&job.queue);
--- a/crates/workflow/src/team/usage.rs
+++ b/crates/workflow/src/team/usage.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use foldhash::HashMap;
 use rosemaryworks_core::size::Size;
 
 use crate::host::{Host, Liveness, Run};
@@ -75,10 +76,10 @@
     pub(crate) capacity: Size,
     /// Capacity on them that no attempt occupies.
     pub(crate) free: Size,
-    /// Capacity that the attempts of each team occupy.
-    pub(crate) teams: BTreeMap<Arc<str>, Size>,
+    /// What the attempts of each team use.
+    pub(crate) teams: HashMap<Arc<str>, TeamUse>,
     /// Size of the waiting tasks of each team.
-    pub(crate) waiting: BTreeMap<Arc<str>, Size>,
+    pub(crate) waiting: HashMap<Arc<str>, Size>,
 }
 
 /// What all teams use and wait for, for one placement pass.
@@ -86,9 +87,9 @@
 pub(crate) struct Survey {
     pub(crate) pools: BTreeMap<Arc<str>, PoolUse>,
     /// Sizes of the attempts of each team, which count towards its cap.
-    pub(crate) charged: BTreeMap<Arc<str>, Size>,
+    pub(crate) charged: HashMap<Arc<str>, Size>,
     /// What workers that have not reported may run, by team.
-    pub(crate) unreported: BTreeMap<Arc<str>, Size>,
+    pub(crate) unreported: HashMap<Arc<str>, Size>,
     /// What may belong to any team, which counts for all.
     pub(crate) unknown: Size,
 }
@@ -108,13 +109,17 @@
         }
         self.unknown += host.tally.unknown;
         for (team, used) in &host.tally.teams {
-            add(&mut self.charged, team, used.charged);
-            add(&mut pool.teams, team, used.occupied);
+            let entry = match pool.teams.get_mut(team) {
+                Some(entry) => entry,
+                None => pool.teams.entry(team.clone()).or_default(),
+            };
+            entry.charged += used.charged;
+            entry.occupied += used.occupied;
         }
     }
 }
 
-pub(crate) fn add(sizes: &mut BTreeMap<Arc<str>, Size>, team: &Arc<str>, size: Size) {
+fn add(sizes: &mut HashMap<Arc<str>, Size>, team: &Arc<str>, size: Size) {
     match sizes.get_mut(team) {
         Some(sum) => *sum += size,
         None => drop(sizes.insert(team.clone(), size)),
@@ -144,6 +149,11 @@
         for host in self.hosts.values() {
             survey.add_host(host);
         }
+        for pool in survey.pools.values() {
+            for (team, used) in &pool.teams {
+                add(&mut survey.charged, team, used.charged);
+            }
+        }
         for (_, _, key) in &self.ready {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
@@ -152,7 +162,7 @@
                 &job.spec.team,
                 self.queues.get(&job.queue),
                 job.spec.steps.get(key.step as usize),
-                self.step_run(*key),
+                job.step_run(*key),
             ) else {
                 continue;
             };
@@ -202,8 +212,8 @@
     }
 
     /// Returns the sizes of the open tasks of each team that a previous owner may have started.
-    fn open_inherited(&self) -> BTreeMap<Arc<str>, Inherited> {
-        let mut open: BTreeMap<Arc<str>, Inherited> = BTreeMap::new();
+    fn open_inherited(&self) -> HashMap<Arc<str>, Inherited> {
+        let mut open: HashMap<Arc<str>, Inherited> = HashMap::default();
         let jobs = self.jobs.values().filter(|job| !job.is_ended());
         for job in jobs {
             let Some(team) = job.spec.team.as_ref().filter(|_| job.inherited) else {
