test(entry): the successor of a killed owner doesn't use what was given

Cause: no test killed an owner between its gift and the takeover of its shard. Change: a test with two processes, of which the giver is killed.

--- a/crates/entry/tests/team_caps.rs
+++ b/crates/entry/tests/team_caps.rs
@@ -176,3 +176,35 @@
     wait_for_starts(&log, 16).await;
     assert_eq!(process.metrics.room_requests.get(), 0);
 }
+
+/// The owner that gave its part away is killed: its successor must not use that part again.
+#[test]
+fn the_successor_of_a_killed_giver_does_not_use_what_was_given() {
+    let pools = pools();
+    let log = log(&pools);
+    let runtime = || tokio::runtime::Runtime::new().expect("a runtime");
+    let (giver, other) = (runtime(), runtime());
+    *log.config.lock().expect("the lock") = Some(configuration(1, &pools[..1]));
+    giver.block_on(async {
+        let process = launch(&log, "first").await;
+        process.wait_for_shards(1).await;
+    });
+    let second = other.block_on(async {
+        let process = launch(&log, "second").await;
+        tokio::time::sleep(memory::LINK_OPEN).await;
+        *log.config.lock().expect("the lock") = Some(configuration(2, &pools));
+        process.wait_for_shards(1).await;
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        submit(&log, 1, &pools[1], 8);
+        wait_for_starts(&log, CAP).await;
+        process
+    });
+    giver.shutdown_background();
+    other.block_on(async {
+        submit(&log, 2, &pools[0], 8);
+        second.wait_for_shards(2).await;
+        // Longer than the time after which the successor may start tasks.
+        tokio::time::sleep(Duration::from_millis(3_000)).await;
+        assert_eq!(started(&log), CAP);
+    });
+}
