--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -3,7 +3,9 @@
 
 use std::collections::{HashSet, VecDeque};
 
-use rosemaryworks_workflow::Id;
+use rosemaryworks_workflow::{Id, Record, Shard};
+
+use crate::events;
 
 /// Time for which a job that the owner has tried to store is not refused, in milliseconds. Its caller
 /// may repeat a call whose outcome is unknown, and the owner may not have read the record yet.
@@ -33,6 +35,26 @@
 }
 
 impl Attempts {
+    /// Returns the time that the caller of a job should wait if the job is refused, in milliseconds.
+    /// Otherwise the owner may try to store the job.
+    pub fn judge(&mut self, shard: &Shard, record: &Record, now_ms: u64) -> Option<u64> {
+        let Record::Submitted { id, queue, spec } = record else {
+            return None;
+        };
+        if self.contains(*id, now_ms) {
+            return None;
+        }
+        let Some(wait_ms) = shard.refusal(*id, queue, spec, now_ms) else {
+            self.add(*id, now_ms);
+            return None;
+        };
+        events::REFUSED.log(format_args!(
+            "job={id} queue={queue} team={} wait_ms={wait_ms}",
+            spec.team.as_deref().unwrap_or_default()
+        ));
+        Some(wait_ms)
+    }
+
     /// Records that the owner tries to store a job.
     pub fn add(&mut self, id: Id, now_ms: u64) {
         self.forget(now_ms);
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -90,7 +90,7 @@
     /// Version of the configuration that was applied last.
     config_version: Mutex<Option<u64>>,
     sessions: Mutex<HashMap<Arc<str>, Arc<Session>>>,
-    attempts: Mutex<Attempts>,
+    pub(crate) attempts: Mutex<Attempts>,
     balancer: Mutex<Balancer>,
     timeouts: Mutex<Timeouts>,
     workers: RelayedWorkers,
@@ -259,26 +259,6 @@
         self.wake();
     }
 
-    /// Returns the time that the caller of a job should wait if the job is refused, in milliseconds.
-    pub(crate) fn refusal(&self, record: &Record) -> Option<u64> {
-        let Record::Submitted { id, queue, spec } = record else {
-            return None;
-        };
-        let now_ms = clock::now().0;
-        if self.is_ended() || lock(&self.attempts).contains(*id, now_ms) {
-            return None;
-        }
-        let refusal = self.state().refusal(*id, queue, spec, now_ms);
-        match refusal {
-            Some(wait_ms) => events::REFUSED.log(format_args!(
-                "job={id} queue={queue} team={} wait_ms={wait_ms}",
-                spec.team.as_deref().unwrap_or_default()
-            )),
-            None => lock(&self.attempts).add(*id, now_ms),
-        }
-        refusal
-    }
-
     /// Returns the state of a job. Another process may have stored an unknown job a moment ago, so
     /// the stream is read to its end before the job is reported as unknown.
     pub(crate) async fn job_state(&self, job: Id) -> JobState {
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -11,7 +11,8 @@
 use crate::events;
 use crate::journal;
 use crate::links::CALL_TIMEOUT;
-use crate::node::Node;
+use crate::node::{Node, lock};
+use crate::owner::Owner;
 use crate::submitter::Outcome;
 
 /// Pause before a query to the owner of a shard is retried.
@@ -276,6 +277,16 @@
     }
 }
 
+impl Owner {
+    /// Returns the time that the caller of a job should wait if the job is refused, in milliseconds.
+    pub(crate) fn refusal(&self, record: &Record) -> Option<u64> {
+        if self.is_ended() {
+            return None;
+        }
+        lock(&self.attempts).judge(&self.state(), record, clock::now().0)
+    }
+}
+
 fn acceptance(outcome: Option<Outcome>) -> Acceptance {
     match outcome {
         Some(Outcome::Stored) => Acceptance::Accepted,
