perf(workflow): the placement order looks turns up once per pass

Cause: each late step looked its pool, its turn and the job that holds it up by name, twice in each pass. Change: the holders are collected once.

--- a/crates/workflow/src/admission.rs
+++ b/crates/workflow/src/admission.rs
@@ -153,7 +153,7 @@
         ids.dedup();
         for id in ids {
             let job = self.jobs.get(&id);
-            if job.is_some_and(|job| !self.is_useless(job, now_ms)) {
+            if job.is_some_and(|job| !self.is_overdue(job, now_ms)) {
                 self.count_accepted(id, now_ms);
             }
         }
--- a/crates/workflow/src/order.rs
+++ b/crates/workflow/src/order.rs
@@ -34,13 +34,19 @@
 impl Shard {
     /// Returns the waiting steps in placement order.
     pub(crate) fn placement_order(&self, now_ms: u64) -> Vec<Rank> {
+        let holders = self.outlook.turns.values();
+        let holders = holders.filter_map(|(id, _)| Some(self.jobs.get(id)?.acceptance_order));
+        let holders: Vec<u64> = holders.collect();
         let rank = |(priority, acceptance_order, key): &(u32, u64, StepKey)| {
             let job = self.jobs.get(&key.job);
+            // Jobs that have a turn keep their place.
+            let has_turn = holders.contains(acceptance_order);
+            let late = job.filter(|job| !has_turn && misses_objective(job, now_ms));
             Rank {
                 over_share: job.is_some_and(|job| self.is_over_share(job)),
-                overdue: job.is_some_and(|job| self.is_overdue(job, now_ms)),
+                overdue: late.is_some_and(|job| self.is_overdue(job, now_ms)),
                 priority: *priority,
-                late: job.is_some_and(|job| misses_objective(job, now_ms) && !self.has_turn(job)),
+                late: late.is_some(),
                 acceptance_order: *acceptance_order,
                 key: *key,
             }
@@ -55,7 +61,7 @@
         let mut oldest: BTreeMap<Arc<str>, (u64, Id)> = BTreeMap::new();
         for (_, acceptance_order, key) in &self.ready {
             let job = self.jobs.get(&key.job);
-            let Some(job) = job.filter(|job| self.is_useless(job, now_ms)) else {
+            let Some(job) = job.filter(|job| self.is_overdue(job, now_ms)) else {
                 continue;
             };
             if let Some(queue) = self.queues.get(&job.queue) {
@@ -79,20 +85,8 @@
         false
     }
 
-    /// Returns whether a job comes after all others because it can't end in time to be of use.
-    fn is_overdue(&self, job: &Job, now_ms: u64) -> bool {
-        self.is_useless(job, now_ms) && !self.has_turn(job)
-    }
-
-    fn has_turn(&self, job: &Job) -> bool {
-        let pool = self.queues.get(&job.queue).map(|queue| &queue.pool);
-        let turn = pool.and_then(|pool| self.outlook.turns.get(pool));
-        let holder = turn.and_then(|(id, _)| self.jobs.get(id));
-        holder.is_some_and(|holder| holder.acceptance_order == job.acceptance_order)
-    }
-
     /// Returns whether a job can't end any more in time to be of use.
-    pub(crate) fn is_useless(&self, job: &Job, now_ms: u64) -> bool {
+    pub(crate) fn is_overdue(&self, job: &Job, now_ms: u64) -> bool {
         let objective = job.objective.as_ref();
         objective.is_some_and(|objective| now_ms as f64 > objective.overdue_ms)
     }
--- a/crates/workflow/src/usage.rs
+++ b/crates/workflow/src/usage.rs
@@ -83,7 +83,7 @@
             let usage = pools.entry(queue.pool.clone()).or_default();
             usage.steps += 1;
             usage.gangs += u32::from(step.gang);
-            usage.overdue += u32::from(self.is_useless(job, now_ms));
+            usage.overdue += u32::from(self.is_overdue(job, now_ms));
             usage.tasks += run.waiting;
         }
         pools
