feat(workflow): caps are divided by resource

Cause: a part of a cap covered all resources of a team. The pool with the accelerators needs most of the cap on these and little processor time, the other one the reverse, so together they could use little more than half of each. Change: the counter keeps one account for each team and resource; requests, records and ceilings name it.

--- a/crates/wire/tests/room.rs
+++ b/crates/wire/tests/room.rs
@@ -5,7 +5,7 @@
 use quickcheck::quickcheck;
 use rosemaryworks_wire::workflow::Message as Workflow;
 use rosemaryworks_wire::{Frame, Kind, Message};
-use rosemaryworks_workflow::{Ask, Confirmation, Grant, Want};
+use rosemaryworks_workflow::{Account, Ask, Confirmation, Grant, Resource, Want};
 
 fn survives(kind: Kind, message: Workflow) -> bool {
     let frame = Frame {
@@ -33,7 +33,7 @@
         wants: Vec<(String, u64, u64)>
     ) -> bool {
         let want = |(team, part, next): (String, u64, u64)| Want {
-            team: team.into(),
+            account: Account::new(&team.into(), Resource::Memory),
             part,
             used: part,
             wanted: next,
@@ -58,7 +58,7 @@
         let grant = |totals: Vec<(String, u64)>| Grant {
             members,
             confirmed,
-            totals: totals.into_iter().map(|(team, total)| (team.into(), total)).collect(),
+            totals: totals.into_iter().map(|(team, total)| (Account::new(&team.into(), Resource::Memory), total)).collect(),
         };
         survives(Kind::Reply, Workflow::RoomGiven(totals.map(grant)))
     }
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -61,6 +61,7 @@
 pub use snapshot::Entry;
 pub use start::{Refusal, StartOutcome};
 pub use task::{Key, Outcome, StepKey};
+pub use team::account::{Account, Resource};
 pub use team::exchange::{Ask, Confirmation, Grant, HeldTeams, Want};
 pub use team::{Team, Teams};
 pub use usage::{Starts, Usage};
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -8,6 +8,7 @@
 use crate::incarnation::Restart;
 use crate::job::{Id, Spec, State};
 use crate::task::{Key, Outcome, StepKey};
+use crate::team::account::Account;
 use crate::worker::Worker;
 
 /// A record in the streams or the snapshot of a shard. Jobs and cancellations are written by the
@@ -85,9 +86,9 @@
         /// Shard that received them.
         #[serde(rename = "s")]
         shard: u32,
-        /// Totals in millionths, by team.
+        /// Totals in millionths, by account.
         #[serde(rename = "t")]
-        totals: Vec<(Arc<str>, u64)>,
+        totals: Vec<(Account, u64)>,
     },
     /// The sets of shards between which caps are divided.
     #[serde(rename = "m")]
--- a/crates/workflow/src/team.rs
+++ b/crates/workflow/src/team.rs
@@ -1,5 +1,6 @@
 //! Teams that share the pools of workers.
 
+pub(crate) mod account;
 pub(crate) mod counter;
 pub(crate) mod exchange;
 pub(crate) mod quota;
--- a/crates/workflow/src/team/counter.rs
+++ b/crates/workflow/src/team/counter.rs
@@ -10,10 +10,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
-use std::sync::Arc;
 
 use rosemaryworks_core::partition;
 
+use crate::team::account::Account;
+
 /// A whole cap, in millionths.
 pub(crate) const WHOLE: u64 = 1_000_000;
 
@@ -30,23 +31,23 @@
 /// Shards between which caps are divided.
 pub(crate) type Members = BTreeSet<u32>;
 
-/// Totals in millionths, by team.
-pub(crate) type Totals = Vec<(Arc<str>, u64)>;
+/// Totals in millionths, by account.
+pub(crate) type Totals = Vec<(Account, u64)>;
 
 /// Totals that one shard gave to another within a set of members.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Line {
     members: u64,
-    team: Arc<str>,
+    account: Account,
     peer: u32,
 }
 
 impl Line {
-    /// Returns the range of the lines of a team within a set of members.
-    fn range(members: u64, team: &Arc<str>) -> RangeInclusive<Self> {
+    /// Returns the range of the lines of an account within a set of members.
+    fn range(members: u64, account: &Account) -> RangeInclusive<Self> {
         let line = |peer| Self {
             members,
-            team: team.clone(),
+            account: account.clone(),
             peer,
         };
         line(u32::MIN)..=line(u32::MAX)
@@ -77,7 +78,7 @@
     }
 }
 
-/// State of the counter in one shard, for all teams.
+/// State of the counter in one shard, for all accounts.
 #[derive(Debug)]
 pub(crate) struct Counter {
     shard: u32,
@@ -153,12 +154,12 @@
     }
 
     /// Applies totals that a previous owner recorded.
-    pub(crate) fn replay_given(&mut self, members: u64, peer: u32, totals: &[(Arc<str>, u64)]) {
-        for (team, total) in totals {
+    pub(crate) fn replay_given(&mut self, members: u64, peer: u32, totals: &[(Account, u64)]) {
+        for (account, total) in totals {
             let line = Line {
                 members,
                 peer,
-                team: team.clone(),
+                account: account.clone(),
             };
             let given = self.given.entry(line).or_default();
             given.total = given.total.max(*total);
@@ -263,26 +264,26 @@
         self.record <= durable_records
     }
 
-    /// Returns the part of the team's cap that the shard may use.
-    pub(crate) fn part(&self, team: &Arc<str>) -> u64 {
-        let parts = self.sets.iter().map(|set| self.part_in(set, team));
+    /// Returns the part of a cap that the shard may use.
+    pub(crate) fn part(&self, account: &Account) -> u64 {
+        let parts = self.sets.iter().map(|set| self.part_in(set, account));
         parts.min().unwrap_or(0)
     }
 
-    fn part_in(&self, set: &Set, team: &Arc<str>) -> u64 {
-        let received = self.received.range(Line::range(set.digest, team));
+    fn part_in(&self, set: &Set, account: &Account) -> u64 {
+        let received = self.received.range(Line::range(set.digest, account));
         let received: u64 = received.map(|(_, total)| *total).sum();
-        let given = self.given.range(Line::range(set.digest, team));
+        let given = self.given.range(Line::range(set.digest, account));
         let given: u64 = given.map(|(_, given)| given.total).sum();
         (base(&set.members, self.shard) + received).saturating_sub(given)
     }
 
-    /// Gives a part of a team's cap to another shard, with a record of the number `record`. Returns
+    /// Gives a part of a cap to another shard, with a record of the number `record`. Returns
     /// the new total. Gives nothing while the sets are in transition.
     pub(crate) fn give(
         &mut self,
         peer: u32,
-        team: &Arc<str>,
+        account: &Account,
         amount: u64,
         record: u64,
         durable_records: u64,
@@ -291,14 +292,14 @@
             .sets
             .last()
             .is_some_and(|set| set.members.contains(&peer));
-        let amount = amount.min(self.part(team));
+        let amount = amount.min(self.part(account));
         if !self.is_settled() || !is_member || peer == self.shard || amount == 0 {
             return None;
         }
         let line = Line {
             members: self.newest(),
             peer,
-            team: team.clone(),
+            account: account.clone(),
         };
         let given = self.given.entry(line).or_default();
         given.durable = given.announced(durable_records);
@@ -312,17 +313,17 @@
         let lines = self.given.iter();
         let lines = lines.filter(|(line, _)| line.members == members && line.peer == peer);
         let totals =
-            lines.map(|(line, given)| (line.team.clone(), given.announced(durable_records)));
+            lines.map(|(line, given)| (line.account.clone(), given.announced(durable_records)));
         totals.filter(|(_, total)| *total > 0).collect()
     }
 
     /// Applies totals that another shard has announced as given to this one in a set of members.
     pub(crate) fn receive(&mut self, members: u64, peer: u32, totals: Totals) {
-        for (team, total) in totals {
+        for (account, total) in totals {
             let line = Line {
                 members,
                 peer,
-                team,
+                account,
             };
             let received = self.received.entry(line).or_default();
             *received = (*received).max(total);
@@ -334,7 +335,7 @@
         let mut totals: BTreeMap<(u64, u32), Totals> = BTreeMap::new();
         for (line, given) in &self.given {
             let entry = totals.entry((line.members, line.peer)).or_default();
-            entry.push((line.team.clone(), given.total));
+            entry.push((line.account.clone(), given.total));
         }
         totals
     }
--- a/crates/workflow/src/team/exchange.rs
+++ b/crates/workflow/src/team/exchange.rs
@@ -8,8 +8,9 @@
 use crate::record::Record;
 use crate::shard::Shard;
 use crate::team::Teams;
+use crate::team::account::{Account, Resource};
 use crate::team::counter::{Members, WHOLE};
-use crate::team::quota::Ceiling;
+use crate::team::quota::{Ceiling, Room};
 
 /// Smallest part that is given if it doesn't cover what is missing, in millionths. Each gift costs a
 /// record.
@@ -49,17 +50,17 @@
     /// The set, once its record is durable.
     #[serde(rename = "c")]
     pub confirmed: Option<Confirmation>,
-    /// Teams for which the sender lacks room.
+    /// Caps of which the sender lacks room.
     #[serde(rename = "w")]
     pub wants: Vec<Want>,
 }
 
-/// What an owner lacks for a team, in millionths of the cap.
+/// What an owner lacks of a cap, in millionths of it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Want {
-    /// Team.
+    /// Account of the cap.
     #[serde(rename = "t")]
-    pub team: Arc<str>,
+    pub account: Account,
     /// Part that the sender has.
     #[serde(rename = "p")]
     pub part: u64,
@@ -90,7 +91,7 @@
     /// Totals that the receiver ever gave to the sender of the request within the set, in millionths,
     /// as far as they are durable.
     #[serde(rename = "t")]
-    pub totals: Vec<(Arc<str>, u64)>,
+    pub totals: Vec<(Account, u64)>,
 }
 
 /// Teams that are held back, in the order of their names, for logs.
@@ -188,25 +189,34 @@
     fn wants(&self, now_ms: u64) -> Vec<Want> {
         let mut wants = Vec::new();
         for (team, room) in &self.quota.rooms {
-            let (part, used) = (self.quota.part(team), room.known_part());
-            // With more than the whole cap, it waits for tasks of this shard.
-            let held = self.quota.held.get(team);
-            let held = held.filter(|held| held.next > part && held.next <= WHOLE);
-            if held.is_none() && used <= part {
-                continue;
+            for resource in Resource::ALL {
+                wants.extend(self.want(Account::new(team, resource), room, now_ms));
             }
-            wants.push(Want {
-                team: team.clone(),
-                part,
-                used,
-                wanted: held.map_or(used, |held| room.wanted_part().max(held.next)),
-                next: held.map_or(used, |held| held.next),
-                held_ms: held.map_or(0, |held| now_ms.saturating_sub(held.since_ms)),
-            });
         }
         wants
     }
 
+    /// Returns what this shard lacks of a cap, if anything.
+    fn want(&self, account: Account, room: &Room, now_ms: u64) -> Option<Want> {
+        let resource = account.resource;
+        let (part, used) = (self.quota.part(&account), room.known_part(resource));
+        let held = self.quota.held.get(&account.team);
+        let held = held.map(|held| (held.next_part(resource), held.since_ms));
+        // With more than the whole cap, it waits for tasks of this shard.
+        let held = held.filter(|(next, _)| *next > part && *next <= WHOLE);
+        if held.is_none() && used <= part {
+            return None;
+        }
+        Some(Want {
+            account,
+            part,
+            used,
+            wanted: held.map_or(used, |(next, _)| room.wanted_part(resource).max(next)),
+            next: held.map_or(used, |(next, _)| next),
+            held_ms: held.map_or(0, |(_, since_ms)| now_ms.saturating_sub(since_ms)),
+        })
+    }
+
     /// Applies a request of another shard's owner: gives what this shard neither uses nor is about to
     /// use. [`Self::grant`] tells the result, of which the latest part becomes durable later.
     pub fn apply_ask(&mut self, ask: &Ask, now_ms: u64) {
@@ -230,18 +240,19 @@
         }
     }
 
-    /// Gives a part of a team's cap to a shard. Returns the new total, whose record is issued next.
-    fn give(&mut self, want: &Want, to: u32, now_ms: u64) -> Option<(Arc<str>, u64)> {
-        let room = self.quota.rooms.get(&want.team)?;
-        let held = self.quota.held.get(&want.team);
+    /// Gives a part of a cap to a shard. Returns the new total, whose record is issued next.
+    fn give(&mut self, want: &Want, to: u32, now_ms: u64) -> Option<(Account, u64)> {
+        let resource = want.account.resource;
+        let room = self.quota.rooms.get(&want.account.team)?;
+        let held = self.quota.held.get(&want.account.team);
         let own = Need {
-            used: room.used_part(),
-            wanted: room.wanted_part(),
-            next: held.map_or(0, |held| held.next),
+            used: room.used_part(resource),
+            wanted: room.wanted_part(resource),
+            next: held.map_or(0, |held| held.next_part(resource)),
             held_ms: held.map_or(0, |held| now_ms.saturating_sub(held.since_ms)),
         };
         let shard = self.quota.counter.shard();
-        let part = self.quota.counter.part(&want.team);
+        let part = self.quota.counter.part(&want.account);
         let kept = kept(&own, shard, part, want, to);
         let lacking = want.wanted.saturating_sub(want.part);
         let kept = kept.max(part.saturating_sub(lacking));
@@ -251,7 +262,7 @@
                 part: kept,
                 until_ms: now_ms + CEILING_MS,
             };
-            self.quota.ceilings.insert(want.team.clone(), ceiling);
+            self.quota.ceilings.insert(want.account.clone(), ceiling);
         }
         let amount = part.saturating_sub(kept.max(own.used));
         if amount < GIVEN_MIN.min(want.next.saturating_sub(want.part)) {
@@ -259,8 +270,8 @@
         }
         let (record, durable) = (self.issued_records + 1, self.durable_records);
         let counter = &mut self.quota.counter;
-        let total = counter.give(to, &want.team, amount, record, durable)?;
-        Some((want.team.clone(), total))
+        let total = counter.give(to, &want.account, amount, record, durable)?;
+        Some((want.account.clone(), total))
     }
 
     /// Returns the answer to a request, as far as what it tells is durable.
--- a/crates/workflow/src/team/quota.rs
+++ b/crates/workflow/src/team/quota.rs
@@ -10,6 +10,7 @@
 use crate::run::StepRun;
 use crate::shard::Shard;
 use crate::task::StepKey;
+use crate::team::account::{Account, Resource};
 use crate::team::counter::{Counter, Members, WHOLE};
 use crate::team::share::Shares;
 use crate::team::usage::Survey;
@@ -33,7 +34,7 @@
     /// Teams that the cap holds back.
     pub(crate) held: BTreeMap<Arc<str>, Held>,
     /// Parts of caps above which nothing starts, because another shard has asked for the rest.
-    pub(crate) ceilings: BTreeMap<Arc<str>, Ceiling>,
+    pub(crate) ceilings: BTreeMap<Account, Ceiling>,
     /// Steps held back by a cap in the current pass.
     pub(crate) held_steps: u32,
 }
@@ -58,8 +59,16 @@
     pub(crate) since_ms: u64,
     /// Time of the last pass that held the team back.
     at_ms: u64,
-    /// Part of the cap that the first waiting task or gang needs, in millionths.
-    pub(crate) next: u64,
+    cap: Size,
+    /// What the attempts use together with the first waiting task or gang.
+    next: Size,
+}
+
+impl Held {
+    /// Returns the part of the cap that the first waiting task or gang needs, in millionths.
+    pub(crate) fn next_part(&self, resource: Resource) -> u64 {
+        needed_part(&self.cap, &self.next, resource)
+    }
 }
 
 /// A part of a cap that the shard doesn't exceed for a while.
@@ -69,31 +78,24 @@
     pub(crate) until_ms: u64,
 }
 
-/// Returns the part of a cap that a size needs, in millionths, rounded up. Saturates above the whole.
-pub(crate) fn needed_part(cap: &Size, size: &Size) -> u64 {
-    let part = |cap: u64, size: u64| match cap {
+/// Returns the part of a cap that a size needs of a resource, in millionths, rounded up. Saturates
+/// above the whole.
+pub(crate) fn needed_part(cap: &Size, size: &Size, resource: Resource) -> u64 {
+    let part = match resource.of(cap) {
         0 => 0,
-        cap => (u128::from(size) * u128::from(WHOLE)).div_ceil(u128::from(cap)),
+        cap => (u128::from(resource.of(size)) * u128::from(WHOLE)).div_ceil(u128::from(cap)),
     };
-    let most = part(cap.millicores, size.millicores)
-        .max(part(cap.memory_mb, size.memory_mb))
-        .max(part(cap.accelerators, size.accelerators));
-    u64::try_from(most).unwrap_or(u64::MAX)
+    u64::try_from(part).unwrap_or(u64::MAX)
 }
 
-/// Returns the size that a part of a cap allows, rounded down.
-fn allowed(cap: &Size, part: u64) -> Size {
-    let allowed = |cap: u64| match cap {
+/// Returns the amount of a resource that a part of a cap allows, rounded down.
+fn allowed(cap: &Size, part: u64, resource: Resource) -> u64 {
+    match resource.of(cap) {
         0 => u64::MAX,
         cap => {
-            let size = u128::from(cap) * u128::from(part) / u128::from(WHOLE);
-            u64::try_from(size).unwrap_or(u64::MAX)
+            let amount = u128::from(cap) * u128::from(part) / u128::from(WHOLE);
+            u64::try_from(amount).unwrap_or(u64::MAX)
         }
-    };
-    Size {
-        millicores: allowed(cap.millicores),
-        memory_mb: allowed(cap.memory_mb),
-        accelerators: allowed(cap.accelerators),
     }
 }
 
@@ -103,36 +105,36 @@
     }
 
     /// Returns the part of the cap that may be in use, in millionths.
-    pub(crate) fn used_part(&self) -> u64 {
-        needed_part(&self.cap, &self.used)
+    pub(crate) fn used_part(&self, resource: Resource) -> u64 {
+        needed_part(&self.cap, &self.used, resource)
     }
 
     /// Returns the part of the cap that the known attempts use, in millionths.
-    pub(crate) fn known_part(&self) -> u64 {
-        needed_part(&self.cap, &self.known)
+    pub(crate) fn known_part(&self, resource: Resource) -> u64 {
+        needed_part(&self.cap, &self.known, resource)
     }
 
     /// Returns the part of the cap in use and waited for, in millionths.
-    pub(crate) fn wanted_part(&self) -> u64 {
-        needed_part(&self.cap, &(self.known + self.waiting)).min(WHOLE)
+    pub(crate) fn wanted_part(&self, resource: Resource) -> u64 {
+        needed_part(&self.cap, &(self.known + self.waiting), resource).min(WHOLE)
     }
 }
 
 impl Quota {
-    /// Returns the part of a team's cap that may be used at `now_ms`. Where no members are known, the
+    /// Returns the part of a cap that may be used at `now_ms`. Where no members are known, the
     /// shard is the only one.
-    fn usable_part(&self, team: &Arc<str>, now_ms: u64) -> u64 {
-        let part = self.part(team);
-        match self.ceilings.get(team) {
+    fn usable_part(&self, account: &Account, now_ms: u64) -> u64 {
+        let part = self.part(account);
+        match self.ceilings.get(account) {
             Some(ceiling) if now_ms < ceiling.until_ms => part.min(ceiling.part),
             _ => part,
         }
     }
 
-    /// Returns the part of a team's cap that belongs to this shard.
-    pub(crate) fn part(&self, team: &Arc<str>) -> u64 {
+    /// Returns the part of a cap that belongs to this shard.
+    pub(crate) fn part(&self, account: &Account) -> u64 {
         match self.members {
-            Some(_) => self.counter.part(team),
+            Some(_) => self.counter.part(account),
             None => WHOLE,
         }
     }
@@ -157,10 +159,10 @@
         self.teams = teams;
     }
 
-    /// Returns the part of a team's cap that this shard may use, in millionths.
+    /// Returns the part of a cap that this shard may use, in millionths.
     #[must_use]
-    pub fn team_part(&self, team: &Arc<str>) -> u64 {
-        self.quota.part(team)
+    pub fn cap_part(&self, account: &Account) -> u64 {
+        self.quota.part(account)
     }
 
     /// Sets the shards between which caps are divided, as named by the configuration `version`, and
@@ -253,10 +255,18 @@
                     waiting += size.min(&pool.free);
                 }
             }
-            let part = self.quota.usable_part(&team.name, now_ms);
+            let limit = |resource| {
+                let account = Account::new(&team.name, resource);
+                let part = self.quota.usable_part(&account, now_ms);
+                allowed(&team.cap, part, resource)
+            };
             let room = Room {
                 cap: team.cap,
-                limit: allowed(&team.cap, part),
+                limit: Size {
+                    millicores: limit(Resource::Processor),
+                    memory_mb: limit(Resource::Memory),
+                    accelerators: limit(Resource::Accelerators),
+                },
                 used: known + unreported.unwrap_or_default() + survey.unknown,
                 known,
                 waiting,
@@ -299,15 +309,16 @@
             return;
         }
         // What may be running after a takeover is soon known; others need not make room for it.
-        let next = needed_part(&room.cap, &(room.known + unit(step)));
+        let next = room.known + unit(step);
         let held = self.quota.held.entry(team).or_insert(Held {
             since_ms: now_ms,
             at_ms: 0,
+            cap: room.cap,
             next,
         });
         // The first step in the placement order counts.
         if held.at_ms < now_ms {
-            (held.at_ms, held.next) = (now_ms, next);
+            (held.at_ms, held.cap, held.next) = (now_ms, room.cap, next);
         }
     }
 }
--- a/crates/workflow/tests/team_counter.rs
+++ b/crates/workflow/tests/team_counter.rs
@@ -6,11 +6,10 @@
 }
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rosemaryworks_core::size::Size;
-use rosemaryworks_workflow::{Action, Ask, Grant, Record, Shard, Teams, Want};
+use rosemaryworks_workflow::{Account, Action, Ask, Grant, Record, Resource, Shard, Teams, Want};
 use support::fleet::{settings, team, worker};
 
 const SHARDS: u32 = 3;
@@ -18,6 +17,10 @@
 /// Time after which every owner knows a configuration, in milliseconds.
 const PROPAGATION_MS: u64 = 9_000;
 
+fn account() -> Account {
+    Account::new(&"a".into(), Resource::Processor)
+}
+
 /// What happens next.
 #[derive(Clone, Debug)]
 enum Event {
@@ -236,9 +239,9 @@
                 else {
                     return;
                 };
-                let part = state.team_part(&"a".into());
+                let part = state.cap_part(&account());
                 ask.wants = vec![Want {
-                    team: "a".into(),
+                    account: account(),
                     part,
                     used: 0,
                     wanted: u64::from(wanted),
@@ -324,11 +327,10 @@
 
     /// Returns the sum of what the owners of all shards, and their former owners, may use.
     fn total(&self) -> u64 {
-        let team: Arc<str> = "a".into();
         let parts = self.owners.iter().enumerate().map(|(shard, owner)| {
             let former = self.former.iter().filter(|former| former.shard == shard);
-            let former = former.map(|former| former.owner.state.team_part(&team));
-            former.fold(owner.state.team_part(&team), u64::max)
+            let former = former.map(|former| former.owner.state.cap_part(&account()));
+            former.fold(owner.state.cap_part(&account()), u64::max)
         });
         parts.sum()
     }
@@ -361,14 +363,13 @@
         exchange(&mut world, 0);
     }
     assert!(world.total() > WHOLE - 4, "{}", world.total());
-    let team: Arc<str> = "a".into();
     for _ in 0..2 {
         exchange(&mut world, u32::try_from(WHOLE).expect("a part"));
     }
     let parts = world
         .owners
         .iter()
-        .map(|owner| owner.state.team_part(&team));
+        .map(|owner| owner.state.cap_part(&account()));
     assert_eq!(parts.collect::<Vec<_>>(), [WHOLE, 0, 0]);
 }
 
@@ -410,10 +411,11 @@
         version: 0,
     };
     world.apply(successor);
-    let team: Arc<str> = "a".into();
     let parts = |world: &World| -> Vec<u64> {
         let owners = world.owners.iter();
-        owners.map(|owner| owner.state.team_part(&team)).collect()
+        owners
+            .map(|owner| owner.state.cap_part(&account()))
+            .collect()
     };
     for _ in 0..2 {
         exchange(&mut world, 1_000_000);
--- a/crates/workflow/tests/team_exchange.rs
+++ b/crates/workflow/tests/team_exchange.rs
@@ -196,3 +196,19 @@
     assert_eq!(pair.running(1), 5);
     assert!(pair.running(0) + pair.running(1) <= 5);
 }
+
+/// Guards against parts of a cap that cover all of its resources: with work for processors in one pool
+/// and for memory in the other, each shard could use half of what the cap allows. On a deployment
+/// whose second pool has the accelerators, 62 of its 80 waiting steps were held back by caps.
+#[test]
+fn shards_that_need_other_resources_use_all_of_a_cap() {
+    let sized = |millicores, memory_mb| Step {
+        size: Size::new(millicores, memory_mb),
+        ..step(9)
+    };
+    let mut pair = Pair::new(Size::new(10_000, 20_480));
+    pair.fleets[0].submit(1, team_spec("a", vec![sized(1_000, 64)]));
+    pair.fleets[1].submit(2, team_spec("a", vec![sized(100, 2_048)]));
+    pair.run(400);
+    assert_eq!([pair.running(0), pair.running(1)], [9, 9]);
+}
