feat(entry): a job is visible to callers of its own team only

Cause: with teams, any key could read and cancel any job.

Change: the owner decides in the kernel (workflow::access). QueryJob and the records Cancelled, Retained and CancelledEarly carry the team where there is one; without it their encoding is unchanged. A caller with a team asks the owner before it cancels: 410 for jobs that are unknown or of another team, 503 if the owner can't be asked.

New tests: workflow access, entry teams, adapter keys (a real process on a stand-in for the log: unknown, missing and malformed keys, anonymous routes, no tenants, jobs of other teams, a key that moves, rotation).

--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -248,10 +248,12 @@
                 workers,
                 cost_ms,
             } => Workflow::Advised(self.request_advice(step, &workers, cost_ms).await),
-            Workflow::QueryJob { shard, job } => Workflow::JobState(match self.owner(shard) {
-                Some(owner) => owner.job_state(job).await,
-                None => JobState::Unavailable,
-            }),
+            Workflow::QueryJob { shard, job, team } => {
+                Workflow::JobState(match self.owner(shard) {
+                    Some(owner) => owner.job_state(job, team.as_deref()).await,
+                    None => JobState::Unavailable,
+                })
+            }
             Workflow::Length { shard, queue } => Workflow::LengthIs(
                 self.owner(shard)
                     .and_then(|owner| owner.queue_length(&queue)),
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -79,7 +79,8 @@
     changed: Notify,
     durable: Notify,
     ended: AtomicBool,
-    renewals: AtomicU64,
+    /// Number of the last renewal of the claim.
+    pub(crate) renewals: AtomicU64,
     /// Offset up to which the jobs have been read.
     jobs_read: AtomicU64,
     jobs_read_ms: AtomicU64,
@@ -155,15 +156,6 @@
         self.epoch
     }
 
-    /// Continues the numbers of the renewals after those that the takeover wrote.
-    pub(crate) fn continue_renewals(&self, written: u64) {
-        self.renewals.fetch_max(written, Ordering::Relaxed);
-    }
-
-    pub(crate) fn next_renewal(&self) -> u64 {
-        self.renewals.fetch_add(1, Ordering::Relaxed) + 1
-    }
-
     pub(crate) fn state(&self) -> MutexGuard<'_, Shard> {
         lock(&self.state)
     }
@@ -261,25 +253,26 @@
         self.wake();
     }
 
-    /// Returns the state of a job. Another process may have stored an unknown job a moment ago, so
+    /// Returns the state of a job to a caller of a team. Another process may have stored an unknown job a moment ago, so
     /// the stream is read to its end before the job is reported as unknown.
-    pub(crate) async fn job_state(&self, job: Id) -> JobState {
+    pub(crate) async fn job_state(&self, job: Id, team: Option<&str>) -> JobState {
         if self.is_ended() {
             return JobState::Unavailable;
         }
         let queried_ms = clock::now().0;
-        if let Some(state) = self.known_state(job) {
+        if let Some(state) = self.known_state(job, team) {
             return JobState::State(state);
         }
         if !self.read_to_end(queried_ms).await {
             return JobState::Unavailable;
         }
-        self.known_state(job)
+        self.known_state(job, team)
             .map_or(JobState::Unknown, JobState::State)
     }
 
-    fn known_state(&self, job: Id) -> Option<State> {
-        self.state().state(job)
+    fn known_state(&self, job: Id, team: Option<&str>) -> Option<State> {
+        let state = self.state();
+        state.state(job).filter(|_| state.is_accessible(job, team))
     }
 
     /// Reads the jobs up to the end that the stream had at `queried_ms` or later. Queries that wait
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -278,7 +278,10 @@
             if self.is_superseded(&owner) {
                 continue;
             }
-            let mut claim = self.own_claim(owner.epoch(), owner.next_renewal());
+            let mut claim = self.own_claim(
+                owner.epoch(),
+                owner.renewals.fetch_add(1, Ordering::Relaxed) + 1,
+            );
             claim.unfinished = !owner.has_fenced_predecessors();
             self.renew_claim(owner.shard(), claim);
         }
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -57,6 +57,8 @@
     Accepted,
     /// It is not stored and never will be.
     Refused,
+    /// No such job was accepted, or it belongs to another team.
+    NoSuchJob,
     /// It is too large to be stored, or has more tasks than a process can hold.
     TooLarge,
     /// It may be stored.
@@ -68,7 +70,8 @@
 pub enum Lookup {
     /// State of the job.
     State(State),
-    /// No such job was accepted, or the state of the ended job is no longer retained.
+    /// No such job was accepted, it belongs to another team, or the state of the ended job is no
+    /// longer retained.
     NoSuchJob,
     /// The owner of the job's shard can't be reached in time.
     Unavailable,
@@ -100,7 +103,9 @@
         let metrics = &self.context.metrics;
         match outcome {
             Acceptance::Accepted => metrics.accepted.inc(),
-            Acceptance::Refused | Acceptance::TooLarge => metrics.refused.inc(),
+            Acceptance::NoSuchJob | Acceptance::Refused | Acceptance::TooLarge => {
+                metrics.refused.inc()
+            }
             Acceptance::Unknown => metrics.unknown.inc(),
         };
         metrics.accept_seconds.observe(took_ms as f64 / 1_000.0);
@@ -112,10 +117,30 @@
         outcome
     }
 
-    /// Stores the cancellation of a job.
-    pub async fn cancel(self: &Arc<Self>, queue: &Queue, id: Id, deadline_ms: u64) -> Acceptance {
-        let record = Record::Cancelled { id };
-        let outcome = self.write(&queue.pool, &record, deadline_ms).await;
+    /// Stores the cancellation of a job on behalf of a team, if the caller has one.
+    pub async fn cancel(
+        self: &Arc<Self>,
+        queue: &Queue,
+        id: Id,
+        team: Option<Arc<str>>,
+        deadline_ms: u64,
+    ) -> Acceptance {
+        let is_known = match &team {
+            None => true,
+            Some(_) => match self.job_state(queue, id, team.clone(), deadline_ms).await {
+                Lookup::State(_) => true,
+                Lookup::NoSuchJob => false,
+                // Whether the job is one of the team's can't be told.
+                Lookup::Unavailable => return Acceptance::Refused,
+            },
+        };
+        let record = Record::Cancelled { id, team };
+        let outcome = match self.write(&queue.pool, &record, deadline_ms).await {
+            // The cancellation holds for a job of the team that is stored later. A job of another
+            // team, to which it doesn't apply, gets the same answer.
+            _ if !is_known => Acceptance::NoSuchJob,
+            outcome => outcome,
+        };
         events::CANCELLED.log(format_args!(
             "job={id} queue={} outcome={outcome:?}",
             queue.name
@@ -198,26 +223,39 @@
         outcome
     }
 
-    /// Returns the state of a job.
-    pub async fn job_state(self: &Arc<Self>, queue: &Queue, id: Id, deadline_ms: u64) -> Lookup {
+    /// Returns the state of a job to a caller of a team, if it has one.
+    pub async fn job_state(
+        self: &Arc<Self>,
+        queue: &Queue,
+        id: Id,
+        team: Option<Arc<str>>,
+        deadline_ms: u64,
+    ) -> Lookup {
         tokio::select! {
-            lookup = self.job_state_until(queue, id, deadline_ms) => lookup,
+            lookup = self.job_state_until(queue, id, team, deadline_ms) => lookup,
             () = self.calls_must_end() => Lookup::Unavailable,
         }
     }
 
-    async fn job_state_until(self: &Arc<Self>, queue: &Queue, id: Id, deadline_ms: u64) -> Lookup {
+    async fn job_state_until(
+        self: &Arc<Self>,
+        queue: &Queue,
+        id: Id,
+        team: Option<Arc<str>>,
+        deadline_ms: u64,
+    ) -> Lookup {
         let shard = config::shard(&queue.pool, self.settings.shards);
         loop {
             let answer = match self.owner(shard) {
-                Some(owner) => owner.job_state(id).await,
-                None => match self
-                    .call_owner(shard, Message::QueryJob { shard, job: id }, CALL_TIMEOUT)
-                    .await
-                {
-                    Some(Message::JobState(answer)) => answer,
-                    _ => JobState::Unavailable,
-                },
+                Some(owner) => owner.job_state(id, team.as_deref()).await,
+                None => {
+                    let (job, team) = (id, team.clone());
+                    let question = Message::QueryJob { shard, job, team };
+                    match self.call_owner(shard, question, CALL_TIMEOUT).await {
+                        Some(Message::JobState(answer)) => answer,
+                        _ => JobState::Unavailable,
+                    }
+                }
             };
             match answer {
                 JobState::State(state) => return Lookup::State(state),
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -82,7 +82,8 @@
             return false;
         }
         let takeover = lock(&self.taking_over).remove(&owner.shard());
-        owner.continue_renewals(takeover.map_or(0, |takeover| takeover.renewals()));
+        let renewals = takeover.map_or(0, |takeover| takeover.renewals());
+        owner.renewals.store(renewals, Ordering::Relaxed);
         self.entered_ms.store(clock::now().0, Ordering::Relaxed);
         if let Some(older) = owned.insert(owner.shard(), owner.clone()) {
             older.end();
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -37,6 +37,9 @@
         /// Job.
         #[serde(rename = "j")]
         job: Id,
+        /// Team of the caller, if it has one.
+        #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
+        team: Option<Arc<str>>,
     },
     /// Reply to `QueryJob`.
     #[serde(rename = "j")]
@@ -185,7 +188,7 @@
     /// State of the job.
     #[serde(rename = "s")]
     State(State),
-    /// No such job was accepted.
+    /// No such job was accepted, or it belongs to another team.
     #[serde(rename = "u")]
     Unknown,
 }
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -4,6 +4,7 @@
 //! I/O: it takes submissions, worker reports and answers of the advice service, and returns
 //! [`Action`]s for the process that hosts it.
 
+mod access;
 mod action;
 mod advice;
 mod advice_request;
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -20,6 +20,9 @@
         /// Job.
         #[serde(rename = "i")]
         id: Id,
+        /// Team of the caller, if it has one.
+        #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
+        team: Option<Arc<str>>,
     },
     /// Cancellations that were stored before their jobs, in a snapshot.
     #[serde(rename = "y")]
@@ -27,6 +30,9 @@
         /// Jobs, with the times of the cancellations on the shard's clock in milliseconds.
         #[serde(rename = "j")]
         jobs: Vec<(Id, u64)>,
+        /// Team of the callers, if they have one.
+        #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
+        team: Option<Arc<str>>,
     },
     /// The time of the shard's clock, in a snapshot.
     #[serde(rename = "t")]
@@ -100,6 +106,9 @@
         /// Jobs, with the times of their ends on the shard's clock in milliseconds.
         #[serde(rename = "j")]
         jobs: Vec<(Id, u64)>,
+        /// Team of the jobs, if they have one.
+        #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
+        team: Option<Arc<str>>,
     },
     /// A worker that the owner may use. A successor renews its lease even if the platform's
     /// directory has lost the entry meanwhile.
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -194,7 +194,7 @@
     pub fn replay(&mut self, record: Record, now_ms: u64) {
         match record {
             Record::Submitted { id, queue, spec } => self.submit(id, queue, spec, now_ms),
-            Record::Cancelled { id } => self.cancel(id, now_ms),
+            Record::Cancelled { id, team } => self.cancel_for(id, team, now_ms),
             Record::Ended {
                 key,
                 attempt,
@@ -220,13 +220,18 @@
             Record::WorkerSilent { worker, tasks } => {
                 self.recovery.silent.insert(worker, tasks);
             }
-            Record::Final { id, state, at_ms } => self.replay_end(id, state, at_ms),
-            Record::Retained { state, jobs } => {
+            Record::Final { id, state, at_ms } => self.replay_end(id, state, at_ms, None),
+            Record::Retained { state, jobs, team } => {
                 for (id, at_ms) in jobs {
-                    self.replay_end(id, state, Some(at_ms));
+                    self.replay_end(id, state, Some(at_ms), team.as_ref());
                 }
             }
-            Record::CancelledEarly { jobs } => self.early_cancellations.extend(jobs),
+            Record::CancelledEarly { jobs, team } => {
+                let jobs = jobs
+                    .into_iter()
+                    .map(|(id, at_ms)| ((id, team.clone()), at_ms));
+                self.early_cancellations.extend(jobs);
+            }
             Record::Completed { step, tasks } => self.replay_completed(step, tasks, now_ms),
             Record::Open {
                 id,
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -134,11 +134,15 @@
 }
 
 impl Job {
-    /// Creates a job of which only the end is known.
-    pub(crate) fn unknown() -> Self {
+    /// Creates a job of which only the end and the team are known.
+    pub(crate) fn unknown(team: Option<Arc<str>>) -> Self {
+        let spec = Spec {
+            team,
+            ..Spec::default()
+        };
         Self {
             queue: "".into(),
-            spec: Arc::default(),
+            spec: Arc::new(spec),
             acceptance_order: 0,
             occurrences: BTreeMap::new(),
             completed_occurrences: 0,
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -73,7 +73,7 @@
     /// Workers that wait for a record to become durable.
     pub(crate) awaiting_records: HashSet<Arc<str>>,
     /// Jobs that were cancelled before they arrived, with the time on the shard's clock.
-    pub(crate) early_cancellations: BTreeMap<Id, u64>,
+    pub(crate) early_cancellations: BTreeMap<(Id, Option<Arc<str>>), u64>,
     pub(crate) clock: Clock,
     /// First offset that the log retains of the jobs' stream.
     pub(crate) first_retained: u64,
@@ -175,7 +175,7 @@
                     job.logged = job.logged.max(offset);
                 }
             }
-            Record::Cancelled { id } => self.cancel(id, now_ms),
+            Record::Cancelled { id, team } => self.cancel_for(id, team, now_ms),
             // Owners write all other records to other streams.
             _ => {}
         }
@@ -217,25 +217,13 @@
         }
         self.jobs.insert(id, job);
         self.adopt_orphans(id, now_ms);
-        if self.early_cancellations.remove(&id).is_some() {
+        if self.take_early_cancellations(id) {
             self.cancel(id, now_ms);
             return;
         }
         self.enqueue_ready(id, 0);
     }
 
-    /// Cancels a job. A cancellation that arrives before its job is remembered.
-    pub fn cancel(&mut self, id: Id, now_ms: u64) {
-        match self.jobs.get(&id) {
-            None => {
-                let at_ms = self.time_of_end(now_ms);
-                self.early_cancellations.entry(id).or_insert(at_ms);
-            }
-            Some(job) if job.is_ended() => {}
-            Some(_) => self.finish_job(id, State::Cancelled, now_ms),
-        }
-    }
-
     /// Returns the state of a job as reported to callers: a final state is reported once it is
     /// durable.
     #[must_use]
--- a/crates/workflow/src/snapshot.rs
+++ b/crates/workflow/src/snapshot.rs
@@ -35,6 +35,9 @@
 /// Identifiers with times on the shard's clock in milliseconds.
 type Times = Vec<(Id, u64)>;
 
+/// Name of the team of a job or a caller, if it has one.
+type Team = Option<Arc<str>>;
+
 impl Shard {
     /// Returns the snapshot. Entries of an earlier snapshot whose keys are missing are to be deleted
     /// after the others have been stored.
@@ -54,37 +57,50 @@
     }
 
     fn ended_jobs(&self) -> impl Iterator<Item = Entry> {
-        let mut periods: BTreeMap<u64, [Times; FINAL_STATES.len()]> = BTreeMap::new();
+        let mut periods: BTreeMap<u64, BTreeMap<(usize, Team), Times>> = BTreeMap::new();
         for (id, job) in &self.jobs {
             let index = job
                 .ended
                 .and_then(|(state, _)| FINAL_STATES.iter().position(|other| *other == state));
             if let Some(index) = index {
                 let period = periods.entry(self.period(job.ended_ms)).or_default();
-                period[index].push((*id, job.ended_ms));
+                let jobs = period.entry((index, job.spec.team.clone())).or_default();
+                jobs.push((*id, job.ended_ms));
             }
         }
         periods.into_iter().map(|(period, states)| Entry {
             key: format!("ended-{period}").into(),
-            records: FINAL_STATES
+            records: states
                 .into_iter()
-                .zip(states)
-                .flat_map(|(state, jobs)| {
-                    in_records(jobs, move |jobs| Record::Retained { state, jobs })
+                .flat_map(|((index, team), jobs)| {
+                    in_records(jobs, |jobs| Record::Retained {
+                        state: FINAL_STATES[index],
+                        jobs,
+                        team: team.clone(),
+                    })
                 })
                 .collect(),
         })
     }
 
     fn early_cancellations(&self) -> impl Iterator<Item = Entry> {
-        let mut periods: BTreeMap<u64, Times> = BTreeMap::new();
-        for (id, at_ms) in &self.early_cancellations {
+        let mut periods: BTreeMap<u64, BTreeMap<Team, Times>> = BTreeMap::new();
+        for ((id, team), at_ms) in &self.early_cancellations {
             let period = periods.entry(self.period(*at_ms)).or_default();
-            period.push((*id, *at_ms));
+            let jobs = period.entry(team.clone()).or_default();
+            jobs.push((*id, *at_ms));
         }
-        periods.into_iter().map(|(period, jobs)| Entry {
+        periods.into_iter().map(|(period, teams)| Entry {
             key: format!("cancelled-{period}").into(),
-            records: in_records(jobs, |jobs| Record::CancelledEarly { jobs }),
+            records: teams
+                .into_iter()
+                .flat_map(|(team, jobs)| {
+                    in_records(jobs, |jobs| Record::CancelledEarly {
+                        jobs,
+                        team: team.clone(),
+                    })
+                })
+                .collect(),
         })
     }
 
@@ -99,12 +115,18 @@
 
     /// Applies the end of a job that a previous owner recorded, with the time on the shard's clock if
     /// it is known. The job's submission may have expired, or be repeated later in the streams.
-    pub(crate) fn replay_end(&mut self, id: Id, state: State, at_ms: Option<u64>) {
+    pub(crate) fn replay_end(
+        &mut self,
+        id: Id,
+        state: State,
+        at_ms: Option<u64>,
+        team: Option<&Arc<str>>,
+    ) {
         let at_ms = at_ms.inspect(|at_ms| self.clock.advance(*at_ms));
         if self.jobs.get(&id).is_none_or(|job| !job.is_ended()) {
             self.jobs.entry(id).or_insert_with(|| {
                 self.open_jobs += 1;
-                Job::unknown()
+                Job::unknown(team.cloned())
             });
             self.end_job(id, state, 0, 0);
         }
