--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -38,6 +38,12 @@
     /// Follows from `cores` if it is not set.
     #[serde(default)]
     pub own_workers: Option<u32>,
+    /// Memory of the VM in MB, which bounds what clients make the process hold.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
+    /// File descriptors that the process may open, which bounds its connections.
+    #[serde(default)]
+    pub max_fds: Option<u64>,
     /// Longest time from a planned stop to the end of the process in milliseconds.
     #[serde(default = "defaults::stop_ms")]
     pub stop_ms: u64,
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -420,6 +420,8 @@
             shards: 1,
             cores: 1.0,
             own_workers: None,
+            memory_mb: None,
+            max_fds: None,
             stop_ms: 5_000,
             lease_max_ms: 4_000,
             keep_ms: 120_000,
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -62,7 +62,11 @@
 }
 
 /// Binds a free port on the loopback interface.
-pub(crate) async fn bind() -> (TcpListener, SocketAddr) {
+///
+/// # Panics
+///
+/// Panics if there is no free port.
+pub async fn bind() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("no free loopback port");
@@ -71,7 +75,7 @@
 }
 
 /// Serves connections until the future is dropped, which closes the listener and all connections.
-pub(crate) async fn serve(listener: TcpListener, handler: Arc<dyn Handler>) {
+pub async fn serve(listener: TcpListener, handler: Arc<dyn Handler>) {
     let mut connections = JoinSet::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
