feat(entry): limits for what clients make a process hold

Change: a kernel without I/O (crates/entry/src/clients) decides on connections (the longest without a request makes room), on the memory of bodies (the slowest is given up) and on the memory of their decoded form, reserved before decoding. The limits follow from entry.memory_mb and entry.max_fds. The links that a process accepts are bounded in number, in bytes of unfinished messages and in bytes of unread replies; a stranger makes room for another process.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -67,6 +67,8 @@
 pub const WORKER_RESTARTED: Event = Event::new(845, Level::Warn, "worker started again");
 /// A takeover waits no longer for a worker that didn't report.
 pub const WORKER_UNREPORTED: Event = Event::new(846, Level::Warn, "worker didn't report");
+/// Clients were refused or disconnected to keep the process within its limits.
+pub const CLIENT_REFUSED: Event = Event::new(890, Level::Warn, "client refused");
 /// A record of a stream is malformed.
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// The process received the signal to reload.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod advice_balancer;
 mod advice_requests;
 pub mod claim;
+pub mod clients;
 mod commands;
 
 pub mod config;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -8,7 +8,7 @@
 
 use rosemaryworks_node::{clock, late};
 use rosemaryworks_wire::Message;
-use rosemaryworks_wire::link::{Client, Handler, Peer, Reply, serve};
+use rosemaryworks_wire::link::{Bounds, Client, Handler, Peer, Reply, serve_within};
 use rosemaryworks_wire::workflow::{JobState, Message as Workflow};
 
 use crate::node::{Node, lock};
@@ -120,7 +120,13 @@
 impl Node {
     pub(crate) fn serve_links(self: &Arc<Self>, listener: tokio::net::TcpListener) {
         let handler = Arc::new(Incoming(self.clone()));
-        tokio::spawn(serve(listener, self.hello.clone(), handler));
+        let limits = self.settings.limits();
+        let bounds = Bounds {
+            links: limits.links,
+            partial_bytes: limits.link_bytes / 2,
+            queued_bytes: limits.link_bytes / 2,
+        };
+        tokio::spawn(serve_within(bounds, listener, self.hello.clone(), handler));
     }
 
     fn link_was_opened(&self, peer: &Peer) {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -28,6 +28,14 @@
     pub relayed: Counter,
     /// Requests to the advice service.
     pub advice_requests: Counter,
+    /// Bytes reserved for bodies of callers.
+    pub body_bytes: Gauge,
+    /// Connections closed or refused because all of the listener were in use.
+    pub refused_connections: Counter,
+    /// Bodies given up because the memory for bodies ran out.
+    pub refused_memory: Counter,
+    /// Bodies that did not arrive in time.
+    pub refused_slow: Counter,
     /// Owned shards.
     pub shards: Gauge,
     /// Open jobs of the owned shards.
@@ -59,6 +67,17 @@
             suspensions: counter("entry_suspensions", "Owners suspended without a proof"),
             relayed: counter("entry_relayed", "Commands sent for other owners"),
             advice_requests: counter("entry_questions", "Questions to the advice service"),
+            body_bytes: registry.register(
+                "entry_body_bytes",
+                "Memory reserved for bodies",
+                Gauge::default(),
+            ),
+            refused_connections: counter(
+                "entry_refused_connections",
+                "Connections closed because all were in use",
+            ),
+            refused_memory: counter("entry_refused_memory", "Bodies without memory"),
+            refused_slow: counter("entry_refused_slow", "Bodies that were not sent in time"),
             shards: registry.register("entry_shards", "Shards owned", Gauge::default()),
             open_jobs: registry.register("entry_open_jobs", "Jobs not ended", Gauge::default()),
             accept_seconds: histogram("entry_accept_seconds", "Time to accept a job"),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,7 @@
 use rosemaryworks_node::settings::{Check, Faults};
 use serde::{Deserialize, Serialize};
 
+use crate::clients::Limits;
 use crate::relays;
 
 /// Upper bound of a worker's lease in milliseconds. The takeover of a shard takes 2.2 s at most.
@@ -95,6 +96,12 @@
         self.lease_max_ms.min(LEASE_MAX_MS)
     }
 
+    /// Returns the limits of what clients make the process hold.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        Limits::derive(self.memory_mb, self.max_fds)
+    }
+
     /// Returns the largest number of workers that an owner calls itself.
     #[must_use]
     pub fn own_workers(&self) -> u32 {
@@ -113,6 +120,14 @@
         faults.require(lease, "lease_max_ms", "must be 1000 to 60000");
         let cores = (0.001..=1_000.0).contains(&self.cores);
         faults.require(cores, "cores", "must be 0.001 to 1000");
+        let memory = self
+            .memory_mb
+            .is_none_or(|mb| (32..=1_048_576).contains(&mb));
+        faults.require(memory, "memory_mb", "must be 32 to 1048576");
+        let fds = self
+            .max_fds
+            .is_none_or(|fds| (256..=1_048_576).contains(&fds));
+        faults.require(fds, "max_fds", "must be 256 to 1048576");
         let retention = self.retention_ms >= 10_000;
         faults.require(retention, "retention_ms", "must be 10000 at least");
         let stop = (500..=600_000).contains(&self.stop_ms);
--- a/crates/wire/src/link/client.rs
+++ b/crates/wire/src/link/client.rs
@@ -8,6 +8,7 @@
 use tokio::task::JoinHandle;
 use tokio_tungstenite::client_async_with_config;
 
+use super::bounds::{Bounds, Counted, Held, Total};
 use super::connection::{self, Handler, Peer};
 use super::error::{Error, Fault};
 use crate::message::{Hello, Message};
@@ -102,7 +103,8 @@
                 let mut current = current.lock().unwrap_or_else(PoisonError::into_inner);
                 *current = Some(peer.clone());
             };
-            connection::run(socket, &own, &handler, set_current).await;
+            let (socket, held) = socket;
+            connection::run(socket, &held, &own, &handler, set_current).await;
             current
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
@@ -112,12 +114,15 @@
     }
 }
 
-async fn open_socket(address: SocketAddr) -> Option<tokio_tungstenite::WebSocketStream<TcpStream>> {
+async fn open_socket(address: SocketAddr) -> Option<(connection::Socket, Held)> {
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
+    // The peer is one that this process chose itself.
+    let held = Total::new(Bounds::NONE).link();
+    let stream = Counted::new(stream, held.partial.clone());
     let url = format!("ws://{address}/");
     let (socket, _) = client_async_with_config(url, stream, Some(connection::websocket_config()))
         .await
         .ok()?;
-    Some(socket)
+    Some((socket, held))
 }
--- a/crates/wire/src/link/connection.rs
+++ b/crates/wire/src/link/connection.rs
@@ -11,25 +11,32 @@
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message as Packet;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
+use super::bounds::{Counted, Held, Share};
 use super::error::{Error, Fault};
 use super::traffic::traffic;
-use crate::frame::{Frame, Kind};
+use crate::frame::{FRAME_MAX_BYTES, Frame, Kind};
 use crate::message::{Hello, Message};
 
 /// Time after which a connection is closed if nothing is received or a send does not complete.
 /// Pings keep an idle connection open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time within which a peer must say who it is.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Interval between pings.
 const PING_PERIOD: Duration = Duration::from_secs(5);
 
-type Sink = SplitSink<WebSocketStream<TcpStream>, Packet>;
+/// WebSocket of a link.
+pub(super) type Socket = WebSocketStream<Counted<TcpStream>>;
+
+type Sink = SplitSink<Socket, Packet>;
 
 /// Size of the read buffer. tungstenite zeroes the whole buffer before each read; its default of
 /// 128 KiB took 7% of an idle scheduler's processor time, and most messages are shorter than 1 KiB.
@@ -63,6 +70,10 @@
 struct Inner {
     next_id: AtomicU64,
     outgoing: mpsc::UnboundedSender<Packet>,
+    /// Bytes in `outgoing`.
+    queued: Arc<Share>,
+    /// Notified when more is queued than the bounds allow, because the peer doesn't read.
+    overflow: Notify,
     pending: Mutex<Pending>,
 }
 
@@ -157,8 +168,15 @@
             .encode()
             .map_err(|_| self.error("send", Fault::TooLarge))?;
         traffic().sent(bytes.len());
+        let length = bytes.len() as u64;
+        if !self.inner.queued.add(length) {
+            self.inner.overflow.notify_one();
+        }
         let sent = self.inner.outgoing.send(Packet::Binary(bytes.into()));
-        sent.map_err(|_| self.error("send", Fault::NotOpen))
+        sent.map_err(|_| {
+            self.inner.queued.remove(length);
+            self.error("send", Fault::NotOpen)
+        })
     }
 
     fn error(&self, operation: &'static str, fault: Fault) -> Error {
@@ -190,12 +208,17 @@
 
 /// Returns the WebSocket settings of both sides of a link.
 pub(super) fn websocket_config() -> WebSocketConfig {
-    WebSocketConfig::default().read_buffer_size(READ_BUFFER_BYTES)
+    // Frames have at most as many bytes, and a link doesn't divide them.
+    WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
+        .max_frame_size(Some(FRAME_MAX_BYTES))
+        .max_message_size(Some(FRAME_MAX_BYTES))
 }
 
 /// Runs a connection until it is closed. `opened` is called with the peer after its [`Hello`].
 pub(super) async fn run(
-    socket: WebSocketStream<TcpStream>,
+    socket: Socket,
+    held: &Held,
     own: &Hello,
     handler: &Arc<dyn Handler>,
     opened: impl FnOnce(&Peer),
@@ -211,13 +234,16 @@
     if !send(&mut sink, Packet::Binary(bytes.into())).await {
         return;
     }
-    let first = timeout(IDLE_TIMEOUT, stream.next()).await;
+    let first = timeout(HELLO_TIMEOUT, stream.next()).await;
+    held.partial.clear();
     let Some(hello) = parse_hello(first.ok().flatten()) else {
         return;
     };
     let inner = Inner {
         next_id: AtomicU64::new(1),
         outgoing,
+        queued: held.queued.clone(),
+        overflow: Notify::new(),
         pending: Mutex::default(),
     };
     let peer = Peer {
@@ -234,8 +260,9 @@
     // Reads and writes run concurrently. If both ends read only between their sends, they deadlock
     // once the socket buffers in both directions are full.
     tokio::select! {
-        () = read(stream, &peer, handler) => {}
-        () = write(sink, queue) => {}
+        () = read(stream, &held.partial, &peer, handler) => {}
+        () = peer.inner.overflow.notified() => {}
+        () = write(sink, &held.queued, queue) => {}
     }
 }
 
@@ -258,11 +285,13 @@
 
 /// Reads and dispatches frames until the connection is closed or idle for [`IDLE_TIMEOUT`].
 async fn read(
-    mut stream: SplitStream<WebSocketStream<TcpStream>>,
+    mut stream: SplitStream<Socket>,
+    partial: &Share,
     peer: &Peer,
     handler: &Arc<dyn Handler>,
 ) {
     while let Ok(Some(Ok(packet))) = timeout(IDLE_TIMEOUT, stream.next()).await {
+        partial.clear();
         match packet {
             Packet::Binary(bytes) => dispatch(peer, handler, &bytes),
             Packet::Ping(_) | Packet::Pong(_) => {}
@@ -272,7 +301,7 @@
 }
 
 /// Sends queued packets and pings until a send fails or times out.
-async fn write(mut sink: Sink, mut queue: mpsc::UnboundedReceiver<Packet>) {
+async fn write(mut sink: Sink, queued: &Share, mut queue: mpsc::UnboundedReceiver<Packet>) {
     let mut pings = tokio::time::interval(PING_PERIOD);
     pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -281,9 +310,14 @@
             _ = pings.tick() => Some(Packet::Ping(Vec::new().into())),
         };
         let Some(packet) = packet else { return };
+        let bytes = match &packet {
+            Packet::Binary(bytes) => bytes.len() as u64,
+            _ => 0,
+        };
         if !send(&mut sink, packet).await {
             return;
         }
+        queued.remove(bytes);
     }
 }
 
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
-use rosemaryworks_wire::link::{Client, Handler, Peer, Reply, serve};
+use rosemaryworks_wire::link::{Bounds, Client, Handler, Peer, Reply, serve, serve_within};
 use rosemaryworks_wire::{FRAME_MAX_BYTES, Frame, Hello, Kind, Message, Role, Submission};
-use tokio::net::TcpListener;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 use tokio_tungstenite::tungstenite::Message as Packet;
 
@@ -183,3 +184,104 @@
     assert_eq!(near.closed.load(Ordering::SeqCst), 1);
     assert!(peer.is_closed());
 }
+
+/// Guards against strangers that keep processes from opening links, or that displace open ones.
+#[tokio::test]
+async fn strangers_make_room_for_links() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let bounds = Bounds {
+        links: 2,
+        ..Bounds::NONE
+    };
+    let far = Arc::new(Counters::default());
+    tokio::spawn(serve_within(bounds, listener, hello("far"), far));
+    let mut strangers = Vec::new();
+    for _ in 0..2 {
+        strangers.push(TcpStream::connect(address).await.unwrap());
+    }
+    let near = Arc::new(Counters::default());
+    let client = Client::start("far".into(), address, hello("near"), near.clone());
+    let peer = open(&client).await;
+    // The link is known at the far end once a call over it is answered.
+    let reply = peer.call(Message::Snapshot, Duration::from_secs(5)).await;
+    assert_eq!(reply.unwrap(), Message::Done);
+    for _ in 0..8 {
+        strangers.push(TcpStream::connect(address).await.unwrap());
+    }
+    // All but the last stranger are closed.
+    for stranger in &mut strangers[..9] {
+        assert!(!matches!(stranger.read(&mut [0; 8]).await, Ok(1..)));
+    }
+    let reply = peer.call(Message::Snapshot, Duration::from_secs(5)).await;
+    assert_eq!(reply.unwrap(), Message::Done);
+    assert_eq!(near.closed.load(Ordering::SeqCst), 0);
+}
+
+/// Guards against messages that fill the memory before they are complete.
+#[tokio::test]
+async fn a_message_beyond_the_bounds_closes_its_link() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let bounds = Bounds {
+        links: 4,
+        partial_bytes: FRAME_MAX_BYTES as u64 / 2,
+        ..Bounds::NONE
+    };
+    let far = Arc::new(Counters::default());
+    tokio::spawn(serve_within(bounds, listener, hello("far"), far.clone()));
+    let near = Arc::new(Counters::default());
+    let client = Client::start("far".into(), address, hello("near"), near.clone());
+    let peer = open(&client).await;
+    for _ in 0..FRAMES {
+        peer.notify(Message::Submission(Submission::Rejected(
+            "x".repeat(FRAME_MAX_BYTES / 8).into(),
+        )))
+        .unwrap();
+    }
+    let reply = peer.call(Message::Snapshot, Duration::from_secs(10)).await;
+    assert_eq!(reply.unwrap(), Message::Done, "complete messages add up");
+    peer.notify(large()).unwrap();
+    peer.closed().await;
+    assert_eq!(far.notices.load(Ordering::SeqCst), FRAMES);
+}
+
+/// Guards against a peer that reads nothing while the messages to it fill the memory.
+#[tokio::test]
+async fn messages_that_are_not_read_close_their_link() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let bounds = Bounds {
+        links: 4,
+        queued_bytes: 4 * FRAME_MAX_BYTES as u64,
+        ..Bounds::NONE
+    };
+    let (opened, first_link) = oneshot::channel();
+    let far = Arc::new(FirstLink {
+        counters: Counters::default(),
+        opened: std::sync::Mutex::new(Some(opened)),
+    });
+    tokio::spawn(serve_within(bounds, listener, hello("far"), far.clone()));
+    let stream = TcpStream::connect(address).await.unwrap();
+    let url = format!("ws://{address}/");
+    let (mut socket, _) = tokio_tungstenite::client_async(url, stream).await.unwrap();
+    let frame = Frame {
+        id: 0,
+        kind: Kind::Notice,
+        message: Message::Hello(hello("paused")),
+    };
+    let bytes = frame.encode().unwrap();
+    socket.send(Packet::Binary(bytes.into())).await.unwrap();
+    let peer = first_link.await.unwrap();
+    let message = large();
+    for _ in 0..3 {
+        peer.notify(message.clone()).unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(!peer.is_closed(), "closed within the bounds");
+    for _ in 0..4 {
+        let _ = peer.notify(message.clone());
+    }
+    peer.closed().await;
+    assert_eq!(far.counters.closed.load(Ordering::SeqCst), 1);
+}
