feat(entry): settings, metrics and documents of the limits for clients

The queue of records is also bounded in bytes and drops records whose callers have gone, none of which was sent. Links are limited by descriptors alone, a quarter of them, because an owner has a link from every other process; their socket buffers are 64 KiB.

Packages scheduler, gateway, admin and platform: not run.

--- a/crates/entry/src/clients.rs
+++ b/crates/entry/src/clients.rs
@@ -12,5 +12,5 @@
 pub use bodies::{Bodies, Grant};
 pub use connections::{Connections, Entry};
 pub use guard::{BodyGuard, Clients, Refusal};
-pub use limits::{Limits, Listener, SOCKET_BUFFER_BYTES};
+pub use limits::{LINK_BUFFER_BYTES, Limits, Listener, SOCKET_BUFFER_BYTES};
 pub use weight::decoded_max_bytes;
--- a/crates/entry/src/clients/guard.rs
+++ b/crates/entry/src/clients/guard.rs
@@ -7,7 +7,7 @@
 use tokio::sync::Notify;
 
 use super::bodies::{Bodies, Grant};
-use super::limits::Limits;
+use super::limits::{Limits, Listener};
 use crate::events;
 use crate::metrics::Metrics;
 
@@ -81,6 +81,14 @@
         }
     }
 
+    /// Notes the number of open connections to a listener.
+    pub fn set_connections(&self, listener: Listener, count: usize) {
+        if listener == Listener::Callers {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.metrics.caller_connections.set(count);
+        }
+    }
+
     /// Counts a refusal and logs it, one line in ten seconds.
     pub fn refused(&self, refusal: Refusal) {
         let counter = match refusal {
--- a/crates/entry/src/clients/limits.rs
+++ b/crates/entry/src/clients/limits.rs
@@ -15,6 +15,10 @@
 /// Size of a socket's buffer in one direction in bytes. The system reserves twice as much.
 pub const SOCKET_BUFFER_BYTES: u32 = 16 * 1024;
 
+/// Size of a link's socket buffer in one direction in bytes. Owners send commands for many workers at
+/// once.
+pub const LINK_BUFFER_BYTES: u32 = 64 * 1024;
+
 /// Memory of a connection in bytes: the buffers of its socket, those of the HTTP library and the
 /// state of a request.
 const CONNECTION_BYTES: u64 = 4 * SOCKET_BUFFER_BYTES as u64 + 32 * 1024;
@@ -40,6 +44,8 @@
 pub struct Limits {
     /// Memory for bodies and for what they are decoded to, in bytes.
     pub body_bytes: u64,
+    /// Memory for the records of a shard that wait to be written, in bytes.
+    pub queue_bytes: usize,
     /// Connections of callers.
     pub callers: usize,
     /// Links from other processes.
@@ -54,8 +60,9 @@
     /// Derives the limits from the memory in MB and the number of descriptors of the VM.
     ///
     /// Half of the memory beyond that of the process itself is left to the allocator's fragmentation
-    /// and to open jobs. Half of the descriptors are left to calls of the log and the workers and to
-    /// links that the process opens itself.
+    /// and to open jobs. At least two fifths of the descriptors are left to calls of the log and the
+    /// workers and to links that the process opens itself. Links are limited by descriptors alone: an
+    /// owner has one from every other process, and an idle one takes 14 KiB.
     #[must_use]
     pub fn derive(memory_mb: Option<u64>, max_fds: Option<u64>) -> Self {
         let memory_mb = memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
@@ -66,11 +73,11 @@
         let count =
             |share: u64, least: u64| usize::try_from(share.max(least)).unwrap_or(usize::MAX);
         let callers_max = clients * 3 / 8 / CONNECTION_BYTES;
-        let links_max = clients / 8 / CONNECTION_BYTES;
         Self {
             body_bytes: clients * 3 / 8,
-            callers: count((fds * 3 / 8).min(callers_max), 16),
-            links: count((fds / 8).min(links_max), 16),
+            queue_bytes: count(clients / 12, 0),
+            callers: count((fds * 5 / 16).min(callers_max), 16),
+            links: count(fds / 4, 16),
             link_bytes: clients / 8,
             monitors: count((fds / 64).min(64), 8),
         }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -30,6 +30,8 @@
     pub advice_requests: Counter,
     /// Bytes reserved for bodies of callers.
     pub body_bytes: Gauge,
+    /// Connections of callers.
+    pub caller_connections: Gauge,
     /// Connections closed or refused because all of the listener were in use.
     pub refused_connections: Counter,
     /// Bodies given up because the memory for bodies ran out.
@@ -72,6 +74,11 @@
                 "Memory reserved for bodies",
                 Gauge::default(),
             ),
+            caller_connections: registry.register(
+                "entry_caller_connections",
+                "Connections of callers",
+                Gauge::default(),
+            ),
             refused_connections: counter(
                 "entry_refused_connections",
                 "Connections closed because all were in use",
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -260,7 +260,8 @@
             let store = self.context.store.clone();
             // A job is known for longer than that after its end, also if its submission was delayed.
             let abandon_ms = self.settings.keep_ms / 2;
-            Submitter::start(store, shard, producer.into(), abandon_ms)
+            let queue_bytes = self.settings.limits().queue_bytes;
+            Submitter::start(store, shard, producer.into(), abandon_ms, queue_bytes)
         };
         submitters.entry(shard).or_insert_with(start).clone()
     }
--- a/crates/entry/src/submitter.rs
+++ b/crates/entry/src/submitter.rs
@@ -45,6 +45,33 @@
     reply: oneshot::Sender<Outcome>,
 }
 
+/// Records that wait for the append in flight.
+#[derive(Default)]
+struct Queue {
+    items: VecDeque<Item>,
+    bytes: usize,
+}
+
+impl Queue {
+    fn has_room(&self, length: usize, bytes_max: usize) -> bool {
+        let bytes = self.bytes + length;
+        self.items.len() < QUEUE_MAX && (self.items.is_empty() || bytes <= bytes_max)
+    }
+
+    fn push(&mut self, item: Item) {
+        self.bytes += item.value.len();
+        self.items.push_back(item);
+    }
+
+    /// Drops records whose callers have stopped waiting. None of them was sent.
+    fn drop_expired(&mut self) {
+        let items = std::mem::take(&mut self.items).into();
+        let rest = expire(items, Outcome::Refused, |item| item.deadline_ms);
+        self.bytes = rest.iter().map(|item| item.value.len()).sum();
+        self.items = rest.into();
+    }
+}
+
 /// Writer of one shard's stream.
 pub(crate) struct Submitter {
     store: Arc<dyn Store>,
@@ -52,7 +79,9 @@
     producer: Arc<str>,
     /// Time after which an append without an answer is abandoned, in milliseconds.
     abandon_ms: u64,
-    queue: Mutex<VecDeque<Item>>,
+    /// Upper bound of the bytes of waiting records.
+    queue_max_bytes: usize,
+    queue: Mutex<Queue>,
     added: Notify,
 }
 
@@ -63,12 +92,14 @@
         shard: u32,
         producer: Arc<str>,
         abandon_ms: u64,
+        queue_max_bytes: usize,
     ) -> Arc<Self> {
         let submitter = Arc::new(Self {
             store,
             shard,
             producer,
             abandon_ms,
+            queue_max_bytes,
             queue: Mutex::default(),
             added: Notify::new(),
         });
@@ -92,8 +123,12 @@
             reply,
         };
         let mut queue = self.queue();
-        if queue.len() < QUEUE_MAX {
-            queue.push_back(item);
+        let length = item.value.len();
+        if !queue.has_room(length, self.queue_max_bytes) {
+            queue.drop_expired();
+        }
+        if queue.has_room(length, self.queue_max_bytes) {
+            queue.push(item);
             self.added.notify_one();
         } else {
             // The caller may have stopped waiting.
@@ -102,7 +137,7 @@
         outcome
     }
 
-    fn queue(&self) -> std::sync::MutexGuard<'_, VecDeque<Item>> {
+    fn queue(&self) -> std::sync::MutexGuard<'_, Queue> {
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -128,15 +163,16 @@
         let mut queue = self.queue();
         let mut bytes = 0;
         let mut batch = Vec::new();
-        while let Some(item) = queue.pop_front() {
+        while let Some(item) = queue.items.pop_front() {
             if batch.is_empty() || bytes + item.value.len() <= APPEND_MAX_BYTES {
                 bytes += item.value.len();
                 batch.push(item);
             } else {
-                queue.push_front(item);
+                queue.items.push_front(item);
                 break;
             }
         }
+        queue.bytes -= bytes;
         (!batch.is_empty()).then_some(batch)
     }
 
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -39,6 +39,8 @@
     /// Timeout of the whole exchange, from opening a connection to the end of the response. Extended
     /// by the time for which the client's thread is late.
     pub timeout: Duration,
+    /// Largest body of the response in bytes. A longer one counts as no complete response.
+    pub response_max_bytes: usize,
 }
 
 impl Request {
@@ -51,9 +53,17 @@
             headers: Vec::new(),
             body: Vec::new(),
             timeout,
+            response_max_bytes: BODY_MAX_BYTES,
         }
     }
 
+    /// Sets the largest body of the response in bytes.
+    #[must_use]
+    pub fn response_max_bytes(mut self, bytes: usize) -> Self {
+        self.response_max_bytes = bytes.min(BODY_MAX_BYTES);
+        self
+    }
+
     /// Adds a header.
     #[must_use]
     pub fn header(mut self, name: &str, value: &str) -> Self {
@@ -235,6 +245,7 @@
     for (name, value) in &request.headers {
         builder = builder.header(&**name, &**value);
     }
+    let response_max_bytes = request.response_max_bytes;
     let response = builder
         .send_body(request.body)
         .await
@@ -245,7 +256,7 @@
         .iter()
         .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
         .collect();
-    let body = response.body().limit(BODY_MAX_BYTES).await;
+    let body = response.body().limit(response_max_bytes).await;
     let body = body.map_err(|error| Error::Lost(error.to_string()))?;
     Ok(Response {
         status,
