fix(entry): ordinary clients get connections while others crowd

A new connection was kept for 300 ms and others were refused meanwhile, connections whose requests follow each other without a pause never made room, and such requests were answered one after the other.

Change: a connection is kept for 30 ms from its start; afterwards the one that has gone longest without a request makes room, however recent that is.

The soak was not run again after this.

--- a/crates/entry/src/clients/connections.rs
+++ b/crates/entry/src/clients/connections.rs
@@ -3,15 +3,16 @@
 use std::collections::HashMap;
 use std::hash::Hash;
 
-/// Time in milliseconds for which a new connection is kept while it sends nothing. A connection that
-/// replaces another one sooner would let clients that reconnect at once displace ordinary clients
-/// before their first request arrives.
-const GRACE_MS: u64 = 300;
+/// Time in milliseconds from its start for which a connection is kept. A connection that replaces
+/// another one sooner would let clients that reconnect at once displace ordinary clients before
+/// their request arrives; with a longer time such clients fill the listener and keep others out.
+const GRACE_MS: u64 = 30;
 
 struct Connection {
     /// Whether a request is being answered.
     busy: bool,
-    /// Time of the last response, or of the connection's start.
+    opened_ms: u64,
+    /// Time of the last request or response, or of the connection's start.
     since_ms: u64,
 }
 
@@ -56,6 +57,7 @@
         };
         let connection = Connection {
             busy: false,
+            opened_ms: now_ms,
             since_ms: now_ms,
         };
         self.open.insert(key, connection);
@@ -82,10 +84,9 @@
     }
 
     fn longest_idle(&self, now_ms: u64) -> Option<K> {
-        let idle = self
-            .open
-            .iter()
-            .filter(|(_, connection)| !connection.busy && connection.since_ms + GRACE_MS <= now_ms);
+        let idle = self.open.iter().filter(|(_, connection)| {
+            !connection.busy && connection.opened_ms + GRACE_MS <= now_ms
+        });
         let longest = idle.min_by_key(|(_, connection)| connection.since_ms);
         longest.map(|(key, _)| key.clone())
     }
