--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -73,6 +73,8 @@
 pub const ROOM_GIVEN: Event = Event::new(861, Level::Info, "room given");
 /// The owner of a shard refused a job that can't start in time to be of use.
 pub const REFUSED: Event = Event::new(880, Level::Info, "job refused");
+/// Clients were refused or disconnected to keep the process within its limits.
+pub const CLIENT_REFUSED: Event = Event::new(890, Level::Warn, "client refused");
 /// A record of a stream is malformed.
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// The process received the signal to reload.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod advice;
 mod advised;
 pub mod claim;
+pub mod clients;
 mod commands;
 
 pub mod config;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -40,6 +40,16 @@
     pub advice_backlog_ms: Gauge,
     /// Configurations that came from other processes.
     pub revisions_taken: Counter,
+    /// Bytes reserved for bodies of callers.
+    pub body_bytes: Gauge,
+    /// Connections of callers.
+    pub caller_connections: Gauge,
+    /// Connections closed or refused because all of the listener were in use.
+    pub refused_connections: Counter,
+    /// Bodies given up because the memory for bodies ran out.
+    pub refused_memory: Counter,
+    /// Bodies that did not arrive in time.
+    pub refused_slow: Counter,
     /// Owned shards.
     pub shards: Gauge,
     /// Open jobs of the owned shards.
@@ -99,6 +109,22 @@
                 "entry_configurations_from_peers",
                 "Configurations that came from other processes",
             ),
+            body_bytes: registry.register(
+                "entry_body_bytes",
+                "Memory reserved for bodies",
+                Gauge::default(),
+            ),
+            caller_connections: registry.register(
+                "entry_caller_connections",
+                "Connections of callers",
+                Gauge::default(),
+            ),
+            refused_connections: counter(
+                "entry_refused_connections",
+                "Connections closed because all were in use",
+            ),
+            refused_memory: counter("entry_refused_memory", "Bodies without memory"),
+            refused_slow: counter("entry_refused_slow", "Bodies that were not sent in time"),
             shards: registry.register("entry_shards", "Shards owned", Gauge::default()),
             open_jobs: registry.register("entry_open_jobs", "Jobs not ended", Gauge::default()),
             room_requests: counter("entry_room_requests", "Requests for parts of caps"),
