--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -67,6 +67,14 @@
 pub const WORKER_RESTARTED: Event = Event::new(845, Level::Warn, "worker started again");
 /// A takeover waits no longer for a worker that didn't report.
 pub const WORKER_UNREPORTED: Event = Event::new(846, Level::Warn, "worker didn't report");
+/// Teams are held back by their caps or placed last because of their shares.
+pub const TEAMS_HELD: Event = Event::new(860, Level::Info, "teams held back");
+/// An owner gave parts of teams' caps to the owner of another shard.
+pub const ROOM_GIVEN: Event = Event::new(861, Level::Info, "room given");
+/// The owner of a shard refused a job that can't start in time to be of use.
+pub const REFUSED: Event = Event::new(880, Level::Info, "job refused");
+/// Clients were refused or disconnected to keep the process within its limits.
+pub const CLIENT_REFUSED: Event = Event::new(890, Level::Warn, "client refused");
 /// A record of a stream is malformed.
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// The process received the signal to reload.
@@ -75,3 +83,10 @@
 pub const SUBMIT_FAILED: Event = Event::new(809, Level::Warn, "append of jobs failed");
 /// A record can't be encoded.
 pub const RECORD_FAULTY: Event = Event::new(834, Level::Error, "record can't be encoded");
+/// Reads of the log fail, so this process asks others for configurations.
+pub const REVISIONS_SOUGHT: Event = Event::new(850, Level::Info, "configurations asked of peers");
+/// A configuration of another process comes into force.
+pub const REVISION_TAKEN: Event = Event::new(851, Level::Info, "configuration from a peer");
+/// A configuration of another process can't be decoded.
+pub const REVISION_MALFORMED: Event =
+    Event::new(852, Level::Warn, "malformed configuration of a peer");
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,9 +4,11 @@
 //! It accesses the platform only through the traits of [`port`].
 
 pub mod access;
-pub mod advice_balancer;
-mod advice_requests;
+pub mod admission;
+pub mod advice;
+mod advised;
 pub mod claim;
+pub mod clients;
 mod commands;
 
 pub mod config;
@@ -23,10 +25,12 @@
 pub mod peers;
 pub mod permission;
 pub mod port;
+mod quota;
 mod relay;
 mod relayed;
 pub mod relays;
 mod requests;
+pub mod revisions;
 mod session;
 pub mod settings;
 mod skipped;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -1,18 +1,24 @@
 //! Links between entry processes: every process opens a link to each owner of a shard.
 
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::pin::Pin;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
 use rosemaryworks_node::{clock, late};
 use rosemaryworks_wire::Message;
-use rosemaryworks_wire::link::{Client, Handler, Peer, Reply, serve};
+use rosemaryworks_wire::link::{Bounds, Client, Handler, Peer, Reply, serve_within};
 use rosemaryworks_wire::workflow::{JobState, Message as Workflow};
+use rosemaryworks_workflow::{Ask, Grant, Shard};
 
+use crate::config::Config;
 use crate::node::{Node, lock};
-use crate::port::Permits;
+use crate::owner::Owner;
+use crate::quota;
+use crate::revisions;
 
 /// Time-out of a call to another process.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -21,10 +27,6 @@
 /// Covers the takeover of its shards.
 const OWNER_PAUSE_MS: u64 = 1_500;
 
-/// Time-out of a relayed advice request beyond its expected time, in milliseconds. Short, because
-/// another VM may answer sooner.
-const ADVICE_SLACK_MS: u64 = 400;
-
 /// Consecutive unanswered calls after which a link is reopened.
 const UNANSWERED_CALLS_MAX: u32 = 2;
 
@@ -46,7 +48,7 @@
         Box::pin(async move {
             match message {
                 Message::Workflow(message @ Workflow::Advise { .. }) => tokio::select! {
-                    reply = node.handle_call(message) => Message::Workflow(reply),
+                    reply = node.advice.clone().handle(message) => Message::Workflow(reply),
                     // Requests of an owner that has ended would delay those of its successor.
                     () = peer.closed() => Message::Workflow(Workflow::Advised(None)),
                 },
@@ -76,6 +78,9 @@
             Message::Workflow(Workflow::Offers { millicores }) => {
                 self.0.exchange.offered(peer, millicores);
             }
+            Message::Workflow(Workflow::WithdrawAdvice { shard, epoch }) => {
+                self.0.advice.end_owner(shard, epoch);
+            }
             Message::Workflow(Workflow::Outcomes(outcomes)) => self.0.exchange.ended(outcomes),
             _ => {}
         }
@@ -117,10 +122,66 @@
     }
 }
 
+impl quota::Reach for Arc<Node> {
+    fn ask(&self, shard: u32, ask: Ask) -> Pin<Box<dyn Future<Output = Option<Grant>> + Send>> {
+        let node = self.clone();
+        Box::pin(async move {
+            node.context.metrics.room_requests.inc();
+            if let Some(owner) = node.owner(shard) {
+                return quota::answer(&*owner, &ask).await;
+            }
+            let message = Workflow::AskRoom { shard, ask };
+            match node.call_owner(shard, message, CALL_TIMEOUT).await {
+                Some(Workflow::RoomGiven(grant)) => grant,
+                _ => None,
+            }
+        })
+    }
+}
+
+impl quota::Holder for Owner {
+    fn state(&self) -> MutexGuard<'_, Shard> {
+        Owner::state(self)
+    }
+
+    fn wake(&self) {
+        Owner::wake(self);
+    }
+
+    fn is_ended(&self) -> bool {
+        Owner::is_ended(self)
+    }
+
+    fn wait_durable(&self, limit: Duration) -> Pin<Box<dyn Future<Output = ()> + Send + '_>> {
+        Box::pin(Owner::wait_durable(self, limit))
+    }
+}
+
+impl revisions::exchange::Process for Node {
+    fn configure(&self, config: Arc<Config>) {
+        Node::configure(self, config);
+    }
+
+    fn peers(&self) -> revisions::Peers<Peer> {
+        let mut others = lock(&self.peers).clone();
+        others.retain(|peer| !peer.is_closed());
+        revisions::Peers {
+            owners: self.linked_owners(),
+            others,
+        }
+    }
+}
+
 impl Node {
     pub(crate) fn serve_links(self: &Arc<Self>, listener: tokio::net::TcpListener) {
         let handler = Arc::new(Incoming(self.clone()));
-        tokio::spawn(serve(listener, self.hello.clone(), handler));
+        let limits = self.settings.limits();
+        let bounds = Bounds {
+            links: limits.links,
+            partial_bytes: limits.link_bytes / 2,
+            queued_bytes: limits.link_bytes / 2,
+        };
+        tokio::spawn(serve_within(bounds, listener, self.hello.clone(), handler));
     }
 
     fn link_was_opened(&self, peer: &Peer) {
@@ -226,29 +287,34 @@
 
     async fn handle_call(self: &Arc<Self>, message: Workflow) -> Workflow {
         match message {
-            Workflow::Advise {
-                step,
-                workers,
-                cost_ms,
-            } => Workflow::Advised(self.request_advice(step, &workers, cost_ms).await),
-            Workflow::QueryJob { shard, job } => Workflow::JobState(match self.owner(shard) {
-                Some(owner) => owner.job_state(job).await,
-                None => JobState::Unavailable,
-            }),
+            Workflow::QueryJob { shard, job, team } => {
+                Workflow::JobState(match self.owner(shard) {
+                    Some(owner) => owner.job_state(job, team.as_deref()).await,
+                    None => JobState::Unavailable,
+                })
+            }
             Workflow::Length { shard, queue } => Workflow::LengthIs(
                 self.owner(shard)
                     .and_then(|owner| owner.queue_length(&queue)),
             ),
+            Workflow::AskRevision { version } => {
+                let config = self.config();
+                Workflow::Revision(self.revisions.answer(version, config.as_deref()))
+            }
             Workflow::IsCandidate => Workflow::Candidate(self.can_take_over().await),
             Workflow::AskOwnership {
                 owned,
                 seeks_candidate,
             } => self.report_ownership(&owned, seeks_candidate).await,
+            Workflow::AskRoom { shard, ask } => Workflow::RoomGiven(match self.owner(shard) {
+                Some(owner) => quota::answer(&*owner, &ask).await,
+                None => None,
+            }),
             Workflow::Store {
                 shard,
                 record,
                 timeout_ms,
-            } => Workflow::StoreEnded(self.store_for_peer(shard, &record, timeout_ms).await),
+            } => self.store_for_peer(shard, &record, timeout_ms).await,
             other => other,
         }
     }
@@ -287,42 +353,6 @@
         }
     }
 
-    /// Sends an advice request from this VM, after those queued before it.
-    pub(crate) async fn request_advice(
-        &self,
-        step: rosemaryworks_workflow::StepKey,
-        workers: &[Arc<str>],
-        cost_ms: f64,
-    ) -> Option<Permits> {
-        let _slot = self.advice_slot.acquire().await.ok()?;
-        self.context.metrics.advice_requests.inc();
-        self.context
-            .advisor
-            .advise(step, workers, cost_ms)
-            .await
-            .ok()
-    }
-
-    /// Sends an advice request through a peer's VM.
-    pub(crate) async fn request_advice_via(
-        peer: &Peer,
-        request: &rosemaryworks_workflow::AdviceRequest,
-        queued_ms: f64,
-    ) -> Option<Permits> {
-        let expected_ms = (request.cost_ms + queued_ms) as u64;
-        let timeout = Duration::from_millis(expected_ms.saturating_add(ADVICE_SLACK_MS));
-        let message = Workflow::Advise {
-            step: request.step,
-            workers: request.workers.clone(),
-            cost_ms: request.cost_ms,
-        };
-        let call = peer.call(Message::Workflow(message), timeout + late::EXTENSION_MAX);
-        match late::timeout(timeout, call).await {
-            Some(Ok(Message::Workflow(Workflow::Advised(permits)))) => permits,
-            _ => None,
-        }
-    }
-
     /// Notifies all linked processes, and those that link later, that this one is about to end.
     pub(crate) fn notify_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
--- a/crates/entry/src/load.rs
+++ b/crates/entry/src/load.rs
@@ -8,6 +8,7 @@
 use crate::events;
 use crate::node::lock;
 use crate::owner::Owner;
+use crate::quota;
 
 /// What an owner has done since the last report.
 #[derive(Debug, Default)]
@@ -51,19 +52,23 @@
 impl Owner {
     /// Logs the usage of the shard's pools and the work of the owner since the last such line.
     pub(crate) fn log_usage(&self) {
-        let (usage, starts) = {
+        let (usage, starts, held) = {
             let state = self.state();
-            (state.usage(clock::now().0), state.starts())
+            let usage = state.usage(clock::now().0);
+            (usage, state.starts(), state.held_teams())
         };
+        let metrics = &self.context().metrics;
+        quota::report(self.shard(), self.epoch(), &held, metrics);
         let counts = self.load().take();
         for (pool, usage) in usage {
             events::USAGE.log(format_args!(
-                "pool={pool} epoch={} workers={} empty={} free_millicores={}/{} free_mebibytes={}/{} \
-                 free_accelerators={}/{} steps={} gangs={} tasks={} starts={}/{} answer_ms={} \
+                "pool={pool} epoch={} workers={} empty={} slow={} free_millicores={}/{} free_mebibytes={}/{} \
+                 free_accelerators={}/{} steps={} gangs={} overdue={} tasks={} starts={}/{} answer_ms={} \
                  tick_ms={} late_ms={} started={} renewed={} relays={}",
                 self.epoch(),
                 usage.workers,
                 usage.empty,
+                usage.slow,
                 usage.free.millicores,
                 usage.capacity.millicores,
                 usage.free.memory_mb,
@@ -72,6 +77,7 @@
                 usage.capacity.accelerators,
                 usage.steps,
                 usage.gangs,
+                usage.overdue,
                 usage.tasks,
                 starts.in_flight,
                 starts.limit,
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -12,6 +12,8 @@
     pub accepted: Counter,
     /// Jobs rejected because the log refused them or counts as unreachable.
     pub refused: Counter,
+    /// Jobs refused because they can't start in time to be of use.
+    pub busy: Counter,
     /// Jobs with an unknown outcome of the submission.
     pub unknown: Counter,
     /// Starts sent to workers.
@@ -28,10 +30,38 @@
     pub relayed: Counter,
     /// Requests to the advice service.
     pub advice_requests: Counter,
+    /// Advice requests of owners that this VM refused because too many were queued.
+    pub advice_busy: Counter,
+    /// Advice requests dropped from the queue of this VM because their time had passed.
+    pub advice_expired: Counter,
+    /// Answers of the advice service that were used after their request counted as failed.
+    pub advice_late: Counter,
+    /// Expected time of the advice requests that this VM has yet to send, in milliseconds.
+    pub advice_backlog_ms: Gauge,
+    /// Configurations that came from other processes.
+    pub revisions_taken: Counter,
+    /// Bytes reserved for bodies of callers.
+    pub body_bytes: Gauge,
+    /// Connections of callers.
+    pub caller_connections: Gauge,
+    /// Connections closed or refused because all of the listener were in use.
+    pub refused_connections: Counter,
+    /// Bodies given up because the memory for bodies ran out.
+    pub refused_memory: Counter,
+    /// Bodies that did not arrive in time.
+    pub refused_slow: Counter,
     /// Owned shards.
     pub shards: Gauge,
     /// Open jobs of the owned shards.
     pub open_jobs: Gauge,
+    /// Requests for parts of teams' caps sent to owners of other shards.
+    pub room_requests: Counter,
+    /// Steps that a team's cap holds back.
+    pub steps_capped: Gauge,
+    /// Teams that their caps hold back.
+    pub teams_capped: Gauge,
+    /// Teams that use more than their share of a full pool.
+    pub teams_over_share: Gauge,
     /// Time to accept a job in seconds.
     pub accept_seconds: Histogram,
     /// Time of an append to a shard's journal in seconds.
@@ -43,6 +73,7 @@
     #[must_use]
     pub fn register(registry: &Registry) -> Self {
         let counter = |name, help| registry.register(name, help, Counter::default());
+        let gauge = |name, help| registry.register(name, help, Gauge::default());
         // From 1 ms to 8 s, which covers the deadlines of callers.
         let histogram = |name, help| {
             let buckets = exponential_buckets(0.001, 2.0, 14);
@@ -51,6 +82,7 @@
         Self {
             accepted: counter("entry_jobs_accepted", "Jobs accepted"),
             refused: counter("entry_jobs_refused", "Jobs refused"),
+            busy: counter("entry_jobs_busy", "Jobs refused for lack of capacity"),
             unknown: counter("entry_jobs_unknown", "Jobs with unknown outcome"),
             starts: counter("entry_starts", "Runs ordered"),
             start_faults: counter("entry_start_faults", "Starts refused or unanswered"),
@@ -59,8 +91,46 @@
             suspensions: counter("entry_suspensions", "Owners suspended without a proof"),
             relayed: counter("entry_relayed", "Commands sent for other owners"),
             advice_requests: counter("entry_questions", "Questions to the advice service"),
+            advice_busy: counter("entry_advice_busy", "Advice requests refused as busy"),
+            advice_expired: counter(
+                "entry_advice_expired",
+                "Advice requests dropped from the queue",
+            ),
+            advice_late: counter(
+                "entry_advice_late",
+                "Advice used after its request had failed",
+            ),
+            advice_backlog_ms: registry.register(
+                "entry_advice_backlog_ms",
+                "Expected time of queued advice requests",
+                Gauge::default(),
+            ),
+            revisions_taken: counter(
+                "entry_configurations_from_peers",
+                "Configurations that came from other processes",
+            ),
+            body_bytes: registry.register(
+                "entry_body_bytes",
+                "Memory reserved for bodies",
+                Gauge::default(),
+            ),
+            caller_connections: registry.register(
+                "entry_caller_connections",
+                "Connections of callers",
+                Gauge::default(),
+            ),
+            refused_connections: counter(
+                "entry_refused_connections",
+                "Connections closed because all were in use",
+            ),
+            refused_memory: counter("entry_refused_memory", "Bodies without memory"),
+            refused_slow: counter("entry_refused_slow", "Bodies that were not sent in time"),
             shards: registry.register("entry_shards", "Shards owned", Gauge::default()),
             open_jobs: registry.register("entry_open_jobs", "Jobs not ended", Gauge::default()),
+            room_requests: counter("entry_room_requests", "Requests for parts of caps"),
+            steps_capped: gauge("entry_steps_capped", "Steps held back by a cap"),
+            teams_capped: gauge("entry_teams_capped", "Teams held back by their caps"),
+            teams_over_share: gauge("entry_teams_over_share", "Teams over their share"),
             accept_seconds: histogram("entry_accept_seconds", "Time to accept a job"),
             append_seconds: histogram("entry_append_seconds", "Time of an append"),
         }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -10,7 +10,8 @@
 use rosemaryworks_workflow::{Action, Id, Record, Shard, State};
 use tokio::sync::Notify;
 
-use crate::advice_balancer::Balancer;
+use crate::admission::Attempts;
+use crate::advice::requester::Requester;
 use crate::config::Config;
 use crate::events;
 use crate::journal::{self, Journal};
@@ -18,6 +19,7 @@
 use crate::node::{Context, Node, lock};
 use crate::permission::Permission;
 use crate::port::{Fault, Page, Stream};
+use crate::quota;
 use crate::relayed::RelayedWorkers;
 use crate::session::Session;
 use crate::snapshot::Stored;
@@ -79,7 +81,8 @@
     changed: Notify,
     durable: Notify,
     ended: AtomicBool,
-    renewals: AtomicU64,
+    /// Number of the last renewal of the claim.
+    pub(crate) renewals: AtomicU64,
     /// Offset up to which the jobs have been read.
     jobs_read: AtomicU64,
     jobs_read_ms: AtomicU64,
@@ -89,7 +92,8 @@
     /// Version of the configuration that was applied last.
     config_version: Mutex<Option<u64>>,
     sessions: Mutex<HashMap<Arc<str>, Arc<Session>>>,
-    balancer: Mutex<Balancer>,
+    advice: Arc<Requester>,
+    pub(crate) attempts: Mutex<Attempts>,
     timeouts: Mutex<Timeouts>,
     workers: RelayedWorkers,
     permission: Arc<Permission>,
@@ -114,6 +118,7 @@
             let metrics = context.metrics.clone();
             Journal::new(context.store.clone(), stream, shard, epoch, metrics)
         });
+        let advice = Requester::new(shard, epoch, &node.settings.node, &node.advice);
         Arc::new(Self {
             shard,
             shards: node.settings.shards,
@@ -133,7 +138,8 @@
             workers_read,
             config_version: Mutex::new(config_version),
             sessions: Mutex::default(),
-            balancer: Mutex::default(),
+            advice,
+            attempts: Mutex::default(),
             timeouts: Mutex::default(),
             workers,
             permission: node.permission.clone(),
@@ -155,23 +161,10 @@
         self.epoch
     }
 
-    /// Continues the numbers of the renewals after those that the takeover wrote.
-    pub(crate) fn continue_renewals(&self, written: u64) {
-        self.renewals.fetch_max(written, Ordering::Relaxed);
-    }
-
-    pub(crate) fn next_renewal(&self) -> u64 {
-        self.renewals.fetch_add(1, Ordering::Relaxed) + 1
-    }
-
     pub(crate) fn state(&self) -> MutexGuard<'_, Shard> {
         lock(&self.state)
     }
 
-    pub(crate) fn balancer(&self) -> MutexGuard<'_, Balancer> {
-        lock(&self.balancer)
-    }
-
     pub(crate) fn timeouts(&self) -> MutexGuard<'_, Timeouts> {
         lock(&self.timeouts)
     }
@@ -249,7 +242,7 @@
                 return;
             }
             *applied = Some(config.version);
-            config.apply_to(&mut self.state());
+            config.apply_to(&mut self.state(), self.shard, self.shards);
         }
         self.wake();
     }
@@ -261,25 +254,26 @@
         self.wake();
     }
 
-    /// Returns the state of a job. Another process may have stored an unknown job a moment ago, so
+    /// Returns the state of a job to a caller of a team. Another process may have stored an unknown job a moment ago, so
     /// the stream is read to its end before the job is reported as unknown.
-    pub(crate) async fn job_state(&self, job: Id) -> JobState {
+    pub(crate) async fn job_state(&self, job: Id, team: Option<&str>) -> JobState {
         if self.is_ended() {
             return JobState::Unavailable;
         }
         let queried_ms = clock::now().0;
-        if let Some(state) = self.known_state(job) {
+        if let Some(state) = self.known_state(job, team) {
             return JobState::State(state);
         }
         if !self.read_to_end(queried_ms).await {
             return JobState::Unavailable;
         }
-        self.known_state(job)
+        self.known_state(job, team)
             .map_or(JobState::Unknown, JobState::State)
     }
 
-    fn known_state(&self, job: Id) -> Option<State> {
-        self.state().state(job)
+    fn known_state(&self, job: Id, team: Option<&str>) -> Option<State> {
+        let state = self.state();
+        state.state(job).filter(|_| state.is_accessible(job, team))
     }
 
     /// Reads the jobs up to the end that the stream had at `queried_ms` or later. Queries that wait
@@ -322,6 +316,8 @@
         self.supervise(node, self.clone().write_journal(node.clone()));
         self.supervise(node, self.clone().write_snapshots(node.clone()));
         self.supervise(node, self.clone().keep_snapshot(node.clone()));
+        let reach = Arc::new(node.clone());
+        self.supervise(node, quota::ask_for_room(self.clone(), reach));
         self.wake();
     }
 
@@ -371,8 +367,11 @@
                 self.assign_relays(&node);
             }
             if self.is_ended() {
+                self.advice.withdraw(&lock(&node.peers));
                 return;
             }
+            let load = self.advice.load(&lock(&node.peers));
+            self.set_advice_load(load);
             let began = std::time::Instant::now();
             let actions = {
                 let mut state = self.state();
@@ -410,7 +409,8 @@
     fn execute(self: &Arc<Self>, node: &Arc<Node>, action: Action) {
         match action {
             Action::RequestAdvice(request) => {
-                tokio::spawn(self.clone().request_advice(node.clone(), request));
+                let (peers, sink) = (lock(&node.peers).clone(), self.clone());
+                tokio::spawn(self.advice.clone().request(peers, request, sink));
             }
             Action::StepDown => {
                 node.step_down(self.shard, self.epoch, "a worker reported a later owner")
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -11,7 +11,8 @@
 use crate::events;
 use crate::journal;
 use crate::links::CALL_TIMEOUT;
-use crate::node::Node;
+use crate::node::{Node, lock};
+use crate::owner::Owner;
 use crate::submitter::Outcome;
 
 /// Pause before a query to the owner of a shard is retried.
@@ -55,8 +56,15 @@
 pub enum Acceptance {
     /// It is stored.
     Accepted,
+    /// The job can't start in time to be of use. It is not stored and never will be.
+    Busy {
+        /// Time that the caller should wait before it submits the job again, in milliseconds.
+        wait_ms: u64,
+    },
     /// It is not stored and never will be.
     Refused,
+    /// No such job was accepted, or it belongs to another team.
+    NoSuchJob,
     /// It is too large to be stored, or has more tasks than a process can hold.
     TooLarge,
     /// It may be stored.
@@ -68,7 +76,8 @@
 pub enum Lookup {
     /// State of the job.
     State(State),
-    /// No such job was accepted, or the state of the ended job is no longer retained.
+    /// No such job was accepted, it belongs to another team, or the state of the ended job is no
+    /// longer retained.
     NoSuchJob,
     /// The owner of the job's shard can't be reached in time.
     Unavailable,
@@ -100,7 +109,10 @@
         let metrics = &self.context.metrics;
         match outcome {
             Acceptance::Accepted => metrics.accepted.inc(),
-            Acceptance::Refused | Acceptance::TooLarge => metrics.refused.inc(),
+            Acceptance::Busy { .. } => metrics.busy.inc(),
+            Acceptance::NoSuchJob | Acceptance::Refused | Acceptance::TooLarge => {
+                metrics.refused.inc()
+            }
             Acceptance::Unknown => metrics.unknown.inc(),
         };
         metrics.accept_seconds.observe(took_ms as f64 / 1_000.0);
@@ -112,10 +124,30 @@
         outcome
     }
 
-    /// Stores the cancellation of a job.
-    pub async fn cancel(self: &Arc<Self>, queue: &Queue, id: Id, deadline_ms: u64) -> Acceptance {
-        let record = Record::Cancelled { id };
-        let outcome = self.write(&queue.pool, &record, deadline_ms).await;
+    /// Stores the cancellation of a job on behalf of a team, if the caller has one.
+    pub async fn cancel(
+        self: &Arc<Self>,
+        queue: &Queue,
+        id: Id,
+        team: Option<Arc<str>>,
+        deadline_ms: u64,
+    ) -> Acceptance {
+        let is_known = match &team {
+            None => true,
+            Some(_) => match self.job_state(queue, id, team.clone(), deadline_ms).await {
+                Lookup::State(_) => true,
+                Lookup::NoSuchJob => false,
+                // Whether the job is one of the team's can't be told.
+                Lookup::Unavailable => return Acceptance::Refused,
+            },
+        };
+        let record = Record::Cancelled { id, team };
+        let outcome = match self.write(&queue.pool, &record, deadline_ms).await {
+            // The cancellation holds for a job of the team that is stored later. A job of another
+            // team, to which it doesn't apply, gets the same answer.
+            _ if !is_known => Acceptance::NoSuchJob,
+            outcome => outcome,
+        };
         events::CANCELLED.log(format_args!(
             "job={id} queue={} outcome={outcome:?}",
             queue.name
@@ -140,16 +172,20 @@
         deadline_ms: u64,
     ) -> Acceptance {
         let shard = config::shard(pool, self.settings.shards);
+        let owner = self.owner(shard);
+        if let Some(wait_ms) = owner.as_ref().and_then(|owner| owner.refusal(record)) {
+            return Acceptance::Busy { wait_ms };
+        }
         if self.log_is_down() {
             // The background reads detect the return of the log, so this call needs no probe.
             return self.store_via_peer(shard, record, deadline_ms).await;
         }
-        let via_owner = match self.owner(shard) {
+        let via_owner = match owner {
             // This process is the owner: nothing has been sent yet.
             Some(_) => Acceptance::Refused,
             None => self.store_via_owner(shard, record, deadline_ms).await,
         };
-        if via_owner == Acceptance::Accepted {
+        if matches!(via_owner, Acceptance::Accepted | Acceptance::Busy { .. }) {
             return via_owner;
         }
         // The log is probed with a read first: an append without an answer would leave an
@@ -160,7 +196,9 @@
             return Acceptance::Refused;
         }
         match (self.write_here(shard, record, deadline_ms).await, via_owner) {
-            (Acceptance::Refused, Acceptance::Unknown) => Acceptance::Unknown,
+            (Acceptance::Refused | Acceptance::Busy { .. }, Acceptance::Unknown) => {
+                Acceptance::Unknown
+            }
             (outcome, _) => outcome,
         }
     }
@@ -198,26 +236,39 @@
         outcome
     }
 
-    /// Returns the state of a job.
-    pub async fn job_state(self: &Arc<Self>, queue: &Queue, id: Id, deadline_ms: u64) -> Lookup {
+    /// Returns the state of a job to a caller of a team, if it has one.
+    pub async fn job_state(
+        self: &Arc<Self>,
+        queue: &Queue,
+        id: Id,
+        team: Option<Arc<str>>,
+        deadline_ms: u64,
+    ) -> Lookup {
         tokio::select! {
-            lookup = self.job_state_until(queue, id, deadline_ms) => lookup,
+            lookup = self.job_state_until(queue, id, team, deadline_ms) => lookup,
             () = self.calls_must_end() => Lookup::Unavailable,
         }
     }
 
-    async fn job_state_until(self: &Arc<Self>, queue: &Queue, id: Id, deadline_ms: u64) -> Lookup {
+    async fn job_state_until(
+        self: &Arc<Self>,
+        queue: &Queue,
+        id: Id,
+        team: Option<Arc<str>>,
+        deadline_ms: u64,
+    ) -> Lookup {
         let shard = config::shard(&queue.pool, self.settings.shards);
         loop {
             let answer = match self.owner(shard) {
-                Some(owner) => owner.job_state(id).await,
-                None => match self
-                    .call_owner(shard, Message::QueryJob { shard, job: id }, CALL_TIMEOUT)
-                    .await
-                {
-                    Some(Message::JobState(answer)) => answer,
-                    _ => JobState::Unavailable,
-                },
+                Some(owner) => owner.job_state(id, team.as_deref()).await,
+                None => {
+                    let (job, team) = (id, team.clone());
+                    let question = Message::QueryJob { shard, job, team };
+                    match self.call_owner(shard, question, CALL_TIMEOUT).await {
+                        Some(Message::JobState(answer)) => answer,
+                        _ => JobState::Unavailable,
+                    }
+                }
             };
             match answer {
                 JobState::State(state) => return Lookup::State(state),
@@ -264,6 +315,16 @@
     }
 }
 
+impl Owner {
+    /// Returns the time that the caller of a job should wait if the job is refused, in milliseconds.
+    pub(crate) fn refusal(&self, record: &Record) -> Option<u64> {
+        if self.is_ended() {
+            return None;
+        }
+        lock(&self.attempts).judge(&self.state(), record, clock::now().0)
+    }
+}
+
 fn acceptance(outcome: Option<Outcome>) -> Acceptance {
     match outcome {
         Some(Outcome::Stored) => Acceptance::Accepted,
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -82,7 +82,8 @@
             return false;
         }
         let takeover = lock(&self.taking_over).remove(&owner.shard());
-        owner.continue_renewals(takeover.map_or(0, |takeover| takeover.renewals()));
+        let renewals = takeover.map_or(0, |takeover| takeover.renewals());
+        owner.renewals.store(renewals, Ordering::Relaxed);
         self.entered_ms.store(clock::now().0, Ordering::Relaxed);
         if let Some(older) = owned.insert(owner.shard(), owner.clone()) {
             older.end();
@@ -107,7 +108,7 @@
         let mut state = Shard::new(settings, epoch);
         let config = self.config();
         if let Some(config) = &config {
-            config.apply_to(&mut state);
+            config.apply_to(&mut state, shard, self.settings.shards);
         }
         // In parallel, because a slow log takes a quarter of a second for each answer.
         let (progress_fenced, snapshot_fenced, jobs, changes) = tokio::join!(
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -8,13 +8,13 @@
 
 use rosemaryworks_core::size::Size;
 use rosemaryworks_entry::port::{
-    Advisor, Answer, Append, Appended, Changes, Fault, Page, Permits, Record, Store, Stream,
-    WorkerChange,
+    Answer, Append, Appended, Changes, Fault, Page, Record, Store, Stream, WorkerChange,
 };
 use rosemaryworks_entry::{Config, Context, Metrics, Node, Route, Settings};
 use rosemaryworks_node::status::Status;
-use rosemaryworks_workflow::{Id, Queue, Spec, Step, StepKey, Worker};
+use rosemaryworks_workflow::{Id, Queue, Spec, Step, Worker};
 
+pub(crate) mod advisor;
 mod door;
 mod partition;
 mod sender;
@@ -64,6 +64,7 @@
     /// Configuration that the operator publishes while the journal is being fenced.
     pub(crate) config_at_fence: Mutex<Option<Config>>,
     pub(crate) workers: Arc<StandInWorkers>,
+    pub(crate) advice: Arc<advisor::Service>,
 }
 
 fn index(stream: Stream) -> u8 {
@@ -364,14 +365,6 @@
     }
 }
 
-struct NoAdvisor;
-
-impl Advisor for NoAdvisor {
-    fn advise(&self, _: StepKey, _: &[Arc<str>], _: f64) -> Answer<Permits> {
-        Box::pin(async { Err(Fault::Refused("no advice".into())) })
-    }
-}
-
 /// A process and its log.
 pub(crate) struct Process {
     pub(crate) node: Arc<Node>,
@@ -409,6 +402,19 @@
 
     /// Starts a process with changed settings. Must be called within a tokio runtime.
     pub(crate) async fn launch(log: Arc<Log>, change: impl FnOnce(&mut Settings)) -> Self {
+        Self::launch_with(log, change, false).await
+    }
+
+    /// Starts a process whose reads of the configuration the log rejects.
+    pub(crate) async fn launch_rejected(log: Arc<Log>, name: &str) -> Self {
+        Self::launch_with(log, |settings| settings.node = name.into(), true).await
+    }
+
+    async fn launch_with(
+        log: Arc<Log>,
+        change: impl FnOnce(&mut Settings),
+        is_rejected: bool,
+    ) -> Self {
         let links = tokio::net::TcpListener::bind("127.0.0.1:0")
             .await
             .expect("a free port");
@@ -423,6 +429,8 @@
             shards: 1,
             cores: 1.0,
             own_workers: None,
+            memory_mb: None,
+            max_fds: None,
             stop_ms: 5_000,
             lease_max_ms: 4_000,
             keep_ms: 120_000,
@@ -437,13 +445,17 @@
             log: log.clone(),
             closed: AtomicBool::new(false),
             claims_closed: AtomicBool::new(false),
+            configuration_closed: AtomicBool::new(is_rejected),
             lose_claims_read: AtomicBool::new(false),
             silent: AtomicBool::new(false),
         });
         let context = Context {
             store: door.clone(),
             workers: Arc::new(Sender::new(&settings.node, &log.workers)),
-            advisor: Arc::new(NoAdvisor),
+            advisor: Arc::new(advisor::Advisor {
+                vm: settings.node.to_string(),
+                service: log.advice.clone(),
+            }),
             metrics: metrics.clone(),
             ready: status.ready.clone(),
         };
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -1,8 +1,9 @@
 //! Messages between entry processes, which serve jobs that consist of steps.
 
+use std::fmt;
 use std::sync::Arc;
 
-use rosemaryworks_workflow::{Id, Record, State, StepKey};
+use rosemaryworks_workflow::{Ask, Grant, Id, Record, State, StepKey};
 use serde::{Deserialize, Serialize};
 
 use crate::command::{Command, Outcome};
@@ -23,10 +24,28 @@
         /// Expected duration of the call to the advice service in milliseconds.
         #[serde(rename = "c")]
         cost_ms: f64,
+        /// Terms of the request; `None` from a sender of an earlier version, which is answered by
+        /// `Advised`.
+        #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
+        terms: Option<Terms>,
     },
     /// Reply: allowed workers with their permits; `None` if the advice service did not answer.
     #[serde(rename = "b")]
     Advised(Option<Vec<(Arc<str>, Arc<str>)>>),
+    /// Reply to `Advise` with terms.
+    #[serde(rename = "w")]
+    Advice(Advice),
+    /// Notice: the sender is no longer the owner of a shard, so the receiver drops the advice
+    /// requests of that owner and of earlier ones.
+    #[serde(rename = "x")]
+    WithdrawAdvice {
+        /// Shard.
+        #[serde(rename = "s")]
+        shard: u32,
+        /// Epoch in which the sender owned the shard.
+        #[serde(rename = "e")]
+        epoch: u64,
+    },
     /// Call: queries the owner of a shard for the state of a job. Answered by `JobState`.
     #[serde(rename = "i")]
     QueryJob {
@@ -36,6 +55,9 @@
         /// Job.
         #[serde(rename = "j")]
         job: Id,
+        /// Team of the caller, if it has one.
+        #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
+        team: Option<Arc<str>>,
     },
     /// Reply to `QueryJob`.
     #[serde(rename = "j")]
@@ -71,7 +93,7 @@
     #[serde(rename = "k")]
     Leaving,
     /// Call: appends a record of a shard to the log for a sender that can't do so itself. Answered
-    /// by `StoreEnded`.
+    /// by `StoreEnded` or, by the owner of the shard, `Busy`.
     #[serde(rename = "o")]
     Store {
         /// Shard.
@@ -87,6 +109,14 @@
     /// Reply: whether the record was stored; `None` if that is unknown.
     #[serde(rename = "q")]
     StoreEnded(Option<bool>),
+    /// Reply to `Store`: the job was refused, because it can't start in time to be of use, and is not
+    /// stored.
+    #[serde(rename = "y")]
+    Busy {
+        /// Time that the caller should wait in milliseconds.
+        #[serde(rename = "w")]
+        wait_ms: u64,
+    },
     /// Notice: passes a stored record to the owner of its shard before the owner reads it from the
     /// log.
     #[serde(rename = "d")]
@@ -122,6 +152,19 @@
     /// Reply: number of waiting jobs; `None` if the process doesn't own the shard.
     #[serde(rename = "m")]
     LengthIs(Option<u64>),
+    /// Call: asks the owner of a shard for parts of teams' caps. Answered by `RoomGiven`.
+    #[serde(rename = "t")]
+    AskRoom {
+        /// Shard.
+        #[serde(rename = "s")]
+        shard: u32,
+        /// Request.
+        #[serde(rename = "a")]
+        ask: Ask,
+    },
+    /// Reply: what the shard has given; `None` if the process doesn't own it.
+    #[serde(rename = "v")]
+    RoomGiven(Option<Grant>),
     /// Notice: commands that the receiver sends to workers on behalf of the sender, each with a
     /// number that its outcome repeats. Answered by `Outcomes`.
     #[serde(rename = "c")]
@@ -137,6 +180,93 @@
         #[serde(rename = "m")]
         millicores: u64,
     },
+    /// Call: asks for the newest configuration that the receiver knows. Answered by `Revision`.
+    #[serde(rename = "n")]
+    AskRevision {
+        /// Version in force at the sender.
+        #[serde(rename = "v")]
+        version: Option<u64>,
+    },
+    /// Reply to `AskRevision`.
+    #[serde(rename = "s")]
+    Revision(Revision),
+}
+
+/// The newest configuration that a process knows.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Revision {
+    /// Version; `None` if the process has no configuration.
+    #[serde(rename = "v")]
+    pub version: Option<u64>,
+    /// Time since this version was last confirmed to be the newest, in milliseconds; `None` if it
+    /// never was.
+    #[serde(rename = "a")]
+    pub age_ms: Option<u64>,
+    /// The configuration, if it is newer than that of the process that asked.
+    #[serde(default, rename = "c", skip_serializing_if = "Option::is_none")]
+    pub config: Option<Encoded>,
+}
+
+/// An encoded configuration. Its debug output shows no content, which includes the keys of callers.
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct Encoded(pub Vec<u8>);
+
+impl fmt::Debug for Encoded {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Encoded({} bytes)", self.0.len())
+    }
+}
+
+/// Terms of an advice request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Terms {
+    /// Shard whose owner sends it.
+    #[serde(rename = "s")]
+    pub shard: u32,
+    /// Epoch of the owner.
+    #[serde(rename = "e")]
+    pub epoch: u64,
+    /// Priority; 0 is the highest.
+    #[serde(rename = "p")]
+    pub priority: u32,
+    /// Time within which the answer is of use, in milliseconds.
+    #[serde(rename = "u")]
+    pub useful_ms: u64,
+}
+
+/// Reply to an advice request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Advice {
+    /// What became of the request.
+    #[serde(rename = "r")]
+    pub result: AdviceResult,
+    /// Time since the advice service answered, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// Time from the arrival of the request to this reply, in milliseconds.
+    #[serde(rename = "h")]
+    pub held_ms: u64,
+    /// Expected time of the requests that the VM has yet to send, in milliseconds.
+    #[serde(rename = "b")]
+    pub backlog_ms: f64,
+}
+
+/// What became of an advice request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum AdviceResult {
+    /// The service answered: allowed workers with their permits.
+    #[serde(rename = "a")]
+    Answered(Vec<(Arc<str>, Arc<str>)>),
+    /// Too many requests are queued to answer it in time.
+    #[serde(rename = "b")]
+    Busy,
+    /// It waited in the queue for longer than its answer was of use.
+    #[serde(rename = "e")]
+    Expired,
+    /// The service did not answer, or the owner was superseded.
+    #[serde(rename = "f")]
+    Failed,
 }
 
 /// State of a job as reported by the owner of its shard.
@@ -148,7 +278,7 @@
     /// State of the job.
     #[serde(rename = "s")]
     State(State),
-    /// No such job was accepted.
+    /// No such job was accepted, or it belongs to another team.
     #[serde(rename = "u")]
     Unknown,
 }
--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -5,6 +5,7 @@
 
 use crate::action::{Action, AdviceRequest};
 use crate::advice::{Advice, Standing};
+use crate::advice_load::AdviceLoad;
 use crate::host::Host;
 use crate::job::{Queue, Step};
 use crate::placement::{PoolCapacity, colocated, meets_constraints, task_slots};
@@ -58,12 +59,14 @@
     allowed: bool,
     /// Number of tasks of the step that fit.
     task_slots: u64,
+    /// Penalty for its speed.
+    speed_penalty: i64,
 }
 
 impl Candidate<'_> {
     /// Returns the sort key of the worker; the lowest comes first. Small tasks prefer partly used
     /// workers, so that whole workers stay free for gangs.
-    fn rank(&self, prefers_empty: bool) -> (bool, bool, bool, u64, usize) {
+    fn rank(&self, prefers_empty: bool) -> (bool, bool, bool, i64, u64, usize) {
         let task_slots = if prefers_empty {
             u64::MAX - self.task_slots
         } else {
@@ -73,6 +76,7 @@
             !self.reserved,
             !self.allowed,
             self.task_slots == 0,
+            self.speed_penalty.signum(),
             task_slots,
             self.order,
         )
@@ -99,7 +103,7 @@
         let is_starving = run
             .blocked_since_ms
             .is_some_and(|since| now_ms >= since + STARVED_AFTER_MS);
-        if needed == 0 {
+        if needed == 0 || self.is_held_back(key) || !self.admits_advice(queue) {
             return;
         }
         if step.gang {
@@ -135,6 +139,20 @@
         }
     }
 
+    /// Returns whether the load of the advice service leaves room for a request of a queue.
+    fn admits_advice(&self, queue: &Queue) -> bool {
+        queue.advice.is_none_or(|terms| {
+            let cost_ms = terms.call_ms + terms.worker_ms * WORKERS_MIN as f64;
+            let load = &self.advice_load;
+            load.admits(queue.priority, cost_ms, terms.validity_ms)
+        })
+    }
+
+    /// Sets the load of the advice service as the VMs reported it.
+    pub fn set_advice_load(&mut self, load: AdviceLoad) {
+        self.advice_load = load;
+    }
+
     /// Returns whether a step has a valid permit or a request that waits for its answer.
     fn is_advised(&self, key: StepKey, now_ms: u64) -> bool {
         let advice = self.step_run(key).map(|run| &run.advice);
@@ -210,7 +228,14 @@
                 (task_slots(&free, step, &size), id)
             })
             .collect();
-        undecided.sort_by(|a, b| b.cmp(a));
+        let is_slow = |id: &Arc<str>| {
+            let host = self.hosts.get(id);
+            host.is_some_and(|host| host.speed.slowness(now_ms) > 1.0)
+        };
+        undecided.sort_by(|a, b| {
+            let rank = |(slots, id): &(u64, &Arc<str>)| (*slots == 0, is_slow(id));
+            rank(a).cmp(&rank(b)).then_with(|| b.cmp(a))
+        });
         let wanted_slots = f64::from(step.count) * CAPACITY_MARGIN;
         let mut expected_slots = 0.0;
         let mut workers = Vec::new();
@@ -227,13 +252,17 @@
 
     fn send_advice_request(&mut self, key: StepKey, queue: &Queue, workers: Vec<Arc<str>>) {
         let Some(terms) = queue.advice else { return };
+        let cost_ms = terms.call_ms + terms.worker_ms * workers.len() as f64;
+        let wait_max_ms = AdviceLoad::wait_max_ms(queue.priority, terms.validity_ms);
+        self.advice_load.sent(cost_ms);
         if let Some(run) = self.step_run_mut(key) {
             run.advice.request_sent(workers.clone());
         }
         self.actions.push(Action::RequestAdvice(AdviceRequest {
             step: key,
-            cost_ms: terms.call_ms + terms.worker_ms * workers.len() as f64,
+            cost_ms,
             workers,
+            useful_ms: wait_max_ms.saturating_add(cost_ms as u64),
             priority: queue.priority,
             validity_ms: terms.validity_ms,
         }));
@@ -268,6 +297,7 @@
             }
             return;
         }
+        let slack = self.slack(key, step, queue, now_ms);
         let hosts = self.hosts.iter().enumerate();
         let candidates = hosts.filter_map(|(order, (id, host))| {
             let is_allowed = match advice.standing(id, now_ms) {
@@ -286,6 +316,7 @@
                 reserved: self.reservations.is_reserved_for(id, key),
                 allowed: is_allowed,
                 task_slots: task_slots(&free, step, &size),
+                speed_penalty: slack.penalty(host.speed.slowness(now_ms)),
             })
         });
         let mut candidates: Vec<Candidate<'_>> = candidates.collect();
@@ -380,6 +411,26 @@
         }
     }
 
+    /// Applies an answer to a request about `requested` that counts as failed.
+    pub fn advice_received_late(
+        &mut self,
+        step: StepKey,
+        requested: Vec<Arc<str>>,
+        allowed: Vec<(Arc<str>, Arc<str>)>,
+        until_ms: u64,
+    ) {
+        if let Some(run) = self.step_run_mut(step) {
+            run.advice.answered_late(requested, allowed, until_ms);
+        }
+    }
+
+    /// Records that a request was refused because too many are queued at the VMs.
+    pub fn advice_refused(&mut self, step: StepKey, now_ms: u64) {
+        if let Some(run) = self.step_run_mut(step) {
+            run.advice.request_refused(now_ms);
+        }
+    }
+
     /// Records that a request to the advice service got no answer.
     pub fn advice_failed(&mut self, step: StepKey, now_ms: u64) {
         if let Some(run) = self.step_run_mut(step) {
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -4,8 +4,11 @@
 //! I/O: it takes submissions, worker reports and answers of the advice service, and returns
 //! [`Action`]s for the process that hosts it.
 
+mod access;
 mod action;
+mod admission;
 mod advice;
+mod advice_load;
 mod advice_request;
 mod answers;
 mod backoff;
@@ -18,6 +21,8 @@
 mod lease;
 mod lost_answers;
 mod lost_attempt;
+mod objective;
+mod observation;
 mod open_jobs;
 mod order;
 mod orphan;
@@ -31,8 +36,10 @@
 mod report;
 mod reservation;
 mod run;
+mod run_times;
 mod shard;
 mod silent;
+mod slack;
 mod snapshot;
 mod start;
 mod start_window;
@@ -43,16 +50,20 @@
 mod worker;
 
 pub use action::{Action, AdviceRequest, Order, Pace, Stop};
+pub use advice_load::{AdviceLoad, SHORT_ADVICE_MS};
 pub use host::{Host, Liveness};
 pub use incarnation::{Incarnation, Restart, Unreported};
 pub use job::{AdviceTerms, Id, Queue, Spec, State, Step};
 pub use lost_attempt::{Evidence, LostAttempt};
 pub use record::Record;
 pub use report::{Finished, Renewal, RenewalFault, Report, Running};
+pub use run_times::{Class, Expectation, RunTimes, Sample, Speed};
 pub use shard::{Settings, Shard};
 pub use snapshot::Entry;
 pub use start::{Refusal, StartOutcome};
 pub use task::{Key, Outcome, StepKey};
+pub use team::account::{Account, Resource};
+pub use team::exchange::{Ask, Confirmation, Grant, HeldTeams, Want};
 pub use team::{Team, Teams};
 pub use usage::{Starts, Usage};
 pub use worker::Worker;
--- a/crates/workflow/src/record.rs
+++ b/crates/workflow/src/record.rs
@@ -1,5 +1,6 @@
 //! Records in the streams of a shard.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -7,6 +8,7 @@
 use crate::incarnation::Restart;
 use crate::job::{Id, Spec, State};
 use crate::task::{Key, Outcome, StepKey};
+use crate::team::account::Account;
 use crate::worker::Worker;
 
 /// A record in the streams or the snapshot of a shard. Jobs and cancellations are written by the
@@ -20,6 +22,9 @@
         /// Job.
         #[serde(rename = "i")]
         id: Id,
+        /// Team of the caller, if it has one.
+        #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
+        team: Option<Arc<str>>,
     },
     /// Cancellations that were stored before their jobs, in a snapshot.
     #[serde(rename = "y")]
@@ -27,6 +32,9 @@
         /// Jobs, with the times of the cancellations on the shard's clock in milliseconds.
         #[serde(rename = "j")]
         jobs: Vec<(Id, u64)>,
+        /// Team of the callers, if they have one.
+        #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
+        team: Option<Arc<str>>,
     },
     /// The time of the shard's clock, in a snapshot.
     #[serde(rename = "t")]
@@ -74,6 +82,30 @@
         #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
         at_ms: Option<u64>,
     },
+    /// Parts of teams' caps that the shard has given to another one since ever. Must be durable before
+    /// the totals are announced.
+    #[serde(rename = "v")]
+    Given {
+        /// Digest of the set of shards between which the caps are divided.
+        #[serde(rename = "m")]
+        members: u64,
+        /// Shard that received them.
+        #[serde(rename = "s")]
+        shard: u32,
+        /// Totals in millionths, by account.
+        #[serde(rename = "t")]
+        totals: Vec<(Account, u64)>,
+    },
+    /// The sets of shards between which caps are divided.
+    #[serde(rename = "m")]
+    Members {
+        /// Version of the newest configuration that the owner knew.
+        #[serde(rename = "v")]
+        version: u64,
+        /// Sets that may be in use, the newest last.
+        #[serde(rename = "s")]
+        sets: Vec<BTreeSet<u32>>,
+    },
     /// What is known of an open job, in a snapshot. Follows the job's submission and precedes the
     /// records of its tasks.
     #[serde(rename = "o")]
@@ -100,6 +132,9 @@
         /// Jobs, with the times of their ends on the shard's clock in milliseconds.
         #[serde(rename = "j")]
         jobs: Vec<(Id, u64)>,
+        /// Team of the jobs, if they have one.
+        #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
+        team: Option<Arc<str>>,
     },
     /// A worker that the owner may use. A successor renews its lease even if the platform's
     /// directory has lost the entry meanwhile.
--- a/crates/workflow/src/recovery.rs
+++ b/crates/workflow/src/recovery.rs
@@ -89,6 +89,19 @@
         self.unconfirmed.keys().any(is_unknown)
     }
 
+    /// Returns whether a worker didn't answer the previous owner, which recorded its tasks.
+    pub(crate) fn is_silent(&self, worker: &str) -> bool {
+        self.silent.contains_key(worker)
+    }
+
+    /// Returns the tasks that silent workers may run.
+    pub(crate) fn silent_tasks(&self) -> impl Iterator<Item = &Key> {
+        let silent = self.silent.iter();
+        silent
+            .filter(|(worker, _)| self.unconfirmed.contains_key(*worker))
+            .flat_map(|(_, tasks)| tasks)
+    }
+
     /// Returns whether some silent worker may run a task.
     pub(crate) fn may_run_silently(&self, task: &Key) -> bool {
         let silent = self.silent.iter();
@@ -194,7 +207,7 @@
     pub fn replay(&mut self, record: Record, now_ms: u64) {
         match record {
             Record::Submitted { id, queue, spec } => self.submit(id, queue, spec, now_ms),
-            Record::Cancelled { id } => self.cancel(id, now_ms),
+            Record::Cancelled { id, team } => self.cancel_for(id, team, now_ms),
             Record::Ended {
                 key,
                 attempt,
@@ -220,13 +233,18 @@
             Record::WorkerSilent { worker, tasks } => {
                 self.recovery.silent.insert(worker, tasks);
             }
-            Record::Final { id, state, at_ms } => self.replay_end(id, state, at_ms),
-            Record::Retained { state, jobs } => {
+            Record::Final { id, state, at_ms } => self.replay_end(id, state, at_ms, None),
+            Record::Retained { state, jobs, team } => {
                 for (id, at_ms) in jobs {
-                    self.replay_end(id, state, Some(at_ms));
+                    self.replay_end(id, state, Some(at_ms), team.as_ref());
                 }
             }
-            Record::CancelledEarly { jobs } => self.early_cancellations.extend(jobs),
+            Record::CancelledEarly { jobs, team } => {
+                let jobs = jobs
+                    .into_iter()
+                    .map(|(id, at_ms)| ((id, team.clone()), at_ms));
+                self.early_cancellations.extend(jobs);
+            }
             Record::Completed { step, tasks } => self.replay_completed(step, tasks, now_ms),
             Record::Open {
                 id,
@@ -235,6 +253,12 @@
                 completed,
             } => self.replay_open(id, order, next_occurrence, completed),
             Record::Clock { at_ms } => self.clock.advance(at_ms),
+            Record::Members { version, sets } => self.quota.counter.replay_sets(version, sets),
+            Record::Given {
+                members,
+                shard,
+                totals,
+            } => self.quota.counter.replay_given(members, shard, &totals),
         }
     }
 
@@ -286,6 +310,7 @@
         self.start_clock(now_ms);
         self.sort_ready();
         self.recovery.stage = Stage::Confirming;
+        self.apply_members(now_ms);
         self.recovery.complete_if_confirmed();
     }
 
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -5,6 +5,9 @@
 
 use crate::advice::Advice;
 use crate::job::{Spec, State};
+use crate::objective::Objective;
+use crate::shard::Shard;
+use crate::task::StepKey;
 
 /// Placement of a task.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -127,6 +130,11 @@
     pub(crate) ended_ms: u64,
     /// Offset of its last submission in the jobs' stream, if it was read.
     pub(crate) logged: Option<u64>,
+    /// Time on the owner's clock at which the job was accepted. A successor takes the time at which it
+    /// learned of the job, which is later, so that it never takes a job for older than it is.
+    pub(crate) accepted_ms: u64,
+    /// Objective as last computed; `None` if the job has none or its run time is unknown.
+    pub(crate) objective: Option<Objective>,
     /// Whether a previous owner may have started tasks, or may do so before it is fenced.
     pub(crate) inherited: bool,
     /// Highest attempt number that previous owners may have used without leaving a record.
@@ -134,11 +142,15 @@
 }
 
 impl Job {
-    /// Creates a job of which only the end is known.
-    pub(crate) fn unknown() -> Self {
+    /// Creates a job of which only the end and the team are known.
+    pub(crate) fn unknown(team: Option<Arc<str>>) -> Self {
+        let spec = Spec {
+            team,
+            ..Spec::default()
+        };
         Self {
             queue: "".into(),
-            spec: Arc::default(),
+            spec: Arc::new(spec),
             acceptance_order: 0,
             occurrences: BTreeMap::new(),
             completed_occurrences: 0,
@@ -147,11 +159,20 @@
             ended: None,
             ended_ms: 0,
             logged: None,
+            accepted_ms: 0,
+            objective: None,
             inherited: false,
             attempt_floor: 0,
         }
     }
 
+    /// Returns the state of a step.
+    pub(crate) fn step_run(&self, key: StepKey) -> Option<&StepRun> {
+        self.occurrences
+            .get(&key.occurrence)?
+            .get(key.step as usize)
+    }
+
     /// Begins the occurrences below `next` that have not begun. They are due in the order of their
     /// numbers, so all of them are due if the last one has a task that started.
     pub(crate) fn begin_occurrences(&mut self, next: u32) {
@@ -175,3 +196,21 @@
         self.ended.is_some()
     }
 }
+
+impl Shard {
+    pub(crate) fn step_run(&self, key: StepKey) -> Option<&StepRun> {
+        self.jobs
+            .get(&key.job)?
+            .occurrences
+            .get(&key.occurrence)?
+            .get(key.step as usize)
+    }
+
+    pub(crate) fn step_run_mut(&mut self, key: StepKey) -> Option<&mut StepRun> {
+        self.jobs
+            .get_mut(&key.job)?
+            .occurrences
+            .get_mut(&key.occurrence)?
+            .get_mut(key.step as usize)
+    }
+}
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::action::Action;
+use crate::advice_load::AdviceLoad;
 use crate::clock::Clock;
 use crate::host::{Host, Liveness, Phase};
 use crate::incarnation::Incarnation;
@@ -11,15 +12,18 @@
 use crate::lease::Lease;
 use crate::lost_answers::LostAnswers;
 use crate::lost_attempt::Evidence;
+use crate::objective::Outlook;
 use crate::orphan::Orphans;
 use crate::record::Record;
 use crate::recovery::Recovery;
 use crate::removed::Removed;
 use crate::reservation::Reservations;
 use crate::run::Job;
+use crate::run_times::Speed;
 use crate::start_window::StartWindow;
 use crate::task::{Key, StepKey};
 use crate::team::Teams;
+use crate::team::quota::Quota;
 use crate::worker::Worker;
 
 /// Attempt numbers set aside for each epoch, because a previous owner may have used some without
@@ -52,6 +56,7 @@
     pub(crate) queues: HashMap<Arc<str>, Arc<Queue>>,
     /// Teams of the configuration; `None` if it names none.
     pub(crate) teams: Option<Teams>,
+    pub(crate) quota: Quota,
     pub(crate) hosts: BTreeMap<Arc<str>, Host>,
     pub(crate) jobs: HashMap<Id, Job>,
     /// Ready steps with waiting tasks, in placement order.
@@ -62,6 +67,7 @@
     pub(crate) actions: Vec<Action>,
     /// Moving average of the share of requested workers that the advice service allows, by queue.
     pub(crate) allowed_shares: HashMap<Arc<str>, f64>,
+    pub(crate) advice_load: AdviceLoad,
     pub(crate) reservations: Reservations,
     pub(crate) orphans: Orphans,
     pub(crate) lost_answers: LostAnswers,
@@ -73,7 +79,7 @@
     /// Workers that wait for a record to become durable.
     pub(crate) awaiting_records: HashSet<Arc<str>>,
     /// Jobs that were cancelled before they arrived, with the time on the shard's clock.
-    pub(crate) early_cancellations: BTreeMap<Id, u64>,
+    pub(crate) early_cancellations: BTreeMap<(Id, Option<Arc<str>>), u64>,
     pub(crate) clock: Clock,
     /// First offset that the log retains of the jobs' stream.
     pub(crate) first_retained: u64,
@@ -91,6 +97,7 @@
     pub(crate) worker_check_due_ms: u64,
     /// Time on the owner's clock from which [`Self::tick`] visits all jobs again.
     pub(crate) job_check_due_ms: u64,
+    pub(crate) outlook: Outlook,
 }
 
 impl Shard {
@@ -103,6 +110,7 @@
             epoch,
             queues: HashMap::new(),
             teams: None,
+            quota: Quota::default(),
             hosts: BTreeMap::new(),
             jobs: HashMap::new(),
             ready: BTreeSet::new(),
@@ -110,6 +118,7 @@
             recovery: Recovery::default(),
             actions: Vec::new(),
             allowed_shares: HashMap::new(),
+            advice_load: AdviceLoad::default(),
             reservations: Reservations::default(),
             orphans: Orphans::default(),
             lost_answers: LostAnswers::default(),
@@ -128,6 +137,7 @@
             workers_read_ms: 0,
             worker_check_due_ms: 0,
             job_check_due_ms: 0,
+            outlook: Outlook::default(),
         }
     }
 
@@ -152,11 +162,6 @@
         self.sort_ready();
     }
 
-    /// Replaces the teams; `None` if the configuration names none.
-    pub fn set_teams(&mut self, teams: Option<Teams>) {
-        self.teams = teams;
-    }
-
     /// Sorts the ready steps again after the priorities of queues or the order of jobs have changed.
     pub(crate) fn sort_ready(&mut self) {
         let steps: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
@@ -175,7 +180,7 @@
                     job.logged = job.logged.max(offset);
                 }
             }
-            Record::Cancelled { id } => self.cancel(id, now_ms),
+            Record::Cancelled { id, team } => self.cancel_for(id, team, now_ms),
             // Owners write all other records to other streams.
             _ => {}
         }
@@ -205,6 +210,8 @@
             ended: None,
             ended_ms: 0,
             logged: None,
+            accepted_ms: now_ms,
+            objective: None,
             inherited,
             attempt_floor: floor,
         };
@@ -217,25 +224,15 @@
         }
         self.jobs.insert(id, job);
         self.adopt_orphans(id, now_ms);
-        if self.early_cancellations.remove(&id).is_some() {
+        if self.take_early_cancellations(id) {
             self.cancel(id, now_ms);
             return;
         }
+        self.refresh_objective(id, now_ms);
+        self.count_accepted(id, now_ms);
         self.enqueue_ready(id, 0);
     }
 
-    /// Cancels a job. A cancellation that arrives before its job is remembered.
-    pub fn cancel(&mut self, id: Id, now_ms: u64) {
-        match self.jobs.get(&id) {
-            None => {
-                let at_ms = self.time_of_end(now_ms);
-                self.early_cancellations.entry(id).or_insert(at_ms);
-            }
-            Some(job) if job.is_ended() => {}
-            Some(_) => self.finish_job(id, State::Cancelled, now_ms),
-        }
-    }
-
     /// Returns the state of a job as reported to callers: a final state is reported once it is
     /// durable.
     #[must_use]
@@ -306,6 +303,9 @@
         }
         let address_changed = host.worker.address != worker.address;
         let was_unresponsive = host.liveness == Liveness::Unresponsive;
+        if host.worker.capacity != worker.capacity {
+            host.speed = Speed::default();
+        }
         host.worker = worker;
         if address_changed && !self.recovery.is_replaying() {
             // A successor that doesn't find the worker in the directory needs its address.
@@ -482,20 +482,4 @@
             self.list_worker(entry, now_ms);
         }
     }
-
-    pub(crate) fn step_run(&self, key: StepKey) -> Option<&crate::run::StepRun> {
-        self.jobs
-            .get(&key.job)?
-            .occurrences
-            .get(&key.occurrence)?
-            .get(key.step as usize)
-    }
-
-    pub(crate) fn step_run_mut(&mut self, key: StepKey) -> Option<&mut crate::run::StepRun> {
-        self.jobs
-            .get_mut(&key.job)?
-            .occurrences
-            .get_mut(&key.occurrence)?
-            .get_mut(key.step as usize)
-    }
 }
