fix: speeds of workers are learned against their queue, and weak takeovers yield

Change: a worker's runs count against all runs of the queue, weighted by the queue's spread; the objective by which slow workers are chosen takes expected task times, the one for overdue work the slowest task. A claim tells that its takeover is under way; a VM with twice the CPU need not wait for it longer than for a claim that isn't renewed.

--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -52,6 +52,10 @@
 /// number of cores, so that stronger VMs become owners.
 const CORE_DELAY_MS: u64 = 40;
 
+/// Factor on the CPU of a claimant's VM from which another VM counts as stronger. Claims can't go round
+/// in a circle, because each step multiplies the CPU.
+const STRONGER_FACTOR: u64 = 2;
+
 /// Upper bound of the delay that is derived from the candidate's name, in milliseconds. Keeps
 /// candidates from writing at the same time.
 const JITTER_MAX_MS: u64 = 100;
@@ -81,6 +85,9 @@
     /// CPU of the owner's VM in thousandths of a core.
     #[serde(default, rename = "m")]
     pub millicores: u64,
+    /// Whether the claimant still takes the shard over and serves nothing.
+    #[serde(default, rename = "t", skip_serializing_if = "std::ops::Not::not")]
+    pub taking_over: bool,
 }
 
 /// A claim as last observed by this process.
@@ -88,10 +95,21 @@
 struct Observation {
     claim: Claim,
     changed_ms: u64,
+    /// Time at which the epoch was first seen.
+    claimed_ms: u64,
     /// Whether the owner announced the release, which it may be unable to write to the log.
     released: bool,
 }
 
+impl Observation {
+    /// Returns whether a candidate need not wait for the takeover under way. On a weak VM it may last
+    /// for seconds and make progress all the time, because its link and CPU are slow.
+    fn yields_to(&self, millicores: u64) -> bool {
+        let stronger = self.claim.millicores.saturating_mul(STRONGER_FACTOR);
+        self.claim.taking_over && millicores >= stronger
+    }
+}
+
 /// A process that may claim shards.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
@@ -195,7 +213,10 @@
             observation.claim.epoch == claim.epoch && observation.released
         };
         let released = self.observed.get(&shard).is_some_and(already_released);
+        let same_epoch = |observation: &&Observation| observation.claim.epoch == claim.epoch;
+        let earlier = self.observed.get(&shard).filter(same_epoch);
         let observation = Observation {
+            claimed_ms: earlier.map_or(now_ms, |earlier| earlier.claimed_ms),
             claim,
             changed_ms: now_ms,
             released,
@@ -287,7 +308,7 @@
                 self.candidate_since.remove(&shard);
                 continue;
             }
-            let (availability, epoch) = self.availability(shard, node, incarnation, unlinked);
+            let (availability, epoch) = self.availability(shard, &candidate, unlinked);
             let since = match availability {
                 Availability::Now => *self.candidate_since.entry(shard).or_insert(now_ms),
                 Availability::At(at_ms) => {
@@ -334,8 +355,7 @@
     fn availability(
         &self,
         shard: u32,
-        node: &str,
-        incarnation: u64,
+        candidate: &Candidate<'_>,
         unlinked: &BTreeSet<SocketAddr>,
     ) -> (Availability, u64) {
         let Some(observation) = self.observed.get(&shard) else {
@@ -345,7 +365,7 @@
         let epoch = claim.epoch + 1;
         let released = claim.node.is_empty() || observation.released;
         // An earlier incarnation of this process has ended.
-        let own = &*claim.node == node && claim.incarnation != incarnation;
+        let own = &*claim.node == candidate.node && claim.incarnation != candidate.incarnation;
         if released || own {
             return (Availability::Now, epoch);
         }
@@ -355,7 +375,11 @@
             true => UNLINKED_EXPIRY_MS,
             false => EXPIRY_MS,
         };
-        let expires_ms = (observation.changed_ms + expiry_ms).max(self.grace_until_ms);
+        let since_ms = match observation.yields_to(candidate.millicores) {
+            true => observation.claimed_ms,
+            false => observation.changed_ms,
+        };
+        let expires_ms = (since_ms + expiry_ms).max(self.grace_until_ms);
         (Availability::At(expires_ms), epoch)
     }
 }
--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -196,7 +196,8 @@
             return;
         };
         let predecessor_ended = lock(&self.claims).owner_has_ended(shard, node, incarnation);
-        let claim = self.own_claim(epoch, 0);
+        let mut claim = self.own_claim(epoch, 0);
+        claim.taking_over = true;
         let guard = Guard::EndOffset(position.next.unwrap_or(0));
         match self.write_claim(shard, &claim, guard).await {
             Ok(appended) => {
@@ -240,6 +241,7 @@
             renewal,
             unfinished: false,
             millicores: self.millicores(),
+            taking_over: false,
         }
     }
 
@@ -304,6 +306,7 @@
             if let Some(renewal) = takeover.next_renewal(now_ms) {
                 let mut claim = self.own_claim(epoch, renewal);
                 claim.unfinished = true;
+                claim.taking_over = true;
                 renewals.push((shard, claim));
             }
         }
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -22,6 +22,7 @@
         renewal,
         unfinished: false,
         millicores: 500,
+        taking_over: false,
     }
 }
 
@@ -293,3 +294,27 @@
     claims.apply(SHARD, renewed, 10_000);
     assert!(!claims.owner_has_ended(SHARD, "a", 2));
 }
+
+/// Guards against a weak VM that keeps a shard for seconds while it reads the shard's records: on one
+/// day a VM of 0.09 cores held a claim for 3.6 s and served nothing, and a stronger VM then took
+/// 0.2 s.
+#[test]
+fn a_takeover_on_a_weak_vm_yields_to_a_stronger_one_only() {
+    let mut claims = Claims::default();
+    claims.caught_up(0);
+    for renewal in 0..8 {
+        let mut claim = claim("weak", 1, 3, renewal);
+        (claim.millicores, claim.taking_over) = (120, true);
+        let now_ms = renewal * 250;
+        claims.caught_up(now_ms);
+        claims.apply(SHARD, claim, now_ms);
+    }
+    let wanted = BTreeSet::from([SHARD]);
+    let (held, linked) = (BTreeSet::new(), BTreeSet::new());
+    let mut due = |millicores| {
+        let candidate = candidate("other", millicores, &held);
+        claims.due(&wanted, candidate, &linked, 1_800)
+    };
+    assert_eq!(due(500), [(SHARD, 4)]);
+    assert_eq!(due(200), []);
+}
--- a/crates/entry/tests/model/claiming.rs
+++ b/crates/entry/tests/model/claiming.rs
@@ -211,6 +211,7 @@
             renewal,
             unfinished: false,
             millicores: MILLICORES,
+            taking_over: false,
         }
     }
 
@@ -317,6 +318,7 @@
         };
         let mut claim = self.own_claim(process, epoch, renewal);
         claim.unfinished = true;
+        claim.taking_over = true;
         let request = Request::AppendClaim { claim, end: None };
         self.call_log(process, Purpose::Renewal, request);
     }
--- a/crates/workflow/src/objective.rs
+++ b/crates/workflow/src/objective.rs
@@ -44,6 +44,9 @@
 pub(crate) struct Duration {
     /// Time along the critical path in milliseconds.
     pub(crate) path_ms: f64,
+    /// Time from the acceptance in which the job should end, in milliseconds, if its tasks all take
+    /// the expected time.
+    pub(crate) target_ms: f64,
     /// Time from the acceptance in which the job must end to be of use, in milliseconds.
     pub(crate) useful_ms: f64,
 }
@@ -105,10 +108,10 @@
         };
         let low_ms = path(Expectation::low_ms)?;
         let accepted_ms = job.accepted_ms as f64;
-        let due_ms = accepted_ms + duration.useful_ms / USEFUL_FACTOR;
+        let objective_ms = duration.useful_ms / USEFUL_FACTOR;
         Some(Objective {
-            due_ms,
-            late_ms: due_ms - low_ms,
+            due_ms: accepted_ms + duration.target_ms,
+            late_ms: accepted_ms + objective_ms - low_ms,
             overdue_ms: accepted_ms + duration.useful_ms - low_ms,
             remaining_ms: path(Expectation::ms)?,
         })
@@ -120,18 +123,20 @@
         if !has_objective || spec.times > 0 || spec.steps.iter().any(|step| step.service) {
             return None;
         }
+        let expected = |step: &Step| self.expected(&queue.name, step, now_ms);
+        let mean_ms = critical_path(spec, |_, step| Some(expected(step)?.ms()))?;
         // A step ends with its slowest task; the members of a gang end together.
-        let step_ms = |_, step: &Step| {
-            let expected = self.expected(&queue.name, step, now_ms)?;
+        let path_ms = critical_path(spec, |_, step| {
+            let expected = expected(step)?;
             Some(match step.gang {
                 true => expected.ms(),
                 false => expected.slowest_ms(step.count),
             })
-        };
-        let path_ms = critical_path(spec, step_ms)?;
+        })?;
         let objective_ms = queue.slack_factor * path_ms + queue.slo_ms as f64;
         Some(Duration {
             path_ms,
+            target_ms: queue.slack_factor * mean_ms + queue.slo_ms as f64,
             useful_ms: USEFUL_FACTOR * objective_ms,
         })
     }
--- a/crates/workflow/src/run_times.rs
+++ b/crates/workflow/src/run_times.rs
@@ -74,9 +74,9 @@
 pub struct RunTimes {
     classes: HashMap<Class, Average>,
     queues: HashMap<Arc<str>, Average>,
-    /// Mean distance of runs from the expectation, by queue. The shortest tasks of a step end first,
-    /// so what is known when the others end is too short, on every worker.
-    biases: HashMap<Arc<str>, Average>,
+    /// Run times on all workers, by queue, against which workers are judged. The average of a class
+    /// doesn't serve for that: the shortest tasks of a step end first, on the fastest workers.
+    references: HashMap<Arc<str>, Average>,
 }
 
 impl RunTimes {
@@ -90,18 +90,18 @@
             took_ms /= REMOTE_FACTOR;
         }
         let log = limited(took_ms).ln();
-        let expected = self.expect(class, sample.estimate_ms, now_ms);
         let normal = log - speed.log(now_ms);
         insert(&mut self.classes, class, CLASSES_MAX, normal, now_ms);
         insert(&mut self.queues, &class.queue, QUEUES_MAX, normal, now_ms);
-        if let Some(expected) = expected.filter(|expected| expected.is_learned && !sample.is_gang) {
-            let distance = log - expected.log;
-            let bias = self.biases.get(&class.queue);
-            let bias = bias.map_or(distance, |bias| bias.mean());
-            speed.observe(distance - bias, expected.spread, now_ms);
-            let biases = &mut self.biases;
-            insert(biases, &class.queue, QUEUES_MAX, distance, now_ms);
+        if sample.is_gang {
+            return;
+        }
+        let reference = self.references.get(&class.queue);
+        if let Some(reference) = reference.filter(|reference| reference.is_settled(now_ms)) {
+            let spread = reference.variance().sqrt();
+            speed.observe(log - reference.mean(), spread, now_ms);
         }
+        insert(&mut self.references, &class.queue, QUEUES_MAX, log, now_ms);
     }
 
     /// Returns the run time of a task on a worker of normal speed; `None` if nothing is known and
--- a/crates/workflow/src/run_times/average.rs
+++ b/crates/workflow/src/run_times/average.rs
@@ -20,16 +20,21 @@
 }
 
 impl Average {
-    /// Adds a sample. The average holds at most `limit` of them.
+    /// Adds a sample that counts in full. The average holds at most `limit` of them.
     pub(crate) fn add(&mut self, value: f64, limit: f64, now_ms: u64) {
+        self.add_weighted(value, 1.0, limit, now_ms);
+    }
+
+    /// Adds a sample of a weight up to 1. The average holds at most `limit` in weight.
+    pub(crate) fn add_weighted(&mut self, value: f64, sample: f64, limit: f64, now_ms: u64) {
         let is_settled = self.is_settled(now_ms);
-        let weight = (self.weight(now_ms) + 1.0).min(limit);
+        let weight = (self.weight(now_ms) + sample).min(limit);
         let distance = match is_settled {
             true => (value - self.mean).clamp(-DISTANCE_MAX, DISTANCE_MAX),
             false => value - self.mean,
         };
         let share = match self.weight > 0.0 {
-            true => 1.0 / weight,
+            true => sample / weight,
             false => 1.0,
         };
         self.mean += share * distance;
--- a/crates/workflow/src/run_times/speed.rs
+++ b/crates/workflow/src/run_times/speed.rs
@@ -4,7 +4,7 @@
 
 /// Samples that the average of a worker holds at most. A worker may become slow, or recover, within
 /// seconds.
-const SAMPLES_MAX: f64 = 12.0;
+const SAMPLES_MAX: f64 = 6.0;
 
 /// Weight in samples of the assumption that a worker is as fast as the others.
 const NORMAL_WEIGHT: f64 = 2.0;
@@ -13,10 +13,10 @@
 /// order of workers that are alike.
 const NORMAL_MAX: f64 = 1.25;
 
-/// Spread of a class up to which its runs count in full, as standard deviation of the logarithm.
+/// Spread of a queue up to which its runs count in full, as standard deviation of the logarithm.
 const CLEAR_SPREAD: f64 = 0.4;
 
-/// Longest distance from the expectation that counts, as logarithm.
+/// Longest distance that counts, as logarithm.
 const DISTANCE_MAX: f64 = 1.2;
 
 /// Speed of a worker.
@@ -24,12 +24,12 @@
 pub struct Speed(Average);
 
 impl Speed {
-    /// Learns from a run that took `distance`, as logarithm, longer than expected for a class with
-    /// `spread`.
+    /// Learns from a run that took `distance`, as logarithm, longer than the runs of its queue, whose
+    /// logarithms have a standard deviation of `spread`.
     pub(crate) fn observe(&mut self, distance: f64, spread: f64, now_ms: u64) {
         let clarity = (CLEAR_SPREAD / spread.max(CLEAR_SPREAD)).powi(2);
         let distance = distance.clamp(-DISTANCE_MAX, DISTANCE_MAX);
-        self.0.add(distance * clarity, SAMPLES_MAX, now_ms);
+        self.0.add_weighted(distance, clarity, SAMPLES_MAX, now_ms);
     }
 
     /// Returns the logarithm of the factor on run times.
--- a/crates/workflow/tests/run_times.rs
+++ b/crates/workflow/tests/run_times.rs
@@ -223,3 +223,34 @@
     let slow = pool.iter().filter(|speed| speed.slowness(20_000) > 1.0);
     assert!(slow.count() <= 1, "workers that are alike count as slow");
 }
+
+/// In a pool with a quarter of slow workers, each step is a class of its own with ten tasks of unlike
+/// length. No worker was told from the others then.
+#[test]
+fn slow_workers_stand_out_if_every_step_is_a_class_of_its_own() {
+    let mut times = RunTimes::default();
+    let mut pool = [Speed::default(); 20];
+    for step in 0..300_u64 {
+        let class = Class {
+            size: Size::new(1_000 + step, 1_024),
+            ..class("a")
+        };
+        let mut ends: Vec<(u64, usize)> = (0..10)
+            .map(|task| {
+                let worker = (step * 7 + task * 3) as usize % pool.len();
+                let slowness = if worker < 5 { 1.0 / 0.55 } else { 1.0 / 1.2 };
+                let length = 1.12_f64.powf(((task * 7 + step) % 10) as f64);
+                ((450.0 * length * slowness) as u64, worker)
+            })
+            .collect();
+        ends.sort_unstable();
+        for (took_ms, worker) in ends {
+            let sample = sample(took_ms, 700);
+            let now_ms = step * 100 + took_ms;
+            times.observe(&class, &sample, &mut pool[worker], now_ms);
+        }
+    }
+    let is_slow = |speed: &Speed| speed.slowness(31_000) > 1.0;
+    assert!(pool[..5].iter().all(is_slow), "slow workers pass as fast");
+    assert!(!pool[5..].iter().any(is_slow), "fast workers count as slow");
+}
