fix(entry): a refusal for lack of capacity reads the stored jobs first

Cause: 429 promises that a job doesn't run. A submission of the same job through another VM may be stored and not read by the owner yet, which would then refuse the repeated call and run the job. Change: before an owner refuses, it reads the jobs to the end of their stream and judges again; if it can't read, it doesn't refuse. Left: an append without an answer that the log carries out after the refusal.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -5,8 +5,6 @@
 
 use rosemaryworks_workflow::{Id, Record, Shard};
 
-use crate::events;
-
 /// Time for which a job that the owner has tried to store is not refused, in milliseconds. Its caller
 /// may repeat a call whose outcome is unknown, and the owner may not have read the record yet.
 const ATTEMPT_KEPT_MS: u64 = 30_000;
@@ -48,10 +46,6 @@
             self.add(*id, now_ms);
             return None;
         };
-        events::REFUSED.log(format_args!(
-            "job={id} queue={queue} team={} wait_ms={wait_ms}",
-            spec.team.as_deref().unwrap_or_default()
-        ));
         Some(wait_ms)
     }
 
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -415,7 +415,10 @@
         if self.log_is_down() {
             return Workflow::StoreEnded(Some(false));
         }
-        let refusal = self.owner(shard).and_then(|owner| owner.refusal(record));
+        let refusal = match self.owner(shard) {
+            Some(owner) => owner.refusal(record).await,
+            None => None,
+        };
         if let Some(wait_ms) = refusal {
             return Workflow::Busy { wait_ms };
         }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -278,7 +278,7 @@
 
     /// Reads the jobs up to the end that the stream had at `queried_ms` or later. Queries that wait
     /// at the same time share a read.
-    async fn read_to_end(&self, queried_ms: u64) -> bool {
+    pub(crate) async fn read_to_end(&self, queried_ms: u64) -> bool {
         let mut full_read_ms = self.full_read_ms.lock().await;
         if full_read_ms.is_some_and(|began_ms| began_ms > queried_ms) {
             return true;
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -173,7 +173,11 @@
     ) -> Acceptance {
         let shard = config::shard(pool, self.settings.shards);
         let owner = self.owner(shard);
-        if let Some(wait_ms) = owner.as_ref().and_then(|owner| owner.refusal(record)) {
+        let refusal = match &owner {
+            Some(owner) => owner.refusal(record).await,
+            None => None,
+        };
+        if let Some(wait_ms) = refusal {
             return Acceptance::Busy { wait_ms };
         }
         if self.log_is_down() {
@@ -317,10 +321,28 @@
 
 impl Owner {
     /// Returns the time that the caller of a job should wait if the job is refused, in milliseconds.
-    pub(crate) fn refusal(&self, record: &Record) -> Option<u64> {
+    pub(crate) async fn refusal(&self, record: &Record) -> Option<u64> {
         if self.is_ended() {
             return None;
         }
+        let asked_ms = clock::now().0;
+        self.judge(record)?;
+        // A submission of the same job through another VM may be stored and not read yet. A refusal
+        // promises that the job doesn't run.
+        if !self.read_to_end(asked_ms).await {
+            return None;
+        }
+        let wait_ms = self.judge(record)?;
+        if let Record::Submitted { id, queue, spec } = record {
+            events::REFUSED.log(format_args!(
+                "job={id} queue={queue} team={} wait_ms={wait_ms}",
+                spec.team.as_deref().unwrap_or_default()
+            ));
+        }
+        Some(wait_ms)
+    }
+
+    fn judge(&self, record: &Record) -> Option<u64> {
         lock(&self.attempts).judge(&self.state(), record, clock::now().0)
     }
 }
--- a/crates/entry/tests/refusals.rs
+++ b/crates/entry/tests/refusals.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use memory::{Log, Process, configuration, queue, worker};
+use memory::{Log, Process, configuration, queue, submitted, worker};
 use rosemaryworks_core::size::Size;
 use rosemaryworks_entry::access::Directory;
 use rosemaryworks_entry::port::Stream;
@@ -71,4 +71,8 @@
         assert_eq!(submit(process, 1, 10_000).await, Acceptance::Accepted);
     }
     assert_eq!(peer.metrics.busy.get(), 1);
+    // A submission was stored without the owner, which has not read it yet: a refusal of the repeated
+    // call would say that the job doesn't run.
+    owner.log.put(Stream::Jobs, 0, &submitted(Id(3)));
+    assert_eq!(submit(&peer, 3, 1).await, Acceptance::Accepted);
 }
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -250,6 +250,7 @@
             renewal,
             unfinished: false,
             millicores: 500,
+            taking_over: false,
         };
         let mut value = Vec::new();
         ciborium::into_writer(&claim, &mut value).expect("a claim");
