--- a/crates/entry/src/ownership.rs
+++ b/crates/entry/src/ownership.rs
@@ -268,8 +268,8 @@
     }
 
     /// Renews the claims of the owned shards and of those whose takeover makes progress, unless this
-    /// process has been suspended for so long that another one should take them over. In an outage of the log none can; the first renewal after
-    /// it keeps the claims from expiring.
+    /// process has been suspended for so long that another one should take them over. In an outage of
+    /// the log none can; the first renewal after it keeps the claims from expiring.
     fn renew_claims(self: &Arc<Self>) {
         let suspended = self.claims_age_ms() >= permission::VALID_MS + claim::EXPIRY_MS;
         if suspended && !self.log_is_down() {
