--- a/crates/soak/tests/network.rs
+++ b/crates/soak/tests/network.rs
@@ -36,6 +36,7 @@
         renewal: 7,
         unfinished: false,
         millicores: 1_000,
+        taking_over: false,
     };
     let mut value = Vec::new();
     ciborium::into_writer(&claim, &mut value).expect("a claim in CBOR");
