fix(entry): accept legal jobs of all sizes

Callers saw 413 for a legal job of 150,000 bytes, in calm.

Cause: a job's record was bounded to 255 KiB, and took several times the size of the body: every step was encoded with all of its fields.

Change: fields with their default are left out, which all versions read; submissions from 64 KiB are compressed (miniz_oxide, which the lock file already names).

--- /dev/null
+++ b/crates/entry/src/codec.rs
@@ -0,0 +1,83 @@
+//! Encoding of a shard's records in the log: CBOR, and for large submissions a CBOR byte string that
+//! holds the same record as a zlib stream (RFC 1950).
+
+use ciborium::Value;
+use miniz_oxide::deflate::compress_to_vec_zlib;
+use miniz_oxide::inflate::decompress_to_vec_zlib_with_limit;
+use rosemaryworks_workflow::Record;
+
+use crate::events;
+
+/// Size in bytes from which a submission is compressed. The log accepts records of 256 KiB.
+const COMPRESSED_FROM_BYTES: usize = 64 * 1024;
+
+/// Upper bound of the decompressed size of a record in bytes. A legal job takes less than 1 MiB.
+const DECOMPRESSED_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// Level of compression, from 0 to 10.
+const LEVEL: u8 = 3;
+
+/// Encodes a record.
+pub(crate) fn encode(record: &Record) -> Vec<u8> {
+    let plain = encode_plain(record);
+    let is_submission = matches!(record, Record::Submitted { .. });
+    match is_submission && plain.len() >= COMPRESSED_FROM_BYTES {
+        true => write(&Value::Bytes(compress_to_vec_zlib(&plain, LEVEL))),
+        false => plain,
+    }
+}
+
+/// Decodes a record; `None` if it is malformed.
+pub(crate) fn decode(bytes: &[u8]) -> Option<Record> {
+    let mut rest = bytes;
+    decode_next(&mut rest)
+        .inspect_err(|error| {
+            events::RECORD_SKIPPED.log(format_args!("bytes={} {error}", bytes.len()));
+        })
+        .ok()
+}
+
+/// Decodes records that are stored one after the other. Those after a malformed one are left out.
+pub(crate) fn decode_all(mut bytes: &[u8]) -> Vec<Record> {
+    let mut records = Vec::new();
+    while !bytes.is_empty() {
+        match decode_next(&mut bytes) {
+            Ok(record) => records.push(record),
+            Err(error) => {
+                events::RECORD_SKIPPED.log(format_args!("stream=state {error}"));
+                break;
+            }
+        }
+    }
+    records
+}
+
+fn encode_plain(record: &Record) -> Vec<u8> {
+    write(record)
+}
+
+fn write<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(64);
+    if let Err(error) = ciborium::into_writer(value, &mut bytes) {
+        // Writing to memory fails only for types that have no encoding.
+        events::RECORD_FAULTY.log(format_args!("{error}"));
+    }
+    bytes
+}
+
+/// Decodes the first record and advances `bytes` to the next one.
+fn decode_next(bytes: &mut &[u8]) -> Result<Record, String> {
+    if !is_byte_string(bytes) {
+        return ciborium::from_reader(bytes).map_err(|error| error.to_string());
+    }
+    let value: Value = ciborium::from_reader(bytes).map_err(|error| error.to_string())?;
+    let compressed = value.into_bytes().unwrap_or_default();
+    let plain = decompress_to_vec_zlib_with_limit(&compressed, DECOMPRESSED_MAX_BYTES)
+        .map_err(|error| error.to_string())?;
+    ciborium::from_reader(&plain[..]).map_err(|error| error.to_string())
+}
+
+/// Returns whether an encoded value is a CBOR byte string (RFC 8949, major type 2).
+fn is_byte_string(bytes: &[u8]) -> bool {
+    bytes.first().is_some_and(|first| first >> 5 == 2)
+}
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -14,8 +14,8 @@
 use rosemaryworks_workflow::{Record, Shard};
 use tokio::task::{JoinHandle, JoinSet};
 
+use crate::codec;
 use crate::events;
-use crate::journal;
 use crate::node::{Node, lock};
 use crate::owner::Owner;
 use crate::ownership;
@@ -424,7 +424,7 @@
         }
         let now_ms = clock::now().0;
         let written = self.submitter(shard).write(
-            journal::encode(record),
+            codec::encode(record),
             now_ms + timeout_ms,
             now_ms + RELAY_RETRY_MS,
         );
--- a/crates/entry/src/journal.rs
+++ b/crates/entry/src/journal.rs
@@ -10,6 +10,7 @@
 
 use rosemaryworks_workflow::Record as Entry;
 
+use crate::codec;
 use crate::events;
 use crate::metrics::Metrics;
 use crate::port::{Append, Fault, Guard, Record, Store, Stream};
@@ -42,27 +43,6 @@
     unwritten: AtomicU64,
 }
 
-/// Encodes a record of a shard.
-pub(crate) fn encode(entry: &Entry) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(64);
-    if let Err(error) = ciborium::into_writer(entry, &mut bytes) {
-        // Writing to memory fails only for types that have no encoding.
-        events::RECORD_FAULTY.log(format_args!("{error}"));
-    }
-    bytes
-}
-
-/// Decodes a record of a shard; `None` if it is malformed.
-pub(crate) fn decode(bytes: &[u8]) -> Option<Entry> {
-    match ciborium::from_reader(bytes) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            events::RECORD_SKIPPED.log(format_args!("bytes={} {error}", bytes.len()));
-            None
-        }
-    }
-}
-
 impl Journal {
     pub(crate) fn new(
         store: Arc<dyn Store>,
@@ -89,7 +69,7 @@
 
     /// Queues a record of the shard for the next append.
     pub(crate) fn push(&self, entry: &Entry) {
-        let value = encode(entry);
+        let value = codec::encode(entry);
         self.extend([Record { key: None, value }]);
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod advised;
 pub mod claim;
 pub mod clients;
+mod codec;
 mod commands;
 
 pub mod config;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -13,9 +13,10 @@
 
 use crate::admission::Attempts;
 use crate::advice::requester::Requester;
+use crate::codec;
 use crate::config::Config;
 use crate::events;
-use crate::journal::{self, Journal};
+use crate::journal::Journal;
 use crate::load::Load;
 use crate::node::{Context, Node, lock};
 use crate::permission::Permission;
@@ -437,7 +438,7 @@
         let mut state = self.state();
         state.retained_from(page.first);
         for (offset, record) in page.with_offsets() {
-            if let Some(record) = journal::decode(&record.value) {
+            if let Some(record) = codec::decode(&record.value) {
                 state.apply_stored(record, Some(offset), clock::now().0);
             }
         }
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -7,9 +7,9 @@
 use rosemaryworks_wire::workflow::{JobState, Message};
 use rosemaryworks_workflow::{Id, Queue, Record, Spec, State};
 
+use crate::codec;
 use crate::config;
 use crate::events;
-use crate::journal;
 use crate::links::CALL_TIMEOUT;
 use crate::node::{Node, lock};
 use crate::owner::Owner;
@@ -100,7 +100,7 @@
             spec: Arc::new(spec),
         };
         let is_too_large =
-            has_too_many_tasks || journal::encode(&record).len() > SUBMISSION_MAX_BYTES;
+            has_too_many_tasks || codec::encode(&record).len() > SUBMISSION_MAX_BYTES;
         let outcome = match is_too_large {
             true => Acceptance::TooLarge,
             false => self.write(&queue.pool, &record, deadline_ms).await,
@@ -214,9 +214,9 @@
         record: &Record,
         deadline_ms: u64,
     ) -> Acceptance {
-        let written =
-            self.submitter(shard)
-                .write(journal::encode(record), deadline_ms, deadline_ms);
+        let written = self
+            .submitter(shard)
+            .write(codec::encode(record), deadline_ms, deadline_ms);
         tokio::pin!(written);
         let first = tokio::time::timeout(RELAY_AFTER, &mut written).await;
         let outcome = match first {
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -8,8 +8,8 @@
 use rosemaryworks_node::clock;
 use rosemaryworks_workflow::{Entry, Record as Fact};
 
+use crate::codec;
 use crate::events;
-use crate::journal;
 use crate::node::{Node, lock};
 use crate::owner::Owner;
 use crate::port::Record;
@@ -78,7 +78,7 @@
 fn encode(records: &[Fact]) -> Vec<Vec<u8>> {
     let mut values: Vec<Vec<u8>> = vec![Vec::new()];
     for record in records {
-        let bytes = journal::encode(record);
+        let bytes = codec::encode(record);
         match values.last_mut() {
             Some(value) if value.is_empty() || value.len() + bytes.len() <= VALUE_MAX_BYTES => {
                 value.extend(bytes);
@@ -89,21 +89,6 @@
     values
 }
 
-/// Decodes the records of a value. Those after a malformed one are left out.
-pub(crate) fn decode(mut value: &[u8]) -> Vec<Fact> {
-    let mut records = Vec::new();
-    while !value.is_empty() {
-        match ciborium::from_reader(&mut value) {
-            Ok(record) => records.push(record),
-            Err(error) => {
-                events::RECORD_SKIPPED.log(format_args!("stream=state {error}"));
-                break;
-            }
-        }
-    }
-    records
-}
-
 impl Owner {
     /// Writes snapshots until ownership ends, the first one at once. None is written in an outage of
     /// the log or before the previous one is durable.
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -8,12 +8,13 @@
 use rosemaryworks_node::clock;
 use rosemaryworks_workflow::{self as workflow, Record, Shard};
 
+use crate::codec;
 use crate::events;
 use crate::journal;
 use crate::node::{Node, lock};
 use crate::owner::Owner;
 use crate::port::{self, Append, Fault, Guard, Stream, WorkerChange};
-use crate::snapshot::{Stored, decode};
+use crate::snapshot::Stored;
 use crate::worker_list::{self, Position};
 
 /// Time after which a start command to a worker is void, in milliseconds.
@@ -134,7 +135,10 @@
         let now_ms = clock::now().0;
         let stored = Stored::new(&snapshot);
         let mut replayed = 0;
-        for record in snapshot.iter().flat_map(|record| decode(&record.value)) {
+        for record in snapshot
+            .iter()
+            .flat_map(|record| codec::decode_all(&record.value))
+        {
             state.replay(record, now_ms);
             self.pause_replay(shard, &mut replayed).await;
         }
@@ -200,7 +204,7 @@
             match self.complete(shard, epoch, call).await {
                 Ok(page) => {
                     let decode = |(offset, record): (u64, &port::Record)| {
-                        Some((offset, journal::decode(&record.value)?))
+                        Some((offset, codec::decode(&record.value)?))
                     };
                     records.extend(page.with_offsets().filter_map(decode));
                     next = page.next;
--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -30,44 +30,59 @@
     }
 }
 
+/// Returns whether a field has the value that a record without the field is read with.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 /// A step of a job: a number of identical tasks.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
 pub struct Step {
     /// Indexes of the steps that must complete first.
+    #[serde(skip_serializing_if = "is_default")]
     pub after: Vec<u16>,
     /// Whether the tasks write checkpoints.
+    #[serde(skip_serializing_if = "is_default")]
     pub checkpoints: bool,
     /// Number of tasks.
+    #[serde(skip_serializing_if = "is_default")]
     pub count: u32,
     /// Estimated run time of a task in milliseconds.
+    #[serde(skip_serializing_if = "is_default")]
     pub estimate_ms: u64,
     /// Whether the tasks use only processor time that other tasks leave idle.
-    #[serde(rename = "fills")]
+    #[serde(rename = "fills", skip_serializing_if = "is_default")]
     pub best_effort: bool,
     /// Whether the tasks run all together or not at all.
+    #[serde(skip_serializing_if = "is_default")]
     pub gang: bool,
     /// Image that the tasks run. Tasks of one image behave alike.
+    #[serde(skip_serializing_if = "is_default")]
     pub image: Arc<str>,
     /// Number of tasks that planned operations may take down at the same time.
-    #[serde(rename = "may_miss")]
+    #[serde(rename = "may_miss", skip_serializing_if = "is_default")]
     pub max_unavailable: u32,
     /// Rack near the data of the tasks.
-    #[serde(rename = "near")]
+    #[serde(rename = "near", skip_serializing_if = "is_default")]
     pub preferred_rack: Option<Arc<str>>,
     /// Whether a gang is slower when it spans several racks.
+    #[serde(skip_serializing_if = "is_default")]
     pub one_rack: bool,
     /// Label that a worker must have.
+    #[serde(skip_serializing_if = "is_default")]
     pub requires: Option<Arc<str>>,
     /// Whether the tasks run until the job is cancelled.
+    #[serde(skip_serializing_if = "is_default")]
     pub service: bool,
     /// Resources that a task requests.
+    #[serde(skip_serializing_if = "is_default")]
     pub size: Size,
     /// Maximum number of tasks on one worker; 0 for no limit.
-    #[serde(rename = "spread")]
+    #[serde(rename = "spread", skip_serializing_if = "is_default")]
     pub max_per_worker: u32,
     /// Objective for the tail latency of a service task in milliseconds; 0 for none.
-    #[serde(rename = "target_ms")]
+    #[serde(rename = "target_ms", skip_serializing_if = "is_default")]
     pub latency_target_ms: u64,
 }
 
