fix(platform): apply the limits that the configuration states

Callers saw that `limits` of the configuration changed nothing: headers of 64 KiB were accepted where it says 16,384 bytes, and connections were closed after 5 s where it says 15.

Cause: the limits weren't read; the process had constants of its own.

Change: a configuration's limits for headers, bodies and both time-outs are read and moved into the range that the process can serve. The limit of bodies applies to the next request, the others to connections that are accepted afterwards (event 891). Without limits, those of the plan count.

--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::access::Directory;
+use crate::clients::Terms;
 
 /// A route from a path to a queue.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -33,6 +34,9 @@
     pub pools: BTreeSet<Arc<str>>,
     /// Teams and their keys; `None` if the deployment has no teams.
     pub teams: Option<Directory>,
+    /// Limits for requests of callers.
+    #[serde(default)]
+    pub terms: Terms,
 }
 
 impl Config {
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -75,6 +75,8 @@
 pub const REFUSED: Event = Event::new(880, Level::Info, "job refused");
 /// Clients were refused or disconnected to keep the process within its limits.
 pub const CLIENT_REFUSED: Event = Event::new(890, Level::Warn, "client refused");
+/// The configuration changed the limits for requests.
+pub const TERMS_CHANGED: Event = Event::new(891, Level::Info, "limits for requests changed");
 /// A record of a stream is malformed.
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// The process received the signal to reload.
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rosemaryworks_core::size::Size;
+use rosemaryworks_entry::clients::Terms;
 use rosemaryworks_entry::port::{
     Answer, Append, Appended, Changes, Fault, Page, Record, Store, Stream, WorkerChange,
 };
@@ -296,6 +297,7 @@
             queue: Arc::new(queue()),
         }],
         pools: pools.iter().map(|pool| (*pool).into()).collect(),
+        terms: Terms::default(),
     }
 }
 
--- a/crates/entry/tests/team_caps.rs
+++ b/crates/entry/tests/team_caps.rs
@@ -12,6 +12,7 @@
 use memory::{Log, Process, queue, worker};
 use rosemaryworks_core::size::Size;
 use rosemaryworks_entry::access::Directory;
+use rosemaryworks_entry::clients::Terms;
 use rosemaryworks_entry::config::shard;
 use rosemaryworks_entry::port::Stream;
 use rosemaryworks_entry::{Config, Route};
@@ -52,6 +53,7 @@
         teams: Some(Directory::new(vec![(team, vec!["key".into()])])),
         routes: pools.iter().map(route).collect(),
         pools: BTreeSet::new(),
+        terms: Terms::default(),
     }
 }
 
