test(entry): records that don't compress in the queue of submissions

Cause: waiting_records_are_bounded_in_bytes submits texts of one character, whose records are compressed since and took a few hundred bytes in place of 200 KB, so that it failed (all 40 waited).

Change: the texts are random, 240,000 characters with records of 200 KB. The VM and the bound of five records stay.

--- a/crates/entry/tests/queued_submissions.rs
+++ b/crates/entry/tests/queued_submissions.rs
@@ -7,15 +7,23 @@
 use std::sync::atomic::Ordering;
 
 use memory::{Log, Process, queue};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use rosemaryworks_entry::{Acceptance, deadline_ms};
 use rosemaryworks_workflow::{Id, Spec};
 
-/// Submissions at once, of 200 KB each. The queue holds 0.7 MB in a VM of 32 MB.
-const SUBMISSIONS: u64 = 40;
+/// Submissions at once, whose records take 200 KB each. The queue holds 0.7 MB in a VM of 32 MB, and
+/// there is memory for the jobs of all of them.
+const SUBMISSIONS: u64 = 20;
+
+/// Length of a text of random printable characters that takes 200 KB in a record.
+const TEXT_BYTES: usize = 240_000;
 
 async fn submit(process: &Process, id: u64, bytes: usize) -> Acceptance {
+    let mut random = SmallRng::seed_from_u64(id);
+    let text: String = (0..bytes).map(|_| random.random_range(' '..='~')).collect();
     let spec = Spec {
-        text: "x".repeat(bytes).into(),
+        text: text.into(),
         ..Spec::default()
     };
     let deadline_ms = deadline_ms(Some(1_000));
@@ -35,7 +43,7 @@
     let submissions: Vec<_> = (1..=SUBMISSIONS)
         .map(|id| {
             let process = process.clone();
-            tokio::spawn(async move { submit(&process, id, 200_000).await })
+            tokio::spawn(async move { submit(&process, id, TEXT_BYTES).await })
         })
         .collect();
     let mut held = 0;
