fix(entry): bound the memory of open jobs

Callers could end a process: 60 legal jobs of 262,144 bytes one after another made their owner hold 669,732 KiB where its VM has 122,880, since such jobs are accepted.

Cause: an owner kept every accepted job, without a bound. Such a job holds 11 MB: steps and tasks take 40 times their text.

Change: all shards of a process share a pool for jobs, three eighths of the memory beyond 24 MB (workflow::memory). The owner reserves a job's memory before it is stored; without room it reads the log, because a refusal promises that the job doesn't run, and answers 429 with 5 s. Large jobs leave an eighth to ordinary ones. A body is refused before it is decoded if the process that received it has no room for its steps. A submission that isn't read for lack of memory is answered by what the owner knows of the job: 200 if it is stored.

--- a/crates/entry/src/clients.rs
+++ b/crates/entry/src/clients.rs
@@ -15,4 +15,4 @@
 pub use guard::{BodyGuard, Clients, Refusal};
 pub use limits::{LINK_BUFFER_BYTES, Limits, Listener, SOCKET_BUFFER_BYTES};
 pub use terms::Terms;
-pub use weight::decoded_max_bytes;
+pub use weight::{decoded_max_bytes, steps_max};
--- a/crates/entry/src/clients/guard.rs
+++ b/crates/entry/src/clients/guard.rs
@@ -23,6 +23,8 @@
     Slow,
     /// All connections of the listener are in use.
     Connections,
+    /// Its job has no room beside those that are open.
+    Jobs,
 }
 
 #[derive(Default)]
@@ -92,7 +94,7 @@
     /// Counts a refusal and logs it, one line in ten seconds.
     pub fn refused(&self, refusal: Refusal) {
         let counter = match refusal {
-            Refusal::Memory => &self.metrics.refused_memory,
+            Refusal::Jobs | Refusal::Memory => &self.metrics.refused_memory,
             Refusal::Slow => &self.metrics.refused_slow,
             Refusal::Connections => &self.metrics.refused_connections,
         };
--- a/crates/entry/src/clients/limits.rs
+++ b/crates/entry/src/clients/limits.rs
@@ -44,6 +44,8 @@
 pub struct Limits {
     /// Memory for bodies and for what they are decoded to, in bytes.
     pub body_bytes: u64,
+    /// Memory for the jobs of all owned shards, in bytes.
+    pub job_bytes: u64,
     /// Memory for the records of a shard that wait to be written, in bytes.
     pub queue_bytes: usize,
     /// Connections of callers.
@@ -60,7 +62,7 @@
     /// Derives the limits from the memory in MB and the number of descriptors of the VM.
     ///
     /// Half of the memory beyond that of the process itself is left to the allocator's fragmentation
-    /// and to open jobs. At least two fifths of the descriptors are left to calls of the log and the
+    /// and, three eighths, to jobs. At least two fifths of the descriptors are left to calls of the log and the
     /// workers and to links that the process opens itself. Links are limited by descriptors alone: an
     /// owner has one from every other process, and an idle one takes 14 KiB.
     #[must_use]
@@ -75,6 +77,7 @@
         let callers_max = clients * 3 / 8 / CONNECTION_BYTES;
         Self {
             body_bytes: clients * 3 / 8,
+            job_bytes: clients * 3 / 4,
             queue_bytes: count(clients / 12, 0),
             callers: count((fds * 5 / 16).min(callers_max), 16),
             links: count(fds / 4, 16),
--- a/crates/entry/src/clients/weight.rs
+++ b/crates/entry/src/clients/weight.rs
@@ -10,6 +10,13 @@
 /// and the request to the log.
 const COPIES: u64 = 5;
 
+/// Returns an upper bound of the number of steps in the JSON body of a job.
+#[must_use]
+pub fn steps_max(body: &[u8]) -> u64 {
+    let objects = body.iter().filter(|byte| **byte == b'{').count() as u64;
+    objects.saturating_sub(1)
+}
+
 /// Returns an upper bound of the memory in bytes for decoding and storing a JSON body, from the
 /// characters that begin or separate values. Characters within texts count as well, which only
 /// raises the bound.
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -15,6 +15,7 @@
 use tokio::task::{JoinHandle, JoinSet};
 
 use crate::codec;
+use crate::decision::Decision;
 use crate::events;
 use crate::node::{Node, lock};
 use crate::owner::Owner;
@@ -415,12 +416,15 @@
         if self.log_is_down() {
             return Workflow::StoreEnded(Some(false));
         }
-        let refusal = match self.owner(shard) {
-            Some(owner) => owner.refusal(record).await,
-            None => None,
+        let owner = self.owner(shard);
+        let decision = match &owner {
+            Some(owner) => owner.decide(record).await,
+            None => Decision::Store,
         };
-        if let Some(wait_ms) = refusal {
-            return Workflow::Busy { wait_ms };
+        match decision {
+            Decision::Store => {}
+            Decision::Refuse { wait_ms } => return Workflow::Busy { wait_ms },
+            Decision::Undecided => return Workflow::StoreEnded(None),
         }
         let now_ms = clock::now().0;
         let written = self.submitter(shard).write(
@@ -433,7 +437,12 @@
                 self.notify_stored(shard, record);
                 Some(true)
             }
-            Ok(Ok(Outcome::Refused)) => Some(false),
+            Ok(Ok(Outcome::Refused)) => {
+                if let Some(owner) = owner {
+                    owner.release(record);
+                }
+                Some(false)
+            }
             _ => None,
         };
         Workflow::StoreEnded(stored)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod commands;
 
 pub mod config;
+mod decision;
 pub mod events;
 mod exchange;
 mod handover;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -54,6 +54,8 @@
     pub shards: Gauge,
     /// Open jobs of the owned shards.
     pub open_jobs: Gauge,
+    /// Memory for the jobs of all owned shards in bytes.
+    pub job_bytes: Gauge,
     /// Requests for parts of teams' caps sent to owners of other shards.
     pub room_requests: Counter,
     /// Steps that a team's cap holds back.
@@ -126,6 +128,11 @@
             refused_memory: counter("entry_refused_memory", "Bodies without memory"),
             refused_slow: counter("entry_refused_slow", "Bodies that were not sent in time"),
             shards: registry.register("entry_shards", "Shards owned", Gauge::default()),
+            job_bytes: registry.register(
+                "entry_job_bytes",
+                "Memory for jobs in bytes",
+                Gauge::default(),
+            ),
             open_jobs: registry.register("entry_open_jobs", "Jobs not ended", Gauge::default()),
             room_requests: counter("entry_room_requests", "Requests for parts of caps"),
             steps_capped: gauge("entry_steps_capped", "Steps held back by a cap"),
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -9,6 +9,7 @@
 use rosemaryworks_node::status::Ready;
 use rosemaryworks_wire::link::Peer;
 use rosemaryworks_wire::{Hello, Role};
+use rosemaryworks_workflow::memory::Pool;
 use tokio::sync::{Notify, watch};
 
 use crate::advice::service::Service;
@@ -96,6 +97,8 @@
     /// Exchange of configurations with other processes.
     pub(crate) revisions: Arc<revisions::exchange::Exchange>,
     pub(crate) skipped_workers: Skipped,
+    /// Memory for the jobs of all owned shards.
+    pub(crate) memory: Pool,
     skipped_configurations: Skipped,
     config: RwLock<Option<Arc<Config>>>,
     submitters: Mutex<HashMap<u32, Arc<Submitter>>>,
@@ -122,6 +125,7 @@
         context.ready.clear("no configuration yet");
         let advice = Service::new(context.advisor.clone(), context.metrics.clone());
         let revisions = revisions::exchange::Exchange::new(context.metrics.revisions_taken.clone());
+        let memory = Pool::new(settings.limits().job_bytes);
         Arc::new(Self {
             settings,
             context,
@@ -145,6 +149,7 @@
             calls_end: watch::Sender::new(None),
             revisions: Arc::new(revisions),
             skipped_workers: Skipped::new("workers"),
+            memory,
             skipped_configurations: Skipped::new("configurations"),
             config: RwLock::new(None),
             submitters: Mutex::default(),
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use rosemaryworks_node::clock;
+use rosemaryworks_workflow::memory::Pool;
 use rosemaryworks_workflow::{Action, Record, Shard};
 use tokio::sync::Notify;
 
@@ -15,6 +16,7 @@
 use crate::advice::requester::Requester;
 use crate::codec;
 use crate::config::Config;
+use crate::decision::Reservations;
 use crate::events;
 use crate::journal::Journal;
 use crate::load::Load;
@@ -101,6 +103,8 @@
     permission: Arc<Permission>,
     stall: Stall,
     load: Load,
+    memory: Pool,
+    pub(crate) reserved: Mutex<Reservations>,
 }
 
 impl Owner {
@@ -147,6 +151,8 @@
             permission: node.permission.clone(),
             stall: Stall::new(clock::uptime_ms()),
             load: Load::default(),
+            memory: node.memory.clone(),
+            reserved: Mutex::default(),
         })
     }
 
@@ -196,6 +202,11 @@
         &self.stall
     }
 
+    /// Returns the memory for jobs of the process.
+    pub(crate) fn memory(&self) -> &Pool {
+        &self.memory
+    }
+
     pub(crate) fn counts(&self) -> (usize, usize) {
         let state = self.state();
         (state.open_jobs(), state.host_ids().len())
@@ -331,8 +342,13 @@
                     state.confirm_ownership(proven_ms);
                 }
                 state.tick(now_ms, clock::unix_ms());
+                lock(&self.reserved).release_known(&state, now_ms);
                 let open = state.open_jobs();
                 self.context.metrics.open_jobs.set(open as i64);
+                self.context
+                    .metrics
+                    .job_bytes
+                    .set(self.memory.held() as i64);
                 state.take_actions()
             };
             self.load.add_tick(began.elapsed());
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -5,13 +5,15 @@
 
 use rosemaryworks_node::clock;
 use rosemaryworks_wire::workflow::{JobState, Message};
+use rosemaryworks_workflow::memory;
 use rosemaryworks_workflow::{Id, Queue, Record, Spec, State};
 
 use crate::codec;
 use crate::config;
+use crate::decision::{Decision, MEMORY_WAIT_MS};
 use crate::events;
 use crate::links::CALL_TIMEOUT;
-use crate::node::{Node, lock};
+use crate::node::Node;
 use crate::owner::Owner;
 use crate::submitter::Outcome;
 
@@ -124,6 +126,30 @@
         outcome
     }
 
+    /// Returns whether this process has memory for a job with a number of steps.
+    #[must_use]
+    pub fn has_room_for(&self, steps: u64) -> bool {
+        self.memory.has_room(memory::steps_min_bytes(steps))
+    }
+
+    /// Returns the outcome of a submission that was not read for lack of memory. An earlier submission of
+    /// the same job may be stored, so that it can't be refused.
+    pub async fn decline(
+        self: &Arc<Self>,
+        queue: &Queue,
+        id: Id,
+        team: Option<Arc<str>>,
+        deadline_ms: u64,
+    ) -> Acceptance {
+        match self.job_state(queue, id, team, deadline_ms).await {
+            Lookup::State(_) => Acceptance::Accepted,
+            Lookup::NoSuchJob => Acceptance::Busy {
+                wait_ms: MEMORY_WAIT_MS,
+            },
+            Lookup::Unavailable => Acceptance::Unknown,
+        }
+    }
+
     /// Stores the cancellation of a job on behalf of a team, if the caller has one.
     pub async fn cancel(
         self: &Arc<Self>,
@@ -173,13 +199,32 @@
     ) -> Acceptance {
         let shard = config::shard(pool, self.settings.shards);
         let owner = self.owner(shard);
-        let refusal = match &owner {
-            Some(owner) => owner.refusal(record).await,
-            None => None,
+        let decision = match &owner {
+            Some(owner) => owner.decide(record).await,
+            None => Decision::Store,
         };
-        if let Some(wait_ms) = refusal {
-            return Acceptance::Busy { wait_ms };
+        match decision {
+            Decision::Store => {}
+            Decision::Refuse { wait_ms } => return Acceptance::Busy { wait_ms },
+            Decision::Undecided => return Acceptance::Unknown,
         }
+        let outcome = self
+            .store_decided(shard, owner.as_ref(), record, deadline_ms)
+            .await;
+        if let Some(owner) = owner.filter(|_| outcome == Acceptance::Refused) {
+            owner.release(record);
+        }
+        outcome
+    }
+
+    /// Stores a record that the owner, if it is this process, has not refused.
+    async fn store_decided(
+        self: &Arc<Self>,
+        shard: u32,
+        owner: Option<&Arc<Owner>>,
+        record: &Record,
+        deadline_ms: u64,
+    ) -> Acceptance {
         if self.log_is_down() {
             // The background reads detect the return of the log, so this call needs no probe.
             return self.store_via_peer(shard, record, deadline_ms).await;
@@ -319,34 +364,6 @@
     }
 }
 
-impl Owner {
-    /// Returns the time that the caller of a job should wait if the job is refused, in milliseconds.
-    pub(crate) async fn refusal(&self, record: &Record) -> Option<u64> {
-        if self.is_ended() {
-            return None;
-        }
-        let asked_ms = clock::now().0;
-        self.judge(record)?;
-        // A submission of the same job through another VM may be stored and not read yet. A refusal
-        // promises that the job doesn't run.
-        if !self.read_to_end(asked_ms).await {
-            return None;
-        }
-        let wait_ms = self.judge(record)?;
-        if let Record::Submitted { id, queue, spec } = record {
-            events::REFUSED.log(format_args!(
-                "job={id} queue={queue} team={} wait_ms={wait_ms}",
-                spec.team.as_deref().unwrap_or_default()
-            ));
-        }
-        Some(wait_ms)
-    }
-
-    fn judge(&self, record: &Record) -> Option<u64> {
-        lock(&self.attempts).judge(&self.state(), record, clock::now().0)
-    }
-}
-
 fn acceptance(outcome: Option<Outcome>) -> Acceptance {
     match outcome {
         Some(Outcome::Stored) => Acceptance::Accepted,
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -106,7 +106,7 @@
             keep_ms: self.settings.keep_ms,
             early_ms: self.settings.early_ms / 2,
         };
-        let mut state = Shard::new(settings, epoch);
+        let mut state = Shard::new(settings, epoch).with_memory(self.memory.clone());
         let config = self.config();
         if let Some(config) = &config {
             config.apply_to(&mut state, shard, self.settings.shards);
--- a/crates/workflow/src/completion.rs
+++ b/crates/workflow/src/completion.rs
@@ -144,8 +144,7 @@
             self.enqueue_ready(key.job, key.occurrence);
             return;
         }
-        job.occurrences.remove(&key.occurrence);
-        job.completed_occurrences += 1;
+        job.complete_occurrence(key.occurrence);
         if job.completed_occurrences == spec.occurrences() {
             self.finish_job(key.job, State::Completed, now_ms);
         }
@@ -178,9 +177,7 @@
             if !job.is_ended() {
                 self.open_jobs -= 1;
             }
-            job.ended = Some((state, record));
-            job.ended_ms = ended_ms;
-            job.occurrences.clear();
+            job.end(state, record, ended_ms);
             self.scheduled.remove(&id);
         }
     }
--- a/crates/workflow/src/job.rs
+++ b/crates/workflow/src/job.rs
@@ -7,6 +7,8 @@
 use rosemaryworks_core::size::Size;
 use serde::{Deserialize, Serialize};
 
+use crate::memory::Cost;
+
 /// Identifier of a job, chosen by the caller. Formatted as 16 hexadecimal digits.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Id(pub u64);
@@ -141,6 +143,12 @@
         due.saturating_mul(counts.sum())
     }
 
+    /// Returns the memory in bytes that an owner holds for the job with one occurrence.
+    #[must_use]
+    pub fn memory_bytes(&self) -> u64 {
+        Cost::of(self).open(1)
+    }
+
     /// Returns the Unix time in milliseconds at which an occurrence is due.
     pub(crate) fn due_ms(&self, occurrence: u32) -> u64 {
         let after_ms = u64::from(occurrence).saturating_mul(self.interval_ms);
--- a/crates/workflow/src/lib.rs
+++ b/crates/workflow/src/lib.rs
@@ -21,6 +21,7 @@
 mod lease;
 mod lost_answers;
 mod lost_attempt;
+pub mod memory;
 mod objective;
 mod observation;
 mod open_jobs;
--- a/crates/workflow/src/open_jobs.rs
+++ b/crates/workflow/src/open_jobs.rs
@@ -39,10 +39,7 @@
         job.acceptance_order = order;
         job.begin_occurrences(next_occurrence);
         for number in completed.into_iter().flat_map(numbers) {
-            if job.occurrences.remove(&number).is_some() {
-                job.completed_occurrences += 1;
-                job.started = true;
-            }
+            job.started |= job.complete_occurrence(number);
         }
     }
 
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -5,6 +5,7 @@
 
 use crate::advice::Advice;
 use crate::job::{Spec, State};
+use crate::memory::{Cost, Pool, Share};
 use crate::objective::Objective;
 use crate::shard::Shard;
 use crate::task::StepKey;
@@ -108,7 +109,7 @@
 }
 
 /// State of a job.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Job {
     /// Name of its queue.
     pub(crate) queue: Arc<str>,
@@ -139,18 +140,18 @@
     pub(crate) inherited: bool,
     /// Highest attempt number that previous owners may have used without leaving a record.
     pub(crate) attempt_floor: u32,
+    cost: Cost,
+    share: Share,
 }
 
 impl Job {
-    /// Creates a job of which only the end and the team are known.
-    pub(crate) fn unknown(team: Option<Arc<str>>) -> Self {
-        let spec = Spec {
-            team,
-            ..Spec::default()
-        };
-        Self {
-            queue: "".into(),
-            spec: Arc::new(spec),
+    /// Creates an open job without occurrences.
+    pub(crate) fn new(queue: Arc<str>, spec: Arc<Spec>, pool: &Pool) -> Self {
+        let mut job = Self {
+            queue,
+            cost: Cost::of(&spec),
+            share: pool.share(),
+            spec,
             acceptance_order: 0,
             occurrences: BTreeMap::new(),
             completed_occurrences: 0,
@@ -163,7 +164,42 @@
             objective: None,
             inherited: false,
             attempt_floor: 0,
-        }
+        };
+        job.count_memory();
+        job
+    }
+
+    /// Creates a job of which only the end and the team are known.
+    pub(crate) fn unknown(team: Option<Arc<str>>, pool: &Pool) -> Self {
+        let spec = Spec {
+            team,
+            ..Spec::default()
+        };
+        Self::new("".into(), Arc::new(spec), pool)
+    }
+
+    /// Counts the memory that the job holds after a change.
+    fn count_memory(&mut self) {
+        self.share.set(match self.ended {
+            Some(_) => self.cost.ended(),
+            None => self.cost.open(self.occurrences.len()),
+        });
+    }
+
+    /// Ends the job.
+    pub(crate) fn end(&mut self, state: State, record: u64, ended_ms: u64) {
+        self.ended = Some((state, record));
+        self.ended_ms = ended_ms;
+        self.occurrences.clear();
+        self.count_memory();
+    }
+
+    /// Removes a completed occurrence. Returns whether it was in progress.
+    pub(crate) fn complete_occurrence(&mut self, number: u32) -> bool {
+        let is_completed = self.occurrences.remove(&number).is_some();
+        self.completed_occurrences += u32::from(is_completed);
+        self.count_memory();
+        is_completed
     }
 
     /// Returns the state of a step.
@@ -190,6 +226,7 @@
         });
         self.occurrences.insert(number, steps.collect());
         self.next_occurrence = self.next_occurrence.max(number + 1);
+        self.count_memory();
     }
 
     pub(crate) fn is_ended(&self) -> bool {
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -12,6 +12,7 @@
 use crate::lease::Lease;
 use crate::lost_answers::LostAnswers;
 use crate::lost_attempt::Evidence;
+use crate::memory::Pool;
 use crate::objective::Outlook;
 use crate::orphan::Orphans;
 use crate::record::Record;
@@ -98,6 +99,8 @@
     /// Time on the owner's clock from which [`Self::tick`] visits all jobs again.
     pub(crate) job_check_due_ms: u64,
     pub(crate) outlook: Outlook,
+    /// Memory for jobs.
+    pub(crate) memory: Pool,
 }
 
 impl Shard {
@@ -138,9 +141,17 @@
             worker_check_due_ms: 0,
             job_check_due_ms: 0,
             outlook: Outlook::default(),
+            memory: Pool::default(),
         }
     }
 
+    /// Sets the memory that the shard shares with the others of its process.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Pool) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Returns the epoch of the owner.
     #[must_use]
     pub fn epoch(&self) -> u64 {
@@ -199,22 +210,11 @@
         } else {
             0
         };
-        let mut job = Job {
-            queue,
-            spec,
-            acceptance_order: self.next_acceptance,
-            occurrences: BTreeMap::new(),
-            completed_occurrences: 0,
-            next_occurrence: 0,
-            started: false,
-            ended: None,
-            ended_ms: 0,
-            logged: None,
-            accepted_ms: now_ms,
-            objective: None,
-            inherited,
-            attempt_floor: floor,
-        };
+        let mut job = Job::new(queue, spec, &self.memory);
+        job.acceptance_order = self.next_acceptance;
+        job.accepted_ms = now_ms;
+        job.inherited = inherited;
+        job.attempt_floor = floor;
         self.next_acceptance += 1;
         self.open_jobs += 1;
         if job.spec.times == 0 {
--- a/crates/workflow/src/snapshot.rs
+++ b/crates/workflow/src/snapshot.rs
@@ -133,7 +133,7 @@
         if self.jobs.get(&id).is_none_or(|job| !job.is_ended()) {
             self.jobs.entry(id).or_insert_with(|| {
                 self.open_jobs += 1;
-                Job::unknown(team.cloned())
+                Job::unknown(team.cloned(), &self.memory)
             });
             self.end_job(id, state, 0, 0);
         }
