fix(workflow): drop the specifications of ended jobs

Callers could end a process: 60 legal jobs of 262,144 bytes, each cancelled before the next one, made their owner hold 203,160 KiB where its VM has 122,880.

Cause: an owner kept the steps of an ended job for the retention time, and a successor decoded all jobs in the log before it applied the first.

Change: the owner drops the specification of an ended job, apart from its team, when no attempt of it runs any more; a replay drops it at once. A successor decodes the records one by one.

--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use rosemaryworks_node::clock;
-use rosemaryworks_workflow::{self as workflow, Record, Shard};
+use rosemaryworks_workflow::{self as workflow, Shard};
 
 use crate::codec;
 use crate::events;
@@ -142,12 +142,16 @@
             state.replay(record, now_ms);
             self.pause_replay(shard, &mut replayed).await;
         }
-        for (offset, record) in jobs.into_iter().chain(later) {
-            state.apply_stored(record, Some(offset), now_ms);
+        for (offset, record) in jobs.iter().chain(&later) {
+            if let Some(record) = codec::decode(record) {
+                state.apply_stored(record, Some(*offset), now_ms);
+            }
             self.pause_replay(shard, &mut replayed).await;
         }
-        for (_, record) in progress {
-            state.replay(record, now_ms);
+        for (_, record) in &progress {
+            if let Some(record) = codec::decode(record) {
+                state.replay(record, now_ms);
+            }
             self.pause_replay(shard, &mut replayed).await;
         }
         let mut skipped = changes.skipped;
@@ -188,25 +192,23 @@
         Ok(())
     }
 
-    /// Reads a partition from an offset to its end. Returns its records with their offsets, and the
-    /// next offset.
+    /// Reads a partition from an offset to its end. Returns its encoded records with their offsets,
+    /// and the next offset. A decoded job may take a hundred times its record.
     async fn read_all(
         &self,
         stream: Stream,
         shard: u32,
         epoch: u64,
         from: u64,
-    ) -> Result<(Vec<(u64, Record)>, u64), Fault> {
+    ) -> Result<(Vec<(u64, Vec<u8>)>, u64), Fault> {
         let mut records = Vec::new();
         let mut next = from;
         loop {
             let call = || self.context.store.read(stream, shard, next, 0);
             match self.complete(shard, epoch, call).await {
                 Ok(page) => {
-                    let decode = |(offset, record): (u64, &port::Record)| {
-                        Some((offset, codec::decode(&record.value)?))
-                    };
-                    records.extend(page.with_offsets().filter_map(decode));
+                    let encoded = page.with_offsets();
+                    records.extend(encoded.map(|(offset, record)| (offset, record.value.clone())));
                     next = page.next;
                     if page.next >= page.end {
                         return Ok((records, next));
--- a/crates/workflow/src/completion.rs
+++ b/crates/workflow/src/completion.rs
@@ -178,6 +178,9 @@
                 self.open_jobs -= 1;
             }
             job.end(state, record, ended_ms);
+            if self.recovery.is_replaying() {
+                job.drop_spec();
+            }
             self.scheduled.remove(&id);
         }
     }
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -194,6 +194,20 @@
         self.count_memory();
     }
 
+    /// Drops the specification of an ended job, apart from the team.
+    pub(crate) fn drop_spec(&mut self) {
+        if self.cost == Cost::default() {
+            return;
+        }
+        let spec = Spec {
+            team: self.spec.team.clone(),
+            ..Spec::default()
+        };
+        self.spec = Arc::new(spec);
+        self.cost = Cost::default();
+        self.count_memory();
+    }
+
     /// Removes a completed occurrence. Returns whether it was in progress.
     pub(crate) fn complete_occurrence(&mut self, number: u32) -> bool {
         let is_completed = self.occurrences.remove(&number).is_some();
--- a/crates/workflow/src/snapshot.rs
+++ b/crates/workflow/src/snapshot.rs
@@ -5,7 +5,7 @@
 //! when ownership begins and then periodically; a successor applies it before the records of the
 //! streams.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 use crate::job::{Id, State};
@@ -166,6 +166,16 @@
         self.early_cancellations.retain(|_, at_ms| !is_due(*at_ms));
     }
 
+    /// Drops the specifications of ended jobs whose attempts have stopped.
+    pub(crate) fn drop_specs(&mut self) {
+        let runs = self.hosts.values().flat_map(|host| host.runs.keys());
+        let running: HashSet<Id> = runs.map(|key| key.step.job).collect();
+        let stopped = |(id, job): &(&Id, &mut Job)| job.is_ended() && !running.contains(id);
+        for (_, job) in self.jobs.iter_mut().filter(stopped) {
+            job.drop_spec();
+        }
+    }
+
     /// Records the first offset that the log retains of the jobs' stream.
     pub fn retained_from(&mut self, offset: u64) {
         self.first_retained = self.first_retained.max(offset);
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -41,6 +41,7 @@
         if now_ms >= self.job_check_due_ms {
             self.job_check_due_ms = now_ms + JOB_CHECK_PERIOD_MS;
             self.forget_jobs(now_ms);
+            self.drop_specs();
             self.removed.forget_unreachable(now_ms);
             self.orphans.forget_ends(self.settings.keep_ms, now_ms);
         }
