fix(workflow): begin no further occurrence without memory

Callers could end a process: one legal job of 10,000 steps that is due every 200 ms made its owner hold 193,980 KiB of 122,880 after 10 s.

Cause: an owner began every due occurrence, whether or not the earlier ones had run, and no bound counted them.

--- a/crates/workflow/src/memory.rs
+++ b/crates/workflow/src/memory.rs
@@ -144,6 +144,13 @@
         Some(Share { pool, bytes })
     }
 
+    /// Returns whether a job has room for `bytes` more than it holds.
+    pub(crate) fn has_room_to_grow(&self, bytes: u64) -> bool {
+        let held = self.lock();
+        let total = held.large.saturating_add(held.small);
+        total.saturating_add(bytes) <= self.large_limit()
+    }
+
     /// Returns a share that holds nothing yet.
     pub(crate) fn share(&self) -> Share {
         Share {
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -208,6 +208,11 @@
         self.count_memory();
     }
 
+    /// Returns whether another occurrence may begin now. The first one always may.
+    pub(crate) fn has_room(&self, pool: &Pool) -> bool {
+        self.occurrences.is_empty() || pool.has_room_to_grow(self.cost.occurrence)
+    }
+
     /// Removes a completed occurrence. Returns whether it was in progress.
     pub(crate) fn complete_occurrence(&mut self, number: u32) -> bool {
         let is_completed = self.occurrences.remove(&number).is_some();
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -82,7 +82,7 @@
             let spec = job.spec.clone();
             while job.next_occurrence < spec.times {
                 let due_ms = spec.due_ms(job.next_occurrence);
-                if unix_ms + self.settings.early_ms < due_ms {
+                if unix_ms + self.settings.early_ms < due_ms || !job.has_room(&self.memory) {
                     break;
                 }
                 job.begin_occurrence(job.next_occurrence);
