--- a/crates/entry/tests/clients.rs
+++ b/crates/entry/tests/clients.rs
@@ -2,7 +2,7 @@
 //! held, or that ordinary clients would meet.
 
 use rosemaryworks_entry::clients::{
-    Bodies, Connections, Entry, Grant, Limits, Listener, decoded_max_bytes,
+    Bodies, Connections, Entry, Grant, Limits, Listener, Terms, decoded_max_bytes, steps_max,
 };
 
 const KIB: u64 = 1024;
@@ -127,3 +127,30 @@
     assert!(decoded_max_bytes(deep.as_bytes()) > 7_000_000);
     assert!(decoded_max_bytes(wide.as_bytes()) > 3_500_000);
 }
+
+/// Guards against configured limits that stop the service or exceed what the log takes.
+#[test]
+fn configured_limits_are_moved_into_the_possible_range() {
+    let terms = Terms {
+        header_bytes: 0,
+        body_bytes: u64::MAX,
+        header_timeout_ms: 0,
+        idle_timeout_ms: u64::MAX,
+    };
+    let expected = Terms {
+        header_bytes: 1_024,
+        body_bytes: 262_144,
+        header_timeout_ms: 1_000,
+        idle_timeout_ms: 60_000,
+    };
+    assert_eq!(terms.within_bounds(), expected);
+    let plan = Terms::default();
+    assert_eq!(plan.within_bounds(), plan);
+}
+
+/// Guards against a job that is decoded although there is no memory for its steps.
+#[test]
+fn steps_are_counted_before_they_are_decoded() {
+    assert_eq!(steps_max(br#"{"steps":[{"count":1},{"count":2}]}"#), 2);
+    assert_eq!(steps_max(b""), 0);
+}
