fix(entry): don't decode the record of a job that is known

Callers could make a process exceed its VM: 300 clients with jobs of 21,000 steps (jobs_that_unfold) held 49,776 KiB of 49,152 in 1 of 8 runs, with the bytes that are received and not read, 42,812 to 48,056 in the others.

Cause: an owner knows most jobs before it reads their records, and decoded every record all the same: 4 MB for a job that takes 11.

Change: the identifier of a compressed submission is decoded alone; if the job is known, only the offset of its record is noted.

--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -4,7 +4,8 @@
 use ciborium::Value;
 use miniz_oxide::deflate::compress_to_vec_zlib;
 use miniz_oxide::inflate::decompress_to_vec_zlib_with_limit;
-use rosemaryworks_workflow::Record;
+use rosemaryworks_workflow::{Id, Record};
+use serde::Deserialize;
 
 use crate::events;
 
@@ -37,6 +38,27 @@
         .ok()
 }
 
+/// Identifier of a submission. Decoding it skips the specification.
+#[derive(Deserialize)]
+enum Submission {
+    #[serde(rename = "j")]
+    Submitted {
+        #[serde(rename = "i")]
+        id: Id,
+    },
+}
+
+/// Returns the job of a compressed submission, whose specification may take a hundred times the memory
+/// of the record; `None` for other records.
+pub(crate) fn compressed_submission(mut bytes: &[u8]) -> Option<Id> {
+    if !is_byte_string(bytes) {
+        return None;
+    }
+    let plain = decompress(&mut bytes).ok()?;
+    let Submission::Submitted { id } = ciborium::from_reader(&plain[..]).ok()?;
+    Some(id)
+}
+
 /// Decodes records that are stored one after the other. Those after a malformed one are left out.
 pub(crate) fn decode_all(mut bytes: &[u8]) -> Vec<Record> {
     let mut records = Vec::new();
@@ -70,11 +92,16 @@
     if !is_byte_string(bytes) {
         return ciborium::from_reader(bytes).map_err(|error| error.to_string());
     }
+    let plain = decompress(bytes)?;
+    ciborium::from_reader(&plain[..]).map_err(|error| error.to_string())
+}
+
+/// Decompresses the first record and advances `bytes` to the next one.
+fn decompress(bytes: &mut &[u8]) -> Result<Vec<u8>, String> {
     let value: Value = ciborium::from_reader(bytes).map_err(|error| error.to_string())?;
     let compressed = value.into_bytes().unwrap_or_default();
-    let plain = decompress_to_vec_zlib_with_limit(&compressed, DECOMPRESSED_MAX_BYTES)
-        .map_err(|error| error.to_string())?;
-    ciborium::from_reader(&plain[..]).map_err(|error| error.to_string())
+    decompress_to_vec_zlib_with_limit(&compressed, DECOMPRESSED_MAX_BYTES)
+        .map_err(|error| error.to_string())
 }
 
 /// Returns whether an encoded value is a CBOR byte string (RFC 8949, major type 2).
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -454,6 +454,11 @@
         let mut state = self.state();
         state.retained_from(page.first);
         for (offset, record) in page.with_offsets() {
+            let submitted = codec::compressed_submission(&record.value);
+            if submitted.is_some_and(|id| state.note_logged(id, offset)) {
+                // Most jobs are known before their records are read.
+                continue;
+            }
             if let Some(record) = codec::decode(&record.value) {
                 state.apply_stored(record, Some(offset), clock::now().0);
             }
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -187,8 +187,8 @@
         match record {
             Record::Submitted { id, queue, spec } => {
                 self.submit(id, queue, spec, now_ms);
-                if let Some(job) = self.jobs.get_mut(&id) {
-                    job.logged = job.logged.max(offset);
+                if let Some(offset) = offset {
+                    self.note_logged(id, offset);
                 }
             }
             Record::Cancelled { id, team } => self.cancel_for(id, team, now_ms),
@@ -197,6 +197,15 @@
         }
     }
 
+    /// Notes the offset of a submission in the jobs' stream. Returns whether the job is known.
+    pub fn note_logged(&mut self, id: Id, offset: u64) -> bool {
+        let job = self.jobs.get_mut(&id);
+        job.is_some_and(|job| {
+            job.logged = job.logged.max(Some(offset));
+            true
+        })
+    }
+
     /// Adds an accepted job. Has no effect if the job is known.
     pub fn submit(&mut self, id: Id, queue: Arc<str>, spec: Arc<Spec>, now_ms: u64) {
         if self.jobs.contains_key(&id) {
