review: a late start is carried out by the next life of its minion

One of 17 starts gets no answer and is carried out 2 s later by the minion, which has crashed and started again meanwhile.

Seen: the task runs on two minions for 0.1 s, until the owner has renewed with its token.

The stand-ins take ports below those of the project's tests, and a script that is ended ends its processes.

--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -44,9 +44,9 @@
 
 
 def free_port():
-    """Returns a port below those that the system gives to outgoing connections."""
+    """Returns a port below those of the project's tests and of outgoing connections."""
     while True:
-        port = random.SystemRandom().randint(12_000, 32_000)
+        port = random.SystemRandom().randint(12_000, 19_999)
         if port in USED_PORTS:
             continue
         with socket.socket() as probe:
@@ -653,7 +653,7 @@
 
     def runs(self, job):
         """Rows of all runs of a job's tasks: task, attempt, start, end, how, life, minion."""
-        rows = [row for minion in self.minions for row in minion.ran if row[0].startswith(job + ".")]
+        rows = [row for minion in self.minions for row in minion.ran if not job or row[0].startswith(job + ".")]
         return sorted(rows, key=lambda row: row[2])
 
     async def stop(self):
@@ -676,9 +676,17 @@
     if not os.path.exists(PROGRAM):
         print("target/release/rosemary-entry is missing", file=sys.stderr)
         sys.exit(2)
+
+    async def run():
+        task = asyncio.current_task()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            # The processes that were started end with the script.
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await asyncio.wait_for(case(folder, trouble), 110)
+
     try:
-        held = asyncio.run(asyncio.wait_for(case(folder, trouble), 110))
-    except Exception as error:  # the case couldn't run
+        held = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:  # the case couldn't run
         print(f"couldn't run: {error!r}", file=sys.stderr)
         sys.exit(2)
     print("rule held" if held else "rule broken")
