--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -40,22 +40,40 @@
         self.file.flush()
 
 
-USED_PORTS = set()
+class Ports:
+    """Ports below those of the project's tests and of outgoing connections. Each script has a range of its own,
+    whose first port it holds while it runs."""
 
-
-def free_port():
-    """Returns a port below those of the project's tests and of outgoing connections."""
-    while True:
-        port = random.SystemRandom().randint(12_000, 19_999)
-        if port in USED_PORTS:
-            continue
-        with socket.socket() as probe:
+    def __init__(self):
+        ranges = list(range(12_000, 20_000, 200))
+        random.SystemRandom().shuffle(ranges)
+        for first in ranges:
+            self.guard = socket.socket()
             try:
-                probe.bind((HOST, port))
+                self.guard.bind((HOST, first))
             except OSError:
+                self.guard.close()
                 continue
-        USED_PORTS.add(port)
-        return port
+            self.rest = iter(range(first + 1, first + 200))
+            return
+        raise RuntimeError("no range of ports is free")
+
+    def next(self):
+        for port in self.rest:
+            with socket.socket() as probe:
+                try:
+                    probe.bind((HOST, port))
+                except OSError:
+                    continue
+            return port
+        raise RuntimeError("no port is free")
+
+
+PORTS = Ports()
+
+
+def free_port():
+    return PORTS.next()
 
 
 class Silent(Exception):
