--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,7 +12,9 @@
 # `propagationMs` and `visible_ms` of the sheet.
 PROPAGATION_MS = 2_000
 VISIBLE_MS = 3_000
-JOBS = 6
+JOBS = 10
+# Three jobs in ten arrive twice (`twice = 0.3` in the class restock of the site file).
+REPEATED = 3
 JOB = {"spec": "run_ms=9000", "steps": [{"count": 2, "cpu": 1500, "memMb": 512, "estimateMs": 9000}]}
 
 
@@ -40,7 +42,7 @@
             status, _ = await cell.get(cell.daemons[number % 3], path)
             if status == 410 and asked > acknowledged[path] + VISIBLE_MS:
                 gone.append(path)
-        for number, path in enumerate(paths):
+        for number, path in enumerate(paths[:REPEATED]):
             await cell.submit(cell.daemons[(number + 1) % 3], path, JOB, "once more")
         await asyncio.sleep(14)
         twice = []
@@ -54,7 +56,7 @@
                     if first is not second and first[0] == second[0] and first[2] <= second[2] < ends:
                         twice.append(first[0])
         cell.record.write("judge", f"{len(gone)} of {JOBS} GETs for accepted jobs were answered 410 later than visible_ms after the acknowledgement")
-        cell.record.write("judge", f"{len(set(twice))} of {2 * JOBS} tasks ran twice at the same time")
+        cell.record.write("judge", f"{len(set(twice))} of the {2 * REPEATED} tasks of repeated jobs ran twice at the same time")
         return not twice
     finally:
         await cell.stop()
