--- a/review/14/case.py
+++ b/review/14/case.py
@@ -37,15 +37,15 @@
                         claims.append((now(), daemon))
 
     cell.store.appended = appended
+    for daemon in cell.daemons:
+        daemon.share = CORE_SHARE
     draw = random.Random(14)
     hopeless = json.dumps({"spec": "run_ms=300", "steps": [GANG]}).encode()
     step = {"count": 2, "cpu": 1500, "memMb": 512, "estimateMs": 300}
     ordinary = json.dumps({"spec": "run_ms=300", "steps": [step, {**step, "after": [0]}]}).encode()
     accepted, counts = [], {}
-    shares = []
     try:
         await cell.start(config(1, [route("r-restock", "/restock/", "negozi")], ["negozi"]))
-        shares = [asyncio.ensure_future(daemon.share_core(CORE_SHARE)) for daemon in cell.daemons]
         await asyncio.sleep(2)
 
         async def client(number, is_hopeless):
@@ -104,8 +104,6 @@
             cell.record.write("judge", f"20 s later {len(stuck & waiting())} of these jobs still have nothing running; owners changed {len(claims) - 1} times; {runs} runs in all")
         return not stuck
     finally:
-        for task in shares:
-            task.cancel()
         await cell.stop()
 
 
--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -20,6 +20,7 @@
 
 HOST = "127.0.0.1"
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+QUOTA = os.path.join(os.path.dirname(os.path.abspath(__file__)), "quota.py")
 PROGRAM = os.path.join(ROOT, "target", "release", "rosemary-entry")
 BEGAN = time.monotonic()
 
@@ -522,6 +523,8 @@
         self.settings = os.path.join(folder, f"{name}.json")
         self.log_path = os.path.join(folder, f"{name}.log")
         self.process = None
+        self.share = None  # of a core, as a quota; None for no limit
+        self.quota = None
         listen, ready, peer, metrics = (f"{HOST}:{port}" for port in self.ports)
         self.address = listen
         self.ready_address = ready
@@ -550,20 +553,10 @@
                 PROGRAM, cwd=ROOT, env=environment, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL
             )
         self.record.write(self.name, f"started, pid {self.process.pid}")
-
-    async def share_core(self, share):
-        """Gives the process `share` of a core as a quota: "The core runs at full speed until the quota is used
-        up, and then runs not at all for the rest of that tenth of a second." """
-        while True:
-            process = self.process
-            if process is None or process.returncode is not None:
-                await asyncio.sleep(0.02)
-                continue
-            process.send_signal(signal.SIGCONT)
-            await asyncio.sleep(0.1 * share)
-            if process.returncode is None:
-                process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(0.1 * (1 - share))
+        if self.share:
+            self.quota = await asyncio.create_subprocess_exec(
+                sys.executable, "-B", QUOTA, str(self.process.pid), str(self.share)
+            )
 
     def signal(self, number):
         if self.process and self.process.returncode is None:
@@ -571,6 +564,9 @@
             self.record.write(self.name, f"sent {signal.Signals(number).name}")
 
     async def kill(self):
+        if self.quota and self.quota.returncode is None:
+            self.quota.kill()
+            await self.quota.wait()
         if self.process and self.process.returncode is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
@@ -588,11 +584,11 @@
 
 
 def resident_bytes(pid):
-    """Returns the resident memory of a process that the script started."""
+    """Returns the resident memory of a process that the script started, without the pages of files."""
     try:
         with open(f"/proc/{pid}/status", encoding="ascii") as status:
             for line in status:
-                if line.startswith("VmRSS"):
+                if line.startswith("RssAnon"):
                     return int(line.split()[1]) * 1024
     except OSError:
         pass
@@ -691,6 +687,8 @@
     """Runs a case: `case(cell_folder, trouble)` returns True if the rule held. Exits with 0 if the rule held,
     1 if it was broken, 2 if the case couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Where record.txt is written, for runs side by side.
+    folder = os.environ.get("REVIEW_OUT", folder)
     if not os.path.exists(PROGRAM):
         print("target/release/rosemary-entry is missing", file=sys.stderr)
         sys.exit(2)
