--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -12,6 +12,10 @@
 /// Size in bytes from which a submission is compressed. The log accepts records of 256 KiB.
 const COMPRESSED_FROM_BYTES: usize = 64 * 1024;
 
+/// Size of encoded records that are decoded or encoded without a pause, in bytes. A VM with a tenth of a
+/// core takes a small part of a claim's life for them.
+pub(crate) const CHUNK_BYTES: usize = 32 * 1024;
+
 /// Upper bound of the decompressed size of a record in bytes. A legal job takes less than 1 MiB.
 const DECOMPRESSED_MAX_BYTES: usize = 4 * 1024 * 1024;
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod node;
 mod owner;
 mod ownership;
+pub mod pace;
 pub mod peers;
 pub mod permission;
 pub mod port;
--- a/crates/entry/src/load.rs
+++ b/crates/entry/src/load.rs
@@ -15,6 +15,8 @@
 struct Counts {
     /// Time in ticks of the state machine.
     ticking: Duration,
+    /// Longest tick.
+    longest: Duration,
     /// Longest time by which a timer of the owner was late.
     late: Duration,
     renewals: u64,
@@ -27,7 +29,9 @@
 
 impl Load {
     pub(crate) fn add_tick(&self, took: Duration) {
-        lock(&self.0).ticking += took;
+        let mut counts = lock(&self.0);
+        counts.ticking += took;
+        counts.longest = counts.longest.max(took);
     }
 
     pub(crate) fn add_lateness(&self, late: Duration) {
@@ -52,19 +56,20 @@
 impl Owner {
     /// Logs the usage of the shard's pools and the work of the owner since the last such line.
     pub(crate) fn log_usage(&self) {
-        let (usage, starts, held) = {
+        let (usage, starts, held, looks) = {
             let state = self.state();
             let usage = state.usage(clock::now().0);
-            (usage, state.starts(), state.held_teams())
+            (usage, state.starts(), state.held_teams(), state.looks())
         };
         let metrics = &self.context().metrics;
+        metrics.steps_parked.set(looks.parked as i64);
         quota::report(self.shard(), self.epoch(), &held, metrics);
         let counts = self.load().take();
         for (pool, usage) in usage {
             events::USAGE.log(format_args!(
                 "pool={pool} epoch={} workers={} empty={} slow={} free_millicores={}/{} free_mebibytes={}/{} \
                  free_accelerators={}/{} steps={} gangs={} overdue={} tasks={} starts={}/{} answer_ms={} \
-                 tick_ms={} late_ms={} started={} renewed={} relays={}",
+                 tick_ms={} longest_ms={} late_ms={} started={} renewed={} relays={} backlog={} parked={} cut={}",
                 self.epoch(),
                 usage.workers,
                 usage.empty,
@@ -83,10 +88,14 @@
                 starts.limit,
                 starts.answer_ms,
                 counts.ticking.as_millis(),
+                counts.longest.as_millis(),
                 counts.late.as_millis(),
                 counts.starts,
                 counts.renewals,
-                self.workers().relay_count()
+                self.workers().relay_count(),
+                looks.backlog,
+                looks.parked,
+                looks.cut
             ));
         }
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -68,6 +68,10 @@
     pub teams_capped: Gauge,
     /// Teams that use more than their share of a full pool.
     pub teams_over_share: Gauge,
+    /// Steps that no worker of their pool could run.
+    pub steps_parked: Gauge,
+    /// Time that an owner spends on decisions at a time, in seconds.
+    pub tick_seconds: Histogram,
     /// Time to accept a job in seconds.
     pub accept_seconds: Histogram,
     /// Time of an append to a shard's journal in seconds.
@@ -150,6 +154,8 @@
             steps_capped: gauge("entry_steps_capped", "Steps held back by a cap"),
             teams_capped: gauge("entry_teams_capped", "Teams held back by their caps"),
             teams_over_share: gauge("entry_teams_over_share", "Teams over their share"),
+            steps_parked: gauge("entry_steps_parked", "Steps that no worker could run"),
+            tick_seconds: histogram("entry_tick_seconds", "Time of a tick of an owner"),
             accept_seconds: histogram("entry_accept_seconds", "Time to accept a job"),
             append_seconds: histogram("entry_append_seconds", "Time of an append"),
         }
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -21,6 +21,7 @@
 use crate::journal::Journal;
 use crate::load::Load;
 use crate::node::{Context, Node, lock};
+use crate::pace::Pace;
 use crate::permission::Permission;
 use crate::port::{Fault, Page, Stream};
 use crate::quota;
@@ -81,7 +82,7 @@
     journal: Journal,
     snapshots: Journal,
     /// What the log holds of the shard's snapshot.
-    pub(crate) stored: Mutex<Stored>,
+    pub(crate) stored: tokio::sync::Mutex<Stored>,
     changed: Notify,
     durable: Notify,
     ended: AtomicBool,
@@ -133,7 +134,7 @@
             state: Mutex::new(state),
             journal,
             snapshots,
-            stored: Mutex::new(stored),
+            stored: tokio::sync::Mutex::new(stored),
             changed: Notify::new(),
             durable: Notify::new(),
             ended: AtomicBool::new(false),
@@ -230,7 +231,7 @@
     /// [`FLUSH_TIMEOUT`] at most.
     pub(crate) async fn flush(&self) {
         let until = clock::now().0 + FLUSH_TIMEOUT.as_millis() as u64;
-        self.write_snapshot();
+        self.write_snapshot().await;
         let is_durable = || self.state().is_durable() && self.snapshots.is_written();
         while !is_durable() && clock::now().0 < until {
             tokio::time::sleep(TICK_SPACING).await;
@@ -328,6 +329,7 @@
         let mut republished_ms = clock::now().0;
         let mut logged_ms = republished_ms;
         let mut assigned_ms = 0;
+        let mut pace = Pace::default();
         loop {
             let now_ms = self.await_permission().await;
             if clock::now().0 >= assigned_ms + RELAYS_PERIOD_MS {
@@ -341,8 +343,9 @@
             let load = self.advice.load(&lock(&node.peers));
             self.set_advice_load(load);
             let began = std::time::Instant::now();
-            let actions = {
+            let (actions, looks, has_more) = {
                 let mut state = self.state();
+                state.set_pass_budget(pace.looks());
                 if clock::now().0 >= republished_ms + republish_ms {
                     republished_ms = clock::now().0;
                     state.record_workers();
@@ -358,12 +361,22 @@
                     .metrics
                     .job_bytes
                     .set(self.memory.held() as i64);
-                state.take_actions()
+                let actions = state.take_actions();
+                (actions, state.pass_cost(), state.has_more_to_place())
             };
-            self.load.add_tick(began.elapsed());
+            let took = began.elapsed();
+            pace.observe(looks, took);
+            self.load.add_tick(took);
+            self.context
+                .metrics
+                .tick_seconds
+                .observe(took.as_secs_f64());
             for action in actions {
                 self.execute(&node, action);
             }
+            if has_more {
+                self.wake();
+            }
             let spacing =
                 (began.elapsed() * TICK_SPACING_FACTOR).clamp(TICK_SPACING, TICK_SPACING_MAX);
             if clock::now().0 >= logged_ms + USAGE_PERIOD_MS {
@@ -445,7 +458,7 @@
             match read.await {
                 Ok(page) => {
                     node.observe_log_response(true);
-                    self.apply_jobs(&page, asked_ms);
+                    self.apply_jobs(&page, asked_ms).await;
                     self.jobs_read.store(page.next, Ordering::Relaxed);
                     if !page.records.is_empty() {
                         self.wake();
@@ -461,24 +474,36 @@
         }
     }
 
-    /// Applies a page of jobs that was requested at `asked_ms`.
-    fn apply_jobs(&self, page: &Page, asked_ms: u64) {
-        let mut state = self.state();
-        state.retained_from(page.first);
+    /// Applies a page of jobs that was requested at `asked_ms`. Lets other tasks run after every
+    /// [`codec::CHUNK_BYTES`] of it.
+    async fn apply_jobs(&self, page: &Page, asked_ms: u64) {
+        let mut bytes = 0;
         for (offset, record) in page.with_offsets() {
-            let submitted = codec::compressed_submission(&record.value);
-            if submitted.is_some_and(|id| state.note_logged(id, offset)) {
-                // Most jobs are known before their records are read.
-                continue;
-            }
-            if let Some(record) = codec::decode(&record.value) {
-                state.apply_stored(record, Some(offset), clock::now().0);
+            self.apply_job(offset, &record.value);
+            bytes += record.value.len();
+            if bytes >= codec::CHUNK_BYTES {
+                bytes = 0;
+                tokio::task::yield_now().await;
             }
         }
+        let mut state = self.state();
+        state.retained_from(page.first);
         state.read_to(page.next);
         if page.next >= page.end {
             state.jobs_read(asked_ms);
             self.jobs_read_ms.store(clock::now().0, Ordering::Relaxed);
         }
     }
+
+    fn apply_job(&self, offset: u64, encoded: &[u8]) {
+        let submitted = codec::compressed_submission(encoded);
+        if submitted.is_some_and(|id| self.state().note_logged(id, offset)) {
+            // Most jobs are known before their records are read.
+            return;
+        }
+        if let Some(record) = codec::decode(encoded) {
+            let now_ms = clock::now().0;
+            self.state().apply_stored(record, Some(offset), now_ms);
+        }
+    }
 }
--- a/crates/entry/src/owner/queries.rs
+++ b/crates/entry/src/owner/queries.rs
@@ -45,7 +45,7 @@
         let Ok(page) = read.await else {
             return false;
         };
-        self.apply_jobs(&page, began_ms);
+        self.apply_jobs(&page, began_ms).await;
         let complete = page.next >= page.end;
         if complete {
             *full_read_ms = Some(began_ms);
--- a/crates/entry/src/snapshot.rs
+++ b/crates/entry/src/snapshot.rs
@@ -10,7 +10,7 @@
 
 use crate::codec;
 use crate::events;
-use crate::node::{Node, lock};
+use crate::node::Node;
 use crate::owner::Owner;
 use crate::port::Record;
 
@@ -41,16 +41,23 @@
     }
 
     /// Returns the records that turn the stored snapshot into another one. Keys that are no longer
-    /// needed are deleted last: what replaces them is stored before.
-    pub(crate) fn update(&mut self, entries: &[Entry]) -> Vec<Record> {
+    /// needed are deleted last: what replaces them is stored before. Lets other tasks run after every
+    /// [`codec::CHUNK_BYTES`].
+    pub(crate) async fn update(&mut self, entries: &[Entry]) -> Vec<Record> {
         let mut hashes = HashMap::with_capacity(entries.len());
         let mut records = Vec::new();
+        let mut bytes = 0;
         for entry in entries {
+            if bytes >= codec::CHUNK_BYTES {
+                bytes = 0;
+                tokio::task::yield_now().await;
+            }
             for (part, value) in encode(&entry.records).into_iter().enumerate() {
                 let key: Arc<str> = match part {
                     0 => entry.key.clone(),
                     part => format!("{}/{part}", entry.key).into(),
                 };
+                bytes += value.len();
                 let hash = hash(&value);
                 if self.hashes.remove(&key) != Some(hash) {
                     let key = Some(key.clone());
@@ -100,17 +107,17 @@
             let is_possible = self.snapshot_journal().is_written() && !node.log_is_down();
             if now_ms >= due_ms && is_possible {
                 due_ms = now_ms + period_ms;
-                self.write_snapshot();
+                self.write_snapshot().await;
             }
             tokio::time::sleep(CHECK_PERIOD).await;
         }
     }
 
     /// Queues what has changed since the last snapshot.
-    pub(crate) fn write_snapshot(&self) {
-        let mut stored = lock(&self.stored);
+    pub(crate) async fn write_snapshot(&self) {
+        let mut stored = self.stored.lock().await;
         let entries = self.state().snapshot(clock::now().0);
-        let records = stored.update(&entries);
+        let records = stored.update(&entries).await;
         events::SNAPSHOT.log(format_args!(
             "shard={} epoch={} entries={} records={}",
             self.shard(),
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -26,9 +26,17 @@
 /// Upper bound of the retries of each read or append of a takeover.
 const RETRIES_MAX: u32 = 30;
 
-/// Records that are replayed without a pause, in which a VM with a tenth of a core renews no claim.
+/// Records that are replayed without a pause, in which a VM with a tenth of a core renews no claim. Large
+/// ones are replayed in smaller chunks, see [`codec::CHUNK_BYTES`].
 const REPLAY_CHUNK: usize = 256;
 
+/// What was replayed since the last pause.
+#[derive(Debug, Default)]
+struct Replayed {
+    records: usize,
+    bytes: usize,
+}
+
 impl Node {
     /// Takes over a shard whose claim was won. `predecessor_ended` says that the previous owner has
     /// certainly ended.
@@ -134,13 +142,14 @@
         let snapshot = snapshot?;
         let now_ms = clock::now().0;
         let stored = Stored::new(&snapshot);
-        let mut replayed = 0;
-        for record in snapshot
-            .iter()
-            .flat_map(|record| codec::decode_all(&record.value))
-        {
-            state.replay(record, now_ms);
-            self.pause_replay(shard, &mut replayed).await;
+        let mut replayed = Replayed::default();
+        for entry in &snapshot {
+            let records = codec::decode_all(&entry.value);
+            let bytes = entry.value.len() / records.len().max(1);
+            for record in records {
+                state.replay(record, now_ms);
+                self.pause_replay(shard, bytes, &mut replayed).await;
+            }
         }
         // Moves decide about the jobs that follow.
         for (_, record) in &progress {
@@ -151,16 +160,18 @@
             }
         }
         for (offset, record) in jobs.iter().chain(&later) {
+            let bytes = record.len();
             if let Some(record) = codec::decode(record) {
                 state.apply_stored(record, Some(*offset), now_ms);
             }
-            self.pause_replay(shard, &mut replayed).await;
+            self.pause_replay(shard, bytes, &mut replayed).await;
         }
         for (_, record) in &progress {
+            let bytes = record.len();
             if let Some(record) = codec::decode(record) {
                 state.replay(record, now_ms);
             }
-            self.pause_replay(shard, &mut replayed).await;
+            self.pause_replay(shard, bytes, &mut replayed).await;
         }
         state.read_to(jobs_next);
         let mut skipped = changes.skipped;
@@ -276,11 +287,13 @@
         }
     }
 
-    /// Lets other tasks run, among them the renewal of the claim, after every [`REPLAY_CHUNK`] records
-    /// of a replay.
-    async fn pause_replay(&self, shard: u32, replayed: &mut usize) {
-        *replayed += 1;
-        if replayed.is_multiple_of(REPLAY_CHUNK) {
+    /// Lets other tasks run, among them the renewal of the claim, after every [`REPLAY_CHUNK`] records or
+    /// [`codec::CHUNK_BYTES`] of a replay.
+    async fn pause_replay(&self, shard: u32, bytes: usize, replayed: &mut Replayed) {
+        replayed.records += 1;
+        replayed.bytes += bytes;
+        if replayed.records >= REPLAY_CHUNK || replayed.bytes >= codec::CHUNK_BYTES {
+            *replayed = Replayed::default();
             self.takeover_progressed(shard);
             tokio::task::yield_now().await;
         }
--- /dev/null
+++ b/crates/entry/tests/pace.rs
@@ -0,0 +1,31 @@
+//! Guards against placement passes that outlast a claim (review/14).
+
+use std::time::Duration;
+
+use rosemaryworks_entry::claim;
+use rosemaryworks_entry::pace::{Pace, TARGET};
+
+#[test]
+fn a_pass_takes_a_small_part_of_the_life_of_a_claim() {
+    assert!(TARGET.as_millis() * 20 <= u128::from(claim::EXPIRY_MS));
+    let mut pace = Pace::default();
+    // A slow VM, then one that gets faster again.
+    for (looks_per_ms, passes) in [(100, 1), (5_000, 40)] {
+        for _ in 0..passes {
+            let looks = pace.looks();
+            pace.observe(looks, Duration::from_micros(looks * 1_000 / looks_per_ms));
+        }
+        let took = Duration::from_micros(pace.looks() * 1_000 / looks_per_ms);
+        assert!(took <= TARGET, "{took:?}");
+        assert!(took >= TARGET / 2, "{took:?}");
+    }
+}
+
+/// A pass that looks at next to nothing may wait for the processor.
+#[test]
+fn a_short_pass_says_nothing_about_the_speed() {
+    let mut pace = Pace::default();
+    let before = pace.looks();
+    pace.observe(10, Duration::from_millis(100));
+    assert_eq!(pace.looks(), before);
+}
--- a/crates/workflow/src/admission.rs
+++ b/crates/workflow/src/admission.rs
@@ -61,9 +61,23 @@
     }
 }
 
+/// Queue and team of a flow.
+type FlowKey = (Arc<str>, Option<Arc<str>>);
+
 /// Work by queue and team.
 #[derive(Debug, Default)]
-pub(crate) struct Flows(BTreeMap<(Arc<str>, Option<Arc<str>>), Flow>);
+pub(crate) struct Flows {
+    flows: BTreeMap<FlowKey, Flow>,
+    /// Waiting work that a count has found so far.
+    counted: BTreeMap<FlowKey, f64>,
+}
+
+impl Flows {
+    /// Begins to count the waiting work again.
+    pub(crate) fn begin_count(&mut self) {
+        self.counted.clear();
+    }
+}
 
 impl Shard {
     /// Returns for how long the caller of a new job should wait before it submits it again, in
@@ -77,7 +91,13 @@
         let queue = self.queues.get(queue).filter(|_| is_judged)?;
         let duration = self.duration(queue, spec, now_ms)?;
         let flow = (queue.name.clone(), spec.team.clone());
-        let flow = self.outlook.flows.0.get(&flow).copied().unwrap_or_default();
+        let flow = self
+            .outlook
+            .flows
+            .flows
+            .get(&flow)
+            .copied()
+            .unwrap_or_default();
         let own = flow.rate(now_ms).unwrap_or(0.0);
         let rate = own.max(self.owed_rate(queue, spec, now_ms));
         if rate < RATE_MIN {
@@ -98,7 +118,7 @@
             return 0.0;
         };
         let (mut rate, mut total_weight) = (0.0, 0.0);
-        for ((name, team), flow) in &self.outlook.flows.0 {
+        for ((name, team), flow) in &self.outlook.flows.flows {
             if *name == queue.name {
                 rate += flow.rate(now_ms).unwrap_or(0.0);
                 let is_other = *team != spec.team;
@@ -116,9 +136,23 @@
         let Some(job) = self.jobs.get(&id).filter(|_| self.teams.is_some()) else {
             return;
         };
-        let flow = (job.queue.clone(), job.spec.team.clone());
+        let key = (job.queue.clone(), job.spec.team.clone());
         let work = self.waiting_work(job, now_ms);
-        self.outlook.flows.0.entry(flow).or_default().waiting += work;
+        let flows = &mut self.outlook.flows;
+        *flows.counted.entry(key.clone()).or_default() += work;
+        flows.flows.entry(key).or_default().waiting += work;
+    }
+
+    /// Counts the waiting work of a job that can still be of use.
+    pub(crate) fn count_waiting(&mut self, id: Id, now_ms: u64) {
+        let Some(job) = self.jobs.get(&id).filter(|_| self.teams.is_some()) else {
+            return;
+        };
+        if !self.is_overdue(job, now_ms) {
+            let key = (job.queue.clone(), job.spec.team.clone());
+            let work = self.waiting_work(job, now_ms);
+            *self.outlook.flows.counted.entry(key).or_default() += work;
+        }
     }
 
     /// Counts the start of a task.
@@ -129,12 +163,12 @@
         let expected = self.expected(&job.queue, step, now_ms);
         if let Some(expected) = expected.filter(|_| !step.service) {
             let flow = (job.queue.clone(), job.spec.team.clone());
-            let flow = self.outlook.flows.0.entry(flow).or_default();
+            let flow = self.outlook.flows.flows.entry(flow).or_default();
             flow.start(expected.ms(), now_ms);
         }
     }
 
-    /// Counts the work that waits and can still be of use.
+    /// Applies the count of the work that waits and can still be of use.
     pub(crate) fn refresh_flows(&mut self, now_ms: u64) {
         if self.teams.is_none() {
             self.outlook.flows = Flows::default();
@@ -144,18 +178,13 @@
             Some(rate) => rate < RATE_MIN,
             None => flow.first_ms == 0,
         };
-        self.outlook.flows.0.retain(|_, flow| !is_idle(flow));
-        for flow in self.outlook.flows.0.values_mut() {
+        let Flows { flows, counted } = &mut self.outlook.flows;
+        flows.retain(|_, flow| !is_idle(flow));
+        for flow in flows.values_mut() {
             flow.waiting = 0.0;
         }
-        let mut ids: Vec<Id> = self.ready.iter().map(|(_, _, key)| key.job).collect();
-        ids.sort_unstable();
-        ids.dedup();
-        for id in ids {
-            let job = self.jobs.get(&id);
-            if job.is_some_and(|job| !self.is_overdue(job, now_ms)) {
-                self.count_accepted(id, now_ms);
-            }
+        for (key, work) in std::mem::take(counted) {
+            flows.entry(key).or_default().waiting = work;
         }
     }
 
--- a/crates/workflow/src/advice_request.rs
+++ b/crates/workflow/src/advice_request.rs
@@ -291,6 +291,11 @@
             .copied()
             .unwrap_or(INITIAL_ALLOWED_SHARE);
         let size = step.demand();
+        self.pass.charge(self.hosts.len());
+        let Some(run) = self.step_run(key) else {
+            return;
+        };
+        let advice = &run.advice;
         if !keeps_permits && !self.has_useful_worker(key, step, queue, advice, now_ms) {
             if let Some(run) = self.step_run_mut(key) {
                 run.advice.searched_in_vain(now_ms);
--- a/crates/workflow/src/completion.rs
+++ b/crates/workflow/src/completion.rs
@@ -174,6 +174,10 @@
     pub(crate) fn end_job(&mut self, id: Id, state: State, record: u64, now_ms: u64) {
         let ended_ms = self.time_of_end(now_ms);
         if let Some(job) = self.jobs.get_mut(&id) {
+            let priority = self.queues.get(&job.queue).map_or(0, |q| q.priority);
+            let line = (job.queue.clone(), job.spec.team.clone());
+            self.waiting
+                .remove_job(priority, id, job.acceptance_order, &line);
             if !job.is_ended() {
                 self.open_jobs -= 1;
             }
--- a/crates/workflow/src/gangs.rs
+++ b/crates/workflow/src/gangs.rs
@@ -5,6 +5,7 @@
 //! on which all members of the gang fit once small tasks of lower priority have been stopped. Only
 //! tasks with checkpoints are preempted, and each task at most once.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use rosemaryworks_core::size::{Size, thousandths};
@@ -61,6 +62,14 @@
 }
 
 impl Candidate<'_> {
+    /// Returns the members that fit once all attempts that may be preempted have stopped.
+    fn preemptable_members(&self, size: &Size) -> u32 {
+        let victims = self.victims.iter();
+        let free = victims.fold(self.free, |free, (_, victim)| free + *victim);
+        let members = u32::try_from(free.count_fitting(size)).unwrap_or(u32::MAX);
+        members.min(self.max_members)
+    }
+
     /// Returns the cost of preemption in thousandths of a core, and the attempts to preempt so that
     /// `members` fit. Returns `None` if preempting all of them is not enough.
     fn runs_to_stop(&self, size: &Size, members: u32) -> Option<(u64, Vec<Key>)> {
@@ -105,11 +114,10 @@
                 ..self.candidate(host, key, step, queue, &size, reservations)
             })
             .collect();
-        let max_members: u32 = candidates
+        let max_members = candidates
             .iter()
-            .map(|candidate| candidate.max_members)
-            .sum();
-        if max_members < step.count {
+            .map(|candidate| u64::from(candidate.max_members));
+        if max_members.sum::<u64>() < u64::from(step.count) {
             // The gang can run only if undecided workers may still be allowed.
             return match queue.advice.is_some() && self.has_undecided_worker(queue, run) {
                 true => Feasibility::NotYet,
@@ -290,17 +298,30 @@
         candidate.planned_members = candidate.fitting_members.min(remaining);
         remaining -= candidate.planned_members;
     }
+    let preemptable = candidates
+        .iter()
+        .map(|c| u64::from(c.preemptable_members(size)));
+    if remaining > 0 && preemptable.sum::<u64>() < u64::from(count) {
+        return None;
+    }
+    let next = |candidate: &Candidate<'_>, index: usize| {
+        let wanted = candidate.planned_members + 1;
+        let (cost, _) = (wanted <= candidate.max_members)
+            .then(|| candidate.runs_to_stop(size, wanted))
+            .flatten()?;
+        Some((cost, index))
+    };
+    let mut costs: BTreeSet<(u64, usize)> = match remaining {
+        0 => BTreeSet::new(),
+        _ => order
+            .iter()
+            .filter_map(|&index| next(&candidates[index], index))
+            .collect(),
+    };
     while remaining > 0 {
-        let costs = order.iter().copied().filter_map(|index| {
-            let candidate = &candidates[index];
-            let wanted = candidate.planned_members + 1;
-            let (cost, _) = (wanted <= candidate.max_members)
-                .then(|| candidate.runs_to_stop(size, wanted))
-                .flatten()?;
-            Some((cost, index))
-        });
-        let (_, index) = costs.min()?;
+        let (_, index) = costs.pop_first()?;
         candidates[index].planned_members += 1;
+        costs.extend(next(&candidates[index], index));
         remaining -= 1;
     }
     let mut plan = Plan::default();
--- a/crates/workflow/src/objective.rs
+++ b/crates/workflow/src/objective.rs
@@ -16,11 +16,16 @@
 /// Time between two computations of the objectives of waiting jobs, in milliseconds.
 const REFRESH_PERIOD_MS: u64 = 500;
 
+/// Steps of jobs whose objectives are computed in a tick.
+const STEPS_PER_TICK: usize = 2_000;
+
 /// What an owner expects of the work of its shard.
 #[derive(Debug, Default)]
 pub(crate) struct Outlook {
     /// Time on the owner's clock from which the objectives of waiting jobs are computed again.
     due_ms: u64,
+    /// Jobs whose objectives are still to be computed.
+    round: Vec<Id>,
     pub(crate) flows: Flows,
     pub(crate) run_times: RunTimes,
     pub(crate) turns: Turns,
@@ -65,16 +70,28 @@
             .expect(&class, step.estimate_ms, now_ms)
     }
 
-    /// Computes the objectives of the jobs with waiting steps if that is due.
+    /// Computes the objectives of the jobs with waiting steps if that is due, over several ticks if they
+    /// have many steps.
     pub(crate) fn refresh_objectives(&mut self, now_ms: u64) {
-        if now_ms < self.outlook.due_ms {
-            return;
+        if self.outlook.round.is_empty() {
+            if now_ms < self.outlook.due_ms {
+                return;
+            }
+            self.outlook.due_ms = now_ms + REFRESH_PERIOD_MS;
+            let mut ids: Vec<Id> = self.waiting.ready().map(|entry| entry.key.job).collect();
+            ids.sort_unstable();
+            ids.dedup();
+            self.outlook.round = ids;
+            self.outlook.flows.begin_count();
         }
-        self.outlook.due_ms = now_ms + REFRESH_PERIOD_MS;
-        let mut ids: Vec<Id> = self.ready.iter().map(|(_, _, key)| key.job).collect();
-        ids.dedup();
-        for id in ids {
+        let mut steps = 0;
+        while let Some(id) = self.outlook.round.pop() {
             self.refresh_objective(id, now_ms);
+            self.count_waiting(id, now_ms);
+            steps += self.jobs.get(&id).map_or(0, |job| job.spec.steps.len());
+            if steps >= STEPS_PER_TICK && !self.outlook.round.is_empty() {
+                return;
+            }
         }
         self.pass_turns(now_ms);
         self.refresh_flows(now_ms);
--- a/crates/workflow/src/order.rs
+++ b/crates/workflow/src/order.rs
@@ -7,6 +7,7 @@
 use crate::run::Job;
 use crate::shard::Shard;
 use crate::task::StepKey;
+use crate::waiting::Entry;
 
 /// Longest time for which an overdue job keeps its place, in milliseconds. One that can't be placed
 /// must not keep the others from theirs.
@@ -29,29 +30,44 @@
     /// Position of the job in the order of acceptance.
     pub(crate) acceptance_order: u64,
     pub(crate) key: StepKey,
+    /// Line in which the step waits.
+    pub(crate) line: u32,
+}
+
+impl Rank {
+    /// Returns the entry among the waiting steps.
+    pub(crate) fn entry(&self) -> Entry {
+        Entry {
+            priority: self.priority,
+            acceptance_order: self.acceptance_order,
+            key: self.key,
+            line: self.line,
+        }
+    }
 }
 
 impl Shard {
-    /// Returns the waiting steps in placement order.
+    /// Returns the waiting steps of the working set in placement order.
     pub(crate) fn placement_order(&self, now_ms: u64) -> Vec<Rank> {
         let holders = self.outlook.turns.values();
         let holders = holders.filter_map(|(id, _)| Some(self.jobs.get(id)?.acceptance_order));
         let holders: Vec<u64> = holders.collect();
-        let rank = |(priority, acceptance_order, key): &(u32, u64, StepKey)| {
-            let job = self.jobs.get(&key.job);
+        let rank = |entry: &Entry| {
+            let job = self.jobs.get(&entry.key.job);
             // Jobs that have a turn keep their place.
-            let has_turn = holders.contains(acceptance_order);
+            let has_turn = holders.contains(&entry.acceptance_order);
             let late = job.filter(|job| !has_turn && misses_objective(job, now_ms));
             Rank {
                 over_share: job.is_some_and(|job| self.is_over_share(job)),
                 overdue: late.is_some_and(|job| self.is_overdue(job, now_ms)),
-                priority: *priority,
+                priority: entry.priority,
                 late: late.is_some(),
-                acceptance_order: *acceptance_order,
-                key: *key,
+                acceptance_order: entry.acceptance_order,
+                key: entry.key,
+                line: entry.line,
             }
         };
-        let mut order: Vec<Rank> = self.ready.iter().map(rank).collect();
+        let mut order: Vec<Rank> = self.waiting.ready().map(rank).collect();
         order.sort_unstable();
         order
     }
@@ -59,13 +75,13 @@
     /// Gives the turn of each pool to its oldest overdue job, unless the last one still has it.
     pub(crate) fn pass_turns(&mut self, now_ms: u64) {
         let mut oldest: BTreeMap<Arc<str>, (u64, Id)> = BTreeMap::new();
-        for (_, acceptance_order, key) in &self.ready {
-            let job = self.jobs.get(&key.job);
+        for entry in self.waiting.ready() {
+            let job = self.jobs.get(&entry.key.job);
             let Some(job) = job.filter(|job| self.is_overdue(job, now_ms)) else {
                 continue;
             };
             if let Some(queue) = self.queues.get(&job.queue) {
-                let candidate = (*acceptance_order, key.job);
+                let candidate = (entry.acceptance_order, entry.key.job);
                 let first = oldest.entry(queue.pool.clone()).or_insert(candidate);
                 *first = candidate.min(*first);
             }
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -9,7 +9,9 @@
 use crate::action::{Action, Order};
 use crate::host::{Host, Phase, Run, StartState};
 use crate::job::{Queue, Step};
-use crate::run::Placement;
+use crate::order::Rank;
+use crate::possibility::GANG_MEMBERS_MAX;
+use crate::run::{Placement, StepRun};
 use crate::shard::Shard;
 use crate::task::{Key, StepKey};
 use crate::team::usage::Charge;
@@ -24,11 +26,19 @@
 /// Penalty for each consecutive failure of a worker, in thousandths of a worker's size.
 const FAILURE_PENALTY: i64 = 1_000;
 
+/// Tasks of a step at which a look costs as much as at one worker.
+const TASKS_PER_UNIT: usize = 16;
+
+/// Cost of a start in looks at workers.
+const UNITS_PER_START: usize = 16;
+
 /// Free capacity of a pool during one pass over the waiting steps.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct PoolCapacity {
     /// Upper bound of the free capacity of a single worker, per resource.
     pub(crate) largest_free: Size,
+    /// The same of the workers with a label.
+    labelled: BTreeMap<Arc<str>, Size>,
     /// Free capacity that no earlier step of the pass waits for. The free capacity is counted twice
     /// because only some of the workers that have it are allowed for a step.
     pub(crate) unclaimed: Size,
@@ -38,39 +48,108 @@
     pub(crate) advised_tasks: u64,
 }
 
+impl PoolCapacity {
+    fn add(&mut self, host: &Host) {
+        let free = host.free();
+        self.largest_free = self.largest_free.max(&free);
+        self.unclaimed += free.times(2);
+        for label in &host.worker.labels {
+            match self.labelled.get_mut(label) {
+                Some(largest) => *largest = largest.max(&free),
+                None => drop(self.labelled.insert(label.clone(), free)),
+            }
+        }
+    }
+
+    /// Returns whether some worker may have room for a task of a step.
+    fn may_fit(&self, step: &Step, size: &Size) -> bool {
+        let largest = match &step.requires {
+            Some(label) => self.labelled.get(label),
+            None => Some(&self.largest_free),
+        };
+        largest.is_some_and(|largest| size.fits(largest))
+    }
+}
+
 type PoolCapacities = BTreeMap<Arc<str>, PoolCapacity>;
 
 /// Result of placing a step.
 enum Placed {
     /// No task of the step waits any more.
     All,
+    /// No worker of the pool could run what waits of the step, even an empty one.
+    Impossible,
     /// Some tasks of the step still wait.
     Some,
 }
 
 impl Shard {
+    /// Sets the work that a placement pass may do, in looks at one worker for one step. A pass that has
+    /// done it ends, and the next one goes on there.
+    pub fn set_pass_budget(&mut self, looks: u64) {
+        self.pass.set_budget(looks);
+    }
+
+    /// Returns the work that the last pass did.
+    #[must_use]
+    pub fn pass_cost(&self) -> u64 {
+        self.pass.spent()
+    }
+
+    /// Returns whether the last pass was cut short, so that the next one goes on with it.
+    #[must_use]
+    pub fn has_more_to_place(&self) -> bool {
+        self.pass.resume.is_some() || self.reservation_draft.is_some()
+    }
+
     /// Places waiting tasks, in the order of priority and acceptance.
     pub fn place(&mut self, now_ms: u64) {
+        self.pass.begin();
         if !self.recovery.is_fenced(now_ms) {
             return;
         }
         self.begin_pass(now_ms);
+        self.waiting.refill();
+        self.check_parked();
         let order = self.placement_order(now_ms);
+        self.pass.charge(order.len());
         self.reserve(&order, now_ms);
         if order.is_empty() {
             return;
         }
         let mut capacities = self.pool_capacities(now_ms);
-        for rank in order {
+        self.place_in_order(&order, &mut capacities, now_ms);
+    }
+
+    /// Places the first steps, and those from where the last pass ended.
+    fn place_in_order(&mut self, order: &[Rank], capacities: &mut PoolCapacities, now_ms: u64) {
+        let began = self.pass.spent();
+        let resume = self.pass.resume.take();
+        let resume_at = resume.map_or(0, |resume| order.partition_point(|rank| *rank < resume));
+        let mut index = 0;
+        while let Some(rank) = order.get(index) {
             // A request for advice would be answered before the permits can be used.
             if !self.start_window.has_room() {
+                self.pass.resume = resume;
+                return;
+            }
+            // Each pass places one step at least.
+            if index > 0 && self.pass.is_exhausted() {
+                self.pass.cut_before(*rank);
                 return;
             }
-            if let Placed::All = self.place_step(rank.key, &mut capacities, now_ms) {
-                let entry = (rank.priority, rank.acceptance_order, rank.key);
-                self.ready.remove(&entry);
+            if index > 0 && index < resume_at && self.pass.head_is_spent(began) {
+                index = resume_at;
+                continue;
+            }
+            match self.place_step(rank.key, capacities, now_ms) {
+                Placed::All => self.waiting.remove(&rank.entry()),
+                Placed::Impossible => self.waiting.park(rank.entry()),
+                Placed::Some => {}
             }
+            index += 1;
         }
+        self.waiting.rotate();
     }
 
     /// Returns the free capacity of each pool.
@@ -81,15 +160,14 @@
             .values()
             .filter(|host| host.is_schedulable(now_ms))
         {
-            let capacity = capacities.entry(host.worker.pool.clone()).or_default();
-            let free = host.free();
-            capacity.largest_free = capacity.largest_free.max(&free);
-            capacity.unclaimed += free.times(2);
+            let pool = host.worker.pool.clone();
+            capacities.entry(pool).or_default().add(host);
         }
         capacities
     }
 
     fn place_step(&mut self, key: StepKey, capacities: &mut PoolCapacities, now_ms: u64) -> Placed {
+        self.pass.charge(1);
         let Some(job) = self.jobs.get(&key.job) else {
             return Placed::All;
         };
@@ -104,6 +182,7 @@
         if run.waiting == 0 {
             return Placed::All;
         }
+        let waiting = run.waiting;
         let is_inherited = run.inherited && !is_recovered;
         if is_inherited && (step.gang || self.recovery.may_run_any_task()) {
             return Placed::Some;
@@ -113,13 +192,20 @@
         };
         let size = step.demand();
         let capacity = capacities.entry(queue.pool.clone()).or_default();
-        if size.fits(&capacity.largest_free) {
+        if capacity.may_fit(step, &size) {
             if step.gang {
                 self.place_gang(key, step, &queue, now_ms);
             } else {
                 self.place_tasks(key, step, &queue, now_ms);
             }
         }
+        let is_placed = |run: &StepRun| run.waiting < waiting;
+        if !self.step_run(key).is_some_and(is_placed) && !self.is_possible(step, &queue) {
+            if let Some(run) = self.step_run_mut(key) {
+                run.blocked_since_ms = None;
+            }
+            return Placed::Impossible;
+        }
         let largest_free = capacity.largest_free;
         let has_room = self.start_window.has_room();
         if has_room {
@@ -147,19 +233,12 @@
     }
 
     fn place_tasks(&mut self, key: StepKey, step: &Step, queue: &Queue, now_ms: u64) {
-        let Some(run) = self.step_run(key) else {
+        let Some(mut index) = self.next_startable(key, 0, now_ms) else {
             return;
         };
-        let may_start = |&index: &u32| {
-            let task = &run.tasks[index as usize];
-            let may_run =
-                || run.inherited && self.recovery.may_run_silently(&Key { step: key, index });
-            task.placement == Placement::Waiting && task.not_before_ms <= now_ms && !may_run()
-        };
-        let indexes: Vec<u32> = (0..step.count).filter(may_start).collect();
         let planned = BTreeMap::new();
         let mut candidates = self.candidates(key, step, queue, now_ms, &planned);
-        for index in indexes {
+        loop {
             if !self.start_window.has_room() || self.is_held_back(key) {
                 return;
             }
@@ -168,12 +247,39 @@
             };
             let attempt = self.next_attempt(key, &[index]);
             self.start_task(&worker, Key { step: key, index }, attempt, step, now_ms);
+            self.pass.charge(UNITS_PER_START);
             // The start changes the score of this worker only.
             let score = self.candidate_score(&worker, key, step, queue, now_ms, &planned);
             candidates.extend(score.map(|score| (score, worker)));
+            match self.next_startable(key, index + 1, now_ms) {
+                Some(next) => index = next,
+                None => return,
+            }
         }
     }
 
+    /// Returns the first task of a step from an index on that may be started now.
+    fn next_startable(&mut self, key: StepKey, from: u32, now_ms: u64) -> Option<u32> {
+        let run = self.step_run(key)?;
+        let may_start = |index: &u32| {
+            let task = &run.tasks[*index as usize];
+            let step = key;
+            let may_run = || {
+                let key = Key {
+                    step,
+                    index: *index,
+                };
+                run.inherited && self.recovery.may_run_silently(&key)
+            };
+            task.placement == Placement::Waiting && task.not_before_ms <= now_ms && !may_run()
+        };
+        let count = u32::try_from(run.tasks.len()).unwrap_or(u32::MAX);
+        let next = (from..count).find(may_start);
+        let seen = next.map_or(count, |next| next + 1).saturating_sub(from);
+        self.pass.charge(seen as usize / TASKS_PER_UNIT);
+        next
+    }
+
     /// Returns an attempt number above those that this owner used and previous owners may have used
     /// for the tasks.
     fn next_attempt(&self, key: StepKey, tasks: &[u32]) -> u32 {
@@ -204,25 +310,12 @@
         if run.tasks.iter().any(|task| task.not_before_ms > now_ms) || self.is_held_back(key) {
             return;
         }
+        let Some(workers) = self.gang_workers(key, step, queue, now_ms) else {
+            return;
+        };
         let members: Vec<u32> = (0..step.count).collect();
         let attempt = self.next_attempt(key, &members);
-        let mut planned: BTreeMap<Arc<str>, u32> = BTreeMap::new();
-        let mut workers = Vec::new();
-        let mut rack = None;
-        for _ in 0..step.count {
-            let previous_rack = rack.clone().filter(|_| step.one_rack);
-            let member = Step {
-                preferred_rack: previous_rack.or_else(|| step.preferred_rack.clone()),
-                ..step.clone()
-            };
-            let mut candidates = self.candidates(key, &member, queue, now_ms, &planned);
-            let Some((_, worker)) = candidates.pop_first() else {
-                return;
-            };
-            rack = self.hosts.get(&worker).map(|host| host.worker.rack.clone());
-            *planned.entry(worker.clone()).or_default() += 1;
-            workers.push(worker);
-        }
+        self.pass.charge(members.len() * UNITS_PER_START);
         let checkpoint = self.step_run_mut(key).and_then(|run| {
             let checkpoint = run.tasks.iter().filter_map(|task| task.checkpoint.clone());
             checkpoint.max()
@@ -234,7 +327,45 @@
             }
             self.start_task(&worker, Key { step: key, index }, attempt, step, now_ms);
         }
-        self.reservations.release(key);
+        self.release_reservations(key);
+    }
+
+    /// Returns a worker for each member of a gang; `None` if not all members fit.
+    fn gang_workers(
+        &mut self,
+        key: StepKey,
+        step: &Step,
+        queue: &Queue,
+        now_ms: u64,
+    ) -> Option<Vec<Arc<str>>> {
+        let mut planned: BTreeMap<Arc<str>, u32> = BTreeMap::new();
+        let mut member = step.clone();
+        let mut candidates = self.candidates(key, &member, queue, now_ms, &planned);
+        let slots = candidates.iter().map(|(_, id)| {
+            let host = self.hosts.get(id);
+            let free = host.map(|host| self.reservations.free(host, key, queue.priority));
+            free.map_or(0, |free| task_slots(&free, step, &step.demand()))
+        });
+        if step.count > GANG_MEMBERS_MAX || slots.sum::<u64>() < u64::from(step.count) {
+            return None;
+        }
+        let mut workers = Vec::with_capacity(step.count as usize);
+        while workers.len() < step.count as usize {
+            let (_, worker) = candidates.pop_first()?;
+            *planned.entry(worker.clone()).or_default() += 1;
+            let rack = self.hosts.get(&worker).map(|host| host.worker.rack.clone());
+            if step.one_rack && member.preferred_rack != rack {
+                member.preferred_rack = rack;
+                candidates = self.candidates(key, &member, queue, now_ms, &planned);
+            } else {
+                // The plan changes what fits on this worker only.
+                let score = self.candidate_score(&worker, key, &member, queue, now_ms, &planned);
+                candidates.extend(score.map(|score| (score, worker.clone())));
+            }
+            workers.push(worker);
+        }
+        self.pass.charge(workers.len());
+        Some(workers)
     }
 
     /// Stops the remaining members of a gang that has lost a member.
@@ -256,13 +387,16 @@
     /// Returns the workers that may run one more task of a step, in addition to those in `planned`,
     /// the best first.
     fn candidates(
-        &self,
+        &mut self,
         key: StepKey,
         step: &Step,
         queue: &Queue,
         now_ms: u64,
         planned: &BTreeMap<Arc<str>, u32>,
     ) -> BTreeSet<(i64, Arc<str>)> {
+        if queue.advice.is_none() {
+            self.pass.charge(self.hosts.len());
+        }
         let with_score = |id: &Arc<str>| {
             let score = self.candidate_score(id, key, step, queue, now_ms, planned)?;
             Some((score, id.clone()))
--- a/crates/workflow/src/reservation.rs
+++ b/crates/workflow/src/reservation.rs
@@ -15,7 +15,7 @@
 use crate::order::Rank;
 use crate::placement::{colocated, meets_constraints};
 use crate::shard::Shard;
-use crate::task::StepKey;
+use crate::task::{Key, StepKey};
 
 /// Time without placement after which a step counts as starving and reserves workers, in
 /// milliseconds. Longer than the time after which it keeps its permits valid.
@@ -31,6 +31,9 @@
 /// for each waiting gang.
 const DECISION_PERIOD_MS: u64 = 20;
 
+/// Cost of planning with one worker, in looks of a placement pass.
+const UNITS_PER_PLANNED_WORKER: usize = 4;
+
 /// Capacity reserved on a worker for a step.
 #[derive(Clone, Copy, Debug)]
 struct Reservation {
@@ -55,6 +58,20 @@
     decided_ms: Option<u64>,
 }
 
+/// Reservations that are being computed.
+#[derive(Debug, Default)]
+pub(crate) struct Draft {
+    reservations: Reservations,
+    /// Waiting steps in placement order.
+    order: Vec<Rank>,
+    /// Position of the next step.
+    next: usize,
+    /// Attempts that planned gangs preempt.
+    stops: Vec<(Arc<str>, Key)>,
+    /// Whether the present pass has computed the reservations of a step.
+    has_progressed: bool,
+}
+
 impl Reservations {
     /// Returns the capacity of a worker available to a step: what is free minus what is reserved
     /// for other steps.
@@ -125,41 +142,80 @@
 }
 
 impl Shard {
-    /// Computes the reservations of all waiting steps, in placement order, and stops the attempts
-    /// that planned gangs preempt.
+    /// Computes the reservations of the waiting steps, in placement order, and stops the attempts that
+    /// planned gangs preempt. A computation that is too long for one pass is continued in the next one.
     pub(crate) fn reserve(&mut self, order: &[Rank], now_ms: u64) {
-        if (self.reservations.decided_ms).is_some_and(|at| now_ms < at + DECISION_PERIOD_MS) {
-            return;
-        }
-        let mut reservations = Reservations {
-            decided_ms: Some(now_ms),
-            ..Reservations::default()
-        };
-        let mut stops = Vec::new();
-        for Rank { priority, key, .. } in order.iter().copied() {
-            if self.is_held_back(key) {
-                continue;
-            }
-            match self.plan_if_gang(key, &reservations, now_ms) {
-                Some(Feasibility::Feasible(plan)) => {
-                    let size = self.step_spec(key).map(Step::demand).unwrap_or_default();
-                    for (worker, members) in plan.members {
-                        let size = size.times(u64::from(members));
-                        reservations.add(worker, key, size, Some(priority));
-                    }
-                    reservations.planned.insert(key);
-                    stops.extend(plan.stops);
+        let mut draft = match self.reservation_draft.take() {
+            Some(draft) => draft,
+            None => {
+                let decided_ms = self.reservations.decided_ms;
+                if decided_ms.is_some_and(|at| now_ms < at + DECISION_PERIOD_MS) {
+                    return;
                 }
-                Some(Feasibility::Infeasible) => {
-                    reservations.infeasible.insert(key);
+                Draft {
+                    order: order.to_vec(),
+                    ..Draft::default()
                 }
-                Some(Feasibility::NotYet) | None => {
-                    self.reserve_for(key, &mut reservations, now_ms)
+            }
+        };
+        while let Some(rank) = draft.order.get(draft.next).copied() {
+            if draft.has_progressed && self.pass.reserve_is_spent() {
+                draft.has_progressed = false;
+                self.reservation_draft = Some(draft);
+                return;
+            }
+            draft.next += 1;
+            self.reserve_step(rank, &mut draft, now_ms);
+        }
+        draft.reservations.decided_ms = Some(now_ms);
+        self.reservations = draft.reservations;
+        self.preempt(draft.stops, now_ms);
+    }
+
+    fn reserve_step(&mut self, rank: Rank, draft: &mut Draft, now_ms: u64) {
+        let Rank { priority, key, .. } = rank;
+        let may_reserve = |step: &Step| step.gang || step.service;
+        if !self.step_spec(key).is_some_and(may_reserve) || self.is_held_back(key) {
+            return;
+        }
+        draft.has_progressed = true;
+        self.pass.charge(match self.is_starving(key, now_ms) {
+            true => self.hosts.len() * UNITS_PER_PLANNED_WORKER,
+            false => 1,
+        });
+        match self.plan_if_gang(key, &draft.reservations, now_ms) {
+            Some(Feasibility::Feasible(plan)) => {
+                let size = self.step_spec(key).map(Step::demand).unwrap_or_default();
+                for (worker, members) in plan.members {
+                    let size = size.times(u64::from(members));
+                    draft.reservations.add(worker, key, size, Some(priority));
                 }
+                draft.reservations.planned.insert(key);
+                draft.stops.extend(plan.stops);
+            }
+            Some(Feasibility::Infeasible) => {
+                draft.reservations.infeasible.insert(key);
+            }
+            Some(Feasibility::NotYet) | None => {
+                self.reserve_for(key, &mut draft.reservations, now_ms);
             }
         }
-        self.reservations = reservations;
-        self.preempt(stops, now_ms);
+    }
+
+    /// Returns whether a step is a gang, which is planned at once, or has waited for so long that it
+    /// reserves workers.
+    fn is_starving(&self, key: StepKey, now_ms: u64) -> bool {
+        let blocked_ms = self.step_run(key).and_then(|run| run.blocked_since_ms);
+        let is_gang = self.step_spec(key).is_some_and(|step| step.gang);
+        is_gang || blocked_ms.is_some_and(|since| now_ms >= since + RESERVE_AFTER_MS)
+    }
+
+    /// Removes the reservations of a gang that was placed.
+    pub(crate) fn release_reservations(&mut self, key: StepKey) {
+        self.reservations.release(key);
+        if let Some(draft) = &mut self.reservation_draft {
+            draft.reservations.release(key);
+        }
     }
 
     /// Plans a gang of which all members wait. Returns `None` for other steps.
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -1,6 +1,6 @@
 //! State of a shard and the events that change it.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use crate::action::Action;
@@ -16,16 +16,19 @@
 use crate::moves::Moves;
 use crate::objective::Outlook;
 use crate::orphan::Orphans;
+use crate::pass::Pass;
 use crate::record::Record;
 use crate::recovery::Recovery;
 use crate::removed::Removed;
-use crate::reservation::Reservations;
+use crate::reservation::{Draft, Reservations};
 use crate::run::Job;
 use crate::run_times::Speed;
+use crate::schedule::Schedule;
 use crate::start_window::StartWindow;
 use crate::task::{Key, StepKey};
 use crate::team::Teams;
 use crate::team::quota::Quota;
+use crate::waiting::Waiting;
 use crate::worker::Worker;
 
 /// Attempt numbers set aside for each epoch, because a previous owner may have used some without
@@ -47,9 +50,6 @@
     pub early_ms: u64,
 }
 
-/// Position of a step in the placement order: priority, acceptance order of the job, key.
-pub(crate) type QueueEntry = (u32, u64, StepKey);
-
 /// State of a shard under one owner.
 #[derive(Debug)]
 pub struct Shard {
@@ -63,16 +63,19 @@
     pub(crate) quota: Quota,
     pub(crate) hosts: BTreeMap<Arc<str>, Host>,
     pub(crate) jobs: HashMap<Id, Job>,
-    /// Ready steps with waiting tasks, in placement order.
-    pub(crate) ready: BTreeSet<QueueEntry>,
+    /// Ready steps with waiting tasks.
+    pub(crate) waiting: Waiting,
+    pub(crate) pass: Pass,
     /// Jobs with occurrences that have not begun.
-    pub(crate) scheduled: BTreeSet<Id>,
+    pub(crate) scheduled: Schedule,
     pub(crate) recovery: Recovery,
     pub(crate) actions: Vec<Action>,
     /// Moving average of the share of requested workers that the advice service allows, by queue.
     pub(crate) allowed_shares: HashMap<Arc<str>, f64>,
     pub(crate) advice_load: AdviceLoad,
     pub(crate) reservations: Reservations,
+    /// Reservations whose computation goes on in the next pass.
+    pub(crate) reservation_draft: Option<Draft>,
     pub(crate) orphans: Orphans,
     pub(crate) lost_answers: LostAnswers,
     pub(crate) start_window: StartWindow,
@@ -123,13 +126,15 @@
             quota: Quota::default(),
             hosts: BTreeMap::new(),
             jobs: HashMap::new(),
-            ready: BTreeSet::new(),
-            scheduled: BTreeSet::new(),
+            waiting: Waiting::default(),
+            pass: Pass::default(),
+            scheduled: Schedule::default(),
             recovery: Recovery::default(),
             actions: Vec::new(),
             allowed_shares: HashMap::new(),
             advice_load: AdviceLoad::default(),
             reservations: Reservations::default(),
+            reservation_draft: None,
             orphans: Orphans::default(),
             lost_answers: LostAnswers::default(),
             start_window: StartWindow::default(),
@@ -175,8 +180,8 @@
 
     /// Sorts the ready steps again after the priorities of queues or the order of jobs have changed.
     pub(crate) fn sort_ready(&mut self) {
-        let steps: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
-        self.ready.clear();
+        let steps = self.waiting.keys();
+        self.waiting.clear();
         for key in steps {
             self.enqueue(key);
         }
@@ -235,7 +240,7 @@
         if job.spec.times == 0 {
             job.begin_occurrence(0);
         } else {
-            self.scheduled.insert(id);
+            self.scheduled.insert(id, 0);
         }
         self.jobs.insert(id, job);
         self.adopt_orphans(id, now_ms);
@@ -410,7 +415,9 @@
             .and_then(|steps| steps.get(key.step as usize));
         if run.is_some_and(|run| run.ready && run.waiting > 0) {
             let priority = self.queues.get(&job.queue).map_or(0, |q| q.priority);
-            self.ready.insert((priority, job.acceptance_order, key));
+            let line = (job.queue.clone(), job.spec.team.clone());
+            self.waiting
+                .insert(priority, job.acceptance_order, key, line);
         }
     }
 
@@ -470,8 +477,7 @@
         for (key, _) in lost {
             self.mark_run_lost(id, key, Evidence::NewIncarnation);
         }
-        let steps: Vec<StepKey> = self.ready.iter().map(|(_, _, key)| *key).collect();
-        for key in steps {
+        for key in self.waiting.keys() {
             if let Some(run) = self.step_run_mut(key) {
                 run.advice.forget_worker(id);
             }
--- a/crates/workflow/src/team/usage.rs
+++ b/crates/workflow/src/team/usage.rs
@@ -11,6 +11,7 @@
 use crate::run::{Job, Placement};
 use crate::shard::Shard;
 use crate::task::StepKey;
+use crate::waiting::Entry;
 
 /// Whose use of resources an attempt counts as. The size is that of the task's request, which for
 /// best-effort tasks includes the processor time that they don't occupy.
@@ -154,7 +155,7 @@
                 add(&mut survey.charged, team, used.charged);
             }
         }
-        for (_, _, key) in &self.ready {
+        for Entry { key, .. } in self.waiting.ready() {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
--- a/crates/workflow/src/timers.rs
+++ b/crates/workflow/src/timers.rs
@@ -5,7 +5,6 @@
 use crate::action::Action;
 use crate::host::{Host, Liveness, Phase, Run, StartState};
 use crate::incarnation::LISTED_AFTER_MS;
-use crate::job::Id;
 use crate::lease;
 use crate::lost_attempt::Evidence;
 use crate::shard::Shard;
@@ -21,6 +20,12 @@
 /// Time between two visits of all jobs, in milliseconds.
 const JOB_CHECK_PERIOD_MS: u64 = 1_000;
 
+/// Jobs whose occurrences begin in a tick.
+const SCHEDULED_PER_TICK: usize = 256;
+
+/// Time after which an occurrence for which there was no memory is tried again, in milliseconds.
+const NO_ROOM_PAUSE_MS: u64 = 100;
+
 /// Time without progress after which an attempt counts as stalled, in milliseconds.
 const STALLED_AFTER_MS: u64 = 4_000;
 
@@ -74,23 +79,27 @@
 
     /// Begins the occurrences that are due.
     fn begin_due_occurrences(&mut self, unix_ms: u64) {
-        let ids: Vec<Id> = self.scheduled.iter().copied().collect();
-        for id in ids {
+        let until_ms = unix_ms + self.settings.early_ms;
+        for id in self.scheduled.take_due(until_ms, SCHEDULED_PER_TICK) {
             let Some(job) = self.jobs.get_mut(&id) else {
-                self.scheduled.remove(&id);
                 continue;
             };
             let spec = job.spec.clone();
-            while job.next_occurrence < spec.times {
-                let due_ms = spec.due_ms(job.next_occurrence);
-                if unix_ms + self.settings.early_ms < due_ms || !job.has_room(&self.memory) {
+            let mut has_room = true;
+            while job.next_occurrence < spec.times && until_ms >= spec.due_ms(job.next_occurrence) {
+                has_room = job.has_room(&self.memory);
+                if !has_room {
                     break;
                 }
                 job.begin_occurrence(job.next_occurrence);
             }
             let begun: Vec<u32> = job.occurrences.keys().copied().collect();
-            if job.next_occurrence == spec.times {
-                self.scheduled.remove(&id);
+            if job.next_occurrence < spec.times {
+                let due_ms = match has_room {
+                    true => spec.due_ms(job.next_occurrence),
+                    false => until_ms + NO_ROOM_PAUSE_MS,
+                };
+                self.scheduled.insert(id, due_ms);
             }
             for number in begun {
                 self.enqueue_ready(id, number);
--- a/crates/workflow/src/usage.rs
+++ b/crates/workflow/src/usage.rs
@@ -6,6 +6,7 @@
 use rosemaryworks_core::size::Size;
 
 use crate::shard::Shard;
+use crate::waiting::Entry;
 
 /// Capacity of a pool and the work that waits for it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -41,7 +42,28 @@
     pub answer_ms: u32,
 }
 
+/// Waiting steps and placement passes of an owner, for logs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Looks {
+    /// Steps that wait for their turn to be looked at.
+    pub backlog: usize,
+    /// Steps that no worker of their pool could run.
+    pub parked: usize,
+    /// Passes that ended before they had looked at all steps, since the begin of the ownership.
+    pub cut: u64,
+}
+
 impl Shard {
+    /// Returns the waiting steps that passes don't look at, and the passes that were cut short.
+    #[must_use]
+    pub fn looks(&self) -> Looks {
+        Looks {
+            backlog: self.waiting.backlog_len(),
+            parked: self.waiting.parked_len(),
+            cut: self.pass.cut(),
+        }
+    }
+
     /// Returns the start requests of the owner.
     #[must_use]
     pub fn starts(&self) -> Starts {
@@ -69,7 +91,7 @@
             usage.capacity += host.worker.capacity;
             usage.free += host.free();
         }
-        for (_, _, key) in &self.ready {
+        for Entry { key, .. } in self.waiting.ready() {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
