fix(entry): don't open ended jobs in a takeover

Of a submission whose job has ended it keeps the identifier, address, team, state and offset, and skips the steps when it decodes the record. Gauge entry_job_bytes_peak.

Why this works: a successor holds the jobs that its predecessor held at its end, and one decoded record.

--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -1,10 +1,12 @@
 //! Encoding of a shard's records in the log: CBOR, and for large submissions a CBOR byte string that
 //! holds the same record as a zlib stream (RFC 1950).
 
+use std::sync::Arc;
+
 use ciborium::Value;
 use miniz_oxide::deflate::compress_to_vec_zlib;
 use miniz_oxide::inflate::decompress_to_vec_zlib_with_limit;
-use rosemaryworks_workflow::{Id, Record};
+use rosemaryworks_workflow::{Address, Id, Record, State};
 use serde::Deserialize;
 
 use crate::events;
@@ -52,6 +54,26 @@
     },
 }
 
+/// The part of a submission that outlives the end of its job. Decoding it skips the steps.
+#[derive(Deserialize)]
+enum Origin {
+    #[serde(rename = "j")]
+    Submitted {
+        #[serde(rename = "i")]
+        id: Id,
+        #[serde(rename = "s")]
+        spec: Retained,
+    },
+}
+
+#[derive(Deserialize)]
+struct Retained {
+    #[serde(default, rename = "at")]
+    address: Address,
+    #[serde(default)]
+    team: Option<Arc<str>>,
+}
+
 /// Returns the job of a compressed submission, whose specification may take a hundred times the memory
 /// of the record; `None` for other records.
 pub(crate) fn compressed_submission(mut bytes: &[u8]) -> Option<Id> {
@@ -63,6 +85,28 @@
     Some(id)
 }
 
+/// Returns the job of a submission with its address and its team; `None` for other records.
+pub(crate) fn origin(mut bytes: &[u8]) -> Option<(Id, Address, Option<Arc<str>>)> {
+    let origin = match is_byte_string(bytes) {
+        true => ciborium::from_reader(&decompress(&mut bytes).ok()?[..]),
+        false => ciborium::from_reader(bytes),
+    };
+    let Origin::Submitted { id, spec } = origin.ok()?;
+    Some((id, spec.address, spec.team))
+}
+
+/// Returns the job, its final state and the time of its end, if an encoded record is a
+/// [`Record::Final`]: a CBOR map of one entry whose key is `f`.
+pub(crate) fn final_state(bytes: &[u8]) -> Option<(Id, State, Option<u64>)> {
+    if !bytes.starts_with(&[0xa1, 0x61, b'f']) {
+        return None;
+    }
+    match ciborium::from_reader(bytes).ok()? {
+        Record::Final { id, state, at_ms } => Some((id, state, at_ms)),
+        _ => None,
+    }
+}
+
 /// Returns whether an encoded record is a [`Record::Moved`]: a CBOR map of one entry whose key is `h`.
 pub(crate) fn is_move(bytes: &[u8]) -> bool {
     bytes.starts_with(&[0xa1, 0x61, b'h'])
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -60,6 +60,8 @@
     pub open_jobs: Gauge,
     /// Memory for the jobs of all owned shards in bytes.
     pub job_bytes: Gauge,
+    /// Most memory that jobs held at a time, in bytes.
+    pub job_bytes_peak: Gauge,
     /// Requests for parts of teams' caps sent to owners of other shards.
     pub room_requests: Counter,
     /// Steps that a team's cap holds back.
@@ -149,6 +151,7 @@
                 "Memory for jobs in bytes",
                 Gauge::default(),
             ),
+            job_bytes_peak: gauge("entry_job_bytes_peak", "Most memory for jobs in bytes"),
             open_jobs: registry.register("entry_open_jobs", "Jobs not ended", Gauge::default()),
             room_requests: counter("entry_room_requests", "Requests for parts of caps"),
             steps_capped: gauge("entry_steps_capped", "Steps held back by a cap"),
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -361,6 +361,8 @@
                     .metrics
                     .job_bytes
                     .set(self.memory.held() as i64);
+                let peak = self.memory.peak();
+                self.context.metrics.job_bytes_peak.set(peak as i64);
                 let actions = state.take_actions();
                 (actions, state.pass_cost(), state.has_more_to_place())
             };
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -1,12 +1,13 @@
 //! Takeover of a shard whose claim was won: fences the previous owner, replays the shard's streams
 //! and starts to act as the owner.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use rosemaryworks_node::clock;
-use rosemaryworks_workflow::{self as workflow, Shard};
+use rosemaryworks_workflow::{self as workflow, Id, Record, Shard, State};
 
 use crate::codec;
 use crate::events;
@@ -37,6 +38,49 @@
     bytes: usize,
 }
 
+/// Jobs that have ended according to the journal. They are not opened in a replay: the previous owner held
+/// them one after the other, and all of them together may exceed the memory of a VM.
+struct Ended(HashMap<Id, (State, Option<u64>)>);
+
+impl Ended {
+    fn read(progress: &[(u64, Vec<u8>)]) -> Self {
+        let records = progress.iter();
+        let finals = records.filter_map(|(_, record)| codec::final_state(record));
+        Self(
+            finals
+                .map(|(id, state, at_ms)| (id, (state, at_ms)))
+                .collect(),
+        )
+    }
+
+    /// Replays a submission of the jobs' stream if its job has ended. Returns whether it is one.
+    fn replay(&self, record: &[u8], offset: u64, state: &mut Shard) -> bool {
+        if self.0.is_empty() {
+            return false;
+        }
+        let Some((id, address, team)) = codec::origin(record) else {
+            return false;
+        };
+        let Some((end, at_ms)) = self.0.get(&id) else {
+            return false;
+        };
+        state.replay_ended(id, *end, *at_ms, address, team);
+        state.note_logged(id, offset);
+        true
+    }
+
+    /// Replays a record of the snapshot.
+    fn replay_snapshot(&self, record: Record, state: &mut Shard, now_ms: u64) {
+        match &record {
+            Record::Submitted { id, spec, .. } if self.0.contains_key(id) => {
+                let (end, at_ms) = self.0[id];
+                state.replay_ended(*id, end, at_ms, spec.address, spec.team.clone());
+            }
+            _ => state.replay(record, now_ms),
+        }
+    }
+}
+
 impl Node {
     /// Takes over a shard whose claim was won. `predecessor_ended` says that the previous owner has
     /// certainly ended.
@@ -142,12 +186,13 @@
         let snapshot = snapshot?;
         let now_ms = clock::now().0;
         let stored = Stored::new(&snapshot);
+        let ended = Ended::read(&progress);
         let mut replayed = Replayed::default();
         for entry in &snapshot {
             let records = codec::decode_all(&entry.value);
             let bytes = entry.value.len() / records.len().max(1);
             for record in records {
-                state.replay(record, now_ms);
+                ended.replay_snapshot(record, &mut state, now_ms);
                 self.pause_replay(shard, bytes, &mut replayed).await;
             }
         }
@@ -161,7 +206,9 @@
         }
         for (offset, record) in jobs.iter().chain(&later) {
             let bytes = record.len();
-            if let Some(record) = codec::decode(record) {
+            if !ended.replay(record, *offset, &mut state)
+                && let Some(record) = codec::decode(record)
+            {
                 state.apply_stored(record, Some(*offset), now_ms);
             }
             self.pause_replay(shard, bytes, &mut replayed).await;
--- a/crates/workflow/src/memory.rs
+++ b/crates/workflow/src/memory.rs
@@ -79,6 +79,8 @@
 struct Held {
     large: u64,
     small: u64,
+    /// Largest sum so far.
+    peak: u64,
 }
 
 impl Held {
@@ -88,6 +90,12 @@
             false => &mut self.small,
         }
     }
+
+    /// Counts `bytes` that a job holds from now on.
+    fn add(&mut self, bytes: u64) {
+        *self.class(bytes) += bytes;
+        self.peak = self.peak.max(self.large + self.small);
+    }
 }
 
 #[derive(Debug)]
@@ -124,6 +132,12 @@
         held.large + held.small
     }
 
+    /// Returns the most bytes that were held at a time.
+    #[must_use]
+    pub fn peak(&self) -> u64 {
+        self.lock().peak
+    }
+
     /// Returns whether a job of `bytes` bytes has room. A large one has if it is the only large one
     /// and there are few others, even if it exceeds the pool.
     #[must_use]
@@ -138,7 +152,7 @@
         if !self.fits(&held, bytes) {
             return None;
         }
-        *held.class(bytes) += bytes;
+        held.add(bytes);
         drop(held);
         let pool = self.clone();
         Some(Share { pool, bytes })
@@ -194,7 +208,7 @@
         }
         let mut held = self.pool.lock();
         *held.class(self.bytes) -= self.bytes;
-        *held.class(bytes) += bytes;
+        held.add(bytes);
         drop(held);
         self.bytes = bytes;
     }
--- a/crates/workflow/src/run.rs
+++ b/crates/workflow/src/run.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::advice::Advice;
-use crate::job::{Spec, State};
+use crate::job::{Address, Spec, State};
 use crate::memory::{Cost, Pool, Share};
 use crate::objective::Objective;
 use crate::shard::Shard;
@@ -209,6 +209,13 @@
         self.count_memory();
     }
 
+    /// Sets the address of a job of which only the end is known.
+    pub(crate) fn set_address(&mut self, address: Address) {
+        if self.spec.address != address {
+            Arc::make_mut(&mut self.spec).address = address;
+        }
+    }
+
     /// Returns whether another occurrence may begin now. The first one always may.
     pub(crate) fn has_room(&self, pool: &Pool) -> bool {
         self.occurrences.is_empty() || pool.has_room_to_grow(self.cost.occurrence)
--- a/crates/workflow/src/snapshot.rs
+++ b/crates/workflow/src/snapshot.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
-use crate::job::{Id, State};
+use crate::job::{Address, Id, State};
 use crate::record::Record;
 use crate::run::Job;
 use crate::shard::Shard;
@@ -143,6 +143,21 @@
         }
     }
 
+    /// Applies the end of a job whose submission a replay skips.
+    pub fn replay_ended(
+        &mut self,
+        id: Id,
+        state: State,
+        at_ms: Option<u64>,
+        address: Address,
+        team: Option<Arc<str>>,
+    ) {
+        self.replay_end(id, state, at_ms, team.as_ref());
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.set_address(address);
+        }
+    }
+
     /// Sets the times that previous owners did not record and starts the shard's clock.
     pub(crate) fn start_clock(&mut self, now_ms: u64) {
         let at_ms = self.clock.at(now_ms);
