refactor(workflow): one job a file, and owners list their addresses

Change: gang placement, capacities of pools, terms of queues, changes of incarnation and the owner's stream of jobs in files of their own; pace, looks and ways are called budget, evaluations and chains. The owner of a shard lists all addresses that a configuration sends to it in one append, and removes entries that the configuration has left.

Tests changed: newest_claim_epoch of the test support takes the newest claim of the shard in place of the last record of the stream, which also holds the register now.

--- a/crates/entry/src/homes.rs
+++ b/crates/entry/src/homes.rs
@@ -19,7 +19,7 @@
 
 /// Shards that may know the jobs of an address.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Way {
+pub struct Chain {
     /// Shards to which the address belonged before, the earliest first.
     pub former: Vec<u32>,
     /// Shard that accepts new jobs.
@@ -28,7 +28,7 @@
     pub version: u64,
 }
 
-impl Way {
+impl Chain {
     /// Returns all shards, in the order in which jobs are forwarded from one to the next.
     pub(crate) fn shards(&self) -> impl Iterator<Item = u32> {
         self.former.iter().copied().chain([self.current])
@@ -41,7 +41,7 @@
     /// The shard must be listed first.
     List,
     /// The shards are listed.
-    Send(Way),
+    Send(Chain),
 }
 
 /// Listed shards by address, with the versions of the configuration that sent the address there.
@@ -98,7 +98,7 @@
         let latest = self.latest(address);
         match latest {
             Some((listed, at)) if listed == shard || at >= version => {
-                Next::Send(self.way_to(address, listed, at))
+                Next::Send(self.chain_to(address, listed, at))
             }
             _ => Next::List,
         }
@@ -106,13 +106,22 @@
 
     /// Returns the shards that may know a job, under the same configuration.
     #[must_use]
-    pub fn way(&self, address: Address, shard: u32, version: u64) -> Way {
+    pub fn chain(&self, address: Address, shard: u32, version: u64) -> Chain {
         match self.next(address, shard, version) {
-            Next::Send(way) => way,
-            Next::List => self.way_to(address, shard, version),
+            Next::Send(chain) => chain,
+            Next::List => self.chain_to(address, shard, version),
         }
     }
 
+    /// Returns the addresses for which a shard is listed, with the versions.
+    #[must_use]
+    pub fn listed_in(&self, shard: u32) -> Vec<(Address, u64)> {
+        let listed = self.listed.iter();
+        listed
+            .filter_map(|(address, shards)| Some((*address, *shards.get(&shard)?)))
+            .collect()
+    }
+
     /// Returns the version with which a shard is listed.
     #[must_use]
     pub fn version(&self, address: Address, shard: u32) -> Option<u64> {
@@ -133,12 +142,12 @@
         latest.map(|(shard, version)| (*shard, *version))
     }
 
-    fn way_to(&self, address: Address, current: u32, version: u64) -> Way {
+    fn chain_to(&self, address: Address, current: u32, version: u64) -> Chain {
         let listed = self.listed.get(&address).into_iter().flatten();
         let former = listed.filter(|(shard, _)| **shard != current);
         let mut former: Vec<(u64, u32)> = former.map(|(shard, at)| (*at, *shard)).collect();
         former.sort_unstable();
-        Way {
+        Chain {
             former: former.into_iter().map(|(_, shard)| shard).collect(),
             current,
             version,
--- a/crates/entry/src/load.rs
+++ b/crates/entry/src/load.rs
@@ -56,13 +56,13 @@
 impl Owner {
     /// Logs the usage of the shard's pools and the work of the owner since the last such line.
     pub(crate) fn log_usage(&self) {
-        let (usage, starts, held, looks) = {
+        let (usage, starts, held, passes) = {
             let state = self.state();
             let usage = state.usage(clock::now().0);
-            (usage, state.starts(), state.held_teams(), state.looks())
+            (usage, state.starts(), state.held_teams(), state.passes())
         };
         let metrics = &self.context().metrics;
-        metrics.steps_parked.set(looks.parked as i64);
+        metrics.steps_parked.set(passes.parked as i64);
         quota::report(self.shard(), self.epoch(), &held, metrics);
         let counts = self.load().take();
         for (pool, usage) in usage {
@@ -93,9 +93,9 @@
                 counts.starts,
                 counts.renewals,
                 self.workers().relay_count(),
-                looks.backlog,
-                looks.parked,
-                looks.cut
+                passes.backlog,
+                passes.parked,
+                passes.cut
             ));
         }
     }
--- a/crates/entry/src/moves.rs
+++ b/crates/entry/src/moves.rs
@@ -1,6 +1,7 @@
 //! Calls about jobs whose address has moved from one shard to another: entries of the register, queries
 //! to former shards, and jobs that are forwarded.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use crate::codec;
 use crate::config::{self, Route};
 use crate::events;
-use crate::homes::{self, Next, Way};
+use crate::homes::{self, Chain, Next};
 use crate::links::CALL_TIMEOUT;
 use crate::node::{Node, lock};
 use crate::owner::Owner;
@@ -28,6 +29,9 @@
 /// Time for which an append of a forwarded record is retried before it is queued again, in milliseconds.
 const FORWARD_TIMEOUT_MS: u64 = 5_000;
 
+/// Upper bound of the entries of the register in an append.
+const HOMES_PER_APPEND: usize = 500;
+
 /// Time between two checks for addresses that have no job left in their former shard.
 const VACANCY_PERIOD: Duration = Duration::from_secs(5);
 
@@ -47,9 +51,9 @@
 
 impl Node {
     /// Returns the shards that may know the jobs of a route.
-    pub(crate) fn way(&self, route: &Route) -> Way {
+    pub(crate) fn chain(&self, route: &Route) -> Chain {
         let (shard, version) = self.target(route);
-        lock(&self.homes).way(route.address(), shard, version)
+        lock(&self.homes).chain(route.address(), shard, version)
     }
 
     /// Returns the shard to which the configuration in force sends a route, and its version. A route that
@@ -64,14 +68,14 @@
         (config::shard(&pool, self.settings.shards), version)
     }
 
-    /// Returns the way of new jobs of a route, after its shard has been listed. Returns `None` if it can't
+    /// Returns the chain of new jobs of a route, after its shard has been listed. Returns `None` if it can't
     /// be listed by `deadline_ms`.
-    pub(crate) async fn settle(&self, route: &Route, deadline_ms: u64) -> Option<Way> {
+    pub(crate) async fn listed_chain(&self, route: &Route, deadline_ms: u64) -> Option<Chain> {
         let address = route.address();
         loop {
             let (shard, version) = self.target(route);
-            if let Next::Send(way) = lock(&self.homes).next(address, shard, version) {
-                return Some(way);
+            if let Next::Send(chain) = lock(&self.homes).next(address, shard, version) {
+                return Some(chain);
             }
             let left_ms = deadline_ms.saturating_sub(clock::now().0);
             if left_ms == 0 || self.log_is_down() {
@@ -92,37 +96,46 @@
         if lock(&self.homes).version(address, shard) >= Some(version) {
             return true;
         }
-        let mut value = Vec::new();
-        if ciborium::into_writer(&version, &mut value).is_err() {
-            return false;
-        }
-        let written = self.write_home(address, shard, value, Guard::Unconditional);
-        let Ok(end) = written.await else {
+        let Ok(end) = self.write_homes(&[(address, shard)], version).await else {
             return false;
         };
-        events::HOME_LISTED.log(format_args!(
-            "address={:016x} shard={shard} version={version}",
-            address.0
-        ));
         let mut read = self.claims_read.subscribe();
         self.claims_changed.notify_one();
         read.wait_for(|next| *next >= end).await.is_ok()
     }
 
-    async fn write_home(
+    /// Writes entries of the register with a version. Returns the end of the stream after them.
+    async fn write_homes(&self, homes: &[(Address, u32)], version: u64) -> Result<u64, Fault> {
+        let mut value = Vec::new();
+        if let Err(error) = ciborium::into_writer(&version, &mut value) {
+            return Err(Fault::Rejected(error.to_string().into()));
+        }
+        let end = self
+            .append_homes(homes, value, Guard::Unconditional)
+            .await?;
+        for (address, shard) in homes {
+            events::HOME_LISTED.log(format_args!(
+                "address={:016x} shard={shard} version={version}",
+                address.0
+            ));
+        }
+        Ok(end)
+    }
+
+    async fn append_homes(
         &self,
-        address: Address,
-        shard: u32,
+        homes: &[(Address, u32)],
         value: Vec<u8>,
         guard: Guard,
     ) -> Result<u64, Fault> {
+        let record = |(address, shard): &(Address, u32)| port::Record {
+            key: Some(homes::key(*address, *shard)),
+            value: value.clone(),
+        };
         let append = Append {
             stream: Stream::Claims,
             partition: ownership::PARTITION,
-            records: vec![port::Record {
-                key: Some(homes::key(address, shard)),
-                value,
-            }],
+            records: homes.iter().map(record).collect(),
             guard,
         };
         Ok(self.context.store.append(append).await?.end)
@@ -138,16 +151,16 @@
         true
     }
 
-    /// Asks the shards of a way whether they know a job that a caller of a team may access.
+    /// Asks the shards of a chain whether they know a job that a caller of a team may access.
     pub(crate) async fn find(
         self: &Arc<Self>,
-        way: &Way,
+        chain: &Chain,
         id: Id,
         team: Option<&Arc<str>>,
     ) -> Finding {
         let queried_ms = clock::now().0;
         let mut is_complete = true;
-        for shard in way.shards() {
+        for shard in chain.shards() {
             let state = match self.owner(shard) {
                 Some(owner) => owner.job_state(id, team.map(|team| &**team)).await,
                 None => {
@@ -177,18 +190,18 @@
     pub(crate) async fn find_former(
         self: &Arc<Self>,
         address: Address,
-        way: &Way,
+        chain: &Chain,
         job: Id,
         deadline_ms: u64,
     ) -> Finding {
         loop {
             let mut is_complete = true;
-            for shard in way.shards() {
+            for shard in chain.shards() {
                 self.context.metrics.former_queries.inc();
                 let question = Question {
                     address,
-                    version: way.version,
-                    shard: way.current,
+                    version: chain.version,
+                    shard: chain.current,
                     job,
                 };
                 let state = match self.owner(shard) {
@@ -202,7 +215,7 @@
                     JobState::State(_) => return Finding::Known { shard, state },
                     JobState::Unknown => {}
                     // The current shard decides about repeated submissions by itself.
-                    JobState::Unavailable => is_complete &= shard == way.current,
+                    JobState::Unavailable => is_complete &= shard == chain.current,
                 }
             }
             if is_complete {
@@ -243,17 +256,18 @@
         }
     }
 
-    /// Removes a shard from the register, unless it is listed with a later version meanwhile.
+    /// Removes a shard from the register, unless it is listed with another version meanwhile.
     async fn unlist_home(&self, address: Address, shard: u32, version: u64) -> bool {
         for _ in 0..REMOVAL_TRIES_MAX {
             let end = *self.claims_read.borrow();
-            match lock(&self.homes).version(address, shard) {
-                Some(listed) if listed >= version => return false,
-                Some(_) => {}
-                None => return true,
+            if lock(&self.homes).version(address, shard) != Some(version) {
+                return false;
             }
-            let written = self.write_home(address, shard, Vec::new(), Guard::EndOffset(end));
-            match written.await {
+            let guard = Guard::EndOffset(end);
+            match self
+                .append_homes(&[(address, shard)], Vec::new(), guard)
+                .await
+            {
                 Ok(_) => {
                     events::HOME_UNLISTED
                         .log(format_args!("address={:016x} shard={shard}", address.0));
@@ -271,6 +285,17 @@
         }
         false
     }
+
+    /// Returns the addresses that the configuration in force sends to a shard, and its version.
+    fn addresses_of(&self, shard: u32) -> (BTreeSet<Address>, u64) {
+        let Some(config) = self.config() else {
+            return (BTreeSet::new(), 0);
+        };
+        let routes = config.routes.iter();
+        let own =
+            routes.filter(|route| config::shard(&route.queue.pool, self.settings.shards) == shard);
+        (own.map(Route::address).collect(), config.version)
+    }
 }
 
 impl Owner {
@@ -318,16 +343,44 @@
         self.job_state(job, None).await
     }
 
-    /// Removes this shard from the register for addresses that have moved to another one, once it has no
-    /// job of theirs left and all processes have long learned of the move.
+    /// Lists this shard for the addresses that each configuration sends to it, so that their first jobs
+    /// don't wait for that.
+    pub(crate) async fn list_addresses(self: Arc<Self>, node: Arc<Node>) {
+        while !self.is_ended() {
+            let (addresses, version) = node.addresses_of(self.shard());
+            let shard = self.shard();
+            let unlisted: Vec<(Address, u32)> = {
+                let homes = lock(&node.homes);
+                let is_unlisted =
+                    |address: &Address| homes.next(*address, shard, version) == Next::List;
+                let unlisted = addresses.into_iter().filter(is_unlisted);
+                unlisted.map(|address| (address, shard)).collect()
+            };
+            for homes in unlisted.chunks(HOMES_PER_APPEND) {
+                // Processes list the shard themselves if this fails.
+                if node.write_homes(homes, version).await.is_err() {
+                    break;
+                }
+            }
+            self.configured.notified().await;
+        }
+    }
+
+    /// Removes this shard from the register for addresses that the configuration does not send to it, once
+    /// it has no job of theirs left and all processes have long learned of the change.
     pub(crate) async fn release_addresses(self: Arc<Self>, node: Arc<Node>) {
-        let mut vacant: std::collections::BTreeMap<(Address, u64), u64> = Default::default();
+        let mut vacant: BTreeMap<(Address, u64), u64> = BTreeMap::new();
         while !self.is_ended() {
             tokio::time::sleep(VACANCY_PERIOD).await;
             let now_ms = clock::now().0;
-            let addresses = self.state().vacated_addresses();
-            vacant.retain(|address, _| addresses.contains(address));
-            for (address, version) in addresses {
+            let listed = lock(&node.homes).listed_in(self.shard());
+            let (current, _) = node.addresses_of(self.shard());
+            let left = listed
+                .into_iter()
+                .filter(|(address, _)| !current.contains(address));
+            let left = self.state().vacant_addresses(left.collect());
+            vacant.retain(|address, _| left.contains(address));
+            for (address, version) in left {
                 let since_ms = *vacant.entry((address, version)).or_insert(now_ms);
                 let is_due = now_ms >= since_ms + node.settings.keep_ms;
                 if is_due && node.unlist_home(address, self.shard(), version).await {
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -1,5 +1,6 @@
 //! An owned shard: its state machine, and the tasks that connect it to the log and the workers.
 
+mod jobs;
 mod queries;
 
 use std::collections::HashMap;
@@ -14,16 +15,15 @@
 
 use crate::admission::Attempts;
 use crate::advice::requester::Requester;
-use crate::codec;
+use crate::budget::Budget;
 use crate::config::Config;
 use crate::decision::Reservations;
 use crate::events;
 use crate::journal::Journal;
 use crate::load::Load;
 use crate::node::{Context, Node, lock};
-use crate::pace::Pace;
 use crate::permission::Permission;
-use crate::port::{Fault, Page, Stream};
+use crate::port::Stream;
 use crate::quota;
 use crate::relayed::RelayedWorkers;
 use crate::session::Session;
@@ -94,6 +94,8 @@
     /// Start of the last read to the end of the stream that was made for a job query.
     full_read_ms: tokio::sync::Mutex<Option<u64>>,
     pub(crate) workers_read: Position,
+    /// Notified when a configuration was applied.
+    pub(crate) configured: Notify,
     /// Version of the configuration that was applied last.
     config_version: Mutex<Option<u64>>,
     sessions: Mutex<HashMap<Arc<str>, Arc<Session>>>,
@@ -143,6 +145,7 @@
             jobs_read_ms: AtomicU64::new(clock::now().0),
             full_read_ms: tokio::sync::Mutex::default(),
             workers_read,
+            configured: Notify::new(),
             config_version: Mutex::new(config_version),
             sessions: Mutex::default(),
             advice,
@@ -221,6 +224,7 @@
     pub(crate) fn end(&self) {
         self.ended.store(true, Ordering::Relaxed);
         self.changed.notify_one();
+        self.configured.notify_one();
         self.permission.wake();
         for session in lock(&self.sessions).values() {
             session.interrupt();
@@ -258,6 +262,7 @@
             *applied = Some(config.version);
             config.apply_to(&mut self.state(), self.shard, self.shards);
         }
+        self.configured.notify_one();
         self.wake();
     }
 
@@ -284,6 +289,7 @@
         self.supervise(node, self.clone().write_journal(node.clone()));
         self.supervise(node, self.clone().write_snapshots(node.clone()));
         self.supervise(node, self.clone().keep_snapshot(node.clone()));
+        self.supervise(node, self.clone().list_addresses(node.clone()));
         self.supervise(node, self.clone().release_addresses(node.clone()));
         let reach = Arc::new(node.clone());
         self.supervise(node, quota::ask_for_room(self.clone(), reach));
@@ -329,7 +335,7 @@
         let mut republished_ms = clock::now().0;
         let mut logged_ms = republished_ms;
         let mut assigned_ms = 0;
-        let mut pace = Pace::default();
+        let mut budget = Budget::default();
         loop {
             let now_ms = self.await_permission().await;
             if clock::now().0 >= assigned_ms + RELAYS_PERIOD_MS {
@@ -343,9 +349,9 @@
             let load = self.advice.load(&lock(&node.peers));
             self.set_advice_load(load);
             let began = std::time::Instant::now();
-            let (actions, looks, has_more) = {
+            let (actions, cost, has_more) = {
                 let mut state = self.state();
-                state.set_pass_budget(pace.looks());
+                state.set_pass_budget(budget.evaluations());
                 if clock::now().0 >= republished_ms + republish_ms {
                     republished_ms = clock::now().0;
                     state.record_workers();
@@ -367,7 +373,7 @@
                 (actions, state.pass_cost(), state.has_more_to_place())
             };
             let took = began.elapsed();
-            pace.observe(looks, took);
+            budget.observe(cost, took);
             self.load.add_tick(took);
             self.context
                 .metrics
@@ -444,68 +450,4 @@
     pub(crate) fn forget_session(&self, id: &str) {
         lock(&self.sessions).remove(id);
     }
-
-    /// Reads the jobs and cancellations of the shard as they are appended.
-    async fn follow_jobs(self: Arc<Self>, node: Arc<Node>) {
-        while !self.is_ended() {
-            let asked_ms = clock::now().0;
-            let next = self.jobs_read.load(Ordering::Relaxed);
-            // Jobs count as new only after a read that began when previous owners had stopped.
-            let fenced_in_ms = self.state().fenced_in(asked_ms);
-            let wait_ms = fenced_in_ms.unwrap_or(JOBS_WAIT_MS).min(JOBS_WAIT_MS);
-            let read = self
-                .context
-                .store
-                .read(Stream::Jobs, self.shard, next, wait_ms);
-            match read.await {
-                Ok(page) => {
-                    node.observe_log_response(true);
-                    self.apply_jobs(&page, asked_ms).await;
-                    self.jobs_read.store(page.next, Ordering::Relaxed);
-                    if !page.records.is_empty() {
-                        self.wake();
-                        tokio::time::sleep(JOBS_PAUSE).await;
-                    }
-                }
-                Err(Fault::Expired { first }) => self.jobs_read.store(first, Ordering::Relaxed),
-                Err(_) => {
-                    node.observe_log_response(false);
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    /// Applies a page of jobs that was requested at `asked_ms`. Lets other tasks run after every
-    /// [`codec::CHUNK_BYTES`] of it.
-    async fn apply_jobs(&self, page: &Page, asked_ms: u64) {
-        let mut bytes = 0;
-        for (offset, record) in page.with_offsets() {
-            self.apply_job(offset, &record.value);
-            bytes += record.value.len();
-            if bytes >= codec::CHUNK_BYTES {
-                bytes = 0;
-                tokio::task::yield_now().await;
-            }
-        }
-        let mut state = self.state();
-        state.retained_from(page.first);
-        state.read_to(page.next);
-        if page.next >= page.end {
-            state.jobs_read(asked_ms);
-            self.jobs_read_ms.store(clock::now().0, Ordering::Relaxed);
-        }
-    }
-
-    fn apply_job(&self, offset: u64, encoded: &[u8]) {
-        let submitted = codec::compressed_submission(encoded);
-        if submitted.is_some_and(|id| self.state().note_logged(id, offset)) {
-            // Most jobs are known before their records are read.
-            return;
-        }
-        if let Some(record) = codec::decode(encoded) {
-            let now_ms = clock::now().0;
-            self.state().apply_stored(record, Some(offset), now_ms);
-        }
-    }
 }
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -179,15 +179,15 @@
         team: Option<Arc<str>>,
         deadline_ms: u64,
     ) -> Acceptance {
-        let way = self.way(route);
-        let is_decided_here = team.is_some() || !way.former.is_empty();
+        let chain = self.chain(route);
+        let is_decided_here = team.is_some() || !chain.former.is_empty();
         let finding = match is_decided_here {
             true => self.find_until(route, id, team.as_ref(), deadline_ms).await,
             false => Finding::Unknown,
         };
         let (shard, is_known) = match finding {
             Finding::Known { shard, .. } => (shard, true),
-            Finding::Unknown => (way.current, team.is_none()),
+            Finding::Unknown => (chain.current, team.is_none()),
             // Which shard knows the job, or whether it is one of the team's, can't be told.
             Finding::Unavailable => return Acceptance::Refused,
         };
@@ -219,18 +219,18 @@
         record: &Record,
         deadline_ms: u64,
     ) -> Acceptance {
-        let Some(way) = self.settle(route, deadline_ms).await else {
+        let Some(chain) = self.listed_chain(route, deadline_ms).await else {
             return Acceptance::Refused;
         };
-        if !way.former.is_empty() {
-            let found = self.find_former(route.address(), &way, id, deadline_ms);
+        if !chain.former.is_empty() {
+            let found = self.find_former(route.address(), &chain, id, deadline_ms);
             match found.await {
                 Finding::Known { .. } => return Acceptance::Accepted,
                 Finding::Unknown => {}
                 Finding::Unavailable => return Acceptance::Unknown,
             }
         }
-        self.write_until(way.current, record, deadline_ms).await
+        self.write_until(chain.current, record, deadline_ms).await
     }
 
     async fn write_until(
@@ -357,7 +357,7 @@
         deadline_ms: u64,
     ) -> Finding {
         loop {
-            let finding = self.find(&self.way(route), id, team).await;
+            let finding = self.find(&self.chain(route), id, team).await;
             let is_late = clock::now().0 + RETRY_PAUSE.as_millis() as u64 >= deadline_ms;
             if finding != Finding::Unavailable || is_late {
                 return finding;
@@ -378,7 +378,7 @@
     async fn queue_length_until(self: &Arc<Self>, route: &Route, deadline_ms: u64) -> Option<u64> {
         loop {
             let mut total = Some(0);
-            for shard in self.way(route).shards() {
+            for shard in self.chain(route).shards() {
                 let length = self.length_in(shard, route).await;
                 total = total.zip(length).map(|(total, length)| total + length);
             }
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -276,9 +276,10 @@
     /// Returns the epoch of the newest claim, which is all that a process that starts can read.
     pub(crate) fn newest_claim_epoch(&self) -> u64 {
         let records = self.records.lock().expect("the lock");
-        let newest = records[&(index(Stream::Claims), 0)]
-            .last()
-            .expect("a claim");
+        let newest = records[&(index(Stream::Claims), 0)].newest().records;
+        let key = Some(rosemaryworks_entry::claim::key(0));
+        let newest = newest.into_iter().find(|record| record.key == key);
+        let newest = newest.expect("a claim");
         let claim: rosemaryworks_entry::claim::Claim =
             ciborium::from_reader(newest.value.as_slice()).expect("a claim");
         claim.epoch
--- a/crates/entry/tests/support/partition.rs
+++ b/crates/entry/tests/support/partition.rs
@@ -89,10 +89,6 @@
         }
     }
 
-    pub(crate) fn last(&self) -> Option<&Record> {
-        self.retained.last().map(|(_, record)| record)
-    }
-
     /// Returns the offset of the next record.
     pub(crate) fn end(&self) -> u64 {
         self.first + self.retained.len() as u64
--- a/crates/workflow/src/moves.rs
+++ b/crates/workflow/src/moves.rs
@@ -8,10 +8,10 @@
 use std::sync::Arc;
 
 use crate::action::Action;
-use crate::job::{Address, Id, Queue, Spec};
+use crate::job::{Address, Id, Spec};
 use crate::record::Record;
+use crate::run::Job;
 use crate::shard::Shard;
-use crate::snapshot::Entry;
 
 /// Where the jobs of an address belong whose submissions stand at an offset or later.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -281,31 +281,24 @@
         self.moves.forwards.remove(&id);
     }
 
-    /// Returns the addresses that belong to another shard and of which no job is left here, each with
-    /// the version of its move.
+    /// Returns those of the listed addresses of which the shard holds no job. The version of the
+    /// configuration that listed each one is passed on.
     #[must_use]
-    pub fn vacated_addresses(&self) -> Vec<(Address, u64)> {
-        if self.moves.homes.is_empty() {
-            return Vec::new();
+    pub fn vacant_addresses(&self, listed: Vec<(Address, u64)>) -> Vec<(Address, u64)> {
+        if listed.is_empty() {
+            return listed;
         }
-        // The address of a job that ended under a previous owner is unknown.
-        let held: BTreeSet<Address> = self.jobs.values().map(|job| job.spec.address).collect();
+        let known = self.jobs.values().map(|job| job.spec.address);
         let forwarded = self.moves.forwards.values().map(|forward| forward.address);
-        let held: BTreeSet<Address> = held.into_iter().chain(forwarded).collect();
+        let held: BTreeSet<Address> = known.chain(forwarded).collect();
+        // The address of a job that ended under a previous owner is unknown.
         if held.contains(&Address::default()) {
             return Vec::new();
         }
-        let last = self
-            .moves
-            .homes
-            .iter()
-            .filter_map(|(address, homes)| Some((*address, *homes.last()?)));
-        let has_left = |(address, home): &(Address, Home)| {
-            home.shard.is_some() && home.record <= self.durable_records && !held.contains(address)
+        let is_vacant = |(address, _): &(Address, u64)| {
+            !held.contains(address) && self.is_move_durable(*address)
         };
-        last.filter(has_left)
-            .map(|(address, home)| (address, home.version))
-            .collect()
+        listed.into_iter().filter(is_vacant).collect()
     }
 
     /// Forgets the moves of an address that no process sends to this shard any more.
@@ -313,114 +306,25 @@
         self.moves.homes.remove(&address);
     }
 
-    /// Returns the moves and the terms of queues in use in a snapshot.
-    pub(crate) fn address_entries(&self) -> Vec<Entry> {
-        let mut moves = Vec::new();
-        for (address, homes) in &self.moves.homes {
-            moves.extend(homes.iter().map(|home| Record::Moved {
-                address: *address,
+    /// Returns the records of the moves in a snapshot.
+    pub(crate) fn move_records(&self) -> Vec<Record> {
+        let homes = self.moves.homes.iter();
+        let homes = homes.flat_map(|(address, homes)| homes.iter().map(|home| (*address, home)));
+        homes
+            .map(|(address, home)| Record::Moved {
+                address,
                 version: home.version,
                 from: home.from,
                 shard: home.shard,
-            }));
-        }
-        let in_use = self.queues_in_use();
-        let terms = self
-            .queues
-            .values()
-            .filter(|queue| in_use.contains(&queue.name));
-        let mut terms: Vec<&Arc<Queue>> = terms.collect();
-        terms.sort_by(|a, b| a.name.cmp(&b.name));
-        let terms: Vec<Record> = terms.into_iter().cloned().map(Record::Terms).collect();
-        let entry = |key: &str, records: Vec<Record>| Entry {
-            key: key.into(),
-            records,
-        };
-        [entry("moves", moves), entry("terms", terms)]
-            .into_iter()
-            .filter(|entry| !entry.records.is_empty())
+            })
             .collect()
     }
 
-    /// Returns the names of the queues of open jobs.
-    pub(crate) fn queues_in_use(&self) -> BTreeSet<Arc<str>> {
-        let open = self.jobs.values().filter(|job| !job.is_ended());
-        open.map(|job| job.queue.clone()).collect()
-    }
-
-    /// Replaces the queues of the shard. Jobs that were accepted before keep the last terms of their
-    /// queue if it has been removed or belongs to another shard now.
-    pub fn set_queues(&mut self, queues: impl IntoIterator<Item = Queue>) {
-        let former = std::mem::take(&mut self.queues);
-        self.queues = queues
-            .into_iter()
-            .map(|queue| (queue.name.clone(), Arc::new(queue)))
-            .collect();
-        let in_use = self.queues_in_use();
-        for (name, queue) in former {
-            if in_use.contains(&name) {
-                self.queues.entry(name).or_insert(queue);
-            }
-        }
-        for name in in_use {
-            self.record_terms(&name);
-        }
-        self.sort_ready();
-    }
-
-    /// Replaces the names of the shard's queues by address. Jobs whose queue is unknown belong to the queue
-    /// of their address: their process knew the address under an earlier name.
-    pub fn set_addresses(&mut self, addresses: impl IntoIterator<Item = (Address, Arc<str>)>) {
-        self.addresses = addresses.into_iter().collect();
-        let unknown = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| !job.is_ended() && !self.queues.contains_key(&job.queue));
-        let named = unknown.filter_map(|(id, job)| {
-            let name = self.addresses.get(&job.spec.address)?;
-            Some((*id, name.clone()))
-        });
-        let named: Vec<(Id, Arc<str>)> = named.collect();
-        for (id, name) in named {
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.queue = name;
-            }
-        }
-        self.sort_ready();
-    }
-
-    /// Returns the name of the queue to which a job belongs that was submitted under a name.
-    pub(crate) fn queue_name(&self, name: Arc<str>, address: Address) -> Arc<str> {
-        match self.addresses.get(&address) {
-            Some(current) if !self.queues.contains_key(&name) => current.clone(),
-            _ => name,
-        }
-    }
-
-    /// Records the terms of a queue, so that a successor knows them if the queue is removed.
-    pub(crate) fn record_terms(&mut self, name: &Arc<str>) {
-        let Some(queue) = self.queues.get(name).cloned() else {
-            return;
-        };
-        if self.recovery.is_replaying() || self.recorded_terms.get(name) == Some(&queue) {
-            return;
-        }
-        self.recorded_terms.insert(name.clone(), queue.clone());
-        self.record(Record::Terms(queue));
-    }
-
-    /// Applies the terms of a queue that a previous owner recorded.
-    pub(crate) fn replay_terms(&mut self, queue: Arc<Queue>) {
-        let name = queue.name.clone();
-        self.recorded_terms.insert(name.clone(), queue.clone());
-        self.queues.entry(name).or_insert(queue);
-    }
-
     /// Returns the number of jobs of an address of which no task has started. Jobs whose address is
     /// unknown are counted by their queue.
     #[must_use]
     pub fn pending_jobs(&self, address: Address, queue: &str) -> u64 {
-        let is_pending = |job: &&crate::run::Job| {
+        let is_pending = |job: &&Job| {
             let belongs = match job.spec.address {
                 unknown if unknown == Address::default() => &*job.queue == queue,
                 known => known == address,
--- a/crates/workflow/src/possibility.rs
+++ b/crates/workflow/src/parked.rs
@@ -10,11 +10,11 @@
 /// for which members wait for each other and a pass may last.
 pub(crate) const GANG_MEMBERS_MAX: u32 = 6_000;
 
-/// Parked steps that are looked at in a pass.
-const PARKED_PER_PASS: usize = 64;
+/// Upper bound of the parked steps that are checked in a pass.
+const CHECKS_MAX: usize = 64;
 
-/// Workers at which a look costs as much as at one for a step that can be placed.
-const WORKERS_PER_UNIT: usize = 4;
+/// Workers whose capacity is compared at the cost of one evaluation.
+const WORKERS_PER_EVALUATION: usize = 4;
 
 /// What becomes of a parked step.
 enum Verdict {
@@ -50,19 +50,26 @@
                 break;
             }
         }
-        self.pass.charge(seen / WORKERS_PER_UNIT);
+        self.pass.charge(seen / WORKERS_PER_EVALUATION);
         slots >= wanted || in_pool == 0
     }
 
-    /// Returns parked steps to the waiting ones that workers could run now.
+    /// Returns parked steps to the waiting ones that workers could run now. Checks as many as a small part
+    /// of the pass allows, in turn.
     pub(crate) fn check_parked(&mut self) {
-        for position in self.waiting.take_parked(PARKED_PER_PASS) {
+        for _ in 0..CHECKS_MAX.min(self.waiting.parked_len()) {
+            let Some(position) = self.waiting.take_parked() else {
+                return;
+            };
             let (_, _, key) = position;
             match self.judge_parked(key) {
                 Verdict::Gone => {}
                 Verdict::Possible => self.enqueue(key),
                 Verdict::Impossible => self.waiting.keep_parked(position),
             }
+            if self.pass.checks_are_spent() {
+                return;
+            }
         }
     }
 
--- a/crates/workflow/src/placement.rs
+++ b/crates/workflow/src/placement.rs
@@ -10,7 +10,7 @@
 use crate::host::{Host, Phase, Run, StartState};
 use crate::job::{Queue, Step};
 use crate::order::Rank;
-use crate::possibility::GANG_MEMBERS_MAX;
+use crate::pool_capacity::PoolCapacities;
 use crate::run::{Placement, StepRun};
 use crate::shard::Shard;
 use crate::task::{Key, StepKey};
@@ -26,52 +26,14 @@
 /// Penalty for each consecutive failure of a worker, in thousandths of a worker's size.
 const FAILURE_PENALTY: i64 = 1_000;
 
-/// Tasks of a step at which a look costs as much as at one worker.
-const TASKS_PER_UNIT: usize = 16;
+/// Tasks that are searched at the cost of one evaluation of a worker.
+const TASKS_PER_EVALUATION: usize = 16;
 
-/// Cost of a start in looks at workers.
-const UNITS_PER_START: usize = 16;
+/// Cost of a start in evaluations of a worker.
+pub(crate) const START_COST: usize = 16;
 
-/// Free capacity of a pool during one pass over the waiting steps.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct PoolCapacity {
-    /// Upper bound of the free capacity of a single worker, per resource.
-    pub(crate) largest_free: Size,
-    /// The same of the workers with a label.
-    labelled: BTreeMap<Arc<str>, Size>,
-    /// Free capacity that no earlier step of the pass waits for. The free capacity is counted twice
-    /// because only some of the workers that have it are allowed for a step.
-    pub(crate) unclaimed: Size,
-    /// Starving steps found so far in the pass; the first ones keep their permits valid.
-    pub(crate) starving_steps: u32,
-    /// Waiting tasks of the steps visited so far that have permits or have requested them.
-    pub(crate) advised_tasks: u64,
-}
-
-impl PoolCapacity {
-    fn add(&mut self, host: &Host) {
-        let free = host.free();
-        self.largest_free = self.largest_free.max(&free);
-        self.unclaimed += free.times(2);
-        for label in &host.worker.labels {
-            match self.labelled.get_mut(label) {
-                Some(largest) => *largest = largest.max(&free),
-                None => drop(self.labelled.insert(label.clone(), free)),
-            }
-        }
-    }
-
-    /// Returns whether some worker may have room for a task of a step.
-    fn may_fit(&self, step: &Step, size: &Size) -> bool {
-        let largest = match &step.requires {
-            Some(label) => self.labelled.get(label),
-            None => Some(&self.largest_free),
-        };
-        largest.is_some_and(|largest| size.fits(largest))
-    }
-}
-
-type PoolCapacities = BTreeMap<Arc<str>, PoolCapacity>;
+/// Steps that are ordered at the cost of one evaluation of a worker.
+const RANKS_PER_EVALUATION: usize = 4;
 
 /// Result of placing a step.
 enum Placed {
@@ -84,13 +46,13 @@
 }
 
 impl Shard {
-    /// Sets the work that a placement pass may do, in looks at one worker for one step. A pass that has
-    /// done it ends, and the next one goes on there.
-    pub fn set_pass_budget(&mut self, looks: u64) {
-        self.pass.set_budget(looks);
+    /// Sets the work that a placement pass may do, in evaluations of one worker for one step. A pass that
+    /// has done it ends, and the next one goes on there.
+    pub fn set_pass_budget(&mut self, evaluations: u64) {
+        self.pass.set_budget(evaluations);
     }
 
-    /// Returns the work that the last pass did.
+    /// Returns the work that the last pass did, in evaluations of one worker for one step.
     #[must_use]
     pub fn pass_cost(&self) -> u64 {
         self.pass.spent()
@@ -112,7 +74,7 @@
         self.waiting.refill();
         self.check_parked();
         let order = self.placement_order(now_ms);
-        self.pass.charge(order.len());
+        self.pass.charge(order.len() / RANKS_PER_EVALUATION);
         self.reserve(&order, now_ms);
         if order.is_empty() {
             return;
@@ -152,20 +114,6 @@
         self.waiting.rotate();
     }
 
-    /// Returns the free capacity of each pool.
-    fn pool_capacities(&self, now_ms: u64) -> PoolCapacities {
-        let mut capacities = PoolCapacities::new();
-        for host in self
-            .hosts
-            .values()
-            .filter(|host| host.is_schedulable(now_ms))
-        {
-            let pool = host.worker.pool.clone();
-            capacities.entry(pool).or_default().add(host);
-        }
-        capacities
-    }
-
     fn place_step(&mut self, key: StepKey, capacities: &mut PoolCapacities, now_ms: u64) -> Placed {
         self.pass.charge(1);
         let Some(job) = self.jobs.get(&key.job) else {
@@ -247,7 +195,7 @@
             };
             let attempt = self.next_attempt(key, &[index]);
             self.start_task(&worker, Key { step: key, index }, attempt, step, now_ms);
-            self.pass.charge(UNITS_PER_START);
+            self.pass.charge(START_COST);
             // The start changes the score of this worker only.
             let score = self.candidate_score(&worker, key, step, queue, now_ms, &planned);
             candidates.extend(score.map(|score| (score, worker)));
@@ -276,13 +224,13 @@
         let count = u32::try_from(run.tasks.len()).unwrap_or(u32::MAX);
         let next = (from..count).find(may_start);
         let seen = next.map_or(count, |next| next + 1).saturating_sub(from);
-        self.pass.charge(seen as usize / TASKS_PER_UNIT);
+        self.pass.charge(seen as usize / TASKS_PER_EVALUATION);
         next
     }
 
     /// Returns an attempt number above those that this owner used and previous owners may have used
     /// for the tasks.
-    fn next_attempt(&self, key: StepKey, tasks: &[u32]) -> u32 {
+    pub(crate) fn next_attempt(&self, key: StepKey, tasks: &[u32]) -> u32 {
         let Some(job) = self.jobs.get(&key.job) else {
             return 1;
         };
@@ -299,94 +247,9 @@
         highest.saturating_add(1)
     }
 
-    fn place_gang(&mut self, key: StepKey, step: &Step, queue: &Queue, now_ms: u64) {
-        let Some(run) = self.step_run_mut(key) else {
-            return;
-        };
-        if run.waiting < step.count {
-            self.stop_remaining_members(key, now_ms);
-            return;
-        }
-        if run.tasks.iter().any(|task| task.not_before_ms > now_ms) || self.is_held_back(key) {
-            return;
-        }
-        let Some(workers) = self.gang_workers(key, step, queue, now_ms) else {
-            return;
-        };
-        let members: Vec<u32> = (0..step.count).collect();
-        let attempt = self.next_attempt(key, &members);
-        self.pass.charge(members.len() * UNITS_PER_START);
-        let checkpoint = self.step_run_mut(key).and_then(|run| {
-            let checkpoint = run.tasks.iter().filter_map(|task| task.checkpoint.clone());
-            checkpoint.max()
-        });
-        for (index, worker) in workers.into_iter().enumerate() {
-            let index = index as u32;
-            if let Some(run) = self.step_run_mut(key) {
-                run.tasks[index as usize].checkpoint = checkpoint.clone();
-            }
-            self.start_task(&worker, Key { step: key, index }, attempt, step, now_ms);
-        }
-        self.release_reservations(key);
-    }
-
-    /// Returns a worker for each member of a gang; `None` if not all members fit.
-    fn gang_workers(
-        &mut self,
-        key: StepKey,
-        step: &Step,
-        queue: &Queue,
-        now_ms: u64,
-    ) -> Option<Vec<Arc<str>>> {
-        let mut planned: BTreeMap<Arc<str>, u32> = BTreeMap::new();
-        let mut member = step.clone();
-        let mut candidates = self.candidates(key, &member, queue, now_ms, &planned);
-        let slots = candidates.iter().map(|(_, id)| {
-            let host = self.hosts.get(id);
-            let free = host.map(|host| self.reservations.free(host, key, queue.priority));
-            free.map_or(0, |free| task_slots(&free, step, &step.demand()))
-        });
-        if step.count > GANG_MEMBERS_MAX || slots.sum::<u64>() < u64::from(step.count) {
-            return None;
-        }
-        let mut workers = Vec::with_capacity(step.count as usize);
-        while workers.len() < step.count as usize {
-            let (_, worker) = candidates.pop_first()?;
-            *planned.entry(worker.clone()).or_default() += 1;
-            let rack = self.hosts.get(&worker).map(|host| host.worker.rack.clone());
-            if step.one_rack && member.preferred_rack != rack {
-                member.preferred_rack = rack;
-                candidates = self.candidates(key, &member, queue, now_ms, &planned);
-            } else {
-                // The plan changes what fits on this worker only.
-                let score = self.candidate_score(&worker, key, &member, queue, now_ms, &planned);
-                candidates.extend(score.map(|score| (score, worker.clone())));
-            }
-            workers.push(worker);
-        }
-        self.pass.charge(workers.len());
-        Some(workers)
-    }
-
-    /// Stops the remaining members of a gang that has lost a member.
-    fn stop_remaining_members(&mut self, key: StepKey, now_ms: u64) {
-        let Some(run) = self.step_run_mut(key) else {
-            return;
-        };
-        let mut members = Vec::new();
-        for (index, task) in run.tasks.iter().enumerate() {
-            if let Placement::Assigned(worker) = &task.placement {
-                members.push((worker.clone(), index as u32));
-            }
-        }
-        for (worker, index) in members {
-            self.stop_run(&worker, Key { step: key, index }, now_ms);
-        }
-    }
-
     /// Returns the workers that may run one more task of a step, in addition to those in `planned`,
     /// the best first.
-    fn candidates(
+    pub(crate) fn candidates(
         &mut self,
         key: StepKey,
         step: &Step,
@@ -414,7 +277,7 @@
     }
 
     /// Returns the score of a worker for one more task of a step; `None` if it may not run one.
-    fn candidate_score(
+    pub(crate) fn candidate_score(
         &self,
         id: &Arc<str>,
         key: StepKey,
@@ -438,7 +301,14 @@
             .then(|| score(host, step, &size) + self.speed_penalty(host, key, step, queue, now_ms))
     }
 
-    fn start_task(&mut self, worker: &Arc<str>, key: Key, attempt: u32, step: &Step, now_ms: u64) {
+    pub(crate) fn start_task(
+        &mut self,
+        worker: &Arc<str>,
+        key: Key,
+        attempt: u32,
+        step: &Step,
+        now_ms: u64,
+    ) {
         let ttl_ms = self.settings.order_ttl_ms;
         let Some(job) = self.jobs.get(&key.step.job) else {
             return;
--- a/crates/workflow/src/reservation.rs
+++ b/crates/workflow/src/reservation.rs
@@ -31,8 +31,8 @@
 /// for each waiting gang.
 const DECISION_PERIOD_MS: u64 = 20;
 
-/// Cost of planning with one worker, in looks of a placement pass.
-const UNITS_PER_PLANNED_WORKER: usize = 4;
+/// Cost of planning with one worker, in evaluations of a placement pass.
+const PLANNING_COST: usize = 4;
 
 /// Capacity reserved on a worker for a step.
 #[derive(Clone, Copy, Debug)]
@@ -180,7 +180,7 @@
         }
         draft.has_progressed = true;
         self.pass.charge(match self.is_starving(key, now_ms) {
-            true => self.hosts.len() * UNITS_PER_PLANNED_WORKER,
+            true => self.hosts.len() * PLANNING_COST,
             false => 1,
         });
         match self.plan_if_gang(key, &draft.reservations, now_ms) {
--- a/crates/workflow/src/shard.rs
+++ b/crates/workflow/src/shard.rs
@@ -7,11 +7,9 @@
 use crate::advice_load::AdviceLoad;
 use crate::clock::Clock;
 use crate::host::{Host, Liveness, Phase};
-use crate::incarnation::Incarnation;
 use crate::job::{Address, Id, Queue, Spec, State, Step};
 use crate::lease::Lease;
 use crate::lost_answers::LostAnswers;
-use crate::lost_attempt::Evidence;
 use crate::memory::Pool;
 use crate::moves::Moves;
 use crate::objective::Outlook;
@@ -451,51 +449,4 @@
         let stop = host.stop_request(key, attempt);
         self.actions.push(Action::Stop(stop));
     }
-
-    /// Resets the state for a new incarnation of a worker: the tasks of the previous one wait
-    /// again, and steps with waiting tasks forget the answers of the advice service about it.
-    pub(crate) fn begin_incarnation(&mut self, id: &Arc<str>, incarnation: u64, now_ms: u64) {
-        let Some(host) = self.hosts.get_mut(id) else {
-            return;
-        };
-        let former_number = host.worker.incarnation;
-        let lost = host.begin_incarnation(incarnation, now_ms);
-        self.actions.push(Action::LogIncarnation(Incarnation {
-            worker: id.clone(),
-            number: incarnation,
-            former_number,
-            ended: lost.len(),
-            pending: host.runs.len(),
-            lease_expires_ms: host.lease.expires_at(),
-        }));
-        let expires_ms = host.lease.inherited_expiry(0);
-        self.recovery.postpone(id, expires_ms);
-        if !self.recovery.is_replaying() {
-            // A successor must know of it although the directory may not name it.
-            self.record_worker(id);
-        }
-        for (key, _) in lost {
-            self.mark_run_lost(id, key, Evidence::NewIncarnation);
-        }
-        for key in self.waiting.keys() {
-            if let Some(run) = self.step_run_mut(key) {
-                run.advice.forget_worker(id);
-            }
-        }
-        self.actions.push(Action::Renew(id.clone()));
-        self.apply_older_entry(id, now_ms);
-    }
-
-    /// Applies an entry of the directory that was read before its incarnation was known to be the
-    /// current one.
-    fn apply_older_entry(&mut self, id: &str, now_ms: u64) {
-        let Some(host) = self.hosts.get_mut(id) else {
-            return;
-        };
-        let incarnation = host.worker.incarnation;
-        let entry = host.older_entry.take();
-        if let Some(entry) = entry.filter(|entry| entry.incarnation == incarnation) {
-            self.list_worker(entry, now_ms);
-        }
-    }
 }
--- a/crates/workflow/src/snapshot.rs
+++ b/crates/workflow/src/snapshot.rs
@@ -50,14 +50,17 @@
             key: "clock".into(),
             records: vec![clock],
         }];
-        let quota = self.quota_records();
-        if !quota.is_empty() {
-            entries.push(Entry {
-                key: "quota".into(),
-                records: quota,
-            });
+        let optional = [
+            ("quota", self.quota_records()),
+            ("moves", self.move_records()),
+            ("terms", self.terms_records()),
+        ];
+        for (key, records) in optional {
+            if !records.is_empty() {
+                let key = key.into();
+                entries.push(Entry { key, records });
+            }
         }
-        entries.extend(self.address_entries());
         entries.extend(self.ended_jobs());
         entries.extend(self.early_cancellations());
         entries.extend(self.open_job_entries());
--- a/crates/workflow/src/usage.rs
+++ b/crates/workflow/src/usage.rs
@@ -44,20 +44,20 @@
 
 /// Waiting steps and placement passes of an owner, for logs.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Looks {
-    /// Steps that wait for their turn to be looked at.
+pub struct Passes {
+    /// Steps that wait for their turn in the working set.
     pub backlog: usize,
     /// Steps that no worker of their pool could run.
     pub parked: usize,
-    /// Passes that ended before they had looked at all steps, since the begin of the ownership.
+    /// Passes that ended before they had reached all steps, since the begin of the ownership.
     pub cut: u64,
 }
 
 impl Shard {
-    /// Returns the waiting steps that passes don't look at, and the passes that were cut short.
+    /// Returns the waiting steps outside the working set, and the passes that were cut short.
     #[must_use]
-    pub fn looks(&self) -> Looks {
-        Looks {
+    pub fn passes(&self) -> Passes {
+        Passes {
             backlog: self.waiting.backlog_len(),
             parked: self.waiting.parked_len(),
             cut: self.pass.cut(),
--- a/crates/workflow/src/waiting.rs
+++ b/crates/workflow/src/waiting.rs
@@ -210,20 +210,14 @@
         self.parked.insert(entry.position());
     }
 
-    /// Removes up to `count` parked steps in turn.
-    pub(crate) fn take_parked(&mut self, count: usize) -> Vec<Position> {
+    /// Removes the parked step whose turn it is.
+    pub(crate) fn take_parked(&mut self) -> Option<Position> {
         let after = self.parked_turn.map_or(Bound::Unbounded, Bound::Excluded);
-        let later = self.parked.range((after, Bound::Unbounded));
-        let mut taken: Vec<Position> = later.take(count).copied().collect();
-        let first = taken.first().copied();
-        let earlier = self.parked.iter().take(count - taken.len());
-        let earlier = earlier.take_while(|position| Some(**position) != first);
-        taken.extend(earlier.copied());
-        for position in &taken {
-            self.parked.remove(position);
-        }
-        self.parked_turn = taken.last().copied();
-        taken
+        let mut later = self.parked.range((after, Bound::Unbounded));
+        let position = later.next().or_else(|| self.parked.first()).copied()?;
+        self.parked.remove(&position);
+        self.parked_turn = Some(position);
+        Some(position)
     }
 
     /// Parks a step again that was taken.
--- a/crates/workflow/tests/bounded_passes.rs
+++ b/crates/workflow/tests/bounded_passes.rs
@@ -173,7 +173,7 @@
     fleet.submit(1, spec(vec![labelled]));
     fleet.submit(2, spec(vec![wide]));
     fleet.tick();
-    assert_eq!(fleet.shard.looks().parked, 2);
+    assert_eq!(fleet.shard.passes().parked, 2);
     fleet.add_worker("w9");
     for _ in 0..2 {
         fleet.make_durable();
@@ -228,10 +228,10 @@
         fleet.shard.submit(Id(id), "q".into(), spec, fleet.now_ms);
         fleet.tick();
     }
-    assert!(fleet.shard.looks().backlog > 50_000);
+    assert!(fleet.shard.passes().backlog > 50_000);
     for id in 0..20 {
         fleet.shard.cancel(Id(id), fleet.now_ms);
     }
-    assert_eq!(fleet.shard.looks().backlog, 0);
-    assert_eq!(fleet.shard.looks().parked, 0);
+    assert_eq!(fleet.shard.passes().backlog, 0);
+    assert_eq!(fleet.shard.passes().parked, 0);
 }
