fix(entry): record a move behind the jobs that were applied

Cause: a page of jobs is applied in parts since, and its end was noted after the whole page. A move that was recorded in between began before jobs that this owner had applied already, so they could run here and in the shard that the address belongs to. Read in the code while the change was reviewed, not seen in a run. An owner also kept an address closed that returned to it, if nobody submitted a job before the other shard was removed from the register.

Change: the offset up to which jobs have been applied is noted with each record, under the same lock. The owner of a shard takes the addresses back that a configuration sends to it.

Not shown by a test with processes: the window is a few milliseconds of a page of more than 32 KiB.

--- a/crates/entry/src/moves.rs
+++ b/crates/entry/src/moves.rs
@@ -310,28 +310,9 @@
             job,
         } = *question;
         let until_ms = clock::now().0 + DURABLE_MAX_MS;
-        let shard = Some(shard).filter(|shard| *shard != self.shard());
-        // A previous owner that still acts may start a job that it has not read from the log.
-        if self.is_ended() || !self.has_fenced_predecessors() {
+        if !self.move_address(address, version, shard).await {
             return JobState::Unavailable;
         }
-        let preparation = self.state().prepare_move(address, version, shard);
-        match preparation {
-            Preparation::Recorded => {}
-            Preparation::Outdated => return JobState::Unavailable,
-            Preparation::Required => {
-                if !self.read_to_end(clock::now().0).await {
-                    return JobState::Unavailable;
-                }
-                self.state().record_move(address, version, shard);
-                events::MOVED.log(format_args!(
-                    "address={:016x} shard={} to={shard:?} version={version}",
-                    address.0,
-                    self.shard()
-                ));
-                self.wake();
-            }
-        }
         while !self.state().is_move_durable(address) {
             let now_ms = clock::now().0;
             if now_ms >= until_ms || self.is_ended() {
@@ -343,8 +324,35 @@
         self.job_state(job, None).await
     }
 
+    /// Records that an address belongs to a shard as of a version of the configuration, unless that is
+    /// recorded. Returns `false` if it can't be recorded now, or a later version says otherwise.
+    async fn move_address(&self, address: Address, version: u64, shard: u32) -> bool {
+        let to = Some(shard).filter(|shard| *shard != self.shard());
+        // A previous owner that still acts may start a job that it has not read from the log.
+        if self.is_ended() || !self.has_fenced_predecessors() {
+            return false;
+        }
+        let preparation = self.state().prepare_move(address, version, to);
+        match preparation {
+            Preparation::Recorded => return true,
+            Preparation::Outdated => return false,
+            Preparation::Required => {}
+        }
+        if !self.read_to_end(clock::now().0).await {
+            return false;
+        }
+        self.state().record_move(address, version, to);
+        events::MOVED.log(format_args!(
+            "address={:016x} shard={} to={shard} version={version}",
+            address.0,
+            self.shard()
+        ));
+        self.wake();
+        true
+    }
+
     /// Lists this shard for the addresses that each configuration sends to it, so that their first jobs
-    /// don't wait for that.
+    /// don't wait for that, and takes jobs of those that return to it.
     pub(crate) async fn list_addresses(self: Arc<Self>, node: Arc<Node>) {
         while !self.is_ended() {
             let (addresses, version) = node.addresses_of(self.shard());
@@ -356,6 +364,10 @@
                 let unlisted = addresses.into_iter().filter(is_unlisted);
                 unlisted.map(|address| (address, shard)).collect()
             };
+            for address in node.addresses_of(shard).0 {
+                // The processes that store jobs ask for it as well.
+                self.move_address(address, version, shard).await;
+            }
             for homes in unlisted.chunks(HOMES_PER_APPEND) {
                 // Processes list the shard themselves if this fails.
                 if node.write_homes(homes, version).await.is_err() {
--- a/crates/entry/src/owner/jobs.rs
+++ b/crates/entry/src/owner/jobs.rs
@@ -65,13 +65,17 @@
 
     fn apply_job(&self, offset: u64, encoded: &[u8]) {
         let submitted = codec::compressed_submission(encoded);
-        if submitted.is_some_and(|id| self.state().note_logged(id, offset)) {
-            // Most jobs are known before their records are read.
-            return;
-        }
-        if let Some(record) = codec::decode(encoded) {
-            let now_ms = clock::now().0;
-            self.state().apply_stored(record, Some(offset), now_ms);
+        // Most jobs are known before their records are read.
+        let is_known = submitted.is_some_and(|id| self.state().note_logged(id, offset));
+        let record = match is_known {
+            true => None,
+            false => codec::decode(encoded),
+        };
+        // A move that is recorded meanwhile begins either before this record or after it.
+        let mut state = self.state();
+        if let Some(record) = record {
+            state.apply_stored(record, Some(offset), clock::now().0);
         }
+        state.read_to(offset + 1);
     }
 }
--- a/crates/workflow/src/waiting.rs
+++ b/crates/workflow/src/waiting.rs
@@ -1,9 +1,9 @@
-//! Steps with waiting tasks. Every look at them covers a working set of bounded size, however many wait.
+//! Steps with waiting tasks. A placement pass visits a working set of bounded size, however many wait.
 //!
 //! Steps wait in one line for each team of a queue. While all fit, the working set holds every step. If
 //! there are more, each line keeps its first ones in the set and the others take turns, so that no line
-//! keeps another one from being looked at. Steps that no worker of their pool could run, even an empty
-//! one, are parked apart and looked at a few at a time.
+//! keeps another one from being visited. Steps that no worker of their pool could run, even an empty
+//! one, are parked apart and checked a few at a time.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Bound, RangeInclusive};
@@ -53,6 +53,7 @@
     }
 }
 
+/// Waiting steps of one team in a queue.
 #[derive(Debug, Default)]
 struct Line {
     /// Steps in the working set.
@@ -84,7 +85,7 @@
     /// Number of entries in the working set.
     ready: usize,
     parked: BTreeSet<Position>,
-    /// Last parked step that was looked at.
+    /// Last parked step that was checked.
     parked_turn: Option<Position>,
 }
 
@@ -246,7 +247,7 @@
         }
     }
 
-    /// Makes room for the next entries in turn, after all of the working set have been looked at.
+    /// Makes room for the next entries in turn, after all of the working set have been visited.
     pub(crate) fn rotate(&mut self) {
         for line in self.lines.values_mut() {
             let count = (line.ready.len() / ROTATED_PART).min(line.backlog.len());
--- a/crates/workflow/tests/moves.rs
+++ b/crates/workflow/tests/moves.rs
@@ -144,3 +144,28 @@
     let mut records = entries.flat_map(|entry| entry.records);
     assert!(records.any(|record| terms(&&record)), "the terms are lost");
 }
+
+/// A page of jobs is applied in parts. One that was applied beyond the recorded offset ran in both shards.
+#[test]
+fn a_move_begins_after_the_jobs_that_were_applied() {
+    let mut fleet = Fleet::new(2);
+    fleet.shard.prepare_move(ADDRESS, 2, Some(OTHER));
+    fleet.shard.read_to(1);
+    for offset in 1..3 {
+        let record = submitted(offset);
+        fleet.shard.apply_stored(record, Some(offset), 1_000);
+        fleet.shard.read_to(offset + 1);
+    }
+    fleet.shard.record_move(ADDRESS, 2, Some(OTHER));
+    fleet.shard.apply_stored(submitted(3), Some(3), 1_000);
+    fleet.tick();
+    fleet.make_durable();
+    fleet.tick();
+    let started: Vec<Id> = fleet
+        .orders
+        .iter()
+        .map(|order| order.key.step.job)
+        .collect();
+    assert_eq!(started, [Id(1), Id(2)]);
+    assert_eq!(fleet.forwards, [(OTHER, submitted(3))]);
+}
