feat(entry): log lines and metrics about reads of the log

Change: the log is observed at its border: E853 for reads that brought configurations or were slow, E854 for reads that failed after a long time, entry_log_read_bytes, entry_log_reads_failed, entry_configuration_bytes_to_peers; E851 has bytes and took_ms. The HTTP client tells a response that was not complete in time from one that did not begin.

--- a/crates/cli/src/call.rs
+++ b/crates/cli/src/call.rs
@@ -116,7 +116,7 @@
     fn send_failure(&self, error: &Error, id: Option<&str>) -> Failure {
         let text = format!("{}: {error}", self.address);
         match (error, id) {
-            (Error::Lost(_) | Error::Timeout, Some(id)) => {
+            (Error::Lost(_) | Error::Timeout | Error::Incomplete { .. }, Some(id)) => {
                 Failure::new(UNREACHABLE, format!("{text}; {}", retry_hint(id)))
             }
             _ => Failure::new(UNREACHABLE, text),
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -85,6 +85,10 @@
 pub const CLIENT_REFUSED: Event = Event::new(890, Level::Warn, "client refused");
 /// The configuration changed the limits for requests.
 pub const TERMS_CHANGED: Event = Event::new(891, Level::Info, "limits for requests changed");
+/// A read of the log brought a configuration or was slow.
+pub const LOG_READ: Event = Event::new(853, Level::Info, "log read");
+/// A read of the log failed after a long time.
+pub const LOG_READ_FAILED: Event = Event::new(854, Level::Warn, "log read failed");
 /// A record of a stream is malformed.
 pub const RECORD_SKIPPED: Event = Event::new(832, Level::Warn, "record skipped");
 /// The process received the signal to reload.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod permission;
 pub mod port;
 mod quota;
+mod reads;
 mod relay;
 mod relayed;
 pub mod relays;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -40,6 +40,12 @@
     pub advice_backlog_ms: Gauge,
     /// Configurations that came from other processes.
     pub revisions_taken: Counter,
+    /// Bytes of configurations sent to other processes.
+    pub revision_bytes: Counter,
+    /// Bytes of the answers to reads of the log.
+    pub read_bytes: Counter,
+    /// Reads of the log that failed.
+    pub reads_failed: Counter,
     /// Queries for jobs in the shards of addresses that have moved.
     pub former_queries: Counter,
     /// Records passed on to the shard to which their address has moved.
@@ -121,6 +127,12 @@
                 "entry_configurations_from_peers",
                 "Configurations that came from other processes",
             ),
+            revision_bytes: counter(
+                "entry_configuration_bytes_to_peers",
+                "Bytes of configurations sent to other processes",
+            ),
+            read_bytes: counter("entry_log_read_bytes", "Bytes read from the log"),
+            reads_failed: counter("entry_log_reads_failed", "Reads of the log that failed"),
             former_queries: counter(
                 "entry_former_queries",
                 "Queries for jobs in the shards of moved addresses",
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -24,6 +24,7 @@
 use crate::peers::Known;
 use crate::permission::Permission;
 use crate::port::{Advisor, Store, Workers};
+use crate::reads::Observer;
 use crate::relay::Relay;
 use crate::revisions::{self, Source};
 use crate::settings::Settings;
@@ -121,7 +122,12 @@
 impl Node {
     /// Creates the process.
     #[must_use]
-    pub fn new(settings: Settings, context: Context, runtime: tokio::runtime::Handle) -> Arc<Self> {
+    pub fn new(
+        settings: Settings,
+        mut context: Context,
+        runtime: tokio::runtime::Handle,
+    ) -> Arc<Self> {
+        context.store = Observer::new(context.store, context.metrics.clone());
         let hello = Hello {
             node: settings.node.clone(),
             role: Role::Entry,
@@ -130,7 +136,7 @@
         };
         context.ready.clear("no configuration yet");
         let advice = Service::new(context.advisor.clone(), context.metrics.clone());
-        let revisions = revisions::exchange::Exchange::new(context.metrics.revisions_taken.clone());
+        let revisions = revisions::exchange::Exchange::new(context.metrics.clone());
         let memory = Pool::new(settings.limits().job_bytes);
         Arc::new(Self {
             settings,
--- a/crates/entry/src/port.rs
+++ b/crates/entry/src/port.rs
@@ -128,6 +128,8 @@
     pub next: u64,
     /// End of the partition.
     pub end: u64,
+    /// Length of the answer in bytes.
+    pub bytes: u64,
 }
 
 impl Page {
@@ -147,10 +149,14 @@
     pub skipped: Vec<Arc<str>>,
     /// Offset for the next read.
     pub next: u64,
+    /// End of the list.
+    pub end: u64,
     /// Whether later changes are left for the next read.
     pub has_more: bool,
     /// Whether the items are the complete state instead of changes since an offset.
     pub complete: bool,
+    /// Length of the answer in bytes.
+    pub bytes: u64,
 }
 
 /// A change of the list of workers.
--- a/crates/entry/src/revisions/exchange.rs
+++ b/crates/entry/src/revisions/exchange.rs
@@ -3,7 +3,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use prometheus_client::metrics::counter::Counter;
 use rosemaryworks_node::clock;
 use rosemaryworks_wire::Message;
 use rosemaryworks_wire::link::Peer;
@@ -14,6 +13,7 @@
 use super::tracker::{Judgement, Peers, Source, Tracker};
 use crate::config::Config;
 use crate::events;
+use crate::metrics::Metrics;
 
 /// Time for an answer. Later rounds don't wait for it, and a late answer counts.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -39,16 +39,16 @@
 pub(crate) struct Exchange {
     tracker: Mutex<Tracker>,
     changed: Notify,
-    taken: Counter,
+    metrics: Metrics,
 }
 
 impl Exchange {
-    /// Creates the exchange. `taken` counts the configurations that came from other processes.
-    pub(crate) fn new(taken: Counter) -> Self {
+    /// Creates the exchange.
+    pub(crate) fn new(metrics: Metrics) -> Self {
         Self {
             tracker: Mutex::default(),
             changed: Notify::new(),
-            taken,
+            metrics,
         }
     }
 
@@ -79,6 +79,8 @@
         let (mut revision, is_newer) = self.tracker().answer(asked, clock::uptime_ms());
         let config = config.filter(|config| is_newer && Some(config.version) == revision.version);
         revision.config = config.and_then(encode);
+        let bytes = revision.config.as_ref().map_or(0, |config| config.0.len());
+        self.metrics.revision_bytes.inc_by(bytes as u64);
         revision
     }
 
@@ -133,10 +135,12 @@
             (Judgement::Take, Some(version), Some(encoded)) => match decode(encoded) {
                 Some(config) if config.version == version => {
                     events::REVISION_TAKEN.log(format_args!(
-                        "version={version} peer={peer} age_ms={:?}",
-                        revision.age_ms
+                        "version={version} peer={peer} age_ms={:?} bytes={} took_ms={}",
+                        revision.age_ms,
+                        encoded.0.len(),
+                        clock::uptime_ms().saturating_sub(*asked_ms)
                     ));
-                    self.taken.inc();
+                    self.metrics.revisions_taken.inc();
                     process.configure(Arc::new(config));
                     self.tracker().accept(version, revision, *asked_ms);
                 }
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -199,6 +199,8 @@
                 if is_new || tokio::time::Instant::now() >= until {
                     return Ok(Changes {
                         next: current.version,
+                        end: current.version,
+                        bytes: 0,
                         items: vec![Arc::new(current)],
                         skipped: Vec::new(),
                         has_more: false,
@@ -222,8 +224,10 @@
             items,
             skipped,
             next: 0,
+            end: 0,
             has_more: false,
             complete: since.is_none(),
+            bytes: 0,
         };
         self.answer(changes, 0)
     }
--- a/crates/entry/tests/support/partition.rs
+++ b/crates/entry/tests/support/partition.rs
@@ -70,6 +70,7 @@
             first: self.first,
             next: self.end(),
             end: self.end(),
+            bytes: 0,
         })
     }
 
@@ -86,6 +87,7 @@
             first: self.first,
             next: self.end(),
             end: self.end(),
+            bytes: 0,
         }
     }
 
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -3,13 +3,15 @@
 //! A client of ntex can be used only on the thread that created it. [`Client`] runs such clients on
 //! dedicated threads and passes requests to them over channels.
 
+use std::cell::Cell;
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ntex::client::error::{ClientError, ConnectError};
-use ntex::client::{Client as LocalClient, Connector};
+use ntex::client::{Client as LocalClient, ClientResponse, Connector};
 use ntex::time::{Millis, Seconds};
+use ntex::util::stream_recv;
 use rosemaryworks_core::partition::hash;
 use tokio::sync::{mpsc, oneshot};
 
@@ -115,6 +117,11 @@
     Invalid(String),
     /// The response did not arrive in time; the request may have been sent.
     Timeout,
+    /// The response began and was not complete in time.
+    Incomplete {
+        /// Bytes of the body that had arrived.
+        received_bytes: usize,
+    },
 }
 
 impl fmt::Display for Error {
@@ -125,6 +132,9 @@
             Self::Lost(reason) => write!(f, "no whole response: {reason}"),
             Self::Invalid(reason) => write!(f, "invalid request: {reason}"),
             Self::Timeout => f.write_str("no response in time"),
+            Self::Incomplete { received_bytes } => {
+                write!(f, "response incomplete after {received_bytes} bytes")
+            }
         }
     }
 }
@@ -230,15 +240,37 @@
         let client = client.clone();
         ntex::rt::spawn(async move {
             let timeout = request.timeout;
-            let result = late::timeout(timeout, exchange(&client, request)).await;
-            let result = result.unwrap_or(Err(Error::Timeout));
+            let received = Received::default();
+            let result = late::timeout(timeout, exchange(&client, request, &received)).await;
+            let result = result.unwrap_or_else(|| Err(received.timeout()));
             // The caller may have dropped its future.
             let _ = reply.send(result);
         });
     }
 }
 
-async fn exchange(client: &LocalClient, request: Request) -> Result<Response, Error> {
+/// What has arrived of a response.
+#[derive(Debug, Default)]
+struct Received {
+    /// Bytes of the body; `None` before the end of the head.
+    body_bytes: Cell<Option<usize>>,
+}
+
+impl Received {
+    /// Returns the error of a response that is not complete in time.
+    fn timeout(&self) -> Error {
+        match self.body_bytes.get() {
+            Some(received_bytes) => Error::Incomplete { received_bytes },
+            None => Error::Timeout,
+        }
+    }
+}
+
+async fn exchange(
+    client: &LocalClient,
+    request: Request,
+    received: &Received,
+) -> Result<Response, Error> {
     let method = ntex::http::Method::from_bytes(request.method.as_bytes())
         .map_err(|error| Error::Invalid(error.to_string()))?;
     let mut builder = client.request(method, request.url.as_str());
@@ -256,15 +288,32 @@
         .iter()
         .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
         .collect();
-    let body = response.body().limit(response_max_bytes).await;
-    let body = body.map_err(|error| Error::Lost(error.to_string()))?;
+    received.body_bytes.set(Some(0));
+    let body = read_body(response, response_max_bytes, received).await?;
     Ok(Response {
         status,
         headers,
-        body: body.to_vec(),
+        body,
     })
 }
 
+async fn read_body(
+    mut response: ClientResponse,
+    max_bytes: usize,
+    received: &Received,
+) -> Result<Vec<u8>, Error> {
+    let mut body = Vec::new();
+    while let Some(part) = stream_recv(&mut response).await {
+        let part = part.map_err(|error| Error::Lost(error.to_string()))?;
+        if body.len() + part.len() > max_bytes {
+            return Err(Error::Lost(format!("body of more than {max_bytes} bytes")));
+        }
+        body.extend_from_slice(&part);
+        received.body_bytes.set(Some(body.len()));
+    }
+    Ok(body)
+}
+
 fn classify(error: &ClientError) -> Error {
     match error {
         // ntex reports a connection that closed before the response as this error.
--- a/crates/platform/src/http/call.rs
+++ b/crates/platform/src/http/call.rs
@@ -52,7 +52,9 @@
         Error::Connect(_) | Error::Invalid(_) | Error::Refused => {
             Fault::Unreached(error.to_string())
         }
-        Error::Lost(_) | Error::Timeout => Fault::Uncertain(error.to_string()),
+        Error::Lost(_) | Error::Timeout | Error::Incomplete { .. } => {
+            Fault::Uncertain(error.to_string())
+        }
     }
 }
 
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -113,7 +113,9 @@
             }
             // Nothing was sent. A load balancer before the processes would detect this as well.
             Err(Error::Connect(_) | Error::Refused | Error::Invalid(_)) => Acknowledgement::Refused,
-            Err(Error::Lost(_) | Error::Timeout) => Acknowledgement::Unknown,
+            Err(Error::Lost(_) | Error::Timeout | Error::Incomplete { .. }) => {
+                Acknowledgement::Unknown
+            }
         }
     }
 
--- a/crates/soak/src/log.rs
+++ b/crates/soak/src/log.rs
@@ -63,6 +63,7 @@
             first: self.first,
             next: self.end(),
             end: self.end(),
+            bytes: 0,
         })
     }
 }
--- a/xtask/src/faults/requests.rs
+++ b/xtask/src/faults/requests.rs
@@ -150,7 +150,7 @@
     let outcome = match error {
         Error::Connect(_) | Error::Invalid(_) | Error::Refused => Outcome::Unreached,
         Error::Lost(_) => Outcome::Lost,
-        Error::Timeout => Outcome::TimedOut,
+        Error::Timeout | Error::Incomplete { .. } => Outcome::TimedOut,
     };
     let event = Event::Answered {
         call,
