--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -14,6 +14,7 @@
 use ntex::util::stream_recv;
 use rosemaryworks_core::partition::hash;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 use crate::late;
 
@@ -22,6 +23,10 @@
 
 const KEEP_ALIVE_SECONDS: u16 = 60;
 
+/// Least mean rate of a body that is limited by its pauses, in bytes per millisecond, which is 128
+/// kbit/s. A slower one would occupy its connection for minutes.
+const BODY_RATE_MIN: usize = 16;
+
 /// Timeout for opening a connection. ntex opens one connection to an address at a time, so an
 /// attempt that hangs in a network partition blocks all others until the system retransmits its SYN
 /// packet, which takes seconds. A round trip between regions takes less than this timeout.
@@ -41,6 +46,10 @@
     /// Timeout of the whole exchange, from opening a connection to the end of the response. Extended
     /// by the time for which the client's thread is late.
     pub timeout: Duration,
+    /// Longest pause between two parts of the response's body. `timeout` then ends with the head of the
+    /// response, and the body may take as long as it makes progress. `None` if `timeout` covers the
+    /// whole exchange.
+    pub stall_timeout: Option<Duration>,
     /// Largest body of the response in bytes. A longer one counts as no complete response.
     pub response_max_bytes: usize,
 }
@@ -55,10 +64,18 @@
             headers: Vec::new(),
             body: Vec::new(),
             timeout,
+            stall_timeout: None,
             response_max_bytes: BODY_MAX_BYTES,
         }
     }
 
+    /// Sets the longest pause between two parts of the response's body.
+    #[must_use]
+    pub fn stall_timeout(mut self, timeout: Duration) -> Self {
+        self.stall_timeout = Some(timeout);
+        self
+    }
+
     /// Sets the largest body of the response in bytes.
     #[must_use]
     pub fn response_max_bytes(mut self, bytes: usize) -> Self {
@@ -239,10 +256,7 @@
     while let Some((request, reply)) = receiver.recv().await {
         let client = client.clone();
         ntex::rt::spawn(async move {
-            let timeout = request.timeout;
-            let received = Received::default();
-            let result = late::timeout(timeout, exchange(&client, request, &received)).await;
-            let result = result.unwrap_or_else(|| Err(received.timeout()));
+            let result = exchange(&client, request).await;
             // The caller may have dropped its future.
             let _ = reply.send(result);
         });
@@ -266,44 +280,63 @@
     }
 }
 
-async fn exchange(
-    client: &LocalClient,
-    request: Request,
-    received: &Received,
-) -> Result<Response, Error> {
+async fn exchange(client: &LocalClient, request: Request) -> Result<Response, Error> {
+    let (timeout, max_bytes) = (request.timeout, request.response_max_bytes);
+    let received = Received::default();
+    let Some(stall_timeout) = request.stall_timeout else {
+        let whole = async {
+            let response = open(client, request).await?;
+            read_body(response, max_bytes, None, &received).await
+        };
+        let response = late::timeout(timeout, whole).await;
+        return response.unwrap_or_else(|| Err(received.timeout()));
+    };
+    let response = late::timeout(timeout, open(client, request)).await;
+    let response = response.unwrap_or(Err(Error::Timeout))?;
+    read_body(response, max_bytes, Some(stall_timeout), &received).await
+}
+
+/// Sends a request and waits for the head of the response.
+async fn open(client: &LocalClient, request: Request) -> Result<ClientResponse, Error> {
     let method = ntex::http::Method::from_bytes(request.method.as_bytes())
         .map_err(|error| Error::Invalid(error.to_string()))?;
     let mut builder = client.request(method, request.url.as_str());
     for (name, value) in &request.headers {
         builder = builder.header(&**name, &**value);
     }
-    let response_max_bytes = request.response_max_bytes;
-    let response = builder
-        .send_body(request.body)
-        .await
-        .map_err(|e| classify(&e))?;
-    let status = response.status().as_u16();
-    let headers = response
-        .headers()
-        .iter()
-        .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
-        .collect();
-    received.body_bytes.set(Some(0));
-    let body = read_body(response, response_max_bytes, received).await?;
-    Ok(Response {
-        status,
-        headers,
-        body,
-    })
+    let response = builder.send_body(request.body).await;
+    response.map_err(|error| classify(&error))
 }
 
+/// Reads the body of a response, which may pause for `stall_timeout` at most.
 async fn read_body(
     mut response: ClientResponse,
     max_bytes: usize,
+    stall_timeout: Option<Duration>,
     received: &Received,
-) -> Result<Vec<u8>, Error> {
+) -> Result<Response, Error> {
+    let status = response.status().as_u16();
+    let headers = response
+        .headers()
+        .iter()
+        .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
+        .collect();
     let mut body = Vec::new();
-    while let Some(part) = stream_recv(&mut response).await {
+    received.body_bytes.set(Some(0));
+    let began = Instant::now();
+    loop {
+        let part = stream_recv(&mut response);
+        let part = match stall_timeout {
+            Some(stall_timeout) => {
+                // What has arrived counts, also if this thread is late.
+                let expected = Duration::from_millis((body.len() / BODY_RATE_MIN) as u64);
+                let left = (stall_timeout + expected).saturating_sub(began.elapsed());
+                let part = late::timeout(stall_timeout.min(left), part).await;
+                part.ok_or_else(|| received.timeout())?
+            }
+            None => part.await,
+        };
+        let Some(part) = part else { break };
         let part = part.map_err(|error| Error::Lost(error.to_string()))?;
         if body.len() + part.len() > max_bytes {
             return Err(Error::Lost(format!("body of more than {max_bytes} bytes")));
@@ -311,7 +344,11 @@
         body.extend_from_slice(&part);
         received.body_bytes.set(Some(body.len()));
     }
-    Ok(body)
+    Ok(Response {
+        status,
+        headers,
+        body,
+    })
 }
 
 fn classify(error: &ClientError) -> Error {
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -226,3 +226,54 @@
         assert_eq!(read.try_iter().count(), 2, "{is_reset}");
     }
 }
+
+/// Starts a server that sends the head of a response and parts of its body with pauses between them,
+/// and returns its URL.
+fn serve_slowly(parts: usize, pause: Duration) -> String {
+    use std::io::Write;
+    const PART: [u8; 1_000] = [0; 1_000];
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}/", listener.local_addr().unwrap());
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = read_head(&mut stream);
+        let length = 10 * PART.len();
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n"
+        )
+        .unwrap();
+        for _ in 0..parts {
+            std::thread::sleep(pause);
+            stream.write_all(&PART).unwrap();
+        }
+        // Keeps the connection open.
+        let _ = stream.peek(&mut [0]);
+    });
+    url
+}
+
+/// Guards against long responses that a slow link carries and the client gives up, and against a lost
+/// path that is not noticed within a response.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_may_take_long_and_must_not_stall() {
+    const TIMEOUT: Duration = Duration::from_millis(200);
+    let pause = Duration::from_millis(60);
+    let client = Client::start(1);
+    let send = |parts, is_limited_by_pauses| {
+        let request = Request::new("GET", serve_slowly(parts, pause), TIMEOUT);
+        client.send(match is_limited_by_pauses {
+            true => request.stall_timeout(TIMEOUT),
+            false => request,
+        })
+    };
+    let whole = send(10, true).await;
+    assert_eq!(whole.map(|response| response.body.len()), Ok(10_000));
+    let received_bytes = 4_000;
+    assert_eq!(
+        send(4, true).await,
+        Err(Error::Incomplete { received_bytes })
+    );
+    let cut = send(10, false).await;
+    assert!(matches!(cut, Err(Error::Incomplete { .. })), "{cut:?}");
+}
--- a/crates/platform/src/http/instances.rs
+++ b/crates/platform/src/http/instances.rs
@@ -72,6 +72,7 @@
             headers: request.headers,
             body: request.body,
             timeout: Duration::from_millis(request.timeout_ms),
+            stall_timeout: None,
             response_max_bytes: http::BODY_MAX_BYTES,
         };
         let answer = self.exchange("send request", instance, http_request);
