fix(entry): skip the versions of the configuration that newer ones replace

Cause: a read of the configuration returned all versions since the last one that was read, though only the newest counts, so that what a read carries grows with the time for which reads have failed. After a rejection of 5 s a VM with 10 Mbit/s had 1 to 2 MB to read.

Change: Position (no I/O) decides what is read: after a failure a part of 320 KiB at most, and if there is more, the last record. A last record of another key leads to the newest version by key; one that can't be decoded leads back to the versions between, one after the other.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -26,7 +26,7 @@
 use crate::port::{Advisor, Store, Workers};
 use crate::reads::Observer;
 use crate::relay::Relay;
-use crate::revisions::{self, Source};
+use crate::revisions::{self, Extent, Position, Read, Source, Step};
 use crate::settings::Settings;
 use crate::skipped::Skipped;
 use crate::submitter::Submitter;
@@ -307,7 +307,7 @@
         /// had no such failure for 3 s.
         const WAIT_MS: u64 = 1_800;
         const RETRY_PAUSE: Duration = Duration::from_millis(150);
-        let mut since = None;
+        let mut position = Position::default();
         let mut answered = true;
         loop {
             // After a failure, only a call without a wait detects the return of the log soon.
@@ -316,28 +316,42 @@
                 false => WAIT_MS,
             };
             let asked_ms = clock::uptime_ms();
-            let read = self.context.store.configuration(since, wait_ms).await;
-            answered = matches!(read, Ok(_) | Err(crate::port::Fault::Expired { .. }));
-            match read {
+            let read = position.next_read(wait_ms);
+            let changes = self.context.store.configuration(read).await;
+            answered = matches!(changes, Ok(_) | Err(crate::port::Fault::Expired { .. }));
+            match changes {
                 Ok(changes) => {
                     self.observe_log_response(true);
                     let newest = changes.items.iter().map(|config| config.version).max();
                     // Without a change the log has waited for the whole time.
-                    let waited = newest.is_none() && clock::uptime_ms() >= asked_ms + wait_ms;
-                    let read_ms = asked_ms + if waited { wait_ms } else { 0 };
-                    since = Some(changes.next);
+                    let waited = match read {
+                        Read::After { wait_ms, .. }
+                            if newest.is_none() && clock::uptime_ms() >= asked_ms + wait_ms =>
+                        {
+                            wait_ms
+                        }
+                        _ => 0,
+                    };
                     self.skipped_configurations
                         .log(&changes.skipped, clock::now().0);
+                    let extent = Extent {
+                        next: changes.next,
+                        end: changes.end,
+                        usable: changes.items.len(),
+                        unusable: changes.skipped.len(),
+                    };
                     for config in changes.items {
                         self.configure(config);
                     }
-                    if !changes.has_more {
+                    if position.ended(extent) == Step::Current {
+                        let read_ms = asked_ms + waited;
                         self.revisions.read_from_log(newest, read_ms);
                     }
                     self.revisions.read_ended(Source::Configuration, true);
                 }
-                Err(crate::port::Fault::Expired { .. }) => since = None,
+                Err(crate::port::Fault::Expired { .. }) => position.expired(),
                 Err(_) => {
+                    position.failed();
                     self.observe_log_response(false);
                     self.revisions.read_ended(Source::Configuration, false);
                     tokio::time::sleep(RETRY_PAUSE).await;
--- a/crates/entry/src/port.rs
+++ b/crates/entry/src/port.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::config::Config;
+use crate::revisions::Read;
 
 /// Future of a response.
 pub type Answer<T, E = Fault> = Pin<Box<dyn Future<Output = Result<T, E>> + Send>>;
@@ -179,8 +180,8 @@
     /// Reads the newest record of each key of a partition.
     fn newest(&self, stream: Stream, partition: u32) -> Answer<Page>;
 
-    /// Reads changes of the configuration; without `since` the newest one.
-    fn configuration(&self, since: Option<u64>, wait_ms: u64) -> Answer<Changes<Arc<Config>>>;
+    /// Reads versions of the configuration.
+    fn configuration(&self, read: Read) -> Answer<Changes<Arc<Config>>>;
 
     /// Reads changes of the list of workers; without `since` the complete list.
     fn workers(&self, since: Option<u64>) -> Answer<Changes<WorkerChange>>;
--- a/crates/entry/src/reads.rs
+++ b/crates/entry/src/reads.rs
@@ -9,6 +9,7 @@
 use crate::events;
 use crate::metrics::Metrics;
 use crate::port::{Answer, Append, Appended, Changes, Fault, Page, Store, Stream, WorkerChange};
+use crate::revisions::Read;
 
 /// Time beyond its wait from which a read counts as slow, in milliseconds. A slow log answers a short
 /// read within a quarter of a second.
@@ -160,14 +161,19 @@
         self.observe(question, self.store.newest(stream, partition))
     }
 
-    fn configuration(&self, since: Option<u64>, wait_ms: u64) -> Answer<Changes<Arc<Config>>> {
+    fn configuration(&self, read: Read) -> Answer<Changes<Arc<Config>>> {
+        let (from, wait_ms) = match read {
+            Read::Newest => (None, 0),
+            Read::After { offset, wait_ms } => (Some(offset), wait_ms),
+            Read::Part { offset } => (Some(offset), 0),
+        };
         let question = Question {
             list: "configurations",
             partition: 0,
-            from: since,
+            from,
             wait_ms,
         };
-        self.observe(question, self.store.configuration(since, wait_ms))
+        self.observe(question, self.store.configuration(read))
     }
 
     fn workers(&self, since: Option<u64>) -> Answer<Changes<WorkerChange>> {
--- a/crates/entry/tests/support/door.rs
+++ b/crates/entry/tests/support/door.rs
@@ -8,6 +8,7 @@
 use rosemaryworks_entry::port::{
     Answer, Append, Appended, Changes, Fault, Page, Store, Stream, WorkerChange,
 };
+use rosemaryworks_entry::revisions::Read;
 
 use super::Log;
 
@@ -66,11 +67,11 @@
         self.pass(|log| log.newest(stream, partition))
     }
 
-    fn configuration(&self, since: Option<u64>, wait_ms: u64) -> Answer<Changes<Arc<Config>>> {
+    fn configuration(&self, read: Read) -> Answer<Changes<Arc<Config>>> {
         if self.configuration_closed.load(Ordering::Relaxed) {
             return Box::pin(async { Err(Fault::Refused("turned away".into())) });
         }
-        self.pass(|log| log.configuration(since, wait_ms))
+        self.pass(|log| log.configuration(read))
     }
 
     fn workers(&self, since: Option<u64>) -> Answer<Changes<WorkerChange>> {
--- a/crates/entry/tests/support/memory.rs
+++ b/crates/entry/tests/support/memory.rs
@@ -11,6 +11,7 @@
 use rosemaryworks_entry::port::{
     Answer, Append, Appended, Changes, Fault, Page, Record, Store, Stream, WorkerChange,
 };
+use rosemaryworks_entry::revisions::Read;
 use rosemaryworks_entry::{Config, Context, Metrics, Node, Route, Settings};
 use rosemaryworks_node::status::Status;
 use rosemaryworks_workflow::{Id, Queue, Spec, Step, Worker};
@@ -185,7 +186,12 @@
         })
     }
 
-    fn configuration(&self, since: Option<u64>, wait_ms: u64) -> Answer<Changes<Arc<Config>>> {
+    fn configuration(&self, read: Read) -> Answer<Changes<Arc<Config>>> {
+        let (since, wait_ms) = match read {
+            Read::Newest => (None, 0),
+            Read::After { offset, wait_ms } => (Some(offset), wait_ms),
+            Read::Part { offset } => (Some(offset), 0),
+        };
         let (config, down) = (self.config.clone(), self.down.clone());
         let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
         Box::pin(async move {
