fix(entry): configurations over peers are sent once, compressed, and move the read position

Cause: a VM that the log rejects asked up to 12 processes each 0.4 s, each of which could answer with the whole configuration over the same narrow link, beside the commands of that link; a version of 290 kB took 2.0 s. A version from a peer moved no offset, so the log sent it again.

Change: questions are answered with the version and its length; the configuration is fetched from one process at a time, within a time that follows its length, as a zlib stream that the sender keeps for all who ask. A process whose links are half full sends none (the asker tries again, or another one): it would close the link. Answers carry the offset before which no newer version lies; a process vouches for none beyond a version that it can't decode. Builds without these fields ask for and get the plain form.

The test of revisions.rs passes.

--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -1,5 +1,6 @@
 //! Encoding of a shard's records in the log: CBOR, and for large submissions a CBOR byte string that
-//! holds the same record as a zlib stream (RFC 1950).
+//! holds the same record as a zlib stream (RFC 1950). Configurations for other processes have the same
+//! two forms.
 
 use std::sync::Arc;
 
@@ -9,6 +10,7 @@
 use rosemaryworks_workflow::{Address, Id, Record, State};
 use serde::Deserialize;
 
+use crate::config::Config;
 use crate::events;
 
 /// Size in bytes from which a submission is compressed. The log accepts records of 256 KiB.
@@ -74,6 +76,25 @@
     team: Option<Arc<str>>,
 }
 
+/// Encodes a configuration as a compressed byte string.
+pub(crate) fn encode_config(config: &Config) -> Vec<u8> {
+    write(&Value::Bytes(compress_to_vec_zlib(&write(config), LEVEL)))
+}
+
+/// Encodes a configuration in the plain form.
+pub(crate) fn encode_plain_config(config: &Config) -> Vec<u8> {
+    write(config)
+}
+
+/// Decodes a configuration of either form; `None` if it is malformed.
+pub(crate) fn decode_config(mut bytes: &[u8]) -> Option<Config> {
+    if !is_byte_string(bytes) {
+        return ciborium::from_reader(bytes).ok();
+    }
+    let plain = decompress(&mut bytes).ok()?;
+    ciborium::from_reader(plain.as_slice()).ok()
+}
+
 /// Returns the job of a compressed submission, whose specification may take a hundred times the memory
 /// of the record; `None` for other records.
 pub(crate) fn compressed_submission(mut bytes: &[u8]) -> Option<Id> {
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -52,6 +52,12 @@
                     // Requests of an owner that has ended would delay those of its successor.
                     () = peer.closed() => Message::Workflow(Workflow::Advised(None)),
                 },
+                Message::Workflow(Workflow::AskRevision { version, form }) => {
+                    let config = node.config();
+                    let config = config.as_deref();
+                    let revision = node.revisions.answer(version, form, config, &peer);
+                    Message::Workflow(Workflow::Revision(revision))
+                }
                 Message::Workflow(message) => Message::Workflow(node.handle_call(message).await),
                 other => other,
             }
@@ -307,10 +313,6 @@
                 self.owner(shard)
                     .and_then(|owner| owner.queue_length(address, &queue)),
             ),
-            Workflow::AskRevision { version } => {
-                let config = self.config();
-                Workflow::Revision(self.revisions.answer(version, config.as_deref()))
-            }
             Workflow::IsCandidate => Workflow::Candidate(self.can_take_over().await),
             Workflow::AskOwnership {
                 owned,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -310,6 +310,10 @@
         let mut position = Position::default();
         let mut answered = true;
         loop {
+            // A version that came from another process needs no read.
+            if let Some(offset) = self.revisions.offset() {
+                position.skip_to(offset);
+            }
             // After a failure, only a call without a wait detects the return of the log soon.
             let wait_ms = match self.log_is_down() || !answered {
                 true => 0,
@@ -345,7 +349,8 @@
                     }
                     if position.ended(extent) == Step::Current {
                         let read_ms = asked_ms + waited;
-                        self.revisions.read_from_log(newest, read_ms);
+                        self.revisions
+                            .read_from_log(newest, read_ms, position.offset());
                     }
                     self.revisions.read_ended(Source::Configuration, true);
                 }
--- a/crates/entry/src/revisions/tracker.rs
+++ b/crates/entry/src/revisions/tracker.rs
@@ -2,6 +2,7 @@
 //! when other processes are asked for a newer one.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use rosemaryworks_wire::workflow::Revision;
 
@@ -14,6 +15,12 @@
 /// handled by an older one.
 pub const FRESH_MS: u64 = 3_000;
 
+/// Time-out of a fetched configuration beyond the time for which a narrow link carries it.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Rate at which a configuration arrives at least, in bytes per millisecond, which is 1 Mbit/s.
+const FETCH_RATE_MIN: u64 = 125;
+
 /// Processes that are asked in a round beside the owners. The log may reject a third of the VMs, so
 /// that four in a row are rejected in about one round of a hundred.
 const SAMPLED_MAX: usize = 4;
@@ -57,9 +64,13 @@
     version: Option<u64>,
     /// Time at which the version was the newest one for certain.
     confirmed_ms: Option<u64>,
+    /// Offset in the log before which no newer version lies than the one in force.
+    offset: Option<u64>,
     failing: BTreeSet<Source>,
     asked_ms: Option<u64>,
     rounds: usize,
+    /// Whether a configuration is on its way from another process.
+    is_fetching: bool,
 }
 
 impl Tracker {
@@ -69,6 +80,32 @@
         self.version
     }
 
+    /// Returns the offset in the log before which no newer version lies than the one in force.
+    #[must_use]
+    pub fn offset(&self) -> Option<u64> {
+        self.offset
+    }
+
+    /// Records that no version newer than the one in force lies before an offset.
+    pub fn read_to(&mut self, offset: u64) {
+        self.offset = self.offset.max(Some(offset));
+    }
+
+    /// Begins to fetch a configuration, unless one is on its way: a second one would delay the first on
+    /// a narrow link. Returns the time-out, or `None` if nothing is to be fetched now.
+    pub fn begin_fetch(&mut self, length: u64) -> Option<Duration> {
+        if self.is_fetching {
+            return None;
+        }
+        self.is_fetching = true;
+        Some(FETCH_TIMEOUT + Duration::from_millis(length / FETCH_RATE_MIN))
+    }
+
+    /// Records that the configuration has arrived or will not.
+    pub fn end_fetch(&mut self) {
+        self.is_fetching = false;
+    }
+
     /// Records the end of a read of the log. Returns whether this process begins to ask others.
     pub fn read_ended(&mut self, source: Source, answered: bool) -> bool {
         let asked = !self.failing.is_empty();
@@ -128,6 +165,8 @@
         let revision = Revision {
             version: self.version,
             age_ms: confirmed.map(|at_ms| now_ms.saturating_sub(at_ms)),
+            offset: self.offset,
+            length: None,
             config: None,
         };
         (revision, self.version > asked)
@@ -154,6 +193,11 @@
 
     /// Applies an answer that was judged to confirm or to be taken.
     pub fn accept(&mut self, version: u64, revision: &Revision, asked_ms: u64) {
+        if let Some(offset) = revision.offset
+            && self.version <= Some(version)
+        {
+            self.read_to(offset);
+        }
         match confirmed_ms(revision, asked_ms) {
             Some(at_ms) => self.confirm(version, at_ms),
             None if self.version < Some(version) => {
--- a/crates/entry/tests/revisions.rs
+++ b/crates/entry/tests/revisions.rs
@@ -2,10 +2,10 @@
 //! and against processes that go back to an older one.
 
 use rosemaryworks_core::size::Size;
-use rosemaryworks_entry::Config;
 use rosemaryworks_entry::access::Directory;
 use rosemaryworks_entry::revisions::tracker::{FRESH_MS, ROUND_MS};
 use rosemaryworks_entry::revisions::{Judgement, Peers, Source, Tracker};
+use rosemaryworks_entry::{Config, Route};
 use rosemaryworks_wire::workflow::Revision;
 use rosemaryworks_workflow::Team;
 
@@ -24,7 +24,7 @@
     Revision {
         version: Some(version),
         age_ms,
-        config: None,
+        ..Revision::default()
     }
 }
 
@@ -229,3 +229,47 @@
     let new = Process::launch_rejected(owner.log.clone(), "new").await;
     wait_for_version(&new, 1, Duration::from_secs(3)).await;
 }
+
+/// Each of the processes that were asked answered with the whole configuration, in each round, until
+/// the first one had passed the narrow link.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_version_is_sent_once_and_compressed_to_each_process_that_the_log_rejects() {
+    const ROUTES: usize = 1_400;
+    const REJECTED: u64 = 6;
+    const VERSIONS: u64 = 3;
+    let owner = Process::start().await;
+    let mut rejected = Vec::new();
+    for index in 0..REJECTED {
+        let process = owner.start_peer(&format!("rejected-{index}")).await;
+        let closed = &process.door.configuration_closed;
+        closed.store(true, Ordering::Relaxed);
+        rejected.push(process);
+    }
+    // The reads that wait at the log when it begins to reject are still answered.
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let mut plain_bytes = 0;
+    for version in 2..2 + VERSIONS {
+        let mut config = configuration(version, &["pool"]);
+        config.routes = (0..ROUTES)
+            .map(|index| Route {
+                prefix: format!("/q{index}/").into(),
+                ..memory::route()
+            })
+            .collect();
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&config, &mut bytes).expect("a configuration");
+        plain_bytes += bytes.len() as u64;
+        *owner.log.config.lock().expect("the lock") = Some(config);
+        for process in &rejected {
+            wait_for_version(process, version, Duration::from_secs(2)).await;
+        }
+    }
+    for process in &rejected {
+        assert_eq!(process.metrics.revisions_taken.get(), VERSIONS);
+    }
+    let sent = owner.metrics.revision_bytes.get();
+    assert!(
+        sent * 4 <= plain_bytes * REJECTED,
+        "{sent} bytes sent, {plain_bytes} to each process without compression"
+    );
+}
--- a/crates/wire/src/link/bounds.rs
+++ b/crates/wire/src/link/bounds.rs
@@ -56,6 +56,13 @@
         all <= self.limit || own <= self.even
     }
 
+    /// Returns whether so many bytes would leave half of the bounds to others, or fit into an even share.
+    pub(super) fn has_room(&self, bytes: u64) -> bool {
+        let own = self.own.load(Ordering::Relaxed).saturating_add(bytes);
+        let all = self.all.load(Ordering::Relaxed).saturating_add(bytes);
+        all <= self.limit / 2 || own <= self.even
+    }
+
     /// Removes bytes that were added.
     pub(super) fn remove(&self, bytes: u64) {
         self.own.fetch_sub(bytes, Ordering::Relaxed);
--- a/crates/wire/src/link/connection.rs
+++ b/crates/wire/src/link/connection.rs
@@ -110,6 +110,13 @@
         Arc::ptr_eq(&self.inner, &other.inner)
     }
 
+    /// Returns whether a long message of so many bytes may be queued. One beyond the bounds of the
+    /// links closes the connection.
+    #[must_use]
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.inner.queued.has_room(bytes as u64)
+    }
+
     /// Waits until the connection is closed.
     pub async fn closed(&self) {
         self.inner.outgoing.closed().await;
--- a/crates/wire/src/workflow.rs
+++ b/crates/wire/src/workflow.rs
@@ -200,6 +200,9 @@
         /// Version in force at the sender.
         #[serde(rename = "v")]
         version: Option<u64>,
+        /// Form in which the configuration is wanted, if it is newer.
+        #[serde(default, rename = "f", skip_serializing_if = "Form::is_plain")]
+        form: Form,
     },
     /// Reply to `AskRevision`.
     #[serde(rename = "s")]
@@ -223,6 +226,27 @@
     pub job: Id,
 }
 
+/// Form in which a process wants a configuration.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Form {
+    /// Encoded, as processes want it that know no other form.
+    #[default]
+    #[serde(rename = "p")]
+    Plain,
+    /// Encoded and compressed.
+    #[serde(rename = "z")]
+    Compressed,
+    /// Only its version and its length.
+    #[serde(rename = "b")]
+    Brief,
+}
+
+impl Form {
+    fn is_plain(&self) -> bool {
+        *self == Self::Plain
+    }
+}
+
 /// The newest configuration that a process knows.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Revision {
@@ -233,6 +257,13 @@
     /// never was.
     #[serde(rename = "a")]
     pub age_ms: Option<u64>,
+    /// Offset in the log before which no newer version lies.
+    #[serde(default, rename = "o", skip_serializing_if = "Option::is_none")]
+    pub offset: Option<u64>,
+    /// Length of the configuration in its compressed form in bytes, if it is newer than that of the
+    /// process that asked.
+    #[serde(default, rename = "l", skip_serializing_if = "Option::is_none")]
+    pub length: Option<u64>,
     /// The configuration, if it is newer than that of the process that asked.
     #[serde(default, rename = "c", skip_serializing_if = "Option::is_none")]
     pub config: Option<Encoded>,
--- a/crates/wire/tests/ownership.rs
+++ b/crates/wire/tests/ownership.rs
@@ -1,7 +1,7 @@
 //! Guards against an owner that takes a changed answer of a peer for a proof of its ownership.
 
 use quickcheck::quickcheck;
-use rosemaryworks_wire::workflow::{Encoded, Message as Workflow, Revision};
+use rosemaryworks_wire::workflow::{Encoded, Form, Message as Workflow, Revision};
 use rosemaryworks_wire::{Frame, Kind, Message};
 
 fn survives(kind: Kind, message: Workflow) -> bool {
@@ -30,12 +30,19 @@
     let revision = Revision {
         version: Some(3),
         age_ms: Some(20),
+        offset: Some(40),
+        length: Some(500),
         config: Some(Encoded(key.as_bytes().to_vec())),
     };
     assert!(!format!("{revision:?}").contains("115"), "{revision:?}");
     assert!(survives(Kind::Reply, Workflow::Revision(revision)));
     let version = Some(2);
-    assert!(survives(Kind::Call, Workflow::AskRevision { version }));
+    for form in [Form::Plain, Form::Compressed, Form::Brief] {
+        assert!(survives(
+            Kind::Call,
+            Workflow::AskRevision { version, form }
+        ));
+    }
 }
 
 #[test]
