--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -274,11 +274,13 @@
     socket.send(Packet::Binary(bytes.into())).await.unwrap();
     let peer = first_link.await.unwrap();
     let message = large();
+    assert!(peer.has_room(FRAME_MAX_BYTES));
     for _ in 0..3 {
         peer.notify(message.clone()).unwrap();
     }
     tokio::time::sleep(Duration::from_millis(200)).await;
     assert!(!peer.is_closed(), "closed within the bounds");
+    assert!(!peer.has_room(FRAME_MAX_BYTES), "more than half is queued");
     for _ in 0..4 {
         let _ = peer.notify(message.clone());
     }
